Start the decision core: lifecycle, queues, endpoints, shedding order

Cause: nothing exists. The decisions come first, as pure code without clock or sockets, so that server, replay and tests run the same. Change: request state machine (one way into Sent), tier queues with bounded unfairness, learned endpoint speeds, prefix map, length model, level protocol for shedding order across instances, scheduler. Conclusion: a base for the thin path.

--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,12 @@
+//! The decisions, free of clocks, sockets and random sources: inputs in, actions out.
+//!
+//! The server, the replay and the property tests all run this code.
+
+pub mod endpoint;
+pub mod length;
+pub mod lifecycle;
+pub mod prefix;
+pub mod queue;
+pub mod scheduler;
+pub mod shedding;
+pub mod types;
--- /dev/null
+++ b/src/core/prefix.rs
@@ -0,0 +1,189 @@
+//! Which endpoint holds which prompt blocks, bounded and fed by grants and cache events.
+
+use std::collections::{HashMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+/// What an endpoint says of its prefix cache, with a sequence number.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CacheEvent {
+    /// Counts the endpoint's events without a gap.
+    pub seq: u64,
+    /// Blocks that the cache took in.
+    #[serde(default)]
+    pub stored: Vec<u64>,
+    /// Blocks that the cache dropped.
+    #[serde(default)]
+    pub evicted: Vec<u64>,
+}
+
+/// The blocks believed to be cached at one endpoint.
+#[derive(Clone, Debug, Default)]
+struct Held {
+    blocks: HashMap<u64, u64>,
+    order: VecDeque<(u64, u64)>,
+    stamp: u64,
+    next_seq: Option<u64>,
+}
+
+/// Maps prompt blocks to endpoints.
+///
+/// Memory is bounded by each endpoint's capacity. On a gap in an endpoint's cache events all that
+/// is believed of that endpoint is forgotten, since an eviction may have been missed.
+#[derive(Clone, Debug, Default)]
+pub struct PrefixMap {
+    endpoints: Vec<Held>,
+    capacity_blocks: Vec<usize>,
+    holders: HashMap<u64, Vec<u32>>,
+}
+
+impl PrefixMap {
+    /// Sets an endpoint's capacity, in blocks; a new endpoint starts empty.
+    pub fn set_capacity(&mut self, endpoint: usize, blocks: usize) {
+        if self.endpoints.len() <= endpoint {
+            self.endpoints.resize_with(endpoint + 1, Held::default);
+            self.capacity_blocks.resize(endpoint + 1, 0);
+        }
+        self.capacity_blocks[endpoint] = blocks;
+    }
+
+    /// Returns how many leading blocks of `prefix` the endpoint holds.
+    pub fn cached_blocks(&self, endpoint: usize, prefix: &[u64]) -> usize {
+        let held = &self.endpoints[endpoint].blocks;
+        prefix.iter().take_while(|b| held.contains_key(b)).count()
+    }
+
+    /// Returns the endpoints that hold the block, at least in part of them.
+    pub fn holders(&self, block: u64) -> &[u32] {
+        self.holders.get(&block).map_or(&[], Vec::as_slice)
+    }
+
+    /// Takes note that the endpoint works on `prefix` and will hold it.
+    pub fn touch(&mut self, endpoint: usize, prefix: &[u64]) {
+        for &block in prefix.iter().rev() {
+            self.insert(endpoint, block);
+        }
+    }
+
+    /// Applies a cache event; returns false if a gap made it forget the endpoint.
+    pub fn apply(&mut self, endpoint: usize, event: &CacheEvent) -> bool {
+        let expected = self.endpoints[endpoint].next_seq;
+        let whole = expected.is_none_or(|seq| seq == event.seq);
+        if !whole {
+            self.forget(endpoint);
+        }
+        self.endpoints[endpoint].next_seq = Some(event.seq + 1);
+        for &block in &event.evicted {
+            self.remove(endpoint, block);
+        }
+        self.touch(endpoint, &event.stored);
+        whole
+    }
+
+    /// Forgets all that is believed of the endpoint.
+    pub fn forget(&mut self, endpoint: usize) {
+        let held = std::mem::take(&mut self.endpoints[endpoint]);
+        for block in held.blocks.keys() {
+            self.drop_holder(*block, endpoint);
+        }
+    }
+
+    fn insert(&mut self, endpoint: usize, block: u64) {
+        let held = &mut self.endpoints[endpoint];
+        held.stamp += 1;
+        let stamp = held.stamp;
+        held.order.push_back((block, stamp));
+        if held.blocks.insert(block, stamp).is_none() {
+            self.holders.entry(block).or_default().push(endpoint as u32);
+        }
+        self.evict_over_capacity(endpoint);
+    }
+
+    fn evict_over_capacity(&mut self, endpoint: usize) {
+        let capacity = self.capacity_blocks[endpoint];
+        loop {
+            let held = &mut self.endpoints[endpoint];
+            let crowded = held.blocks.len() > capacity;
+            // Entries of `order` that were touched again later are stale; sweep them too.
+            if !crowded && held.order.len() <= 4 * capacity + 16 {
+                return;
+            }
+            let Some((block, stamp)) = held.order.pop_front() else {
+                return;
+            };
+            if held.blocks.get(&block) != Some(&stamp) {
+                continue;
+            }
+            if crowded {
+                self.remove(endpoint, block);
+            } else {
+                held.order.push_back((block, stamp));
+                return;
+            }
+        }
+    }
+
+    fn remove(&mut self, endpoint: usize, block: u64) {
+        if self.endpoints[endpoint].blocks.remove(&block).is_some() {
+            self.drop_holder(block, endpoint);
+        }
+    }
+
+    fn drop_holder(&mut self, block: u64, endpoint: usize) {
+        if let Some(list) = self.holders.get_mut(&block) {
+            list.retain(|e| *e as usize != endpoint);
+            if list.is_empty() {
+                self.holders.remove(&block);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn map(capacity: usize) -> PrefixMap {
+        let mut map = PrefixMap::default();
+        map.set_capacity(0, capacity);
+        map.set_capacity(1, capacity);
+        map
+    }
+
+    #[test]
+    fn evicts_the_least_recently_used() {
+        let mut map = map(3);
+        map.touch(0, &[1, 2]);
+        map.touch(0, &[3]);
+        map.touch(0, &[1, 2]);
+        map.touch(0, &[4]);
+        assert_eq!(map.cached_blocks(0, &[1, 2]), 2);
+        assert_eq!(map.cached_blocks(0, &[3]), 0);
+        assert_eq!(map.holders(3), &[] as &[u32]);
+    }
+
+    #[test]
+    fn forgets_on_a_gap() {
+        let mut map = map(8);
+        map.touch(1, &[1, 2]);
+        let event = |seq| CacheEvent {
+            seq,
+            stored: vec![9],
+            evicted: vec![],
+        };
+        assert!(map.apply(1, &event(4)));
+        assert!(map.apply(1, &event(5)));
+        assert!(!map.apply(1, &event(7)));
+        assert_eq!(map.cached_blocks(1, &[1, 2]), 0);
+        assert_eq!(map.cached_blocks(1, &[9]), 1);
+    }
+
+    #[test]
+    fn stays_bounded_under_repeated_touches() {
+        let mut map = map(4);
+        for _ in 0..10_000 {
+            map.touch(0, &[1, 2, 3]);
+        }
+        assert!(map.endpoints[0].order.len() <= 64);
+    }
+}
--- /dev/null
+++ b/src/core/scheduler.rs
@@ -0,0 +1,893 @@
+//! Decides for one pool: which request runs where, which waits and which is refused.
+
+use std::collections::{BTreeMap, HashMap};
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::{
+    endpoint::{EndpointModel, EndpointSpec, LoadReport},
+    length::LengthModel,
+    prefix::{CacheEvent, PrefixMap},
+    queue::{OrderKey, OrgIndex, TierQueue},
+    shedding::{self, LevelAsk, LevelRound},
+    types::{Incarnation, Micros, Name, Rank, Registration, RequestId, RequestMeta, ShedReason},
+};
+
+/// How many waiting requests of a tier one decision looks at.
+const CANDIDATES: usize = 24;
+/// How many requests that look hopeless are looked at again on each tick, per tier.
+const RECHECKS_PER_TICK: usize = 32;
+/// How far ahead of its first token's queue an endpoint may be granted prompt work.
+const PREFILL_AHEAD_US: Micros = 120_000;
+
+/// The settings of the policy; each rule can be turned off for the ablation table.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct PolicySettings {
+    /// Weight of goodput by tier, against `wasted_prefill_weight`.
+    pub goodput_weight: f64,
+    /// Weight of wasted prefill.
+    pub wasted_prefill_weight: f64,
+    /// Prefers endpoints that hold the prompt's prefix.
+    pub prefix_affinity: bool,
+    /// Withholds a grant whose answer could not be in time.
+    pub deadline_check: bool,
+    /// Learns speeds from streams.
+    pub learn_speed: bool,
+    /// Predicts lengths; off means one prior for all.
+    pub predict_length: bool,
+    /// Keeps shares of organisations even.
+    pub fair_shares: bool,
+    /// Keeps room before events.
+    pub event_room: bool,
+    /// Puts short requests before long ones of like deadline.
+    pub short_first: bool,
+    /// Share of answers that the predicted length covers when a grant is checked.
+    pub length_quantile: f32,
+    /// How much a request's own work counts against it in the order, in deadline time.
+    pub work_weight: f64,
+    /// How far one organisation may run ahead of the others, in microseconds of work.
+    pub fair_slack_us: u64,
+    /// Shed above this many waiting requests.
+    pub max_waiting: usize,
+    /// Length assumed before any answer was seen.
+    pub prior_output_tokens: u32,
+    /// Size of a prefix block, in tokens.
+    pub block_tokens: u32,
+}
+
+impl Default for PolicySettings {
+    fn default() -> Self {
+        Self {
+            goodput_weight: 0.6,
+            wasted_prefill_weight: 0.4,
+            prefix_affinity: true,
+            deadline_check: true,
+            learn_speed: true,
+            predict_length: true,
+            fair_shares: true,
+            event_room: true,
+            short_first: true,
+            length_quantile: 0.6,
+            work_weight: 4.0,
+            fair_slack_us: 20_000_000,
+            max_waiting: 20_000,
+            prior_output_tokens: 200,
+            block_tokens: 256,
+        }
+    }
+}
+
+/// An organisation's share and ceiling.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct OrgSpec {
+    /// Its name.
+    pub name: Name,
+    /// Its share against the others.
+    pub weight: f64,
+    /// The most requests it may have running; more wait.
+    pub max_running: Option<u32>,
+}
+
+/// A time for which room is kept.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EventWindow {
+    /// Its name.
+    pub name: Name,
+    /// When its load starts.
+    pub starts_us: Micros,
+    /// When it is over.
+    pub ends_us: Micros,
+    /// Tiers up to this rank are meant by it.
+    pub rank: Rank,
+    /// From when room is kept.
+    pub keep_from_us: Micros,
+    /// Share of slots kept free of lower tiers.
+    pub keep_share: f64,
+}
+
+/// What the scheduler is told to work with.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PoolSpec {
+    /// Number of tiers.
+    pub tiers: usize,
+    /// Organisations.
+    pub organisations: Vec<OrgSpec>,
+    /// Endpoints; those no longer listed get no new work.
+    pub endpoints: Vec<EndpointSpec>,
+    /// Events that are on or to come.
+    pub events: Vec<EventWindow>,
+}
+
+/// What happened.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// An entry registers anew; all it held before is replaced by what it adds after.
+    Attach(Registration),
+    /// A request waits at its entry.
+    Add(Registration, RequestMeta),
+    /// A request runs already, granted by an earlier leader.
+    Adopt(Registration, RequestMeta, Name),
+    /// A request is gone: expired, cancelled, refused or a grant given back for good.
+    Withdraw(RequestId),
+    /// A grant was given back before any byte was sent; the request waits on.
+    Returned(RequestId),
+    /// The first token was seen.
+    FirstToken(RequestId),
+    /// Output tokens and the time they took since the last such report.
+    Progress(RequestId, u32, Micros),
+    /// The request ended at the endpoint; `tokens` is the length of a whole answer.
+    Finished(RequestId, Option<u32>),
+    /// An endpoint's load.
+    Load(Name, LoadReport),
+    /// An endpoint's cache event.
+    Cache(Name, CacheEvent),
+    /// An endpoint failed; no new work until the time.
+    Suspect(Name, Micros),
+    /// An instance's answer to a level ask.
+    Level(Incarnation, LevelAsk, bool),
+    /// An entry is gone with all it held.
+    Gone(Incarnation),
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Tell the entry to send the request to the endpoint.
+    Grant {
+        /// Under which registration.
+        registration: Registration,
+        /// The request.
+        id: RequestId,
+        /// The endpoint.
+        endpoint: Name,
+        /// Prompt tokens believed to be cached there.
+        cached_tokens: u32,
+    },
+    /// Tell the entry to refuse the request as not run.
+    Shed {
+        /// Under which registration.
+        registration: Registration,
+        /// The request.
+        id: RequestId,
+        /// Why.
+        reason: ShedReason,
+        /// When the caller may come back, in milliseconds.
+        retry_after_ms: u32,
+        /// The chain of level asks that allows it.
+        chain: u64,
+    },
+    /// Ask every instance to hold a level.
+    Ask(LevelAsk),
+}
+
+/// Where a known request stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Place {
+    Waiting,
+    Hopeless,
+    Running(usize),
+    Shedding,
+}
+
+#[derive(Clone, Debug)]
+struct Tracked {
+    registration: Registration,
+    meta: RequestMeta,
+    organisation: OrgIndex,
+    arrived_us: Micros,
+    deadline_us: Micros,
+    output_tokens: u32,
+    key: OrderKey,
+    place: Place,
+}
+
+#[derive(Clone, Debug)]
+struct Organisation {
+    spec: OrgSpec,
+    running: u32,
+}
+
+/// One waiting request, as the operators see it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WaitingView {
+    /// The request.
+    pub meta: RequestMeta,
+    /// Time since its arrival.
+    pub waited_us: Micros,
+    /// Whether no endpoint could finish it in time as things stand.
+    pub hopeless: bool,
+}
+
+/// One endpoint, as the operators see it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EndpointView {
+    /// Its name.
+    pub name: Name,
+    /// Its hall.
+    pub hall: Name,
+    /// Requests in the ledger.
+    pub running: u32,
+    /// Requests it runs at a time.
+    pub slots: u32,
+    /// Learned slowness; 1 is as declared.
+    pub slowness: f64,
+    /// Takes no new work.
+    pub draining: bool,
+}
+
+enum Choice {
+    Grant(usize, u32),
+    Hold,
+    Hopeless,
+}
+
+/// The scheduler of one pool.
+#[derive(Clone, Debug)]
+pub struct Scheduler {
+    me: Incarnation,
+    policy: PolicySettings,
+    spec: PoolSpec,
+    endpoints: Vec<EndpointModel>,
+    by_name: HashMap<Name, usize>,
+    prefixes: PrefixMap,
+    lengths: LengthModel,
+    tiers: Vec<TierQueue>,
+    hopeless: Vec<BTreeMap<OrderKey, ()>>,
+    requests: HashMap<RequestId, Tracked>,
+    registrations: BTreeMap<Incarnation, Registration>,
+    organisations: Vec<Organisation>,
+    org_by_name: HashMap<Name, OrgIndex>,
+    round: LevelRound,
+    everyone: Vec<Incarnation>,
+    typical_service_us: f64,
+    ticked_us: Micros,
+    candidates: Vec<OrderKey>,
+    rooms: Vec<usize>,
+}
+
+impl Scheduler {
+    /// Creates a scheduler that knows no endpoints yet.
+    pub fn new(me: Incarnation, policy: PolicySettings) -> Self {
+        let lengths = LengthModel::new(policy.prior_output_tokens);
+        Self {
+            me,
+            policy,
+            spec: PoolSpec::default(),
+            endpoints: Vec::new(),
+            by_name: HashMap::new(),
+            prefixes: PrefixMap::default(),
+            lengths,
+            tiers: Vec::new(),
+            hopeless: Vec::new(),
+            requests: HashMap::new(),
+            registrations: BTreeMap::new(),
+            organisations: Vec::new(),
+            org_by_name: HashMap::new(),
+            round: LevelRound::default(),
+            everyone: Vec::new(),
+            typical_service_us: 500_000.0,
+            ticked_us: 0,
+            candidates: Vec::new(),
+            rooms: Vec::new(),
+        }
+    }
+
+    /// Takes a configuration; what is running goes on.
+    pub fn configure(&mut self, spec: PoolSpec) {
+        let tiers = spec.tiers.max(self.tiers.len());
+        self.tiers.resize_with(tiers, TierQueue::default);
+        self.hopeless.resize_with(tiers, BTreeMap::new);
+        for known in &mut self.endpoints {
+            if !spec.endpoints.iter().any(|e| e.name == known.spec.name) {
+                known.spec.draining = true;
+            }
+        }
+        for endpoint in &spec.endpoints {
+            self.set_endpoint(endpoint);
+        }
+        for organisation in &spec.organisations {
+            let index = self.org_index(&organisation.name);
+            self.organisations[index].spec = organisation.clone();
+        }
+        self.spec = spec;
+    }
+
+    /// Replaces the policy's settings.
+    pub fn set_policy(&mut self, policy: PolicySettings) {
+        self.policy = policy;
+    }
+
+    /// Sets the instances that must hold a level before a tier above the lowest is shed.
+    pub fn set_everyone(&mut self, everyone: Vec<Incarnation>) {
+        self.everyone = everyone;
+    }
+
+    /// Takes an input; [`Scheduler::decide`] says what follows.
+    pub fn handle(&mut self, now_us: Micros, input: Input) {
+        match input {
+            Input::Attach(registration) => self.attach(now_us, registration),
+            Input::Add(registration, meta) => self.add(now_us, registration, meta),
+            Input::Adopt(registration, meta, endpoint) => {
+                self.adopt(now_us, registration, meta, &endpoint);
+            }
+            Input::Withdraw(id) => self.forget(now_us, id),
+            Input::Returned(id) => self.returned(now_us, id),
+            Input::FirstToken(id) => self.first_token(now_us, id),
+            Input::Progress(id, tokens, span_us) => self.progress(now_us, id, tokens, span_us),
+            Input::Finished(id, tokens) => self.finished(now_us, id, tokens),
+            Input::Load(endpoint, report) => self.load(now_us, &endpoint, report),
+            Input::Cache(endpoint, event) => self.cache(&endpoint, &event),
+            Input::Suspect(endpoint, until_us) => self.suspect(&endpoint, until_us),
+            Input::Level(from, ask, held) => self.round.answer(now_us, from, ask, held),
+            Input::Gone(entry) => self.gone(now_us, entry),
+        }
+    }
+
+    /// Does what time alone brings: overdue first tokens, second looks at hopeless requests.
+    pub fn tick(&mut self, now_us: Micros) {
+        let since_us = now_us.saturating_sub(self.ticked_us);
+        self.ticked_us = now_us;
+        if self.policy.learn_speed {
+            for endpoint in &mut self.endpoints {
+                endpoint.tick(now_us, since_us);
+            }
+        }
+        self.recheck_hopeless(now_us);
+    }
+
+    /// Appends all that can be decided now to `out`.
+    pub fn decide(&mut self, now_us: Micros, out: &mut Vec<Action>) {
+        for rank in 0..self.tiers.len() {
+            while !self.tiers[rank].is_empty() && self.grant_one(now_us, rank, out) {}
+        }
+        self.shed(now_us, out);
+    }
+
+    /// Returns how many requests wait in each tier.
+    pub fn waiting_by_tier(&self) -> Vec<usize> {
+        (0..self.tiers.len()).map(|r| self.kept(r)).collect()
+    }
+
+    /// Returns the endpoints as they are seen.
+    pub fn endpoints(&self) -> impl Iterator<Item = EndpointView> + '_ {
+        self.endpoints.iter().map(|e| EndpointView {
+            name: e.spec.name.clone(),
+            hall: e.spec.hall.clone(),
+            running: e.running(),
+            slots: e.spec.slots,
+            slowness: e.slowness(),
+            draining: e.spec.draining,
+        })
+    }
+
+    /// Returns the waiting requests.
+    pub fn waiting(&self, now_us: Micros) -> impl Iterator<Item = WaitingView> + '_ {
+        let waits = |t: &&Tracked| matches!(t.place, Place::Waiting | Place::Hopeless);
+        self.requests.values().filter(waits).map(move |t| {
+            let waited_us = now_us.saturating_sub(t.arrived_us);
+            WaitingView {
+                meta: t.meta.clone(),
+                waited_us,
+                hopeless: t.place == Place::Hopeless,
+            }
+        })
+    }
+
+    fn kept(&self, rank: usize) -> usize {
+        self.tiers[rank].len() + self.hopeless[rank].len()
+    }
+
+    fn set_endpoint(&mut self, spec: &EndpointSpec) {
+        let blocks = (spec.cache_tokens / self.policy.block_tokens.max(1)) as usize;
+        let index = match self.by_name.get(&spec.name) {
+            Some(&index) => {
+                self.endpoints[index].spec = spec.clone();
+                index
+            }
+            None => {
+                self.endpoints.push(EndpointModel::new(spec.clone()));
+                let index = self.endpoints.len() - 1;
+                self.by_name.insert(spec.name.clone(), index);
+                index
+            }
+        };
+        self.prefixes.set_capacity(index, blocks);
+    }
+
+    fn org_index(&mut self, name: &Name) -> OrgIndex {
+        if let Some(&index) = self.org_by_name.get(name) {
+            return index;
+        }
+        let spec = OrgSpec {
+            name: name.clone(),
+            weight: 1.0,
+            max_running: None,
+        };
+        self.organisations.push(Organisation { spec, running: 0 });
+        let index = self.organisations.len() - 1;
+        self.org_by_name.insert(name.clone(), index);
+        index
+    }
+
+    fn attach(&mut self, now_us: Micros, registration: Registration) {
+        let held: Vec<RequestId> = self
+            .requests
+            .values()
+            .filter(|t| t.registration.entry == registration.entry)
+            .map(|t| t.meta.id)
+            .collect();
+        for id in held {
+            self.forget(now_us, id);
+        }
+        self.registrations.insert(registration.entry, registration);
+    }
+
+    fn is_current(&self, registration: Registration) -> bool {
+        self.registrations.get(&registration.entry) == Some(&registration)
+    }
+
+    fn track(&mut self, now_us: Micros, registration: Registration, meta: RequestMeta) -> Tracked {
+        let organisation = self.org_index(&meta.organisation);
+        let arrived_us = now_us.saturating_sub(meta.waited_us);
+        let deadline_us = now_us + meta.remaining_us;
+        let output_tokens = self.predict_length(&meta);
+        let work_us = self.work_us(&meta, output_tokens);
+        let weight = if self.policy.short_first {
+            self.policy.work_weight
+        } else {
+            0.0
+        };
+        let order = deadline_us + (work_us * weight) as u64;
+        Tracked {
+            registration,
+            organisation,
+            arrived_us,
+            deadline_us,
+            output_tokens,
+            key: (order, meta.id),
+            place: Place::Waiting,
+            meta,
+        }
+    }
+
+    fn predict_length(&self, meta: &RequestMeta) -> u32 {
+        let predicted = if self.policy.predict_length {
+            let q = self.policy.length_quantile;
+            self.lengths
+                .predict(&meta.organisation, meta.rank, meta.prompt_tokens, q)
+        } else {
+            self.policy.prior_output_tokens
+        };
+        predicted.min(meta.max_output_tokens.unwrap_or(u32::MAX))
+    }
+
+    /// Returns the work of a request on a declared typical endpoint, in microseconds.
+    fn work_us(&self, meta: &RequestMeta, output_tokens: u32) -> f64 {
+        let Some(endpoint) = self.endpoints.first() else {
+            return 0.0;
+        };
+        let prefill = f64::from(meta.prompt_tokens) * 1e6 / endpoint.spec.prefill_tokens_per_s;
+        prefill + f64::from(output_tokens) * endpoint.spec.decode_step_us
+            / f64::from(endpoint.spec.slots.max(1))
+    }
+
+    fn add(&mut self, now_us: Micros, registration: Registration, meta: RequestMeta) {
+        let known = self.requests.contains_key(&meta.id);
+        let rank = usize::from(meta.rank);
+        if known || !self.is_current(registration) || rank >= self.tiers.len() {
+            return;
+        }
+        let tracked = self.track(now_us, registration, meta);
+        self.tiers[rank].insert(tracked.organisation, tracked.key);
+        self.requests.insert(tracked.meta.id, tracked);
+    }
+
+    fn adopt(
+        &mut self,
+        now_us: Micros,
+        registration: Registration,
+        meta: RequestMeta,
+        endpoint: &Name,
+    ) {
+        let Some(&index) = self.by_name.get(endpoint) else {
+            return;
+        };
+        if !self.is_current(registration) {
+            return;
+        }
+        let mut tracked = self.track(now_us, registration, meta);
+        tracked.place = Place::Running(index);
+        self.endpoints[index].adopt(now_us, tracked.meta.id);
+        self.organisations[tracked.organisation].running += 1;
+        self.requests.insert(tracked.meta.id, tracked);
+    }
+
+    fn forget(&mut self, now_us: Micros, id: RequestId) {
+        let Some(tracked) = self.requests.remove(&id) else {
+            return;
+        };
+        let rank = usize::from(tracked.meta.rank);
+        match tracked.place {
+            Place::Waiting => {
+                self.tiers[rank].remove(tracked.organisation, tracked.key);
+            }
+            Place::Hopeless => {
+                self.hopeless[rank].remove(&tracked.key);
+            }
+            Place::Running(endpoint) => self.release(now_us, endpoint, &tracked),
+            Place::Shedding => {}
+        }
+    }
+
+    fn release(&mut self, now_us: Micros, endpoint: usize, tracked: &Tracked) {
+        self.endpoints[endpoint].end(now_us, tracked.meta.id);
+        let organisation = &mut self.organisations[tracked.organisation];
+        organisation.running = organisation.running.saturating_sub(1);
+    }
+
+    fn returned(&mut self, now_us: Micros, id: RequestId) {
+        let Some(mut tracked) = self.requests.remove(&id) else {
+            return;
+        };
+        if let Place::Running(endpoint) = tracked.place {
+            self.release(now_us, endpoint, &tracked);
+        }
+        let rank = usize::from(tracked.meta.rank);
+        if tracked.place == Place::Hopeless {
+            self.hopeless[rank].remove(&tracked.key);
+        }
+        tracked.place = Place::Waiting;
+        self.tiers[rank].insert(tracked.organisation, tracked.key);
+        self.requests.insert(id, tracked);
+    }
+
+    fn first_token(&mut self, now_us: Micros, id: RequestId) {
+        if let Some(endpoint) = self.running_at(id) {
+            self.endpoints[endpoint].first_token(now_us, id);
+        }
+    }
+
+    fn progress(&mut self, now_us: Micros, id: RequestId, tokens: u32, span_us: Micros) {
+        let Some(endpoint) = self.running_at(id) else {
+            return;
+        };
+        if self.policy.learn_speed {
+            self.endpoints[endpoint].progress(now_us, id, tokens, span_us);
+        }
+    }
+
+    fn running_at(&self, id: RequestId) -> Option<usize> {
+        match self.requests.get(&id)?.place {
+            Place::Running(endpoint) => Some(endpoint),
+            _ => None,
+        }
+    }
+
+    fn finished(&mut self, now_us: Micros, id: RequestId, tokens: Option<u32>) {
+        let Some(tracked) = self.requests.get(&id) else {
+            return;
+        };
+        if let Some(tokens) = tokens {
+            let meta = &tracked.meta;
+            self.lengths
+                .observe(&meta.organisation, meta.rank, meta.prompt_tokens, tokens);
+            let took_us = now_us.saturating_sub(tracked.arrived_us) as f64;
+            self.typical_service_us += (took_us - self.typical_service_us) * 0.02;
+        }
+        self.forget(now_us, id);
+    }
+
+    fn load(&mut self, now_us: Micros, endpoint: &Name, report: LoadReport) {
+        if let Some(&index) = self.by_name.get(endpoint) {
+            self.endpoints[index].report(now_us, report);
+        }
+    }
+
+    fn cache(&mut self, endpoint: &Name, event: &CacheEvent) {
+        if let Some(&index) = self.by_name.get(endpoint) {
+            self.prefixes.apply(index, event);
+        }
+    }
+
+    fn suspect(&mut self, endpoint: &Name, until_us: Micros) {
+        if let Some(&index) = self.by_name.get(endpoint) {
+            self.endpoints[index].suspect(until_us);
+            self.prefixes.forget(index);
+        }
+    }
+
+    fn gone(&mut self, now_us: Micros, entry: Incarnation) {
+        let registration = Registration { entry, epoch: 0 };
+        self.attach(now_us, registration);
+        self.registrations.remove(&entry);
+    }
+
+    fn grant_one(&mut self, now_us: Micros, rank: usize, out: &mut Vec<Action>) -> bool {
+        self.find_rooms(now_us);
+        if self.rooms.is_empty() {
+            return false;
+        }
+        let mut candidates = std::mem::take(&mut self.candidates);
+        self.list_candidates(rank, &mut candidates);
+        let mut granted = false;
+        for &(order, id) in &candidates {
+            match self.choose(now_us, &self.requests[&id]) {
+                Choice::Grant(endpoint, uncached) => {
+                    self.grant(now_us, id, endpoint, uncached, out);
+                    granted = true;
+                    break;
+                }
+                Choice::Hopeless => self.set_aside(rank, (order, id)),
+                Choice::Hold => {}
+            }
+        }
+        self.candidates = candidates;
+        granted
+    }
+
+    fn find_rooms(&mut self, now_us: Micros) {
+        self.rooms.clear();
+        for (index, endpoint) in self.endpoints.iter().enumerate() {
+            if endpoint.has_room(now_us, PREFILL_AHEAD_US) {
+                self.rooms.push(index);
+            }
+        }
+    }
+
+    fn list_candidates(&self, rank: usize, out: &mut Vec<OrderKey>) {
+        let slack = if self.policy.fair_shares {
+            self.policy.fair_slack_us
+        } else {
+            u64::MAX
+        };
+        let open = |index: OrgIndex| {
+            let organisation = &self.organisations[index];
+            let ceiling = organisation.spec.max_running.unwrap_or(u32::MAX);
+            organisation.running < ceiling
+        };
+        self.tiers[rank].candidates(CANDIDATES, slack, open, out);
+    }
+
+    /// Chooses an endpoint for a request, or says that waiting is better or that nothing helps.
+    fn choose(&self, now_us: Micros, tracked: &Tracked) -> Choice {
+        let left_us = tracked.deadline_us.saturating_sub(now_us) as f64;
+        let mut best: Option<(f64, usize, u32)> = None;
+        for &index in &self.rooms {
+            if !self.keeps_event_room(now_us, tracked, index) {
+                continue;
+            }
+            let uncached = self.uncached_tokens(index, &tracked.meta);
+            let finish_us =
+                self.endpoints[index].finish_us(now_us, uncached, tracked.output_tokens);
+            if self.policy.deadline_check && finish_us > left_us {
+                continue;
+            }
+            let cost = self.cost(index, finish_us, uncached);
+            if best.is_none_or(|(least, ..)| cost < least) {
+                best = Some((cost, index, uncached));
+            }
+        }
+        let Some((cost, index, uncached)) = best else {
+            return self.hold_or_give_up(tracked, left_us);
+        };
+        if self.policy.prefix_affinity && self.better_to_wait(now_us, tracked, cost, left_us) {
+            return Choice::Hold;
+        }
+        Choice::Grant(index, uncached)
+    }
+
+    fn uncached_tokens(&self, endpoint: usize, meta: &RequestMeta) -> u32 {
+        if !self.policy.prefix_affinity {
+            return meta.prompt_tokens;
+        }
+        let blocks = self.prefixes.cached_blocks(endpoint, &meta.prefix) as u32;
+        meta.prompt_tokens
+            .saturating_sub(blocks * self.policy.block_tokens)
+            .max(1)
+    }
+
+    /// Returns what a placement costs: time to the end, and prompt work weighed by what it takes
+    /// from others and by the configured weight of wasted prefill.
+    fn cost(&self, endpoint: usize, finish_us: f64, uncached: u32) -> f64 {
+        let prefill_us = self.endpoints[endpoint].prefill_us(uncached);
+        let ratio = self.policy.wasted_prefill_weight / self.policy.goodput_weight.max(0.01);
+        finish_us + prefill_us * (1.0 + 4.0 * ratio)
+    }
+
+    /// Returns whether an endpoint that holds the prefix but has no room now is worth waiting for.
+    fn better_to_wait(&self, now_us: Micros, tracked: &Tracked, cost: f64, left_us: f64) -> bool {
+        let Some(&first) = tracked.meta.prefix.first() else {
+            return false;
+        };
+        let service_us = self.typical_service_us;
+        self.prefixes.holders(first).iter().any(|&holder| {
+            let index = holder as usize;
+            let endpoint = &self.endpoints[index];
+            if endpoint.spec.draining || self.rooms.contains(&index) {
+                return false;
+            }
+            let uncached = self.uncached_tokens(index, &tracked.meta);
+            let wait_us = endpoint.wait_us(now_us, service_us);
+            let finish_us = wait_us + endpoint.idle_finish_us(uncached, tracked.output_tokens);
+            finish_us * 1.3 < left_us && self.cost(index, finish_us, uncached) < cost
+        })
+    }
+
+    fn hold_or_give_up(&self, tracked: &Tracked, left_us: f64) -> Choice {
+        if !self.policy.deadline_check {
+            return Choice::Hold;
+        }
+        let reachable = self.endpoints.iter().enumerate().any(|(index, endpoint)| {
+            let uncached = self.uncached_tokens(index, &tracked.meta);
+            let idle_us = endpoint.idle_finish_us(uncached, tracked.output_tokens);
+            !endpoint.spec.draining && idle_us <= left_us
+        });
+        if reachable {
+            Choice::Hold
+        } else {
+            Choice::Hopeless
+        }
+    }
+
+    /// Returns whether a request of a lower tier leaves the room that an event is kept.
+    fn keeps_event_room(&self, now_us: Micros, tracked: &Tracked, index: usize) -> bool {
+        if !self.policy.event_room {
+            return true;
+        }
+        let endpoint = &self.endpoints[index];
+        self.spec.events.iter().all(|event| {
+            let applies = now_us >= event.keep_from_us && now_us < event.ends_us;
+            if !applies || tracked.meta.rank <= event.rank {
+                return true;
+            }
+            let open = f64::from(endpoint.spec.slots) * (1.0 - event.keep_share);
+            if f64::from(endpoint.running()) < open {
+                return true;
+            }
+            let uncached = self.uncached_tokens(index, &tracked.meta);
+            let finish_us = endpoint.finish_us(now_us, uncached, tracked.output_tokens);
+            now_us + finish_us as u64 <= event.starts_us
+        })
+    }
+
+    fn grant(
+        &mut self,
+        now_us: Micros,
+        id: RequestId,
+        endpoint: usize,
+        uncached: u32,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(tracked) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let rank = usize::from(tracked.meta.rank);
+        tracked.place = Place::Running(endpoint);
+        self.tiers[rank].remove(tracked.organisation, tracked.key);
+        let model = &mut self.endpoints[endpoint];
+        model.grant(now_us, id, uncached);
+        self.prefixes.touch(endpoint, &tracked.meta.prefix);
+        let organisation = &mut self.organisations[tracked.organisation];
+        organisation.running += 1;
+        let work_us = model.prefill_us(uncached)
+            + model.token_us(model.running()) * f64::from(tracked.output_tokens);
+        let charge = (work_us / organisation.spec.weight.max(0.001)) as u64;
+        self.tiers[rank].charge(tracked.organisation, charge);
+        out.push(Action::Grant {
+            registration: tracked.registration,
+            id,
+            endpoint: model.spec.name.clone(),
+            cached_tokens: tracked.meta.prompt_tokens.saturating_sub(uncached),
+        });
+    }
+
+    fn set_aside(&mut self, rank: usize, key: OrderKey) {
+        if let Some(tracked) = self.requests.get_mut(&key.1) {
+            tracked.place = Place::Hopeless;
+            self.tiers[rank].remove(tracked.organisation, key);
+            self.hopeless[rank].insert(key, ());
+        }
+    }
+
+    fn recheck_hopeless(&mut self, now_us: Micros) {
+        for rank in 0..self.hopeless.len() {
+            let keys: Vec<OrderKey> = self.hopeless[rank]
+                .keys()
+                .rev()
+                .take(RECHECKS_PER_TICK)
+                .copied()
+                .collect();
+            for key in keys {
+                let tracked = &self.requests[&key.1];
+                let left_us = tracked.deadline_us.saturating_sub(now_us) as f64;
+                if matches!(self.hold_or_give_up(tracked, left_us), Choice::Hold) {
+                    self.returned(now_us, key.1);
+                }
+            }
+        }
+    }
+
+    /// Sheds what was given up and what is over the limit, lowest tier first.
+    fn shed(&mut self, now_us: Micros, out: &mut Vec<Action>) {
+        let Some(rank) = (0..self.tiers.len()).rev().find(|r| self.kept(*r) > 0) else {
+            return;
+        };
+        let waiting: usize = (0..self.tiers.len()).map(|r| self.kept(r)).sum();
+        let over = waiting.saturating_sub(self.policy.max_waiting);
+        let needed = shedding::level_needed(rank as Rank, self.spec.tiers);
+        if self.round.confirmed(now_us) < needed {
+            if over > 0 {
+                let everyone = self.everyone.iter().copied();
+                let ask = self.round.next_ask(now_us, self.me, needed, everyone);
+                out.extend(ask.map(Action::Ask));
+            }
+            return;
+        }
+        while let Some((key, ())) = self.hopeless[rank].pop_first() {
+            self.shed_one(key.1, ShedReason::DeadlineUnreachable, out);
+        }
+        let left = waiting - (waiting - self.total_kept());
+        for _ in self.policy.max_waiting..left {
+            let Some((_, key)) = self.tiers[rank].last() else {
+                break;
+            };
+            self.shed_one(key.1, ShedReason::QueueFull, out);
+        }
+        if self.kept(rank) == 0 && rank > 0 {
+            self.shed(now_us, out);
+        }
+    }
+
+    fn total_kept(&self) -> usize {
+        (0..self.tiers.len()).map(|r| self.kept(r)).sum()
+    }
+
+    fn shed_one(&mut self, id: RequestId, reason: ShedReason, out: &mut Vec<Action>) {
+        let retry_after_ms = self.retry_after_ms(id);
+        let chain = self.round.chain();
+        let Some(tracked) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let rank = usize::from(tracked.meta.rank);
+        self.tiers[rank].remove(tracked.organisation, tracked.key);
+        tracked.place = Place::Shedding;
+        out.push(Action::Shed {
+            registration: tracked.registration,
+            id,
+            reason,
+            retry_after_ms,
+            chain,
+        });
+    }
+
+    /// Returns when a refused caller may come back: the time to work off the queue, spread by the
+    /// request's id so that callers refused together do not return together.
+    fn retry_after_ms(&self, id: RequestId) -> u32 {
+        let slots: u32 = self.endpoints.iter().map(|e| e.spec.slots).sum();
+        let waves = self.total_kept() as f64 / f64::from(slots.max(1));
+        let base_ms = (self.typical_service_us / 1e3 * (1.0 + waves)).clamp(250.0, 60_000.0);
+        let spread = id.seq.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 48;
+        (base_ms * (1.0 + spread as f64 / 65_536.0)) as u32
+    }
+}
--- /dev/null
+++ b/src/core/shedding.rs
@@ -0,0 +1,272 @@
+//! The order of tiers in shedding, kept across instances.
+//!
+//! A request is *kept* while it waits. Tier `r` may be shed only while nothing below it is kept for
+//! the pool anywhere. The lowest tier is free to be shed. For any other, every instance has to
+//! *hold a level* first: an instance that holds level `k` keeps none of the `k` lowest tiers and
+//! refuses them on arrival. A leader raises the level one at a time, and only once all instances
+//! confirmed the one before, so whoever refuses a tier on arrival knows that nothing below it is
+//! kept anywhere.
+//!
+//! Levels lapse. With `s` the time of asking, `b` and `c` the times at which two instances
+//! confirmed: both are at or after `s`, and the leader counts only confirmations up to
+//! `s + CONFIRM_US`. One instance acts on a level until `b + STEP_US`, which is at or before
+//! `c + CONFIRM_US + STEP_US`; the other holds it until `c + hold_us(level)`, which is later. Only
+//! spans are compared, so clocks need not agree, and a paused process that comes back finds its
+//! level lapsed.
+
+use std::collections::BTreeSet;
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::types::{Incarnation, Micros, Rank};
+
+/// A leader counts confirmations that arrive within this span of its asking.
+pub const CONFIRM_US: Micros = 300_000;
+/// An instance acts on a confirmed level for this long.
+pub const STEP_US: Micros = 700_000;
+/// The most tiers a configuration may declare.
+pub const MAX_TIERS: usize = 8;
+
+/// Returns for how long an instance holds `level` after confirming it.
+///
+/// A lower level outlives the ones above it, since they rest on it.
+pub fn hold_us(level: u8) -> Micros {
+    let above = (MAX_TIERS as u64).saturating_sub(u64::from(level));
+    (CONFIRM_US + STEP_US) * (above + 1)
+}
+
+/// Returns the level that must be held everywhere before `rank` of `tiers` may be shed.
+pub fn level_needed(rank: Rank, tiers: usize) -> u8 {
+    (tiers as u8).saturating_sub(rank + 1)
+}
+
+/// A leader's question, in one chain of rising levels.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LevelAsk {
+    /// The leader's start.
+    pub leader: Incarnation,
+    /// Counts the leader's chains.
+    pub chain: u64,
+    /// The level to hold.
+    pub level: u8,
+}
+
+/// What one instance holds for one pool.
+#[derive(Clone, Debug, Default)]
+pub struct HeldLevel {
+    held: Vec<Hold>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Hold {
+    ask: LevelAsk,
+    since_us: Micros,
+    until_us: Micros,
+}
+
+impl HeldLevel {
+    /// Answers a leader; true means that the level is now held.
+    ///
+    /// `keeps` says whether the instance keeps a request of the tiers that the level clears. The
+    /// first level may be refused to arrivals at once; a higher one needs the level below it, of
+    /// the same chain, confirmed no longer than [`STEP_US`] ago.
+    pub fn ask(&mut self, now_us: Micros, ask: LevelAsk, keeps: bool) -> bool {
+        self.held.retain(|h| h.until_us > now_us);
+        if ask.level > 1 && !self.acts_on(now_us, ask.leader, ask.chain, ask.level - 1) {
+            return false;
+        }
+        if keeps {
+            return false;
+        }
+        self.held.push(Hold {
+            ask,
+            since_us: now_us,
+            until_us: now_us + hold_us(ask.level),
+        });
+        true
+    }
+
+    /// Returns whether an arrival of `rank` is to be refused.
+    pub fn refuses(&self, now_us: Micros, rank: Rank, tiers: usize) -> bool {
+        let needed = level_needed(rank, tiers) + 1;
+        self.held
+            .iter()
+            .any(|h| h.ask.level >= needed && h.until_us > now_us)
+    }
+
+    /// Returns whether the leader's order to shed `rank` may be followed now.
+    pub fn may_shed(
+        &self,
+        now_us: Micros,
+        leader: Incarnation,
+        chain: u64,
+        rank: Rank,
+        tiers: usize,
+    ) -> bool {
+        let needed = level_needed(rank, tiers);
+        needed == 0 || self.acts_on(now_us, leader, chain, needed)
+    }
+
+    fn acts_on(&self, now_us: Micros, leader: Incarnation, chain: u64, level: u8) -> bool {
+        self.held.iter().any(|h| {
+            let same = h.ask.leader == leader && h.ask.chain == chain && h.ask.level == level;
+            same && now_us <= h.since_us + STEP_US
+        })
+    }
+}
+
+/// A leader's collection of confirmations.
+#[derive(Clone, Debug, Default)]
+pub struct LevelRound {
+    chain: u64,
+    level: u8,
+    asked_us: Micros,
+    missing: BTreeSet<Incarnation>,
+    confirmed: u8,
+    confirmed_us: Micros,
+    refused: bool,
+}
+
+impl LevelRound {
+    /// Returns the chain that sheds are ordered under.
+    pub fn chain(&self) -> u64 {
+        self.chain
+    }
+
+    /// Returns the level that every instance is known to hold.
+    pub fn confirmed(&self, now_us: Micros) -> u8 {
+        if now_us.saturating_sub(self.confirmed_us) > STEP_US {
+            return 0;
+        }
+        self.confirmed
+    }
+
+    /// Asks for the next step towards `wanted`, or returns none while an answer is outstanding.
+    pub fn next_ask(
+        &mut self,
+        now_us: Micros,
+        leader: Incarnation,
+        wanted: u8,
+        everyone: impl IntoIterator<Item = Incarnation>,
+    ) -> Option<LevelAsk> {
+        let waiting = !self.missing.is_empty() && !self.refused;
+        if waiting && now_us.saturating_sub(self.asked_us) <= CONFIRM_US {
+            return None;
+        }
+        let done = self.confirmed(now_us) >= wanted;
+        let fresh = now_us.saturating_sub(self.confirmed_us) < STEP_US / 2;
+        if done && fresh {
+            return None;
+        }
+        if self.refused && now_us.saturating_sub(self.asked_us) < CONFIRM_US / 4 {
+            return None;
+        }
+        let failed = waiting || self.refused;
+        if done || failed || self.confirmed(now_us) == 0 {
+            // Each refresh is a chain of its own: a level is never carried over from an older one.
+            self.chain += 1;
+            self.level = 0;
+        }
+        self.level += 1;
+        self.asked_us = now_us;
+        self.refused = false;
+        self.missing = everyone.into_iter().collect();
+        Some(LevelAsk {
+            leader,
+            chain: self.chain,
+            level: self.level,
+        })
+    }
+
+    /// Takes an instance's answer.
+    pub fn answer(&mut self, now_us: Micros, from: Incarnation, ask: LevelAsk, held: bool) {
+        if ask.chain != self.chain || ask.level != self.level {
+            return;
+        }
+        if now_us.saturating_sub(self.asked_us) > CONFIRM_US {
+            return;
+        }
+        if !held {
+            self.refused = true;
+            return;
+        }
+        if self.missing.remove(&from) && self.missing.is_empty() && !self.refused {
+            self.confirmed = self.level;
+            // Counted from the asking: confirmations are no older than that.
+            self.confirmed_us = self.asked_us;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const LEADER: Incarnation = Incarnation(1);
+    const TIERS: usize = 3;
+
+    fn ask(level: u8) -> LevelAsk {
+        LevelAsk {
+            leader: LEADER,
+            chain: 1,
+            level,
+        }
+    }
+
+    #[test]
+    fn lowest_tier_needs_no_level() {
+        let held = HeldLevel::default();
+        assert!(held.may_shed(0, LEADER, 1, 2, TIERS));
+        assert!(!held.may_shed(0, LEADER, 1, 1, TIERS));
+    }
+
+    #[test]
+    fn a_level_needs_the_one_below_of_its_chain() {
+        let mut held = HeldLevel::default();
+        assert!(!held.ask(0, ask(2), false));
+        assert!(held.ask(0, ask(1), false));
+        let other = LevelAsk {
+            chain: 2,
+            ..ask(2)
+        };
+        assert!(!held.ask(0, other, false));
+        assert!(held.ask(10, ask(2), false));
+        assert!(held.refuses(10, 2, TIERS));
+        assert!(held.refuses(10, 1, TIERS));
+        assert!(!held.refuses(10, 0, TIERS));
+        assert!(held.may_shed(10, LEADER, 1, 0, TIERS));
+    }
+
+    #[test]
+    fn an_order_after_a_pause_is_not_followed() {
+        let mut held = HeldLevel::default();
+        assert!(held.ask(0, ask(1), false));
+        assert!(held.may_shed(STEP_US, LEADER, 1, 1, TIERS));
+        assert!(!held.may_shed(STEP_US + 1, LEADER, 1, 1, TIERS));
+        assert!(held.refuses(STEP_US + 1, 2, TIERS));
+    }
+
+    #[test]
+    fn holds_outlast_every_other_instance_acting() {
+        for level in 1..MAX_TIERS as u8 {
+            assert!(hold_us(level) > CONFIRM_US + STEP_US || level == MAX_TIERS as u8);
+            assert!(hold_us(level) >= CONFIRM_US + STEP_US + hold_us(level + 1));
+        }
+    }
+
+    #[test]
+    fn one_silent_instance_keeps_the_level_down() {
+        let mut round = LevelRound::default();
+        let everyone = [Incarnation(1), Incarnation(2)];
+        let asked = round.next_ask(1_000, LEADER, 1, everyone).unwrap();
+        round.answer(2_000, Incarnation(1), asked, true);
+        assert_eq!(round.confirmed(2_000), 0);
+        round.answer(1_000 + CONFIRM_US + 1, Incarnation(2), asked, true);
+        assert_eq!(round.confirmed(1_000 + CONFIRM_US + 1), 0);
+        let again = round.next_ask(500_000, LEADER, 1, everyone).unwrap();
+        assert_ne!(again.chain, asked.chain);
+        round.answer(500_001, Incarnation(1), again, true);
+        round.answer(500_002, Incarnation(2), again, true);
+        assert_eq!(round.confirmed(500_002), 1);
+    }
+}
--- /dev/null
+++ b/src/prelude.rs
@@ -0,0 +1,5 @@
+//! The types that most modules use.
+
+pub use crate::core::types::{
+    Incarnation, Micros, Name, Rank, Registration, RequestId, RequestMeta, ShedReason,
+};
