--- a/src/core/scheduler.rs
+++ b/src/core/scheduler.rs
@@ -394,6 +394,48 @@
         })
     }
 
+    /// Says why a request stands as it does; none if it is not known.
+    pub fn explain(&self, now_us: Micros, id: RequestId) -> Option<String> {
+        let tracked = self.requests.get(&id)?;
+        let left_ms = tracked.deadline_us.saturating_sub(now_us) / 1_000;
+        Some(match tracked.place {
+            Place::Running(endpoint) => {
+                format!("granted to {}", self.endpoints[endpoint].spec.name)
+            }
+            Place::Shedding => "being shed".to_owned(),
+            Place::Hopeless => format!(
+                "no endpoint is expected to finish its {} prompt and about {} output tokens in the \
+                 {left_ms} ms left; kept while a lower tier is kept, or until its deadline",
+                tracked.meta.prompt_tokens, tracked.output_tokens
+            ),
+            Place::Waiting => {
+                let room = self.endpoints.iter();
+                let room = room
+                    .filter(|e| e.has_room(now_us, PREFILL_AHEAD_US))
+                    .count();
+                let above: usize = (0..usize::from(tracked.meta.rank))
+                    .map(|r| self.kept(r))
+                    .sum();
+                let ceiling = &self.organisations[tracked.organisation];
+                let capped = ceiling
+                    .spec
+                    .max_running
+                    .is_some_and(|m| ceiling.running >= m);
+                let cap = if capped {
+                    "; its organisation is at its ceiling"
+                } else {
+                    ""
+                };
+                format!(
+                    "waits with {} of its tier, {above} above; {room} of {} endpoints have room; \
+                     {left_ms} ms left{cap}",
+                    self.kept(usize::from(tracked.meta.rank)),
+                    self.endpoints.len()
+                )
+            }
+        })
+    }
+
     fn kept(&self, rank: usize) -> usize {
         self.tiers[rank].len() + self.hopeless[rank].len()
     }
@@ -488,8 +530,9 @@
             return 0.0;
         };
         let prefill = f64::from(meta.prompt_tokens) * 1e6 / endpoint.spec.prefill_tokens_per_s;
-        prefill + f64::from(output_tokens) * endpoint.spec.decode_step_us
-            / f64::from(endpoint.spec.slots.max(1))
+        prefill
+            + f64::from(output_tokens) * endpoint.spec.decode_step_us
+                / f64::from(endpoint.spec.slots.max(1))
     }
 
     fn add(&mut self, now_us: Micros, registration: Registration, meta: RequestMeta) {
--- /dev/null
+++ b/src/endpoint/engine.rs
@@ -0,0 +1,322 @@
+//! A model engine's stream: relayed event by event, resumed where it broke, checked for wholeness.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, StatusCode, header};
+use serde::Deserialize;
+use snafu::{ResultExt, Snafu};
+use tokio::time;
+
+use crate::{
+    endpoint::{
+        connection::{Answer, Connection, SendError},
+        sse::{BadEvent, Event, Splitter},
+    },
+    prelude::RequestId,
+};
+
+/// Data of the event after which nothing comes.
+pub const DONE: &str = "[DONE]";
+const MAX_RESUMES: u32 = 3;
+const RESUME_PAUSE: Duration = Duration::from_millis(50);
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
+/// A stream that says nothing for this long is taken as broken.
+const SILENCE: Duration = Duration::from_secs(60);
+
+/// Why a stream brought no whole answer.
+#[derive(Debug, Snafu)]
+pub enum StreamError {
+    /// The engine did not answer the request.
+    #[snafu(display("the engine did not answer"))]
+    Unanswered {
+        /// How it failed.
+        source: SendError,
+    },
+    /// The engine answered with an error.
+    #[snafu(display("the engine answered {status}"))]
+    Refused {
+        /// Its status.
+        status: StatusCode,
+        /// The beginning of its text.
+        text: String,
+    },
+    /// The stream broke and could not be resumed.
+    #[snafu(display("the stream broke after {events} events"))]
+    Cut {
+        /// Events seen.
+        events: u64,
+    },
+    /// The stream ended, but not as a whole answer does.
+    #[snafu(display("the stream ended without being whole: {reason}"))]
+    NotWhole {
+        /// What is missing.
+        reason: &'static str,
+    },
+}
+
+/// What the engine says of its work, in the last event.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Tokens of the answer.
+    pub completion_tokens: u32,
+    /// Tokens of the prompt that were in its cache.
+    #[serde(default)]
+    pub cached_tokens: u32,
+}
+
+#[derive(Deserialize)]
+struct Chunk<'a> {
+    #[serde(default, borrow)]
+    choices: Vec<Choice<'a>>,
+    #[serde(default)]
+    usage: Option<Usage>,
+}
+
+#[derive(Deserialize)]
+struct Choice<'a> {
+    #[serde(default, borrow)]
+    text: Option<std::borrow::Cow<'a, str>>,
+    #[serde(default, borrow)]
+    delta: Option<Delta<'a>>,
+    #[serde(default, borrow)]
+    finish_reason: Option<std::borrow::Cow<'a, str>>,
+}
+
+#[derive(Deserialize)]
+struct Delta<'a> {
+    #[serde(default, borrow)]
+    content: Option<std::borrow::Cow<'a, str>>,
+}
+
+/// One event of the answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Piece {
+    /// The event's data, as the engine wrote it.
+    pub data: String,
+    /// The text in it.
+    pub text: String,
+    /// Whether it carries a token.
+    pub is_token: bool,
+}
+
+/// A stream under way.
+pub struct EngineStream {
+    addr: SocketAddr,
+    id: RequestId,
+    answer: Answer,
+    splitter: Splitter,
+    events: u64,
+    tokens: u32,
+    resumes: u32,
+    finish_reason: Option<String>,
+    usage: Option<Usage>,
+    done: bool,
+}
+
+impl EngineStream {
+    /// Sends the request over an open connection; from here on it may have run.
+    ///
+    /// # Errors
+    /// No answer came, or one that is no stream.
+    pub async fn start(
+        connection: Connection,
+        addr: SocketAddr,
+        id: RequestId,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Self, StreamError> {
+        let answer = connection.send(request).await.context(UnansweredSnafu)?;
+        let status = answer.response.status();
+        if status != StatusCode::OK {
+            let text = beginning(answer).await;
+            return RefusedSnafu { status, text }.fail();
+        }
+        Ok(Self {
+            addr,
+            id,
+            answer,
+            splitter: Splitter::default(),
+            events: 0,
+            tokens: 0,
+            resumes: 0,
+            finish_reason: None,
+            usage: None,
+            done: false,
+        })
+    }
+
+    /// Returns the next piece, or none after a whole answer.
+    ///
+    /// # Errors
+    /// The stream broke for good, or ended without being whole.
+    pub async fn next(&mut self) -> Result<Option<Piece>, StreamError> {
+        loop {
+            match self.next_event().await {
+                Ok(Some(event)) => {
+                    if let Some(piece) = self.take(event)? {
+                        return Ok(Some(piece));
+                    }
+                }
+                Ok(None) if self.done => return self.check_whole().map(|()| None),
+                Ok(None) | Err(Broken) => self.resume().await?,
+            }
+        }
+    }
+
+    /// Returns what the engine said of its work.
+    pub fn usage(&self) -> Option<Usage> {
+        self.usage
+    }
+
+    /// Returns how the engine says the answer ended.
+    pub fn finish_reason(&self) -> Option<&str> {
+        self.finish_reason.as_deref()
+    }
+
+    /// Returns the tokens seen.
+    pub fn tokens(&self) -> u32 {
+        self.tokens
+    }
+
+    async fn next_event(&mut self) -> Result<Option<Event>, Broken> {
+        loop {
+            if let Some(event) = self.splitter.next()? {
+                return Ok(Some(event));
+            }
+            if self.done {
+                return Ok(None);
+            }
+            let frame = time::timeout(SILENCE, self.answer.response.body_mut().frame()).await;
+            match frame.map_err(|_| Broken)? {
+                Some(Ok(frame)) => {
+                    if let Some(bytes) = frame.data_ref() {
+                        self.splitter.push(bytes);
+                    }
+                }
+                Some(Err(_)) => return Err(Broken),
+                None => return Ok(None),
+            }
+        }
+    }
+
+    /// Takes an event in; none for one that was seen before a resume.
+    fn take(&mut self, event: Event) -> Result<Option<Piece>, StreamError> {
+        if event.data == DONE {
+            self.done = true;
+            return Ok(None);
+        }
+        match event.id {
+            Some(id) if id <= self.events => return Ok(None),
+            Some(id) if id > self.events + 1 => {
+                let reason = "an event is missing";
+                return NotWholeSnafu { reason }.fail();
+            }
+            _ => self.events += 1,
+        }
+        let Ok(chunk) = serde_json::from_str::<Chunk<'_>>(&event.data) else {
+            let reason = "an event cannot be read";
+            return NotWholeSnafu { reason }.fail();
+        };
+        if chunk.usage.is_some() {
+            self.usage = chunk.usage;
+        }
+        let mut text = String::new();
+        let mut finished = None;
+        for choice in &chunk.choices {
+            let delta = choice.delta.as_ref().and_then(|d| d.content.as_deref());
+            text.push_str(choice.text.as_deref().or(delta).unwrap_or_default());
+            finished = choice.finish_reason.as_deref().or(finished);
+        }
+        if let Some(reason) = finished {
+            self.finish_reason = Some(reason.to_owned());
+        }
+        let is_token = !text.is_empty();
+        self.tokens += u32::from(is_token);
+        Ok(Some(Piece {
+            text,
+            is_token,
+            data: event.data,
+        }))
+    }
+
+    fn check_whole(&self) -> Result<(), StreamError> {
+        let reason = match (&self.finish_reason, self.usage) {
+            (None, _) => "it has no finish reason",
+            (_, Some(usage)) if usage.completion_tokens != self.tokens => "tokens are missing",
+            _ => return Ok(()),
+        };
+        NotWholeSnafu { reason }.fail()
+    }
+
+    /// Reads on where the stream broke; the engine goes on with the same run, so nothing is sent
+    /// again.
+    async fn resume(&mut self) -> Result<(), StreamError> {
+        let events = self.events;
+        while self.resumes < MAX_RESUMES {
+            self.resumes += 1;
+            time::sleep(RESUME_PAUSE * self.resumes).await;
+            let Ok(connection) = Connection::open(self.addr).await else {
+                continue;
+            };
+            let Ok(answer) = connection.send(resume_request(self.id, events)).await else {
+                continue;
+            };
+            match answer.response.status() {
+                StatusCode::OK => {
+                    self.answer = answer;
+                    self.splitter = Splitter::default();
+                    return Ok(());
+                }
+                StatusCode::NOT_FOUND => break,
+                _ => {}
+            }
+        }
+        CutSnafu { events }.fail()
+    }
+}
+
+/// The connection brought no more.
+struct Broken;
+
+impl From<BadEvent> for Broken {
+    fn from(_: BadEvent) -> Self {
+        Self
+    }
+}
+
+/// Tells the engine that nobody waits for the answer any more.
+pub async fn cancel(addr: SocketAddr, id: RequestId) {
+    let attempt = async {
+        let connection = Connection::open(addr).await.ok()?;
+        let request = stream_request(Method::DELETE, id, None);
+        connection.send(request).await.ok()
+    };
+    // An engine that is not reached runs on for nothing; there is no more to be done.
+    let _ = time::timeout(CANCEL_TIMEOUT, attempt).await;
+}
+
+fn resume_request(id: RequestId, after: u64) -> Request<Full<Bytes>> {
+    stream_request(Method::GET, id, Some(after))
+}
+
+fn stream_request(method: Method, id: RequestId, after: Option<u64>) -> Request<Full<Bytes>> {
+    let mut builder = Request::builder()
+        .method(method)
+        .uri(format!("/v1/streams/{id}"))
+        .header(header::HOST, "engine");
+    if let Some(after) = after {
+        builder = builder.header("last-event-id", after);
+    }
+    builder.body(Full::default()).unwrap_or_default()
+}
+
+async fn beginning(mut answer: Answer) -> String {
+    const SHOWN: usize = 300;
+    let first = time::timeout(CANCEL_TIMEOUT, answer.response.body_mut().frame()).await;
+    let bytes = first.ok().flatten().and_then(Result::ok);
+    let bytes = bytes.and_then(|f| f.into_data().ok()).unwrap_or_default();
+    String::from_utf8_lossy(&bytes[..bytes.len().min(SHOWN)]).into_owned()
+}
--- /dev/null
+++ b/src/endpoint/mod.rs
@@ -0,0 +1,6 @@
+//! How endpoints are reached: model engines that stream tokens, and plain services.
+
+pub mod connection;
+pub mod engine;
+pub mod poll;
+pub mod sse;
--- /dev/null
+++ b/src/endpoint/poll.rs
@@ -0,0 +1,112 @@
+//! Asks endpoints for their load and cache events, on behalf of the pool's leader.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, StatusCode, header};
+use rand::RngExt;
+use serde::{Deserialize, de::DeserializeOwned};
+use tokio::{task::JoinSet, time};
+
+use crate::{
+    config::model::PoolKind,
+    core::{endpoint::LoadReport, prefix::CacheEvent},
+    endpoint::connection::Connection,
+    instance::Instance,
+    platform::Store,
+    pool::slice,
+    prelude::Name,
+};
+
+const INTERVAL_MS: u64 = 1_000;
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+
+#[derive(Deserialize)]
+struct Load {
+    running: u32,
+    waiting: u32,
+    #[serde(default)]
+    age_ms: u64,
+}
+
+/// Polls the endpoints of every pool that is led here, until cancelled with its task.
+pub async fn run<S: Store>(instance: Arc<Instance<S>>) {
+    let mut seen = std::collections::HashMap::new();
+    loop {
+        let wait_ms = rand::rng().random_range(INTERVAL_MS * 3 / 4..INTERVAL_MS * 5 / 4);
+        time::sleep(Duration::from_millis(wait_ms)).await;
+        let config = instance.config.current();
+        let view = instance.gossip.view();
+        let mut polls = JoinSet::new();
+        for pool in slice::all_slices(&config.config) {
+            if !view.leads(&slice::subject(&pool)) {
+                continue;
+            }
+            let kind = slice::pool_of(&config.config, &pool).map(|p| p.kind);
+            for endpoint in slice::endpoints(&config.config, &pool) {
+                let Ok(addr) = endpoint.addr.parse() else {
+                    continue;
+                };
+                let after = (kind == Some(PoolKind::Model))
+                    .then(|| seen.get(&endpoint.name).copied().unwrap_or(0));
+                let (instance, pool) = (instance.clone(), pool.clone());
+                let name = endpoint.name.clone();
+                polls.spawn(async move {
+                    let newest = poll(&instance, &pool, &name, addr, after).await;
+                    (name, newest)
+                });
+            }
+        }
+        while let Some(done) = polls.join_next().await {
+            if let Ok((name, Some(newest))) = done {
+                seen.insert(name, newest);
+            }
+        }
+    }
+}
+
+/// Polls one endpoint; returns the number of the newest cache event seen.
+async fn poll<S: Store>(
+    instance: &Instance<S>,
+    pool: &Name,
+    name: &Name,
+    addr: SocketAddr,
+    after: Option<u64>,
+) -> Option<u64> {
+    if let Some(load) = get::<Load>(addr, "/load").await {
+        let report = LoadReport {
+            running: load.running,
+            waiting: load.waiting,
+            age_us: load.age_ms * 1_000,
+        };
+        instance.leaders.load(pool, name.clone(), report);
+    }
+    let path = format!("/cache/events?after={}", after?);
+    let events: Vec<CacheEvent> = get(addr, &path).await?;
+    let newest = events.last().map(|e| e.seq);
+    for event in events {
+        instance.leaders.cache(pool, name.clone(), event);
+    }
+    newest
+}
+
+async fn get<T: DeserializeOwned>(addr: SocketAddr, path: &str) -> Option<T> {
+    let request = Request::builder()
+        .uri(path)
+        .header(header::HOST, "endpoint")
+        .body(Full::<Bytes>::default())
+        .ok()?;
+    let attempt = async {
+        let connection = Connection::open(addr).await.ok()?;
+        let answer = connection.send(request).await.ok()?;
+        if answer.response.status() != StatusCode::OK {
+            return None;
+        }
+        let body = Limited::new(answer.response.into_body(), MAX_ANSWER_BYTES);
+        let bytes = body.collect().await.ok()?.to_bytes();
+        serde_json::from_slice(&bytes).ok()
+    };
+    time::timeout(CALL_TIMEOUT, attempt).await.ok().flatten()
+}
--- /dev/null
+++ b/src/endpoint/sse.rs
@@ -0,0 +1,103 @@
+//! Splits a byte stream into server-sent events.
+
+use bytes::{Buf, BytesMut};
+
+/// The longest event that is taken, in bytes.
+pub const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// One event.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Event {
+    /// Its id, by which a stream is resumed.
+    pub id: Option<u64>,
+    /// Its data lines, joined.
+    pub data: String,
+}
+
+/// An event that is longer than [`MAX_EVENT_BYTES`] or not text.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BadEvent;
+
+/// Takes bytes in any pieces and gives whole events.
+///
+/// ```
+/// use ryevalve::endpoint::sse::Splitter;
+/// let mut splitter = Splitter::default();
+/// splitter.push(b"id: 3\ndata: a");
+/// assert_eq!(splitter.next(), Ok(None));
+/// splitter.push(b"b\n\n");
+/// let event = splitter.next().unwrap().unwrap();
+/// assert_eq!((event.id, event.data.as_str()), (Some(3), "ab"));
+/// ```
+#[derive(Debug, Default)]
+pub struct Splitter {
+    buffer: BytesMut,
+    searched: usize,
+}
+
+impl Splitter {
+    /// Adds bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Returns the next whole event, or none until more bytes come.
+    ///
+    /// # Errors
+    /// The event is too long or not text; nothing more can be read.
+    #[allow(clippy::should_implement_trait)]
+    pub fn next(&mut self) -> Result<Option<Event>, BadEvent> {
+        loop {
+            let Some((length, end)) = self.find_end() else {
+                let too_long = self.buffer.len() > MAX_EVENT_BYTES;
+                return if too_long { Err(BadEvent) } else { Ok(None) };
+            };
+            let text = std::str::from_utf8(&self.buffer[..length]).map_err(|_| BadEvent)?;
+            let event = parse(text);
+            self.buffer.advance(end);
+            self.searched = 0;
+            if let Some(event) = event {
+                return Ok(Some(event));
+            }
+        }
+    }
+
+    /// Finds the blank line that ends an event: the event's length, and where the next begins.
+    fn find_end(&mut self) -> Option<(usize, usize)> {
+        let start = self.searched.saturating_sub(3);
+        let bytes = &self.buffer[start..];
+        for (at, _) in bytes.iter().enumerate().filter(|(_, b)| **b == b'\n') {
+            let rest = &bytes[at + 1..];
+            if rest.first() == Some(&b'\n') {
+                return Some((start + at, start + at + 2));
+            }
+            if rest.starts_with(b"\r\n") {
+                return Some((start + at, start + at + 3));
+            }
+        }
+        self.searched = self.buffer.len();
+        None
+    }
+}
+
+/// Reads an event's lines; one without data is none.
+fn parse(text: &str) -> Option<Event> {
+    let mut event = Event::default();
+    let mut has_data = false;
+    for line in text.lines() {
+        let (field, value) = line.split_once(':').unwrap_or((line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match field {
+            "id" => event.id = value.parse().ok(),
+            "data" => {
+                if has_data {
+                    event.data.push('\n');
+                }
+                event.data.push_str(value);
+                has_data = true;
+            }
+            _ => {}
+        }
+    }
+    has_data.then_some(event)
+}
--- /dev/null
+++ b/src/entry/http.rs
@@ -0,0 +1,196 @@
+//! The callers' listener: bounds on everything a caller can send, and one answer to each request.
+
+use std::{convert::Infallible, io, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{
+    HeaderMap, Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde_json::json;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, mpsc},
+    time,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    entry::{
+        answer::{self, Body},
+        parse::{self, Route},
+        refusal::Refusal,
+        run,
+    },
+    instance::Instance,
+    platform::Store,
+};
+
+const MAX_HEADER_BYTES: usize = 64 << 10;
+const MAX_HEADERS: usize = 64;
+const PARTS_IN_FLIGHT: usize = 16;
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Serves callers until cancelled, then lets the open connections finish their requests.
+pub async fn serve<S: Store>(
+    instance: Arc<Instance<S>>,
+    listener: TcpListener,
+    stop: CancellationToken,
+) {
+    let permits = Arc::new(Semaphore::new(instance.settings.max_connections));
+    loop {
+        // Above the bound nothing is accepted: callers wait in the system's queue, unread.
+        let Ok(permit) = permits.clone().acquire_owned().await else {
+            return;
+        };
+        let accepted = tokio::select! {
+            () = stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else {
+            time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let (instance, stop) = (instance.clone(), stop.clone());
+        tokio::spawn(async move {
+            serve_connection(instance, stream, stop).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn serve_connection<S: Store>(
+    instance: Arc<Instance<S>>,
+    stream: TcpStream,
+    stop: CancellationToken,
+) {
+    // Without this small events wait for acknowledgements; with it failing they are late.
+    let _ = stream.set_nodelay(true);
+    let header_timeout = Duration::from_millis(instance.settings.header_timeout_ms);
+    let service = service_fn(move |request| {
+        let instance = instance.clone();
+        async move { Ok::<_, Infallible>(answer(instance, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(header_timeout)
+        .max_buf_size(MAX_HEADER_BYTES)
+        .max_headers(MAX_HEADERS)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = stop.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    // An error here is the caller's leaving or a body that was cut on purpose.
+    let _ = connection.await;
+}
+
+async fn answer<S: Store>(
+    instance: Arc<Instance<S>>,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    match take(&instance, request).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            instance.metrics.bad_requests.inc();
+            let mut response = refusal.response(None);
+            if refusal.status == StatusCode::PAYLOAD_TOO_LARGE {
+                // What is left of the body is not read.
+                let close = HeaderValue::from_static("close");
+                response
+                    .headers_mut()
+                    .insert(hyper::header::CONNECTION, close);
+            }
+            response
+        }
+    }
+}
+
+async fn take<S: Store>(
+    instance: &Arc<Instance<S>>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Refusal> {
+    let (parts, body) = request.into_parts();
+    let route = parse::route(&parts)?;
+    if !instance.is_ready() {
+        let message = "this instance takes no requests now";
+        return Err(Refusal::not_run("not_ready", message, 1_000));
+    }
+    let config = instance.config.current();
+    let keys = instance.keys();
+    let organisation = parse::authenticate(&parts.headers, &config.config, &keys)?;
+    if route == Route::Ticket {
+        return Ok(ticket(instance));
+    }
+    let body = read_body(instance, &parts.headers, body).await?;
+    let id = instance.registry.next_id();
+    let call = parse::call(
+        &config.config,
+        organisation,
+        id,
+        route,
+        &parts.headers,
+        body,
+    )?;
+    let (sender, messages) = mpsc::channel(PARTS_IN_FLIGHT);
+    tokio::spawn(run::run(instance.clone(), call, sender));
+    Ok(answer::from_messages(id, messages).await)
+}
+
+fn ticket<S: Store>(instance: &Instance<S>) -> Response<Body> {
+    let ticket = instance.tickets.issue().to_string();
+    let mut response = Response::new(answer::full(json!({"ticket": ticket}).to_string()));
+    let kind = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
+
+async fn read_body<S: Store>(
+    instance: &Instance<S>,
+    headers: &HeaderMap,
+    body: Incoming,
+) -> Result<Bytes, Refusal> {
+    let limit = instance.settings.max_body_bytes;
+    let promised = headers.get(CONTENT_LENGTH);
+    let promised = promised.and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
+    if promised.is_some_and(|p| p > limit as u64) {
+        return Err(too_large(limit));
+    }
+    let timeout = Duration::from_millis(instance.settings.body_timeout_ms);
+    let collected = time::timeout(timeout, Limited::new(body, limit).collect()).await;
+    match collected {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large(limit)),
+        Ok(Err(_)) => {
+            let message = "the body broke off";
+            Err(Refusal::bad(StatusCode::BAD_REQUEST, "body_cut", message))
+        }
+        Err(_) => {
+            let message = format!("the body did not come within {} ms", timeout.as_millis());
+            Err(Refusal::bad(
+                StatusCode::REQUEST_TIMEOUT,
+                "slow_body",
+                message,
+            ))
+        }
+    }
+}
+
+fn too_large(limit: usize) -> Refusal {
+    let message = format!("the body is longer than {limit} bytes");
+    Refusal::bad(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message)
+}
+
+/// Binds a listener.
+///
+/// # Errors
+/// The address cannot be bound.
+pub async fn bind(addr: std::net::SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(addr).await
+}
--- /dev/null
+++ b/src/entry/run.rs
@@ -0,0 +1,686 @@
+//! Runs one request: holds it, sends it when granted, relays the answer.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    Method, Request, StatusCode,
+    header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue},
+};
+use tokio::{sync::mpsc, time};
+
+use crate::{
+    endpoint::{
+        connection::Connection,
+        engine::{self, EngineStream, StreamError, Usage},
+    },
+    entry::{
+        answer::{self, Message},
+        claims::{self, ClaimAnswer, ClaimAsk},
+        parse::{Call, Target},
+        recorder::EndedRequest,
+        refusal::{Refusal, Verdict},
+        registry::{Arrival, Decision, HeldRequest},
+        tickets::{Ticket, TicketAnswer},
+    },
+    instance::Instance,
+    metrics::tier_label,
+    platform::Store,
+    pool::{messages::Update, slice},
+    prelude::{Micros, Name, ShedReason},
+};
+
+const PROGRESS_INTERVAL_US: Micros = 200_000;
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(1_500);
+const TICKET_TIMEOUT: Duration = Duration::from_millis(800);
+const RETRY_AFTER_SHED_MS: u32 = 1_000;
+const RETRY_AFTER_CLAIM_MS: u32 = 2_000;
+const MAX_PLAIN_BYTES: u64 = 64 << 20;
+
+/// A claim that this arrival holds or tried to get.
+#[derive(Clone, Copy, Debug)]
+enum Claim {
+    Key(ClaimAsk),
+    Ticket(Ticket),
+}
+
+/// What one try at an endpoint came to.
+enum Tried {
+    /// Nothing was sent; the request waits on.
+    WaitsOn,
+    /// The request has its final answer.
+    Ended,
+}
+
+/// How a request ended, for the counters.
+struct Ended {
+    outcome: &'static str,
+    reason: Option<&'static str>,
+    output_tokens: u32,
+    prefill_tokens: u32,
+}
+
+struct Run<S: Store> {
+    instance: Arc<Instance<S>>,
+    call: Call,
+    held: HeldRequest,
+    answer: mpsc::Sender<Message>,
+    arrived_us: Micros,
+    deadline_us: Micros,
+    sent_us: Option<Micros>,
+    pool: Name,
+    endpoint: Option<Name>,
+    claim: Option<Claim>,
+    fence: Option<u64>,
+}
+
+/// Runs a call until it has its final answer or its caller is gone.
+pub async fn run<S: Store>(instance: Arc<Instance<S>>, call: Call, answer: mpsc::Sender<Message>) {
+    let now_us = instance.clock.now_us();
+    let config = instance.config.current();
+    let Some(pool) = config.config.pool(&call.pool) else {
+        let refusal = Refusal::not_run("no_pool", "the service's pool is gone", 1_000);
+        let _ = answer.send(Message::Refused(refusal)).await;
+        return;
+    };
+    let pool = slice::slice_for(&config.config, pool, &instance.settings.data_centre);
+    let deadline_us = now_us + call.deadline_ms * 1_000;
+    let arrival = Arrival {
+        pool: pool.clone(),
+        meta: call.meta.clone(),
+        deadline_us,
+        tiers: config.config.tiers.len(),
+        tier: call.tier.clone(),
+    };
+    match instance.registry.admit(arrival) {
+        Ok(held) => {
+            let run = Run {
+                instance,
+                call,
+                held,
+                answer,
+                arrived_us: now_us,
+                deadline_us,
+                sent_us: None,
+                pool,
+                endpoint: None,
+                claim: None,
+                fence: None,
+            };
+            run.until_ended().await;
+        }
+        Err(reason) => {
+            instance.metrics.shed(&call.tier, reason.as_str());
+            instance.metrics.ended(&call.tier, "not_run");
+            let refusal = shed_refusal(reason, spread_ms(call.meta.id.seq, RETRY_AFTER_SHED_MS));
+            let _ = answer.send(Message::Refused(refusal)).await;
+        }
+    }
+}
+
+impl<S: Store> Run<S> {
+    async fn until_ended(mut self) {
+        let deadline = self.instance.clock.instant(self.deadline_us);
+        loop {
+            tokio::select! {
+                biased;
+                () = self.answer.closed() => return self.caller_left(),
+                () = time::sleep_until(deadline) => return self.expire().await,
+                decision = self.held.decision() => match decision {
+                    Decision::Granted { endpoint } => match self.try_endpoint(endpoint).await {
+                        Tried::WaitsOn => {}
+                        Tried::Ended => return,
+                    },
+                    Decision::Shed { reason, retry_after_ms } => {
+                        self.instance.metrics.shed(&self.call.tier, reason.as_str());
+                        let refusal = shed_refusal(reason, retry_after_ms);
+                        return self.refused(refusal).await;
+                    }
+                    Decision::Cancelled => {
+                        if self.held.refuse().is_ok() {
+                            let message = "an operator cancelled the request";
+                            let refusal = Refusal::not_run("cancelled", message, 1_000);
+                            return self.refused(refusal).await;
+                        }
+                    }
+                },
+            }
+        }
+    }
+
+    async fn expire(&mut self) {
+        // Nothing was sent: every way to a sent request ends inside `try_endpoint`.
+        if self.held.refuse().is_ok() {
+            self.instance
+                .metrics
+                .expiries
+                .get_or_create(&tier_label(&self.call.tier))
+                .inc();
+            self.refused(Refusal::expired()).await;
+        }
+    }
+
+    fn caller_left(&mut self) {
+        let unsent = self.held.refuse().is_ok();
+        if unsent {
+            self.give_up_claim();
+        }
+        self.ended(Ended {
+            outcome: "caller_left",
+            reason: None,
+            output_tokens: 0,
+            prefill_tokens: 0,
+        });
+    }
+
+    /// Gives the caller a refusal as the final answer; what did not run gives up its claim.
+    async fn refused(&mut self, refusal: Refusal) {
+        let outcome = match refusal.verdict {
+            Verdict::NotRun | Verdict::BadRequest => {
+                self.give_up_claim();
+                "not_run"
+            }
+            Verdict::OutcomeUnknown => "outcome_unknown",
+        };
+        self.ended(Ended {
+            outcome,
+            reason: Some(refusal.reason),
+            output_tokens: 0,
+            prefill_tokens: 0,
+        });
+        let _ = self.answer.send(Message::Refused(refusal)).await;
+    }
+
+    async fn try_endpoint(&mut self, endpoint: Name) -> Tried {
+        let config = self.instance.config.current();
+        let found = config.config.endpoint(&endpoint);
+        let Some(addr) = found.and_then(|e| e.addr.parse::<SocketAddr>().ok()) else {
+            return self.wait_on();
+        };
+        if self.call.key.is_some() && self.claim.is_none() {
+            match self.claim_key().await {
+                Ok(()) => {}
+                Err(refusal) => {
+                    if self.held.refuse().is_ok() {
+                        self.refused(refusal).await;
+                    }
+                    return Tried::Ended;
+                }
+            }
+        }
+        let connection = match Connection::open(addr).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                log::debug!("{endpoint}: {error}");
+                self.held.tell(Update::EndpointFailed(endpoint));
+                return self.wait_on();
+            }
+        };
+        let now_us = self.instance.clock.now_us();
+        if now_us >= self.deadline_us || self.answer.is_closed() {
+            // The claim or connect took too long, or this process was paused meanwhile.
+            return self.wait_on();
+        }
+        if self.held.send().is_err() {
+            return Tried::Ended;
+        }
+        self.sent_us = Some(now_us);
+        self.endpoint = Some(endpoint);
+        match self.call.target.clone() {
+            Target::Model { chat, stream } => self.run_model(connection, addr, chat, stream).await,
+            Target::Plain { path } => self.run_plain(connection, addr, &path).await,
+        }
+        Tried::Ended
+    }
+
+    fn wait_on(&mut self) -> Tried {
+        match self.held.return_grant() {
+            Ok(()) => Tried::WaitsOn,
+            Err(_) => Tried::Ended,
+        }
+    }
+
+    /// Gets leave to run a request that may run at most once.
+    async fn claim_key(&mut self) -> Result<(), Refusal> {
+        let key = self.call.key.clone().unwrap_or_default();
+        match key.parse::<Ticket>() {
+            Ok(ticket) => self.use_ticket(ticket).await,
+            Err(_) => self.claim_in_store(&key).await,
+        }
+    }
+
+    async fn claim_in_store(&mut self, key: &str) -> Result<(), Refusal> {
+        let meta = &self.call.meta;
+        let key = claims::key_hash(&meta.organisation, &meta.service, key);
+        let ask = ClaimAsk { key, by: meta.id };
+        self.claim = Some(Claim::Key(ask));
+        let claimed = time::timeout(CLAIM_TIMEOUT, self.instance.claim(ask)).await;
+        match claimed.unwrap_or(ClaimAnswer::Unavailable) {
+            ClaimAnswer::Yours(fence) => {
+                self.fence = Some(fence);
+                Ok(())
+            }
+            ClaimAnswer::Taken => {
+                self.claim = None;
+                Err(Refusal::duplicate())
+            }
+            ClaimAnswer::Unavailable => {
+                let message = "the key cannot be claimed now; a ticket would do without";
+                let retry_ms = spread_ms(self.call.meta.id.seq, RETRY_AFTER_CLAIM_MS);
+                Err(Refusal::not_run("claim_unavailable", message, retry_ms))
+            }
+        }
+    }
+
+    async fn use_ticket(&mut self, ticket: Ticket) -> Result<(), Refusal> {
+        let by = self.call.meta.id;
+        let asked = time::timeout(TICKET_TIMEOUT, self.instance.use_ticket(ticket, by)).await;
+        match asked.ok().flatten() {
+            Some(TicketAnswer::Yours) => {
+                self.claim = Some(Claim::Ticket(ticket));
+                Ok(())
+            }
+            Some(TicketAnswer::Used) => Err(Refusal::duplicate()),
+            Some(TicketAnswer::Unknown) | None => {
+                let message = "whoever handed out the ticket cannot say whether it was used";
+                Err(Refusal::unknown("ticket_unknown", message))
+            }
+        }
+    }
+
+    fn give_up_claim(&mut self) {
+        match self.claim.take() {
+            Some(Claim::Key(ask)) => self.instance.clone().release_claim(ask),
+            Some(Claim::Ticket(ticket)) => {
+                // Only the issuer can take it back; elsewhere it stays used, which is safe.
+                self.instance.tickets.give_back(ticket, self.call.meta.id);
+            }
+            None => {}
+        }
+    }
+
+    async fn run_model(
+        &mut self,
+        connection: Connection,
+        addr: SocketAddr,
+        chat: bool,
+        stream: bool,
+    ) {
+        let path = if chat {
+            "/v1/chat/completions"
+        } else {
+            "/v1/completions"
+        };
+        let request = self.request(path);
+        let id = self.held.id;
+        let started = tokio::select! {
+            biased;
+            () = self.answer.closed() => {
+                self.abandon(addr, None).await;
+                return;
+            }
+            started = EngineStream::start(connection, addr, id, request) => started,
+        };
+        match started {
+            Ok(engine) if stream => self.relay(engine, addr).await,
+            Ok(engine) => self.collect(engine, addr, chat).await,
+            Err(error) => self.failed(&error).await,
+        }
+    }
+
+    /// Relays the stream piece by piece.
+    async fn relay(&mut self, mut engine: EngineStream, addr: SocketAddr) {
+        let mut progress = Progress::default();
+        let mut begun = false;
+        loop {
+            let next = tokio::select! {
+                biased;
+                () = self.answer.closed() => {
+                    self.abandon(addr, Some(&engine)).await;
+                    return;
+                }
+                next = engine.next() => next,
+            };
+            match next {
+                Ok(Some(piece)) => {
+                    if piece.is_token {
+                        self.note_token(&mut progress);
+                    }
+                    if !begun {
+                        begun = true;
+                        self.begin(StatusCode::OK, "text/event-stream").await;
+                    }
+                    let data = answer::sse_event(&piece.data);
+                    // A caller that left is seen at the top of the loop.
+                    let _ = self.answer.send(Message::Data(data)).await;
+                }
+                Ok(None) => {
+                    let done = answer::sse_event(engine::DONE);
+                    let _ = self.answer.send(Message::Data(done)).await;
+                    return self.whole(&engine).await;
+                }
+                Err(error) if !begun => return self.failed(&error).await,
+                Err(error) => {
+                    let refusal = stream_refusal(&error);
+                    let event = answer::sse_error(&refusal, self.held.id);
+                    let _ = self.answer.send(Message::Data(event)).await;
+                    // Without an `End` the body is cut off here.
+                    return self.broken(&error, engine.tokens());
+                }
+            }
+        }
+    }
+
+    /// Collects the stream into one answer.
+    async fn collect(&mut self, mut engine: EngineStream, addr: SocketAddr, chat: bool) {
+        let mut progress = Progress::default();
+        let mut text = String::new();
+        loop {
+            let next = tokio::select! {
+                biased;
+                () = self.answer.closed() => {
+                    self.abandon(addr, Some(&engine)).await;
+                    return;
+                }
+                next = engine.next() => next,
+            };
+            match next {
+                Ok(Some(piece)) => {
+                    if piece.is_token {
+                        self.note_token(&mut progress);
+                    }
+                    text.push_str(&piece.text);
+                }
+                Ok(None) => break,
+                Err(error) => return self.failed(&error).await,
+            }
+        }
+        let usage = engine.usage().unwrap_or(Usage {
+            prompt_tokens: self.call.meta.prompt_tokens,
+            completion_tokens: engine.tokens(),
+            cached_tokens: 0,
+        });
+        let reason = engine.finish_reason().unwrap_or("stop");
+        let model = &self.call.meta.service;
+        let body = answer::whole_completion(self.held.id, model, chat, &text, reason, usage);
+        self.begin(StatusCode::OK, "application/json").await;
+        let _ = self.answer.send(Message::Data(body.into())).await;
+        self.whole(&engine).await;
+    }
+
+    async fn run_plain(&mut self, connection: Connection, addr: SocketAddr, path: &str) {
+        let _ = addr;
+        let request = self.request(path);
+        // The caller may leave: a plain service's request is not cut off by that, since whether it
+        // ran would be less known for nothing.
+        let mut sent = match connection.send(request).await {
+            Ok(sent) => sent,
+            Err(error) => {
+                let message = format!("the service did not answer: {error}");
+                let refusal = Refusal::unknown("endpoint_failed", message);
+                self.end_sent(false, None, "outcome_unknown", Some("endpoint_failed"), 0);
+                let _ = self.answer.send(Message::Refused(refusal)).await;
+                return;
+            }
+        };
+        self.held.tell(Update::FirstToken(self.held.id));
+        let status = sent.response.status();
+        let kind = sent.response.headers().get(CONTENT_TYPE).cloned();
+        let kind = kind.unwrap_or(HeaderValue::from_static("application/octet-stream"));
+        let promised = sent.response.headers().get(CONTENT_LENGTH);
+        let promised: Option<u64> = promised.and_then(|v| v.to_str().ok()?.parse().ok());
+        let _ = self
+            .answer
+            .send(Message::Begin {
+                status,
+                content_type: kind,
+            })
+            .await;
+        let mut passed = 0;
+        while let Some(frame) = sent.response.body_mut().frame().await {
+            let Ok(frame) = frame else {
+                return self.end_sent(false, None, "outcome_unknown", Some("answer_cut"), 0);
+            };
+            if let Ok(bytes) = frame.into_data() {
+                passed += bytes.len() as u64;
+                let _ = self.answer.send(Message::Data(bytes)).await;
+            }
+            if passed > MAX_PLAIN_BYTES {
+                return self.end_sent(false, None, "outcome_unknown", Some("answer_too_long"), 0);
+            }
+        }
+        if promised.is_some_and(|p| p != passed) {
+            return self.end_sent(false, None, "outcome_unknown", Some("answer_cut"), 0);
+        }
+        self.report_time();
+        let outcome = self.in_time_or_late();
+        self.end_sent(true, Some(1), outcome, None, 0);
+        let _ = self.answer.send(Message::End).await;
+    }
+
+    fn report_time(&self) {
+        let now_us = self.instance.clock.now_us();
+        let span_us = now_us.saturating_sub(self.sent_us.unwrap_or(now_us));
+        self.held.tell(Update::Progress(self.held.id, 1, span_us));
+    }
+
+    fn request(&self, path: &str) -> Request<Full<Bytes>> {
+        let meta = &self.call.meta;
+        let mut builder = Request::builder()
+            .method(Method::POST)
+            .uri(path)
+            .header(HOST, "endpoint")
+            .header("x-request-id", meta.id.to_string())
+            .header("x-priority", u32::from(meta.rank))
+            .header("x-organisation", &*meta.organisation);
+        if let Some(kind) = &self.call.content_type {
+            builder = builder.header(CONTENT_TYPE, kind);
+        }
+        if let Some(key) = &self.call.key {
+            builder = builder.header("idempotency-key", key);
+        }
+        if let Some(fence) = self.fence {
+            builder = builder.header("x-fence", fence);
+        }
+        builder
+            .body(Full::new(self.call.body.clone()))
+            .unwrap_or_default()
+    }
+
+    async fn begin(&self, status: StatusCode, kind: &'static str) {
+        let content_type = HeaderValue::from_static(kind);
+        let message = Message::Begin {
+            status,
+            content_type,
+        };
+        let _ = self.answer.send(message).await;
+    }
+
+    fn note_token(&self, progress: &mut Progress) {
+        let now_us = self.instance.clock.now_us();
+        match progress.token(now_us) {
+            Noted::First => {
+                self.held.tell(Update::FirstToken(self.held.id));
+                let took_us = now_us.saturating_sub(self.arrived_us);
+                self.instance
+                    .metrics
+                    .first_token_seconds
+                    .observe(took_us as f64 / 1e6);
+            }
+            Noted::Report(tokens, span_us) => {
+                self.held
+                    .tell(Update::Progress(self.held.id, tokens, span_us));
+            }
+            Noted::Nothing => {}
+        }
+    }
+
+    async fn whole(&mut self, engine: &EngineStream) {
+        let usage = engine.usage().unwrap_or_default();
+        let prefill = usage.prompt_tokens.saturating_sub(usage.cached_tokens);
+        self.instance
+            .metrics
+            .cached_tokens
+            .inc_by(usage.cached_tokens.into());
+        let outcome = self.in_time_or_late();
+        self.end_sent(true, Some(engine.tokens()), outcome, None, prefill);
+        let _ = self.answer.send(Message::End).await;
+    }
+
+    fn in_time_or_late(&self) -> &'static str {
+        if self.instance.clock.now_us() <= self.deadline_us {
+            "in_time"
+        } else {
+            "late"
+        }
+    }
+
+    /// The stream failed before anything went to the caller.
+    async fn failed(&mut self, error: &StreamError) {
+        self.broken(error, 0);
+        if let StreamError::Refused { status, text } = error
+            && status.is_client_error()
+        {
+            // The engine's own answer is the answer.
+            self.begin(*status, "application/json").await;
+            let _ = self.answer.send(Message::Data(text.clone().into())).await;
+            let _ = self.answer.send(Message::End).await;
+            return;
+        }
+        let _ = self
+            .answer
+            .send(Message::Refused(stream_refusal(error)))
+            .await;
+    }
+
+    fn broken(&mut self, error: &StreamError, tokens: u32) {
+        log::debug!("{}: {error}", self.held.id);
+        if let Some(endpoint) = self.endpoint.clone() {
+            self.held.tell(Update::EndpointFailed(endpoint));
+        }
+        let reason = Some("stream_cut");
+        let prefill = self.call.meta.prompt_tokens;
+        self.end_sent(false, None, "outcome_unknown", reason, prefill);
+        let _ = tokens;
+    }
+
+    /// The caller left: nobody waits for the rest.
+    async fn abandon(&mut self, addr: SocketAddr, engine: Option<&EngineStream>) {
+        let started = engine.is_some_and(|e| e.tokens() > 0);
+        let prefill = if started {
+            self.call.meta.prompt_tokens
+        } else {
+            0
+        };
+        self.end_sent(false, None, "caller_left", None, prefill);
+        engine::cancel(addr, self.held.id).await;
+    }
+
+    fn end_sent(
+        &mut self,
+        whole: bool,
+        tokens: Option<u32>,
+        outcome: &'static str,
+        reason: Option<&'static str>,
+        prefill_tokens: u32,
+    ) {
+        // It was sent before, or this is not reached.
+        let _ = self.held.finish(whole, tokens);
+        let metrics = &self.instance.metrics;
+        metrics.prefill_tokens.inc_by(prefill_tokens.into());
+        let tier = tier_label(&self.call.tier);
+        match outcome {
+            "in_time" => {
+                metrics.in_time.get_or_create(&tier).inc();
+            }
+            "late" => {
+                metrics.late.get_or_create(&tier).inc();
+                metrics.wasted_prefill_tokens.inc_by(prefill_tokens.into());
+            }
+            _ => {
+                metrics.wasted_prefill_tokens.inc_by(prefill_tokens.into());
+            }
+        }
+        self.ended(Ended {
+            outcome,
+            reason,
+            output_tokens: tokens.unwrap_or(0),
+            prefill_tokens,
+        });
+    }
+
+    fn ended(&self, ended: Ended) {
+        let now_us = self.instance.clock.now_us();
+        let meta = &self.call.meta;
+        self.instance.metrics.ended(&self.call.tier, ended.outcome);
+        let waited_until = self.sent_us.unwrap_or(now_us);
+        self.instance.recorder.add(EndedRequest {
+            id: meta.id,
+            organisation: meta.organisation.clone(),
+            tier: self.call.tier.clone(),
+            service: meta.service.clone(),
+            pool: self.pool.clone(),
+            endpoint: self.endpoint.clone(),
+            outcome: ended.outcome.into(),
+            reason: ended.reason.map(Into::into),
+            at_ms: self.arrived_us / 1_000,
+            waited_ms: waited_until.saturating_sub(self.arrived_us) / 1_000,
+            took_ms: now_us.saturating_sub(self.arrived_us) / 1_000,
+            deadline_ms: self.call.deadline_ms,
+            prompt_tokens: meta.prompt_tokens,
+            prefix: meta.prefix.clone(),
+            output_tokens: ended.output_tokens,
+            prefill_tokens: ended.prefill_tokens,
+            repeatable: meta.repeatable,
+        });
+    }
+}
+
+/// What a stream has shown so far, between two reports.
+#[derive(Default)]
+struct Progress {
+    reported_us: Option<Micros>,
+    tokens: u32,
+}
+
+enum Noted {
+    First,
+    Report(u32, Micros),
+    Nothing,
+}
+
+impl Progress {
+    fn token(&mut self, now_us: Micros) -> Noted {
+        let Some(reported_us) = self.reported_us else {
+            self.reported_us = Some(now_us);
+            return Noted::First;
+        };
+        self.tokens += 1;
+        let span_us = now_us - reported_us;
+        if span_us < PROGRESS_INTERVAL_US {
+            return Noted::Nothing;
+        }
+        self.reported_us = Some(now_us);
+        Noted::Report(std::mem::take(&mut self.tokens), span_us)
+    }
+}
+
+fn stream_refusal(error: &StreamError) -> Refusal {
+    Refusal::unknown("stream_cut", error.to_string())
+}
+
+fn shed_refusal(reason: ShedReason, retry_after_ms: u32) -> Refusal {
+    let message = match reason {
+        ShedReason::QueueFull => "more requests wait than can be served",
+        ShedReason::DeadlineUnreachable => "no endpoint could finish the answer in time",
+        ShedReason::TierShed => "the tier is being shed for now",
+    };
+    Refusal::not_run(reason.as_str(), message, retry_after_ms)
+}
+
+/// Spreads a wait over one to two times its length, by the request's number.
+fn spread_ms(seq: u64, base_ms: u32) -> u32 {
+    let spread = seq.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 48;
+    base_ms + (f64::from(base_ms) * spread as f64 / 65_536.0) as u32
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,24 @@
 //! A request scheduler for engines of unlike speed.
+//!
+//! The decisions are in [`core`], free of clocks and sockets; [`instance`] runs them among callers
+//! ([`entry`]), endpoints ([`endpoint`]), the other instances ([`peers`], [`pool`]), the platform
+//! ([`platform`]) and operators ([`operator`]). [`replay`] runs the same decisions in virtual time.
 
+pub mod cli;
+pub mod client;
+pub mod clock;
+pub mod config;
 pub mod core;
+pub mod distribution;
+pub mod endpoint;
+pub mod entry;
+pub mod instance;
+pub mod logs;
+pub mod metrics;
+pub mod operator;
+pub mod peers;
+pub mod platform;
+pub mod pool;
 pub mod prelude;
+pub mod replay;
+pub mod settings;
--- /dev/null
+++ b/src/operator/mod.rs
@@ -0,0 +1,13 @@
+//! What operators ask and order.
+
+pub mod drains;
+pub mod execute;
+pub mod http;
+pub mod language;
+pub mod log;
+pub mod orders;
+pub mod query;
+pub mod report;
+pub mod table;
+
+pub use query::answer_part;
--- /dev/null
+++ b/src/operator/query.rs
@@ -0,0 +1,498 @@
+//! Answers a question about one instance: its rows, or what is made of them.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value, json};
+
+use crate::{
+    core::lifecycle::Stage,
+    distribution::{CONFIG_KEY, StoredConfig},
+    entry::registry::{HeldView, is_waiting},
+    instance::Instance,
+    operator::{
+        language::{self, Command, Comparison, Condition, Query, Source, Summary},
+        report,
+    },
+    peers::rpc::QueryPart,
+    platform::Store,
+    pool::slice,
+    prelude::RequestId,
+};
+
+/// The most rows that one instance sends.
+const MAX_ROWS: usize = 5_000;
+/// Requests looked at before others get a turn.
+const ROWS_PER_TURN: usize = 500;
+/// The most groups that one instance sends.
+const MAX_GROUPS: usize = 2_000;
+const BUCKETS_PER_DOUBLING: f64 = 8.0;
+
+/// One row.
+pub type Row = Map<String, Value>;
+
+/// What one instance made of a group's rows.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Group {
+    /// How many.
+    pub count: u64,
+    /// The sum of the field asked for.
+    pub sum: f64,
+    /// How many lie in each bucket, an eighth of a doubling wide.
+    pub buckets: BTreeMap<u32, u64>,
+}
+
+impl Group {
+    fn add(&mut self, value: Option<f64>) {
+        self.count += 1;
+        let Some(value) = value else { return };
+        self.sum += value;
+        *self.buckets.entry(bucket(value)).or_default() += 1;
+    }
+
+    /// Takes in what another instance made of the same group.
+    pub fn merge(&mut self, other: &Self) {
+        self.count += other.count;
+        self.sum += other.sum;
+        for (bucket, count) in &other.buckets {
+            *self.buckets.entry(*bucket).or_default() += count;
+        }
+    }
+
+    /// Returns the value that a share `q` stays at or below, up to a bucket's width.
+    pub fn quantile(&self, q: f64) -> f64 {
+        let total: u64 = self.buckets.values().sum();
+        let wanted = (total as f64 * q).ceil() as u64;
+        let mut seen = 0;
+        for (bucket, count) in &self.buckets {
+            seen += count;
+            if seen >= wanted {
+                return upper_edge(*bucket);
+            }
+        }
+        0.0
+    }
+}
+
+fn bucket(value: f64) -> u32 {
+    ((value.max(0.0) + 1.0).log2() * BUCKETS_PER_DOUBLING) as u32
+}
+
+fn upper_edge(bucket: u32) -> f64 {
+    let edge = (f64::from(bucket + 1) / BUCKETS_PER_DOUBLING).exp2() - 1.0;
+    edge.round()
+}
+
+/// Answers another instance's question about this one.
+pub async fn answer_part<S: Store>(instance: &Arc<Instance<S>>, text: &str) -> QueryPart {
+    match language::parse(text) {
+        Ok(Command::Query(query)) => part(instance, &query).await,
+        Ok(Command::Why(id)) => why(instance, id).await,
+        Ok(Command::ReportEvent(name)) => report::event_part(instance, &name).await,
+        Ok(Command::Trace) => report::trace_part(instance),
+        _ => QueryPart::default(),
+    }
+}
+
+/// Says what this instance knows of a request: as its entry, as its pool's leader.
+async fn why<S: Store>(instance: &Arc<Instance<S>>, id: RequestId) -> QueryPart {
+    let mut rows = Vec::new();
+    for view in instance.registry.views_of(&[id]) {
+        let mut row = held_row(instance, &view);
+        row["why"] = json!("held here");
+        rows.push(row.to_string());
+    }
+    for (pool, why) in instance.leaders.explain(id).await {
+        let instance = &instance.settings.name;
+        rows.push(json!({"instance": instance, "pool": pool, "why": why}).to_string());
+    }
+    let ended = instance.recorder.snapshot();
+    for request in ended.iter().filter(|r| r.id == id) {
+        let reason = request.reason.as_deref().unwrap_or("-");
+        let why = format!(
+            "ended as {} ({reason}) after {} ms",
+            request.outcome, request.took_ms
+        );
+        rows.push(
+            json!({
+                "instance": instance.settings.name,
+                "tier": request.tier,
+                "organisation": request.organisation,
+                "endpoint": request.endpoint,
+                "why": why,
+            })
+            .to_string(),
+        );
+    }
+    QueryPart { rows, left_out: 0 }
+}
+
+/// Answers a question about this instance.
+pub async fn part<S: Store>(instance: &Arc<Instance<S>>, query: &Query) -> QueryPart {
+    let mut collector = Collector::new(query);
+    match query.source {
+        Source::Queued | Source::Running => held_rows(instance, query, &mut collector).await,
+        Source::Shed | Source::Ended => ended_rows(instance, query, &mut collector).await,
+        Source::Endpoints => endpoint_rows(instance, &mut collector).await,
+        Source::Pools => pool_rows(instance, &mut collector).await,
+        Source::Commands => command_rows(instance, &mut collector),
+        Source::Instances => instance_rows(instance, &mut collector),
+        Source::Events => event_rows(instance, &mut collector),
+        Source::Config => config_rows(instance, &mut collector),
+        Source::History => history_rows(instance, &mut collector).await,
+        Source::Drains => drain_rows(instance, &mut collector),
+    }
+    collector.finish()
+}
+
+/// Returns whether every instance has rows of its own for a source.
+pub fn is_spread(source: Source) -> bool {
+    matches!(
+        source,
+        Source::Queued
+            | Source::Running
+            | Source::Shed
+            | Source::Ended
+            | Source::Endpoints
+            | Source::Pools
+            | Source::Commands
+    )
+}
+
+struct Collector<'q> {
+    query: &'q Query,
+    rows: Vec<String>,
+    groups: BTreeMap<Vec<String>, Group>,
+    left_out: u64,
+}
+
+impl<'q> Collector<'q> {
+    fn new(query: &'q Query) -> Self {
+        Self {
+            query,
+            rows: Vec::new(),
+            groups: BTreeMap::new(),
+            left_out: 0,
+        }
+    }
+
+    fn add(&mut self, row: Value) {
+        let Value::Object(row) = row else { return };
+        if !self.query.conditions.iter().all(|c| holds(c, &row)) {
+            return;
+        }
+        let Some(summary) = &self.query.summary else {
+            if self.rows.len() < MAX_ROWS {
+                self.rows.push(Value::Object(row).to_string());
+            } else {
+                self.left_out += 1;
+            }
+            return;
+        };
+        let key: Vec<String> = self
+            .query
+            .group_by
+            .iter()
+            .map(|f| text(row.get(f)))
+            .collect();
+        if self.groups.len() >= MAX_GROUPS && !self.groups.contains_key(&key) {
+            self.left_out += 1;
+            return;
+        }
+        let value = match summary {
+            Summary::Count => None,
+            Summary::Sum(field) | Summary::Percentiles(field) => number(row.get(field)),
+        };
+        self.groups.entry(key).or_default().add(value);
+    }
+
+    fn finish(self) -> QueryPart {
+        let groups = self.groups.iter();
+        let groups = groups.filter_map(|group| serde_json::to_string(&group).ok());
+        QueryPart {
+            rows: self.rows.into_iter().chain(groups).collect(),
+            left_out: self.left_out,
+        }
+    }
+}
+
+/// Returns whether a row meets a condition; numbers are compared as numbers.
+pub fn holds(condition: &Condition, row: &Row) -> bool {
+    use std::cmp::Ordering;
+    let found = row.get(&condition.field);
+    let numbers = number(found).zip(condition.value.parse::<f64>().ok());
+    let ordering = match numbers {
+        Some((found, wanted)) => found.partial_cmp(&wanted),
+        None => Some(text(found).as_str().cmp(&condition.value)),
+    };
+    let Some(ordering) = ordering else {
+        return false;
+    };
+    match condition.comparison {
+        Comparison::Equal => ordering == Ordering::Equal,
+        Comparison::Unequal => ordering != Ordering::Equal,
+        Comparison::Below => ordering == Ordering::Less,
+        Comparison::AtMost => ordering != Ordering::Greater,
+        Comparison::Above => ordering == Ordering::Greater,
+        Comparison::AtLeast => ordering != Ordering::Less,
+    }
+}
+
+/// Returns a value as operators write it.
+pub fn text(value: Option<&Value>) -> String {
+    match value {
+        None | Some(Value::Null) => "-".to_owned(),
+        Some(Value::String(text)) => text.clone(),
+        Some(other) => other.to_string(),
+    }
+}
+
+fn number(value: Option<&Value>) -> Option<f64> {
+    value?.as_f64()
+}
+
+async fn held_rows<S: Store>(
+    instance: &Arc<Instance<S>>,
+    query: &Query,
+    collector: &mut Collector<'_>,
+) {
+    let waiting = query.source == Source::Queued;
+    let config = instance.config.current();
+    let ids = instance.registry.ids();
+    for turn in ids.chunks(ROWS_PER_TURN) {
+        for view in instance.registry.views_of(turn) {
+            if is_waiting(view.stage) != waiting {
+                continue;
+            }
+            let hall = view
+                .endpoint
+                .as_ref()
+                .and_then(|e| config.config.endpoint(e));
+            let event = config.config.events.iter().find(|e| {
+                let now_s = crate::clock::unix_s();
+                let on = now_s >= e.starts_at_s && now_s <= e.starts_at_s + e.duration_s;
+                on && view.pool.split('@').next() == Some(&e.pool)
+            });
+            let mut row = held_row(instance, &view);
+            row["hall"] = json!(hall.map(|e| &e.hall));
+            row["event"] = json!(event.map(|e| &e.name));
+            collector.add(row);
+        }
+        // The lock is free in between, and so is this thread.
+        tokio::task::yield_now().await;
+    }
+}
+
+fn held_row<S: Store>(instance: &Instance<S>, view: &HeldView) -> Value {
+    json!({
+        "id": view.id.to_string(),
+        "instance": instance.settings.name,
+        "organisation": view.organisation,
+        "tier": view.tier,
+        "service": view.service,
+        "pool": view.pool,
+        "stage": stage_name(view.stage),
+        "endpoint": view.endpoint,
+        "age_ms": view.age_ms,
+        "left_ms": view.left_ms,
+        "prompt_tokens": view.prompt_tokens,
+        "repeatable": view.repeatable,
+    })
+}
+
+fn stage_name(stage: Stage) -> &'static str {
+    match stage {
+        Stage::Waiting => "waiting",
+        Stage::Granted => "granted",
+        Stage::Sent => "sent",
+        Stage::Ended(_) => "ended",
+    }
+}
+
+async fn ended_rows<S: Store>(
+    instance: &Arc<Instance<S>>,
+    query: &Query,
+    collector: &mut Collector<'_>,
+) {
+    const SHED: [&str; 3] = ["queue_full", "deadline_unreachable", "tier_shed"];
+    let config = instance.config.current();
+    let ended = instance.recorder.snapshot();
+    let now_ms = instance.clock.now_us() / 1_000;
+    for turn in ended.chunks(ROWS_PER_TURN) {
+        for request in turn {
+            let shed = request.reason.as_deref().is_some_and(|r| SHED.contains(&r));
+            if query.source == Source::Shed && !shed {
+                continue;
+            }
+            let hall = request
+                .endpoint
+                .as_ref()
+                .and_then(|e| config.config.endpoint(e));
+            collector.add(json!({
+                "id": request.id.to_string(),
+                "instance": instance.settings.name,
+                "organisation": request.organisation,
+                "tier": request.tier,
+                "service": request.service,
+                "pool": request.pool,
+                "endpoint": request.endpoint,
+                "hall": hall.map(|e| &e.hall),
+                "outcome": request.outcome,
+                "reason": request.reason,
+                "age_ms": now_ms.saturating_sub(request.at_ms),
+                "waited_ms": request.waited_ms,
+                "took_ms": request.took_ms,
+                "prompt_tokens": request.prompt_tokens,
+                "output_tokens": request.output_tokens,
+                "repeatable": request.repeatable,
+            }));
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+async fn endpoint_rows<S: Store>(instance: &Arc<Instance<S>>, collector: &mut Collector<'_>) {
+    for pool in instance.leaders.views().await {
+        for endpoint in pool.endpoints {
+            collector.add(json!({
+                "name": endpoint.name,
+                "endpoint": endpoint.name,
+                "hall": endpoint.hall,
+                "pool": pool.pool,
+                "running": endpoint.running,
+                "slots": endpoint.slots,
+                "slowness": (endpoint.slowness * 100.0).round() / 100.0,
+                "draining": endpoint.draining,
+            }));
+        }
+    }
+}
+
+async fn pool_rows<S: Store>(instance: &Arc<Instance<S>>, collector: &mut Collector<'_>) {
+    for pool in instance.leaders.views().await {
+        let running: u32 = pool.endpoints.iter().map(|e| e.running).sum();
+        let slots: u32 = pool.endpoints.iter().map(|e| e.slots).sum();
+        let waiting: usize = pool.waiting_by_tier.iter().sum();
+        collector.add(json!({
+            "name": pool.pool,
+            "pool": pool.pool,
+            "leader": instance.settings.name,
+            "waiting": waiting,
+            "running": running,
+            "slots": slots,
+        }));
+    }
+}
+
+fn command_rows<S: Store>(instance: &Instance<S>, collector: &mut Collector<'_>) {
+    for given in instance.commands.snapshot() {
+        collector.add(json!({
+            "id": given.id,
+            "instance": instance.settings.name,
+            "by": given.by,
+            "at_s": given.at_s,
+            "command": given.text,
+            "outcome": given.reply.status,
+            "what": given.reply.message,
+        }));
+    }
+}
+
+fn instance_rows<S: Store>(instance: &Instance<S>, collector: &mut Collector<'_>) {
+    let view = instance.gossip.view();
+    for member in &view.members {
+        let liveness = if member.info.leaving && member.is_present() {
+            "leaving".to_owned()
+        } else {
+            format!("{:?}", member.liveness).to_lowercase()
+        };
+        collector.add(json!({
+            "name": member.info.name,
+            "instance": member.info.name,
+            "id": member.info.incarnation.to_string(),
+            "hall": member.info.hall,
+            "liveness": liveness,
+            "config_version": member.digest.config_version,
+        }));
+    }
+    for addr in &view.unmet {
+        collector.add(json!({"name": addr.to_string(), "liveness": "listed, never met"}));
+    }
+}
+
+fn event_rows<S: Store>(instance: &Instance<S>, collector: &mut Collector<'_>) {
+    let now_s = crate::clock::unix_s();
+    for event in &instance.config.current().config.events {
+        let ends_s = event.starts_at_s + event.duration_s;
+        let stage = match now_s {
+            now if now >= ends_s => "over",
+            now if now >= event.starts_at_s => "on",
+            now if now + event.keep_room_s >= event.starts_at_s => "keeping room",
+            _ => "to come",
+        };
+        collector.add(json!({
+            "name": event.name,
+            "event": event.name,
+            "pool": event.pool,
+            "tier": event.tier,
+            "starts_at_s": event.starts_at_s,
+            "stage": stage,
+        }));
+    }
+}
+
+fn config_rows<S: Store>(instance: &Instance<S>, collector: &mut Collector<'_>) {
+    let current = instance.config.current();
+    for (key, value) in current.objects.iter() {
+        collector.add(json!({
+            "key": key,
+            "version": current.version,
+            "value": value,
+        }));
+    }
+}
+
+async fn history_rows<S: Store>(instance: &Instance<S>, collector: &mut Collector<'_>) {
+    let Ok(Some(object)) = instance.store.read(CONFIG_KEY).await else {
+        return;
+    };
+    let Ok(stored) = StoredConfig::read(&object.value) else {
+        return;
+    };
+    for entry in stored.history {
+        collector.add(json!({
+            "version": entry.version,
+            "by": entry.by,
+            "at_s": entry.at_s,
+            "command": entry.command,
+            "what": entry.what,
+        }));
+    }
+}
+
+fn drain_rows<S: Store>(instance: &Instance<S>, collector: &mut Collector<'_>) {
+    use crate::operator::drains::DrainTarget;
+    for order in instance.config.drains().orders() {
+        let target = match &order.target {
+            DrainTarget::Endpoint(name) => format!("endpoint {name}"),
+            DrainTarget::Hall(name) => format!("hall {name}"),
+        };
+        collector.add(json!({
+            "target": target,
+            "draining": order.draining,
+            "by": order.by,
+            "at_s": order.at_s,
+        }));
+    }
+}
+
+/// Returns the pool slices and who leads them, as this instance sees it.
+pub fn pool_leaders<S: Store>(instance: &Instance<S>) -> BTreeMap<String, String> {
+    let view = instance.gossip.view();
+    let slices = slice::all_slices(&instance.config.current().config);
+    let leaders = slices.iter().filter_map(|pool| {
+        let leader = view.leader(&slice::subject(pool))?;
+        Some((pool.to_string(), leader.info.name.to_string()))
+    });
+    leaders.collect()
+}
--- /dev/null
+++ b/src/peers/membership.rs
@@ -0,0 +1,611 @@
+//! Who is there: probes, suspicion and rumours, without clock or socket.
+//!
+//! Each period every instance probes a bounded number of others in turn. One that does not answer,
+//! directly or through others, is suspected, and dead after a while unless it refutes. A member is
+//! admitted only after it answered a number of ours, so a replayed datagram admits nobody. Beliefs
+//! are ordered by the member's own beat: a higher beat outweighs any belief about a lower one.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+};
+
+use rand::{RngExt, SeedableRng, seq::SliceRandom};
+use rand_chacha::ChaCha8Rng;
+
+use crate::{
+    peers::{
+        datagram::{Body, Digest, Liveness, MemberInfo, Packet, Rumour},
+        view::{Member, View},
+    },
+    prelude::{Incarnation, Micros},
+};
+
+/// Time between probes.
+pub const PERIOD_US: Micros = 200_000;
+/// A suspect that does not answer for this long is dead.
+pub const SUSPECT_US: Micros = 800_000;
+/// A gap between two ticks that says this process was paused.
+pub const PAUSE_US: Micros = 1_000_000;
+/// The dead are probed at this interval, so that a mended network is noticed.
+const REPROBE_US: Micros = 3_000_000;
+/// The dead are forgotten after this time.
+const FORGET_US: Micros = 600_000_000;
+/// Up to this many members each one probes two a period, above it one.
+const SMALL_GROUP: usize = 12;
+const HELPERS: usize = 2;
+const RUMOURS_PER_PACKET: usize = 6;
+const REPLAY_WINDOW: u64 = 64;
+
+/// A datagram to send.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outgoing {
+    /// Where to.
+    pub to: SocketAddr,
+    /// What.
+    pub packet: Packet,
+}
+
+/// Why an authentic datagram was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Dropped {
+    /// Its number was seen before or is too old.
+    Replayed,
+    /// It is this instance's own.
+    Own,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    info: MemberInfo,
+    liveness: Liveness,
+    since_us: Micros,
+    probed_us: Micros,
+    digest: Digest,
+    newest_seq: u64,
+    seen: u64,
+    rumour_left: u32,
+    /// It answered a number of ours in this incarnation.
+    admitted: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Probe {
+    target: Option<Incarnation>,
+    addr: SocketAddr,
+    sent_us: Micros,
+    helped: bool,
+}
+
+/// One instance's membership state.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    me: MemberInfo,
+    digest: Digest,
+    seq: u64,
+    known: BTreeMap<Incarnation, Known>,
+    probes: BTreeMap<u64, Probe>,
+    /// Pings made for others: our number to theirs.
+    relayed: VecDeque<(u64, u64, SocketAddr)>,
+    seeds: Vec<SocketAddr>,
+    listed: Vec<SocketAddr>,
+    turn: Vec<Incarnation>,
+    ticked_us: Option<Micros>,
+    last_hello_us: Micros,
+    rng: ChaCha8Rng,
+    changed: bool,
+}
+
+impl Membership {
+    /// Starts alone; `seed` makes its choices repeatable.
+    pub fn new(me: MemberInfo, seeds: Vec<SocketAddr>, seed: u64) -> Self {
+        Self {
+            me,
+            digest: Digest::default(),
+            seq: 0,
+            known: BTreeMap::new(),
+            probes: BTreeMap::new(),
+            relayed: VecDeque::new(),
+            seeds,
+            listed: Vec::new(),
+            turn: Vec::new(),
+            ticked_us: None,
+            last_hello_us: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            changed: true,
+        }
+    }
+
+    /// Sets what later datagrams say of this instance's state.
+    pub fn set_digest(&mut self, digest: Digest) {
+        self.digest = digest;
+    }
+
+    /// Says that this instance takes no new work.
+    pub fn leave(&mut self) {
+        self.me.leaving = true;
+        self.me.beat += 1;
+        self.changed = true;
+    }
+
+    /// Takes the platform's instance list: addresses to meet, and proof that a dead one is gone.
+    pub fn set_listed(&mut self, listed: Vec<SocketAddr>) {
+        self.known.retain(|_, k| {
+            let gone = !listed.contains(&k.info.peer_addr);
+            !(k.liveness == Liveness::Dead && gone)
+        });
+        self.listed = listed;
+        self.changed = true;
+    }
+
+    /// Returns the datagrams of a goodbye, after which others know that nothing is held here.
+    pub fn goodbye(&mut self) -> Vec<Outgoing> {
+        self.me.beat += 1;
+        let present = self.known.values().filter(|k| k.liveness < Liveness::Dead);
+        let targets: Vec<SocketAddr> = present.map(|k| k.info.peer_addr).collect();
+        let packets = targets.into_iter();
+        packets.map(|to| self.packet(to, Body::Goodbye)).collect()
+    }
+
+    /// Returns whether the view changed since the last call.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Returns the current view.
+    pub fn view(&self) -> View {
+        let mut members: Vec<Member> = self
+            .known
+            .values()
+            .filter(|k| k.admitted)
+            .map(|k| Member {
+                info: k.info.clone(),
+                liveness: k.liveness,
+                digest: k.digest,
+            })
+            .collect();
+        members.push(Member {
+            info: self.me.clone(),
+            liveness: Liveness::Alive,
+            digest: self.digest,
+        });
+        members.sort_by_key(|m| m.info.incarnation);
+        let met = |addr: &SocketAddr| members.iter().any(|m| m.info.peer_addr == *addr);
+        let unmet = self.listed.iter().filter(|a| !met(a)).copied().collect();
+        View {
+            me: self.me.incarnation,
+            members,
+            unmet,
+        }
+    }
+
+    /// Does what a period brings; returns true first if this process was paused since the last.
+    pub fn tick(&mut self, now_us: Micros, out: &mut Vec<Outgoing>) -> bool {
+        let paused = self
+            .ticked_us
+            .is_some_and(|before| now_us.saturating_sub(before) > PAUSE_US);
+        self.ticked_us = Some(now_us);
+        if paused {
+            self.resume(now_us);
+        }
+        self.judge_probes(now_us, out);
+        self.judge_suspects(now_us);
+        self.probe_next(now_us, out);
+        self.hello_unmet(now_us, out);
+        paused
+    }
+
+    /// Takes an authentic datagram.
+    ///
+    /// # Errors
+    /// It is a replay or this instance's own; nothing was changed.
+    pub fn receive(
+        &mut self,
+        now_us: Micros,
+        packet: Packet,
+        out: &mut Vec<Outgoing>,
+    ) -> Result<(), Dropped> {
+        let from = packet.from.incarnation;
+        if from == self.me.incarnation {
+            return Err(Dropped::Own);
+        }
+        self.note_sender(now_us, &packet)?;
+        for rumour in packet.rumours {
+            self.hear(now_us, rumour);
+        }
+        let sender = packet.from.peer_addr;
+        match packet.body {
+            Body::Ping(nonce) => out.push(self.packet(sender, Body::Ack(nonce))),
+            Body::Ack(nonce) => self.acked(now_us, from, packet.digest, nonce, out),
+            Body::PingFor { target, nonce } => {
+                let own: u64 = self.rng.random();
+                self.relayed.push_back((own, nonce, sender));
+                if self.relayed.len() > 256 {
+                    self.relayed.pop_front();
+                }
+                out.push(self.packet(target, Body::Ping(own)));
+            }
+            Body::Goodbye => self.set_liveness(now_us, from, Liveness::Left),
+        }
+        Ok(())
+    }
+
+    /// After a pause what others believe of this process is unknown, and so is what this one
+    /// believes of others: everybody gets a fresh start, and the own beat refutes suspicions.
+    fn resume(&mut self, now_us: Micros) {
+        self.me.beat += 1;
+        self.probes.clear();
+        for known in self.known.values_mut() {
+            known.since_us = now_us;
+            if known.liveness == Liveness::Suspect {
+                known.liveness = Liveness::Alive;
+            }
+        }
+        self.changed = true;
+    }
+
+    fn note_sender(&mut self, now_us: Micros, packet: &Packet) -> Result<(), Dropped> {
+        let info = &packet.from;
+        let known = self.known.entry(info.incarnation).or_insert_with(|| {
+            let mut known = Known::new(info.clone(), now_us);
+            known.newest_seq = packet.seq.saturating_sub(1);
+            known
+        });
+        if !known.is_new(packet.seq) {
+            return Err(Dropped::Replayed);
+        }
+        if known.digest != packet.digest {
+            known.digest = packet.digest;
+            self.changed = true;
+        }
+        let heard = Rumour {
+            info: info.clone(),
+            liveness: Liveness::Alive,
+        };
+        self.hear(now_us, heard);
+        Ok(())
+    }
+
+    fn hear(&mut self, now_us: Micros, rumour: Rumour) {
+        let incarnation = rumour.info.incarnation;
+        let budget = rumour_budget(self.known.len());
+        if incarnation == self.me.incarnation {
+            if rumour.liveness != Liveness::Alive && rumour.info.beat >= self.me.beat {
+                self.me.beat = rumour.info.beat + 1;
+            }
+            return;
+        }
+        let Some(known) = self.known.get_mut(&incarnation) else {
+            // Of the dead nothing need be known; others are met before they count.
+            if rumour.liveness < Liveness::Dead {
+                let known = Known::new(rumour.info, now_us);
+                self.known.insert(incarnation, known);
+            }
+            return;
+        };
+        let newer = rumour.info.beat > known.info.beat;
+        let worse = rumour.info.beat == known.info.beat && rumour.liveness > known.liveness;
+        if known.liveness == Liveness::Left || !(newer || worse) {
+            return;
+        }
+        if newer {
+            known.info = rumour.info;
+        }
+        if known.liveness != rumour.liveness {
+            known.liveness = rumour.liveness;
+            known.since_us = now_us;
+        }
+        known.rumour_left = budget;
+        self.changed = true;
+    }
+
+    fn acked(
+        &mut self,
+        now_us: Micros,
+        from: Incarnation,
+        digest: Digest,
+        nonce: u64,
+        out: &mut Vec<Outgoing>,
+    ) {
+        if let Some(at) = self.relayed.iter().position(|(own, ..)| *own == nonce)
+            && let Some((_, theirs, to)) = self.relayed.remove(at)
+        {
+            // Passed on as a rumour: the one who asked admits nobody by it.
+            let mut packet = self.packet(to, Body::Ack(theirs));
+            if let Some(known) = self.known.get(&from) {
+                packet.packet.rumours.insert(0, known.rumour());
+            }
+            out.push(packet);
+            return;
+        }
+        let Some(probe) = self.probes.remove(&nonce) else {
+            return;
+        };
+        if probe.target.is_some_and(|t| t != from) {
+            self.answered_by_other(now_us, probe, from);
+            return;
+        }
+        let budget = rumour_budget(self.known.len());
+        let Some(known) = self.known.get_mut(&from) else {
+            return;
+        };
+        known.digest = digest;
+        if !known.admitted {
+            known.admitted = true;
+            known.rumour_left = budget;
+            self.changed = true;
+        }
+        self.set_liveness(now_us, from, Liveness::Alive);
+        self.replaced(from);
+    }
+
+    /// A probe was answered by another than it was for: a helper that reached it, or a new start
+    /// at the same address.
+    fn answered_by_other(&mut self, now_us: Micros, probe: Probe, from: Incarnation) {
+        let Some(target) = probe.target else { return };
+        let addr = self.known.get(&from).map(|k| k.info.peer_addr);
+        if addr == Some(probe.addr) {
+            self.set_liveness(now_us, target, Liveness::Dead);
+        } else {
+            self.set_liveness(now_us, target, Liveness::Alive);
+        }
+    }
+
+    /// A member that answered at an address replaces any earlier start there.
+    fn replaced(&mut self, by: Incarnation) {
+        let Some(addr) = self.known.get(&by).map(|k| k.info.peer_addr) else {
+            return;
+        };
+        let before = self.known.len();
+        self.known
+            .retain(|i, k| *i == by || k.info.peer_addr != addr || k.liveness < Liveness::Dead);
+        self.changed |= self.known.len() != before;
+    }
+
+    fn set_liveness(&mut self, now_us: Micros, of: Incarnation, liveness: Liveness) {
+        let budget = rumour_budget(self.known.len());
+        let Some(known) = self.known.get_mut(&of) else {
+            return;
+        };
+        if known.liveness == liveness || known.liveness == Liveness::Left {
+            return;
+        }
+        known.liveness = liveness;
+        known.since_us = now_us;
+        known.rumour_left = budget;
+        self.changed = true;
+    }
+
+    fn judge_probes(&mut self, now_us: Micros, out: &mut Vec<Outgoing>) {
+        let overdue: Vec<u64> = self
+            .probes
+            .iter()
+            .filter(|(_, p)| now_us.saturating_sub(p.sent_us) >= PERIOD_US * 3 / 4)
+            .map(|(nonce, _)| *nonce)
+            .collect();
+        for nonce in overdue {
+            let Some(probe) = self.probes.get_mut(&nonce) else {
+                continue;
+            };
+            let Some(target) = probe.target else {
+                self.probes.remove(&nonce);
+                continue;
+            };
+            if !probe.helped {
+                probe.helped = true;
+                probe.sent_us = now_us;
+                let addr = probe.addr;
+                self.ask_helpers(target, addr, nonce, out);
+            } else {
+                self.probes.remove(&nonce);
+                if self
+                    .known
+                    .get(&target)
+                    .is_some_and(|k| k.liveness == Liveness::Alive)
+                {
+                    self.set_liveness(now_us, target, Liveness::Suspect);
+                }
+            }
+        }
+    }
+
+    fn ask_helpers(
+        &mut self,
+        target: Incarnation,
+        addr: SocketAddr,
+        nonce: u64,
+        out: &mut Vec<Outgoing>,
+    ) {
+        let mut helpers: Vec<SocketAddr> = self
+            .known
+            .values()
+            .filter(|k| k.liveness == Liveness::Alive && k.info.incarnation != target)
+            .map(|k| k.info.peer_addr)
+            .collect();
+        helpers.shuffle(&mut self.rng);
+        for helper in helpers.into_iter().take(HELPERS) {
+            let body = Body::PingFor {
+                target: addr,
+                nonce,
+            };
+            out.push(self.packet(helper, body));
+        }
+        out.push(self.packet(addr, Body::Ping(nonce)));
+    }
+
+    fn judge_suspects(&mut self, now_us: Micros) {
+        let expired: Vec<Incarnation> = self
+            .known
+            .iter()
+            .filter(|(_, k)| k.liveness == Liveness::Suspect)
+            .filter(|(_, k)| now_us.saturating_sub(k.since_us) > SUSPECT_US)
+            .map(|(i, _)| *i)
+            .collect();
+        for incarnation in expired {
+            self.set_liveness(now_us, incarnation, Liveness::Dead);
+        }
+        let before = self.known.len();
+        self.known.retain(|_, k| {
+            let old = now_us.saturating_sub(k.since_us);
+            let unmet = !k.admitted && old > 10 * PERIOD_US;
+            let gone = k.liveness >= Liveness::Dead && old > FORGET_US;
+            !(unmet || gone)
+        });
+        self.changed |= self.known.len() != before;
+    }
+
+    fn probe_next(&mut self, now_us: Micros, out: &mut Vec<Outgoing>) {
+        let present = self.known.values().filter(|k| k.liveness < Liveness::Dead);
+        let count = if present.count() <= SMALL_GROUP { 2 } else { 1 };
+        for _ in 0..count {
+            if let Some(target) = self.next_in_turn(now_us) {
+                self.probe(now_us, target, out);
+            }
+        }
+    }
+
+    fn next_in_turn(&mut self, now_us: Micros) -> Option<Incarnation> {
+        if self.turn.is_empty() {
+            self.turn = self.known.keys().copied().collect();
+            self.turn.shuffle(&mut self.rng);
+        }
+        while let Some(target) = self.turn.pop() {
+            let Some(known) = self.known.get(&target) else {
+                continue;
+            };
+            let wait_us = match known.liveness {
+                Liveness::Left => continue,
+                Liveness::Dead => REPROBE_US,
+                Liveness::Alive | Liveness::Suspect => 0,
+            };
+            if now_us >= known.probed_us + wait_us {
+                return Some(target);
+            }
+        }
+        None
+    }
+
+    fn probe(&mut self, now_us: Micros, target: Incarnation, out: &mut Vec<Outgoing>) {
+        let Some(known) = self.known.get_mut(&target) else {
+            return;
+        };
+        known.probed_us = now_us;
+        let addr = known.info.peer_addr;
+        self.ping(now_us, Some(target), addr, out);
+    }
+
+    fn ping(
+        &mut self,
+        now_us: Micros,
+        target: Option<Incarnation>,
+        addr: SocketAddr,
+        out: &mut Vec<Outgoing>,
+    ) {
+        let nonce = self.rng.random();
+        let probe = Probe {
+            target,
+            addr,
+            sent_us: now_us,
+            helped: false,
+        };
+        self.probes.insert(nonce, probe);
+        out.push(self.packet(addr, Body::Ping(nonce)));
+    }
+
+    fn hello_unmet(&mut self, now_us: Micros, out: &mut Vec<Outgoing>) {
+        if now_us < self.last_hello_us + 2 * PERIOD_US {
+            return;
+        }
+        self.last_hello_us = now_us;
+        let met = |addr: &SocketAddr| {
+            let mut known = self.known.values();
+            known.any(|k| k.info.peer_addr == *addr && k.liveness < Liveness::Dead && k.admitted)
+        };
+        let addrs = self.seeds.iter().chain(&self.listed);
+        let mut unmet: Vec<SocketAddr> = addrs
+            .filter(|a| **a != self.me.peer_addr && !met(a))
+            .copied()
+            .collect();
+        unmet.sort_unstable();
+        unmet.dedup();
+        unmet.shuffle(&mut self.rng);
+        for addr in unmet.into_iter().take(4) {
+            self.ping(now_us, None, addr, out);
+        }
+    }
+
+    fn packet(&mut self, to: SocketAddr, body: Body) -> Outgoing {
+        self.seq += 1;
+        let mut rumours = Vec::new();
+        for known in self.known.values_mut().filter(|k| k.rumour_left > 0) {
+            if rumours.len() == RUMOURS_PER_PACKET {
+                break;
+            }
+            known.rumour_left -= 1;
+            rumours.push(known.rumour());
+        }
+        // Besides news, pass on one member at random, so that all are known to all in time.
+        if rumours.is_empty() && !self.known.is_empty() {
+            let pick = self.rng.random_range(0..self.known.len());
+            let any = self.known.values().nth(pick);
+            rumours.extend(any.filter(|k| k.admitted).map(Known::rumour));
+        }
+        let packet = Packet {
+            from: self.me.clone(),
+            seq: self.seq,
+            body,
+            digest: self.digest,
+            rumours,
+        };
+        Outgoing { to, packet }
+    }
+}
+
+impl Known {
+    fn new(info: MemberInfo, now_us: Micros) -> Self {
+        Self {
+            info,
+            liveness: Liveness::Alive,
+            since_us: now_us,
+            probed_us: 0,
+            digest: Digest::default(),
+            newest_seq: 0,
+            seen: 0,
+            rumour_left: 0,
+            admitted: false,
+        }
+    }
+
+    fn rumour(&self) -> Rumour {
+        Rumour {
+            info: self.info.clone(),
+            liveness: self.liveness,
+        }
+    }
+
+    /// Returns whether the number was not seen before, and remembers it.
+    fn is_new(&mut self, seq: u64) -> bool {
+        if seq > self.newest_seq {
+            let shift = seq - self.newest_seq;
+            self.seen = if shift >= REPLAY_WINDOW {
+                0
+            } else {
+                self.seen << shift
+            };
+            self.seen |= 1;
+            self.newest_seq = seq;
+            return true;
+        }
+        let age = self.newest_seq - seq;
+        if age >= REPLAY_WINDOW || self.seen & (1 << age) != 0 {
+            return false;
+        }
+        self.seen |= 1 << age;
+        true
+    }
+}
+
+/// Returns how often a belief is passed on: a few times the logarithm of the group.
+fn rumour_budget(members: usize) -> u32 {
+    3 * (members + 2).ilog2()
+}
--- /dev/null
+++ b/src/peers/mod.rs
@@ -0,0 +1,7 @@
+//! How the instances know and call each other.
+
+pub mod datagram;
+pub mod gossip;
+pub mod membership;
+pub mod rpc;
+pub mod view;
--- /dev/null
+++ b/src/pool/leader.rs
@@ -0,0 +1,476 @@
+//! Leads pools: feeds the scheduler with what entries and endpoints say, and carries out what it
+//! decides. Its state is soft; entries bring it to whoever leads next.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time,
+};
+
+use crate::{
+    core::{
+        endpoint::LoadReport,
+        prefix::CacheEvent,
+        scheduler::{Action, EndpointView, Input, Scheduler, WaitingView},
+        shedding::LevelAsk,
+    },
+    entry::registry::OrderReply,
+    instance::Instance,
+    platform::Store,
+    pool::{
+        messages::{Order, OrderBatch, Update, UpdateBatch, UpdatesRefused},
+        slice,
+    },
+    prelude::{Incarnation, Name, Registration, RequestId},
+};
+
+/// A new leader grants nothing until all present have registered, or for this long.
+const SETTLE: Duration = Duration::from_millis(300);
+const TICK: Duration = Duration::from_millis(20);
+const ORDER_TIMEOUT: Duration = Duration::from_millis(700);
+const ENDPOINT_REST_US: u64 = 1_000_000;
+
+/// What a leader's task is sent.
+enum Message {
+    Updates(UpdateBatch, oneshot::Sender<Result<(), UpdatesRefused>>),
+    Replies(Vec<(Order, OrderReply)>),
+    Unreachable(Incarnation),
+    Level(Incarnation, LevelAsk, bool),
+    Load(Name, LoadReport),
+    Cache(Name, CacheEvent),
+    Look(oneshot::Sender<PoolView>),
+    Explain(RequestId, oneshot::Sender<Option<String>>),
+}
+
+/// A pool as its leader sees it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PoolView {
+    /// The pool slice.
+    pub pool: String,
+    /// Waiting requests, by tier from the highest.
+    pub waiting_by_tier: Vec<usize>,
+    /// The endpoints.
+    pub endpoints: Vec<EndpointView>,
+    /// Up to a bounded number of the waiting requests.
+    pub waiting: Vec<WaitingView>,
+    /// Entries that are registered.
+    pub entries: Vec<Incarnation>,
+}
+
+const WAITING_IN_VIEW: usize = 1_000;
+
+/// The pools that this instance leads.
+#[derive(Default)]
+pub struct Leaders {
+    tasks: Mutex<HashMap<Name, mpsc::UnboundedSender<Message>>>,
+}
+
+impl Leaders {
+    /// Takes an entry's updates for a pool that this instance leads.
+    ///
+    /// # Errors
+    /// This instance does not lead the pool, or does not know the registration.
+    pub async fn updates<S: Store>(
+        &self,
+        instance: &Arc<Instance<S>>,
+        batch: UpdateBatch,
+    ) -> Result<(), UpdatesRefused> {
+        let for_me = batch.leader == instance.incarnation;
+        if !for_me || !instance.gossip.view().leads(&slice::subject(&batch.pool)) {
+            return Err(UpdatesRefused::NotLeader);
+        }
+        let task = self.task(instance, &batch.pool);
+        let (sender, answer) = oneshot::channel();
+        let sent = task.send(Message::Updates(batch, sender));
+        if sent.is_err() {
+            return Err(UpdatesRefused::NotLeader);
+        }
+        answer.await.unwrap_or(Err(UpdatesRefused::NotLeader))
+    }
+
+    /// Returns the pools led here, as they are seen.
+    pub async fn views(&self) -> Vec<PoolView> {
+        let tasks: Vec<_> = self.lock().values().cloned().collect();
+        let mut views = Vec::new();
+        for task in tasks {
+            let (sender, answer) = oneshot::channel();
+            if task.send(Message::Look(sender)).is_ok() {
+                views.extend(answer.await.ok());
+            }
+        }
+        views.sort_by(|a, b| a.pool.cmp(&b.pool));
+        views
+    }
+
+    /// Says why a request stands as it does, for each pool led here that knows it.
+    pub async fn explain(&self, id: RequestId) -> Vec<(Name, String)> {
+        let tasks: Vec<_> = self
+            .lock()
+            .iter()
+            .map(|(n, t)| (n.clone(), t.clone()))
+            .collect();
+        let mut known = Vec::new();
+        for (pool, task) in tasks {
+            let (sender, answer) = oneshot::channel();
+            if task.send(Message::Explain(id, sender)).is_ok()
+                && let Ok(Some(why)) = answer.await
+            {
+                known.push((pool, why));
+            }
+        }
+        known
+    }
+
+    /// Passes on an endpoint's load report, if the pool is led here.
+    pub fn load(&self, pool: &Name, endpoint: Name, report: LoadReport) {
+        self.tell(pool, Message::Load(endpoint, report));
+    }
+
+    /// Passes on an endpoint's cache event, if the pool is led here.
+    pub fn cache(&self, pool: &Name, endpoint: Name, event: CacheEvent) {
+        self.tell(pool, Message::Cache(endpoint, event));
+    }
+
+    fn tell(&self, pool: &Name, message: Message) {
+        if let Some(task) = self.lock().get(pool) {
+            // A task that has ended leads no more.
+            let _ = task.send(message);
+        }
+    }
+
+    fn task<S: Store>(
+        &self,
+        instance: &Arc<Instance<S>>,
+        pool: &Name,
+    ) -> mpsc::UnboundedSender<Message> {
+        let mut tasks = self.lock();
+        if let Some(task) = tasks.get(pool).filter(|t| !t.is_closed()) {
+            return task.clone();
+        }
+        let (sender, receiver) = mpsc::unbounded_channel();
+        tasks.insert(pool.clone(), sender.clone());
+        let leader = Leader::new(instance.clone(), pool.clone(), sender.downgrade());
+        tokio::spawn(leader.run(receiver));
+        sender
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<Name, mpsc::UnboundedSender<Message>>> {
+        self.tasks.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+struct Leader<S: Store> {
+    instance: Arc<Instance<S>>,
+    pool: Name,
+    scheduler: Scheduler,
+    registrations: HashMap<Incarnation, Registration>,
+    me: mpsc::WeakUnboundedSender<Message>,
+    started: time::Instant,
+    actions: Vec<Action>,
+}
+
+impl<S: Store> Leader<S> {
+    fn new(instance: Arc<Instance<S>>, pool: Name, me: mpsc::WeakUnboundedSender<Message>) -> Self {
+        let config = instance.config.current();
+        let policy = slice::policy(&config.config, &pool);
+        Self {
+            scheduler: Scheduler::new(instance.incarnation, policy),
+            instance,
+            pool,
+            registrations: HashMap::new(),
+            me,
+            started: time::Instant::now(),
+            actions: Vec::new(),
+        }
+    }
+
+    async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
+        log::info!("leads pool {}", self.pool);
+        self.instance.metrics.leads_taken.inc();
+        let mut view = self.instance.gossip.watch();
+        let mut config = self.instance.config.watch();
+        let mut tick = time::interval(TICK);
+        tick.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        self.configure();
+        self.meet();
+        let mut batch = Vec::new();
+        loop {
+            tokio::select! {
+                _ = view.changed() => {
+                    if !view.borrow_and_update().leads(&slice::subject(&self.pool)) {
+                        break;
+                    }
+                    self.meet();
+                }
+                _ = config.changed() => self.configure(),
+                _ = tick.tick() => self.scheduler.tick(self.instance.clock.now_us()),
+                count = messages.recv_many(&mut batch, 256) => {
+                    if count == 0 {
+                        break;
+                    }
+                    for message in batch.drain(..) {
+                        self.take(message);
+                    }
+                }
+            }
+            self.decide();
+        }
+        log::info!("leads pool {} no more", self.pool);
+    }
+
+    fn configure(&mut self) {
+        let now_us = self.instance.clock.now_us();
+        let config = self.instance.config.current();
+        let drains = self.instance.config.drains();
+        let spec = slice::pool_spec(&config.config, &drains, &self.pool, now_us);
+        self.scheduler
+            .set_policy(slice::policy(&config.config, &self.pool));
+        self.scheduler.configure(spec);
+    }
+
+    /// Looks who is there: the gone hold nothing any more, the rest must be asked before a shed.
+    fn meet(&mut self) {
+        let view = self.instance.gossip.view();
+        let now_us = self.instance.clock.now_us();
+        let gone: Vec<Incarnation> = self
+            .registrations
+            .keys()
+            .filter(|i| !view.member(**i).is_some_and(|m| m.is_present()))
+            .copied()
+            .collect();
+        for entry in gone {
+            self.registrations.remove(&entry);
+            self.scheduler.handle(now_us, Input::Gone(entry));
+        }
+        self.scheduler.set_everyone(view.may_hold_requests());
+    }
+
+    fn is_settled(&self) -> bool {
+        if self.started.elapsed() > SETTLE {
+            return true;
+        }
+        let view = self.instance.gossip.view();
+        view.present()
+            .all(|m| self.registrations.contains_key(&m.info.incarnation))
+    }
+
+    fn take(&mut self, message: Message) {
+        let now_us = self.instance.clock.now_us();
+        match message {
+            Message::Updates(batch, answer) => {
+                let taken = self.take_updates(now_us, batch);
+                // An entry that has gone will register with the next leader.
+                let _ = answer.send(taken);
+            }
+            Message::Replies(replies) => self.take_replies(now_us, replies),
+            Message::Unreachable(entry) => {
+                // What it took is not known: it has to register anew.
+                self.registrations.remove(&entry);
+                self.scheduler.handle(now_us, Input::Gone(entry));
+            }
+            Message::Level(from, ask, held) => {
+                self.scheduler.handle(now_us, Input::Level(from, ask, held));
+            }
+            Message::Load(endpoint, report) => {
+                self.scheduler.handle(now_us, Input::Load(endpoint, report));
+            }
+            Message::Cache(endpoint, event) => {
+                self.scheduler.handle(now_us, Input::Cache(endpoint, event));
+            }
+            Message::Explain(id, answer) => {
+                let _ = answer.send(self.scheduler.explain(now_us, id));
+            }
+            Message::Look(answer) => {
+                let _ = answer.send(self.view(now_us));
+            }
+        }
+    }
+
+    fn take_updates(&mut self, now_us: u64, batch: UpdateBatch) -> Result<(), UpdatesRefused> {
+        let registration = batch.registration;
+        let known = self.registrations.get(&registration.entry);
+        if batch.attach {
+            if known.is_some_and(|k| k.epoch >= registration.epoch) {
+                return Err(UpdatesRefused::NotRegistered);
+            }
+            self.registrations.insert(registration.entry, registration);
+            self.scheduler.handle(now_us, Input::Attach(registration));
+        } else if known != Some(&registration) {
+            return Err(UpdatesRefused::NotRegistered);
+        }
+        for update in batch.updates {
+            let input = input_of(now_us, registration, update);
+            self.scheduler.handle(now_us, input);
+        }
+        Ok(())
+    }
+
+    fn take_replies(&mut self, now_us: u64, replies: Vec<(Order, OrderReply)>) {
+        for (order, reply) in replies {
+            match reply {
+                OrderReply::Taken => {}
+                OrderReply::Waits => {
+                    self.scheduler.handle(now_us, Input::Returned(order.id()));
+                }
+                OrderReply::Gone => {
+                    self.scheduler.handle(now_us, Input::Withdraw(order.id()));
+                }
+            }
+        }
+    }
+
+    fn decide(&mut self) {
+        if !self.is_settled() {
+            return;
+        }
+        let now_us = self.instance.clock.now_us();
+        let began = std::time::Instant::now();
+        let mut actions = std::mem::take(&mut self.actions);
+        self.scheduler.decide(now_us, &mut actions);
+        if !actions.is_empty() {
+            let each = began.elapsed().as_secs_f64() / actions.len() as f64;
+            self.instance.metrics.decision_seconds.observe(each);
+        }
+        let mut by_entry: BTreeMap<Incarnation, Vec<Order>> = BTreeMap::new();
+        for action in actions.drain(..) {
+            match order_of(action) {
+                Ok((entry, order)) => by_entry.entry(entry).or_default().push(order),
+                Err(ask) => self.ask_all(ask),
+            }
+        }
+        self.actions = actions;
+        for (entry, orders) in by_entry {
+            self.send_orders(entry, orders);
+        }
+    }
+
+    fn send_orders(&self, entry: Incarnation, orders: Vec<Order>) {
+        let batch = OrderBatch {
+            pool: self.pool.clone(),
+            leader: self.instance.incarnation,
+            orders,
+        };
+        let Some(me) = self.me.upgrade() else { return };
+        if entry == self.instance.incarnation {
+            let replies = self.instance.carry_out(&batch);
+            let replies = batch.orders.into_iter().zip(replies).collect();
+            let _ = me.send(Message::Replies(replies));
+            return;
+        }
+        let view = self.instance.gossip.view();
+        let Some(addr) = view.member(entry).map(|m| m.info.peer_addr) else {
+            let _ = me.send(Message::Unreachable(entry));
+            return;
+        };
+        let instance = self.instance.clone();
+        tokio::spawn(async move {
+            let orders = batch.orders.clone();
+            let call = instance
+                .peers
+                .call(addr, ORDER_TIMEOUT, |client, context| async move {
+                    client.orders(context, batch).await
+                });
+            let message = match call.await {
+                Ok(replies) => Message::Replies(orders.into_iter().zip(replies).collect()),
+                Err(_) => Message::Unreachable(entry),
+            };
+            let _ = me.send(message);
+        });
+    }
+
+    fn ask_all(&self, ask: LevelAsk) {
+        let view = self.instance.gossip.view();
+        for entry in view.may_hold_requests() {
+            let Some(me) = self.me.upgrade() else { return };
+            if entry == self.instance.incarnation {
+                let held = self.instance.registry.hold_level(&self.pool, ask);
+                let _ = me.send(Message::Level(entry, ask, held));
+                continue;
+            }
+            // One that cannot be asked never confirms, so nothing is shed on its account.
+            let Some(addr) = view.member(entry).map(|m| m.info.peer_addr) else {
+                continue;
+            };
+            let (instance, pool) = (self.instance.clone(), self.pool.clone());
+            tokio::spawn(async move {
+                let call = instance
+                    .peers
+                    .call(addr, ORDER_TIMEOUT, |client, context| async move {
+                        client.hold_level(context, pool, ask).await
+                    });
+                if let Ok(held) = call.await {
+                    let _ = me.send(Message::Level(entry, ask, held));
+                }
+            });
+        }
+    }
+
+    fn view(&self, now_us: u64) -> PoolView {
+        PoolView {
+            pool: self.pool.to_string(),
+            waiting_by_tier: self.scheduler.waiting_by_tier(),
+            endpoints: self.scheduler.endpoints().collect(),
+            waiting: self
+                .scheduler
+                .waiting(now_us)
+                .take(WAITING_IN_VIEW)
+                .collect(),
+            entries: self.registrations.keys().copied().collect(),
+        }
+    }
+}
+
+fn input_of(now_us: u64, registration: Registration, update: Update) -> Input {
+    match update {
+        Update::Add(meta) => Input::Add(registration, meta),
+        Update::Adopt(meta, endpoint) => Input::Adopt(registration, meta, endpoint),
+        Update::Withdraw(id) => Input::Withdraw(id),
+        Update::Returned(id) => Input::Returned(id),
+        Update::FirstToken(id) => Input::FirstToken(id),
+        Update::Progress(id, tokens, span_us) => Input::Progress(id, tokens, span_us),
+        Update::Finished(id, tokens) => Input::Finished(id, tokens),
+        Update::EndpointFailed(name) => Input::Suspect(name, now_us + ENDPOINT_REST_US),
+    }
+}
+
+fn order_of(action: Action) -> Result<(Incarnation, Order), LevelAsk> {
+    match action {
+        Action::Grant {
+            registration,
+            id,
+            endpoint,
+            cached_tokens,
+        } => {
+            let order = Order::Grant {
+                registration,
+                id,
+                endpoint,
+                cached_tokens,
+            };
+            Ok((registration.entry, order))
+        }
+        Action::Shed {
+            registration,
+            id,
+            reason,
+            retry_after_ms,
+            chain,
+        } => {
+            let order = Order::Shed {
+                registration,
+                id,
+                reason,
+                retry_after_ms,
+                chain,
+            };
+            Ok((registration.entry, order))
+        }
+        Action::Ask(ask) => Err(ask),
+    }
+}
--- /dev/null
+++ b/src/pool/registrar.rs
@@ -0,0 +1,147 @@
+//! Keeps this entry registered with a pool's leader and passes on what happens.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::{sync::mpsc, time};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    entry::registry::Note,
+    instance::Instance,
+    peers::view::Member,
+    platform::Store,
+    pool::{
+        messages::{Update, UpdateBatch, UpdatesRefused},
+        slice,
+    },
+    prelude::{Incarnation, Name, Registration},
+};
+
+/// With nothing to tell, an entry still shows itself this often.
+const KEEPALIVE: Duration = Duration::from_millis(1_000);
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+const RETRY: Duration = Duration::from_millis(30);
+const MAX_BATCH: usize = 2_000;
+
+/// Runs one pool's registrar until cancelled.
+pub async fn run<S: Store>(instance: Arc<Instance<S>>, pool: Name, stop: CancellationToken) {
+    let notes = instance.registry.subscribe(&pool);
+    let registrar = Registrar {
+        instance,
+        pool,
+        notes,
+        registered: None,
+    };
+    tokio::select! {
+        () = stop.cancelled() => {}
+        () = registrar.run() => {}
+    }
+}
+
+struct Registrar<S: Store> {
+    instance: Arc<Instance<S>>,
+    pool: Name,
+    notes: mpsc::UnboundedReceiver<Note>,
+    registered: Option<(Incarnation, Registration)>,
+}
+
+impl<S: Store> Registrar<S> {
+    async fn run(mut self) {
+        let mut view = self.instance.gossip.watch();
+        loop {
+            let leader = view
+                .borrow_and_update()
+                .leader(&slice::subject(&self.pool))
+                .cloned();
+            let Some(leader) = leader else {
+                // Nobody can lead while every instance leaves; what waits, waits.
+                let _ = time::timeout(KEEPALIVE, view.changed()).await;
+                continue;
+            };
+            let known = self
+                .registered
+                .filter(|(to, _)| *to == leader.info.incarnation);
+            match known {
+                None => self.register(&leader).await,
+                Some((_, registration)) => {
+                    tokio::select! {
+                        _ = view.changed() => {}
+                        updates = collect(&self.instance, &mut self.notes) => {
+                            self.pass_on(&leader, registration, updates).await;
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    async fn register(&mut self, leader: &Member) {
+        // Notes that came before are part of the state that is read now.
+        while self.notes.try_recv().is_ok() {}
+        let (registration, updates) = self.instance.registry.reregister(&self.pool);
+        self.instance.metrics.registrations.inc();
+        let batch = self.batch(leader, registration, updates, true);
+        if self.send(leader, batch).await {
+            self.registered = Some((leader.info.incarnation, registration));
+        } else {
+            time::sleep(RETRY).await;
+        }
+    }
+
+    async fn pass_on(&mut self, leader: &Member, registration: Registration, updates: Vec<Update>) {
+        let batch = self.batch(leader, registration, updates, false);
+        if !self.send(leader, batch).await {
+            // Whether it was taken is not known: begin anew with the whole state.
+            self.registered = None;
+            time::sleep(RETRY).await;
+        }
+    }
+
+    fn batch(
+        &self,
+        leader: &Member,
+        registration: Registration,
+        updates: Vec<Update>,
+        attach: bool,
+    ) -> UpdateBatch {
+        UpdateBatch {
+            pool: self.pool.clone(),
+            leader: leader.info.incarnation,
+            registration,
+            attach,
+            updates,
+        }
+    }
+
+    async fn send(&self, leader: &Member, batch: UpdateBatch) -> bool {
+        let taken = if leader.info.incarnation == self.instance.incarnation {
+            self.instance.leaders.updates(&self.instance, batch).await
+        } else {
+            let addr = leader.info.peer_addr;
+            let call = self
+                .instance
+                .peers
+                .call(addr, CALL_TIMEOUT, |client, context| async move {
+                    client.updates(context, batch).await
+                });
+            // An error may mean that it was taken; registering anew settles it.
+            call.await.unwrap_or(Err(UpdatesRefused::NotRegistered))
+        };
+        taken.is_ok()
+    }
+}
+
+/// Waits for something to tell, or for the time to show oneself.
+async fn collect<S: Store>(
+    instance: &Instance<S>,
+    notes: &mut mpsc::UnboundedReceiver<Note>,
+) -> Vec<Update> {
+    let mut batch = Vec::new();
+    // `recv_many` takes nothing if it is cancelled.
+    let _ = time::timeout(KEEPALIVE, notes.recv_many(&mut batch, MAX_BATCH)).await;
+    let updates = batch.into_iter().filter_map(|note| match note {
+        Note::Added(id) => instance.registry.waiting_meta(id).map(Update::Add),
+        Note::Update(update) => Some(update),
+    });
+    updates.collect()
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,336 @@
+//! The settings of `ryevalve serve`: each a flag and an environment variable, checked at start.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use snafu::Snafu;
+
+use crate::prelude::Name;
+
+/// How log lines are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogFormat {
+    /// One JSON object a line.
+    Json,
+    /// Plain text.
+    Plain,
+}
+
+/// A key that is never shown, logged or dumped.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(String);
+
+impl Secret {
+    /// Wraps a key.
+    pub fn new(key: impl Into<String>) -> Self {
+        Self(key.into())
+    }
+
+    /// Returns the key itself.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl std::fmt::Debug for Secret {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("<secret>")
+    }
+}
+
+/// Where an instance listens, whom it knows and how much it takes on.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The instance's name, unlike any other's.
+    pub name: Name,
+    /// The hall it stands in.
+    pub hall: Name,
+    /// The data centre it stands in.
+    pub data_centre: Name,
+    /// Where callers connect.
+    pub caller_addr: SocketAddr,
+    /// Where operators connect.
+    pub operator_addr: SocketAddr,
+    /// Where the other instances reach it, by UDP and TCP.
+    pub peer_addr: SocketAddr,
+    /// Peers to meet first, beside those on the platform's list.
+    pub seeds: Vec<SocketAddr>,
+    /// The platform's object API.
+    pub platform_addr: SocketAddr,
+    /// Shared by all instances; authenticates what they send each other.
+    pub cluster_key: Secret,
+    /// An operator key that is good before any configuration is.
+    pub operator_key: Secret,
+    /// How log lines are written.
+    pub log_format: LogFormat,
+    /// The most connections of callers.
+    pub max_connections: usize,
+    /// The longest request body, in bytes.
+    pub max_body_bytes: usize,
+    /// Time for a caller to send its request's header, in milliseconds.
+    pub header_timeout_ms: u64,
+    /// Time for a caller to send its request's body, in milliseconds.
+    pub body_timeout_ms: u64,
+    /// Time that a planned stop waits for requests in progress, in milliseconds.
+    pub stop_timeout_ms: u64,
+    /// How many requests the recorder keeps.
+    pub record_requests: usize,
+}
+
+/// A setting that cannot be used.
+#[derive(Debug, PartialEq, Eq, Snafu)]
+pub enum SettingsError {
+    /// The value is not of the kind that is needed.
+    #[snafu(display(
+        "--{name} (RYEVALVE_{}): `{value}` is not usable; expected {expected}",
+        env_name(name)
+    ))]
+    Bad {
+        /// The flag.
+        name: &'static str,
+        /// The value given; never a key.
+        value: String,
+        /// What would do.
+        expected: &'static str,
+    },
+    /// A setting without which there is no start.
+    #[snafu(display(
+        "--{name} (RYEVALVE_{}) is missing; expected {expected}",
+        env_name(name)
+    ))]
+    Missing {
+        /// The flag.
+        name: &'static str,
+        /// What would do.
+        expected: &'static str,
+    },
+    /// No such flag.
+    #[snafu(display("unknown flag --{name}; {hint}"))]
+    Unknown {
+        /// What was given.
+        name: String,
+        /// The nearest that exists.
+        hint: String,
+    },
+}
+
+/// One flag of `serve`: name, default, and what it expects.
+pub struct Flag {
+    /// The flag without its dashes.
+    pub name: &'static str,
+    /// The value if it is not given; none if it must be.
+    pub default: Option<&'static str>,
+    /// What is expected of it, for help and errors.
+    pub expected: &'static str,
+}
+
+const fn flag(name: &'static str, default: Option<&'static str>, expected: &'static str) -> Flag {
+    Flag {
+        name,
+        default,
+        expected,
+    }
+}
+
+/// Every flag of `serve`.
+pub const FLAGS: [Flag; 17] = [
+    flag(
+        "name",
+        None,
+        "the instance's name, of letters, digits, `-`, `_` and `.`",
+    ),
+    flag("hall", None, "the name of the hall it stands in"),
+    flag(
+        "data-centre",
+        None,
+        "the name of the data centre it stands in",
+    ),
+    flag(
+        "caller-addr",
+        Some("127.0.0.1:8080"),
+        "IP and port for callers",
+    ),
+    flag(
+        "operator-addr",
+        Some("127.0.0.1:8081"),
+        "IP and port for operators",
+    ),
+    flag(
+        "peer-addr",
+        Some("127.0.0.1:8082"),
+        "IP and port for the other instances",
+    ),
+    flag(
+        "seeds",
+        Some(""),
+        "IP and port of some peers, separated by commas",
+    ),
+    flag(
+        "platform-addr",
+        None,
+        "IP and port of the platform's object API",
+    ),
+    flag(
+        "cluster-key",
+        None,
+        "at least 16 characters, the same on every instance",
+    ),
+    flag("operator-key", None, "at least 16 characters"),
+    flag("log-format", Some("json"), "`json` or `plain`"),
+    flag(
+        "max-connections",
+        Some("20000"),
+        "a whole number from 1 to 1000000",
+    ),
+    flag(
+        "max-body-bytes",
+        Some("4000000"),
+        "a whole number from 1024 to 100000000",
+    ),
+    flag(
+        "header-timeout-ms",
+        Some("5000"),
+        "a whole number from 10 to 600000",
+    ),
+    flag(
+        "body-timeout-ms",
+        Some("20000"),
+        "a whole number from 10 to 600000",
+    ),
+    flag(
+        "stop-timeout-ms",
+        Some("300000"),
+        "a whole number from 0 to 3600000",
+    ),
+    flag(
+        "record-requests",
+        Some("20000"),
+        "a whole number from 0 to 1000000",
+    ),
+];
+
+const MIN_KEY_LEN: usize = 16;
+
+/// Returns the environment variable of a flag, without its `RYEVALVE_`.
+pub fn env_name(flag: &str) -> String {
+    flag.to_uppercase().replace('-', "_")
+}
+
+impl Settings {
+    /// Merges flags over environment variables over defaults, and checks the result.
+    ///
+    /// # Errors
+    /// Names the first setting that is unknown, missing or not usable.
+    pub fn merge(
+        flags: &BTreeMap<String, String>,
+        env: impl Fn(&str) -> Option<String>,
+    ) -> Result<Self, SettingsError> {
+        for name in flags.keys() {
+            if !FLAGS.iter().any(|f| f.name == name) {
+                let known = FLAGS.iter().map(|f| f.name);
+                let hint = crate::config::check::nearest(name, known);
+                let name = name.clone();
+                return Err(SettingsError::Unknown { name, hint });
+            }
+        }
+        let values = Values { flags, env: &env };
+        Ok(Self {
+            name: values.name("name")?,
+            hall: values.name("hall")?,
+            data_centre: values.name("data-centre")?,
+            caller_addr: values.addr("caller-addr")?,
+            operator_addr: values.addr("operator-addr")?,
+            peer_addr: values.addr("peer-addr")?,
+            seeds: values.addrs("seeds")?,
+            platform_addr: values.addr("platform-addr")?,
+            cluster_key: values.key("cluster-key")?,
+            operator_key: values.key("operator-key")?,
+            log_format: values.log_format("log-format")?,
+            max_connections: values.number("max-connections", 1, 1_000_000)? as usize,
+            max_body_bytes: values.number("max-body-bytes", 1_024, 100_000_000)? as usize,
+            header_timeout_ms: values.number("header-timeout-ms", 10, 600_000)?,
+            body_timeout_ms: values.number("body-timeout-ms", 10, 600_000)?,
+            stop_timeout_ms: values.number("stop-timeout-ms", 0, 3_600_000)?,
+            record_requests: values.number("record-requests", 0, 1_000_000)? as usize,
+        })
+    }
+}
+
+struct Values<'a, E> {
+    flags: &'a BTreeMap<String, String>,
+    env: &'a E,
+}
+
+impl<E: Fn(&str) -> Option<String>> Values<'_, E> {
+    fn raw(&self, name: &'static str) -> Result<String, SettingsError> {
+        let flag = find(name);
+        self.flags
+            .get(name)
+            .cloned()
+            .or_else(|| (self.env)(&format!("RYEVALVE_{}", env_name(name))))
+            .or_else(|| flag.default.map(str::to_owned))
+            .ok_or(SettingsError::Missing {
+                name,
+                expected: flag.expected,
+            })
+    }
+
+    fn name(&self, name: &'static str) -> Result<Name, SettingsError> {
+        let value = self.raw(name)?;
+        let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+        if value.is_empty() || !value.chars().all(plain) {
+            return Err(bad(name, value));
+        }
+        Ok(value.into())
+    }
+
+    fn addr(&self, name: &'static str) -> Result<SocketAddr, SettingsError> {
+        let value = self.raw(name)?;
+        value.parse().map_err(|_| bad(name, value))
+    }
+
+    fn addrs(&self, name: &'static str) -> Result<Vec<SocketAddr>, SettingsError> {
+        let value = self.raw(name)?;
+        let parts = value.split(',').map(str::trim).filter(|p| !p.is_empty());
+        let parsed: Result<Vec<SocketAddr>, _> = parts.map(str::parse).collect();
+        parsed.map_err(|_| bad(name, value))
+    }
+
+    fn key(&self, name: &'static str) -> Result<Secret, SettingsError> {
+        let value = self.raw(name)?;
+        if value.len() < MIN_KEY_LEN {
+            let shown = format!("<{} characters>", value.len());
+            return Err(bad(name, shown));
+        }
+        Ok(Secret::new(value))
+    }
+
+    fn log_format(&self, name: &'static str) -> Result<LogFormat, SettingsError> {
+        let value = self.raw(name)?;
+        match value.as_str() {
+            "json" => Ok(LogFormat::Json),
+            "plain" => Ok(LogFormat::Plain),
+            _ => Err(bad(name, value)),
+        }
+    }
+
+    fn number(&self, name: &'static str, least: u64, most: u64) -> Result<u64, SettingsError> {
+        let value = self.raw(name)?;
+        match value.parse() {
+            Ok(number) if (least..=most).contains(&number) => Ok(number),
+            _ => Err(bad(name, value)),
+        }
+    }
+}
+
+fn find(name: &'static str) -> &'static Flag {
+    // Every name asked for is in the table; the settings test goes through all of them.
+    FLAGS.iter().find(|f| f.name == name).unwrap_or(&FLAGS[0])
+}
+
+fn bad(name: &'static str, value: String) -> SettingsError {
+    SettingsError::Bad {
+        name,
+        value,
+        expected: find(name).expected,
+    }
+}
--- /dev/null
+++ b/standins/src/engine.rs
@@ -0,0 +1,633 @@
+//! A model engine: continuous batching, a prefix cache, priorities, streams that can be resumed and
+//! cancelled, lagging load reports and cache events with gaps.
+//!
+//! | call | answer |
+//! | --- | --- |
+//! | `POST /v1/completions`, `/v1/chat/completions` | server-sent events, each with an `id`, ended by `[DONE]` |
+//! | `GET /v1/streams/ID` with `last-event-id` | the same stream from there on |
+//! | `DELETE /v1/streams/ID` | cancels it |
+//! | `GET /load` | `{running, waiting, age_ms}` |
+//! | `GET /cache/events?after=N` | a list of `{seq, stored, evicted}` |
+//! | `POST /orders` with `x-fence` | carries out an order, or 409 for an outdated fence |
+
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    hash::{DefaultHasher, Hash, Hasher},
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use futures::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::{Method, Request, Response, StatusCode, body::Frame, body::Incoming};
+use serde::Serialize;
+use serde_json::{Value, json};
+use tokio::{sync::Notify, task::JoinHandle};
+
+use crate::http::{self, Body, Server};
+
+/// Bytes of prompt in one cached block; four bytes are taken as one token.
+pub const BLOCK_BYTES: usize = 1_024;
+const BYTES_PER_TOKEN: usize = 4;
+const PREFILL_CHUNK_TOKENS: u32 = 256;
+const IDLE_POLL: Duration = Duration::from_millis(20);
+const KEEP_ENDED: usize = 4_096;
+
+/// How fast and large an engine is.
+#[derive(Clone, Copy, Debug)]
+pub struct Speed {
+    /// Requests in its batch.
+    pub slots: usize,
+    /// Prompt speed.
+    pub prefill_tokens_per_s: f64,
+    /// One decode step.
+    pub step: Duration,
+    /// Blocks in its prefix cache.
+    pub cache_blocks: usize,
+    /// How old its load reports are.
+    pub load_lag: Duration,
+}
+
+impl Default for Speed {
+    fn default() -> Self {
+        Self {
+            slots: 8,
+            prefill_tokens_per_s: 20_000.0,
+            step: Duration::from_millis(4),
+            cache_blocks: 256,
+            load_lag: Duration::from_millis(500),
+        }
+    }
+}
+
+/// How the engine misbehaves.
+#[derive(Clone, Copy, Debug)]
+pub struct Faults {
+    /// Multiplies all its times.
+    pub slow: f64,
+    /// Cuts the connection of every n-th stream once, after some tokens; 0 cuts none.
+    pub cut_every: u64,
+    /// Forgets cut streams, so that they cannot be resumed.
+    pub forget_cut: bool,
+    /// Skips every n-th cache event; 0 skips none.
+    pub gap_every: u64,
+    /// Accepts and answers nothing.
+    pub hang: bool,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Self {
+            slow: 1.0,
+            cut_every: 0,
+            forget_cut: false,
+            gap_every: 0,
+            hang: false,
+        }
+    }
+}
+
+/// What the engine has done so far.
+#[derive(Clone, Debug, Default)]
+pub struct Counts {
+    /// How often each request id was started.
+    pub starts: HashMap<String, u32>,
+    /// Streams cancelled.
+    pub cancelled: u64,
+    /// Streams resumed.
+    pub resumed: u64,
+    /// Prompt tokens computed.
+    pub prefill_tokens: u64,
+    /// Orders carried out.
+    pub orders: Vec<String>,
+}
+
+struct Job {
+    id: String,
+    priority: u8,
+    prefill_left: u32,
+    blocks: Vec<u64>,
+    made: u32,
+    wanted: u32,
+    prompt_tokens: u32,
+    cached_tokens: u32,
+    mark: String,
+    chat: bool,
+}
+
+#[derive(Default)]
+struct Buffer {
+    events: Vec<String>,
+    done: bool,
+    cancelled: bool,
+    cut_at: Option<usize>,
+}
+
+#[derive(Clone, Serialize)]
+struct CacheEvent {
+    seq: u64,
+    stored: Vec<u64>,
+    evicted: Vec<u64>,
+}
+
+#[derive(Default)]
+struct State {
+    queue: VecDeque<Job>,
+    batch: Vec<Job>,
+    streams: HashMap<String, Buffer>,
+    ended: VecDeque<String>,
+    cache: BTreeMap<u64, u64>,
+    cache_clock: u64,
+    cache_events: VecDeque<CacheEvent>,
+    cache_seq: u64,
+    loads: VecDeque<(Instant, u32, u32)>,
+    faults: Faults,
+    counts: Counts,
+    fence: u64,
+    started: u64,
+}
+
+struct Shared {
+    speed: Speed,
+    state: Mutex<State>,
+    changed: Notify,
+    work: Notify,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+}
+
+/// A running engine.
+pub struct Engine {
+    server: Server,
+    shared: Arc<Shared>,
+    steps: JoinHandle<()>,
+}
+
+impl Drop for Engine {
+    fn drop(&mut self) {
+        self.steps.abort();
+    }
+}
+
+impl Engine {
+    /// Starts an engine on a free loopback port.
+    pub async fn start(speed: Speed) -> Self {
+        Self::start_at(([127, 0, 0, 1], 0).into(), speed).await
+    }
+
+    /// Starts an engine at `addr`.
+    pub async fn start_at(addr: SocketAddr, speed: Speed) -> Self {
+        let shared = Arc::new(Shared {
+            speed,
+            state: Mutex::default(),
+            changed: Notify::new(),
+            work: Notify::new(),
+        });
+        let steps = tokio::spawn(run_steps(shared.clone()));
+        let handler = shared.clone();
+        let server = http::serve(addr, move |request| handle(handler.clone(), request)).await;
+        Self {
+            server,
+            shared,
+            steps,
+        }
+    }
+
+    /// Returns where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr
+    }
+
+    /// Changes how it misbehaves.
+    pub fn fault(&self, change: impl FnOnce(&mut Faults)) {
+        change(&mut self.shared.lock().faults);
+    }
+
+    /// Returns what it has done so far.
+    pub fn counts(&self) -> Counts {
+        self.shared.lock().counts.clone()
+    }
+
+    /// Returns how many requests are in its batch and queue.
+    pub fn busy(&self) -> usize {
+        let state = self.shared.lock();
+        state.batch.len() + state.queue.len()
+    }
+}
+
+/// Returns the text that an engine answers to a prompt with `tokens` tokens.
+pub fn expected_text(prompt: &str, tokens: u32) -> String {
+    let mark = mark(prompt);
+    (0..tokens).map(|n| token(&mark, n)).collect()
+}
+
+fn token(mark: &str, number: u32) -> String {
+    format!("{mark}.{number} ")
+}
+
+fn mark(prompt: &str) -> String {
+    let mut hasher = DefaultHasher::new();
+    prompt.hash(&mut hasher);
+    format!("{:08x}", hasher.finish() as u32)
+}
+
+/// Returns the hash chain over the prompt's whole blocks, as the engine publishes it: FNV-1a over
+/// each block, starting from the hash of the one before.
+pub fn block_hashes(prompt: &[u8]) -> Vec<u64> {
+    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
+    prompt
+        .chunks_exact(BLOCK_BYTES)
+        .map(|block| {
+            for byte in block {
+                hash = (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+            }
+            hash
+        })
+        .collect()
+}
+
+async fn run_steps(shared: Arc<Shared>) {
+    loop {
+        let took = step(&shared);
+        shared.changed.notify_waiters();
+        match took {
+            Some(took) => tokio::time::sleep(took).await,
+            None => {
+                let _ = tokio::time::timeout(IDLE_POLL, shared.work.notified()).await;
+            }
+        }
+    }
+}
+
+/// Runs one step of the batch; returns how long it takes, or none if there is nothing to do.
+fn step(shared: &Shared) -> Option<Duration> {
+    let mut state = shared.lock();
+    let state = &mut *state;
+    admit(state, shared.speed);
+    note_load(state, shared.speed.load_lag);
+    if state.batch.is_empty() {
+        return None;
+    }
+    let mut prefill_budget = PREFILL_CHUNK_TOKENS;
+    for job in &mut state.batch {
+        let chunk = job.prefill_left.min(prefill_budget);
+        prefill_budget -= chunk;
+        job.prefill_left -= chunk;
+        state.counts.prefill_tokens += u64::from(chunk);
+        if job.prefill_left == 0 && job.made < job.wanted {
+            let event = token_event(job);
+            job.made += 1;
+            if let Some(buffer) = state.streams.get_mut(&job.id) {
+                buffer.events.push(event);
+            }
+        }
+    }
+    let (ended, going): (Vec<Job>, Vec<Job>) = std::mem::take(&mut state.batch)
+        .into_iter()
+        .partition(|j| j.prefill_left == 0 && j.made == j.wanted);
+    state.batch = going;
+    for job in ended {
+        finish(state, &job, shared.speed.cache_blocks);
+    }
+    let prefilled = f64::from(PREFILL_CHUNK_TOKENS - prefill_budget);
+    let seconds = shared.speed.step.as_secs_f64() + prefilled / shared.speed.prefill_tokens_per_s;
+    Some(Duration::from_secs_f64(seconds * state.faults.slow))
+}
+
+fn admit(state: &mut State, speed: Speed) {
+    while state.batch.len() < speed.slots {
+        let first = state
+            .queue
+            .iter()
+            .enumerate()
+            .min_by_key(|(n, j)| (j.priority, *n));
+        let Some((index, _)) = first else { return };
+        let Some(mut job) = state.queue.remove(index) else {
+            return;
+        };
+        let cached = job
+            .blocks
+            .iter()
+            .take_while(|b| state.cache.contains_key(b))
+            .count();
+        job.cached_tokens = ((cached * BLOCK_BYTES) / BYTES_PER_TOKEN) as u32;
+        job.prefill_left = job.prompt_tokens.saturating_sub(job.cached_tokens).max(1);
+        state.batch.push(job);
+    }
+}
+
+fn note_load(state: &mut State, lag: Duration) {
+    let now = Instant::now();
+    let (running, waiting) = (state.batch.len() as u32, state.queue.len() as u32);
+    state.loads.push_back((now, running, waiting));
+    while state.loads.len() > 1 && now - state.loads[1].0 >= lag {
+        state.loads.pop_front();
+    }
+}
+
+fn finish(state: &mut State, job: &Job, cache_blocks: usize) {
+    if let Some(buffer) = state.streams.get_mut(&job.id) {
+        buffer.events.push(last_event(job));
+        buffer.events.push("data: [DONE]\n\n".to_owned());
+        buffer.done = true;
+    }
+    state.ended.push_back(job.id.clone());
+    if state.ended.len() > KEEP_ENDED
+        && let Some(id) = state.ended.pop_front()
+    {
+        state.streams.remove(&id);
+    }
+    store(state, &job.blocks, cache_blocks);
+}
+
+fn store(state: &mut State, blocks: &[u64], capacity: usize) {
+    let mut stored = Vec::new();
+    for &block in blocks {
+        state.cache_clock += 1;
+        if state.cache.insert(block, state.cache_clock).is_none() {
+            stored.push(block);
+        }
+    }
+    let mut evicted = Vec::new();
+    while state.cache.len() > capacity {
+        let oldest = state.cache.iter().min_by_key(|(_, used)| **used);
+        let Some((&block, _)) = oldest else { break };
+        state.cache.remove(&block);
+        evicted.push(block);
+    }
+    if stored.is_empty() && evicted.is_empty() {
+        return;
+    }
+    state.cache_seq += 1;
+    let seq = state.cache_seq;
+    let gap = state.faults.gap_every > 0 && seq.is_multiple_of(state.faults.gap_every);
+    if !gap {
+        let event = CacheEvent {
+            seq,
+            stored,
+            evicted,
+        };
+        state.cache_events.push_back(event);
+    }
+    if state.cache_events.len() > 1_000 {
+        state.cache_events.pop_front();
+    }
+}
+
+fn token_event(job: &Job) -> String {
+    let text = token(&job.mark, job.made);
+    let choice = if job.chat {
+        json!({"index": 0, "delta": {"content": text}, "finish_reason": null})
+    } else {
+        json!({"index": 0, "text": text, "finish_reason": null})
+    };
+    event(job.made + 1, &json!({"id": job.id, "choices": [choice]}))
+}
+
+fn last_event(job: &Job) -> String {
+    let choice = if job.chat {
+        json!({"index": 0, "delta": {}, "finish_reason": "stop"})
+    } else {
+        json!({"index": 0, "text": "", "finish_reason": "stop"})
+    };
+    let usage = json!({
+        "prompt_tokens": job.prompt_tokens,
+        "completion_tokens": job.made,
+        "cached_tokens": job.cached_tokens,
+    });
+    event(
+        job.made + 1,
+        &json!({"id": job.id, "choices": [choice], "usage": usage}),
+    )
+}
+
+fn event(id: u32, data: &Value) -> String {
+    format!("id: {id}\ndata: {data}\n\n")
+}
+
+async fn handle(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, std::io::Error> {
+    if shared.lock().faults.hang {
+        std::future::pending::<()>().await;
+    }
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::POST, "/v1/completions") => start(shared, request, false).await,
+        (&Method::POST, "/v1/chat/completions") => start(shared, request, true).await,
+        (&Method::POST, "/orders") => order(&shared, request).await,
+        (&Method::GET, "/load") => Ok(load(&shared)),
+        (&Method::GET, "/cache/events") => {
+            let after = http::query_number(&request, "after").unwrap_or(0);
+            Ok(cache_events(&shared, after))
+        }
+        (&Method::GET, _) if path.starts_with("/v1/streams/") => {
+            let from = request.headers().get("last-event-id");
+            let from = from
+                .and_then(|v| v.to_str().ok()?.parse().ok())
+                .unwrap_or(0);
+            Ok(resume(shared, &path["/v1/streams/".len()..], from))
+        }
+        (&Method::DELETE, _) if path.starts_with("/v1/streams/") => {
+            cancel(&shared, &path["/v1/streams/".len()..]);
+            Ok(http::answer(StatusCode::NO_CONTENT, ""))
+        }
+        _ => Ok(http::answer(StatusCode::NOT_FOUND, "no such path")),
+    }
+}
+
+async fn start(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+    chat: bool,
+) -> Result<Response<Body>, std::io::Error> {
+    let header = |name| {
+        let value = request.headers().get(name)?.to_str().ok()?;
+        Some(value.to_owned())
+    };
+    let id = header("x-request-id").unwrap_or_else(|| format!("r{}", rand_id()));
+    let priority = header("x-priority")
+        .and_then(|p| p.parse().ok())
+        .unwrap_or(0);
+    let body = http::body(request).await?;
+    let Ok(body) = serde_json::from_slice::<Value>(&body) else {
+        return Ok(http::answer(StatusCode::BAD_REQUEST, "not JSON"));
+    };
+    let prompt = prompt_text(&body, chat);
+    let wanted = body["max_tokens"].as_u64().unwrap_or(16).clamp(1, 100_000) as u32;
+    {
+        let mut state = shared.lock();
+        state.started += 1;
+        let every = state.faults.cut_every;
+        let cut = every > 0 && state.started.is_multiple_of(every);
+        let cut_at = cut.then_some((wanted / 2) as usize);
+        *state.counts.starts.entry(id.clone()).or_default() += 1;
+        let buffer = Buffer {
+            cut_at,
+            ..Buffer::default()
+        };
+        state.streams.insert(id.clone(), buffer);
+        state.queue.push_back(Job {
+            id: id.clone(),
+            priority,
+            prefill_left: 0,
+            blocks: block_hashes(prompt.as_bytes()),
+            made: 0,
+            wanted,
+            prompt_tokens: prompt.len().div_ceil(BYTES_PER_TOKEN).max(1) as u32,
+            cached_tokens: 0,
+            mark: mark(&prompt),
+            chat,
+        });
+    }
+    shared.work.notify_one();
+    Ok(relay(shared, id, 0))
+}
+
+/// Returns what the engine takes as the prompt of a request.
+pub fn prompt_text(body: &Value, chat: bool) -> String {
+    if !chat {
+        return body["prompt"].as_str().unwrap_or_default().to_owned();
+    }
+    let messages = body["messages"].as_array().map_or(&[][..], Vec::as_slice);
+    let contents = messages.iter().filter_map(|m| m["content"].as_str());
+    contents.collect::<Vec<_>>().join("\n")
+}
+
+fn rand_id() -> u64 {
+    let mut hasher = DefaultHasher::new();
+    Instant::now().hash(&mut hasher);
+    hasher.finish()
+}
+
+fn resume(shared: Arc<Shared>, id: &str, from: usize) -> Response<Body> {
+    {
+        let mut state = shared.lock();
+        if state.faults.forget_cut || !state.streams.contains_key(id) {
+            return http::answer(StatusCode::NOT_FOUND, "no such stream");
+        }
+        state.counts.resumed += 1;
+    }
+    relay(shared, id.to_owned(), from)
+}
+
+fn cancel(shared: &Shared, id: &str) {
+    let mut state = shared.lock();
+    let running = state
+        .batch
+        .iter()
+        .chain(state.queue.iter())
+        .any(|j| j.id == id);
+    if running {
+        state.batch.retain(|j| j.id != id);
+        state.queue.retain(|j| j.id != id);
+        state.counts.cancelled += 1;
+    }
+    if let Some(buffer) = state.streams.get_mut(id) {
+        buffer.cancelled = true;
+    }
+    shared.changed.notify_waiters();
+}
+
+enum Next {
+    Event(String),
+    Wait,
+    End,
+    Cut,
+}
+
+fn next_event(shared: &Shared, id: &str, at: usize) -> Next {
+    let mut state = shared.lock();
+    let Some(buffer) = state.streams.get_mut(id) else {
+        return Next::Cut;
+    };
+    if buffer.cancelled {
+        return Next::Cut;
+    }
+    if buffer.cut_at == Some(at) {
+        buffer.cut_at = None;
+        return Next::Cut;
+    }
+    match buffer.events.get(at) {
+        Some(event) => Next::Event(event.clone()),
+        None if buffer.done => Next::End,
+        None => Next::Wait,
+    }
+}
+
+async fn wait_event(shared: &Shared, id: &str, at: usize) -> Next {
+    loop {
+        let mut woken = std::pin::pin!(shared.changed.notified());
+        woken.as_mut().enable();
+        match next_event(shared, id, at) {
+            Next::Wait => woken.await,
+            next => return next,
+        }
+    }
+}
+
+fn relay(shared: Arc<Shared>, id: String, from: usize) -> Response<Body> {
+    let start = Some((shared, id, from));
+    let stream = stream::unfold(start, |state| async move {
+        let (shared, id, at) = state?;
+        match wait_event(&shared, &id, at).await {
+            Next::Event(event) => {
+                let frame = Frame::data(Bytes::from(event));
+                Some((Ok(frame), Some((shared, id, at + 1))))
+            }
+            Next::Cut => Some((Err(std::io::Error::other("cut")), None)),
+            Next::End | Next::Wait => None,
+        }
+    });
+    let mut response = Response::new(StreamBody::new(stream).boxed_unsync());
+    let kind = hyper::header::HeaderValue::from_static("text/event-stream");
+    response
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, kind);
+    response
+}
+
+fn load(shared: &Shared) -> Response<Body> {
+    let state = shared.lock();
+    let Some((at, running, waiting)) = state.loads.front() else {
+        return http::json(&json!({"running": 0, "waiting": 0, "age_ms": 0}));
+    };
+    let age_ms = at.elapsed().as_millis() as u64;
+    http::json(&json!({"running": running, "waiting": waiting, "age_ms": age_ms}))
+}
+
+fn cache_events(shared: &Shared, after: u64) -> Response<Body> {
+    let state = shared.lock();
+    let events: Vec<CacheEvent> = state
+        .cache_events
+        .iter()
+        .filter(|e| e.seq > after)
+        .take(100)
+        .cloned()
+        .collect();
+    http::json(&events)
+}
+
+async fn order(
+    shared: &Shared,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, std::io::Error> {
+    let fence = request.headers().get("x-fence");
+    let fence = fence.and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
+    let body = http::body(request).await?;
+    let mut state = shared.lock();
+    match fence {
+        Some(fence) if fence > state.fence => state.fence = fence,
+        _ => return Ok(http::answer(StatusCode::CONFLICT, "outdated fence")),
+    }
+    let text = String::from_utf8_lossy(&body).into_owned();
+    state.counts.orders.push(text);
+    Ok(http::answer(StatusCode::OK, "done"))
+}
--- /dev/null
+++ b/standins/src/http.rs
@@ -0,0 +1,89 @@
+//! What the stand-ins share of serving HTTP.
+
+use std::{convert::Infallible, future::Future, net::SocketAddr};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+use hyper::{
+    Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpListener, task::JoinHandle};
+
+/// A body whose failure cuts the connection.
+pub type Body = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// A running server; it stops when this is dropped.
+pub struct Server {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Serves on `addr`; port 0 picks a free one.
+///
+/// # Panics
+/// The address cannot be bound.
+pub async fn serve<F, R>(addr: SocketAddr, handler: F) -> Server
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
+    R: Future<Output = Result<Response<Body>, std::io::Error>> + Send + 'static,
+{
+    let listener = TcpListener::bind(addr).await.expect("bind the stand-in");
+    let addr = listener.local_addr().expect("a bound address");
+    let task = tokio::spawn(async move {
+        let mut connections = tokio::task::JoinSet::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            let _ = stream.set_nodelay(true);
+            let handler = handler.clone();
+            let service = service_fn(handler);
+            connections.spawn(async move {
+                let _ = http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+            });
+            while connections.try_join_next().is_some() {}
+        }
+    });
+    Server { addr, task }
+}
+
+/// Makes a whole answer.
+pub fn answer(status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
+    let body = Full::new(body.into()).map_err(|e: Infallible| match e {});
+    let mut response = Response::new(body.boxed_unsync());
+    *response.status_mut() = status;
+    response
+}
+
+/// Makes a whole answer of JSON.
+pub fn json<T: serde::Serialize>(value: &T) -> Response<Body> {
+    let text = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = answer(StatusCode::OK, text);
+    let kind = hyper::header::HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, kind);
+    response
+}
+
+/// Reads a request's body whole.
+pub async fn body(request: Request<Incoming>) -> Result<Bytes, std::io::Error> {
+    let collected = request.into_body().collect().await;
+    Ok(collected.map_err(std::io::Error::other)?.to_bytes())
+}
+
+/// Returns a number from the query, as in `?after=7`.
+pub fn query_number(request: &Request<Incoming>, name: &str) -> Option<u64> {
+    let query = request.uri().query()?;
+    query.split('&').find_map(|pair| {
+        let (key, value) = pair.split_once('=')?;
+        (key == name).then(|| value.parse().ok()).flatten()
+    })
+}
--- /dev/null
+++ b/standins/src/plain.rs
@@ -0,0 +1,108 @@
+//! A plain service that counts how often each request was carried out.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use serde_json::json;
+
+use crate::http::{self, Body, Server};
+
+/// How the service misbehaves.
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    /// Works this long on each request.
+    pub delay: Duration,
+    /// Carries out this many more requests and closes without an answer.
+    pub lose_answers: u32,
+    /// Promises more bytes than it sends in this many more answers.
+    pub cut_answers: u32,
+}
+
+#[derive(Default)]
+struct State {
+    executions: HashMap<String, u64>,
+    total: u64,
+    faults: Faults,
+}
+
+/// A running plain service.
+pub struct Plain {
+    server: Server,
+    state: Arc<Mutex<State>>,
+}
+
+impl Plain {
+    /// Starts a service on a free loopback port.
+    pub async fn start() -> Self {
+        Self::start_at(([127, 0, 0, 1], 0).into()).await
+    }
+
+    /// Starts a service at `addr`.
+    pub async fn start_at(addr: SocketAddr) -> Self {
+        let state = Arc::new(Mutex::new(State::default()));
+        let shared = state.clone();
+        let server = http::serve(addr, move |request| handle(shared.clone(), request)).await;
+        Self { server, state }
+    }
+
+    /// Returns where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr
+    }
+
+    /// Changes how it misbehaves.
+    pub fn fault(&self, change: impl FnOnce(&mut Faults)) {
+        change(&mut self.state.lock().expect("no holder panics").faults);
+    }
+
+    /// Returns how often each body was carried out.
+    pub fn executions(&self) -> HashMap<String, u64> {
+        let state = self.state.lock().expect("no holder panics");
+        state.executions.clone()
+    }
+}
+
+async fn handle(
+    state: Arc<Mutex<State>>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, std::io::Error> {
+    if request.uri().path() == "/load" {
+        return Ok(http::json(
+            &json!({"running": 0, "waiting": 0, "age_ms": 0}),
+        ));
+    }
+    let path = request.uri().path().to_owned();
+    let body = http::body(request).await?;
+    let text = String::from_utf8_lossy(&body).into_owned();
+    let (total, faults) = execute(&state, &text);
+    tokio::time::sleep(faults.delay).await;
+    if faults.lose_answers > 0 {
+        return Err(std::io::Error::other("answer lost"));
+    }
+    let mut response = http::json(&json!({"path": path, "echo": text, "number": total}));
+    if faults.cut_answers > 0 {
+        let promised = hyper::header::HeaderValue::from_static("100000");
+        response
+            .headers_mut()
+            .insert(hyper::header::CONTENT_LENGTH, promised);
+        *response.status_mut() = StatusCode::OK;
+    }
+    Ok(response)
+}
+
+fn execute(state: &Mutex<State>, text: &str) -> (u64, Faults) {
+    let mut state = state.lock().expect("no holder panics");
+    state.total += 1;
+    *state.executions.entry(text.to_owned()).or_default() += 1;
+    let faults = state.faults.clone();
+    let lose = u32::from(faults.lose_answers > 0);
+    let cut = u32::from(faults.cut_answers > 0);
+    state.faults.lose_answers -= lose;
+    state.faults.cut_answers -= cut;
+    (state.total, faults)
+}
--- /dev/null
+++ b/tests/core/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the decision core.
+
+mod lifecycle;
+mod prefix;
+mod queue;
+mod shedding;
