Learn engines' speed from streams, set aside what is not in time, protect streams

Change: requests that are not in time as things stand are set aside and looked at again in turn; fair slack 400 s of work; prompt work queued by tier; grants that running streams of the tier or above cannot spare are withheld; a placement's risk by a long answer; prefix lookup for all endpoints at once by bit sets; no decision without a change.

--- a/src/core/endpoint.rs
+++ b/src/core/endpoint.rs
@@ -5,7 +5,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::types::{Micros, Name, RequestId};
+use crate::core::{
+    shedding::MAX_TIERS,
+    types::{Micros, Name, Rank, RequestId},
+};
 
 const OCCUPANCY_CLASSES: usize = 4;
 const DECODE_GAIN: f64 = 0.25;
@@ -18,6 +21,8 @@
 const SLOW_RATIO: f64 = 1.6;
 /// With no observation for this long, a slow endpoint may be tried with one request.
 const PROBE_AFTER_US: Micros = 2_000_000;
+/// Prompt tokens that an engine takes into one step beside its streams' tokens.
+const CHUNK_TOKENS: f64 = 256.0;
 /// A load report older than this counts for nothing.
 const REPORT_HORIZON_US: f64 = 3_000_000.0;
 
@@ -55,10 +60,30 @@
 #[derive(Clone, Copy, Debug)]
 struct Flight {
     granted_us: Micros,
-    prefill_us: f64,
+    rank: Rank,
+    deadline_us: Micros,
+    uncached_tokens: f64,
     predicted_first_us: Micros,
     queued_behind: bool,
     first_seen: bool,
+    /// Expected length, and how much of it was seen.
+    output_tokens: u32,
+    seen_tokens: u32,
+}
+
+/// What is granted, as far as an endpoint's belief needs it.
+#[derive(Clone, Copy, Debug)]
+pub struct Granted {
+    /// The request.
+    pub id: RequestId,
+    /// Its tier's order.
+    pub rank: Rank,
+    /// Its deadline.
+    pub deadline_us: Micros,
+    /// Its prompt, without what is cached there.
+    pub uncached_tokens: u32,
+    /// A length of answer that few pass.
+    pub output_tokens: u32,
 }
 
 /// The belief about one endpoint.
@@ -67,9 +92,13 @@
     /// The declaration.
     pub spec: EndpointSpec,
     flights: HashMap<RequestId, Flight>,
-    awaiting_first: u32,
-    prefill_free_us: Micros,
+    /// Requests without a first token, by tier.
+    awaiting_first: [u32; MAX_TIERS],
+    /// Prompt tokens granted and not computed, by tier; engines compute the highest first.
+    pending_tokens: [f64; MAX_TIERS],
+    drained_us: Micros,
     prefill_ratio: f64,
+    /// Learned against the declaration, by how full the batch was.
     decode_ratio: [f64; OCCUPANCY_CLASSES],
     observed_us: Micros,
     report: Option<(LoadReport, Micros)>,
@@ -82,8 +111,9 @@
         Self {
             spec,
             flights: HashMap::new(),
-            awaiting_first: 0,
-            prefill_free_us: 0,
+            awaiting_first: [0; MAX_TIERS],
+            pending_tokens: [0.0; MAX_TIERS],
+            drained_us: 0,
             prefill_ratio: 1.0,
             decode_ratio: [1.0; OCCUPANCY_CLASSES],
             observed_us: 0,
@@ -97,9 +127,9 @@
         self.flights.len() as u32
     }
 
-    /// Returns whether it may take one more request now, with at most `backlog_us` of prompt work
-    /// granted ahead.
-    pub fn has_room(&self, now_us: Micros, backlog_us: Micros) -> bool {
+    /// Returns whether it may take one more request of `rank` now, with at most `backlog_us` of
+    /// prompt work granted ahead of it.
+    pub fn has_room(&self, now_us: Micros, rank: Rank, backlog_us: f64) -> bool {
         if self.spec.draining || now_us < self.suspect_until_us {
             return false;
         }
@@ -110,35 +140,63 @@
         if self.needs_probe(now_us) {
             return self.flights.is_empty();
         }
-        self.prefill_free_us <= now_us + backlog_us
+        self.queue_tokens(now_us, rank) / CHUNK_TOKENS * self.chunk_us() <= backlog_us
     }
 
-    /// Returns the time until a slot and the prompt queue are expected to be free, in microseconds.
-    pub fn wait_us(&self, now_us: Micros, typical_service_us: f64) -> f64 {
-        let queue = self.prefill_free_us.saturating_sub(now_us) as f64;
+    /// Returns the time until a slot is expected to be free, in microseconds.
+    pub fn slot_wait_us(&self, typical_service_us: f64) -> f64 {
         if self.running() < self.spec.slots {
-            return queue;
+            return 0.0;
         }
-        queue.max(typical_service_us / f64::from(self.spec.slots.max(1)))
+        typical_service_us / f64::from(self.spec.slots.max(1))
     }
 
     /// Returns the expected time to compute `tokens` of prompt, in microseconds.
     pub fn prefill_us(&self, tokens: u32) -> f64 {
-        f64::from(tokens) * 1e6 / self.spec.prefill_tokens_per_s * self.prefill_ratio
+        f64::from(tokens) / CHUNK_TOKENS * self.chunk_us()
     }
 
-    /// Returns the expected time of one output token with `batch` requests running, in
-    /// microseconds.
+    /// Returns the expected time between two tokens of a stream with `batch` requests running, in
+    /// microseconds; learned from streams, so with the prompts computed meanwhile in it.
     pub fn token_us(&self, batch: u32) -> f64 {
-        let class = self.class(batch);
-        self.prior_token_us(batch) * self.decode_ratio[class]
+        self.prior_token_us(batch) * self.decode_ratio[self.class(batch)]
     }
 
     /// Returns the expected time from now to the last token, in microseconds.
-    pub fn finish_us(&self, now_us: Micros, uncached_tokens: u32, output_tokens: u32) -> f64 {
-        let queue = self.prefill_free_us.saturating_sub(now_us) as f64;
+    pub fn finish_us(
+        &self,
+        now_us: Micros,
+        rank: Rank,
+        uncached_tokens: u32,
+        output_tokens: u32,
+    ) -> f64 {
+        let ahead = self.queue_tokens(now_us, rank) + f64::from(uncached_tokens);
         let decode = self.token_us(self.running() + 1) * f64::from(output_tokens);
-        queue + self.prefill_us(uncached_tokens) + decode
+        ahead / CHUNK_TOKENS * self.chunk_us() + decode
+    }
+
+    /// Returns how many more prompt tokens the streams of `rank` and above can spare; streams that
+    /// are expected to be late in any case are left out.
+    pub fn spare_tokens(&self, now_us: Micros, rank: Rank) -> f64 {
+        let pending = self.queue_tokens(now_us, Rank::MAX);
+        let token_us = self.token_us(self.running() + 1);
+        let chunk_us = self.chunk_us();
+        let flights = self.flights.values().filter(|f| f.rank <= rank);
+        let spares = flights.filter_map(|f| {
+            let left = f64::from(f.left_tokens());
+            let waiting = if f.first_seen {
+                0.0
+            } else {
+                pending / CHUNK_TOKENS
+            };
+            let finish_us = left * token_us + waiting * chunk_us;
+            let spare_us = f.deadline_us as f64 - now_us as f64 - finish_us;
+            let most_us = left * chunk_us;
+            (0.0..most_us)
+                .contains(&spare_us)
+                .then(|| spare_us / chunk_us * CHUNK_TOKENS)
+        });
+        spares.fold(f64::INFINITY, f64::min)
     }
 
     /// Returns the time to the last token if the endpoint were idle, in microseconds.
@@ -153,36 +211,51 @@
     }
 
     /// Enters a grant in the ledger.
-    pub fn grant(&mut self, now_us: Micros, id: RequestId, uncached_tokens: u32) {
-        let prefill_us = self.prefill_us(uncached_tokens);
-        let start_us = self.prefill_free_us.max(now_us);
-        self.prefill_free_us = start_us + prefill_us as Micros;
+    pub fn grant(&mut self, now_us: Micros, granted: Granted) {
+        self.drain(now_us);
+        let rank = usize::from(granted.rank);
+        let queue = self.queue_tokens(now_us, granted.rank);
+        let tokens = f64::from(granted.uncached_tokens);
+        let first_us = (queue + tokens) / CHUNK_TOKENS * self.chunk_us();
+        self.pending_tokens[rank] += tokens;
         let flight = Flight {
-            granted_us: now_us,
-            prefill_us,
-            predicted_first_us: self.prefill_free_us,
-            queued_behind: start_us > now_us,
-            first_seen: false,
+            predicted_first_us: now_us + first_us as Micros,
+            queued_behind: queue > 0.0,
+            uncached_tokens: tokens,
+            ..self.flight(now_us, granted)
         };
-        if self.flights.insert(id, flight).is_none() {
-            self.awaiting_first += 1;
+        if self.flights.insert(granted.id, flight).is_none() {
+            self.awaiting_first[rank] += 1;
         }
     }
 
     /// Enters a request that an entry reports as running, after a change of leader.
-    pub fn adopt(&mut self, now_us: Micros, id: RequestId) {
+    pub fn adopt(&mut self, now_us: Micros, granted: Granted) {
         let flight = Flight {
-            granted_us: now_us,
-            prefill_us: 0.0,
-            predicted_first_us: now_us,
             queued_behind: true,
             first_seen: true,
+            ..self.flight(now_us, granted)
         };
-        self.flights.insert(id, flight);
+        self.flights.insert(granted.id, flight);
+    }
+
+    fn flight(&self, now_us: Micros, granted: Granted) -> Flight {
+        Flight {
+            granted_us: now_us,
+            rank: granted.rank,
+            deadline_us: granted.deadline_us,
+            uncached_tokens: 0.0,
+            predicted_first_us: now_us,
+            queued_behind: false,
+            first_seen: false,
+            output_tokens: granted.output_tokens,
+            seen_tokens: 0,
+        }
     }
 
     /// Learns from a first token.
     pub fn first_token(&mut self, now_us: Micros, id: RequestId) {
+        self.drain(now_us);
         let Some(flight) = self.flights.get_mut(&id) else {
             return;
         };
@@ -190,37 +263,39 @@
             return;
         }
         flight.first_seen = true;
+        flight.seen_tokens = 1;
         let flight = *flight;
-        self.awaiting_first -= 1;
+        self.awaiting_first[usize::from(flight.rank)] -= 1;
         self.observed_us = now_us;
         let took = now_us.saturating_sub(flight.granted_us) as f64;
         let planned = flight
             .predicted_first_us
             .saturating_sub(flight.granted_us)
             .max(1) as f64;
-        if flight.prefill_us > 1_000.0 && !flight.queued_behind {
+        if flight.uncached_tokens > CHUNK_TOKENS {
             let ratio = self.prefill_ratio * (took / planned).clamp(0.2, 5.0);
-            self.prefill_ratio = blend(self.prefill_ratio, ratio, PREFILL_GAIN);
+            let share = if flight.queued_behind { 0.3 } else { 1.0 };
+            self.prefill_ratio = blend(self.prefill_ratio, ratio, PREFILL_GAIN * share);
         }
-        self.correct_prefill_queue(now_us, flight.predicted_first_us);
+        self.correct_queue(now_us, &flight);
     }
 
     /// Learns from `tokens` output tokens that took `span_us`.
     pub fn progress(&mut self, now_us: Micros, id: RequestId, tokens: u32, span_us: Micros) {
-        if tokens == 0 || !self.flights.contains_key(&id) {
+        self.drain(now_us);
+        let Some(flight) = self.flights.get_mut(&id).filter(|_| tokens > 0) else {
             return;
-        }
+        };
+        flight.seen_tokens += tokens;
         self.observed_us = now_us;
         let batch = self.running();
         let class = self.class(batch);
         let ratio = span_us as f64 / f64::from(tokens) / self.prior_token_us(batch);
         let gain = (DECODE_GAIN * f64::from(tokens) / 16.0).min(0.5);
-        self.decode_ratio[class] = blend(self.decode_ratio[class], ratio, gain);
-        // One slow class says the engine is slow: let the others follow at a distance.
-        for other in 0..OCCUPANCY_CLASSES {
-            if other != class {
-                self.decode_ratio[other] = blend(self.decode_ratio[other], ratio, gain / 4.0);
-            }
+        for (other, known) in self.decode_ratio.iter_mut().enumerate() {
+            // One slow class says the engine is slow: the others follow at a distance.
+            let gain = if other == class { gain } else { gain / 4.0 };
+            *known = blend(*known, ratio, gain);
         }
     }
 
@@ -230,10 +305,8 @@
             return false;
         };
         if !flight.first_seen {
-            self.awaiting_first -= 1;
-        }
-        if self.awaiting_first == 0 {
-            self.prefill_free_us = self.prefill_free_us.min(now_us);
+            self.awaiting_first[usize::from(flight.rank)] -= 1;
+            self.correct_queue(now_us, &flight);
         }
         true
     }
@@ -251,6 +324,7 @@
     /// Notices first tokens that are overdue, before any report says so; lets a slow mark fade
     /// once nothing has been seen for a while.
     pub fn tick(&mut self, now_us: Micros, since_us: Micros) {
+        self.drain(now_us);
         let overdue = self
             .flights
             .values()
@@ -299,18 +373,64 @@
         self.spec.decode_step_us * (1.0 + BATCH_SLOWDOWN * occupancy)
     }
 
-    fn correct_prefill_queue(&mut self, now_us: Micros, predicted_us: Micros) {
-        if self.awaiting_first == 0 {
-            self.prefill_free_us = now_us;
-        } else if predicted_us > now_us {
-            let early = predicted_us - now_us;
-            self.prefill_free_us = self.prefill_free_us.saturating_sub(early).max(now_us);
-        } else {
-            self.prefill_free_us += now_us - predicted_us;
+    /// Returns the time in which an engine computes a chunk of a prompt, in microseconds.
+    fn chunk_us(&self) -> f64 {
+        CHUNK_TOKENS * 1e6 / self.spec.prefill_tokens_per_s * self.prefill_ratio
+    }
+
+    /// Returns how many prompt tokens an engine computes in a microsecond while it has any.
+    fn drain_rate(&self) -> f64 {
+        CHUNK_TOKENS / self.chunk_us()
+    }
+
+    /// Returns the prompt tokens that an engine computes before those of a new request of `rank`.
+    fn queue_tokens(&self, now_us: Micros, rank: Rank) -> f64 {
+        let tiers = (usize::from(rank) + 1).min(MAX_TIERS);
+        let pending: f64 = self.pending_tokens[..tiers].iter().sum();
+        if pending <= 0.0 {
+            return 0.0;
+        }
+        let since_us = now_us.saturating_sub(self.drained_us) as f64;
+        (pending - since_us * self.drain_rate()).max(0.0)
+    }
+
+    /// Takes off the pending tokens what was computed meanwhile, the highest tier's first.
+    fn drain(&mut self, now_us: Micros) {
+        let since_us = now_us.saturating_sub(self.drained_us) as f64;
+        let mut done = since_us * self.drain_rate();
+        self.drained_us = now_us;
+        for pending in &mut self.pending_tokens {
+            let part = pending.min(done);
+            *pending -= part;
+            done -= part;
+        }
+    }
+
+    /// A first token was seen, or its request is gone: what was pending for it is no longer.
+    fn correct_queue(&mut self, now_us: Micros, flight: &Flight) {
+        self.drain(now_us);
+        let rank = usize::from(flight.rank);
+        if self.awaiting_first[rank] == 0 {
+            self.pending_tokens[rank] = 0.0;
+        } else if flight.predicted_first_us > now_us {
+            let early_us = (flight.predicted_first_us - now_us) as f64;
+            let early = (early_us * self.drain_rate()).min(flight.uncached_tokens);
+            let pending = &mut self.pending_tokens[rank];
+            *pending = (*pending - early).max(0.0);
         }
     }
 }
 
+impl Flight {
+    /// Returns the tokens still expected; one that passed its expected length goes on for a while.
+    fn left_tokens(&self) -> u32 {
+        let passed = self.seen_tokens / 4;
+        self.output_tokens
+            .saturating_sub(self.seen_tokens)
+            .max(passed)
+    }
+}
+
 fn overdue_factor(flight: &Flight, now_us: Micros) -> Option<f64> {
     let planned = flight.predicted_first_us.saturating_sub(flight.granted_us);
     let waited = now_us.saturating_sub(flight.granted_us);
--- a/src/core/prefix.rs
+++ b/src/core/prefix.rs
@@ -1,9 +1,14 @@
 //! Which endpoint holds which prompt blocks, bounded and fed by grants and cache events.
 
-use std::collections::{HashMap, VecDeque};
+use std::{
+    collections::{HashMap, VecDeque},
+    hash::{BuildHasherDefault, Hasher},
+};
 
 use serde::{Deserialize, Serialize};
 
+const WORD_BITS: usize = u64::BITS as usize;
+
 /// What an endpoint says of its prefix cache, with a sequence number.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CacheEvent {
@@ -17,10 +22,34 @@
     pub evicted: Vec<u64>,
 }
 
+/// Takes a block's hash as it is: it is one already.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BlockHasher(u64);
+
+impl Hasher for BlockHasher {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.0 = self.0.rotate_left(8) ^ u64::from(*byte);
+        }
+    }
+
+    fn write_u64(&mut self, block: u64) {
+        // Spread the low bits too: a caller may choose its prompt, and so the hash.
+        self.0 = block.wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(29);
+    }
+}
+
+/// A map from blocks.
+type BlockMap<V> = HashMap<u64, V, BuildHasherDefault<BlockHasher>>;
+
 /// The blocks believed to be cached at one endpoint.
 #[derive(Clone, Debug, Default)]
 struct Held {
-    blocks: HashMap<u64, u64>,
+    blocks: BlockMap<u64>,
     order: VecDeque<(u64, u64)>,
     stamp: u64,
     next_seq: Option<u64>,
@@ -34,7 +63,8 @@
 pub struct PrefixMap {
     endpoints: Vec<Held>,
     capacity_blocks: Vec<usize>,
-    holders: HashMap<u64, Vec<u32>>,
+    /// For each block a bit for each endpoint.
+    holders: BlockMap<Vec<u64>>,
 }
 
 impl PrefixMap {
@@ -53,9 +83,29 @@
         prefix.iter().take_while(|b| held.contains_key(b)).count()
     }
 
-    /// Returns the endpoints that hold the block, at least in part of them.
-    pub fn holders(&self, block: u64) -> &[u32] {
-        self.holders.get(&block).map_or(&[], Vec::as_slice)
+    /// Writes to `depths` how many leading blocks of `prefix` each endpoint holds.
+    pub fn cached_at_all(&self, prefix: &[u64], depths: &mut Vec<u32>) {
+        depths.clear();
+        depths.resize(self.endpoints.len(), 0);
+        let words = self.endpoints.len().div_ceil(WORD_BITS);
+        let mut alive = [u64::MAX; MAX_WORDS];
+        let alive = &mut alive[..words.min(MAX_WORDS)];
+        for (index, block) in prefix.iter().enumerate() {
+            let Some(holders) = self.holders.get(block) else {
+                break;
+            };
+            let mut any = 0;
+            for (word, bits) in alive.iter_mut().enumerate() {
+                *bits &= holders.get(word).copied().unwrap_or(0);
+                any |= *bits;
+                for_each_bit(*bits, |bit| {
+                    depths[word * WORD_BITS + bit] = index as u32 + 1;
+                });
+            }
+            if any == 0 {
+                break;
+            }
+        }
     }
 
     /// Takes note that the endpoint works on `prefix` and will hold it.
@@ -94,7 +144,12 @@
         let stamp = held.stamp;
         held.order.push_back((block, stamp));
         if held.blocks.insert(block, stamp).is_none() {
-            self.holders.entry(block).or_default().push(endpoint as u32);
+            let holders = self.holders.entry(block).or_default();
+            let word = endpoint / WORD_BITS;
+            if holders.len() <= word {
+                holders.resize(word + 1, 0);
+            }
+            holders[word] |= 1 << (endpoint % WORD_BITS);
         }
         self.evict_over_capacity(endpoint);
     }
@@ -130,11 +185,21 @@
     }
 
     fn drop_holder(&mut self, block: u64, endpoint: usize) {
-        if let Some(list) = self.holders.get_mut(&block) {
-            list.retain(|e| *e as usize != endpoint);
-            if list.is_empty() {
+        if let Some(holders) = self.holders.get_mut(&block) {
+            holders[endpoint / WORD_BITS] &= !(1 << (endpoint % WORD_BITS));
+            if holders.iter().all(|word| *word == 0) {
                 self.holders.remove(&block);
             }
         }
     }
 }
+
+/// Endpoints beyond this many words of bits are taken as holding nothing.
+const MAX_WORDS: usize = 64;
+
+fn for_each_bit(mut bits: u64, mut each: impl FnMut(usize)) {
+    while bits != 0 {
+        each(bits.trailing_zeros() as usize);
+        bits &= bits - 1;
+    }
+}
--- a/src/core/scheduler.rs
+++ b/src/core/scheduler.rs
@@ -1,11 +1,14 @@
 //! Decides for one pool: which request runs where, which waits and which is refused.
 
-use std::collections::{BTreeMap, HashMap};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    ops::Bound,
+};
 
 use serde::{Deserialize, Serialize};
 
 use crate::core::{
-    endpoint::{EndpointModel, EndpointSpec, LoadReport},
+    endpoint::{EndpointModel, EndpointSpec, Granted, LoadReport},
     length::LengthModel,
     prefix::{CacheEvent, PrefixMap},
     queue::{OrderKey, OrgIndex, TierQueue},
@@ -15,10 +18,12 @@
 
 /// How many waiting requests of a tier one decision looks at.
 const CANDIDATES: usize = 24;
-/// How many requests that look hopeless are looked at again on each tick, per tier.
+/// How many requests that were set aside are looked at again on each tick, per tier.
 const RECHECKS_PER_TICK: usize = 32;
+/// Share of answers that are no longer than the length against which a placement's risk is taken.
+const LONG_QUANTILE: f32 = 0.92;
 /// How far ahead of its first token's queue an endpoint may be granted prompt work.
-const PREFILL_AHEAD_US: Micros = 120_000;
+const PREFILL_AHEAD_US: f64 = 120_000.0;
 
 /// The settings of the policy; each rule can be turned off for the ablation table.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -40,10 +45,16 @@
     pub fair_shares: bool,
     /// Keeps room before events.
     pub event_room: bool,
+    /// Grants no prompt work that running streams cannot spare.
+    pub protect_streams: bool,
     /// Puts short requests before long ones of like deadline.
     pub short_first: bool,
     /// Share of answers that the predicted length covers when a grant is checked.
     pub length_quantile: f32,
+    /// How much prompt work weighs against time, at even weights of the two measures.
+    pub affinity_weight: f64,
+    /// How much a long answer's lateness weighs against time.
+    pub risk_weight: f64,
     /// How much a request's own work counts against it in the order, in deadline time.
     pub work_weight: f64,
     /// How far one organisation may run ahead of the others, in microseconds of work.
@@ -67,10 +78,13 @@
             predict_length: true,
             fair_shares: true,
             event_room: true,
+            protect_streams: true,
             short_first: true,
             length_quantile: 0.6,
-            work_weight: 4.0,
-            fair_slack_us: 20_000_000,
+            affinity_weight: 4.0,
+            risk_weight: 2.0,
+            work_weight: 16.0,
+            fair_slack_us: 400_000_000,
             max_waiting: 20_000,
             prior_output_tokens: 200,
             block_tokens: 256,
@@ -185,6 +199,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Place {
     Waiting,
+    /// Waits too, but is not expected to be in time as things stand; looked at again in turn.
+    Aside,
+    /// Waits too, but could not be in time at an idle endpoint.
     Hopeless,
     Running(usize),
     Shedding,
@@ -198,10 +215,24 @@
     arrived_us: Micros,
     deadline_us: Micros,
     output_tokens: u32,
+    /// A length that few answers pass.
+    long_output_tokens: u32,
     key: OrderKey,
     place: Place,
 }
 
+impl Tracked {
+    fn granted(&self, uncached_tokens: u32) -> Granted {
+        Granted {
+            id: self.meta.id,
+            rank: self.meta.rank,
+            deadline_us: self.deadline_us,
+            uncached_tokens,
+            output_tokens: self.long_output_tokens,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Organisation {
     spec: OrgSpec,
@@ -239,7 +270,18 @@
 enum Choice {
     Grant(usize, u32),
     Hold,
-    Hopeless,
+    Aside(Prospect),
+}
+
+/// Whether a request can be in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Prospect {
+    /// Yes, as things stand.
+    Reachable,
+    /// Only if endpoints get free sooner than expected.
+    NotNow,
+    /// Not even at an idle endpoint.
+    Never,
 }
 
 /// The scheduler of one pool.
@@ -253,7 +295,10 @@
     prefixes: PrefixMap,
     lengths: LengthModel,
     tiers: Vec<TierQueue>,
-    hopeless: Vec<BTreeMap<OrderKey, ()>>,
+    aside: Vec<BTreeSet<OrderKey>>,
+    hopeless: Vec<BTreeSet<OrderKey>>,
+    /// Where the next look at what was set aside begins, by tier.
+    next_look: Vec<OrderKey>,
     requests: HashMap<RequestId, Tracked>,
     registrations: BTreeMap<Incarnation, Registration>,
     organisations: Vec<Organisation>,
@@ -264,6 +309,11 @@
     ticked_us: Micros,
     candidates: Vec<OrderKey>,
     rooms: Vec<usize>,
+    has_room: Vec<bool>,
+    spare_tokens: Vec<f64>,
+    cached_blocks: Vec<u32>,
+    /// Something changed since the last decision that may allow a grant or a shed.
+    dirty: bool,
 }
 
 impl Scheduler {
@@ -279,7 +329,9 @@
             prefixes: PrefixMap::default(),
             lengths,
             tiers: Vec::new(),
+            aside: Vec::new(),
             hopeless: Vec::new(),
+            next_look: Vec::new(),
             requests: HashMap::new(),
             registrations: BTreeMap::new(),
             organisations: Vec::new(),
@@ -290,14 +342,21 @@
             ticked_us: 0,
             candidates: Vec::new(),
             rooms: Vec::new(),
+            has_room: Vec::new(),
+            spare_tokens: Vec::new(),
+            cached_blocks: Vec::new(),
+            dirty: true,
         }
     }
 
     /// Takes a configuration; what is running goes on.
     pub fn configure(&mut self, spec: PoolSpec) {
+        self.dirty = true;
         let tiers = spec.tiers.max(self.tiers.len());
         self.tiers.resize_with(tiers, TierQueue::default);
-        self.hopeless.resize_with(tiers, BTreeMap::new);
+        self.aside.resize_with(tiers, BTreeSet::new);
+        self.hopeless.resize_with(tiers, BTreeSet::new);
+        self.next_look.resize(tiers, OrderKey::default());
         for known in &mut self.endpoints {
             if !spec.endpoints.iter().any(|e| e.name == known.spec.name) {
                 known.spec.draining = true;
@@ -325,6 +384,7 @@
 
     /// Takes an input; [`Scheduler::decide`] says what follows.
     pub fn handle(&mut self, now_us: Micros, input: Input) {
+        self.dirty |= !matches!(input, Input::Progress(..));
         match input {
             Input::Attach(registration) => self.attach(now_us, registration),
             Input::Add(registration, meta) => self.add(now_us, registration, meta),
@@ -344,8 +404,9 @@
         }
     }
 
-    /// Does what time alone brings: overdue first tokens, second looks at hopeless requests.
+    /// Does what time alone brings: overdue first tokens, second looks at what was set aside.
     pub fn tick(&mut self, now_us: Micros) {
+        self.dirty = true;
         let since_us = now_us.saturating_sub(self.ticked_us);
         self.ticked_us = now_us;
         if self.policy.learn_speed {
@@ -353,11 +414,14 @@
                 endpoint.tick(now_us, since_us);
             }
         }
-        self.recheck_hopeless(now_us);
+        self.look_again(now_us);
     }
 
     /// Appends all that can be decided now to `out`.
     pub fn decide(&mut self, now_us: Micros, out: &mut Vec<Action>) {
+        if !std::mem::take(&mut self.dirty) {
+            return;
+        }
         for rank in 0..self.tiers.len() {
             while !self.tiers[rank].is_empty() && self.grant_one(now_us, rank, out) {}
         }
@@ -383,7 +447,8 @@
 
     /// Returns the waiting requests.
     pub fn waiting(&self, now_us: Micros) -> impl Iterator<Item = WaitingView> + '_ {
-        let waits = |t: &&Tracked| matches!(t.place, Place::Waiting | Place::Hopeless);
+        let waits =
+            |t: &&Tracked| matches!(t.place, Place::Waiting | Place::Aside | Place::Hopeless);
         self.requests.values().filter(waits).map(move |t| {
             let waited_us = now_us.saturating_sub(t.arrived_us);
             WaitingView {
@@ -408,10 +473,10 @@
                  {left_ms} ms left; kept while a lower tier is kept, or until its deadline",
                 tracked.meta.prompt_tokens, tracked.output_tokens
             ),
-            Place::Waiting => {
+            Place::Waiting | Place::Aside => {
                 let room = self.endpoints.iter();
                 let room = room
-                    .filter(|e| e.has_room(now_us, PREFILL_AHEAD_US))
+                    .filter(|e| e.has_room(now_us, tracked.meta.rank, PREFILL_AHEAD_US))
                     .count();
                 let above: usize = (0..usize::from(tracked.meta.rank))
                     .map(|r| self.kept(r))
@@ -437,7 +502,7 @@
     }
 
     fn kept(&self, rank: usize) -> usize {
-        self.tiers[rank].len() + self.hopeless[rank].len()
+        self.tiers[rank].len() + self.aside[rank].len() + self.hopeless[rank].len()
     }
 
     fn set_endpoint(&mut self, spec: &EndpointSpec) {
@@ -493,7 +558,8 @@
         let organisation = self.org_index(&meta.organisation);
         let arrived_us = now_us.saturating_sub(meta.waited_us);
         let deadline_us = now_us + meta.remaining_us;
-        let output_tokens = self.predict_length(&meta);
+        let output_tokens = self.predict_length(&meta, self.policy.length_quantile);
+        let long_output_tokens = self.predict_length(&meta, LONG_QUANTILE);
         let work_us = self.work_us(&meta, output_tokens);
         let weight = if self.policy.short_first {
             self.policy.work_weight
@@ -507,15 +573,15 @@
             arrived_us,
             deadline_us,
             output_tokens,
+            long_output_tokens,
             key: (order, meta.id),
             place: Place::Waiting,
             meta,
         }
     }
 
-    fn predict_length(&self, meta: &RequestMeta) -> u32 {
+    fn predict_length(&self, meta: &RequestMeta, q: f32) -> u32 {
         let predicted = if self.policy.predict_length {
-            let q = self.policy.length_quantile;
             self.lengths
                 .predict(&meta.organisation, meta.rank, meta.prompt_tokens, q)
         } else {
@@ -561,7 +627,7 @@
         }
         let mut tracked = self.track(now_us, registration, meta);
         tracked.place = Place::Running(index);
-        self.endpoints[index].adopt(now_us, tracked.meta.id);
+        self.endpoints[index].adopt(now_us, tracked.granted(0));
         self.organisations[tracked.organisation].running += 1;
         self.requests.insert(tracked.meta.id, tracked);
     }
@@ -575,6 +641,9 @@
             Place::Waiting => {
                 self.tiers[rank].remove(tracked.organisation, tracked.key);
             }
+            Place::Aside => {
+                self.aside[rank].remove(&tracked.key);
+            }
             Place::Hopeless => {
                 self.hopeless[rank].remove(&tracked.key);
             }
@@ -597,9 +666,8 @@
             self.release(now_us, endpoint, &tracked);
         }
         let rank = usize::from(tracked.meta.rank);
-        if tracked.place == Place::Hopeless {
-            self.hopeless[rank].remove(&tracked.key);
-        }
+        self.aside[rank].remove(&tracked.key);
+        self.hopeless[rank].remove(&tracked.key);
         tracked.place = Place::Waiting;
         self.tiers[rank].insert(tracked.organisation, tracked.key);
         self.requests.insert(id, tracked);
@@ -667,7 +735,7 @@
     }
 
     fn grant_one(&mut self, now_us: Micros, rank: usize, out: &mut Vec<Action>) -> bool {
-        self.find_rooms(now_us);
+        self.find_rooms(now_us, rank as Rank);
         if self.rooms.is_empty() {
             return false;
         }
@@ -675,13 +743,14 @@
         self.list_candidates(rank, &mut candidates);
         let mut granted = false;
         for &(order, id) in &candidates {
+            self.look_up_cached(id);
             match self.choose(now_us, &self.requests[&id]) {
                 Choice::Grant(endpoint, uncached) => {
                     self.grant(now_us, id, endpoint, uncached, out);
                     granted = true;
                     break;
                 }
-                Choice::Hopeless => self.set_aside(rank, (order, id)),
+                Choice::Aside(prospect) => self.set_aside(rank, (order, id), prospect),
                 Choice::Hold => {}
             }
         }
@@ -689,10 +758,20 @@
         granted
     }
 
-    fn find_rooms(&mut self, now_us: Micros) {
+    fn find_rooms(&mut self, now_us: Micros, rank: Rank) {
         self.rooms.clear();
+        self.has_room.clear();
+        self.spare_tokens.clear();
         for (index, endpoint) in self.endpoints.iter().enumerate() {
-            if endpoint.has_room(now_us, PREFILL_AHEAD_US) {
+            let has_room = endpoint.has_room(now_us, rank, PREFILL_AHEAD_US);
+            self.has_room.push(has_room);
+            let spare = if has_room {
+                endpoint.spare_tokens(now_us, rank)
+            } else {
+                0.0
+            };
+            self.spare_tokens.push(spare);
+            if has_room {
                 self.rooms.push(index);
             }
         }
@@ -721,18 +800,30 @@
                 continue;
             }
             let uncached = self.uncached_tokens(index, &tracked.meta);
-            let finish_us =
-                self.endpoints[index].finish_us(now_us, uncached, tracked.output_tokens);
+            let finish_us = self.endpoints[index].finish_us(
+                now_us,
+                tracked.meta.rank,
+                uncached,
+                tracked.output_tokens,
+            );
             if self.policy.deadline_check && finish_us > left_us {
                 continue;
             }
-            let cost = self.cost(index, finish_us, uncached);
+            if self.policy.protect_streams && !self.is_spared(index, uncached) {
+                continue;
+            }
+            let long_us = self.finish_if_long(now_us, tracked, index, uncached);
+            let over_us = (long_us - left_us).max(0.0);
+            let cost = self.cost(index, finish_us, uncached) + over_us * self.policy.risk_weight;
             if best.is_none_or(|(least, ..)| cost < least) {
                 best = Some((cost, index, uncached));
             }
         }
         let Some((cost, index, uncached)) = best else {
-            return self.hold_or_give_up(tracked, left_us);
+            return match self.prospect(now_us, tracked, left_us) {
+                Prospect::Reachable => Choice::Hold,
+                prospect => Choice::Aside(prospect),
+            };
         };
         if self.policy.prefix_affinity && self.better_to_wait(now_us, tracked, cost, left_us) {
             return Choice::Hold;
@@ -740,57 +831,86 @@
         Choice::Grant(index, uncached)
     }
 
+    /// Looks up where the request's prefix is held, for [`Scheduler::uncached_tokens`].
+    fn look_up_cached(&mut self, id: RequestId) {
+        if let Some(tracked) = self.requests.get(&id) {
+            let prefix = &tracked.meta.prefix;
+            self.prefixes.cached_at_all(prefix, &mut self.cached_blocks);
+        }
+    }
+
     fn uncached_tokens(&self, endpoint: usize, meta: &RequestMeta) -> u32 {
         if !self.policy.prefix_affinity {
             return meta.prompt_tokens;
         }
-        let blocks = self.prefixes.cached_blocks(endpoint, &meta.prefix) as u32;
+        let blocks = self.cached_blocks.get(endpoint).copied().unwrap_or(0);
         meta.prompt_tokens
             .saturating_sub(blocks * self.policy.block_tokens)
             .max(1)
     }
 
+    /// Returns whether the endpoint's streams, of this tier and above, can spare the prompt work.
+    fn is_spared(&self, index: usize, uncached: u32) -> bool {
+        f64::from(uncached) <= self.spare_tokens[index]
+    }
+
+    fn finish_if_long(
+        &self,
+        now_us: Micros,
+        tracked: &Tracked,
+        index: usize,
+        uncached: u32,
+    ) -> f64 {
+        let tokens = tracked.long_output_tokens;
+        self.endpoints[index].finish_us(now_us, tracked.meta.rank, uncached, tokens)
+    }
+
     /// Returns what a placement costs: time to the end, and prompt work weighed by what it takes
     /// from others and by the configured weight of wasted prefill.
     fn cost(&self, endpoint: usize, finish_us: f64, uncached: u32) -> f64 {
         let prefill_us = self.endpoints[endpoint].prefill_us(uncached);
         let ratio = self.policy.wasted_prefill_weight / self.policy.goodput_weight.max(0.01);
-        finish_us + prefill_us * (1.0 + 4.0 * ratio)
+        finish_us + prefill_us * (1.0 + self.policy.affinity_weight * ratio)
     }
 
     /// Returns whether an endpoint that holds the prefix but has no room now is worth waiting for.
     fn better_to_wait(&self, now_us: Micros, tracked: &Tracked, cost: f64, left_us: f64) -> bool {
-        let Some(&first) = tracked.meta.prefix.first() else {
-            return false;
-        };
         let service_us = self.typical_service_us;
-        self.prefixes.holders(first).iter().any(|&holder| {
-            let index = holder as usize;
-            let endpoint = &self.endpoints[index];
-            if endpoint.spec.draining || self.rooms.contains(&index) {
+        self.endpoints.iter().enumerate().any(|(index, endpoint)| {
+            let holds = self.cached_blocks[index] > 0;
+            if !holds || endpoint.spec.draining || self.has_room[index] {
                 return false;
             }
             let uncached = self.uncached_tokens(index, &tracked.meta);
-            let wait_us = endpoint.wait_us(now_us, service_us);
-            let finish_us = wait_us + endpoint.idle_finish_us(uncached, tracked.output_tokens);
+            let wait_us = endpoint.slot_wait_us(service_us);
+            let finish_us = wait_us
+                + endpoint.finish_us(now_us, tracked.meta.rank, uncached, tracked.output_tokens);
             finish_us * 1.3 < left_us && self.cost(index, finish_us, uncached) < cost
         })
     }
 
-    fn hold_or_give_up(&self, tracked: &Tracked, left_us: f64) -> Choice {
+    fn prospect(&self, now_us: Micros, tracked: &Tracked, left_us: f64) -> Prospect {
         if !self.policy.deadline_check {
-            return Choice::Hold;
+            return Prospect::Reachable;
         }
-        let reachable = self.endpoints.iter().enumerate().any(|(index, endpoint)| {
+        let mut prospect = Prospect::Never;
+        let output_tokens = tracked.output_tokens;
+        for (index, endpoint) in self.endpoints.iter().enumerate() {
+            if endpoint.spec.draining {
+                continue;
+            }
             let uncached = self.uncached_tokens(index, &tracked.meta);
-            let idle_us = endpoint.idle_finish_us(uncached, tracked.output_tokens);
-            !endpoint.spec.draining && idle_us <= left_us
-        });
-        if reachable {
-            Choice::Hold
-        } else {
-            Choice::Hopeless
+            if endpoint.idle_finish_us(uncached, output_tokens) > left_us {
+                continue;
+            }
+            prospect = Prospect::NotNow;
+            let wait_us = endpoint.slot_wait_us(self.typical_service_us);
+            let finish_us = endpoint.finish_us(now_us, tracked.meta.rank, uncached, output_tokens);
+            if wait_us + finish_us <= left_us {
+                return Prospect::Reachable;
+            }
         }
+        prospect
     }
 
     /// Returns whether a request of a lower tier leaves the room that an event is kept.
@@ -809,7 +929,8 @@
                 return true;
             }
             let uncached = self.uncached_tokens(index, &tracked.meta);
-            let finish_us = endpoint.finish_us(now_us, uncached, tracked.output_tokens);
+            let finish_us =
+                endpoint.finish_us(now_us, tracked.meta.rank, uncached, tracked.output_tokens);
             now_us + finish_us as u64 <= event.starts_us
         })
     }
@@ -829,7 +950,7 @@
         tracked.place = Place::Running(endpoint);
         self.tiers[rank].remove(tracked.organisation, tracked.key);
         let model = &mut self.endpoints[endpoint];
-        model.grant(now_us, id, uncached);
+        model.grant(now_us, tracked.granted(uncached));
         self.prefixes.touch(endpoint, &tracked.meta.prefix);
         let organisation = &mut self.organisations[tracked.organisation];
         organisation.running += 1;
@@ -845,32 +966,47 @@
         });
     }
 
-    fn set_aside(&mut self, rank: usize, key: OrderKey) {
-        if let Some(tracked) = self.requests.get_mut(&key.1) {
+    fn set_aside(&mut self, rank: usize, key: OrderKey, prospect: Prospect) {
+        let Some(tracked) = self.requests.get_mut(&key.1) else {
+            return;
+        };
+        self.tiers[rank].remove(tracked.organisation, key);
+        self.aside[rank].remove(&key);
+        self.hopeless[rank].remove(&key);
+        if prospect == Prospect::Never {
             tracked.place = Place::Hopeless;
-            self.tiers[rank].remove(tracked.organisation, key);
-            self.hopeless[rank].insert(key, ());
+            self.hopeless[rank].insert(key);
+        } else {
+            tracked.place = Place::Aside;
+            self.aside[rank].insert(key);
         }
     }
 
-    fn recheck_hopeless(&mut self, now_us: Micros) {
-        for rank in 0..self.hopeless.len() {
-            let keys: Vec<OrderKey> = self.hopeless[rank]
-                .keys()
-                .rev()
-                .take(RECHECKS_PER_TICK)
-                .copied()
-                .collect();
-            for key in keys {
+    fn look_again(&mut self, now_us: Micros) {
+        for rank in 0..self.aside.len() {
+            for key in self.next_looks(rank) {
+                self.look_up_cached(key.1);
                 let tracked = &self.requests[&key.1];
                 let left_us = tracked.deadline_us.saturating_sub(now_us) as f64;
-                if matches!(self.hold_or_give_up(tracked, left_us), Choice::Hold) {
-                    self.returned(now_us, key.1);
+                match self.prospect(now_us, tracked, left_us) {
+                    Prospect::Reachable => self.returned(now_us, key.1),
+                    prospect => self.set_aside(rank, key, prospect),
                 }
             }
         }
     }
 
+    /// Returns the next few requests of those set aside, in turn.
+    fn next_looks(&mut self, rank: usize) -> Vec<OrderKey> {
+        let from = self.next_look[rank];
+        let aside = self.aside[rank].range((Bound::Excluded(from), Bound::Unbounded));
+        let mut keys: Vec<OrderKey> = aside.take(RECHECKS_PER_TICK).copied().collect();
+        // Back to the start at the end of the round; endpoints that recover may save the hopeless.
+        self.next_look[rank] = keys.last().copied().unwrap_or_default();
+        keys.extend(self.hopeless[rank].iter().next_back());
+        keys
+    }
+
     /// Sheds what was given up and what is over the limit, lowest tier first.
     fn shed(&mut self, now_us: Micros, out: &mut Vec<Action>) {
         let Some(rank) = (0..self.tiers.len()).rev().find(|r| self.kept(*r) > 0) else {
@@ -887,7 +1023,7 @@
             }
             return;
         }
-        while let Some((key, ())) = self.hopeless[rank].pop_first() {
+        while let Some(key) = self.hopeless[rank].pop_first() {
             self.shed_one(key.1, ShedReason::DeadlineUnreachable, out);
         }
         let left = waiting - (waiting - self.total_kept());
--- a/src/replay/baseline.rs
+++ b/src/replay/baseline.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     core::{
-        endpoint::{EndpointModel, LoadReport},
+        endpoint::{EndpointModel, Granted, LoadReport},
         length::LengthModel,
         scheduler::{Action, Input, PoolSpec},
     },
@@ -71,7 +71,7 @@
             Input::Add(registration, meta) => self.add(now_us, registration, meta),
             Input::Adopt(_, meta, endpoint) => {
                 if let Some(index) = self.index(&endpoint) {
-                    self.endpoints[index].adopt(now_us, meta.id);
+                    self.endpoints[index].adopt(now_us, granted(now_us, &meta));
                     self.running.insert(meta.id, (index, meta));
                 }
             }
@@ -217,7 +217,7 @@
         let Waiting {
             registration, meta, ..
         } = waiting;
-        self.endpoints[index].grant(now_us, meta.id, meta.prompt_tokens);
+        self.endpoints[index].grant(now_us, granted(now_us, &meta));
         out.push(Action::Grant {
             registration,
             id: meta.id,
@@ -227,3 +227,13 @@
         self.running.insert(meta.id, (index, meta));
     }
 }
+
+fn granted(now_us: Micros, meta: &RequestMeta) -> Granted {
+    Granted {
+        id: meta.id,
+        rank: meta.rank,
+        deadline_us: now_us + meta.remaining_us,
+        uncached_tokens: meta.prompt_tokens,
+        output_tokens: 0,
+    }
+}
--- a/src/replay/engine.rs
+++ b/src/replay/engine.rs
@@ -26,9 +26,12 @@
     pub prompt_tokens: u32,
     /// Length of its answer.
     pub output_tokens: u32,
+    begun: bool,
     prefill_left: u32,
     computed: u32,
     made: u32,
+    /// Its place in the order of admission.
+    admitted: u64,
 }
 
 impl Job {
@@ -46,9 +49,11 @@
             prefix,
             prompt_tokens,
             output_tokens,
+            begun: false,
             prefill_left: 0,
             computed: 0,
             made: 0,
+            admitted: 0,
         }
     }
 }
@@ -81,6 +86,7 @@
     cache: Cache,
     events: VecDeque<CacheEvent>,
     event_seq: u64,
+    admissions: u64,
 }
 
 impl Engine {
@@ -99,6 +105,7 @@
             cache,
             events: VecDeque::new(),
             event_seq: 0,
+            admissions: 0,
         }
     }
 
@@ -134,13 +141,7 @@
         if self.batch.is_empty() {
             return None;
         }
-        let mut budget = CHUNK_TOKENS;
-        self.chunks.clear();
-        for job in &self.batch {
-            let chunk = job.prefill_left.min(budget);
-            budget -= chunk;
-            self.chunks.push(chunk);
-        }
+        let budget = self.share_chunk();
         self.stepping = true;
         let occupancy = self.batch.len() as f64 / f64::from(self.spec.slots);
         let decode_us = self.spec.decode_step_us * (1.0 + self.spec.batch_slope * occupancy);
@@ -149,6 +150,31 @@
         Some(now_us + ((decode_us + prefill_us) * self.slow) as Micros)
     }
 
+    /// Gives the step's prompt work to the highest tiers first; returns what is left of it.
+    fn share_chunk(&mut self) -> u32 {
+        let mut budget = CHUNK_TOKENS;
+        self.chunks.clear();
+        self.chunks.resize(self.batch.len(), 0);
+        let mut order: Vec<usize> = (0..self.batch.len()).collect();
+        order.sort_by_key(|index| (self.batch[*index].rank, self.batch[*index].admitted));
+        for index in order {
+            if budget == 0 {
+                break;
+            }
+            let job = &mut self.batch[index];
+            if !job.begun {
+                // Looked up when its own turn comes, after the prompts ahead of it.
+                job.begun = true;
+                let cached = self.cache.leading(&job.prefix) as u32 * self.block_tokens;
+                job.prefill_left = job.prompt_tokens.saturating_sub(cached).max(1);
+            }
+            let chunk = job.prefill_left.min(budget);
+            budget -= chunk;
+            self.chunks[index] = chunk;
+        }
+        budget
+    }
+
     /// Ends the step that is under way.
     pub fn end_step(&mut self, computed: &mut Computed, out: &mut Vec<StepEvent>) {
         if !self.stepping {
@@ -161,7 +187,7 @@
             job.prefill_left -= chunk;
             job.computed += chunk;
             computed.total += u64::from(*chunk);
-            if job.prefill_left > 0 {
+            if !job.begun || job.prefill_left > 0 {
                 continue;
             }
             job.made += 1;
@@ -202,8 +228,8 @@
             let Some(mut job) = self.queue.pop_front() else {
                 return;
             };
-            let cached = self.cache.leading(&job.prefix) as u32 * self.block_tokens;
-            job.prefill_left = job.prompt_tokens.saturating_sub(cached).max(1);
+            self.admissions += 1;
+            job.admitted = self.admissions;
             self.batch.push(job);
         }
     }
--- a/src/replay/outcome.rs
+++ b/src/replay/outcome.rs
@@ -36,6 +36,10 @@
     pub tiers: Vec<TierOutcome>,
     /// Prompt work thrown away or computed twice, in tokens.
     pub wasted_prefill_tokens: u64,
+    /// Of it, computed for answers that were not whole and in time.
+    pub thrown_away_tokens: u64,
+    /// Of it, blocks computed more than once.
+    pub computed_again_tokens: u64,
     /// Prompt work, in tokens.
     pub prefill_tokens: u64,
     /// The least prompt work for the requests that it answered in time, in tokens.
--- a/src/replay/run.rs
+++ b/src/replay/run.rs
@@ -725,6 +725,8 @@
             policy: self.policy.name().to_owned(),
             tiers: self.tiers,
             wasted_prefill_tokens: self.thrown_away + self.computed.again,
+            thrown_away_tokens: self.thrown_away,
+            computed_again_tokens: self.computed.again,
             prefill_tokens: self.computed.total,
             prefill_tokens_min_of_answered: bound::least_prefill(&self.trace.header, answered),
             violations: breaches.len() as u64,
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -275,6 +275,8 @@
         return None;
     }
     let mut prefill_budget = PREFILL_CHUNK_TOKENS;
+    // Prompts of higher priority first; within one, in the order of their coming.
+    state.batch.sort_by_key(|job| job.priority);
     for job in &mut state.batch {
         let chunk = job.prefill_left.min(prefill_budget);
         prefill_budget -= chunk;
