--- a/src/core/scheduler.rs
+++ b/src/core/scheduler.rs
@@ -81,8 +81,8 @@
             protect_streams: true,
             short_first: true,
             length_quantile: 0.6,
-            affinity_weight: 4.0,
-            risk_weight: 2.0,
+            affinity_weight: 1.0,
+            risk_weight: 1.0,
             work_weight: 16.0,
             fair_slack_us: 400_000_000,
             max_waiting: 20_000,
@@ -814,7 +814,7 @@
             }
             let long_us = self.finish_if_long(now_us, tracked, index, uncached);
             let over_us = (long_us - left_us).max(0.0);
-            let cost = self.cost(index, finish_us, uncached) + over_us * self.policy.risk_weight;
+            let cost = self.cost(index, finish_us, left_us, uncached) + over_us * self.policy.risk_weight;
             if best.is_none_or(|(least, ..)| cost < least) {
                 best = Some((cost, index, uncached));
             }
@@ -867,10 +867,12 @@
 
     /// Returns what a placement costs: time to the end, and prompt work weighed by what it takes
     /// from others and by the configured weight of wasted prefill.
-    fn cost(&self, endpoint: usize, finish_us: f64, uncached: u32) -> f64 {
+    fn cost(&self, endpoint: usize, finish_us: f64, left_us: f64, uncached: u32) -> f64 {
         let prefill_us = self.endpoints[endpoint].prefill_us(uncached);
         let ratio = self.policy.wasted_prefill_weight / self.policy.goodput_weight.max(0.01);
-        finish_us + prefill_us * (1.0 + self.policy.affinity_weight * ratio)
+        // An early end is worth nothing by itself: time weighs only as the deadline comes near.
+        let urgency = (finish_us / left_us.max(1.0)).min(1.0);
+        finish_us * urgency + prefill_us * (1.0 + self.policy.affinity_weight * ratio)
     }
 
     /// Returns whether an endpoint that holds the prefix but has no room now is worth waiting for.
@@ -885,7 +887,7 @@
             let wait_us = endpoint.slot_wait_us(service_us);
             let finish_us = wait_us
                 + endpoint.finish_us(now_us, tracked.meta.rank, uncached, tracked.output_tokens);
-            finish_us * 1.3 < left_us && self.cost(index, finish_us, uncached) < cost
+            finish_us * 1.3 < left_us && self.cost(index, finish_us, left_us, uncached) < cost
         })
     }
 
--- /dev/null
+++ b/tests/cluster/shedding.rs
@@ -0,0 +1,81 @@
+//! The order of tiers in shedding, across instances.
+
+use hyper::StatusCode;
+
+use crate::support::*;
+
+/// One slow engine and room for few waiting requests.
+fn crowded(instances: usize) -> Plan {
+    Plan {
+        instances,
+        engines: vec![slow(1, 5)],
+        max_waiting: 10,
+        ..Plan::default()
+    }
+}
+
+fn of_tier(tier: &str, count: usize) -> Vec<Call> {
+    (0..count)
+        .map(|n| Call::completion(tier, &format!("{tier} {n}"), 4, false).deadline_ms(100_000))
+        .collect()
+}
+
+fn shed(answers: &[(Call, Option<Got>)]) -> usize {
+    let was_shed = |g: &Got| matches!(g.reason().as_str(), "queue_full" | "tier_shed");
+    answers.iter().filter(|(_, g)| g.as_ref().is_some_and(was_shed)).count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_lowest_tier_goes_first_and_is_told_when_to_come_back() {
+    let cluster = Cluster::start(crowded(2)).await;
+    let to: Vec<_> = cluster.instances.iter().map(|i| i.callers).collect();
+    let (kiosk, gate) = tokio::join!(
+        send_all(of_tier("kiosk", 40), &to),
+        send_all(of_tier("gate", 8), &to),
+    );
+    cluster.check_answers(&kiosk);
+    cluster.check_answers(&gate);
+    assert!(shed(&kiosk) > 0);
+    assert_eq!(shed(&gate), 0, "a higher tier was shed while a lower one was kept");
+    assert!(gate.iter().all(|(_, g)| g.as_ref().unwrap().status == StatusCode::OK));
+    let told = kiosk.iter().filter_map(|(_, g)| g.as_ref()).filter(|g| g.verdict() == "not_run");
+    assert!(told.clone().count() > 0);
+    for got in told {
+        assert!(got.retry_after.is_some(), "{got:?}");
+        assert!(got.json()["error"]["retry_after_ms"].as_u64() > Some(0));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_higher_tier_is_shed_once_nothing_lower_is_kept_anywhere() {
+    let cluster = Cluster::start(crowded(3)).await;
+    let to: Vec<_> = cluster.instances.iter().map(|i| i.callers).collect();
+    let gate = send_all(of_tier("gate", 60), &to).await;
+    cluster.check_answers(&gate);
+    assert!(shed(&gate) > 0, "over the limit, with nothing lower kept, and yet all were kept");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn with_an_instance_that_cannot_be_asked_nothing_above_the_lowest_is_shed() {
+    let cluster = Cluster::start(crowded(3)).await;
+    Call::completion("gate", "first", 1, false).send(cluster.instances[0].callers).await;
+    let leader = cluster.leader_of("agent").await;
+    let paused = (leader + 1) % 3;
+    let entry = (leader + 2) % 3;
+    // It keeps a request of the lowest tier, and then cannot be asked.
+    let kept_at = cluster.instances[paused].callers;
+    let busy_at = cluster.instances[leader].callers;
+    let busy = tokio::spawn(async move { send_all(of_tier("gate", 3), &[busy_at]).await });
+    let kept = tokio::spawn(async move { send_all(of_tier("kiosk", 1), &[kept_at]).await });
+    cluster.instances[paused].wait_held(1, 0).await;
+    cluster.instances[paused].signal("STOP");
+    let to = cluster.instances[entry].callers;
+    let gate = send_all(of_tier("gate", 50), &[to]).await;
+    assert_eq!(shed(&gate), 0, "shed while a lower one was kept out of reach");
+    cluster.instances[paused].signal("CONT");
+    let kept = kept.await.unwrap();
+    let busy = busy.await.unwrap();
+    for answers in [&gate, &kept, &busy] {
+        cluster.check_answers(answers);
+    }
+}
