Ignore what an entry says of an order under an earlier registration

Cause: found by a_paused_leader_that_goes_on_sends_nothing_twice: a request expired in the queue. A grant was under way when its entry registered anew; the entry rightly did not take it, and the leader then withdrew the request, which by then waited under the new registration. Ruled out: lost notes at the registrar (they are read again as state), stale grants being taken. Change: the reply names the registration of the order and counts only under it.

--- a/src/core/scheduler.rs
+++ b/src/core/scheduler.rs
@@ -146,6 +146,9 @@
     Withdraw(RequestId),
     /// A grant was given back before any byte was sent; the request waits on.
     Returned(RequestId),
+    /// An entry did not follow an order under that registration; it says whether the request waits
+    /// on. Under a later registration the order means nothing, and neither does this.
+    NotTaken(Registration, RequestId, bool),
     /// The first token was seen.
     FirstToken(RequestId),
     /// Output tokens and the time they took since the last such report.
@@ -393,6 +396,9 @@
             }
             Input::Withdraw(id) => self.forget(now_us, id),
             Input::Returned(id) => self.returned(now_us, id),
+            Input::NotTaken(registration, id, waits) => {
+                self.not_taken(now_us, registration, id, waits);
+            }
             Input::FirstToken(id) => self.first_token(now_us, id),
             Input::Progress(id, tokens, span_us) => self.progress(now_us, id, tokens, span_us),
             Input::Finished(id, tokens) => self.finished(now_us, id, tokens),
@@ -673,6 +679,24 @@
         self.requests.insert(id, tracked);
     }
 
+    fn not_taken(
+        &mut self,
+        now_us: Micros,
+        registration: Registration,
+        id: RequestId,
+        waits: bool,
+    ) {
+        let known = self.requests.get(&id);
+        if known.is_none_or(|t| t.registration != registration) {
+            return;
+        }
+        if waits {
+            self.returned(now_us, id);
+        } else {
+            self.forget(now_us, id);
+        }
+    }
+
     fn first_token(&mut self, now_us: Micros, id: RequestId) {
         if let Some(endpoint) = self.running_at(id) {
             self.endpoints[endpoint].first_token(now_us, id);
@@ -814,7 +838,8 @@
             }
             let long_us = self.finish_if_long(now_us, tracked, index, uncached);
             let over_us = (long_us - left_us).max(0.0);
-            let cost = self.cost(index, finish_us, left_us, uncached) + over_us * self.policy.risk_weight;
+            let cost =
+                self.cost(index, finish_us, left_us, uncached) + over_us * self.policy.risk_weight;
             if best.is_none_or(|(least, ..)| cost < least) {
                 best = Some((cost, index, uncached));
             }
--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -1,6 +1,6 @@
 //! Answers as they go to callers: whole, or visibly not whole.
 
-use std::{convert::Infallible, io};
+use std::{convert::Infallible, io, time::Duration};
 
 use bytes::Bytes;
 use futures::stream;
@@ -11,7 +11,7 @@
     header::{CONTENT_TYPE, HeaderName, HeaderValue},
 };
 use serde_json::json;
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time};
 
 use crate::{endpoint::engine::Usage, entry::refusal::Refusal, prelude::RequestId};
 
@@ -39,6 +39,9 @@
     End,
 }
 
+/// Time for the last event to reach the caller before its connection is cut.
+const BEFORE_CUT: Duration = Duration::from_millis(50);
+
 /// Makes a whole body.
 pub fn full(text: impl Into<Bytes>) -> Body {
     let body = Full::new(text.into()).map_err(|e: Infallible| match e {});
@@ -77,7 +80,11 @@
         match messages.recv().await {
             Some(Message::Data(bytes)) => Some((Ok(Frame::data(bytes)), Some(messages))),
             Some(Message::End) => None,
-            _ => Some((Err(io::Error::other("the answer is not whole")), None)),
+            _ => {
+                // hyper drops what it has not written when a body fails: let it write first.
+                time::sleep(BEFORE_CUT).await;
+                Some((Err(io::Error::other("the answer is not whole")), None))
+            }
         }
     });
     StreamBody::new(parts).boxed_unsync()
--- a/src/entry/registry.rs
+++ b/src/entry/registry.rs
@@ -401,9 +401,8 @@
     }
 
     fn waits_under(&self, order: &Order) -> OrderReply {
-        let (Order::Grant { registration, .. } | Order::Shed { registration, .. }) = order;
         let waits = self.lifecycle.stage() == Stage::Waiting;
-        if waits && *registration == self.lifecycle.registration() {
+        if waits && order.registration() == self.lifecycle.registration() {
             OrderReply::Waits
         } else {
             OrderReply::Gone
--- a/src/pool/leader.rs
+++ b/src/pool/leader.rs
@@ -313,15 +313,13 @@
 
     fn take_replies(&mut self, now_us: u64, replies: Vec<(Order, OrderReply)>) {
         for (order, reply) in replies {
-            match reply {
-                OrderReply::Taken => {}
-                OrderReply::Waits => {
-                    self.scheduler.handle(now_us, Input::Returned(order.id()));
-                }
-                OrderReply::Gone => {
-                    self.scheduler.handle(now_us, Input::Withdraw(order.id()));
-                }
-            }
+            let waits = match reply {
+                OrderReply::Taken => continue,
+                OrderReply::Waits => true,
+                OrderReply::Gone => false,
+            };
+            let input = Input::NotTaken(order.registration(), order.id(), waits);
+            self.scheduler.handle(now_us, input);
         }
     }
 
--- a/src/pool/messages.rs
+++ b/src/pool/messages.rs
@@ -82,6 +82,13 @@
 }
 
 impl Order {
+    /// Returns the registration that it was given under.
+    pub fn registration(&self) -> Registration {
+        match self {
+            Self::Grant { registration, .. } | Self::Shed { registration, .. } => *registration,
+        }
+    }
+
     /// Returns the request that it is about.
     pub fn id(&self) -> RequestId {
         match self {
--- a/standins/src/plain.rs
+++ b/standins/src/plain.rs
@@ -7,7 +7,13 @@
     time::Duration,
 };
 
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use bytes::Bytes;
+use futures::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::{
+    Request, Response,
+    body::{Frame, Incoming},
+};
 use serde_json::json;
 
 use crate::http::{self, Body, Server};
@@ -84,15 +90,25 @@
     if faults.lose_answers > 0 {
         return Err(std::io::Error::other("answer lost"));
     }
-    let mut response = http::json(&json!({"path": path, "echo": text, "number": total}));
     if faults.cut_answers > 0 {
-        let promised = hyper::header::HeaderValue::from_static("100000");
-        response
-            .headers_mut()
-            .insert(hyper::header::CONTENT_LENGTH, promised);
-        *response.status_mut() = StatusCode::OK;
+        return Ok(cut_answer());
     }
-    Ok(response)
+    Ok(http::json(
+        &json!({"path": path, "echo": text, "number": total}),
+    ))
+}
+
+/// An answer whose connection is closed in the middle of its body.
+fn cut_answer() -> Response<Body> {
+    let parts = stream::unfold(0, |part| async move {
+        if part == 0 {
+            return Some((Ok(Frame::data(Bytes::from_static(b"{\"echo\":"))), 1));
+        }
+        // What came before is written meanwhile.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        Some((Err(std::io::Error::other("cut")), 1))
+    });
+    Response::new(StreamBody::new(parts).boxed_unsync())
 }
 
 fn execute(state: &Mutex<State>, text: &str) -> (u64, Faults) {
--- a/tests/cluster/answers.rs
+++ b/tests/cluster/answers.rs
@@ -41,7 +41,9 @@
             if !is_whole {
                 cut += 1;
                 let unknown = got.verdict() == "outcome_unknown"
-                    || got.text.contains("event: error\ndata: {\"error\":{\"type\":\"outcome_unknown\"");
+                    || got
+                        .text
+                        .contains("event: error\ndata: {\"error\":{\"type\":\"outcome_unknown\"");
                 assert!(unknown, "neither whole nor said to be unknown: {got:?}");
                 assert!(!got.text.contains("[DONE]"));
             }
@@ -65,13 +67,20 @@
     };
     let cluster = Cluster::start(plan).await;
     let to = cluster.instances[0].callers;
-    let long = tokio::spawn(async move { Call::completion("gate", "long", 5_000, true).send(to).await });
+    let long =
+        tokio::spawn(async move { Call::completion("gate", "long", 5_000, true).send(to).await });
     cluster.instances[0].wait_held(0, 1).await;
     long.abort();
-    until("the engine to be idle", async || cluster.engines[0].busy() == 0).await;
+    until("the engine to be idle", async || {
+        cluster.engines[0].busy() == 0
+    })
+    .await;
     cluster.instances[0].wait_held(0, 0).await;
     assert_eq!(cluster.engines[0].counts().cancelled, 1);
-    let next = Call::completion("gate", "next", 3, false).send(to).await.unwrap();
+    let next = Call::completion("gate", "next", 3, false)
+        .send(to)
+        .await
+        .unwrap();
     assert_eq!(next.status, StatusCode::OK);
 }
 
@@ -79,9 +88,16 @@
 async fn bad_input_gets_a_clear_answer_and_leaves_nothing() {
     let plan = Plan {
         instances: 1,
-        flags: ["--max-body-bytes", "4096", "--body-timeout-ms", "300", "--header-timeout-ms", "300"]
-            .map(str::to_owned)
-            .to_vec(),
+        flags: [
+            "--max-body-bytes",
+            "4096",
+            "--body-timeout-ms",
+            "300",
+            "--header-timeout-ms",
+            "300",
+        ]
+        .map(str::to_owned)
+        .to_vec(),
         ..Plan::default()
     };
     let cluster = Cluster::start(plan).await;
@@ -92,17 +108,41 @@
         (body("{not json"), 400, "malformed_json"),
         (body("{}"), 400, "bad_field"),
         (body(r#"{"model":"agent-llm"}"#), 400, "bad_field"),
-        (body(r#"{"model":"agent-llm","prompt":"p","max_tokens":0}"#), 400, "bad_field"),
-        (body(r#"{"model":"agent-llm","prompt":"p","stream":"yes"}"#), 400, "bad_field"),
-        (body(r#"{"model":"agent-lm","prompt":"p"}"#), 404, "unknown_service"),
-        (body(r#"{"model":"departure-ctl","prompt":"p"}"#), 404, "unknown_service"),
+        (
+            body(r#"{"model":"agent-llm","prompt":"p","max_tokens":0}"#),
+            400,
+            "bad_field",
+        ),
+        (
+            body(r#"{"model":"agent-llm","prompt":"p","stream":"yes"}"#),
+            400,
+            "bad_field",
+        ),
+        (
+            body(r#"{"model":"agent-lm","prompt":"p"}"#),
+            404,
+            "unknown_service",
+        ),
+        (
+            body(r#"{"model":"departure-ctl","prompt":"p"}"#),
+            404,
+            "unknown_service",
+        ),
         (good().with("x-tier", "gatte"), 400, "unknown_tier"),
         (good().with("x-deadline-ms", "0"), 400, "bad_deadline"),
         (good().with("x-deadline-ms", "9999999"), 400, "bad_deadline"),
         (good().with("x-deadline-ms", "soon"), 400, "bad_deadline"),
         (good().with("authorization", "Basic abc"), 401, "no_key"),
-        (good().with("authorization", "Bearer wrong"), 401, "unknown_key"),
-        (good().with("x-organisation", "other"), 403, "wrong_organisation"),
+        (
+            good().with("authorization", "Bearer wrong"),
+            401,
+            "unknown_key",
+        ),
+        (
+            good().with("x-organisation", "other"),
+            403,
+            "wrong_organisation",
+        ),
         (
             good().with("authorization", &format!("Bearer {OTHER_KEY}")),
             403,
@@ -110,19 +150,38 @@
         ),
         (body(&"x".repeat(5_000)), 413, "body_too_large"),
         (Call::new("/v1/nothing", ""), 404, "no_such_path"),
-        (Call::new("/v1/services/departure-clt/x", ""), 404, "unknown_service"),
-        (Call::new("/v1/services/departure-ctl/bag-tags", "t"), 400, "key_required"),
+        (
+            Call::new("/v1/services/departure-clt/x", ""),
+            404,
+            "unknown_service",
+        ),
+        (
+            Call::new("/v1/services/departure-ctl/bag-tags", "t"),
+            400,
+            "key_required",
+        ),
         (Call::tag(&"k".repeat(300), "t"), 400, "key_too_long"),
     ];
     for (call, status, reason) in table {
         let got = call.send(to).await.expect("an answer");
-        assert_eq!((got.status.as_u16(), got.reason().as_str()), (status, reason), "{got:?}");
+        assert_eq!(
+            (got.status.as_u16(), got.reason().as_str()),
+            (status, reason),
+            "{got:?}"
+        );
         assert_eq!(got.verdict(), "bad_request");
     }
     assert!(slow_body(to).await.starts_with("HTTP/1.1 408"));
     // A header that never ends, or is huge, gets no request through; the connection is closed.
-    assert!(!raw(to, b"POST /v1/completions HTTP/1.1\r\nhost: x\r\n").await.contains("200 OK"));
-    let huge = format!("POST / HTTP/1.1\r\nhost: x\r\nx-long: {}\r\n\r\n", "y".repeat(200_000));
+    assert!(
+        !raw(to, b"POST /v1/completions HTTP/1.1\r\nhost: x\r\n")
+            .await
+            .contains("200 OK")
+    );
+    let huge = format!(
+        "POST / HTTP/1.1\r\nhost: x\r\nx-long: {}\r\n\r\n",
+        "y".repeat(200_000)
+    );
     assert!(raw(to, huge.as_bytes()).await.contains("431"));
     cluster.instances[0].wait_held(0, 0).await;
     assert!(cluster.starts().is_empty());
--- a/tests/cluster/configuration.rs
+++ b/tests/cluster/configuration.rs
@@ -17,7 +17,11 @@
 async fn versions(cluster: &Cluster) -> Vec<u64> {
     let mut versions = Vec::new();
     for instance in cluster.running() {
-        versions.push(instance.dump().await["config_version"].as_u64().unwrap_or(0));
+        versions.push(
+            instance.dump().await["config_version"]
+                .as_u64()
+                .unwrap_or(0),
+        );
     }
     versions
 }
@@ -38,7 +42,10 @@
 async fn of_two_operators_one_wins_and_the_other_is_told_by_whom() {
     let cluster = Cluster::start(three()).await;
     let order = |n: usize| {
-        let text = format!("set endpoint at version 1 {{ name = \"agent-1\", slots = {} }}", n + 2);
+        let text = format!(
+            "set endpoint at version 1 {{ name = \"agent-1\", slots = {} }}",
+            n + 2
+        );
         let instance = &cluster.instances[n];
         async move { instance.command(&text).await }
     };
@@ -48,7 +55,10 @@
     assert_eq!(won, 1, "{replies:?}");
     for reply in replies.iter().filter(|r| r.status != Status::Done) {
         assert_eq!(reply.status, Status::Refused);
-        assert!(reply.message.contains("version 2 was made by operator-key"), "{reply:?}");
+        assert!(
+            reply.message.contains("version 2 was made by operator-key"),
+            "{reply:?}"
+        );
     }
     assert_eq!(versions(&cluster).await, [2; 3]);
 }
@@ -58,9 +68,15 @@
     let cluster = Cluster::start(three()).await;
     cluster.platform.fault(|f| f.lose_write_answers = 1);
     let text = "set endpoint { name = \"agent-1\", slots = 5 }";
-    let first = cluster.instances[0].command_as(OPERATOR_KEY, text, Some("id-1")).await.unwrap();
+    let first = cluster.instances[0]
+        .command_as(OPERATOR_KEY, text, Some("id-1"))
+        .await
+        .unwrap();
     assert_eq!(first.status, Status::Done, "{first:?}");
-    let again = cluster.instances[1].command_as(OPERATOR_KEY, text, Some("id-1")).await.unwrap();
+    let again = cluster.instances[1]
+        .command_as(OPERATOR_KEY, text, Some("id-1"))
+        .await
+        .unwrap();
     assert_eq!(again.status, Status::Done);
     let (_, value) = cluster.platform.get(CONFIG_KEY).unwrap();
     let stored = StoredConfig::read(&value).unwrap();
@@ -71,7 +87,9 @@
 async fn without_the_platform_a_change_is_refused_and_says_so() {
     let cluster = Cluster::start(three()).await;
     cluster.platform.fault(|f| f.down = true);
-    let reply = cluster.instances[0].command("remove endpoint agent-2").await;
+    let reply = cluster.instances[0]
+        .command("remove endpoint agent-2")
+        .await;
     assert_eq!(reply.status, Status::Refused);
     assert!(reply.message.contains("platform"), "{reply:?}");
     assert_eq!(versions(&cluster).await, [1; 3]);
@@ -80,7 +98,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn nothing_goes_back_not_after_a_restart_in_an_outage_nor_by_an_old_value() {
     let mut cluster = Cluster::start(three()).await;
-    let reply = cluster.instances[0].command("set endpoint { name = \"agent-1\", slots = 3 }").await;
+    let reply = cluster.instances[0]
+        .command("set endpoint { name = \"agent-1\", slots = 3 }")
+        .await;
     assert_eq!(reply.status, Status::Done);
     // Somebody puts an older version back into the platform: nobody follows.
     let old = StoredConfig {
@@ -90,7 +110,10 @@
     cluster.platform.put(CONFIG_KEY, old.write());
     cluster.platform.fault(|f| f.down = true);
     cluster.instances[1].kill();
-    let seeds = format!("{},{}", cluster.instances[0].peers, cluster.instances[2].peers);
+    let seeds = format!(
+        "{},{}",
+        cluster.instances[0].peers, cluster.instances[2].peers
+    );
     cluster.instances[1].flags(&["--seeds", &seeds]);
     cluster.instances[1].spawn();
     cluster.wait_met().await;
--- a/tests/cluster/failures.rs
+++ b/tests/cluster/failures.rs
@@ -25,10 +25,15 @@
 /// Kills or pauses the leader while requests wait at the others; all of those are answered.
 async fn others_lose_nothing(act: impl AsyncFnOnce(&mut Cluster, usize)) {
     let mut cluster = Cluster::start(busy_plan(3)).await;
-    Call::completion("gate", "first", 1, false).send(cluster.instances[0].callers).await;
+    Call::completion("gate", "first", 1, false)
+        .send(cluster.instances[0].callers)
+        .await;
     let leader = cluster.leader_of("agent").await;
     let others: Vec<_> = (0..3).filter(|n| *n != leader).collect();
-    let to: Vec<_> = others.iter().map(|n| cluster.instances[*n].callers).collect();
+    let to: Vec<_> = others
+        .iter()
+        .map(|n| cluster.instances[*n].callers)
+        .collect();
     let sent = tokio::spawn(async move { send_all(calls(60, 10), &to).await });
     for n in &others {
         until("requests to wait", async || {
@@ -41,7 +46,10 @@
     cluster.check_answers(&answers);
     for (_, got) in &answers {
         let got = got.as_ref().expect("an answer");
-        assert!(got.status == StatusCode::OK && got.whole, "lost with the leader: {got:?}");
+        assert!(
+            got.status == StatusCode::OK && got.whole,
+            "lost with the leader: {got:?}"
+        );
     }
 }
 
@@ -57,7 +65,10 @@
         let other = (leader + 1) % 3;
         until("another leader", async || {
             let state = cluster.instances[other].dump().await;
-            let members = state["peers"]["members"].as_array().cloned().unwrap_or_default();
+            let members = state["peers"]["members"]
+                .as_array()
+                .cloned()
+                .unwrap_or_default();
             members.iter().any(|m| m["liveness"] == "Dead")
         })
         .await;
@@ -70,7 +81,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_killed_entry_and_leader_at_once_leave_the_rest_serving() {
     let mut cluster = Cluster::start(busy_plan(4)).await;
-    Call::completion("gate", "first", 1, false).send(cluster.instances[0].callers).await;
+    Call::completion("gate", "first", 1, false)
+        .send(cluster.instances[0].callers)
+        .await;
     let leader = cluster.leader_of("agent").await;
     let entry = (leader + 1) % 4;
     let rest: Vec<_> = (0..4).filter(|n| *n != leader && *n != entry).collect();
@@ -91,13 +104,20 @@
     cluster.check_answers(&dying);
     cluster.check_answers(&living);
     for (_, got) in &living {
-        assert!(got.as_ref().is_some_and(|g| g.status == StatusCode::OK && g.whole), "{got:?}");
+        assert!(
+            got.as_ref()
+                .is_some_and(|g| g.status == StatusCode::OK && g.whole),
+            "{got:?}"
+        );
     }
     // A fresh start under the same name takes its place.
     cluster.instances[leader].spawn();
     cluster.instances[entry].spawn();
     cluster.wait_met().await;
-    let got = Call::completion("gate", "again", 2, false).send(all[leader]).await.unwrap();
+    let got = Call::completion("gate", "again", 2, false)
+        .send(all[leader])
+        .await
+        .unwrap();
     assert_eq!(got.status, StatusCode::OK);
 }
 
@@ -111,20 +131,29 @@
     let operators = cluster.instances[0].operators;
     until("not ready to be seen", async || {
         let raw = Call::new("/readyz", "");
-        raw.send(operators).await.is_none_or(|g| g.status != StatusCode::OK)
+        raw.send(operators)
+            .await
+            .is_none_or(|g| g.status != StatusCode::OK)
     })
     .await;
     let answers = sent.await.unwrap();
     cluster.check_answers(&answers);
     for (_, got) in &answers {
         let got = got.as_ref().expect("an answer");
-        assert!(got.status == StatusCode::OK && got.whole, "cut off by the stop: {got:?}");
+        assert!(
+            got.status == StatusCode::OK && got.whole,
+            "cut off by the stop: {got:?}"
+        );
     }
     assert_eq!(cluster.instances[0].wait_exit().await, Some(0));
     let left = &cluster.instances[1];
     until("the one that left to be known as gone", async || {
         let state = left.dump().await;
-        state["peers"]["members"].as_array().unwrap().iter().any(|m| m["liveness"] == "Left")
+        state["peers"]["members"]
+            .as_array()
+            .unwrap()
+            .iter()
+            .any(|m| m["liveness"] == "Left")
     })
     .await;
 }
@@ -143,13 +172,26 @@
     let to: Vec<_> = cluster.instances.iter().map(|i| i.callers).collect();
     let answers = send_all(calls(60, 3), &to).await;
     cluster.check_answers(&answers);
-    assert!(answers.iter().all(|(_, g)| g.as_ref().is_some_and(|g| g.status == StatusCode::OK)));
-    assert_eq!(cluster.engines[0].counts().starts.len(), before, "new work on a drained endpoint");
-    let reply = cluster.instances[2].command("undrain endpoint agent-1").await;
+    assert!(
+        answers
+            .iter()
+            .all(|(_, g)| g.as_ref().is_some_and(|g| g.status == StatusCode::OK))
+    );
+    assert_eq!(
+        cluster.engines[0].counts().starts.len(),
+        before,
+        "new work on a drained endpoint"
+    );
+    let reply = cluster.instances[2]
+        .command("undrain endpoint agent-1")
+        .await;
     assert!(reply.message.contains("in force on 3 of 3"), "{reply:?}");
     let answers = send_all(calls(60, 3), &to).await;
     cluster.check_answers(&answers);
-    assert!(cluster.engines[0].counts().starts.len() > before, "still drained");
+    assert!(
+        cluster.engines[0].counts().starts.len() > before,
+        "still drained"
+    );
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -163,15 +205,24 @@
     cluster.instances[0].kill();
     let to = [cluster.instances[1].callers, cluster.instances[2].callers];
     let answers = send_all(calls(60, 3), &to).await;
-    assert!(answers.iter().all(|(_, g)| g.as_ref().is_some_and(|g| g.status == StatusCode::OK)));
+    assert!(
+        answers
+            .iter()
+            .all(|(_, g)| g.as_ref().is_some_and(|g| g.status == StatusCode::OK))
+    );
     // A fresh instance learns everything from its peers; only its seeds say where they are.
-    let seeds = format!("{},{}", cluster.instances[1].peers, cluster.instances[2].peers);
+    let seeds = format!(
+        "{},{}",
+        cluster.instances[1].peers, cluster.instances[2].peers
+    );
     cluster.instances[0].flags(&["--seeds", &seeds]);
     cluster.instances[0].spawn();
     cluster.wait_met().await;
     let version = &cluster.instances[0].dump().await["config_version"];
     assert_eq!(*version, 1);
-    let got = Call::completion("gate", "x", 2, false).send(cluster.instances[0].callers).await;
+    let got = Call::completion("gate", "x", 2, false)
+        .send(cluster.instances[0].callers)
+        .await;
     assert_eq!(got.unwrap().status, StatusCode::OK);
     cluster.instances[1].signal("TERM");
     assert_eq!(cluster.instances[1].wait_exit().await, Some(0));
@@ -187,7 +238,11 @@
     let answers = send_all(calls(40, 3), &to).await;
     cluster.check_answers(&answers);
     for (_, got) in &answers {
-        assert!(got.as_ref().is_some_and(|g| g.status == StatusCode::OK && g.whole), "{got:?}");
+        assert!(
+            got.as_ref()
+                .is_some_and(|g| g.status == StatusCode::OK && g.whole),
+            "{got:?}"
+        );
     }
 }
 
@@ -200,13 +255,20 @@
     })
     .await;
     let to = cluster.instances[0].callers;
-    let long = tokio::spawn(async move { Call::completion("gate", "long", 300, false).send(to).await });
+    let long =
+        tokio::spawn(async move { Call::completion("gate", "long", 300, false).send(to).await });
     cluster.instances[0].wait_held(0, 1).await;
     let short = Call::completion("gate", "short", 1, false).deadline_ms(200);
     let got = short.send(to).await.unwrap();
-    assert_eq!((got.status.as_u16(), got.reason().as_str()), (504, "deadline_passed"));
+    assert_eq!(
+        (got.status.as_u16(), got.reason().as_str()),
+        (504, "deadline_passed")
+    );
     let long = long.await.unwrap();
-    cluster.check_answers(&[(short, Some(got)), (Call::completion("gate", "long", 300, false), long)]);
+    cluster.check_answers(&[
+        (short, Some(got)),
+        (Call::completion("gate", "long", 300, false), long),
+    ]);
     tokio::time::sleep(Duration::from_millis(50)).await;
     assert_eq!(cluster.starts().len(), 1);
 }
--- a/tests/cluster/not_repeatable.rs
+++ b/tests/cluster/not_repeatable.rs
@@ -19,9 +19,15 @@
     let answers = send_all(calls.collect(), &to).await;
     cluster.check_answers(&answers);
     assert_eq!(cluster.plain.executions().len(), 10);
-    let ok = answers.iter().filter(|(_, g)| g.as_ref().unwrap().status == StatusCode::OK).count();
+    let ok = answers
+        .iter()
+        .filter(|(_, g)| g.as_ref().unwrap().status == StatusCode::OK)
+        .count();
     assert_eq!(ok, 10);
-    for (_, got) in answers.iter().filter(|(_, g)| g.as_ref().unwrap().status != StatusCode::OK) {
+    for (_, got) in answers
+        .iter()
+        .filter(|(_, g)| g.as_ref().unwrap().status != StatusCode::OK)
+    {
         assert_eq!(got.as_ref().unwrap().reason(), "duplicate_key");
     }
 }
@@ -31,9 +37,13 @@
     let cluster = Cluster::start(three()).await;
     let to = cluster.instances[0].callers;
     let first = Call::tag("same", "of the airline").send(to).await.unwrap();
-    let other = Call::tag("same", "of the other").with("authorization", &format!("Bearer {OTHER_KEY}"));
+    let other =
+        Call::tag("same", "of the other").with("authorization", &format!("Bearer {OTHER_KEY}"));
     let second = other.send(to).await.unwrap();
-    assert_eq!((first.status, second.status), (StatusCode::OK, StatusCode::OK));
+    assert_eq!(
+        (first.status, second.status),
+        (StatusCode::OK, StatusCode::OK)
+    );
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -44,8 +54,15 @@
         let to = cluster.instances[n % 3].callers;
         let call = Call::tag(&format!("k{n}"), &format!("t{n}"));
         let got = call.send(to).await.unwrap();
-        assert_eq!(got.status, StatusCode::OK, "a claim that took effect was not found: {got:?}");
-        let again = call.send(cluster.instances[(n + 1) % 3].callers).await.unwrap();
+        assert_eq!(
+            got.status,
+            StatusCode::OK,
+            "a claim that took effect was not found: {got:?}"
+        );
+        let again = call
+            .send(cluster.instances[(n + 1) % 3].callers)
+            .await
+            .unwrap();
         assert_eq!(again.reason(), "duplicate_key");
         cluster.check_answers(&[(call, Some(got))]);
     }
@@ -57,16 +74,26 @@
     cluster.platform.fault(|f| f.down = true);
     let to = cluster.instances[0].callers;
     let refused = Call::tag("key", "with a key").send(to).await.unwrap();
-    assert_eq!((refused.verdict().as_str(), refused.reason().as_str()), ("not_run", "claim_unavailable"));
+    assert_eq!(
+        (refused.verdict().as_str(), refused.reason().as_str()),
+        ("not_run", "claim_unavailable")
+    );
     assert!(refused.retry_after.is_some());
     let ticket = Call::new("/v1/tickets", "").send(to).await.unwrap().json();
     let ticket = ticket["ticket"].as_str().unwrap().to_owned();
     // Through another instance than the one that handed it out, and many times at once.
-    let others = [cluster.instances[1].callers, cluster.instances[2].callers, to];
+    let others = [
+        cluster.instances[1].callers,
+        cluster.instances[2].callers,
+        to,
+    ];
     let calls = vec![Call::tag(&ticket, "with a ticket"); 9];
     let answers = send_all(calls, &others).await;
     cluster.check_answers(&answers);
-    let ok = answers.iter().filter(|(_, g)| g.as_ref().unwrap().status == StatusCode::OK).count();
+    let ok = answers
+        .iter()
+        .filter(|(_, g)| g.as_ref().unwrap().status == StatusCode::OK)
+        .count();
     assert_eq!(ok, 1);
     // Its issuer gone, nobody can say whether a ticket was used: unknown, and never run.
     let fresh = Call::new("/v1/tickets", "").send(to).await.unwrap().json();
@@ -80,18 +107,26 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_key_whose_entry_died_is_not_run_again() {
     let mut cluster = Cluster::start(three()).await;
-    cluster.plain.fault(|f| f.delay = std::time::Duration::from_secs(2));
+    cluster
+        .plain
+        .fault(|f| f.delay = std::time::Duration::from_secs(2));
     let to = cluster.instances[0].callers;
     let call = Call::tag("key", "tag");
     let first = tokio::spawn({
         let call = call.clone();
         async move { call.send(to).await }
     });
-    until("it to be carried out", async || cluster.plain.executions().contains_key("tag")).await;
+    until("it to be carried out", async || {
+        cluster.plain.executions().contains_key("tag")
+    })
+    .await;
     cluster.instances[0].kill();
     assert!(first.await.unwrap().is_none(), "the dead answered");
     let again = call.send(cluster.instances[1].callers).await.unwrap();
-    assert_eq!((again.verdict().as_str(), again.reason().as_str()), ("outcome_unknown", "duplicate_key"));
+    assert_eq!(
+        (again.verdict().as_str(), again.reason().as_str()),
+        ("outcome_unknown", "duplicate_key")
+    );
     cluster.check_answers(&[(call, Some(again))]);
 }
 
@@ -99,7 +134,9 @@
 async fn a_paused_claim_holder_that_goes_on_runs_it_once() {
     let cluster = Cluster::start(three()).await;
     // The platform is slow, so that the holder is paused while its claim is under way.
-    cluster.platform.fault(|f| f.delay = std::time::Duration::from_millis(400));
+    cluster
+        .platform
+        .fault(|f| f.delay = std::time::Duration::from_millis(400));
     let call = Call::tag("key", "tag");
     let to = cluster.instances[0].callers;
     let first = tokio::spawn({
@@ -112,8 +149,14 @@
     let again = call.send(cluster.instances[1].callers).await.unwrap();
     cluster.instances[0].signal("CONT");
     let first = first.await.unwrap().expect("an answer");
-    cluster.check_answers(&[(call.clone(), Some(first.clone())), (call, Some(again.clone()))]);
-    let ran = [&first, &again].iter().filter(|g| g.status == StatusCode::OK).count();
+    cluster.check_answers(&[
+        (call.clone(), Some(first.clone())),
+        (call, Some(again.clone())),
+    ]);
+    let ran = [&first, &again]
+        .iter()
+        .filter(|g| g.status == StatusCode::OK)
+        .count();
     assert!(ran <= 1, "{first:?} {again:?}");
 }
 
--- a/tests/cluster/operators.rs
+++ b/tests/cluster/operators.rs
@@ -27,15 +27,26 @@
         reply.rows[0]["count"] == 8
     })
     .await;
-    let reply = cluster.instances[1].command("queued where tier = gate group by instance count").await;
+    let reply = cluster.instances[1]
+        .command("queued where tier = gate group by instance count")
+        .await;
     assert!(reply.missing.is_empty());
-    let total: u64 = reply.rows.iter().map(|r| r["count"].as_u64().unwrap()).sum();
+    let total: u64 = reply
+        .rows
+        .iter()
+        .map(|r| r["count"].as_u64().unwrap())
+        .sum();
     assert_eq!(total, 8);
-    let reply = cluster.instances[1].command("queued order by age_ms desc limit 2").await;
+    let reply = cluster.instances[1]
+        .command("queued order by age_ms desc limit 2")
+        .await;
     assert_eq!((reply.rows.len(), reply.left_out), (2, 6));
     let id = reply.rows[0]["id"].as_str().unwrap().to_owned();
     let why = cluster.instances[0].command(&format!("why {id}")).await;
-    assert!(format!("{why:?}").contains("endpoints have room"), "{why:?}");
+    assert!(
+        format!("{why:?}").contains("endpoints have room"),
+        "{why:?}"
+    );
     let cancelled = cluster.instances[2].command(&format!("cancel {id}")).await;
     assert_eq!(cancelled.status, Status::Done);
     until("the cancelled one to be gone", async || {
@@ -54,16 +65,27 @@
 async fn a_reader_may_ask_and_not_order_and_a_wrong_key_gets_nothing() {
     let cluster = Cluster::start(Plan::default()).await;
     let one = &cluster.instances[0];
-    let asked = one.command_as(READER_KEY, "show instances", None).await.unwrap();
+    let asked = one
+        .command_as(READER_KEY, "show instances", None)
+        .await
+        .unwrap();
     assert_eq!(asked.rows.len(), 2);
-    let ordered = one.command_as(READER_KEY, "drain endpoint agent-1", None).await.unwrap();
+    let ordered = one
+        .command_as(READER_KEY, "drain endpoint agent-1", None)
+        .await
+        .unwrap();
     assert_eq!(ordered.status, Status::Refused);
     let wrong = one.command_as("wrong", "show instances", None).await;
     assert!(wrong.unwrap_err().contains("key"));
     let callers = one.command_as(CALLER_KEY, "show instances", None).await;
     assert!(callers.is_err(), "a caller's key is no operator's");
     let dump = one.dump().await.to_string();
-    for key in [CALLER_KEY, OPERATOR_KEY, READER_KEY, "cluster-key-of-the-tests"] {
+    for key in [
+        CALLER_KEY,
+        OPERATOR_KEY,
+        READER_KEY,
+        "cluster-key-of-the-tests",
+    ] {
         assert!(!dump.contains(key), "a key is in the dump");
     }
 }
@@ -77,16 +99,37 @@
     .await;
     let order = "order endpoint agent-1 load model m1";
     let first = cluster.instances[0].command(order).await;
-    assert_eq!((first.status, first.message.contains("fence 1")), (Status::Done, true), "{first:?}");
-    let second = cluster.instances[1].command("order endpoint agent-2 load adapter a").await;
+    assert_eq!(
+        (first.status, first.message.contains("fence 1")),
+        (Status::Done, true),
+        "{first:?}"
+    );
+    let second = cluster.instances[1]
+        .command("order endpoint agent-2 load adapter a")
+        .await;
     assert_eq!(second.status, Status::Done);
     let third = cluster.instances[0].command(order).await;
-    assert_eq!(third.status, Status::Refused, "over the weight store's rate");
-    let role = cluster.instances[1].command("order endpoint agent-1 role prefill").await;
-    assert_eq!((role.status, role.message.contains("fence 3")), (Status::Done, true), "{role:?}");
-    assert_eq!(cluster.engines[0].counts().orders, ["load model m1", "role prefill"]);
+    assert_eq!(
+        third.status,
+        Status::Refused,
+        "over the weight store's rate"
+    );
+    let role = cluster.instances[1]
+        .command("order endpoint agent-1 role prefill")
+        .await;
+    assert_eq!(
+        (role.status, role.message.contains("fence 3")),
+        (Status::Done, true),
+        "{role:?}"
+    );
+    assert_eq!(
+        cluster.engines[0].counts().orders,
+        ["load model m1", "role prefill"]
+    );
     cluster.platform.fault(|f| f.down = true);
-    let down = cluster.instances[0].command("order endpoint agent-1 role decode").await;
+    let down = cluster.instances[0]
+        .command("order endpoint agent-1 role decode")
+        .await;
     assert_eq!(down.status, Status::Refused);
     assert!(down.message.contains("nothing was ordered"), "{down:?}");
 }
--- a/tests/cluster/shedding.rs
+++ b/tests/cluster/shedding.rs
@@ -22,7 +22,10 @@
 
 fn shed(answers: &[(Call, Option<Got>)]) -> usize {
     let was_shed = |g: &Got| matches!(g.reason().as_str(), "queue_full" | "tier_shed");
-    answers.iter().filter(|(_, g)| g.as_ref().is_some_and(was_shed)).count()
+    answers
+        .iter()
+        .filter(|(_, g)| g.as_ref().is_some_and(was_shed))
+        .count()
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -36,9 +39,19 @@
     cluster.check_answers(&kiosk);
     cluster.check_answers(&gate);
     assert!(shed(&kiosk) > 0);
-    assert_eq!(shed(&gate), 0, "a higher tier was shed while a lower one was kept");
-    assert!(gate.iter().all(|(_, g)| g.as_ref().unwrap().status == StatusCode::OK));
-    let told = kiosk.iter().filter_map(|(_, g)| g.as_ref()).filter(|g| g.verdict() == "not_run");
+    assert_eq!(
+        shed(&gate),
+        0,
+        "a higher tier was shed while a lower one was kept"
+    );
+    assert!(
+        gate.iter()
+            .all(|(_, g)| g.as_ref().unwrap().status == StatusCode::OK)
+    );
+    let told = kiosk
+        .iter()
+        .filter_map(|(_, g)| g.as_ref())
+        .filter(|g| g.verdict() == "not_run");
     assert!(told.clone().count() > 0);
     for got in told {
         assert!(got.retry_after.is_some(), "{got:?}");
@@ -52,13 +65,18 @@
     let to: Vec<_> = cluster.instances.iter().map(|i| i.callers).collect();
     let gate = send_all(of_tier("gate", 60), &to).await;
     cluster.check_answers(&gate);
-    assert!(shed(&gate) > 0, "over the limit, with nothing lower kept, and yet all were kept");
+    assert!(
+        shed(&gate) > 0,
+        "over the limit, with nothing lower kept, and yet all were kept"
+    );
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn with_an_instance_that_cannot_be_asked_nothing_above_the_lowest_is_shed() {
     let cluster = Cluster::start(crowded(3)).await;
-    Call::completion("gate", "first", 1, false).send(cluster.instances[0].callers).await;
+    Call::completion("gate", "first", 1, false)
+        .send(cluster.instances[0].callers)
+        .await;
     let leader = cluster.leader_of("agent").await;
     let paused = (leader + 1) % 3;
     let entry = (leader + 2) % 3;
@@ -71,7 +89,11 @@
     cluster.instances[paused].signal("STOP");
     let to = cluster.instances[entry].callers;
     let gate = send_all(of_tier("gate", 50), &[to]).await;
-    assert_eq!(shed(&gate), 0, "shed while a lower one was kept out of reach");
+    assert_eq!(
+        shed(&gate),
+        0,
+        "shed while a lower one was kept out of reach"
+    );
     cluster.instances[paused].signal("CONT");
     let kept = kept.await.unwrap();
     let busy = busy.await.unwrap();
--- a/tests/cluster/support.rs
+++ b/tests/cluster/support.rs
@@ -112,11 +112,17 @@
 
     /// The refusal's type: `not_run`, `outcome_unknown` or `bad_request`.
     pub fn verdict(&self) -> String {
-        self.json()["error"]["type"].as_str().unwrap_or("").to_owned()
+        self.json()["error"]["type"]
+            .as_str()
+            .unwrap_or("")
+            .to_owned()
     }
 
     pub fn reason(&self) -> String {
-        self.json()["error"]["reason"].as_str().unwrap_or("").to_owned()
+        self.json()["error"]["reason"]
+            .as_str()
+            .unwrap_or("")
+            .to_owned()
     }
 }
 
@@ -161,7 +167,9 @@
 
     /// Sends it; none if no answer's head came.
     pub async fn send(&self, to: SocketAddr) -> Option<Got> {
-        time::timeout(PATIENCE, self.try_send(to)).await.expect("an answer, or a broken connection")
+        time::timeout(PATIENCE, self.try_send(to))
+            .await
+            .expect("an answer, or a broken connection")
     }
 
     async fn try_send(&self, to: SocketAddr) -> Option<Got> {
@@ -173,7 +181,10 @@
             builder = builder.header(name, value);
         }
         let body = Full::new(Bytes::from(self.body.clone()));
-        let request = builder.header("host", "test").body(body).expect("a valid request");
+        let request = builder
+            .header("host", "test")
+            .body(body)
+            .expect("a valid request");
         let mut response = sender.send_request(request).await.ok()?;
         let header = |name: &str| {
             let value = response.headers().get(name)?.to_str().ok()?;
@@ -208,7 +219,9 @@
     }
     let data = got.text.lines().filter_map(|l| l.strip_prefix("data: "));
     let events = data.filter_map(|d| serde_json::from_str::<Value>(d).ok());
-    events.filter_map(|e| e["choices"][0]["text"].as_str().map(str::to_owned)).collect()
+    events
+        .filter_map(|e| e["choices"][0]["text"].as_str().map(str::to_owned))
+        .collect()
 }
 
 impl Cluster {
@@ -224,7 +237,12 @@
         let instances: Vec<Instance> = (0..plan.instances)
             .map(|n| {
                 let ip = Ipv4Addr::new(127, process, cluster, n as u8 + 1);
-                Instance::new(format!("i{}", n + 1), ip, platform.addr(), plan.flags.clone())
+                Instance::new(
+                    format!("i{}", n + 1),
+                    ip,
+                    platform.addr(),
+                    plan.flags.clone(),
+                )
             })
             .collect();
         let mut cluster = Self {
@@ -307,7 +325,8 @@
             peer_addr: i.peers,
             leaving: false,
         };
-        self.platform.list(self.instances.iter().map(listed).collect());
+        self.platform
+            .list(self.instances.iter().map(listed).collect());
     }
 
     /// Waits until every running instance is ready and sees as many alive as run.
@@ -327,7 +346,10 @@
     }
 
     pub fn running(&self) -> Vec<&Instance> {
-        self.instances.iter().filter(|i| i.child.is_some()).collect()
+        self.instances
+            .iter()
+            .filter(|i| i.child.is_some())
+            .collect()
     }
 
     /// Returns which instance leads a pool, by its place.
@@ -338,7 +360,9 @@
             }
             let state = instance.dump().await;
             let led = state["pools_led"].as_array().cloned().unwrap_or_default();
-            if led.iter().any(|p| p["pool"] == pool && !p["entries"].as_array().unwrap().is_empty())
+            if led
+                .iter()
+                .any(|p| p["pool"] == pool && !p["entries"].as_array().unwrap().is_empty())
             {
                 return index;
             }
@@ -366,7 +390,9 @@
         for (call, got) in answers {
             let Some(got) = got else { continue };
             if got.verdict() == "not_run" {
-                let id = got.id.clone().or(got.json()["error"]["request_id"].as_str().map(str::to_owned));
+                let id = got.id.clone().or(got.json()["error"]["request_id"]
+                    .as_str()
+                    .map(str::to_owned));
                 let ran = id.is_some_and(|id| starts.contains_key(&id));
                 assert!(!ran, "told not_run, but it ran: {got:?}");
             }
@@ -403,7 +429,15 @@
     /// Starts the process, after an end of the earlier one if there was one.
     pub fn spawn(&mut self) {
         let child = Command::new(env!("CARGO_BIN_EXE_ryevalve"))
-            .args(["serve", "--name", &self.name, "--hall", "nord", "--data-centre", "broye"])
+            .args([
+                "serve",
+                "--name",
+                &self.name,
+                "--hall",
+                "nord",
+                "--data-centre",
+                "broye",
+            ])
             .args(["--caller-addr", &self.callers.to_string()])
             .args(["--operator-addr", &self.operators.to_string()])
             .args(["--peer-addr", &self.peers.to_string()])
@@ -432,7 +466,9 @@
     /// Sends a signal, as `STOP`, `CONT` or `TERM`.
     pub fn signal(&self, name: &str) {
         let id = self.child.as_ref().expect("a running instance").id();
-        let status = Command::new("kill").args(["-s", name, &id.to_string()]).status();
+        let status = Command::new("kill")
+            .args(["-s", name, &id.to_string()])
+            .status();
         assert!(status.expect("run kill").success());
     }
 
@@ -440,19 +476,31 @@
     pub async fn wait_exit(&mut self) -> Option<i32> {
         let mut child = self.child.take().expect("a running instance");
         let waited = tokio::task::spawn_blocking(move || child.wait()).await;
-        waited.expect("the waiting task").expect("reap the instance").code()
+        waited
+            .expect("the waiting task")
+            .expect("reap the instance")
+            .code()
     }
 
     pub async fn dump(&self) -> Value {
         let key = Secret::new(OPERATOR_KEY);
-        client::dump(self.operators, &key).await.unwrap_or(Value::Null)
+        client::dump(self.operators, &key)
+            .await
+            .unwrap_or(Value::Null)
     }
 
     pub async fn command(&self, text: &str) -> Reply {
-        self.command_as(OPERATOR_KEY, text, None).await.expect("a reply")
+        self.command_as(OPERATOR_KEY, text, None)
+            .await
+            .expect("a reply")
     }
 
-    pub async fn command_as(&self, key: &str, text: &str, id: Option<&str>) -> Result<Reply, String> {
+    pub async fn command_as(
+        &self,
+        key: &str,
+        text: &str,
+        id: Option<&str>,
+    ) -> Result<Reply, String> {
         let body = CommandBody {
             text: text.to_owned(),
             id: id.map(str::to_owned),
@@ -463,10 +511,13 @@
 
     /// Waits until so many requests wait and run here.
     pub async fn wait_held(&self, waiting: u64, running: u64) {
-        until(&format!("{waiting} waiting and {running} running"), async || {
-            let state = self.dump().await;
-            state["waiting"] == waiting && state["running"] == running
-        })
+        until(
+            &format!("{waiting} waiting and {running} running"),
+            async || {
+                let state = self.dump().await;
+                state["waiting"] == waiting && state["running"] == running
+            },
+        )
         .await;
     }
 }
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -3,4 +3,5 @@
 mod lifecycle;
 mod prefix;
 mod queue;
+mod scheduler;
 mod shedding;
