Begin a registration by dropping the one before

Trace of both sides: the entry was registered with i1 under epoch 3, saw i3 lead for a moment, began epoch 4 with it and was refused, then saw i1 again and went on under epoch 3, whose grants it no longer took since its requests were at epoch 4; the leader dropped each as not taken. Change: beginning a registration forgets the one before, and one is in force only if it is the registry's current one. The dump shows registrations on both sides. The test of an instance that cannot be asked now holds the engine first (it raced with its answer).

--- a/src/entry/registry.rs
+++ b/src/entry/registry.rs
@@ -4,7 +4,7 @@
 //! about what is kept and an order to shed never interleave.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -245,6 +245,21 @@
         held.is_some_and(|h| h.decisions.send(Decision::Cancelled).is_ok())
     }
 
+    /// Returns the registration in force for a pool.
+    pub fn registration(&self, pool: &Name) -> Registration {
+        self.lock().registration(self.me, pool)
+    }
+
+    /// Returns the registrations in force, by pool slice.
+    pub fn registrations(&self) -> BTreeMap<Name, Registration> {
+        let inner = self.lock();
+        inner
+            .registrations
+            .iter()
+            .map(|(pool, r)| (pool.clone(), *r))
+            .collect()
+    }
+
     /// Returns the number of requests held.
     pub fn len(&self) -> usize {
         self.lock().held.len()
--- a/src/operator/http.rs
+++ b/src/operator/http.rs
@@ -225,6 +225,7 @@
         "waiting": readings.waiting,
         "running": readings.running,
         "requests": instance.registry.views_of(&ids),
+        "registrations": instance.registry.registrations(),
         "pools_led": instance.leaders.views().await,
         "peers": *instance.gossip.view(),
         "drains": drains.orders().collect::<Vec<_>>(),
--- a/src/pool/leader.rs
+++ b/src/pool/leader.rs
@@ -60,7 +60,7 @@
     /// Up to a bounded number of the waiting requests.
     pub waiting: Vec<WaitingView>,
     /// Entries that are registered.
-    pub entries: Vec<Incarnation>,
+    pub entries: Vec<Registration>,
 }
 
 const WAITING_IN_VIEW: usize = 1_000;
@@ -419,7 +419,7 @@
                 .waiting(now_us)
                 .take(WAITING_IN_VIEW)
                 .collect(),
-            entries: self.registrations.keys().copied().collect(),
+            entries: self.registrations.values().copied().collect(),
         }
     }
 }
--- a/src/pool/registrar.rs
+++ b/src/pool/registrar.rs
@@ -58,9 +58,10 @@
                 let _ = time::timeout(KEEPALIVE, view.changed()).await;
                 continue;
             };
+            let current = self.instance.registry.registration(&self.pool);
             let known = self
                 .registered
-                .filter(|(to, _)| *to == leader.info.incarnation);
+                .filter(|(to, with)| *to == leader.info.incarnation && *with == current);
             match known {
                 None => self.register(&leader).await,
                 Some((_, registration)) => {
@@ -78,6 +79,8 @@
     async fn register(&mut self, leader: &Member) {
         // Notes that came before are part of the state that is read now.
         while self.notes.try_recv().is_ok() {}
+        // From here on no grant of an earlier registration is taken, so none is in force.
+        self.registered = None;
         let (registration, updates) = self.instance.registry.reregister(&self.pool);
         self.instance.metrics.registrations.inc();
         let batch = self.batch(leader, registration, updates, true);
--- a/tests/cluster/shedding.rs
+++ b/tests/cluster/shedding.rs
@@ -80,10 +80,12 @@
     let leader = cluster.leader_of("agent").await;
     let paused = (leader + 1) % 3;
     let entry = (leader + 2) % 3;
-    // It keeps a request of the lowest tier, and then cannot be asked.
-    let kept_at = cluster.instances[paused].callers;
+    // While one request holds the engine, it keeps one of the lowest tier, and then cannot be asked.
     let busy_at = cluster.instances[leader].callers;
-    let busy = tokio::spawn(async move { send_all(of_tier("gate", 3), &[busy_at]).await });
+    let long = vec![Call::completion("gate", "long", 600, false)];
+    let busy = tokio::spawn(async move { send_all(long, &[busy_at]).await });
+    cluster.instances[leader].wait_held(0, 1).await;
+    let kept_at = cluster.instances[paused].callers;
     let kept = tokio::spawn(async move { send_all(of_tier("kiosk", 1), &[kept_at]).await });
     cluster.instances[paused].wait_held(1, 0).await;
     cluster.instances[paused].signal("STOP");
