--- a/src/config/model.rs
+++ b/src/config/model.rs
@@ -155,7 +155,7 @@
     /// Above this many waiting requests the lowest tier is shed.
     #[serde(default = "default_max_waiting")]
     pub max_waiting: u32,
-    /// The longest answer, in tokens, assumed before any was seen.
+    /// Length of an answer, in tokens, assumed before any was seen; better low than high.
     #[serde(default = "default_output_tokens")]
     pub prior_output_tokens: u32,
 }
@@ -248,7 +248,7 @@
 }
 
 fn default_output_tokens() -> u32 {
-    200
+    60
 }
 
 fn default_prefill() -> f64 {
--- a/src/core/endpoint.rs
+++ b/src/core/endpoint.rs
@@ -17,6 +17,8 @@
 const RATIO_CEILING: f64 = 50.0;
 /// Prior for how much a full batch slows a decode step.
 const BATCH_SLOWDOWN: f64 = 0.6;
+/// Prior for how much prompts that are computed meanwhile slow a stream.
+const PREFILL_SLOWDOWN: f64 = 2.0;
 /// A ratio above this marks the endpoint as slow.
 const SLOW_RATIO: f64 = 1.6;
 /// With no observation for this long, a slow endpoint may be tried with one request.
@@ -370,7 +372,7 @@
 
     fn prior_token_us(&self, batch: u32) -> f64 {
         let occupancy = f64::from(batch.max(1)) / f64::from(self.spec.slots.max(1));
-        self.spec.decode_step_us * (1.0 + BATCH_SLOWDOWN * occupancy)
+        self.spec.decode_step_us * PREFILL_SLOWDOWN * (1.0 + BATCH_SLOWDOWN * occupancy)
     }
 
     /// Returns the time in which an engine computes a chunk of a prompt, in microseconds.
--- a/src/core/length.rs
+++ b/src/core/length.rs
@@ -2,11 +2,26 @@
 
 use std::collections::HashMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::core::types::{Name, Rank};
 
+/// The length of one answer that was seen.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeenLength {
+    /// The organisation.
+    pub organisation: Name,
+    /// The tier's order.
+    pub rank: Rank,
+    /// Length of the prompt.
+    pub prompt_tokens: u32,
+    /// Length of the answer.
+    pub output_tokens: u32,
+}
+
 const BUCKETS: usize = 40;
 const BUCKETS_PER_DOUBLING: f64 = 3.0;
-const MIN_SAMPLES: f32 = 12.0;
+const MIN_SAMPLES: f32 = 5.0;
 const DECAY: f32 = 0.995;
 
 /// A decaying histogram of answer lengths, in steps of a third of a doubling.
@@ -59,11 +74,12 @@
 /// Answer lengths seen so far, and the quantiles predicted from them.
 ///
 /// ```
-/// use ryevalve::core::length::LengthModel;
+/// use ryevalve::core::length::{LengthModel, SeenLength};
 /// let mut model = LengthModel::new(200);
 /// assert_eq!(model.predict(&"a".into(), 0, 100, 0.5), 200);
 /// for _ in 0..50 {
-///     model.observe(&"a".into(), 0, 100, 30);
+///     let organisation = "a".into();
+///     model.observe(&SeenLength { organisation, rank: 0, prompt_tokens: 100, output_tokens: 30 });
 /// }
 /// assert!(model.predict(&"a".into(), 0, 100, 0.5) < 40);
 /// ```
@@ -85,9 +101,10 @@
     }
 
     /// Takes note of an answer's length.
-    pub fn observe(&mut self, organisation: &Name, rank: Rank, prompt_tokens: u32, tokens: u32) {
-        let size = size_class(prompt_tokens);
-        let fine = (organisation.clone(), rank, size);
+    pub fn observe(&mut self, seen: &SeenLength) {
+        let size = size_class(seen.prompt_tokens);
+        let (rank, tokens) = (seen.rank, seen.output_tokens);
+        let fine = (seen.organisation.clone(), rank, size);
         self.fine.entry(fine).or_default().add(tokens);
         self.coarse.entry((rank, size)).or_default().add(tokens);
         self.all.entry(rank).or_default().add(tokens);
--- a/src/core/scheduler.rs
+++ b/src/core/scheduler.rs
@@ -9,7 +9,7 @@
 
 use crate::core::{
     endpoint::{EndpointModel, EndpointSpec, Granted, LoadReport},
-    length::LengthModel,
+    length::{LengthModel, SeenLength},
     prefix::{CacheEvent, PrefixMap},
     queue::{OrderKey, OrgIndex, TierQueue},
     shedding::{self, LevelAsk, LevelRound},
@@ -86,7 +86,7 @@
             work_weight: 16.0,
             fair_slack_us: 400_000_000,
             max_waiting: 20_000,
-            prior_output_tokens: 200,
+            prior_output_tokens: 60,
             block_tokens: 256,
         }
     }
@@ -155,6 +155,8 @@
     Progress(RequestId, u32, Micros),
     /// The request ended at the endpoint; `tokens` is the length of a whole answer.
     Finished(RequestId, Option<u32>),
+    /// The length of an answer that was seen under an earlier leader.
+    Seen(SeenLength),
     /// An endpoint's load.
     Load(Name, LoadReport),
     /// An endpoint's cache event.
@@ -402,6 +404,7 @@
             Input::FirstToken(id) => self.first_token(now_us, id),
             Input::Progress(id, tokens, span_us) => self.progress(now_us, id, tokens, span_us),
             Input::Finished(id, tokens) => self.finished(now_us, id, tokens),
+            Input::Seen(seen) => self.lengths.observe(&seen),
             Input::Load(endpoint, report) => self.load(now_us, &endpoint, report),
             Input::Cache(endpoint, event) => self.cache(&endpoint, &event),
             Input::Suspect(endpoint, until_us) => self.suspect(&endpoint, until_us),
@@ -725,8 +728,12 @@
         };
         if let Some(tokens) = tokens {
             let meta = &tracked.meta;
-            self.lengths
-                .observe(&meta.organisation, meta.rank, meta.prompt_tokens, tokens);
+            self.lengths.observe(&SeenLength {
+                organisation: meta.organisation.clone(),
+                rank: meta.rank,
+                prompt_tokens: meta.prompt_tokens,
+                output_tokens: tokens,
+            });
             let took_us = now_us.saturating_sub(tracked.arrived_us) as f64;
             self.typical_service_us += (took_us - self.typical_service_us) * 0.02;
         }
--- a/src/entry/registry.rs
+++ b/src/entry/registry.rs
@@ -4,7 +4,7 @@
 //! about what is kept and an order to shed never interleave.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, VecDeque},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -17,6 +17,7 @@
 use crate::{
     clock::Clock,
     core::{
+        length::SeenLength,
         lifecycle::{Lifecycle, LifecycleError, Stage},
         shedding::{HeldLevel, LevelAsk, level_needed},
     },
@@ -108,8 +109,13 @@
     levels: HashMap<Name, HeldLevel>,
     registrations: HashMap<Name, Registration>,
     notes: HashMap<Name, mpsc::UnboundedSender<Note>>,
+    /// Lengths of the last answers, for the next leader of each pool.
+    seen: HashMap<Name, VecDeque<SeenLength>>,
 }
 
+/// How many lengths of answers an entry remembers for each pool.
+pub const KEPT_LENGTHS: usize = 300;
+
 /// The requests that this instance holds.
 pub struct Registry {
     me: Incarnation,
@@ -193,7 +199,8 @@
         let mut registration = inner.registration(self.me, pool);
         registration.epoch += 1;
         inner.registrations.insert(pool.clone(), registration);
-        let mut updates = Vec::new();
+        let seen = inner.seen.get(pool).into_iter().flatten().cloned();
+        let mut updates: Vec<Update> = seen.map(Update::Seen).collect();
         for held in inner.held.values_mut().filter(|h| h.arrival.pool == *pool) {
             held.lifecycle.reregister(registration);
             updates.extend(held.update(now_us));
@@ -319,6 +326,24 @@
         self.registrations.get(pool).copied().unwrap_or(none)
     }
 
+    fn remember_length(&mut self, id: RequestId, output_tokens: u32) {
+        let Some(held) = self.held.get(&id) else {
+            return;
+        };
+        let meta = &held.arrival.meta;
+        let length = SeenLength {
+            organisation: meta.organisation.clone(),
+            rank: meta.rank,
+            prompt_tokens: meta.prompt_tokens,
+            output_tokens,
+        };
+        let seen = self.seen.entry(held.arrival.pool.clone()).or_default();
+        if seen.len() == KEPT_LENGTHS {
+            seen.pop_front();
+        }
+        seen.push_back(length);
+    }
+
     fn note(&self, pool: &Name, note: Note) {
         if let Some(notes) = self.notes.get(pool) {
             // Without a registrar the next one reads the whole state when it registers.
@@ -484,6 +509,9 @@
     /// It was not sent.
     pub fn finish(&self, whole: bool, output_tokens: Option<u32>) -> Result<(), LifecycleError> {
         self.step(|l| l.finish(whole))?;
+        if let Some(tokens) = output_tokens {
+            self.registry.lock().remember_length(self.id, tokens);
+        }
         self.tell(Update::Finished(self.id, output_tokens));
         Ok(())
     }
--- a/src/peers/membership.rs
+++ b/src/peers/membership.rs
@@ -463,7 +463,10 @@
         let present = self.known.values().filter(|k| k.liveness < Liveness::Dead);
         let count = if present.count() <= SMALL_GROUP { 2 } else { 1 };
         // Those heard of but never met go first, or a large group would take minutes to meet.
-        let unmet = self.known.iter().filter(|(_, k)| !k.admitted && k.probed_us == 0);
+        let unmet = self
+            .known
+            .iter()
+            .filter(|(_, k)| !k.admitted && k.probed_us == 0);
         let unmet: Vec<Incarnation> = unmet.map(|(i, _)| *i).take(MEETINGS).collect();
         for target in unmet {
             self.probe(now_us, target, out);
--- a/src/pool/leader.rs
+++ b/src/pool/leader.rs
@@ -428,6 +428,7 @@
     match update {
         Update::Add(meta) => Input::Add(registration, meta),
         Update::Adopt(meta, endpoint) => Input::Adopt(registration, meta, endpoint),
+        Update::Seen(seen) => Input::Seen(seen),
         Update::Withdraw(id) => Input::Withdraw(id),
         Update::Returned(id) => Input::Returned(id),
         Update::FirstToken(id) => Input::FirstToken(id),
--- a/src/replay/baseline.rs
+++ b/src/replay/baseline.rs
@@ -8,7 +8,7 @@
 use crate::{
     core::{
         endpoint::{EndpointModel, Granted, LoadReport},
-        length::LengthModel,
+        length::{LengthModel, SeenLength},
         scheduler::{Action, Input, PoolSpec},
     },
     prelude::{Micros, Registration, RequestId, RequestMeta},
@@ -158,8 +158,12 @@
         };
         self.endpoints[index].end(now_us, id);
         if let Some(tokens) = tokens {
-            self.lengths
-                .observe(&meta.organisation, meta.rank, meta.prompt_tokens, tokens);
+            self.lengths.observe(&SeenLength {
+                organisation: meta.organisation,
+                rank: meta.rank,
+                prompt_tokens: meta.prompt_tokens,
+                output_tokens: tokens,
+            });
         }
     }
 
--- a/src/replay/run.rs
+++ b/src/replay/run.rs
@@ -12,11 +12,12 @@
 use crate::{
     core::{
         endpoint::{EndpointSpec, LoadReport},
+        length::SeenLength,
         lifecycle::{Lifecycle, Stage},
         scheduler::{Action, EventWindow, Input, OrgSpec, PolicySettings, PoolSpec, Scheduler},
         shedding::{HeldLevel, LevelAsk, level_needed},
     },
-    entry::registry::is_waiting,
+    entry::registry::{KEPT_LENGTHS, is_waiting},
     prelude::{Incarnation, Micros, Name, Registration, RequestId, RequestMeta, ShedReason},
     replay::{
         baseline::{Baseline, Kind},
@@ -208,6 +209,8 @@
     decisions: Histogram<u64>,
     actions: Vec<Action>,
     open: usize,
+    /// Lengths that the entry remembers, for the next leader.
+    seen: VecDeque<(usize, SeenLength)>,
 }
 
 impl<'t> Replay<'t> {
@@ -264,6 +267,7 @@
                 .unwrap_or_else(|_| unreachable!("the bounds are valid")),
             actions: Vec::new(),
             open: trace.requests.len(),
+            seen: VecDeque::new(),
         }
     }
 
@@ -543,6 +547,11 @@
         }
         self.checker.last_word(request, LastWord::Answer);
         self.open -= 1;
+        self.seen
+            .push_back((entry.pool, seen_length(line, entry.rank)));
+        if self.seen.len() > KEPT_LENGTHS {
+            self.seen.pop_front();
+        }
         let tokens = Some(line.output_tokens);
         self.tell(now_us, entry.pool, Input::Finished(id_of(request), tokens));
     }
@@ -638,6 +647,11 @@
             self.deciders[pool] = Decider::new(self.policy, self.trace, spec, self.priors[pool]);
             let attach = Input::Attach(self.registration);
             self.deciders[pool].handle(now_us, attach);
+            for (of, seen) in &self.seen {
+                if *of == pool {
+                    self.deciders[pool].handle(now_us, Input::Seen(seen.clone()));
+                }
+            }
         }
         let held: Vec<usize> = self.entries.keys().copied().collect();
         for request in held {
@@ -737,6 +751,15 @@
     }
 }
 
+fn seen_length(line: &Line, rank: u8) -> SeenLength {
+    SeenLength {
+        organisation: line.organisation.clone(),
+        rank,
+        prompt_tokens: line.prompt_tokens,
+        output_tokens: line.output_tokens,
+    }
+}
+
 fn id_of(request: usize) -> RequestId {
     RequestId {
         entry: ENTRY,
@@ -769,7 +792,7 @@
         .endpoints
         .iter()
         .any(|e| e.pool == *pool && e.batch_slope == 0.0);
-    if plain { 1 } else { 200 }
+    if plain { 1 } else { 60 }
 }
 
 fn pool_spec(trace: &Trace, pool: &Name) -> PoolSpec {
