Keep what was granted of late when cache events have a gap

Change: on a gap what events said is forgotten, and of our own grants only the part used last stays, half the cache's size: an engine that drops what was used longest ago still has it.

--- a/src/core/prefix.rs
+++ b/src/core/prefix.rs
@@ -46,10 +46,17 @@
 /// A map from blocks.
 type BlockMap<V> = HashMap<u64, V, BuildHasherDefault<BlockHasher>>;
 
+/// When a block was last used, and whether a grant of ours says so rather than an event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Mark {
+    stamp: u64,
+    granted: bool,
+}
+
 /// The blocks believed to be cached at one endpoint.
 #[derive(Clone, Debug, Default)]
 struct Held {
-    blocks: BlockMap<u64>,
+    blocks: BlockMap<Mark>,
     order: VecDeque<(u64, u64)>,
     stamp: u64,
     next_seq: Option<u64>,
@@ -57,8 +64,9 @@
 
 /// Maps prompt blocks to endpoints.
 ///
-/// Memory is bounded by each endpoint's capacity. On a gap in an endpoint's cache events all that
-/// is believed of that endpoint is forgotten, since an eviction may have been missed.
+/// Memory is bounded by each endpoint's capacity. On a gap in an endpoint's cache events an eviction
+/// may have been missed: what events said is forgotten, and of what was granted only the part used
+/// last stays, half the cache's size, which an engine that drops what was used longest ago still has.
 #[derive(Clone, Debug, Default)]
 pub struct PrefixMap {
     endpoints: Vec<Held>,
@@ -111,7 +119,7 @@
     /// Takes note that the endpoint works on `prefix` and will hold it.
     pub fn touch(&mut self, endpoint: usize, prefix: &[u64]) {
         for &block in prefix.iter().rev() {
-            self.insert(endpoint, block);
+            self.insert(endpoint, block, true);
         }
     }
 
@@ -120,13 +128,15 @@
         let expected = self.endpoints[endpoint].next_seq;
         let whole = expected.is_none_or(|seq| seq == event.seq);
         if !whole {
-            self.forget(endpoint);
+            self.forget_uncertain(endpoint);
         }
         self.endpoints[endpoint].next_seq = Some(event.seq + 1);
         for &block in &event.evicted {
             self.remove(endpoint, block);
         }
-        self.touch(endpoint, &event.stored);
+        for &block in event.stored.iter().rev() {
+            self.insert(endpoint, block, false);
+        }
         whole
     }
 
@@ -138,12 +148,31 @@
         }
     }
 
-    fn insert(&mut self, endpoint: usize, block: u64) {
+    /// Forgets what a missed event may have made untrue.
+    fn forget_uncertain(&mut self, endpoint: usize) {
+        let held = &self.endpoints[endpoint];
+        let recent = held
+            .stamp
+            .saturating_sub(self.capacity_blocks[endpoint] as u64 / 2);
+        let uncertain = held
+            .blocks
+            .iter()
+            .filter(|(_, mark)| !mark.granted || mark.stamp <= recent);
+        let uncertain: Vec<u64> = uncertain.map(|(block, _)| *block).collect();
+        for block in uncertain {
+            self.remove(endpoint, block);
+        }
+    }
+
+    fn insert(&mut self, endpoint: usize, block: u64, granted: bool) {
         let held = &mut self.endpoints[endpoint];
         held.stamp += 1;
         let stamp = held.stamp;
         held.order.push_back((block, stamp));
-        if held.blocks.insert(block, stamp).is_none() {
+        let before = held.blocks.get(&block).copied();
+        let granted = granted || before.is_some_and(|mark| mark.granted);
+        held.blocks.insert(block, Mark { stamp, granted });
+        if before.is_none() {
             let holders = self.holders.entry(block).or_default();
             let word = endpoint / WORD_BITS;
             if holders.len() <= word {
@@ -166,7 +195,7 @@
             let Some((block, stamp)) = held.order.pop_front() else {
                 return;
             };
-            if held.blocks.get(&block) != Some(&stamp) {
+            if held.blocks.get(&block).map(|mark| mark.stamp) != Some(stamp) {
                 continue;
             }
             if crowded {
