--- a/src/config/version.rs
+++ b/src/config/version.rs
@@ -91,14 +91,16 @@
 }
 
 impl Versioned {
-    /// Makes a version of typed data.
+    /// Makes a version of typed data; objects come in the order of their names.
     pub fn from_config(version: u64, config: Config) -> Self {
         let objects = to_objects(&config);
+        // What was written from typed data can be read again.
+        let ordered = from_objects(&objects).unwrap_or(config);
         Self {
             version,
             hash: digest(&objects),
             objects: Arc::new(objects),
-            config: Arc::new(config),
+            config: Arc::new(ordered),
         }
     }
 
