--- /dev/null
+++ b/benches/relay.rs
@@ -0,0 +1,131 @@
+//! A small completion over loopback, direct to the engine and through an instance, in one run.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use criterion::{Criterion, criterion_group, criterion_main};
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use ryevalve::{
+    config::{self, Versioned},
+    distribution::{CONFIG_KEY, StoredConfig},
+    entry::parse::key_digest,
+    instance,
+    platform::http::HttpStore,
+    settings::{LogFormat, Secret, Settings},
+};
+use standins::{
+    engine::{Engine, Speed},
+    platform::Platform,
+};
+use tokio::{net::TcpStream, runtime::Runtime, task::JoinSet, time};
+
+const KEY: &str = "bench-caller-key";
+const BODY: &str = r#"{"model":"m","prompt":"hello","max_tokens":1,"stream":true}"#;
+const AT_ONCE: usize = 64;
+
+async fn call(to: SocketAddr) {
+    let stream = TcpStream::connect(to).await.expect("connect");
+    let _ = stream.set_nodelay(true);
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .expect("handshake");
+    tokio::spawn(connection);
+    let request = Request::post("/v1/completions")
+        .header("host", "bench")
+        .header("authorization", format!("Bearer {KEY}"))
+        .body(Full::new(Bytes::from_static(BODY.as_bytes())))
+        .expect("a valid request");
+    let response = sender.send_request(request).await.expect("an answer");
+    assert!(response.status().is_success());
+    let body = response
+        .into_body()
+        .collect()
+        .await
+        .expect("a whole answer");
+    assert!(body.to_bytes().ends_with(b"[DONE]\n\n"));
+}
+
+async fn many(to: SocketAddr) {
+    let mut calls = JoinSet::new();
+    (0..AT_ONCE).for_each(|_| {
+        calls.spawn(call(to));
+    });
+    while let Some(done) = calls.join_next().await {
+        done.expect("a call");
+    }
+}
+
+async fn start() -> (Platform, Engine, SocketAddr) {
+    let platform = Platform::start().await;
+    let engine = Engine::start(Speed {
+        slots: 256,
+        prefill_tokens_per_s: 1e9,
+        step: Duration::from_micros(100),
+        ..Speed::default()
+    })
+    .await;
+    let toml = format!(
+        "hall = [{{ name = 'h', data_centre = 'd' }}]\n\
+         tier = [{{ name = 't', rank = 0, default_deadline_ms = 60000, max_deadline_ms = 60000 }}]\n\
+         organisation = [{{ name = 'o', key_sha256 = ['{}'] }}]\n\
+         pool = [{{ name = 'p', kind = 'model' }}]\nservice = [{{ name = 'm', pool = 'p' }}]\n\
+         endpoint = [{{ name = 'e', pool = 'p', addr = '{}', hall = 'h', slots = 256, \
+         prefill_tokens_per_s = 1e9, decode_step_us = 100.0 }}]\n",
+        hex::encode(key_digest(KEY)),
+        engine.addr()
+    );
+    let mut stored = StoredConfig::default();
+    let config = config::parse(&toml).expect("no fault");
+    stored.set(&Versioned::from_config(1, config));
+    platform.put(CONFIG_KEY, stored.write());
+    let addr = |port| SocketAddr::from(([127, 77, 0, 1], port));
+    let settings = Settings {
+        name: "bench".into(),
+        hall: "h".into(),
+        data_centre: "d".into(),
+        caller_addr: addr(7_001),
+        operator_addr: addr(7_002),
+        peer_addr: addr(7_003),
+        seeds: Vec::new(),
+        platform_addr: platform.addr(),
+        cluster_key: Secret::new("bench-cluster-key"),
+        operator_key: Secret::new("bench-operator-key"),
+        log_format: LogFormat::Plain,
+        max_connections: 10_000,
+        max_body_bytes: 1 << 20,
+        header_timeout_ms: 5_000,
+        body_timeout_ms: 5_000,
+        stop_timeout_ms: 1_000,
+        record_requests: 1_000,
+    };
+    let running = instance::start(settings, HttpStore::new(platform.addr())).await;
+    let running = running.unwrap_or_else(|e| panic!("{e}"));
+    while !running.instance.is_ready() {
+        time::sleep(Duration::from_millis(10)).await;
+    }
+    // It runs until the process ends.
+    std::mem::forget(running);
+    (platform, engine, addr(7_001))
+}
+
+fn relay(criterion: &mut Criterion) {
+    let runtime = Runtime::new().expect("a runtime");
+    let (_platform, engine, through) = runtime.block_on(start());
+    let direct = engine.addr();
+    let mut group = criterion.benchmark_group("relay");
+    group.sample_size(20);
+    for (name, to) in [("direct", direct), ("through", through)] {
+        group.bench_function(format!("{name}, one at a time"), |b| {
+            b.iter(|| runtime.block_on(call(to)));
+        });
+        group.bench_function(format!("{name}, {AT_ONCE} at once"), |b| {
+            b.iter(|| runtime.block_on(many(to)));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, relay);
+criterion_main!(benches);
--- a/tests/product/check.rs
+++ b/tests/product/check.rs
@@ -61,7 +61,11 @@
         "0 slots",
         "unknown section `evnet`; did you mean `event`?",
     ];
-    let line = FAULTY.lines().position(|l| l == "slots = \"four\"").unwrap() + 1;
+    let line = FAULTY
+        .lines()
+        .position(|l| l == "slots = \"four\"")
+        .unwrap()
+        + 1;
     let typed = format!("{line}:9: invalid type: string \"four\"");
     for part in wanted.into_iter().chain([typed.as_str()]) {
         assert!(
