Read the relay and lifecycle as a newcomer: one wait for the next piece, no unused arguments

Cause: the two loops over a stream had the same select, and some arguments were not used. Change: next_piece; arguments removed.

--- a/src/core/lifecycle.rs
+++ b/src/core/lifecycle.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
-use crate::core::types::{Registration, ShedReason};
+use crate::core::types::Registration;
 
 /// Where a request stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -143,7 +143,7 @@
     ///
     /// # Errors
     /// The request holds a grant, was sent or has ended.
-    pub fn shed(&mut self, _reason: ShedReason) -> Result<(), LifecycleError> {
+    pub fn shed(&mut self) -> Result<(), LifecycleError> {
         self.step(Stage::Waiting, Stage::Ended(Ending::NotRun))
     }
 
--- a/src/entry/registry.rs
+++ b/src/entry/registry.rs
@@ -432,7 +432,7 @@
         if offered != current {
             return Err(LifecycleError::StaleRegistration { offered, current });
         }
-        self.lifecycle.shed(reason)?;
+        self.lifecycle.shed()?;
         let _ = self.decisions.send(Decision::Shed {
             reason,
             retry_after_ms,
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -13,7 +13,7 @@
 use crate::{
     endpoint::{
         connection::Connection,
-        engine::{self, EngineStream, StreamError, Usage},
+        engine::{self, EngineStream, Piece, StreamError, Usage},
     },
     entry::{
         answer::{self, Message},
@@ -229,7 +229,7 @@
         self.endpoint = Some(endpoint);
         match self.call.target.clone() {
             Target::Model { chat, stream } => self.run_model(connection, addr, chat, stream).await,
-            Target::Plain { path } => self.run_plain(connection, addr, &path).await,
+            Target::Plain { path } => self.run_plain(connection, &path).await,
         }
         Tried::Ended
     }
@@ -334,13 +334,8 @@
         let mut progress = Progress::default();
         let mut begun = false;
         loop {
-            let next = tokio::select! {
-                biased;
-                () = self.answer.closed() => {
-                    self.abandon(addr, Some(&engine)).await;
-                    return;
-                }
-                next = engine.next() => next,
+            let Some(next) = self.next_piece(&mut engine).await else {
+                return self.abandon(addr, Some(&engine)).await;
             };
             match next {
                 Ok(Some(piece)) => {
@@ -366,24 +361,31 @@
                     let event = answer::sse_error(&refusal, self.held.id);
                     let _ = self.answer.send(Message::Data(event)).await;
                     // Without an `End` the body is cut off here.
-                    return self.broken(&error, engine.tokens());
+                    return self.broken(&error);
                 }
             }
         }
     }
 
+    /// Returns the stream's next piece, or none once the caller has left.
+    async fn next_piece(
+        &self,
+        engine: &mut EngineStream,
+    ) -> Option<Result<Option<Piece>, StreamError>> {
+        tokio::select! {
+            biased;
+            () = self.answer.closed() => None,
+            next = engine.next() => Some(next),
+        }
+    }
+
     /// Collects the stream into one answer.
     async fn collect(&mut self, mut engine: EngineStream, addr: SocketAddr, chat: bool) {
         let mut progress = Progress::default();
         let mut text = String::new();
         loop {
-            let next = tokio::select! {
-                biased;
-                () = self.answer.closed() => {
-                    self.abandon(addr, Some(&engine)).await;
-                    return;
-                }
-                next = engine.next() => next,
+            let Some(next) = self.next_piece(&mut engine).await else {
+                return self.abandon(addr, Some(&engine)).await;
             };
             match next {
                 Ok(Some(piece)) => {
@@ -409,8 +411,7 @@
         self.whole(&engine).await;
     }
 
-    async fn run_plain(&mut self, connection: Connection, addr: SocketAddr, path: &str) {
-        let _ = addr;
+    async fn run_plain(&mut self, connection: Connection, path: &str) {
         let request = self.request(path);
         // The caller may leave: a plain service's request is not cut off by that, since whether it
         // ran would be less known for nothing.
@@ -538,7 +539,7 @@
 
     /// The stream failed before anything went to the caller.
     async fn failed(&mut self, error: &StreamError) {
-        self.broken(error, 0);
+        self.broken(error);
         if let StreamError::Refused { status, text } = error
             && status.is_client_error()
         {
@@ -554,7 +555,7 @@
             .await;
     }
 
-    fn broken(&mut self, error: &StreamError, tokens: u32) {
+    fn broken(&mut self, error: &StreamError) {
         log::debug!("{}: {error}", self.held.id);
         let unreachable = matches!(
             error,
@@ -569,7 +570,6 @@
         let reason = Some("stream_cut");
         let prefill = self.call.meta.prompt_tokens;
         self.end_sent(false, None, "outcome_unknown", reason, prefill);
-        let _ = tokens;
     }
 
     /// The caller left: nobody waits for the rest.
--- a/src/replay/run.rs
+++ b/src/replay/run.rs
@@ -18,7 +18,7 @@
         shedding::{HeldLevel, LevelAsk, level_needed},
     },
     entry::registry::{KEPT_LENGTHS, is_waiting},
-    prelude::{Incarnation, Micros, Name, Registration, RequestId, RequestMeta, ShedReason},
+    prelude::{Incarnation, Micros, Name, Registration, RequestId, RequestMeta},
     replay::{
         baseline::{Baseline, Kind},
         bound,
@@ -363,7 +363,7 @@
         };
         self.entries.insert(request, entry);
         if self.levels[pool].refuses(now_us, rank, self.tiers.len()) {
-            return self.shed(now_us, request, ShedReason::TierShed);
+            return self.shed(now_us, request);
         }
         self.at(now_us + line.deadline_ms * 1_000, Event::Deadline(request));
         if !self.leaderless {
@@ -399,14 +399,12 @@
                 endpoint,
                 ..
             } => self.grant(now_us, request_of(id), registration, &endpoint),
-            Action::Shed {
-                id, reason, chain, ..
-            } => {
+            Action::Shed { id, chain, .. } => {
                 let request = request_of(id);
                 let rank = self.entries[&request].rank;
                 let tiers = self.tiers.len();
                 if self.levels[pool].may_shed(now_us, LEADER, chain, rank, tiers) {
-                    self.shed(now_us, request, reason);
+                    self.shed(now_us, request);
                 }
             }
             Action::Ask(ask) => {
@@ -562,11 +560,11 @@
         }
     }
 
-    fn shed(&mut self, now_us: Micros, request: usize, reason: ShedReason) {
+    fn shed(&mut self, now_us: Micros, request: usize) {
         let Some(mut entry) = self.entries.remove(&request) else {
             return;
         };
-        if entry.lifecycle.shed(reason).is_err() {
+        if entry.lifecycle.shed().is_err() {
             self.entries.insert(request, entry);
             return;
         }
--- a/tests/core/lifecycle.rs
+++ b/tests/core/lifecycle.rs
@@ -40,7 +40,7 @@
 fn is_not_shed_once_granted() {
     let mut request = Lifecycle::new(registration(1));
     request.grant(registration(1)).unwrap();
-    assert!(request.shed(ShedReason::QueueFull).is_err());
+    assert!(request.shed().is_err());
     request.refuse().unwrap();
     assert_eq!(request.stage(), Stage::Ended(Ending::NotRun));
     assert!(request.grant(registration(1)).is_err());
--- a/tests/properties/core_walk.rs
+++ b/tests/properties/core_walk.rs
@@ -190,7 +190,6 @@
             Action::Shed {
                 registration,
                 id,
-                reason,
                 chain,
                 ..
             } => {
@@ -201,7 +200,7 @@
                 let level = self.levels.entry(id.entry.0).or_default();
                 let allowed = level.may_shed(self.now_us, leader, chain, rank, TIERS);
                 let current = registration == lifecycle.registration();
-                if allowed && current && lifecycle.shed(reason).is_ok() {
+                if allowed && current && lifecycle.shed().is_ok() {
                     prop_assert_eq!(*sent, 0, "told not_run after it was sent");
                     prop_assert!(
                         !self.keeps_below(None, rank),
