--- a/benches/relay.rs
+++ b/benches/relay.rs
@@ -1,6 +1,9 @@
 //! A small completion over loopback, direct to the engine and through an instance, in one run.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use criterion::{Criterion, criterion_group, criterion_main};
@@ -25,7 +28,9 @@
 const BODY: &str = r#"{"model":"m","prompt":"hello","max_tokens":1,"stream":true}"#;
 const AT_ONCE: usize = 64;
 
-async fn call(to: SocketAddr) {
+/// Sends one completion; returns the time to the first byte of its body.
+async fn call(to: SocketAddr) -> Duration {
+    let began = Instant::now();
     let stream = TcpStream::connect(to).await.expect("connect");
     let _ = stream.set_nodelay(true);
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
@@ -39,12 +44,17 @@
         .expect("a valid request");
     let response = sender.send_request(request).await.expect("an answer");
     assert!(response.status().is_success());
-    let body = response
-        .into_body()
-        .collect()
-        .await
-        .expect("a whole answer");
-    assert!(body.to_bytes().ends_with(b"[DONE]\n\n"));
+    let mut body = response.into_body();
+    let first = body.frame().await.expect("a body").expect("a frame");
+    let first_byte = began.elapsed();
+    let rest = body.collect().await.expect("a whole answer").to_bytes();
+    let last = if rest.is_empty() {
+        first.into_data().unwrap_or_default()
+    } else {
+        rest
+    };
+    assert!(last.ends_with(b"[DONE]\n\n"));
+    first_byte
 }
 
 async fn many(to: SocketAddr) {
@@ -110,16 +120,60 @@
     (platform, engine, addr(7_001))
 }
 
+/// Returns the processor time that this process has used, in seconds.
+fn processor_s() -> f64 {
+    const TICKS_PER_S: f64 = 100.0;
+    let stat = std::fs::read_to_string("/proc/self/stat").expect("this process's times");
+    let fields = stat
+        .rsplit(')')
+        .next()
+        .unwrap_or_default()
+        .split_whitespace();
+    let ticks: f64 = fields
+        .skip(11)
+        .take(2)
+        .filter_map(|f| f.parse::<f64>().ok())
+        .sum();
+    ticks / TICKS_PER_S
+}
+
+/// Prints what a request costs beyond the direct way: the rest of the process does the same in both.
+fn print_cost(runtime: &Runtime, direct: SocketAddr, through: SocketAddr) {
+    const ROUNDS: usize = 12;
+    const BATCHES: usize = 20;
+    let cost_us = |to| {
+        let before = processor_s();
+        (0..BATCHES).for_each(|_| runtime.block_on(many(to)));
+        (processor_s() - before) * 1e6 / (BATCHES * AT_ONCE) as f64
+    };
+    let mut added: Vec<f64> = (0..ROUNDS)
+        .map(|_| {
+            let direct_us = cost_us(direct);
+            cost_us(through) - direct_us
+        })
+        .collect();
+    added.sort_by(f64::total_cmp);
+    let median = added[ROUNDS / 2];
+    let each_core = 1e6 / median;
+    println!(
+        "added by the instance: median {median:.0} us of processor a request, {each_core:.0} requests/s a core"
+    );
+}
+
 fn relay(criterion: &mut Criterion) {
     let runtime = Runtime::new().expect("a runtime");
     let (_platform, engine, through) = runtime.block_on(start());
     let direct = engine.addr();
+    print_cost(&runtime, direct, through);
     let mut group = criterion.benchmark_group("relay");
     group.sample_size(20);
     for (name, to) in [("direct", direct), ("through", through)] {
         group.bench_function(format!("{name}, one at a time"), |b| {
             b.iter(|| runtime.block_on(call(to)));
         });
+        group.bench_function(format!("{name}, first byte"), |b| {
+            b.iter_custom(|count| (0..count).map(|_| runtime.block_on(call(to))).sum());
+        });
         group.bench_function(format!("{name}, {AT_ONCE} at once"), |b| {
             b.iter(|| runtime.block_on(many(to)));
         });
