--- a/src/entry/registry.rs
+++ b/src/entry/registry.rs
@@ -285,6 +285,20 @@
         (waiting, inner.held.len() - waiting)
     }
 
+    /// Returns how many wait, by tier.
+    pub fn waiting_by_tier(&self) -> BTreeMap<Name, usize> {
+        let inner = self.lock();
+        let mut counts = BTreeMap::new();
+        for held in inner
+            .held
+            .values()
+            .filter(|h| is_waiting(h.lifecycle.stage()))
+        {
+            *counts.entry(held.arrival.tier.clone()).or_default() += 1;
+        }
+        counts
+    }
+
     /// Returns the ids of all that is held.
     pub fn ids(&self) -> Vec<RequestId> {
         self.lock().held.keys().copied().collect()
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -81,6 +81,7 @@
     /// Orders that this entry did not follow.
     pub orders_refused: Counter,
     held: Family<StageLabels, Gauge>,
+    waiting: Family<TierLabels, Gauge>,
     config_version: Gauge,
     control_sent_bytes: Counter,
     control_received_bytes: Counter,
@@ -200,6 +201,7 @@
             m.orders_refused.clone(),
         );
         registry.register("held_requests", "Requests held, by stage", m.held.clone());
+        registry.register("waiting", "Queue length, by tier", m.waiting.clone());
         registry.register(
             "config_version",
             "Configuration in force",
@@ -243,6 +245,13 @@
         Ok(text)
     }
 
+    /// Sets a tier's queue length, as it is shown next.
+    pub fn set_waiting(&self, tier: &Name, count: usize) {
+        self.waiting
+            .get_or_create(&tier_label(tier))
+            .set(count as i64);
+    }
+
     /// Counts a request's end.
     pub fn ended(&self, tier: &Name, outcome: &str) {
         self.requests.get_or_create(&labels(tier, outcome)).inc();
--- a/src/operator/http.rs
+++ b/src/operator/http.rs
@@ -92,7 +92,7 @@
             let text = "not ready\n".to_owned();
             respond(StatusCode::SERVICE_UNAVAILABLE, "text/plain", text)
         }
-        (&Method::GET, "/metrics") => match instance.metrics.text(instance.readings()) {
+        (&Method::GET, "/metrics") => match metrics_text(&instance) {
             Ok(text) => respond(StatusCode::OK, "text/plain; version=0.0.4", text),
             Err(error) => respond(
                 StatusCode::INTERNAL_SERVER_ERROR,
@@ -116,6 +116,15 @@
     }
 }
 
+fn metrics_text<S: Store>(instance: &Instance<S>) -> Result<String, std::fmt::Error> {
+    let waiting = instance.registry.waiting_by_tier();
+    for tier in &instance.config.current().config.tiers {
+        let count = waiting.get(&tier.name).copied().unwrap_or(0);
+        instance.metrics.set_waiting(&tier.name, count);
+    }
+    instance.metrics.text(instance.readings())
+}
+
 fn respond(status: StatusCode, kind: &'static str, text: String) -> Response<Body> {
     let mut response = Response::new(full(text));
     *response.status_mut() = status;
--- a/tests/cluster/answers.rs
+++ b/tests/cluster/answers.rs
@@ -172,6 +172,8 @@
         assert_eq!(got.verdict(), "bad_request");
     }
     assert!(slow_body(to).await.starts_with("HTTP/1.1 408"));
+    // An idle connection is closed.
+    assert_eq!(raw(to, b"").await, "");
     // A header that never ends, or is huge, gets no request through; the connection is closed.
     assert!(
         !raw(to, b"POST /v1/completions HTTP/1.1\r\nhost: x\r\n")
--- a/tests/cluster/operators.rs
+++ b/tests/cluster/operators.rs
@@ -41,6 +41,11 @@
         .command("queued order by age_ms desc limit 2")
         .await;
     assert_eq!((reply.rows.len(), reply.left_out), (2, 6));
+    let metrics = cluster.instances[0].get("/metrics").await;
+    let line = metrics
+        .lines()
+        .find(|l| l.starts_with("ryevalve_waiting{tier=\"gate\"}"));
+    assert!(line.is_some_and(|l| !l.ends_with(" 0")), "{line:?}");
     let id = reply.rows[0]["id"].as_str().unwrap().to_owned();
     let why = cluster.instances[0].command(&format!("why {id}")).await;
     assert!(
--- a/tests/cluster/support.rs
+++ b/tests/cluster/support.rs
@@ -489,6 +489,25 @@
             .unwrap_or(Value::Null)
     }
 
+    /// Fetches a page of the operators' listener that needs no key.
+    pub async fn get(&self, path: &str) -> String {
+        let stream = TcpStream::connect(self.operators).await.expect("connect");
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (mut sender, connection) = handshake.expect("handshake");
+        tokio::spawn(connection);
+        let request = Request::get(path).header("host", "test");
+        let request = request
+            .body(Full::<Bytes>::default())
+            .expect("a valid request");
+        let response = sender.send_request(request).await.expect("an answer");
+        let body = response
+            .into_body()
+            .collect()
+            .await
+            .expect("a whole answer");
+        String::from_utf8_lossy(&body.to_bytes()).into_owned()
+    }
+
     pub async fn command(&self, text: &str) -> Reply {
         self.command_as(OPERATOR_KEY, text, None)
             .await
