--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -111,7 +111,8 @@
     }
 }
 
-const SECTIONS: [&str; 9] = [
+/// The sections of the TOML form, which are also the kinds of objects.
+pub const SECTIONS: [&str; 9] = [
     "policy",
     "hall",
     "tier",
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,6 +3,7 @@
 //! The server, the replay and the property tests all run this code.
 
 pub mod endpoint;
+pub mod interface;
 pub mod length;
 pub mod lifecycle;
 pub mod prefix;
--- a/src/operator/language.rs
+++ b/src/operator/language.rs
@@ -12,7 +12,10 @@
     token::{literal, rest, take_while},
 };
 
-use crate::{config::check::nearest, prelude::RequestId};
+use crate::{
+    config::check::{SECTIONS, nearest},
+    prelude::RequestId,
+};
 
 /// What is asked about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -599,20 +602,8 @@
     })
 }
 
-const KINDS: [&str; 9] = [
-    "policy",
-    "hall",
-    "tier",
-    "organisation",
-    "operator",
-    "pool",
-    "service",
-    "endpoint",
-    "event",
-];
-
 fn kind(input: &mut &str) -> Parsed<String> {
-    if !KINDS.contains(&peek_word(input)) {
+    if !SECTIONS.contains(&peek_word(input)) {
         return fail(
             "one of policy, hall, tier, organisation, operator, pool, service, endpoint, event",
         );
