--- /dev/null
+++ b/src/balance/balancer.rs
@@ -0,0 +1,427 @@
+//! Places requests: keeps the picture, the queue of those that wait, and what was sent.
+//!
+//! Free of clock, socket and random source, so that tests drive it step by step.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+};
+
+use crate::{
+    balance::{
+        cost::{Ask, Expected, Known, expect},
+        discovery::{Change, Discovery, EndpointEntry},
+        load::{EndpointKey, EndpointLoad, InFlight, OwnWord, ToldLoads},
+        prefixes::{ChainKey, PrefixHolders},
+        speed::Speed,
+    },
+    prelude::{Incarnation, Micros, Name, Rank},
+};
+
+/// How long a request waits for a slot before it is decided, as a share of its target: a refusal
+/// after a quarter of it is of little use to the caller.
+const HOLD_SHARE: f64 = 0.2;
+/// Up to this share of its target a request is sent to an endpoint without a free slot, by rank.
+/// The less urgent leave the queues at the endpoints, which know no ranks, to the more urgent.
+const QUEUE_SHARE: [f64; 3] = [0.95, 0.75, 0.6];
+/// The share of its time left up to which a request of the highest rank is sent although its first
+/// event is expected after its target.
+const LATE_SHARE: f64 = 0.35;
+/// A refused caller is told to come back after at least this time, in milliseconds.
+const RETRY_MIN_MS: f64 = 150.0;
+const RETRY_MAX_MS: f64 = 3_000.0;
+
+/// An endpoint chosen for a request.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// The endpoint's id.
+    pub id: Name,
+    /// Its key among instances.
+    pub key: EndpointKey,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// The hall it stands in.
+    pub hall: Name,
+    /// What is expected of it.
+    pub expected: Expected,
+}
+
+/// What is decided on a request.
+#[derive(Clone, Debug)]
+pub enum Placement {
+    /// It is sent; what was sent is accounted for until [`Balancer::end`].
+    Send(Choice),
+    /// It waits for a slot.
+    Wait,
+    /// It is refused.
+    Refuse {
+        /// Why, as a fixed word.
+        reason: &'static str,
+        /// When the caller may come back.
+        retry_after_ms: u32,
+    },
+}
+
+/// Names a waiting request; the most urgent and oldest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WaitKey {
+    rank: Rank,
+    number: u64,
+}
+
+#[derive(Debug)]
+struct Endpoint {
+    entry: std::sync::Arc<EndpointEntry>,
+    speed: Speed,
+    same_hall: bool,
+}
+
+/// The picture of all endpoints, and the requests that wait.
+#[derive(Debug)]
+pub struct Balancer {
+    hall: Name,
+    discovery: Discovery,
+    endpoints: HashMap<EndpointKey, Endpoint>,
+    services: HashMap<Name, Vec<EndpointKey>>,
+    loads: HashMap<EndpointKey, EndpointLoad>,
+    told: ToldLoads,
+    holders: PrefixHolders,
+    /// What was read lately, to be told to the others.
+    news: Vec<(ChainKey, EndpointKey)>,
+    waiting: BTreeMap<WaitKey, Ask>,
+    next_number: u64,
+    changed: bool,
+}
+
+impl Balancer {
+    /// Starts with nothing known; `hall` is where this instance stands.
+    pub fn new(hall: Name) -> Self {
+        Self {
+            hall,
+            discovery: Discovery::default(),
+            endpoints: HashMap::new(),
+            services: HashMap::new(),
+            loads: HashMap::new(),
+            told: ToldLoads::default(),
+            holders: PrefixHolders::default(),
+            news: Vec::new(),
+            waiting: BTreeMap::new(),
+            next_number: 0,
+            changed: false,
+        }
+    }
+
+    /// Takes an endpoint's entry; returns what changed.
+    pub fn endpoint_seen(&mut self, entry: EndpointEntry) -> Option<Change> {
+        let id = entry.id.clone();
+        let change = self.discovery.seen(entry)?;
+        let key = EndpointKey::of(&id);
+        let entry = self.discovery.get(&id)?.clone();
+        let same_hall = entry.hall == self.hall;
+        let speed = self.endpoints.remove(&key).map(|e| e.speed);
+        let endpoint = Endpoint {
+            entry,
+            same_hall,
+            speed: speed.unwrap_or_default(),
+        };
+        self.endpoints.insert(key, endpoint);
+        self.index_services();
+        Some(change)
+    }
+
+    /// Takes word that an endpoint's entry is gone; returns what changed.
+    pub fn endpoint_removed(&mut self, now_us: Micros, id: &str) -> Option<Change> {
+        let change = self.discovery.removed(now_us, id)?;
+        if change == Change::Gone {
+            self.drop_endpoint(id);
+        }
+        Some(change)
+    }
+
+    /// Takes a whole list of entries' ids; returns what changed.
+    pub fn endpoints_listed(
+        &mut self,
+        now_us: Micros,
+        listed: impl Fn(&str) -> bool,
+    ) -> Vec<(Name, Change)> {
+        let changes = self.discovery.retain_listed(now_us, listed);
+        for (id, change) in &changes {
+            if *change == Change::Gone {
+                self.drop_endpoint(id);
+            }
+        }
+        changes
+    }
+
+    /// Notes that the store could not be reached until now.
+    pub fn store_was_away(&mut self, now_us: Micros) {
+        self.discovery.store_was_away(now_us);
+    }
+
+    /// Drops the endpoints whose lapse is over and the instances that fell silent; returns them.
+    pub fn tick(&mut self, now_us: Micros) -> (Vec<Name>, Vec<Incarnation>) {
+        let expired = self.discovery.expire(now_us);
+        for id in &expired {
+            self.drop_endpoint(id);
+        }
+        let silent = self.told.expire(now_us, &mut self.loads);
+        (expired, silent)
+    }
+
+    fn drop_endpoint(&mut self, id: &str) {
+        let key = EndpointKey::of(id);
+        self.endpoints.remove(&key);
+        self.holders.forget_endpoint(key);
+        self.index_services();
+    }
+
+    fn index_services(&mut self) {
+        self.services.clear();
+        for (key, endpoint) in &self.endpoints {
+            let service = endpoint.entry.service.clone();
+            self.services.entry(service).or_default().push(*key);
+        }
+        for keys in self.services.values_mut() {
+            keys.sort_unstable();
+        }
+    }
+
+    /// Returns the number of endpoints known.
+    pub fn endpoint_count(&self) -> usize {
+        self.endpoints.len()
+    }
+
+    /// Returns an endpoint's entry while it is in use.
+    pub fn entry(&self, key: EndpointKey) -> Option<&EndpointEntry> {
+        self.endpoints.get(&key).map(|e| &*e.entry)
+    }
+
+    /// Decides on a request that has just come, or comes back from an endpoint that did not run it.
+    /// Those in `tried` are not chosen.
+    pub fn place(&mut self, now_us: Micros, ask: &Ask, tried: &[EndpointKey]) -> Placement {
+        let best = self.best(now_us, ask, tried);
+        let Some(best) = best else {
+            return Placement::Refuse {
+                reason: "no_endpoint",
+                retry_after_ms: RETRY_MIN_MS as u32 * 4,
+            };
+        };
+        let queued = self.waits_before(ask.rank);
+        if best.expected.has_room && !queued {
+            return self.send(now_us, ask, best);
+        }
+        let waited_us = now_us.saturating_sub(ask.arrived_us);
+        let target_us = ask.target_us as f64;
+        let total_us = waited_us as f64 + best.expected.first_ms * 1e3;
+        let rank = usize::from(ask.rank).min(QUEUE_SHARE.len() - 1);
+        if best.expected.has_room || total_us <= target_us * QUEUE_SHARE[rank] {
+            return self.send(now_us, ask, best);
+        }
+        if (waited_us as f64) < target_us * HOLD_SHARE {
+            return Placement::Wait;
+        }
+        let left_us = ask.deadline_us.saturating_sub(now_us) as f64;
+        if ask.rank == 0 && best.expected.first_ms * 1e3 <= left_us * LATE_SHARE {
+            return self.send(now_us, ask, best);
+        }
+        let retry_ms = best.expected.first_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS);
+        Placement::Refuse {
+            reason: "busy",
+            retry_after_ms: retry_ms as u32,
+        }
+    }
+
+    fn waits_before(&self, rank: Rank) -> bool {
+        self.waiting.keys().next().is_some_and(|k| k.rank <= rank)
+    }
+
+    fn best(&self, now_us: Micros, ask: &Ask, tried: &[EndpointKey]) -> Option<Choice> {
+        let keys = self.services.get(&ask.service)?;
+        let usable = keys.iter().filter(|k| !tried.contains(k));
+        let mut best: Option<(EndpointKey, Expected)> = None;
+        for key in usable {
+            let Some(expected) = self.expect(now_us, ask, *key) else {
+                continue;
+            };
+            let better = best.is_none_or(|(_, b)| expected.cost < b.cost);
+            if better {
+                best = Some((*key, expected));
+            }
+        }
+        let (key, expected) = best?;
+        let entry = &self.endpoints.get(&key)?.entry;
+        Some(Choice {
+            id: entry.id.clone(),
+            key,
+            addr: entry.addr,
+            hall: entry.hall.clone(),
+            expected,
+        })
+    }
+
+    fn expect(&self, now_us: Micros, ask: &Ask, key: EndpointKey) -> Option<Expected> {
+        static IDLE: std::sync::LazyLock<EndpointLoad> =
+            std::sync::LazyLock::new(EndpointLoad::default);
+        let endpoint = self.endpoints.get(&key)?;
+        if endpoint.entry.draining {
+            return None;
+        }
+        let cached = self.holders.cached_tokens(now_us, &ask.chains, key);
+        let known = Known {
+            load: self.loads.get(&key).unwrap_or(&IDLE),
+            speed: &endpoint.speed,
+            slots: endpoint.entry.slots,
+            same_hall: endpoint.same_hall,
+            cached_tokens: cached,
+        };
+        Some(expect(now_us, ask, known))
+    }
+
+    fn send(&mut self, now_us: Micros, ask: &Ask, choice: Choice) -> Placement {
+        let own = &mut self.loads.entry(choice.key).or_default().own;
+        own.requests += 1;
+        own.prompt_tokens += choice.expected.uncached_tokens;
+        for (chain, _) in &ask.chains {
+            self.holders.note(now_us, *chain, choice.key);
+            self.news.push((*chain, choice.key));
+        }
+        self.changed = true;
+        Placement::Send(choice)
+    }
+
+    /// Adds a request to those that wait.
+    pub fn enqueue(&mut self, ask: Ask) -> WaitKey {
+        let key = WaitKey {
+            rank: ask.rank,
+            number: self.next_number,
+        };
+        self.next_number += 1;
+        self.waiting.insert(key, ask);
+        key
+    }
+
+    /// Takes a request out of those that wait.
+    pub fn dequeue(&mut self, key: WaitKey) -> Option<Ask> {
+        self.waiting.remove(&key)
+    }
+
+    /// Decides anew on those that wait, the most urgent first; returns those that need not wait.
+    pub fn reconsider(&mut self, now_us: Micros) -> Vec<(WaitKey, Placement)> {
+        let mut decided = Vec::new();
+        let keys: Vec<WaitKey> = self.waiting.keys().copied().collect();
+        for key in keys {
+            let Some(ask) = self.waiting.remove(&key) else {
+                continue;
+            };
+            match self.place(now_us, &ask, &[]) {
+                Placement::Wait => {
+                    self.waiting.insert(key, ask);
+                }
+                placement => decided.push((key, placement)),
+            }
+        }
+        decided
+    }
+
+    /// Returns the number of requests that wait.
+    pub fn waiting_count(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Learns that a stream's first event came after `took_ms`.
+    pub fn first_event(&mut self, key: EndpointKey, uncached_tokens: u32, took_ms: f64) {
+        if let Some(load) = self.loads.get_mut(&key) {
+            let pending = load.prompt_tokens();
+            load.own.prompt_tokens = load.own.prompt_tokens.saturating_sub(uncached_tokens);
+            if let Some(endpoint) = self.endpoints.get_mut(&key) {
+                let tokens = pending.max(f64::from(uncached_tokens));
+                endpoint.speed.first_event(took_ms, tokens);
+            }
+        }
+        self.changed = true;
+    }
+
+    /// Takes a request out of what was sent. `waiting_tokens` are those whose first event did not
+    /// come.
+    pub fn end(&mut self, key: EndpointKey, waiting_tokens: u32, held_ms: Option<f64>) {
+        if let Some(load) = self.loads.get_mut(&key) {
+            load.own.requests = load.own.requests.saturating_sub(1);
+            load.own.prompt_tokens = load.own.prompt_tokens.saturating_sub(waiting_tokens);
+        }
+        if let (Some(endpoint), Some(held_ms)) = (self.endpoints.get_mut(&key), held_ms) {
+            endpoint.speed.held(held_ms);
+        }
+        self.changed = true;
+    }
+
+    /// Gives what is learned of an endpoint's speed.
+    pub fn learn(&mut self, key: EndpointKey, lesson: impl FnOnce(&mut Speed)) {
+        if let Some(endpoint) = self.endpoints.get_mut(&key) {
+            lesson(&mut endpoint.speed);
+        }
+    }
+
+    /// Takes an endpoint's own word on its load.
+    pub fn report(&mut self, now_us: Micros, key: EndpointKey, word: OwnWord) {
+        let load = self.loads.entry(key).or_default();
+        load.report(now_us, word);
+    }
+
+    /// Returns this instance's requests by endpoint, to tell the others.
+    pub fn own_loads(&self) -> Vec<(EndpointKey, InFlight)> {
+        let own = self.loads.iter().map(|(k, l)| (*k, l.own));
+        let mut own: Vec<_> = own.filter(|(_, l)| l.requests > 0).collect();
+        own.sort_unstable_by_key(|(k, _)| *k);
+        own
+    }
+
+    /// Returns whether there is something to tell since the last time.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Returns what was read lately, at most `most`.
+    pub fn take_news(&mut self, most: usize) -> Vec<(ChainKey, EndpointKey)> {
+        let from = self.news.len().saturating_sub(most);
+        let news = self.news.split_off(from);
+        self.news.clear();
+        news
+    }
+
+    /// Returns the speeds of `count` endpoints from the `turn`th on.
+    pub fn speeds(&self, turn: usize, count: usize) -> Vec<(EndpointKey, f32, f32)> {
+        let mut keys: Vec<EndpointKey> = self.endpoints.keys().copied().collect();
+        keys.sort_unstable();
+        let chosen = keys.iter().cycle().skip(turn % keys.len().max(1));
+        let chosen = chosen.take(count.min(keys.len()));
+        chosen
+            .filter_map(|k| {
+                let (prompt, token) = self.endpoints.get(k)?.speed.told();
+                Some((*k, prompt, token))
+            })
+            .collect()
+    }
+
+    /// Takes what another instance told.
+    pub fn told(
+        &mut self,
+        now_us: Micros,
+        from: Incarnation,
+        loads: Vec<(EndpointKey, InFlight)>,
+        read: &[(ChainKey, EndpointKey)],
+        speeds: &[(EndpointKey, f32, f32)],
+    ) {
+        self.told.replace(now_us, from, loads, &mut self.loads);
+        for (chain, endpoint) in read {
+            self.holders.note(now_us, *chain, *endpoint);
+        }
+        for (key, prompt, token) in speeds {
+            self.learn(*key, |s| s.learn_told(*prompt, *token));
+        }
+    }
+
+    /// Returns how many other instances are heard.
+    pub fn heard(&self) -> usize {
+        self.told.heard()
+    }
+}
--- /dev/null
+++ b/src/balance/cost.rs
@@ -0,0 +1,109 @@
+//! What it costs to send a request to an endpoint, as a share of what its answer is worth.
+
+use crate::{
+    balance::{load::EndpointLoad, prefixes::ChainKey, speed::Speed},
+    prelude::{Micros, Name, Rank},
+};
+
+/// Weight of the time to the first event, beside the risk that it is late: it keeps queues short.
+const TIME_WEIGHT: f64 = 0.15;
+/// The share of the target at which half of the answers are late: what is expected errs by a third.
+const LATE_MIDPOINT: f64 = 0.85;
+/// How steeply the risk of a late answer rises around the midpoint.
+const LATE_SLOPE: f64 = 9.0;
+/// What a late answer loses of its worth; from the users' sheets of worth.
+const LATE_LOSS: f64 = 0.7;
+/// What a prompt costs that is read again, a thousand tokens; other requests wait for it.
+const READ_AGAIN_PER_K: f64 = 0.006;
+/// The share of its worth that a request loses at an endpoint that fails always.
+const FAILING_LOSS: f64 = 1.5;
+
+/// A request to be placed.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// The service that serves it.
+    pub service: Name,
+    /// Its answer is a series of events.
+    pub is_stream: bool,
+    /// The whole prompt.
+    pub prompt_tokens: u32,
+    /// The prompt's chains of parts, the shortest first.
+    pub chains: Vec<(ChainKey, u32)>,
+    /// How long the answer is expected to be.
+    pub output_tokens: u32,
+    /// The time from the arrival within which the first event is of full use.
+    pub target_us: Micros,
+    /// When it arrived.
+    pub arrived_us: Micros,
+    /// When its caller stops waiting.
+    pub deadline_us: Micros,
+    /// Its rank; 0 is the most urgent.
+    pub rank: Rank,
+    /// What sending it to another hall costs, as a share of its worth.
+    pub other_hall_cost: f64,
+}
+
+/// What is expected of a request at an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Expected {
+    /// What it costs, as a share of what the answer is worth.
+    pub cost: f64,
+    /// Time to the first event, in milliseconds.
+    pub first_ms: f64,
+    /// Prompt tokens that the endpoint has to read.
+    pub uncached_tokens: u32,
+    /// Whether a slot is free.
+    pub has_room: bool,
+}
+
+/// What is known of an endpoint.
+#[derive(Clone, Copy)]
+pub struct Known<'e> {
+    /// Its load.
+    pub load: &'e EndpointLoad,
+    /// Its speed.
+    pub speed: &'e Speed,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// Whether it stands in this instance's hall.
+    pub same_hall: bool,
+    /// Prompt tokens that it holds of the request's.
+    pub cached_tokens: u32,
+}
+
+/// Returns what is expected of a request at an endpoint.
+pub fn expect(now_us: Micros, ask: &Ask, known: Known<'_>) -> Expected {
+    let slots = f64::from(known.slots.max(1));
+    let there = known.load.requests(now_us);
+    let ahead = (there + 1.0 - slots).max(0.0);
+    let wait_ms = ahead / slots * known.speed.hold_ms();
+    let uncached_tokens = ask.prompt_tokens.saturating_sub(known.cached_tokens);
+    let work_ms = if ask.is_stream {
+        let tokens = known.load.prompt_tokens() + f64::from(uncached_tokens);
+        known.speed.prompt_ms(tokens)
+    } else {
+        known.speed.whole_ms() * (1.0 + there / slots)
+    };
+    let first_ms = wait_ms + work_ms;
+    let waited_ms = now_us.saturating_sub(ask.arrived_us) as f64 / 1e3;
+    let target_ms = (ask.target_us as f64 / 1e3).max(1.0);
+    let late = late_risk((waited_ms + first_ms) / target_ms);
+    let hall = if known.same_hall {
+        0.0
+    } else {
+        ask.other_hall_cost
+    };
+    let again = f64::from(uncached_tokens) / 1e3 * READ_AGAIN_PER_K;
+    let failing = known.speed.failing_now(now_us) * FAILING_LOSS;
+    Expected {
+        cost: late * LATE_LOSS + first_ms / target_ms * TIME_WEIGHT + hall + again + failing,
+        first_ms,
+        uncached_tokens,
+        has_room: ahead < 1.0,
+    }
+}
+
+/// Returns the risk that an answer is late which is expected after `share` of its target.
+pub fn late_risk(share: f64) -> f64 {
+    1.0 / (1.0 + (-LATE_SLOPE * (share - LATE_MIDPOINT)).exp())
+}
--- /dev/null
+++ b/src/balance/load.rs
@@ -0,0 +1,142 @@
+//! How busy each endpoint is: this instance's own requests, what the others tell of theirs, and
+//! what the endpoint said of itself.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    limits::organisation::short_hash,
+    prelude::{Incarnation, Micros},
+};
+
+/// What another instance told counts for this long: some of its messages may be lost.
+const TOLD_US: Micros = 1_200_000;
+/// An endpoint's own word counts in full when it comes and for nothing after this time.
+const REPORT_US: f64 = 700_000.0;
+
+/// Names an endpoint among instances; a hash of its id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct EndpointKey(pub u32);
+
+impl EndpointKey {
+    /// Returns the key of an endpoint's id.
+    pub fn of(id: &str) -> Self {
+        Self(short_hash(id))
+    }
+}
+
+/// Requests of one instance at one endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InFlight {
+    /// Requests sent that have not ended.
+    pub requests: u32,
+    /// Prompt tokens sent whose first event has not come, without what the endpoint has cached.
+    pub prompt_tokens: u32,
+}
+
+/// What an endpoint says of its own load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OwnWord {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+}
+
+/// The load at one endpoint.
+#[derive(Clone, Debug, Default)]
+pub struct EndpointLoad {
+    /// Of this instance.
+    pub own: InFlight,
+    /// Of all others together.
+    others: InFlight,
+    /// Requests that the endpoint told of and nobody else, and when.
+    unaccounted: f64,
+    reported_us: Micros,
+}
+
+impl EndpointLoad {
+    /// Returns how many requests are there, as far as is known.
+    pub fn requests(&self, now_us: Micros) -> f64 {
+        let known = f64::from(self.own.requests + self.others.requests);
+        let age_us = now_us.saturating_sub(self.reported_us) as f64;
+        let trust = (1.0 - age_us / REPORT_US).max(0.0);
+        known + self.unaccounted * trust
+    }
+
+    /// Returns how many prompt tokens are to be read before those of a new request.
+    pub fn prompt_tokens(&self) -> f64 {
+        f64::from(self.own.prompt_tokens) + f64::from(self.others.prompt_tokens)
+    }
+
+    /// Takes the endpoint's own word. It counts where it is above what the instances know of.
+    pub fn report(&mut self, now_us: Micros, word: OwnWord) {
+        let known = f64::from(self.own.requests + self.others.requests);
+        let told = f64::from(word.running + word.waiting);
+        self.unaccounted = (told - known - 1.0).max(0.0);
+        self.reported_us = now_us;
+    }
+}
+
+#[derive(Debug, Default)]
+struct Told {
+    at_us: Micros,
+    loads: Vec<(EndpointKey, InFlight)>,
+}
+
+/// What the other instances told, by instance.
+#[derive(Debug, Default)]
+pub struct ToldLoads {
+    by_instance: HashMap<Incarnation, Told>,
+}
+
+impl ToldLoads {
+    /// Replaces what an instance told of its requests.
+    pub fn replace(
+        &mut self,
+        now_us: Micros,
+        from: Incarnation,
+        loads: Vec<(EndpointKey, InFlight)>,
+        endpoints: &mut HashMap<EndpointKey, EndpointLoad>,
+    ) {
+        let told = self.by_instance.entry(from).or_default();
+        told.at_us = now_us;
+        let before = std::mem::replace(&mut told.loads, loads);
+        for (key, load) in before {
+            if let Some(endpoint) = endpoints.get_mut(&key) {
+                endpoint.others.requests -= load.requests.min(endpoint.others.requests);
+                let tokens = load.prompt_tokens.min(endpoint.others.prompt_tokens);
+                endpoint.others.prompt_tokens -= tokens;
+            }
+        }
+        for (key, load) in &told.loads {
+            let endpoint = endpoints.entry(*key).or_default();
+            endpoint.others.requests += load.requests;
+            endpoint.others.prompt_tokens += load.prompt_tokens;
+        }
+    }
+
+    /// Forgets instances that have said nothing for long; returns them.
+    pub fn expire(
+        &mut self,
+        now_us: Micros,
+        endpoints: &mut HashMap<EndpointKey, EndpointLoad>,
+    ) -> Vec<Incarnation> {
+        let silent = |t: &Told| now_us.saturating_sub(t.at_us) > TOLD_US;
+        let gone = self.by_instance.iter().filter(|(_, t)| silent(t));
+        let gone: Vec<Incarnation> = gone.map(|(i, _)| *i).collect();
+        for instance in &gone {
+            self.replace(now_us, *instance, Vec::new(), endpoints);
+            self.by_instance.remove(instance);
+        }
+        gone
+    }
+
+    /// Returns how many instances are heard, beside this one.
+    pub fn heard(&self) -> usize {
+        self.by_instance.len()
+    }
+}
--- /dev/null
+++ b/src/balance/mod.rs
@@ -0,0 +1,9 @@
+//! Which endpoint a request goes to, which waits and which is refused, decided by each instance
+//! over a picture of all endpoints that the instances share.
+
+pub mod balancer;
+pub mod cost;
+pub mod discovery;
+pub mod load;
+pub mod prefixes;
+pub mod speed;
--- /dev/null
+++ b/src/balance/prefixes.rs
@@ -0,0 +1,109 @@
+//! Which endpoints have read which parts of prompts.
+//!
+//! A prompt is a chain of parts; an endpoint need not read a part again if it keeps that part and
+//! all before it. What is kept here is a belief: endpoints drop what was not used for long.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{balance::load::EndpointKey, prelude::Micros};
+
+/// Endpoints remembered for one chain, the most recent last.
+const MAX_HOLDERS: usize = 6;
+/// Chains remembered, about 100 bytes each.
+const MAX_CHAINS: usize = 8_192;
+/// A holder not used for this long is taken to have dropped the chain.
+const HOLD_US: Micros = 60_000_000;
+
+/// One part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromptPart {
+    /// Names its text.
+    pub id: u64,
+    /// Its length.
+    pub tokens: u32,
+}
+
+/// Names a chain: a part with all before it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ChainKey(pub u32);
+
+/// The chains of a prompt, the shortest first, each with its length in tokens.
+pub fn chains(parts: &[PromptPart]) -> impl Iterator<Item = (ChainKey, u32)> {
+    parts
+        .iter()
+        .scan((0x811c_9dc5_u32, 0_u32), |(hash, tokens), part| {
+            for byte in part.id.to_le_bytes() {
+                *hash = (*hash ^ u32::from(byte)).wrapping_mul(0x0100_0193);
+            }
+            *tokens += part.tokens;
+            Some((ChainKey(*hash), *tokens))
+        })
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Holder {
+    endpoint: EndpointKey,
+    used_us: Micros,
+}
+
+/// Which endpoints hold which chains.
+#[derive(Debug, Default)]
+pub struct PrefixHolders {
+    chains: HashMap<ChainKey, Vec<Holder>>,
+}
+
+impl PrefixHolders {
+    /// Notes that an endpoint has read a chain.
+    pub fn note(&mut self, now_us: Micros, chain: ChainKey, endpoint: EndpointKey) {
+        if self.chains.len() >= MAX_CHAINS && !self.chains.contains_key(&chain) {
+            self.forget_unused(now_us);
+        }
+        let holders = self.chains.entry(chain).or_default();
+        holders.retain(|h| h.endpoint != endpoint);
+        if holders.len() >= MAX_HOLDERS {
+            holders.remove(0);
+        }
+        holders.push(Holder {
+            endpoint,
+            used_us: now_us,
+        });
+    }
+
+    /// Returns how many tokens of a prompt an endpoint holds.
+    pub fn cached_tokens(
+        &self,
+        now_us: Micros,
+        chains: &[(ChainKey, u32)],
+        endpoint: EndpointKey,
+    ) -> u32 {
+        let held = chains.iter().take_while(|(chain, _)| {
+            let holders = self.chains.get(chain).into_iter().flatten();
+            let mut here = holders.filter(|h| h.endpoint == endpoint);
+            here.any(|h| now_us.saturating_sub(h.used_us) < HOLD_US)
+        });
+        held.last().map_or(0, |(_, tokens)| *tokens)
+    }
+
+    /// Forgets an endpoint that is gone.
+    pub fn forget_endpoint(&mut self, endpoint: EndpointKey) {
+        self.chains.retain(|_, holders| {
+            holders.retain(|h| h.endpoint != endpoint);
+            !holders.is_empty()
+        });
+    }
+
+    /// Drops the chains that were not used for long, or else an arbitrary half.
+    fn forget_unused(&mut self, now_us: Micros) {
+        let fresh = |h: &Holder| now_us.saturating_sub(h.used_us) < HOLD_US / 2;
+        self.chains.retain(|_, holders| holders.iter().any(fresh));
+        if self.chains.len() >= MAX_CHAINS {
+            let mut keep = false;
+            self.chains.retain(|_, _| {
+                keep = !keep;
+                keep
+            });
+        }
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -16,13 +16,14 @@
 use crate::{
     client::{self, ClientError},
     config::check::{self, nearest},
-    instance, logs,
+    instance,
+    logs::{self, LogTarget},
     operator::{
         http::{CommandBody, new_id},
         log::{Reply, Status},
         table,
     },
-    platform::http::HttpStore,
+    platform::{self, edge::EdgeError},
     replay::{
         expect::{Expectations, unmet},
         generate::{self, DEFAULT_REQUESTS, FAULTS, Fault, WORKLOADS, Workload},
@@ -30,7 +31,8 @@
         run::{POLICIES, Policy, replay},
         trace::Trace,
     },
-    settings::{FLAGS, Secret, Settings, env_name},
+    settings::{FLAGS, LogFormat, Secret, Settings, env_name},
+    store::http::HttpStore,
 };
 
 const EXIT_FAILED: u8 = 1;
@@ -44,6 +46,7 @@
 usage: ryevalve SUBCOMMAND [FLAGS]
 
   serve          run an instance
+  edge           run an instance on the users' platform
   check FILE     validate a configuration, and report every fault with its place
   command TEXT   ask or order through an instance; without TEXT, read lines
   dump           print an instance's state as JSON
@@ -55,6 +58,17 @@
 `ryevalve SUBCOMMAND --help` lists its flags.
 ";
 
+const EDGE_HELP: &str = "\
+usage: ryevalve edge
+
+Runs an instance on the users' platform until SIGTERM stops it as planned. The
+environment variable RYEVALVE_CONFIG names the platform's settings file, which
+is read again on SIGHUP and when it changes.
+
+Exit 0: stopped, all requests answered. 1: not started, or stopped with requests
+in progress. 2: settings that cannot be used.
+";
+
 const CHECK_HELP: &str = "\
 usage: ryevalve check FILE
 
@@ -183,6 +197,7 @@
     };
     match subcommand.as_str() {
         "serve" => serve(parser),
+        "edge" => edge(parser),
         "check" => check_file(parser),
         "command" => command(parser),
         "dump" => dump(parser),
@@ -192,7 +207,7 @@
         "version" => print(concat!("ryevalve ", env!("CARGO_PKG_VERSION"), "\n")),
         other => {
             let known = [
-                "serve", "check", "command", "dump", "trace", "replay", "help", "version",
+                "serve", "edge", "check", "command", "dump", "trace", "replay", "help", "version",
             ];
             let hint = nearest(other, known);
             Err(CliError::usage(format!(
@@ -325,10 +340,32 @@
     args.no_values()?;
     let env = |name: &str| std::env::var(name).ok();
     let settings = Settings::merge(&args.flags, env).map_err(|e| CliError::usage(e.to_string()))?;
-    logs::start(settings.log_format);
+    logs::start(settings.log_format, LogTarget::Stdout);
     runtime()?.block_on(serve_until_stopped(settings))
 }
 
+fn edge(parser: Parser) -> Result<ExitCode, CliError> {
+    let args = Args::read(parser, &[])?;
+    if args.help {
+        return print(EDGE_HELP);
+    }
+    args.no_values()?;
+    logs::start(LogFormat::Json, LogTarget::Stdout);
+    // One thread: the platform's instances have a part of one core.
+    let built = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = built.map_err(|error| CliError::failed(format!("cannot start: {error}")))?;
+    match runtime.block_on(platform::edge::run()) {
+        Ok(true) => Ok(ExitCode::SUCCESS),
+        Ok(false) => Err(CliError::failed(
+            "stopped with requests in progress: the time for it ran out",
+        )),
+        Err(EdgeError::Settings { source }) => Err(CliError::usage(source.to_string())),
+        Err(error) => Err(CliError::failed(error.to_string())),
+    }
+}
+
 fn runtime() -> Result<tokio::runtime::Runtime, CliError> {
     let built = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
--- a/src/distribution.rs
+++ b/src/distribution.rs
@@ -27,8 +27,8 @@
         rpc::ConfigCopy,
         view::{Member, View},
     },
-    platform::{Object, Store, http::backoff},
     prelude::Name,
+    store::{Object, Store, http::backoff},
 };
 
 /// The object that holds the configuration.
--- /dev/null
+++ b/src/endpoint/kept.rs
@@ -0,0 +1,133 @@
+//! Connections to endpoints that are kept between requests.
+//!
+//! Only requests that may run again ride on a kept connection: one that breaks while a request is
+//! written leaves open whether it was read. A new connection that fails has provably sent nothing.
+
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, time};
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::prelude::Micros;
+
+/// A connection comes up within some milliseconds; an endpoint that is dark never answers.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long a connection rests at most when its endpoint does not say when it closes it.
+const REST_US: Micros = 3_000_000;
+/// An endpoint closes a resting connection when it said; ours is given up this long before.
+const REST_MARGIN_US: Micros = 1_000_000;
+/// Resting connections to one endpoint; about as many as it runs requests.
+const MAX_RESTING: usize = 8;
+
+/// A connection to an endpoint; dropping it closes it.
+pub struct EndpointConnection {
+    /// Sends a request and gives its answer.
+    pub sender: SendRequest<Full<Bytes>>,
+    /// It has carried a request before.
+    pub is_kept: bool,
+    driver: AbortOnDropHandle<()>,
+}
+
+struct Resting {
+    connection: EndpointConnection,
+    until_us: Micros,
+}
+
+/// The resting connections, by address.
+#[derive(Default)]
+pub struct KeptConnections {
+    resting: Mutex<HashMap<SocketAddr, Vec<Resting>>>,
+}
+
+impl KeptConnections {
+    /// Returns a resting connection, the one used last first.
+    pub fn take(&self, now_us: Micros, addr: SocketAddr) -> Option<EndpointConnection> {
+        let mut resting = self.lock();
+        let to_addr = resting.get_mut(&addr)?;
+        while let Some(last) = to_addr.pop() {
+            if last.until_us > now_us && last.connection.sender.is_ready() {
+                return Some(last.connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer was read whole. `closes_after` is what the endpoint said.
+    pub fn keep(
+        &self,
+        now_us: Micros,
+        addr: SocketAddr,
+        mut connection: EndpointConnection,
+        closes_after: Option<Duration>,
+    ) {
+        let rest_us = closes_after.map_or(REST_US, |after| {
+            (after.as_micros() as Micros).saturating_sub(REST_MARGIN_US)
+        });
+        connection.is_kept = true;
+        let mut resting = self.lock();
+        let to_addr = resting.entry(addr).or_default();
+        if rest_us > 0 && to_addr.len() < MAX_RESTING {
+            to_addr.push(Resting {
+                connection,
+                until_us: now_us + rest_us,
+            });
+        }
+    }
+
+    /// Closes connections that rested for their time or were closed by the endpoint.
+    pub fn sweep(&self, now_us: Micros) {
+        self.lock().retain(|_, to_addr| {
+            to_addr.retain(|r| r.until_us > now_us && !r.connection.sender.is_closed());
+            !to_addr.is_empty()
+        });
+    }
+
+    /// Returns how many connections rest.
+    pub fn count(&self) -> usize {
+        self.lock().values().map(Vec::len).sum()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Vec<Resting>>> {
+        // Every step leaves the map whole, so a poisoned lock is usable.
+        self.resting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl EndpointConnection {
+    /// Opens a connection; if it fails, no byte was sent.
+    ///
+    /// # Errors
+    /// The endpoint is not reached in time, or refuses.
+    pub async fn open(addr: SocketAddr) -> io::Result<Self> {
+        let connect = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+        let stream = connect.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
+        // Small requests would wait for acknowledgements; with it failing they are slower.
+        let _ = stream.set_nodelay(true);
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(io::Error::other)?;
+        let driver = AbortOnDropHandle::new(tokio::spawn(async move {
+            // Its errors reach whoever reads the answer.
+            let _ = connection.await;
+        }));
+        Ok(Self {
+            sender,
+            is_kept: false,
+            driver,
+        })
+    }
+
+    /// Returns whether the connection's task still runs.
+    pub fn is_open(&self) -> bool {
+        !self.driver.is_finished() && !self.sender.is_closed()
+    }
+}
--- a/src/endpoint/mod.rs
+++ b/src/endpoint/mod.rs
@@ -2,5 +2,7 @@
 
 pub mod connection;
 pub mod engine;
+pub mod events;
+pub mod kept;
 pub mod poll;
 pub mod sse;
--- a/src/endpoint/poll.rs
+++ b/src/endpoint/poll.rs
@@ -14,9 +14,9 @@
     core::{endpoint::LoadReport, prefix::CacheEvent},
     endpoint::connection::Connection,
     instance::Instance,
-    platform::Store,
     pool::slice,
     prelude::Name,
+    store::Store,
 };
 
 const INTERVAL_MS: u64 = 1_000;
--- a/src/entry/claims.rs
+++ b/src/entry/claims.rs
@@ -17,8 +17,8 @@
 
 use crate::{
     clock::unix_s,
-    platform::{Object, Store, WriteError},
     prelude::RequestId,
+    store::{Object, Store, WriteError},
 };
 
 /// Shards of the claims; each is one object and has one keeper at a time.
@@ -194,7 +194,7 @@
     async fn settle(&mut self, asks: &[ClaimAsk], releases: &[ClaimAsk]) -> Vec<ClaimAnswer> {
         for attempt in 0..WRITE_TRIES {
             if attempt > 0 {
-                time::sleep(crate::platform::http::backoff(attempt)).await;
+                time::sleep(crate::store::http::backoff(attempt)).await;
             }
             let Some((version, mut claims)) = self.load().await else {
                 break;
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -28,7 +28,7 @@
         run,
     },
     instance::Instance,
-    platform::Store,
+    store::Store,
 };
 
 const MAX_HEADER_BYTES: usize = 64 << 10;
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -26,9 +26,9 @@
     },
     instance::Instance,
     metrics::tier_label,
-    platform::Store,
     pool::{messages::Update, slice},
     prelude::{Micros, Name, ShedReason},
+    store::Store,
 };
 
 const PROGRESS_INTERVAL_US: Micros = 200_000;
--- /dev/null
+++ b/src/gateway/attempt.rs
@@ -0,0 +1,368 @@
+//! One attempt: a request sent to one endpoint, up to the head of its answer.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode, Uri,
+    body::Incoming,
+    header::{HeaderName, HeaderValue},
+};
+use tokio::time::{self, Instant};
+
+use crate::{
+    balance::{balancer::Choice, cost::Ask},
+    endpoint::kept::EndpointConnection,
+    gateway::{
+        config::Route,
+        protocol::{CallHead, Forward, Protocol},
+        state::Gateway,
+    },
+    prelude::{Micros, Name},
+};
+
+/// The longest whole answer that is taken.
+const MAX_WHOLE_BYTES: usize = 16 << 20;
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// A request as it was taken from its caller.
+pub struct Job {
+    /// Its route.
+    pub route: Arc<Route>,
+    /// What the caller said of it.
+    pub head: CallHead,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query, as they came.
+    pub uri: Uri,
+    /// Its headers, without those of one connection.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// The caller's organisation.
+    pub organisation: Option<Name>,
+    /// What the balancer is asked.
+    pub ask: Ask,
+    /// When the caller or the route gives up.
+    pub until_us: Micros,
+}
+
+impl Job {
+    /// Returns whether it may run more than once.
+    pub fn is_repeatable(&self) -> bool {
+        self.route.kind.is_repeatable()
+    }
+
+    /// Returns the caller's id, for logs.
+    pub fn id(&self) -> &str {
+        let id = self.head.request_id.as_ref();
+        id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+    }
+}
+
+/// An endpoint's answer of which the head has come.
+pub struct Answered<P: Protocol> {
+    /// The answer.
+    pub response: Response<Incoming>,
+    /// The connection that it comes through.
+    pub connection: EndpointConnection,
+    /// What was sent, until this is dropped.
+    pub sent: Sent<P>,
+    /// It says that the request was not run.
+    pub not_executed: bool,
+    /// It carries proof that it is the endpoint's own.
+    pub is_signed: bool,
+}
+
+/// What came of an attempt that brought no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failed {
+    /// No byte reached the endpoint.
+    NotSent(&'static str),
+    /// The endpoint may have run the request.
+    Unknown(&'static str),
+}
+
+/// A request that is at an endpoint; accounted for until dropped.
+pub struct Sent<P: Protocol> {
+    gateway: Arc<Gateway<P>>,
+    /// The endpoint.
+    pub choice: Choice,
+    /// When it was sent.
+    pub at_us: Micros,
+    first_seen: bool,
+    counts_hold: bool,
+}
+
+impl<P: Protocol> Sent<P> {
+    fn new(gateway: Arc<Gateway<P>>, choice: Choice) -> Self {
+        Self {
+            at_us: gateway.clock.now_us(),
+            gateway,
+            choice,
+            first_seen: false,
+            counts_hold: false,
+        }
+    }
+
+    /// Notes the first event or the whole answer.
+    pub fn first_event(&mut self) {
+        if self.first_seen {
+            return;
+        }
+        self.first_seen = true;
+        let took_ms = self.age_ms();
+        let tokens = self.choice.expected.uncached_tokens;
+        let mut balancer = self.gateway.balancer();
+        balancer.first_event(self.choice.key, tokens, took_ms);
+    }
+
+    /// Notes that the answer is whole; the time it took teaches how long slots are held.
+    pub fn whole(&mut self) {
+        self.counts_hold = true;
+        let now_us = self.gateway.clock.now_us();
+        let mut balancer = self.gateway.balancer();
+        balancer.learn(self.choice.key, |s| s.ended(now_us, false));
+    }
+
+    /// Notes a failure of the endpoint.
+    pub fn failed(&self) {
+        let now_us = self.gateway.clock.now_us();
+        let mut balancer = self.gateway.balancer();
+        balancer.learn(self.choice.key, |s| s.ended(now_us, true));
+    }
+
+    /// Returns the time since it was sent, in milliseconds.
+    pub fn age_ms(&self) -> f64 {
+        self.gateway.clock.now_us().saturating_sub(self.at_us) as f64 / 1e3
+    }
+}
+
+impl<P: Protocol> Drop for Sent<P> {
+    fn drop(&mut self) {
+        let waiting_tokens = if self.first_seen {
+            0
+        } else {
+            self.choice.expected.uncached_tokens
+        };
+        let held_ms = self.counts_hold.then(|| self.age_ms());
+        self.gateway
+            .balancer()
+            .end(self.choice.key, waiting_tokens, held_ms);
+        self.gateway.reconsider();
+    }
+}
+
+/// Sends a job to an endpoint and waits until `until` for the head of its answer.
+///
+/// # Errors
+/// Says whether the request may have run.
+pub async fn send<P: Protocol>(
+    gateway: &Arc<Gateway<P>>,
+    job: &Job,
+    choice: Choice,
+    resume_after: Option<u64>,
+    until: Instant,
+) -> Result<Answered<P>, Failed> {
+    let mut sent = Sent::new(gateway.clone(), choice);
+    let mut connection = connect(gateway, job, &sent).await?;
+    sent.at_us = gateway.clock.now_us();
+    let request = forwarded(gateway, job, &sent.choice, resume_after);
+    let answer = time::timeout_at(until, connection.sender.send_request(request)).await;
+    let response = match answer {
+        Ok(Ok(response)) => response,
+        Ok(Err(error)) if error.is_canceled() => return Err(Failed::NotSent("closed_before")),
+        Ok(Err(_)) => {
+            sent.failed();
+            return Err(Failed::Unknown("connection_broke"));
+        }
+        Err(_) => {
+            sent.failed();
+            return Err(Failed::Unknown("no_answer"));
+        }
+    };
+    let head = gateway.protocol.read_answer(response.headers());
+    if head.request_id != job.head.request_id {
+        // A surplus answer of an earlier request; ours may run all the same.
+        sent.failed();
+        return Err(Failed::Unknown("foreign_answer"));
+    }
+    if let Some(word) = head.load {
+        let now_us = gateway.clock.now_us();
+        gateway.balancer().report(now_us, sent.choice.key, word);
+    }
+    Ok(Answered {
+        response,
+        connection,
+        sent,
+        not_executed: head.not_executed,
+        is_signed: head.is_signed,
+    })
+}
+
+/// Gets a connection: a kept one only for a request that may run again.
+async fn connect<P: Protocol>(
+    gateway: &Gateway<P>,
+    job: &Job,
+    sent: &Sent<P>,
+) -> Result<EndpointConnection, Failed> {
+    let addr = sent.choice.addr;
+    if job.is_repeatable()
+        && let Some(kept) = gateway.connections.take(gateway.clock.now_us(), addr)
+    {
+        return Ok(kept);
+    }
+    gateway.metrics.connections_opened.inc();
+    EndpointConnection::open(addr).await.map_err(|_| {
+        let now_us = gateway.clock.now_us();
+        let mut balancer = gateway.balancer();
+        balancer.learn(sent.choice.key, |s| s.unreachable(now_us));
+        Failed::NotSent("unreachable")
+    })
+}
+
+fn forwarded<P: Protocol>(
+    gateway: &Gateway<P>,
+    job: &Job,
+    choice: &Choice,
+    resume_after: Option<u64>,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(job.body.clone()));
+    *request.method_mut() = job.method.clone();
+    *request.uri_mut() = job.uri.clone();
+    *request.headers_mut() = job.headers.clone();
+    let left_us = job.until_us.saturating_sub(gateway.clock.now_us());
+    let forward = Forward {
+        endpoint: &choice.id,
+        organisation: job.organisation.as_deref(),
+        left_ms: (left_us / 1_000).max(1),
+        resume_after,
+    };
+    gateway
+        .protocol
+        .write_forward(request.headers_mut(), &forward);
+    request
+}
+
+/// A whole answer.
+pub struct Whole {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers, without those of one connection.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// Reads the rest of an answer until `until`; its connection is kept if it can be.
+///
+/// # Errors
+/// The answer broke off, or did not come in time: the request may have run.
+pub async fn collect<P: Protocol>(
+    gateway: &Gateway<P>,
+    answered: Answered<P>,
+    until: Instant,
+) -> Result<Whole, Failed> {
+    let Answered {
+        response,
+        connection,
+        mut sent,
+        ..
+    } = answered;
+    let (parts, body) = response.into_parts();
+    let rests = may_rest(&parts.headers, parts.status);
+    let collected = time::timeout_at(until, Limited::new(body, MAX_WHOLE_BYTES).collect()).await;
+    let Ok(Ok(collected)) = collected else {
+        sent.failed();
+        return Err(Failed::Unknown("answer_broke_off"));
+    };
+    if parts.status.is_success() {
+        sent.first_event();
+        sent.whole();
+    }
+    if let Some(closes_after) = rests {
+        keep(gateway, &sent, connection, closes_after);
+    }
+    let mut headers = parts.headers;
+    strip_connection_headers(&mut headers);
+    Ok(Whole {
+        status: parts.status,
+        headers,
+        body: collected.to_bytes(),
+    })
+}
+
+/// Keeps a connection whose answer was read whole.
+pub fn keep<P: Protocol>(
+    gateway: &Gateway<P>,
+    sent: &Sent<P>,
+    connection: EndpointConnection,
+    closes_after: Option<Duration>,
+) {
+    let now_us = gateway.clock.now_us();
+    let addr = sent.choice.addr;
+    if connection.is_open() {
+        gateway
+            .connections
+            .keep(now_us, addr, connection, closes_after);
+    }
+}
+
+/// Returns whether a connection may be kept after an answer, and for how long if that is said.
+pub fn may_rest(headers: &HeaderMap, status: StatusCode) -> Option<Option<Duration>> {
+    // After a failure the endpoint may not have read the whole request.
+    if !status.is_success() || has_close(headers) {
+        return None;
+    }
+    Some(closes_after(headers))
+}
+
+fn has_close(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(hyper::header::CONNECTION).iter();
+    let mut words = values
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','));
+    words.any(|w| w.trim().eq_ignore_ascii_case("close"))
+}
+
+fn closes_after(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let mut words = value.split(',').map(str::trim);
+    let seconds = words.find_map(|w| w.strip_prefix("timeout="))?;
+    Some(Duration::from_secs(seconds.parse().ok()?))
+}
+
+/// Removes the headers that concern one connection only.
+pub fn strip_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(hyper::header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|w| w.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in [
+        hyper::header::CONNECTION,
+        hyper::header::TRANSFER_ENCODING,
+        hyper::header::CONTENT_LENGTH,
+        hyper::header::TE,
+        hyper::header::TRAILER,
+        hyper::header::UPGRADE,
+        hyper::header::EXPECT,
+        hyper::header::PROXY_AUTHENTICATE,
+        hyper::header::PROXY_AUTHORIZATION,
+        HeaderName::from_static("proxy-connection"),
+        KEEP_ALIVE,
+    ] {
+        headers.remove(name);
+    }
+}
+
+/// Returns a header's text for logs.
+pub fn shown(value: Option<&HeaderValue>) -> &str {
+    value.and_then(|v| v.to_str().ok()).unwrap_or("-")
+}
--- /dev/null
+++ b/src/gateway/metrics.rs
@@ -0,0 +1,192 @@
+//! The gateway's counters and histograms.
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+use crate::entry::refusal::{Refusal, Verdict};
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// With an endpoint's whole answer.
+    Served,
+    /// With an endpoint's failure.
+    EndpointError,
+    /// Refused, and not run.
+    NotRun,
+    /// Given up, and may have run.
+    Unknown,
+    /// Refused for what it was.
+    BadRequest,
+    /// A stream that was cut.
+    Broken,
+}
+
+impl Outcome {
+    /// Returns the outcome of a refusal.
+    pub fn of(refusal: &Refusal) -> Self {
+        match refusal.verdict {
+            Verdict::NotRun => Self::NotRun,
+            Verdict::OutcomeUnknown => Self::Unknown,
+            Verdict::BadRequest => Self::BadRequest,
+        }
+    }
+
+    /// Returns its name in logs and labels.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Served => "served",
+            Self::EndpointError => "endpoint_error",
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+            Self::BadRequest => "bad_request",
+            Self::Broken => "broken",
+        }
+    }
+}
+
+/// Labels of what is counted by route and outcome.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RouteLabels {
+    /// The route's name.
+    pub route: String,
+    /// How requests ended.
+    pub outcome: &'static str,
+}
+
+/// Everything that a gateway counts.
+#[derive(Debug)]
+pub struct GatewayMetrics {
+    registry: Registry,
+    requests: Family<RouteLabels, Counter>,
+    /// Time from a request's arrival to its first event or whole answer.
+    pub first_seconds: Histogram,
+    /// Connections opened to endpoints.
+    pub connections_opened: Counter,
+    /// Retries that the budget left no room for.
+    pub retries_denied: Counter,
+    /// Calls to the store that brought nothing.
+    pub store_failures: Counter,
+    /// Datagrams from other instances that were dropped.
+    pub datagrams_dropped: Counter,
+    config_version: Gauge,
+    config_age_seconds: Gauge<f64, std::sync::atomic::AtomicU64>,
+    endpoints: Gauge,
+    waiting: Gauge,
+    instances_heard: Gauge,
+    resting_connections: Gauge,
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("ryevalve_gateway"),
+            requests: Family::default(),
+            first_seconds: Histogram::new(exponential_buckets(0.005, 2.0, 12)),
+            connections_opened: Counter::default(),
+            retries_denied: Counter::default(),
+            store_failures: Counter::default(),
+            datagrams_dropped: Counter::default(),
+            config_version: Gauge::default(),
+            config_age_seconds: Gauge::default(),
+            endpoints: Gauge::default(),
+            waiting: Gauge::default(),
+            instances_heard: Gauge::default(),
+            resting_connections: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+/// What is read from elsewhere when the counters are shown.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct GatewayReadings {
+    /// The configuration in force.
+    pub config_version: u64,
+    /// For how long it has not been known to be the newest, in seconds.
+    pub config_age_s: f64,
+    /// Endpoints in use.
+    pub endpoints: usize,
+    /// Requests that wait for a slot.
+    pub waiting: usize,
+    /// Instances heard of late, this one included.
+    pub instances_heard: usize,
+    /// Connections to endpoints that rest.
+    pub resting_connections: usize,
+}
+
+impl GatewayMetrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "requests",
+            "Requests by route and outcome",
+            self.requests.clone(),
+        );
+        let first = "Time to the first event or whole answer";
+        registry.register("first_seconds", first, self.first_seconds.clone());
+        let opened = "Connections opened to endpoints";
+        registry.register(
+            "connections_opened",
+            opened,
+            self.connections_opened.clone(),
+        );
+        let denied = "Retries that the budget left no room for";
+        registry.register("retries_denied", denied, self.retries_denied.clone());
+        let failures = "Calls to the store that brought nothing";
+        registry.register("store_failures", failures, self.store_failures.clone());
+        let dropped = "Datagrams from instances that were dropped";
+        registry.register("datagrams_dropped", dropped, self.datagrams_dropped.clone());
+        let version = "Version of the configuration in force";
+        registry.register("config_version", version, self.config_version.clone());
+        let age = "Time since the configuration was known to be the newest";
+        registry.register("config_age_seconds", age, self.config_age_seconds.clone());
+        registry.register("endpoints", "Endpoints in use", self.endpoints.clone());
+        registry.register(
+            "waiting",
+            "Requests that wait for a slot",
+            self.waiting.clone(),
+        );
+        let heard = "Instances heard of late";
+        registry.register("instances_heard", heard, self.instances_heard.clone());
+        let resting = "Connections to endpoints that rest";
+        registry.register(
+            "resting_connections",
+            resting,
+            self.resting_connections.clone(),
+        );
+    }
+
+    /// Counts a request that ended.
+    pub fn ended(&self, route: &str, outcome: Outcome) {
+        let labels = RouteLabels {
+            route: route.to_owned(),
+            outcome: outcome.as_str(),
+        };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    /// Returns everything as Prometheus text.
+    pub fn text(&self, readings: GatewayReadings) -> String {
+        self.config_version.set(readings.config_version as i64);
+        self.config_age_seconds.set(readings.config_age_s);
+        self.endpoints.set(readings.endpoints as i64);
+        self.waiting.set(readings.waiting as i64);
+        self.instances_heard.set(readings.instances_heard as i64);
+        let resting = readings.resting_connections;
+        self.resting_connections.set(resting as i64);
+        let mut text = String::new();
+        // Writing into a string cannot fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,18 @@
+//! The request path over routes, discovered endpoints and organisations' limits: callers come in by
+//! [`front`], a request is run by [`run`], and [`crate::balance`] decides where it goes.
+//!
+//! In whose words callers and endpoints speak is a [`protocol::Protocol`]'s matter.
+
+pub mod attempt;
+pub mod config;
+pub mod freshness;
+pub mod front;
+pub mod metrics;
+pub mod probes;
+pub mod protocol;
+pub mod refuse;
+pub mod routes;
+pub mod run;
+pub mod state;
+pub mod stop;
+pub mod stream;
--- /dev/null
+++ b/src/gateway/probes.rs
@@ -0,0 +1,58 @@
+//! Answers whether callers are to be sent here, and shows the counters.
+
+use std::{convert::Infallible, sync::Arc};
+
+use hyper::{Request, Response, StatusCode, body::Incoming, server::conn::http1};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+use crate::{
+    entry::answer::{Body, full},
+    gateway::{metrics::GatewayReadings, protocol::Protocol, state::Gateway},
+};
+
+/// Where the counters are.
+pub const METRICS_PATH: &str = "/metrics";
+
+/// Serves until dropped: the counters under [`METRICS_PATH`], readiness under any other path.
+pub async fn serve<P: Protocol>(gateway: Arc<Gateway<P>>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let gateway = gateway.clone();
+        let service = hyper::service::service_fn(move |request| {
+            let response = answer(&gateway, &request);
+            async move { Ok::<_, Infallible>(response) }
+        });
+        tokio::spawn(async move {
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            // An error here is the asker's leaving.
+            let _ = connection.await;
+        });
+    }
+}
+
+fn answer<P: Protocol>(gateway: &Gateway<P>, request: &Request<Incoming>) -> Response<Body> {
+    if request.uri().path() == METRICS_PATH {
+        return Response::new(full(gateway.metrics.text(readings(gateway))));
+    }
+    let mut response = Response::new(full(""));
+    if !gateway.is_ready() {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
+
+fn readings<P: Protocol>(gateway: &Gateway<P>) -> GatewayReadings {
+    let age_us = gateway.config_age_us();
+    let balancer = gateway.balancer();
+    GatewayReadings {
+        config_version: gateway.config.version(),
+        config_age_s: age_us as f64 / 1e6,
+        endpoints: balancer.endpoint_count(),
+        waiting: balancer.waiting_count(),
+        instances_heard: gateway.sharers().heard,
+        resting_connections: gateway.connections.count(),
+    }
+}
--- /dev/null
+++ b/src/gateway/routes.rs
@@ -0,0 +1,81 @@
+//! Finds a request's route by host and path, and its organisation by key.
+
+use std::{collections::HashMap, sync::Arc};
+
+use crate::{
+    gateway::config::{GatewayConfig, Organisation, Route, Service},
+    prelude::Name,
+};
+
+/// A configuration with what makes looking up quick.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    config: GatewayConfig,
+    /// By host, the routes with the longest path first.
+    by_host: HashMap<Name, Vec<Arc<Route>>>,
+    by_key: HashMap<Name, Arc<Organisation>>,
+}
+
+impl RouteTable {
+    /// Indexes a configuration.
+    pub fn new(config: GatewayConfig) -> Self {
+        let mut by_host: HashMap<Name, Vec<Arc<Route>>> = HashMap::new();
+        for route in &config.routes {
+            let routes = by_host.entry(route.host.clone()).or_default();
+            routes.push(route.clone());
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|r| std::cmp::Reverse(r.path_prefix.len()));
+        }
+        let keys = config.organisations.iter();
+        let by_key = keys
+            .flat_map(|o| o.keys.iter().map(|k| (k.clone(), o.clone())))
+            .collect();
+        Self {
+            config,
+            by_host,
+            by_key,
+        }
+    }
+
+    /// Returns the configuration.
+    pub fn config(&self) -> &GatewayConfig {
+        &self.config
+    }
+
+    /// Returns the route of `host` with the longest path that begins `path`.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let host = host.split(':').next().unwrap_or(host);
+        let routes = self.by_host.get(host)?;
+        routes.iter().find(|r| path.starts_with(&*r.path_prefix))
+    }
+
+    /// Returns the organisation that holds a key.
+    pub fn organisation(&self, key: &str) -> Option<&Arc<Organisation>> {
+        self.by_key.get(key)
+    }
+
+    /// Returns a service.
+    pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
+        self.config.services.get(name)
+    }
+
+    /// Returns whether a request of `route` needs a key.
+    pub fn needs_key(&self, route: &Route) -> bool {
+        !route.public && !self.config.organisations.is_empty()
+    }
+}
+
+impl Route {
+    /// Chooses one of the route's services by weight; `draw` is from 0 up to 1.
+    pub fn pick_target(&self, draw: f64) -> Option<&Name> {
+        let total: u32 = self.targets.iter().map(|t| t.weight).sum();
+        let mut left = draw * f64::from(total);
+        let drawn = self.targets.iter().find(|t| {
+            left -= f64::from(t.weight);
+            left < 0.0
+        });
+        let any = self.targets.iter().rev().find(|t| t.weight > 0);
+        drawn.or(any).map(|t| &t.service)
+    }
+}
--- /dev/null
+++ b/src/gateway/state.rs
@@ -0,0 +1,231 @@
+//! What the parts of a gateway share.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+};
+
+use tokio::sync::oneshot;
+
+use crate::{
+    balance::{
+        balancer::{Balancer, Placement, WaitKey},
+        cost::Ask,
+        load::EndpointKey,
+    },
+    clock::Clock,
+    endpoint::kept::KeptConnections,
+    gateway::{freshness::CurrentConfig, metrics::GatewayMetrics, protocol::Protocol},
+    limits::{
+        organisation::{OrganisationLimits, Sharers, Tolerance},
+        retries::{RetryBounds, RetryBudget},
+    },
+    prelude::{Micros, Name},
+};
+
+/// A key may be used this much less long than operators allow after it was taken away: a watch may
+/// hear nothing for a second while changes are made.
+const FRESHNESS_MARGIN_US: Micros = 1_200_000;
+
+/// Figures that a gateway is run by; they may change while it runs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct GatewayBounds {
+    /// How long a key may be used after it was taken away.
+    pub revoke_us: Micros,
+    /// Retries of a service.
+    pub retries: RetryBounds,
+    /// How far above its limit an organisation may come.
+    pub tolerance: Tolerance,
+}
+
+/// One gateway.
+pub struct Gateway<P: Protocol> {
+    /// How callers and endpoints speak.
+    pub protocol: P,
+    /// The clock.
+    pub clock: Clock,
+    /// The configuration in force.
+    pub config: CurrentConfig,
+    /// Connections to endpoints.
+    pub connections: KeptConnections,
+    /// The counters.
+    pub metrics: GatewayMetrics,
+    bounds: Mutex<GatewayBounds>,
+    balancer: Mutex<Balancer>,
+    waiters: Mutex<HashMap<WaitKey, oneshot::Sender<Placement>>>,
+    limits: Mutex<OrganisationLimits>,
+    retries: Mutex<RetryBudget>,
+    /// Instances that share limits, and those heard of late, this one included.
+    instances_known: AtomicUsize,
+    instances_heard: AtomicUsize,
+    stopping: AtomicBool,
+}
+
+impl<P: Protocol> Gateway<P> {
+    /// Creates a gateway that knows nothing yet; `hall` is where it stands.
+    pub fn new(protocol: P, hall: Name, bounds: GatewayBounds) -> Self {
+        Self {
+            protocol,
+            clock: Clock::default(),
+            config: CurrentConfig::default(),
+            connections: KeptConnections::default(),
+            metrics: GatewayMetrics::default(),
+            bounds: Mutex::new(bounds),
+            balancer: Mutex::new(Balancer::new(hall)),
+            waiters: Mutex::default(),
+            limits: Mutex::new(OrganisationLimits::new(bounds.tolerance)),
+            retries: Mutex::new(RetryBudget::new(bounds.retries)),
+            instances_known: AtomicUsize::new(1),
+            instances_heard: AtomicUsize::new(1),
+            stopping: AtomicBool::new(false),
+        }
+    }
+
+    /// Returns the figures in force.
+    pub fn bounds(&self) -> GatewayBounds {
+        *lock(&self.bounds)
+    }
+
+    /// Replaces the figures in force.
+    pub fn set_bounds(&self, bounds: GatewayBounds) {
+        *lock(&self.bounds) = bounds;
+        lock(&self.limits).set_tolerance(bounds.tolerance);
+        lock(&self.retries).set_bounds(bounds.retries);
+    }
+
+    /// Returns the balancer; not to be held across a wait.
+    pub fn balancer(&self) -> MutexGuard<'_, Balancer> {
+        lock(&self.balancer)
+    }
+
+    /// Returns the organisations' limits; not to be held across a wait.
+    pub fn limits(&self) -> MutexGuard<'_, OrganisationLimits> {
+        lock(&self.limits)
+    }
+
+    /// Counts a request for a service.
+    pub fn count_request(&self, service: &Name) {
+        lock(&self.retries).request(self.clock.now_us(), service);
+    }
+
+    /// Takes a retry for a service; false if none is left.
+    pub fn take_retry(&self, service: &Name) -> bool {
+        let sharers = self.sharers();
+        let taken = lock(&self.retries).take(self.clock.now_us(), service, sharers.all);
+        if !taken {
+            self.metrics.retries_denied.inc();
+        }
+        taken
+    }
+
+    /// Returns the retries left for a service.
+    pub fn retries_left(&self, service: &Name) -> f64 {
+        let sharers = self.sharers();
+        lock(&self.retries).left(self.clock.now_us(), service, sharers.all)
+    }
+
+    /// Returns how many instances share limits, and how many are heard.
+    pub fn sharers(&self) -> Sharers {
+        Sharers {
+            all: self.instances_known.load(Ordering::Relaxed),
+            heard: self.instances_heard.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Sets how many instances share limits, and how many are heard.
+    pub fn set_sharers(&self, sharers: Sharers) {
+        self.instances_known.store(sharers.all, Ordering::Relaxed);
+        self.instances_heard.store(sharers.heard, Ordering::Relaxed);
+    }
+
+    /// Returns for how long the configuration has not been known to be the newest.
+    pub fn config_age_us(&self) -> Micros {
+        self.config.age_us(self.clock.now_us())
+    }
+
+    /// Returns whether the configuration is new enough to judge a key by.
+    pub fn is_fresh(&self) -> bool {
+        let allowed_us = self.bounds().revoke_us.saturating_sub(FRESHNESS_MARGIN_US);
+        self.config_age_us() <= allowed_us
+    }
+
+    /// Returns whether callers are to be sent here.
+    pub fn is_ready(&self) -> bool {
+        let serves = self.is_fresh() && self.balancer().endpoint_count() > 0;
+        serves && !self.is_stopping()
+    }
+
+    /// Returns whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Begins a planned stop.
+    pub fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Decides on a request, waiting for a slot if it must. Those in `tried` are not chosen.
+    pub async fn place(&self, ask: &Ask, tried: &[EndpointKey]) -> Placement {
+        let now_us = self.clock.now_us();
+        let placement = self.balancer().place(now_us, ask, tried);
+        if !matches!(placement, Placement::Wait) {
+            return placement;
+        }
+        let (sender, receiver) = oneshot::channel();
+        let key = self.balancer().enqueue(ask.clone());
+        lock(&self.waiters).insert(key, sender);
+        let waiting = Waiting { gateway: self, key };
+        let placement = receiver.await;
+        drop(waiting);
+        placement.unwrap_or(Placement::Refuse {
+            reason: "busy",
+            retry_after_ms: 500,
+        })
+    }
+
+    /// Decides anew on the requests that wait.
+    pub fn reconsider(&self) {
+        let now_us = self.clock.now_us();
+        let decided = {
+            let mut balancer = self.balancer();
+            if balancer.waiting_count() == 0 {
+                return;
+            }
+            balancer.reconsider(now_us)
+        };
+        for (key, placement) in decided {
+            let sender = lock(&self.waiters).remove(&key);
+            let undelivered = match sender {
+                Some(sender) => sender.send(placement).err(),
+                None => Some(placement),
+            };
+            if let Some(Placement::Send(choice)) = undelivered {
+                // The caller has left meanwhile: nothing is sent.
+                let tokens = choice.expected.uncached_tokens;
+                self.balancer().end(choice.key, tokens, None);
+            }
+        }
+    }
+}
+
+/// A request in the queue; leaves it when its caller does.
+struct Waiting<'g, P: Protocol> {
+    gateway: &'g Gateway<P>,
+    key: WaitKey,
+}
+
+impl<P: Protocol> Drop for Waiting<'_, P> {
+    fn drop(&mut self) {
+        self.gateway.balancer().dequeue(self.key);
+        lock(&self.gateway.waiters).remove(&self.key);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    // Every step leaves the state whole, so a poisoned lock is usable.
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/gateway/stop.rs
@@ -0,0 +1,37 @@
+//! A planned stop: seen as not ready first, then no new connection, then the last answers.
+
+use std::time::Duration;
+
+use tokio::{task::JoinHandle, time};
+
+use crate::gateway::{front::FrontStop, protocol::Protocol, state::Gateway};
+
+/// The balancer asks every second and drops an instance after two answers; callers that it sent
+/// here before that still come. After this time none does.
+const UNTIL_UNSEEN: Duration = Duration::from_millis(2_600);
+/// Left before the kill for what is still to be written.
+const BEFORE_KILL: Duration = Duration::from_millis(350);
+
+/// Stops as planned within `grace`; returns whether all requests came to their end.
+pub async fn stop<P: Protocol>(
+    gateway: &Gateway<P>,
+    front: FrontStop,
+    serving: JoinHandle<()>,
+    grace: Duration,
+) -> bool {
+    let begun = time::Instant::now();
+    gateway.begin_stop();
+    log::info!(target: "ryevalve::process", grace_ms = grace.as_millis() as u64; "stop_begun");
+    time::sleep(UNTIL_UNSEEN.min(grace / 3)).await;
+    front.connections.cancel();
+    front.accept.cancel();
+    let until = begun + grace.saturating_sub(BEFORE_KILL);
+    let whole = time::timeout_at(until, serving).await.is_ok();
+    log::info!(
+        target: "ryevalve::process",
+        all_answered = whole,
+        took_ms = begun.elapsed().as_millis() as u64;
+        "stopped"
+    );
+    whole
+}
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -48,7 +48,6 @@
         membership::Membership,
         rpc::{ConfigCopy, MAX_FRAME_BYTES, Peer, PeerClients, QueryPart, RpcCounts, SealedCodec},
     },
-    platform::Store,
     pool::{
         leader::Leaders,
         messages::{OrderBatch, UpdateBatch, UpdatesRefused},
@@ -56,6 +55,7 @@
     },
     prelude::{Incarnation, Name, RequestId},
     settings::Settings,
+    store::Store,
 };
 
 const CATCH_UP_INTERVAL: Duration = Duration::from_millis(200);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! ([`entry`]), endpoints ([`endpoint`]), the other instances ([`peers`], [`pool`]), the platform
 //! ([`platform`]) and operators ([`operator`]). [`replay`] runs the same decisions in virtual time.
 
+pub mod balance;
 pub mod cli;
 pub mod client;
 pub mod clock;
@@ -12,7 +13,9 @@
 pub mod distribution;
 pub mod endpoint;
 pub mod entry;
+pub mod gateway;
 pub mod instance;
+pub mod limits;
 pub mod logs;
 pub mod metrics;
 pub mod operator;
@@ -22,3 +25,4 @@
 pub mod prelude;
 pub mod replay;
 pub mod settings;
+pub mod store;
--- /dev/null
+++ b/src/limits/mod.rs
@@ -0,0 +1,4 @@
+//! Limits that all instances keep together.
+
+pub mod organisation;
+pub mod retries;
--- /dev/null
+++ b/src/limits/retries.rs
@@ -0,0 +1,105 @@
+//! A budget for sending requests to a second endpoint, shared by all instances without a word
+//! between them.
+//!
+//! Over a sliding window a service may get `ratio` retries a request and `slack` more. Each
+//! instance spends at most `ratio` of its own requests and its share of the slack, so that the sum
+//! over all stays within the whole whatever they know of each other.
+
+use std::collections::{HashMap, VecDeque};
+
+use crate::prelude::{Micros, Name};
+
+/// Parts that a window is counted in.
+const PARTS: u64 = 20;
+/// The share of the budget that is spent: restarts of instances forget what was spent before.
+const SPENT_SHARE: f64 = 0.6;
+
+/// The bounds on retries.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryBounds {
+    /// Retries a request.
+    pub ratio: f64,
+    /// Retries on top of that in a window, over all instances.
+    pub slack: f64,
+    /// Length of the window.
+    pub window_us: Micros,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Part {
+    index: u64,
+    requests: u32,
+    retries: u32,
+}
+
+/// Counts requests and retries by service.
+#[derive(Debug)]
+pub struct RetryBudget {
+    bounds: RetryBounds,
+    services: HashMap<Name, VecDeque<Part>>,
+}
+
+impl RetryBudget {
+    /// Starts with nothing counted.
+    pub fn new(bounds: RetryBounds) -> Self {
+        Self {
+            bounds,
+            services: HashMap::new(),
+        }
+    }
+
+    /// Replaces the bounds; what was counted stays.
+    pub fn set_bounds(&mut self, bounds: RetryBounds) {
+        self.bounds = bounds;
+    }
+
+    /// Counts a request for a service.
+    pub fn request(&mut self, now_us: Micros, service: &Name) {
+        self.part(now_us, service).requests += 1;
+    }
+
+    /// Takes one retry for a service, if `instances` sharing the slack leave one.
+    pub fn take(&mut self, now_us: Micros, service: &Name, instances: usize) -> bool {
+        let allowed = self.left(now_us, service, instances) >= 1.0;
+        if allowed {
+            self.part(now_us, service).retries += 1;
+        }
+        allowed
+    }
+
+    /// Returns how many retries are left for a service.
+    pub fn left(&self, now_us: Micros, service: &Name, instances: usize) -> f64 {
+        let oldest = self.index(now_us).saturating_sub(PARTS);
+        let parts = self.services.get(service).into_iter().flatten();
+        let recent = parts.filter(|p| p.index > oldest);
+        let (requests, retries) = recent.fold((0, 0), |(requests, retries), part| {
+            (requests + part.requests, retries + part.retries)
+        });
+        let slack = self.bounds.slack / instances.max(1) as f64;
+        let budget = self.bounds.ratio * f64::from(requests) + slack;
+        budget * SPENT_SHARE - f64::from(retries)
+    }
+
+    fn index(&self, now_us: Micros) -> u64 {
+        now_us / (self.bounds.window_us / PARTS).max(1) + PARTS
+    }
+
+    fn part(&mut self, now_us: Micros, service: &Name) -> &mut Part {
+        let index = self.index(now_us);
+        if !self.services.contains_key(service) {
+            self.services.insert(service.clone(), VecDeque::new());
+        }
+        let parts = self.services.entry(service.clone()).or_default();
+        while parts.front().is_some_and(|p| p.index + PARTS <= index) {
+            parts.pop_front();
+        }
+        if parts.back().is_none_or(|p| p.index != index) {
+            parts.push_back(Part {
+                index,
+                ..Part::default()
+            });
+        }
+        let last = parts.len() - 1;
+        &mut parts[last]
+    }
+}
--- a/src/operator/execute.rs
+++ b/src/operator/execute.rs
@@ -21,8 +21,8 @@
         rpc::QueryPart,
         view::{Member, View},
     },
-    platform::Store,
     prelude::Name,
+    store::Store,
 };
 
 /// How long the other instances have to answer a question.
--- a/src/operator/http.rs
+++ b/src/operator/http.rs
@@ -27,7 +27,7 @@
     },
     instance::Instance,
     operator::execute::{self, Caller},
-    platform::Store,
+    store::Store,
 };
 
 const MAX_BODY_BYTES: usize = 2 << 20;
--- a/src/operator/orders.rs
+++ b/src/operator/orders.rs
@@ -28,8 +28,8 @@
         log::{Reply, Status},
     },
     peers::view::Member,
-    platform::{Object, Store, WriteError},
     prelude::RequestId,
+    store::{Object, Store, WriteError},
 };
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
--- a/src/operator/query.rs
+++ b/src/operator/query.rs
@@ -15,9 +15,9 @@
         report,
     },
     peers::rpc::QueryPart,
-    platform::Store,
     pool::slice,
     prelude::RequestId,
+    store::Store,
 };
 
 /// The most rows that one instance sends.
--- a/src/operator/report.rs
+++ b/src/operator/report.rs
@@ -15,8 +15,8 @@
         query::{Row, text},
     },
     peers::rpc::QueryPart,
-    platform::Store,
     replay::trace,
+    store::Store,
 };
 
 /// The most trace lines that one instance sends.
--- /dev/null
+++ b/src/platform/configuration.rs
@@ -0,0 +1,234 @@
+//! The operators' configuration, decoded into the gateway's.
+
+use std::{sync::Arc, time::Duration};
+
+use serde::Deserialize;
+
+use crate::{
+    gateway::config::{
+        CallerLimits, ConfigVersion, Engine, GatewayConfig, Organisation, Route, RouteKind,
+        Service, Target, UseLimit, UseUnit,
+    },
+    prelude::{Name, Rank},
+};
+
+/// The object that holds the configuration, as kind and name.
+pub const OBJECT: (&str, &str) = ("config", "main");
+
+/// A whole configuration as operators write it.
+#[derive(Debug, Deserialize)]
+pub struct ConfigSpec {
+    version: ConfigVersion,
+    #[serde(default)]
+    routes: Vec<RouteSpec>,
+    #[serde(rename = "backends", default)]
+    services: Vec<ServiceSpec>,
+    limits: Option<LimitsSpec>,
+    #[serde(rename = "tenants", default)]
+    organisations: Vec<OrganisationSpec>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RouteSpec {
+    name: Name,
+    hostname: Name,
+    path_prefix: Name,
+    r#type: KindSpec,
+    timeout_ms: f64,
+    #[serde(default)]
+    target_latency_ms: Option<f64>,
+    #[serde(default)]
+    target_gap_ms: Option<f64>,
+    #[serde(default)]
+    priority: Rank,
+    #[serde(default = "one")]
+    max_attempts: u32,
+    /// Callers of the route need no key.
+    #[serde(default)]
+    public: bool,
+    #[serde(default)]
+    stream_resume: bool,
+    /// The one service, where the route is not split.
+    #[serde(default)]
+    backend: Option<Name>,
+    #[serde(default)]
+    traffic_split: Vec<SplitSpec>,
+}
+
+fn one() -> u32 {
+    1
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum KindSpec {
+    Idempotent,
+    NonIdempotent,
+    Streaming,
+}
+
+#[derive(Debug, Deserialize)]
+struct SplitSpec {
+    backend: Name,
+    weight: f64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ServiceSpec {
+    name: Name,
+    #[serde(default)]
+    health_check: Option<Name>,
+    #[serde(default)]
+    max_connections: Option<u32>,
+    #[serde(default)]
+    engine: Option<EngineSpec>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct EngineSpec {
+    capacity: u32,
+    kv_capacity: u32,
+    /// Tokens in one event of a stream.
+    #[serde(default = "one")]
+    stride: u32,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct LimitsSpec {
+    max_header_bytes: usize,
+    max_body_bytes: usize,
+    header_timeout_ms: f64,
+    idle_timeout_ms: f64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct OrganisationSpec {
+    name: Name,
+    #[serde(default)]
+    api_keys: Vec<Name>,
+    #[serde(default)]
+    priority: Option<Rank>,
+    #[serde(default)]
+    unit: Option<String>,
+    /// What a request counts that names no tokens.
+    #[serde(default)]
+    uncached_tokens: f64,
+    #[serde(default)]
+    rate_per_s: f64,
+    #[serde(default)]
+    burst: f64,
+}
+
+/// What the platform calls a limit that counts tokens; any other counts requests.
+const TOKEN_UNIT: &str = "token_count";
+/// Weights may be fractions; they are kept as whole numbers of this many a unit.
+const WEIGHT_SCALE: f64 = 100.0;
+
+impl From<ConfigSpec> for GatewayConfig {
+    fn from(spec: ConfigSpec) -> Self {
+        let services = spec.services.into_iter().map(service);
+        Self {
+            version: spec.version,
+            routes: spec
+                .routes
+                .into_iter()
+                .map(|r| Arc::new(route(r)))
+                .collect(),
+            services: services.map(|s| (s.name.clone(), Arc::new(s))).collect(),
+            organisations: spec
+                .organisations
+                .into_iter()
+                .map(|o| Arc::new(organisation(o)))
+                .collect(),
+            caller_limits: spec.limits.map(caller_limits).unwrap_or_default(),
+        }
+    }
+}
+
+fn route(spec: RouteSpec) -> Route {
+    let kind = match spec.r#type {
+        KindSpec::Idempotent => RouteKind::Whole { repeatable: true },
+        KindSpec::NonIdempotent => RouteKind::Whole { repeatable: false },
+        KindSpec::Streaming => RouteKind::Stream {
+            resumable: spec.stream_resume,
+        },
+    };
+    let timeout = millis(spec.timeout_ms);
+    let target = spec.target_latency_ms.map_or(timeout, millis);
+    let mut targets: Vec<Target> = spec
+        .traffic_split
+        .into_iter()
+        .map(|s| Target {
+            service: s.backend,
+            weight: (s.weight * WEIGHT_SCALE).max(0.0) as u32,
+        })
+        .collect();
+    if targets.is_empty() {
+        targets.extend(spec.backend.map(|service| Target { service, weight: 1 }));
+    }
+    Route {
+        name: spec.name,
+        host: spec.hostname,
+        path_prefix: spec.path_prefix,
+        kind,
+        timeout,
+        target,
+        target_gap: spec.target_gap_ms.map_or(timeout, millis),
+        priority: spec.priority,
+        max_attempts: spec.max_attempts.max(1),
+        public: spec.public,
+        targets,
+    }
+}
+
+fn service(spec: ServiceSpec) -> Service {
+    Service {
+        name: spec.name,
+        health_path: spec.health_check.unwrap_or_else(|| "/healthz".into()),
+        max_connections: spec.max_connections.unwrap_or(u32::MAX),
+        engine: spec.engine.map(|e| Engine {
+            slots: e.capacity,
+            memory_tokens: e.kv_capacity,
+            tokens_per_event: e.stride.max(1),
+        }),
+    }
+}
+
+fn organisation(spec: OrganisationSpec) -> Organisation {
+    let unit = if spec.unit.as_deref() == Some(TOKEN_UNIT) {
+        UseUnit::Tokens {
+            without_tokens: spec.uncached_tokens as u32,
+        }
+    } else {
+        UseUnit::Requests
+    };
+    let limited = spec.rate_per_s > 0.0;
+    Organisation {
+        name: spec.name,
+        keys: spec.api_keys,
+        priority: spec.priority,
+        limit: limited.then_some(UseLimit {
+            unit,
+            rate_per_s: spec.rate_per_s,
+            burst: spec.burst,
+        }),
+    }
+}
+
+fn caller_limits(spec: LimitsSpec) -> CallerLimits {
+    CallerLimits {
+        max_header_bytes: spec.max_header_bytes,
+        max_body_bytes: spec.max_body_bytes,
+        header_timeout: millis(spec.header_timeout_ms),
+        idle_timeout: millis(spec.idle_timeout_ms),
+    }
+}
+
+fn millis(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms.max(0.0) / 1e3)
+}
--- /dev/null
+++ b/src/platform/edge.rs
@@ -0,0 +1,192 @@
+//! Runs one instance on the platform.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use snafu::{ResultExt, Snafu};
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+    time::{self, MissedTickBehavior},
+};
+
+use crate::{
+    gateway::{
+        front::{self, FrontStop},
+        probes,
+        state::{Gateway, GatewayBounds},
+        stop,
+    },
+    limits::{organisation::Tolerance, retries::RetryBounds},
+    platform::{
+        follow,
+        headers::PlatformProtocol,
+        objects::ObjectClient,
+        settings::{Bounds, PlatformSettings, SettingsError},
+    },
+    prelude::Micros,
+};
+
+/// Where the counters are served, beside the address for readiness; named in the deploy file.
+pub const METRICS_PORT: u16 = 9_464;
+/// Descriptors kept for endpoints, peers, the store and files.
+const OWN_DESCRIPTORS: usize = 900;
+/// How often silent peers, lapsed endpoints and resting connections are looked at.
+const SWEEP: Duration = Duration::from_millis(250);
+/// How often the requests that wait are looked at.
+const RECONSIDER: Duration = Duration::from_millis(20);
+/// How often the settings file is read, since it may change without a signal.
+const REREAD: Duration = Duration::from_secs(5);
+
+/// Why an instance did not start.
+#[derive(Debug, Snafu)]
+pub enum EdgeError {
+    /// The settings cannot be used.
+    #[snafu(display("{source}"), context(false))]
+    Settings {
+        /// What is wrong with them.
+        source: SettingsError,
+    },
+    /// An address cannot be bound.
+    #[snafu(display("cannot listen for {what} on {addr}: {source}"))]
+    Bind {
+        /// Who was to be listened for.
+        what: &'static str,
+        /// The address.
+        addr: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// Signals cannot be received.
+    #[snafu(display("signals cannot be received: {source}"))]
+    Signals {
+        /// What the system said.
+        source: io::Error,
+    },
+}
+
+/// Runs an instance until it is told to stop; returns whether all requests came to their end.
+///
+/// # Errors
+/// It could not start.
+pub async fn run() -> Result<bool, EdgeError> {
+    let settings = PlatformSettings::load()?;
+    let mut terminate = signal(SignalKind::terminate()).context(SignalsSnafu)?;
+    let mut hangup = signal(SignalKind::hangup()).context(SignalsSnafu)?;
+    let callers = bind("callers", settings.listen.callers).await?;
+    let ready = bind("readiness", settings.listen.ready).await?;
+    let metrics_addr = SocketAddr::new(settings.listen.ready.ip(), METRICS_PORT);
+    let metrics = bind("metrics", metrics_addr).await?;
+    let bounds = gateway_bounds(&settings.bounds);
+    let hall = settings.hall.as_str().into();
+    let gateway = Arc::new(Gateway::new(PlatformProtocol, hall, bounds));
+    log::info!(
+        target: "ryevalve::process",
+        instance = settings.name.as_str(), hall = settings.hall.as_str();
+        "started"
+    );
+    let stop = FrontStop::default();
+    let most = settings
+        .machine
+        .max_descriptors
+        .saturating_sub(OWN_DESCRIPTORS);
+    let serving = tokio::spawn(front::serve(
+        gateway.clone(),
+        callers,
+        most.max(1),
+        stop.clone(),
+    ));
+    tokio::spawn(probes::serve(gateway.clone(), ready));
+    tokio::spawn(probes::serve(gateway.clone(), metrics));
+    let store = settings.store.address;
+    tokio::spawn(follow::configuration(
+        gateway.clone(),
+        ObjectClient::new(store),
+    ));
+    tokio::spawn(follow::endpoints(gateway.clone(), ObjectClient::new(store)));
+    tokio::spawn(sweep(gateway.clone()));
+    tokio::spawn(reconsider(gateway.clone()));
+    let mut reread = time::interval(REREAD);
+    reread.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut known = settings;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => reload(&gateway, &mut known, true),
+            _ = reread.tick() => reload(&gateway, &mut known, false),
+        }
+    }
+    let grace = Duration::from_secs_f64(known.bounds.grace_s);
+    Ok(stop::stop(&gateway, stop, serving, grace).await)
+}
+
+async fn bind(what: &'static str, addr: SocketAddr) -> Result<TcpListener, EdgeError> {
+    TcpListener::bind(addr)
+        .await
+        .context(BindSnafu { what, addr })
+}
+
+fn gateway_bounds(bounds: &Bounds) -> GatewayBounds {
+    GatewayBounds {
+        revoke_us: bounds.revoke_ms * 1_000,
+        retries: RetryBounds {
+            ratio: bounds.retry_budget_ratio,
+            slack: bounds.budget_slack,
+            window_us: (bounds.budget_window_s * 1e6) as Micros,
+        },
+        tolerance: Tolerance {
+            window_s: bounds.quota_window_s,
+            overage: bounds.quota_overage,
+            slack: bounds.quota_slack,
+        },
+    }
+}
+
+/// Takes what has changed in the settings; addresses stay as they are.
+fn reload(gateway: &Gateway<PlatformProtocol>, known: &mut PlatformSettings, asked: bool) {
+    match PlatformSettings::load() {
+        Ok(settings) if settings == *known => {
+            if asked {
+                log::info!(target: "ryevalve::process", changed = false; "settings_reloaded");
+            }
+        }
+        Ok(settings) => {
+            gateway.set_bounds(gateway_bounds(&settings.bounds));
+            *known = settings;
+            log::info!(target: "ryevalve::process", changed = true; "settings_reloaded");
+        }
+        Err(error) => {
+            let reason = error.to_string();
+            log::warn!(target: "ryevalve::process", reason; "settings_kept");
+        }
+    }
+}
+
+async fn sweep(gateway: Arc<Gateway<PlatformProtocol>>) {
+    let mut period = time::interval(SWEEP);
+    period.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        period.tick().await;
+        let now_us = gateway.clock.now_us();
+        gateway.connections.sweep(now_us);
+        let (gone, silent) = gateway.balancer().tick(now_us);
+        for id in gone {
+            log::info!(
+                target: "ryevalve::endpoint",
+                endpoint = &*id, change = "Gone";
+                "endpoint_changed"
+            );
+        }
+        for instance in silent {
+            gateway.limits().forget(instance);
+        }
+    }
+}
+
+async fn reconsider(gateway: Arc<Gateway<PlatformProtocol>>) {
+    let mut period = time::interval(RECONSIDER);
+    period.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        period.tick().await;
+        gateway.reconsider();
+    }
+}
--- /dev/null
+++ b/src/platform/follow.rs
@@ -0,0 +1,255 @@
+//! Follows the store: the operators' configuration, and the endpoints' entries.
+
+use std::{collections::HashSet, sync::Arc, time::Duration};
+
+use rand::RngExt;
+use tokio::time;
+
+use crate::{
+    balance::discovery::Change,
+    gateway::{freshness::Offered, protocol::Protocol, state::Gateway},
+    platform::{
+        configuration::{self, ConfigSpec},
+        endpoints::{self, EndpointSpec},
+        objects::{CallError, Changes, Listing, Object, ObjectClient},
+    },
+    prelude::{Micros, Name},
+};
+
+/// How long a watch on the configuration waits: its answer says until when it was the newest.
+const CONFIG_WAIT: Duration = Duration::from_millis(1_200);
+/// How long a watch on the endpoints waits; a watch that was cut silently is noticed by then.
+const ENDPOINTS_WAIT: Duration = Duration::from_millis(1_500);
+/// Pause after a call that brought nothing; spread, so that instances do not return together.
+const RETRY_MS: std::ops::Range<u64> = 100..250;
+
+/// What is done with what a kind's objects say.
+trait Follower {
+    type Spec: serde::de::DeserializeOwned;
+    const KIND: &'static str;
+    const WAIT: Duration;
+
+    /// Takes all objects of the kind, asked for at `asked_us`.
+    fn listed(&mut self, listing: Listing<Self::Spec>, asked_us: Micros);
+
+    /// Takes what has changed since, asked for at `asked_us`.
+    fn changed(&mut self, changes: Changes<Self::Spec>, asked_us: Micros);
+
+    /// Notes that the store did not answer.
+    fn lost(&mut self) {}
+}
+
+/// Follows a kind until dropped.
+async fn follow<P: Protocol, F: Follower>(
+    gateway: &Gateway<P>,
+    mut store: ObjectClient,
+    mut follower: F,
+) {
+    let mut revision: Option<u64> = None;
+    let mut is_lost = false;
+    loop {
+        let asked_us = gateway.clock.now_us();
+        let result = match revision {
+            None => list(&mut store, &mut follower, asked_us).await,
+            Some(from) => watch(&mut store, &mut follower, from, asked_us).await,
+        };
+        match result {
+            Ok(reached) => {
+                revision = Some(reached);
+                if std::mem::take(&mut is_lost) {
+                    log::info!(target: "ryevalve::process", kind = F::KIND; "store_regained");
+                }
+            }
+            Err(CallError::HistoryGone) => {
+                log::info!(target: "ryevalve::process", kind = F::KIND; "store_history_gone");
+                revision = None;
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut is_lost, true) {
+                    let reason = error.to_string();
+                    log::warn!(target: "ryevalve::process", kind = F::KIND, reason; "store_lost");
+                }
+                gateway.metrics.store_failures.inc();
+                follower.lost();
+                let pause_ms = rand::rng().random_range(RETRY_MS);
+                time::sleep(Duration::from_millis(pause_ms)).await;
+            }
+        }
+    }
+}
+
+async fn list<F: Follower>(
+    store: &mut ObjectClient,
+    follower: &mut F,
+    asked_us: Micros,
+) -> Result<u64, CallError> {
+    let listing = store.list::<F::Spec>(F::KIND).await?;
+    let revision = listing.revision;
+    follower.listed(listing, asked_us);
+    Ok(revision)
+}
+
+async fn watch<F: Follower>(
+    store: &mut ObjectClient,
+    follower: &mut F,
+    from: u64,
+    asked_us: Micros,
+) -> Result<u64, CallError> {
+    let changes = store.watch::<F::Spec>(F::KIND, from, F::WAIT).await?;
+    let revision = changes.revision;
+    follower.changed(changes, asked_us);
+    Ok(revision)
+}
+
+struct ConfigFollower<P: Protocol> {
+    gateway: Arc<Gateway<P>>,
+}
+
+impl<P: Protocol> ConfigFollower<P> {
+    fn take(&self, object: Object<ConfigSpec>) {
+        if object.metadata.name == configuration::OBJECT.1
+            && let Some(spec) = object.spec
+        {
+            offer(&self.gateway, spec.into(), "store");
+        }
+    }
+
+    fn confirm(&self, asked_us: Micros) {
+        let version = self.gateway.config.version();
+        if version > 0 {
+            self.gateway.config.confirm(version, asked_us);
+        }
+    }
+}
+
+/// Puts a configuration in force if it is newer.
+pub fn offer<P: Protocol>(
+    gateway: &Gateway<P>,
+    config: crate::gateway::config::GatewayConfig,
+    from: &'static str,
+) {
+    let version = config.version;
+    let before = gateway.config.version();
+    let offered = gateway.config.offer(config);
+    if offered == Offered::Known {
+        return;
+    }
+    if offered == Offered::Applied
+        && let Some(table) = gateway.config.table()
+    {
+        let now_us = gateway.clock.now_us();
+        gateway.limits().configure(now_us, table.config());
+    }
+    log::info!(
+        target: "ryevalve::process",
+        version, before, from, applied = offered == Offered::Applied;
+        "configuration_offered"
+    );
+}
+
+impl<P: Protocol> Follower for ConfigFollower<P> {
+    type Spec = ConfigSpec;
+    const KIND: &'static str = configuration::OBJECT.0;
+    const WAIT: Duration = CONFIG_WAIT;
+
+    fn listed(&mut self, listing: Listing<ConfigSpec>, asked_us: Micros) {
+        for object in listing.items {
+            self.take(object);
+        }
+        self.confirm(asked_us);
+    }
+
+    fn changed(&mut self, changes: Changes<ConfigSpec>, asked_us: Micros) {
+        for event in changes.events {
+            if !event.deleted {
+                self.take(event.object);
+            }
+        }
+        self.confirm(asked_us);
+    }
+}
+
+struct EndpointFollower<P: Protocol> {
+    gateway: Arc<Gateway<P>>,
+}
+
+impl<P: Protocol> EndpointFollower<P> {
+    fn seen(&self, object: Object<EndpointSpec>) {
+        let Some(spec) = object.spec else { return };
+        let entry = spec.into_entry(&object.metadata.name);
+        let (id, draining) = (entry.id.clone(), entry.draining);
+        let change = self.gateway.balancer().endpoint_seen(entry);
+        if let Some(change) = change {
+            log_change(&id, change, draining);
+        }
+    }
+}
+
+fn log_change(id: &Name, change: Change, draining: bool) {
+    let change = format!("{change:?}");
+    log::info!(
+        target: "ryevalve::endpoint",
+        endpoint = &**id, change = change.as_str(), draining;
+        "endpoint_changed"
+    );
+}
+
+impl<P: Protocol> Follower for EndpointFollower<P> {
+    type Spec = EndpointSpec;
+    const KIND: &'static str = endpoints::KIND;
+    const WAIT: Duration = ENDPOINTS_WAIT;
+
+    fn listed(&mut self, listing: Listing<EndpointSpec>, _: Micros) {
+        let names = listing.items.iter().map(|o| o.metadata.name.clone());
+        let names: HashSet<String> = names.collect();
+        for object in listing.items {
+            self.seen(object);
+        }
+        let now_us = self.gateway.clock.now_us();
+        let changes = self
+            .gateway
+            .balancer()
+            .endpoints_listed(now_us, |id| names.contains(id));
+        for (id, change) in changes {
+            log_change(&id, change, false);
+        }
+        self.gateway.reconsider();
+    }
+
+    fn changed(&mut self, changes: Changes<EndpointSpec>, _: Micros) {
+        let now_us = self.gateway.clock.now_us();
+        for event in changes.events {
+            if !event.deleted {
+                self.seen(event.object);
+                continue;
+            }
+            let id: Name = event.object.metadata.name.into();
+            let change = self.gateway.balancer().endpoint_removed(now_us, &id);
+            if let Some(change) = change {
+                log_change(&id, change, false);
+            }
+        }
+        self.gateway.reconsider();
+    }
+
+    fn lost(&mut self) {
+        let now_us = self.gateway.clock.now_us();
+        self.gateway.balancer().store_was_away(now_us);
+    }
+}
+
+/// Follows the configuration until dropped.
+pub async fn configuration<P: Protocol>(gateway: Arc<Gateway<P>>, store: ObjectClient) {
+    let follower = ConfigFollower {
+        gateway: gateway.clone(),
+    };
+    follow(&gateway, store, follower).await;
+}
+
+/// Follows the endpoints until dropped.
+pub async fn endpoints<P: Protocol>(gateway: Arc<Gateway<P>>, store: ObjectClient) {
+    let follower = EndpointFollower {
+        gateway: gateway.clone(),
+    };
+    follow(&gateway, store, follower).await;
+}
--- /dev/null
+++ b/src/platform/settings.rs
@@ -0,0 +1,203 @@
+//! The settings file that the platform lays beside each process.
+
+use std::{fs, io, net::SocketAddr, path::PathBuf};
+
+use serde::Deserialize;
+use snafu::{ResultExt, Snafu};
+
+/// The variable that holds the path of the settings file.
+pub const PATH_VARIABLE: &str = "RYEVALVE_CONFIG";
+
+/// Why the settings cannot be used.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The variable is not set.
+    #[snafu(display("{PATH_VARIABLE} is not set; expected the path of a settings file"))]
+    NoPath,
+    /// The file cannot be read.
+    #[snafu(display("{} cannot be read", path.display()))]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The file is not what was expected.
+    #[snafu(display("{} is not usable: {source}", path.display()))]
+    Unusable {
+        /// The file.
+        path: PathBuf,
+        /// What the decoder said, with the field and its place.
+        #[snafu(source(from(toml::de::Error, Box::new)))]
+        source: Box<toml::de::Error>,
+    },
+    /// Values that contradict what is possible.
+    #[snafu(display("{} is not usable: {faults}", path.display()))]
+    Impossible {
+        /// The file.
+        path: PathBuf,
+        /// Each fault with the field, its value and what was expected.
+        faults: String,
+    },
+}
+
+/// What is used of the settings file; fields that are not known are passed over.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct PlatformSettings {
+    /// The instance's name.
+    #[serde(rename = "nodeName")]
+    pub name: String,
+    /// Its hall; the platform says zone.
+    #[serde(rename = "zone")]
+    pub hall: String,
+    /// Its data centre; the platform says region.
+    #[serde(rename = "region")]
+    pub data_centre: String,
+    /// The first and last port that is free for what instances tell each other.
+    #[serde(rename = "internalPorts")]
+    pub peer_ports: (u16, u16),
+    /// Control addresses of up to three instances, which may be gone.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The addresses to listen on.
+    pub listen: Listen,
+    /// What the process may use.
+    #[serde(rename = "limits")]
+    pub machine: MachineLimits,
+    /// Figures that the platform's rules are stated in.
+    pub bounds: Bounds,
+    /// The platform's store.
+    #[serde(rename = "platform")]
+    pub store: StoreSettings,
+}
+
+/// Addresses to listen on.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Listen {
+    /// For callers.
+    #[serde(rename = "frontend")]
+    pub callers: SocketAddr,
+    /// For the question whether callers are to be sent here.
+    pub ready: SocketAddr,
+    /// For other instances.
+    pub control: SocketAddr,
+}
+
+/// What one process may use.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+pub struct MachineLimits {
+    /// Memory, in megabytes.
+    #[serde(rename = "memoryMb")]
+    pub memory_mb: u64,
+    /// File descriptors.
+    #[serde(rename = "maxFds")]
+    pub max_descriptors: usize,
+}
+
+/// Figures that the platform's rules are stated in.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Bounds {
+    /// Time from a planned stop's signal to the kill, in seconds.
+    pub grace_s: f64,
+    /// How long a key may be used after it was taken away, in milliseconds.
+    pub revoke_ms: u64,
+    /// Retries a request of a service.
+    pub retry_budget_ratio: f64,
+    /// Retries on top of that in a window, over all instances.
+    pub budget_slack: f64,
+    /// The window for retries, in seconds.
+    pub budget_window_s: f64,
+    /// The window for organisations' limits, in seconds.
+    pub quota_window_s: f64,
+    /// How far above its limit an organisation may come, as a share of it.
+    pub quota_overage: f64,
+    /// The same in units.
+    pub quota_slack: f64,
+}
+
+impl Default for Bounds {
+    /// The strictest figures seen so far, for a platform that names none.
+    fn default() -> Self {
+        Self {
+            grace_s: 8.0,
+            revoke_ms: 5_000,
+            retry_budget_ratio: 0.2,
+            budget_slack: 50.0,
+            budget_window_s: 10.0,
+            quota_window_s: 8.0,
+            quota_overage: 0.1,
+            quota_slack: 0.0,
+        }
+    }
+}
+
+/// How the platform's store is reached.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+pub struct StoreSettings {
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl PlatformSettings {
+    /// Reads the file that the environment names.
+    ///
+    /// # Errors
+    /// There is none, or it is not usable.
+    pub fn load() -> Result<Self, SettingsError> {
+        let path = std::env::var_os(PATH_VARIABLE).map(PathBuf::from);
+        let Some(path) = path else {
+            return NoPathSnafu.fail();
+        };
+        let text = fs::read_to_string(&path).context(UnreadableSnafu { path: &path })?;
+        let settings: Self = toml::from_str(&text).context(UnusableSnafu { path: &path })?;
+        let faults = settings.faults();
+        if faults.is_empty() {
+            Ok(settings)
+        } else {
+            let faults = faults.join("; ");
+            ImpossibleSnafu { path, faults }.fail()
+        }
+    }
+
+    /// Returns each value that cannot be used, with its field and what was expected.
+    pub fn faults(&self) -> Vec<String> {
+        let bounds = &self.bounds;
+        let checks = [
+            (
+                self.peer_ports.0 <= self.peer_ports.1 && self.peer_ports.0 > 0,
+                format!(
+                    "internalPorts = {:?}: expected two ports, the lower first",
+                    self.peer_ports
+                ),
+            ),
+            (
+                self.machine.max_descriptors >= 300,
+                format!(
+                    "limits.maxFds = {}: expected 300 or more",
+                    self.machine.max_descriptors
+                ),
+            ),
+            (
+                bounds.grace_s > 0.0,
+                format!("bounds.graceS = {}: expected more than 0", bounds.grace_s),
+            ),
+            (
+                bounds.budget_window_s > 0.0,
+                format!(
+                    "bounds.budgetWindowS = {}: expected more than 0",
+                    bounds.budget_window_s
+                ),
+            ),
+            (
+                bounds.retry_budget_ratio >= 0.0,
+                format!(
+                    "bounds.retryBudgetRatio = {}: expected 0 or more",
+                    bounds.retry_budget_ratio
+                ),
+            ),
+        ];
+        let wrong = checks.into_iter().filter(|(holds, _)| !holds);
+        wrong.map(|(_, fault)| fault).collect()
+    }
+}
--- a/src/pool/leader.rs
+++ b/src/pool/leader.rs
@@ -22,12 +22,12 @@
     },
     entry::registry::OrderReply,
     instance::Instance,
-    platform::Store,
     pool::{
         messages::{Order, OrderBatch, Update, UpdateBatch, UpdatesRefused},
         slice,
     },
     prelude::{Incarnation, Name, Registration, RequestId},
+    store::Store,
 };
 
 /// A new leader grants nothing until all present have registered, or for this long.
--- a/src/pool/registrar.rs
+++ b/src/pool/registrar.rs
@@ -9,12 +9,12 @@
     entry::registry::Note,
     instance::Instance,
     peers::view::Member,
-    platform::Store,
     pool::{
         messages::{Update, UpdateBatch, UpdatesRefused},
         slice,
     },
     prelude::{Incarnation, Name, Registration},
+    store::Store,
 };
 
 /// With nothing to tell, an entry still shows itself this often.
--- a/src/platform/http.rs
+++ b/src/store/http.rs
@@ -16,7 +16,7 @@
 use rand::RngExt;
 use tokio::{net::TcpStream, time};
 
-use crate::platform::{ListedInstance, Object, ReadError, Store, WriteError};
+use crate::store::{ListedInstance, Object, ReadError, Store, WriteError};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 const READ_TRIES: u32 = 3;
