Instances tell each other what they sent where, what organisations used, and how new the configuration is

Ruled out: shares by number of instances alone, which refuse a large organisation whose callers stand in one hall. Change: gateway::exchange, a datagram of up to 48 reads, loads, speeds and use each 40 ms if there is news; freshness by echo; a newer configuration is fetched from whoever has it (tarpc).

--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -2,13 +2,15 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use serde::{Deserialize, Serialize};
+
 use crate::prelude::{Name, Rank};
 
 /// Orders the versions of a configuration.
 pub type ConfigVersion = u64;
 
 /// One whole configuration; never changed once it is in force.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct GatewayConfig {
     /// Its version; a higher one replaces a lower one.
     pub version: ConfigVersion,
@@ -23,7 +25,7 @@
 }
 
 /// Which requests go where, and how.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// Its name.
     pub name: Name,
@@ -50,7 +52,7 @@
 }
 
 /// A service's share of a route.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Target {
     /// The service.
     pub service: Name,
@@ -59,7 +61,7 @@
 }
 
 /// What a route's answers are.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RouteKind {
     /// One answer with a body.
     Whole {
@@ -89,7 +91,7 @@
 }
 
 /// A group of endpoints that can stand in for each other.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Its name.
     pub name: Name,
@@ -102,7 +104,7 @@
 }
 
 /// What the endpoints of a model's service have in common.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Engine {
     /// Requests that one endpoint runs at a time.
     pub slots: u32,
@@ -113,7 +115,7 @@
 }
 
 /// A customer, known by its keys.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Organisation {
     /// Its name.
     pub name: Name,
@@ -126,7 +128,7 @@
 }
 
 /// A limit on use.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct UseLimit {
     /// What is counted.
     pub unit: UseUnit,
@@ -137,7 +139,7 @@
 }
 
 /// What a limit counts.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum UseUnit {
     /// Requests.
     Requests,
@@ -149,7 +151,7 @@
 }
 
 /// Bounds on what callers may send, and on how long they may take.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// The longest request head, in bytes.
     pub max_header_bytes: usize,
--- /dev/null
+++ b/src/gateway/exchange.rs
@@ -0,0 +1,304 @@
+//! Tells the other instances what this one has sent where, and takes what they tell.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    net::{IpAddr, SocketAddr},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use tokio::{
+    net::UdpSocket,
+    time::{self, MissedTickBehavior},
+};
+
+use crate::{
+    gateway::{config_copy, protocol::Protocol, state::Gateway},
+    limits::organisation::Sharers,
+    peers::{
+        datagram::{Authenticator, MemberInfo},
+        gossip::Gossip,
+        rpc::SealedCodec,
+        told::{self, Told},
+    },
+    prelude::{Incarnation, Micros},
+};
+
+/// Shortest time between two rounds; several requests share a datagram under load.
+const ROUND: Duration = Duration::from_millis(40);
+/// Something is told at least this often, so that the others know this instance lives.
+const QUIET_US: Micros = 250_000;
+/// Up to this many instances everybody tells everybody each round. In larger groups those of other
+/// halls are told in turn.
+const SMALL_GROUP: usize = 12;
+/// In larger groups everybody of another hall is told once in this many rounds.
+const FAR_ROUNDS: usize = 12;
+/// An instance whose last word is older may use its share of a limit without being heard.
+const HEARD_US: Micros = 1_000_000;
+/// A limit's window and some more: what an instance used before it fell silent counts that long.
+const SHARER_US: Micros = 20_000_000;
+/// A configuration's age beyond this is of no use to anybody.
+const MAX_AGE_MS: u64 = 60_000;
+const MAX_DATAGRAM: usize = 9_000;
+const READS_TOLD: usize = 48;
+const SPEEDS_TOLD: usize = 4;
+/// Rounds of which the time of sending is remembered: some seconds.
+const SENT_KEPT: usize = 256;
+
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    incarnation: Incarnation,
+    seq: u64,
+    at_us: Micros,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    seq: u64,
+    /// The times at which the last rounds were sent.
+    sent: VecDeque<(u64, Micros)>,
+    heard: HashMap<IpAddr, Heard>,
+    told_at_us: Micros,
+    turn: usize,
+}
+
+/// The exchange of one instance.
+pub struct Exchange<P: Protocol> {
+    gateway: Arc<Gateway<P>>,
+    gossip: Arc<Gossip>,
+    socket: UdpSocket,
+    authenticator: Authenticator,
+    codec: SealedCodec,
+    me: MemberInfo,
+    state: Mutex<State>,
+    is_fetching: AtomicBool,
+}
+
+impl<P: Protocol> Exchange<P> {
+    /// Creates the exchange over a bound socket; every instance's has the same port.
+    pub fn new(
+        gateway: Arc<Gateway<P>>,
+        gossip: Arc<Gossip>,
+        socket: UdpSocket,
+        cluster_key: &[u8],
+        codec: SealedCodec,
+        me: MemberInfo,
+        seeds: &[SocketAddr],
+    ) -> Self {
+        let mut state = State::default();
+        let now_us = gateway.clock.now_us();
+        // The seeds are taken to share limits until they had time to be heard.
+        for seed in seeds.iter().filter(|s| s.ip() != me.peer_addr.ip()) {
+            let heard = Heard {
+                incarnation: Incarnation(0),
+                seq: 0,
+                at_us: now_us,
+            };
+            state.heard.insert(seed.ip(), heard);
+        }
+        Self {
+            gateway,
+            gossip,
+            socket,
+            authenticator: Authenticator::new(cluster_key, "ryevalve told"),
+            codec,
+            me,
+            state: Mutex::new(state),
+            is_fetching: AtomicBool::new(false),
+        }
+    }
+
+    /// Tells and listens until dropped.
+    pub async fn run(self: Arc<Self>) {
+        let mut round = time::interval(ROUND);
+        round.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut buffer = vec![0; MAX_DATAGRAM];
+        loop {
+            tokio::select! {
+                _ = round.tick() => self.tell().await,
+                received = self.socket.recv_from(&mut buffer) => {
+                    if let Ok((len, from)) = received {
+                        self.receive(&buffer[..len], from);
+                    }
+                }
+            }
+        }
+    }
+
+    async fn tell(&self) {
+        let now_us = self.gateway.clock.now_us();
+        self.count_sharers(now_us);
+        let changed = self.gateway.balancer().take_changed();
+        let Some(mut told) = self.next_round(now_us, changed) else {
+            return;
+        };
+        let targets = self.targets();
+        for target in targets {
+            told.echo = self.echo_for(target.ip());
+            let bytes = told::encode(&self.authenticator, &told);
+            // One that cannot be sent is as one lost on the way.
+            let _ = self.socket.send_to(&bytes, target).await;
+        }
+    }
+
+    fn next_round(&self, now_us: Micros, changed: bool) -> Option<Told> {
+        let (seq, turn) = {
+            let mut state = self.lock();
+            let is_quiet = now_us.saturating_sub(state.told_at_us) < QUIET_US;
+            if !changed && is_quiet {
+                return None;
+            }
+            state.told_at_us = now_us;
+            state.seq += 1;
+            state.turn += 1;
+            let seq = state.seq;
+            state.sent.push_back((seq, now_us));
+            if state.sent.len() > SENT_KEPT {
+                state.sent.pop_front();
+            }
+            (seq, state.turn)
+        };
+        let age_ms = self.gateway.config_age_us() / 1_000 + 1;
+        let used = self.gateway.limits().used();
+        let mut balancer = self.gateway.balancer();
+        Some(Told {
+            from: self.me.incarnation,
+            seq,
+            echo: 0,
+            config_version: self.gateway.config.version(),
+            config_age_ms: (age_ms < MAX_AGE_MS).then_some(age_ms as u32),
+            loads: balancer.own_loads(),
+            read: balancer.take_news(READS_TOLD),
+            speeds: balancer.speeds(turn * SPEEDS_TOLD, SPEEDS_TOLD),
+            used,
+        })
+    }
+
+    fn echo_for(&self, ip: IpAddr) -> u64 {
+        self.lock().heard.get(&ip).map_or(0, |h| h.seq)
+    }
+
+    /// Returns whom this round is told to.
+    fn targets(&self) -> Vec<SocketAddr> {
+        let view = self.gossip.view();
+        let Ok(own) = self.socket.local_addr() else {
+            return Vec::new();
+        };
+        let turn = self.lock().turn;
+        let others: Vec<_> = view.others().collect();
+        let is_small = others.len() < SMALL_GROUP;
+        let chosen = others.iter().enumerate().filter(|(index, member)| {
+            is_small || member.info.hall == self.me.hall || index % FAR_ROUNDS == turn % FAR_ROUNDS
+        });
+        chosen
+            .map(|(_, m)| SocketAddr::new(m.info.peer_addr.ip(), own.port()))
+            .collect()
+    }
+
+    /// Counts those who may use a part of a limit, and those of them that are heard.
+    fn count_sharers(&self, now_us: Micros) {
+        let mut state = self.lock();
+        let age = |h: &Heard| now_us.saturating_sub(h.at_us);
+        state.heard.retain(|_, h| age(h) < SHARER_US);
+        let heard = state.heard.values().filter(|h| age(h) < HEARD_US);
+        let heard = heard.filter(|h| h.incarnation != Incarnation(0)).count();
+        let sharers = Sharers {
+            all: state.heard.len() + 1,
+            heard: heard + 1,
+        };
+        self.gateway.set_sharers(sharers);
+    }
+
+    fn receive(self: &Arc<Self>, bytes: &[u8], from: SocketAddr) {
+        let Ok(told) = told::decode(&self.authenticator, bytes) else {
+            self.gateway.metrics.datagrams_dropped.inc();
+            return;
+        };
+        if told.from == self.me.incarnation {
+            return;
+        }
+        let now_us = self.gateway.clock.now_us();
+        let Some(is_first) = self.note_heard(now_us, &told, from.ip()) else {
+            self.gateway.metrics.datagrams_dropped.inc();
+            return;
+        };
+        self.take_freshness(&told, from);
+        {
+            let mut limits = self.gateway.limits();
+            for (organisation, used) in &told.used {
+                limits.told(told.from, *organisation, *used, is_first);
+            }
+        }
+        let mut balancer = self.gateway.balancer();
+        balancer.told(now_us, told.from, told.loads, &told.read, &told.speeds);
+        drop(balancer);
+        self.gateway.reconsider();
+    }
+
+    /// Notes a datagram; none if it is older than one that came before, else whether it is the
+    /// first of its sender's start.
+    fn note_heard(&self, now_us: Micros, told: &Told, ip: IpAddr) -> Option<bool> {
+        let mut state = self.lock();
+        let known = state.heard.get(&ip).copied();
+        let same_start = known.filter(|h| h.incarnation == told.from);
+        if same_start.is_some_and(|h| h.seq >= told.seq) {
+            return None;
+        }
+        let heard = Heard {
+            incarnation: told.from,
+            seq: told.seq,
+            at_us: now_us,
+        };
+        state.heard.insert(ip, heard);
+        Some(same_start.is_none())
+    }
+
+    /// Takes what the sender knows of the configuration. What it told is no older than the sending
+    /// of the number that it echoes.
+    fn take_freshness(self: &Arc<Self>, told: &Told, from: SocketAddr) {
+        let own = self.gateway.config.version();
+        if told.config_version > own {
+            self.fetch(from.ip());
+            return;
+        }
+        let (Some(age_ms), true) = (told.config_age_ms, told.config_version == own) else {
+            return;
+        };
+        let state = self.lock();
+        let sent = state.sent.iter().find(|(seq, _)| *seq == told.echo);
+        if let Some((_, sent_us)) = sent {
+            let asked_us = sent_us.saturating_sub(u64::from(age_ms) * 1_000);
+            self.gateway.config.confirm(own, asked_us);
+        }
+    }
+
+    /// Fetches a newer configuration from another instance, one fetch at a time.
+    fn fetch(self: &Arc<Self>, ip: IpAddr) {
+        if self.is_fetching.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let exchange = self.clone();
+        let addr = SocketAddr::new(ip, self.me.peer_addr.port());
+        tokio::spawn(async move {
+            let known = exchange.gateway.config.version();
+            let codec = exchange.codec.clone();
+            match config_copy::fetch(addr, codec, known).await {
+                Ok(Some(config)) => exchange.gateway.offer(config, "peer"),
+                Ok(None) => {}
+                Err(error) => {
+                    let reason = error.to_string();
+                    log::warn!(target: "ryevalve::process", reason; "configuration_not_fetched");
+                }
+            }
+            exchange.is_fetching.store(false, Ordering::Relaxed);
+        });
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        // Every step leaves the state whole, so a poisoned lock is usable.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,8 @@
 
 pub mod attempt;
 pub mod config;
+pub mod config_copy;
+pub mod exchange;
 pub mod freshness;
 pub mod front;
 pub mod metrics;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -18,7 +18,12 @@
     },
     clock::Clock,
     endpoint::kept::KeptConnections,
-    gateway::{freshness::CurrentConfig, metrics::GatewayMetrics, protocol::Protocol},
+    gateway::{
+        config::GatewayConfig,
+        freshness::{CurrentConfig, Offered},
+        metrics::GatewayMetrics,
+        protocol::Protocol,
+    },
     limits::{
         organisation::{OrganisationLimits, Sharers, Tolerance},
         retries::{RetryBounds, RetryBudget},
@@ -141,6 +146,26 @@
         self.instances_heard.store(sharers.heard, Ordering::Relaxed);
     }
 
+    /// Puts a configuration in force if it is newer; `from` says who had it.
+    pub fn offer(&self, config: GatewayConfig, from: &'static str) {
+        let version = config.version;
+        let before = self.config.version();
+        let offered = self.config.offer(config);
+        if offered == Offered::Known {
+            return;
+        }
+        let applied = offered == Offered::Applied;
+        if let Some(table) = self.config.table().filter(|_| applied) {
+            let now_us = self.clock.now_us();
+            self.limits().configure(now_us, table.config());
+        }
+        log::info!(
+            target: "ryevalve::process",
+            version, before, from, applied;
+            "configuration_offered"
+        );
+    }
+
     /// Returns for how long the configuration has not been known to be the newest.
     pub fn config_age_us(&self) -> Micros {
         self.config.age_us(self.clock.now_us())
--- a/src/limits/organisation.rs
+++ b/src/limits/organisation.rs
@@ -161,8 +161,8 @@
         used.map(|(name, b)| (short_hash(name), b.used)).collect()
     }
 
-    /// Takes what another instance used since it started. What it used before it was first heard
-    /// counts too: it is new to this process.
+    /// Takes what another instance used since it started. Of the first word from a start nothing
+    /// counts: this process may be the newer one, and the use long past.
     pub fn told(&mut self, from: Incarnation, organisation: u32, used: u64, is_first: bool) {
         let known = self.told.insert((from, organisation), used);
         let before = known.unwrap_or(if is_first { used } else { 0 });
--- a/src/peers/datagram.rs
+++ b/src/peers/datagram.rs
@@ -98,6 +98,7 @@
 
 /// Why a datagram was dropped.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum DatagramError {
     /// Too short to hold a tag.
     #[snafu(display("the datagram is too short"))]
--- /dev/null
+++ b/src/peers/told.rs
@@ -0,0 +1,56 @@
+//! What gateways tell each other several times a second, by UDP: postcard with an authentication
+//! tag.
+
+use serde::{Deserialize, Serialize};
+use snafu::ResultExt;
+
+use crate::{
+    balance::{
+        load::{EndpointKey, InFlight},
+        prefixes::ChainKey,
+    },
+    peers::datagram::{Authenticator, DatagramError, UnreadableSnafu},
+    prelude::Incarnation,
+};
+
+/// One datagram. Every list is of its sender alone and replaces the one before, but for `read`.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Told {
+    /// The sender's start.
+    pub from: Incarnation,
+    /// Counts the sender's rounds; an older one is dropped.
+    pub seq: u64,
+    /// The newest number that the sender has from whom it tells, or 0. Whoever sent that knows
+    /// that what is told here is no older than its sending.
+    pub echo: u64,
+    /// The configuration in force.
+    pub config_version: u64,
+    /// For how long it has not been known to be the newest, in milliseconds, rounded up; none if
+    /// for too long to be of use.
+    pub config_age_ms: Option<u32>,
+    /// Requests at endpoints.
+    pub loads: Vec<(EndpointKey, InFlight)>,
+    /// Chains of prompts that were read lately, and where.
+    pub read: Vec<(ChainKey, EndpointKey)>,
+    /// Learned speeds of some endpoints: milliseconds a prompt token and a token.
+    pub speeds: Vec<(EndpointKey, f32, f32)>,
+    /// What organisations used since the sender's start, by short hash.
+    pub used: Vec<(u32, u64)>,
+}
+
+/// Writes a datagram.
+pub fn encode(authenticator: &Authenticator, told: &Told) -> Vec<u8> {
+    // Plain data of this kind always has a postcard form.
+    let mut bytes = postcard::to_stdvec(told).unwrap_or_default();
+    authenticator.seal(&mut bytes);
+    bytes
+}
+
+/// Reads a datagram.
+///
+/// # Errors
+/// It is not from an instance that has the key, or cannot be read.
+pub fn decode(authenticator: &Authenticator, bytes: &[u8]) -> Result<Told, DatagramError> {
+    let body = authenticator.open(bytes)?;
+    postcard::from_bytes(body).context(UnreadableSnafu)
+}
--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -2,32 +2,40 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
+use rand::RngExt;
 use snafu::{ResultExt, Snafu};
 use tokio::{
-    net::TcpListener,
+    net::{TcpListener, UdpSocket},
     signal::unix::{SignalKind, signal},
     time::{self, MissedTickBehavior},
 };
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     gateway::{
+        config_copy,
+        exchange::Exchange,
         front::{self, FrontStop},
         probes,
         state::{Gateway, GatewayBounds},
         stop,
     },
     limits::{organisation::Tolerance, retries::RetryBounds},
+    peers::{datagram::MemberInfo, gossip::Gossip, membership::Membership, rpc::SealedCodec},
     platform::{
         follow,
         headers::PlatformProtocol,
         objects::ObjectClient,
         settings::{Bounds, PlatformSettings, SettingsError},
     },
-    prelude::Micros,
+    prelude::{Incarnation, Micros},
 };
 
 /// Where the counters are served, beside the address for readiness; named in the deploy file.
 pub const METRICS_PORT: u16 = 9_464;
+/// The variable that holds the key by which instances know each other.
+pub const CLUSTER_KEY_VARIABLE: &str = "RYEVALVE_CLUSTER_KEY";
+const MIN_KEY_LEN: usize = 16;
 /// Descriptors kept for endpoints, peers, the store and files.
 const OWN_DESCRIPTORS: usize = 900;
 /// How often silent peers, lapsed endpoints and resting connections are looked at.
@@ -56,6 +64,9 @@
         /// What the system said.
         source: io::Error,
     },
+    /// What instances tell each other cannot be authenticated.
+    #[snafu(display("{CLUSTER_KEY_VARIABLE} is missing or short; expected 16 characters or more"))]
+    ClusterKey,
     /// Signals cannot be received.
     #[snafu(display("signals cannot be received: {source}"))]
     Signals {
@@ -103,6 +114,7 @@
         ObjectClient::new(store),
     ));
     tokio::spawn(follow::endpoints(gateway.clone(), ObjectClient::new(store)));
+    meet_peers(&gateway, &settings).await?;
     tokio::spawn(sweep(gateway.clone()));
     tokio::spawn(reconsider(gateway.clone()));
     let mut reread = time::interval(REREAD);
@@ -119,6 +131,57 @@
     Ok(stop::stop(&gateway, stop, serving, grace).await)
 }
 
+/// Joins the other instances: membership and the exchange by UDP, copies by TCP.
+async fn meet_peers(
+    gateway: &Arc<Gateway<PlatformProtocol>>,
+    settings: &PlatformSettings,
+) -> Result<(), EdgeError> {
+    let key = std::env::var(CLUSTER_KEY_VARIABLE).unwrap_or_default();
+    snafu::ensure!(key.len() >= MIN_KEY_LEN, ClusterKeySnafu);
+    let control = settings.listen.control;
+    let me = MemberInfo {
+        name: settings.name.as_str().into(),
+        incarnation: Incarnation(rand::rng().random_range(1..u64::MAX)),
+        peer_addr: control,
+        hall: settings.hall.as_str().into(),
+        data_centre: settings.data_centre.as_str().into(),
+        beat: 1,
+        leaving: false,
+    };
+    let membership = Membership::new(me.clone(), settings.seeds.clone(), me.incarnation.0);
+    let what = "peers";
+    let gossip = Gossip::bind(control, membership, key.as_bytes(), gateway.clock).await;
+    let gossip = Arc::new(gossip.context(BindSnafu {
+        what,
+        addr: control,
+    })?);
+    let copies = bind(what, control).await?;
+    let addr = SocketAddr::new(control.ip(), settings.peer_ports.0);
+    let socket = UdpSocket::bind(addr)
+        .await
+        .context(BindSnafu { what, addr })?;
+    let codec = SealedCodec::new(key.as_bytes(), Arc::default());
+    let exchange = Arc::new(Exchange::new(
+        gateway.clone(),
+        gossip.clone(),
+        socket,
+        key.as_bytes(),
+        codec.clone(),
+        me,
+        &settings.seeds,
+    ));
+    tokio::spawn(async move { gossip.run(CancellationToken::new()).await });
+    tokio::spawn(exchange.run());
+    let serving = config_copy::serve(gateway.clone(), copies, codec);
+    tokio::spawn(async move {
+        if let Err(error) = serving.await {
+            let reason = error.to_string();
+            log::error!(target: "ryevalve::process", reason; "copies_not_served");
+        }
+    });
+    Ok(())
+}
+
 async fn bind(what: &'static str, addr: SocketAddr) -> Result<TcpListener, EdgeError> {
     TcpListener::bind(addr)
         .await
--- a/src/platform/follow.rs
+++ b/src/platform/follow.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     balance::discovery::Change,
-    gateway::{freshness::Offered, protocol::Protocol, state::Gateway},
+    gateway::{protocol::Protocol, state::Gateway},
     platform::{
         configuration::{self, ConfigSpec},
         endpoints::{self, EndpointSpec},
@@ -110,7 +110,7 @@
         if object.metadata.name == configuration::OBJECT.1
             && let Some(spec) = object.spec
         {
-            offer(&self.gateway, spec.into(), "store");
+            self.gateway.offer(spec.into(), "store");
         }
     }
 
@@ -122,31 +122,6 @@
     }
 }
 
-/// Puts a configuration in force if it is newer.
-pub fn offer<P: Protocol>(
-    gateway: &Gateway<P>,
-    config: crate::gateway::config::GatewayConfig,
-    from: &'static str,
-) {
-    let version = config.version;
-    let before = gateway.config.version();
-    let offered = gateway.config.offer(config);
-    if offered == Offered::Known {
-        return;
-    }
-    if offered == Offered::Applied
-        && let Some(table) = gateway.config.table()
-    {
-        let now_us = gateway.clock.now_us();
-        gateway.limits().configure(now_us, table.config());
-    }
-    log::info!(
-        target: "ryevalve::process",
-        version, before, from, applied = offered == Offered::Applied;
-        "configuration_offered"
-    );
-}
-
 impl<P: Protocol> Follower for ConfigFollower<P> {
     type Spec = ConfigSpec;
     const KIND: &'static str = configuration::OBJECT.0;
