Limits: the whole window is given out, the last tenths to the urgent, and how full they are is taken over

Ruled out: charging on sending instead of arrival, which moves a request by at most a fifth of its target. Change: empty buckets after a restart, their level taken over from longer-running instances; one request's overdraft; a tenth of the bucket a rank in reserve.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     gateway::{config_copy, protocol::Protocol, state::Gateway},
-    limits::organisation::Sharers,
+    limits::organisation::{Sharers, Teller},
     peers::{
         datagram::{Authenticator, MemberInfo},
         gossip::Gossip,
@@ -162,12 +162,16 @@
             (seq, state.turn)
         };
         let age_ms = self.gateway.config_age_us() / 1_000 + 1;
-        let used = self.gateway.limits().used();
+        let (used, uptime_us) = {
+            let limits = self.gateway.limits();
+            (limits.used(), limits.uptime_us(now_us))
+        };
         let mut balancer = self.gateway.balancer();
         Some(Told {
             from: self.me.incarnation,
             seq,
             echo: 0,
+            uptime_ms: u32::try_from(uptime_us / 1_000).unwrap_or(u32::MAX),
             config_version: self.gateway.config.version(),
             config_age_ms: (age_ms < MAX_AGE_MS).then_some(age_ms as u32),
             loads: balancer.own_loads(),
@@ -221,15 +225,19 @@
             return;
         }
         let now_us = self.gateway.clock.now_us();
-        let Some(is_first) = self.note_heard(now_us, &told, from.ip()) else {
+        if !self.note_heard(now_us, &told, from.ip()) {
             self.gateway.metrics.datagrams_dropped.inc();
             return;
-        };
+        }
         self.take_freshness(&told, from);
         {
             let mut limits = self.gateway.limits();
-            for (organisation, used) in &told.used {
-                limits.told(told.from, *organisation, *used, is_first);
+            let teller = Teller {
+                incarnation: told.from,
+                uptime_us: u64::from(told.uptime_ms) * 1_000,
+            };
+            for used in &told.used {
+                limits.told(now_us, teller, *used);
             }
         }
         let mut balancer = self.gateway.balancer();
@@ -238,14 +246,13 @@
         self.gateway.reconsider();
     }
 
-    /// Notes a datagram; none if it is older than one that came before, else whether it is the
-    /// first of its sender's start.
-    fn note_heard(&self, now_us: Micros, told: &Told, ip: IpAddr) -> Option<bool> {
+    /// Notes a datagram; false if it is older than one that came before.
+    fn note_heard(&self, now_us: Micros, told: &Told, ip: IpAddr) -> bool {
         let mut state = self.lock();
         let known = state.heard.get(&ip).copied();
         let same_start = known.filter(|h| h.incarnation == told.from);
         if same_start.is_some_and(|h| h.seq >= told.seq) {
-            return None;
+            return false;
         }
         let heard = Heard {
             incarnation: told.from,
@@ -253,7 +260,7 @@
             at_us: now_us,
         };
         state.heard.insert(ip, heard);
-        Some(same_start.is_none())
+        true
     }
 
     /// Takes what the sender knows of the configuration. What it told is no older than the sending
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -33,7 +33,7 @@
         state::Gateway,
         stream::Relay,
     },
-    prelude::{Micros, Name},
+    prelude::{Micros, Name, Rank},
 };
 
 /// A final answer leaves this long before the caller gives up.
@@ -146,7 +146,7 @@
     let body = read_body(&parts.headers, body, limits.max_body_bytes).await?;
     let tokens = head.tokens.map(|t| t.total());
     let name = organisation.as_ref().map(|o| o.name.clone());
-    take_from_limit(gateway, name.as_deref(), tokens)?;
+    take_from_limit(gateway, name.as_deref(), tokens, route.priority)?;
     let draw = rand::rng().random_range(0.0..1.0);
     let Some(service) = route.pick_target(draw).cloned() else {
         return Err(refuse::not_run("no_service", 1_000));
@@ -249,13 +249,14 @@
     gateway: &Gateway<P>,
     organisation: Option<&str>,
     tokens: Option<u32>,
+    rank: Rank,
 ) -> Result<(), Refusal> {
     let Some(name) = organisation else {
         return Ok(());
     };
     let now_us = gateway.clock.now_us();
     let sharers = gateway.sharers();
-    let taken = gateway.limits().take(now_us, name, tokens, sharers);
+    let taken = gateway.limits().take(now_us, name, tokens, rank, sharers);
     taken.map_err(refuse::over_limit)
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -71,17 +71,21 @@
 
 impl<P: Protocol> Gateway<P> {
     /// Creates a gateway that knows nothing yet; `hall` is where it stands.
-    pub fn new(protocol: P, hall: Name, bounds: GatewayBounds) -> Self {
+    ///
+    /// `is_first_start` says that no instance has run before it.
+    pub fn new(protocol: P, hall: Name, bounds: GatewayBounds, is_first_start: bool) -> Self {
+        let clock = Clock::default();
+        let limits = OrganisationLimits::new(clock.now_us(), bounds.tolerance, is_first_start);
         Self {
             protocol,
-            clock: Clock::default(),
+            clock,
             config: CurrentConfig::default(),
             connections: KeptConnections::default(),
             metrics: GatewayMetrics::default(),
             bounds: Mutex::new(bounds),
             balancer: Mutex::new(Balancer::new(hall)),
             waiters: Mutex::default(),
-            limits: Mutex::new(OrganisationLimits::new(bounds.tolerance)),
+            limits: Mutex::new(limits),
             retries: Mutex::new(RetryBudget::new(bounds.retries)),
             instances_known: AtomicUsize::new(1),
             instances_heard: AtomicUsize::new(1),
--- a/src/limits/organisation.rs
+++ b/src/limits/organisation.rs
@@ -6,17 +6,24 @@
 
 use std::collections::HashMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     gateway::config::{GatewayConfig, UseLimit, UseUnit},
-    prelude::{Incarnation, Micros, Name},
+    prelude::{Incarnation, Micros, Name, Rank},
 };
 
-/// The share of a bucket's depth that a fresh process starts with: what was used before it started
-/// is not known to it.
-const START_SHARE: f64 = 0.25;
-/// The share of the tolerance above a limit that the buckets make use of; the rest covers what was
-/// used and not yet heard of.
-const TOLERANCE_SHARE: f64 = 0.4;
+/// The share of what may be used in a window, tolerance included, that the buckets give out; the
+/// rest covers what was used and not yet heard of, and requests that endpoints run later than they
+/// were sent.
+const GIVEN_SHARE: f64 = 0.88;
+/// The share of a bucket that is left to the more urgent, a rank.
+const RANK_RESERVE: f64 = 0.1;
+/// A process takes over how full the buckets are from one that has run longer, in this time after
+/// its start.
+const LEARNING_US: Micros = 2_000_000;
+/// Instances that start within this time of each other have heard of all that either used.
+const SAME_START_US: Micros = 400_000;
 
 /// How far above its limit an organisation may come in a window.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -45,6 +52,28 @@
     level: f64,
     filled_us: Micros,
     used: u64,
+    /// How full it is was taken over from another instance.
+    has_learned: bool,
+}
+
+/// What an instance tells of its use of a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ToldUse {
+    /// The organisation, by [`short_hash`].
+    pub organisation: u32,
+    /// Units used since the instance's start.
+    pub used: u64,
+    /// How full its bucket is, in percent.
+    pub level_percent: u8,
+}
+
+/// Whose word is taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Teller {
+    /// The instance's start.
+    pub incarnation: Incarnation,
+    /// For how long it has run.
+    pub uptime_us: Micros,
 }
 
 /// The buckets of all organisations with a limit.
@@ -54,6 +83,9 @@
     buckets: HashMap<Name, Bucket>,
     /// What each other instance told last, by organisation.
     told: HashMap<(Incarnation, u32), u64>,
+    started_us: Micros,
+    /// Nothing was used before this process started, by anybody.
+    is_first_start: bool,
 }
 
 /// Shortens a name to what instances tell each other.
@@ -66,15 +98,23 @@
 }
 
 impl OrganisationLimits {
-    /// Starts without limits.
-    pub fn new(tolerance: Tolerance) -> Self {
+    /// Starts without limits. Buckets are full at the first start of all; later, a process knows
+    /// nothing of what was used before it and starts with empty ones.
+    pub fn new(now_us: Micros, tolerance: Tolerance, is_first_start: bool) -> Self {
         Self {
             tolerance,
             buckets: HashMap::new(),
             told: HashMap::new(),
+            started_us: now_us,
+            is_first_start,
         }
     }
 
+    /// Returns for how long this process has run.
+    pub fn uptime_us(&self, now_us: Micros) -> Micros {
+        now_us.saturating_sub(self.started_us)
+    }
+
     /// Replaces the tolerance; it counts from the next configuration on.
     pub fn set_tolerance(&mut self, tolerance: Tolerance) {
         self.tolerance = tolerance;
@@ -95,9 +135,11 @@
     }
 
     fn bucket(&self, now_us: Micros, limit: UseLimit, known: Option<Bucket>) -> Bucket {
-        let window_total = limit.rate_per_s * self.tolerance.window_s + limit.burst;
-        let tolerance = window_total * self.tolerance.overage + self.tolerance.slack;
-        let depth = limit.burst + tolerance * TOLERANCE_SHARE;
+        let in_window = limit.rate_per_s * self.tolerance.window_s;
+        let allowed = (in_window + limit.burst) * (1.0 + self.tolerance.overage);
+        let depth = (allowed + self.tolerance.slack) * GIVEN_SHARE - in_window;
+        // With a narrow tolerance the burst would be lost: the limit itself is always given out.
+        let depth = depth.max(limit.burst);
         match known {
             Some(known) => {
                 // The share that was left is kept.
@@ -112,9 +154,10 @@
             None => Bucket {
                 limit,
                 depth,
-                level: depth * START_SHARE,
+                level: if self.is_first_start { depth } else { 0.0 },
                 filled_us: now_us,
                 used: 0,
+                has_learned: false,
             },
         }
     }
@@ -129,6 +172,7 @@
         now_us: Micros,
         organisation: &str,
         tokens: Option<u32>,
+        rank: Rank,
         sharers: Sharers,
     ) -> Result<(), u32> {
         let Some(bucket) = self.buckets.get_mut(organisation) else {
@@ -136,8 +180,14 @@
         };
         let units = bucket.units(tokens);
         bucket.fill(now_us, sharers);
-        if bucket.level < units {
-            let missing = units - bucket.level;
+        // The last of a limit is for the most urgent. What fits is not asked: the long requests
+        // would never find room beside the short ones.
+        let reserve = match tokens {
+            Some(_) => bucket.depth * sharers.share() * RANK_RESERVE * f64::from(rank.min(2)),
+            None => 0.0,
+        };
+        if bucket.level <= reserve {
+            let missing = reserve - bucket.level + units;
             let rate = (bucket.limit.rate_per_s * sharers.share()).max(1.0);
             return Err((missing / rate * 1e3).clamp(50.0, 60_000.0) as u32);
         }
@@ -155,24 +205,36 @@
         }
     }
 
-    /// Returns what each organisation used here since this process started, by short hash.
-    pub fn used(&self) -> Vec<(u32, u64)> {
-        let used = self.buckets.iter().filter(|(_, b)| b.used > 0);
-        used.map(|(name, b)| (short_hash(name), b.used)).collect()
+    /// Returns what each organisation used here since this process started.
+    pub fn used(&self) -> Vec<ToldUse> {
+        let used = self.buckets.iter().map(|(name, bucket)| ToldUse {
+            organisation: short_hash(name),
+            used: bucket.used,
+            level_percent: (bucket.level / bucket.depth.max(1.0) * 100.0).clamp(0.0, 100.0) as u8,
+        });
+        used.collect()
     }
 
-    /// Takes what another instance used since it started. Of the first word from a start nothing
-    /// counts: this process may be the newer one, and the use long past.
-    pub fn told(&mut self, from: Incarnation, organisation: u32, used: u64, is_first: bool) {
-        let known = self.told.insert((from, organisation), used);
-        let before = known.unwrap_or(if is_first { used } else { 0 });
-        let units = used.saturating_sub(before) as f64;
-        let named = self
-            .buckets
-            .iter_mut()
-            .find(|(n, _)| short_hash(n) == organisation);
-        if let Some((_, bucket)) = named {
-            bucket.level -= units;
+    /// Takes what another instance used since it started.
+    ///
+    /// Of the first word from a process that has run longer than this one nothing counts as use: it
+    /// may be long past. Instead, how full its buckets are is taken over.
+    pub fn told(&mut self, now_us: Micros, from: Teller, told: ToldUse) {
+        let key = (from.incarnation, told.organisation);
+        let known = self.told.insert(key, told.used);
+        let uptime_us = self.uptime_us(now_us);
+        let is_older = from.uptime_us > uptime_us + SAME_START_US;
+        let named = self.buckets.iter_mut();
+        let mut named = named.filter(|(name, _)| short_hash(name) == told.organisation);
+        let Some((_, bucket)) = named.next() else {
+            return;
+        };
+        let before = known.unwrap_or(if is_older { told.used } else { 0 });
+        bucket.level -= told.used.saturating_sub(before) as f64;
+        if known.is_none() && is_older && uptime_us < LEARNING_US && !bucket.has_learned {
+            bucket.has_learned = true;
+            let level = bucket.depth * f64::from(told.level_percent) / 100.0;
+            bucket.level = bucket.level.max(level);
         }
     }
 
--- a/src/peers/told.rs
+++ b/src/peers/told.rs
@@ -9,6 +9,7 @@
         load::{EndpointKey, InFlight},
         prefixes::ChainKey,
     },
+    limits::organisation::ToldUse,
     peers::datagram::{Authenticator, DatagramError, UnreadableSnafu},
     prelude::Incarnation,
 };
@@ -23,6 +24,8 @@
     /// The newest number that the sender has from whom it tells, or 0. Whoever sent that knows
     /// that what is told here is no older than its sending.
     pub echo: u64,
+    /// For how long the sender has run, in milliseconds.
+    pub uptime_ms: u32,
     /// The configuration in force.
     pub config_version: u64,
     /// For how long it has not been known to be the newest, in milliseconds, rounded up; none if
@@ -34,8 +37,8 @@
     pub read: Vec<(ChainKey, EndpointKey)>,
     /// Learned speeds of some endpoints: milliseconds a prompt token and a token.
     pub speeds: Vec<(EndpointKey, f32, f32)>,
-    /// What organisations used since the sender's start, by short hash.
-    pub used: Vec<(u32, u64)>,
+    /// What organisations used since the sender's start.
+    pub used: Vec<ToldUse>,
 }
 
 /// Writes a datagram.
--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -89,7 +89,12 @@
     let metrics = bind("metrics", metrics_addr).await?;
     let bounds = gateway_bounds(&settings.bounds);
     let hall = settings.hall.as_str().into();
-    let gateway = Arc::new(Gateway::new(PlatformProtocol, hall, bounds));
+    let gateway = Arc::new(Gateway::new(
+        PlatformProtocol,
+        hall,
+        bounds,
+        settings.is_first_start,
+    ));
     log::info!(
         target: "ryevalve::process",
         instance = settings.name.as_str(), hall = settings.hall.as_str();
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -59,6 +59,9 @@
     /// Control addresses of up to three instances, which may be gone.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// The whole system starts for the first time.
+    #[serde(rename = "bootstrap", default)]
+    pub is_first_start: bool,
     /// The addresses to listen on.
     pub listen: Listen,
     /// What the process may use.
