Three instances watch the store, the others learn from them

Ruled out: longer watches for all, since a key's freshness needs an answer within 3.8 s and each change still wakes every watch. Change: watchers by rendezvous hash over the live view; the others are confirmed by echoes, fetch what has changed from whoever is ahead, and read for themselves after 2.5 s without word. Far instances are told each second, news goes to all at once.

--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -10,7 +10,7 @@
 use crate::{
     balance::{
         cost::{Ask, Expected, Known, expect},
-        discovery::{Change, Discovery, EndpointEntry},
+        discovery::{Change, Discovery, EndpointEntry, EndpointsCopy, Revision},
         load::{EndpointKey, EndpointLoad, InFlight, OwnWord, ToldLoads},
         prefixes::{ChainKey, PrefixHolders},
         speed::Speed,
@@ -111,12 +111,21 @@
         }
     }
 
-    /// Takes an endpoint's entry; returns what changed.
-    pub fn endpoint_seen(&mut self, entry: EndpointEntry) -> Option<Change> {
+    /// Takes an endpoint's entry as it was at a revision; returns what changed.
+    pub fn endpoint_seen(&mut self, entry: EndpointEntry, revision: Revision) -> Option<Change> {
         let id = entry.id.clone();
-        let change = self.discovery.seen(entry)?;
-        let key = EndpointKey::of(&id);
-        let entry = self.discovery.get(&id)?.clone();
+        let change = self.discovery.seen(entry, revision)?;
+        self.take_in(&id);
+        self.index_services();
+        Some(change)
+    }
+
+    /// Brings what is kept of an endpoint in line with its entry.
+    fn take_in(&mut self, id: &str) {
+        let Some(entry) = self.discovery.get(id).cloned() else {
+            return;
+        };
+        let key = EndpointKey::of(id);
         let same_hall = entry.hall == self.hall;
         let speed = self.endpoints.remove(&key).map(|e| e.speed);
         let endpoint = Endpoint {
@@ -125,8 +134,39 @@
             speed: speed.unwrap_or_default(),
         };
         self.endpoints.insert(key, endpoint);
-        self.index_services();
-        Some(change)
+    }
+
+    /// Notes that the endpoints are as the store had them at a revision.
+    pub fn endpoints_reached(&mut self, revision: Revision) {
+        let before = self.discovery.revision();
+        self.discovery.reached(revision);
+        self.changed |= self.discovery.revision() != before;
+    }
+
+    /// Returns the store's revision that the endpoints are up to.
+    pub fn endpoints_revision(&self) -> Revision {
+        self.discovery.revision()
+    }
+
+    /// Returns what whoever is at `revision` lacks of the endpoints.
+    pub fn endpoints_since(&self, revision: Revision) -> EndpointsCopy {
+        self.discovery.copy_since(revision)
+    }
+
+    /// Takes another instance's copy of the endpoints, if it is ahead; returns what changed.
+    pub fn take_endpoints(&mut self, now_us: Micros, copy: EndpointsCopy) -> Vec<(Name, Change)> {
+        let changes = self.discovery.take_copy(now_us, copy);
+        for (id, change) in &changes {
+            match change {
+                Change::Gone => self.drop_endpoint(id),
+                _ => self.take_in(id),
+            }
+        }
+        if !changes.is_empty() {
+            self.index_services();
+            self.changed = true;
+        }
+        changes
     }
 
     /// Takes word that an endpoint's entry is gone; returns what changed.
--- a/src/balance/discovery.rs
+++ b/src/balance/discovery.rs
@@ -1,6 +1,12 @@
 //! The endpoints there are, as the platform's store tells: ready, draining, lapsed or gone.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+use std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use serde::{Deserialize, Serialize};
 
 use crate::prelude::{Micros, Name};
 
@@ -8,8 +14,14 @@
 /// living endpoints are back within about two seconds of the store's return.
 const LAPSE_US: Micros = 1_800_000;
 
+/// Removals remembered for those that lag behind; more than a busy minute has.
+const REMOVALS_KEPT: usize = 512;
+
+/// Orders the changes of the store.
+pub type Revision = u64;
+
 /// What an endpoint's entry in the store says.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EndpointEntry {
     /// This start of the endpoint; no two starts share it.
     pub id: Name,
@@ -34,6 +46,21 @@
     pub entry: Arc<EndpointEntry>,
     /// Set while its entry is missing though it may live.
     lapsed_until_us: Option<Micros>,
+    /// The store's revision when this was learned.
+    revision: Revision,
+}
+
+/// What has changed in the set since a revision, or all of it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct EndpointsCopy {
+    /// The store's revision that the copy brings its taker to.
+    pub revision: Revision,
+    /// Entries, each with whether it is missing though its endpoint may live.
+    pub entries: Vec<(EndpointEntry, bool)>,
+    /// Endpoints that are gone.
+    pub removed: Vec<Name>,
+    /// Nothing else is in the set.
+    pub is_whole: bool,
 }
 
 /// A change of the set, for the log and for whoever keeps state by endpoint.
@@ -49,26 +76,54 @@
     Gone,
 }
 
+impl Change {
+    /// Returns its name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Appeared => "appeared",
+            Self::Updated => "updated",
+            Self::Lapsed => "lapsed",
+            Self::Gone => "gone",
+        }
+    }
+}
+
 /// The set of endpoints.
 #[derive(Debug, Default)]
 pub struct Discovery {
     by_id: HashMap<Name, LiveEndpoint>,
     /// Until when a missing entry may have lapsed because the store was away.
     forgiving_until_us: Micros,
+    /// The store's revision that the set is up to.
+    revision: Revision,
+    /// The last removals, and the revision after which none is missing here.
+    removals: VecDeque<(Revision, Name)>,
+    removals_from: Revision,
 }
 
 impl Discovery {
+    /// Returns the store's revision that the set is up to.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Notes that the set is up to a revision of the store.
+    pub fn reached(&mut self, revision: Revision) {
+        self.revision = self.revision.max(revision);
+    }
+
     /// Notes that the store could not be reached until now.
     pub fn store_was_away(&mut self, now_us: Micros) {
         self.forgiving_until_us = now_us + LAPSE_US;
     }
 
-    /// Takes an entry; returns what changed.
-    pub fn seen(&mut self, entry: EndpointEntry) -> Option<Change> {
+    /// Takes an entry as it was at a revision; returns what changed.
+    pub fn seen(&mut self, entry: EndpointEntry, revision: Revision) -> Option<Change> {
         let id = entry.id.clone();
         let live = LiveEndpoint {
             entry: Arc::new(entry),
             lapsed_until_us: None,
+            revision,
         };
         let Some(known) = self.by_id.get_mut(&id) else {
             self.by_id.insert(id, live);
@@ -83,16 +138,72 @@
     pub fn removed(&mut self, now_us: Micros, id: &str) -> Option<Change> {
         let known = self.by_id.get_mut(id)?;
         if now_us >= self.forgiving_until_us || known.entry.draining {
-            self.by_id.remove(id);
+            self.remove(id);
             return Some(Change::Gone);
         }
         if known.lapsed_until_us.is_some() {
             return None;
         }
         known.lapsed_until_us = Some(self.forgiving_until_us);
+        known.revision = self.revision + 1;
         Some(Change::Lapsed)
     }
 
+    fn remove(&mut self, id: &str) {
+        if let Some((id, _)) = self.by_id.remove_entry(id) {
+            self.removals.push_back((self.revision + 1, id));
+        }
+        if self.removals.len() > REMOVALS_KEPT
+            && let Some((revision, _)) = self.removals.pop_front()
+        {
+            self.removals_from = revision;
+        }
+    }
+
+    /// Returns what whoever is at `revision` lacks.
+    pub fn copy_since(&self, revision: Revision) -> EndpointsCopy {
+        let is_whole = revision < self.removals_from || revision == 0;
+        let entries = self.by_id.values();
+        let entries = entries.filter(|e| is_whole || e.revision > revision);
+        let removals = self.removals.iter();
+        let removals = removals.filter(|(at, _)| !is_whole && *at > revision);
+        EndpointsCopy {
+            revision: self.revision,
+            entries: entries
+                .map(|e| ((*e.entry).clone(), e.lapsed_until_us.is_some()))
+                .collect(),
+            removed: removals.map(|(_, id)| id.clone()).collect(),
+            is_whole,
+        }
+    }
+
+    /// Takes another instance's copy, if it is ahead; returns what changed.
+    pub fn take_copy(&mut self, now_us: Micros, copy: EndpointsCopy) -> Vec<(Name, Change)> {
+        if copy.revision <= self.revision {
+            return Vec::new();
+        }
+        let mut changes = Vec::new();
+        let kept: Vec<Name> = copy.entries.iter().map(|(e, _)| e.id.clone()).collect();
+        for (entry, has_lapsed) in copy.entries {
+            let id = entry.id.clone();
+            let change = self.seen(entry, copy.revision);
+            changes.extend(change.map(|c| (id.clone(), c)));
+            if has_lapsed && let Some(known) = self.by_id.get_mut(&id) {
+                known.lapsed_until_us = Some(now_us + LAPSE_US);
+            }
+        }
+        let missing = self.by_id.keys().filter(|id| !kept.contains(id));
+        let missing: Vec<Name> = missing.filter(|_| copy.is_whole).cloned().collect();
+        for id in copy.removed.into_iter().chain(missing) {
+            if self.by_id.contains_key(&id) {
+                self.remove(&id);
+                changes.push((id, Change::Gone));
+            }
+        }
+        self.reached(copy.revision);
+        changes
+    }
+
     /// Takes a whole list; returns the ids that are not on it and what became of each.
     pub fn retain_listed(
         &mut self,
@@ -114,7 +225,7 @@
         let expired = self.by_id.iter().filter(|(_, e)| over(e));
         let expired: Vec<Name> = expired.map(|(id, _)| id.clone()).collect();
         for id in &expired {
-            self.by_id.remove(id);
+            self.remove(id);
         }
         expired
     }
--- a/src/gateway/config_copy.rs
+++ b/src/gateway/config_copy.rs
@@ -1,4 +1,5 @@
-//! Copies of the configuration between instances, for those that the store turns away.
+//! Copies of the configuration and of the endpoints between instances: a few of them watch the
+//! store, and the others learn from those.
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -12,7 +13,12 @@
 use tokio::{net::TcpListener, time};
 
 use crate::{
-    gateway::{config::GatewayConfig, protocol::Protocol, state::Gateway},
+    balance::discovery::{EndpointsCopy, Revision},
+    gateway::{
+        config::{ConfigVersion, GatewayConfig},
+        protocol::Protocol,
+        state::Gateway,
+    },
     peers::rpc::{MAX_FRAME_BYTES, SealedCodec},
 };
 
@@ -41,9 +47,11 @@
 
 /// What an instance asks another for.
 #[tarpc::service]
-trait ConfigCopies {
+trait Copying {
     /// Returns the configuration in force if it is newer than `version`.
-    async fn newer_than(version: u64) -> Option<GatewayConfig>;
+    async fn config_after(version: ConfigVersion) -> Option<GatewayConfig>;
+    /// Returns what has changed in the endpoints since `revision`.
+    async fn endpoints_after(revision: Revision) -> EndpointsCopy;
 }
 
 struct CopyServer<P: Protocol> {
@@ -58,12 +66,16 @@
     }
 }
 
-impl<P: Protocol> ConfigCopies for CopyServer<P> {
-    async fn newer_than(self, _: Context, version: u64) -> Option<GatewayConfig> {
+impl<P: Protocol> Copying for CopyServer<P> {
+    async fn config_after(self, _: Context, version: ConfigVersion) -> Option<GatewayConfig> {
         let table = self.gateway.config.table()?;
         let config = table.config();
         (config.version > version).then(|| config.clone())
     }
+
+    async fn endpoints_after(self, _: Context, revision: Revision) -> EndpointsCopy {
+        self.gateway.balancer().endpoints_since(revision)
+    }
 }
 
 /// Gives copies to others until dropped.
@@ -93,26 +105,54 @@
     Ok(())
 }
 
-/// Asks an instance for a configuration newer than `version`.
+/// What an instance lacks; none where it is not behind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Lacks {
+    /// It has this version of the configuration, and another has a newer one.
+    pub config_after: Option<ConfigVersion>,
+    /// It has the endpoints up to this revision, and another is ahead.
+    pub endpoints_after: Option<Revision>,
+}
+
+/// What an instance was given.
+#[derive(Debug, Default)]
+pub struct Copies {
+    /// A newer configuration.
+    pub config: Option<GatewayConfig>,
+    /// What has changed in the endpoints.
+    pub endpoints: Option<EndpointsCopy>,
+}
+
+/// Asks an instance for what this one lacks.
 ///
 /// # Errors
 /// None came.
 pub async fn fetch(
     addr: SocketAddr,
     codec: SealedCodec,
-    version: u64,
-) -> Result<Option<GatewayConfig>, CopyError> {
+    lacks: Lacks,
+) -> Result<Copies, CopyError> {
     let mut connect = tarpc::serde_transport::tcp::connect(addr, move || codec.clone());
     connect.config_mut().max_frame_length(MAX_FRAME_BYTES);
     let connected = time::timeout(TIMEOUT, connect).await;
     let transport = connected
         .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
         .context(ConnectSnafu { addr })?;
-    let client = ConfigCopiesClient::new(client::Config::default(), transport).spawn();
+    let client = CopyingClient::new(client::Config::default(), transport).spawn();
+    let mut copies = Copies::default();
+    if let Some(version) = lacks.config_after {
+        let asked = client.config_after(context(), version).await;
+        copies.config = asked.context(NoAnswerSnafu)?;
+    }
+    if let Some(revision) = lacks.endpoints_after {
+        let asked = client.endpoints_after(context(), revision).await;
+        copies.endpoints = Some(asked.context(NoAnswerSnafu)?);
+    }
+    Ok(copies)
+}
+
+fn context() -> Context {
     let mut context = Context::current();
     context.deadline = std::time::Instant::now() + TIMEOUT;
-    client
-        .newer_than(context, version)
-        .await
-        .context(NoAnswerSnafu)
+    context
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -16,13 +16,18 @@
 };
 
 use crate::{
-    gateway::{config_copy, protocol::Protocol, state::Gateway},
+    gateway::{
+        config_copy::{self, Copies, Lacks},
+        protocol::Protocol,
+        state::Gateway,
+    },
     limits::organisation::{Sharers, Teller},
     peers::{
         datagram::{Authenticator, MemberInfo},
         gossip::Gossip,
         rpc::SealedCodec,
         told::{self, Told},
+        view::View,
     },
     prelude::{Incarnation, Micros},
 };
@@ -34,10 +39,12 @@
 /// Up to this many instances everybody tells everybody each round. In larger groups those of other
 /// halls are told in turn.
 const SMALL_GROUP: usize = 12;
-/// In larger groups everybody of another hall is told once in this many rounds.
-const FAR_ROUNDS: usize = 12;
+/// In larger groups everybody of another hall is told once in this many rounds, a second.
+const FAR_ROUNDS: usize = 25;
 /// An instance whose last word is older may use its share of a limit without being heard.
-const HEARD_US: Micros = 1_000_000;
+const HEARD_US: Micros = 2_200_000;
+/// Instances that watch the store for all: two may be lost at once.
+const WATCHERS: usize = 3;
 /// A limit's window and some more: what an instance used before it fell silent counts that long.
 const SHARER_US: Micros = 20_000_000;
 /// A configuration's age beyond this is of no use to anybody.
@@ -48,6 +55,11 @@
 /// Rounds of which the time of sending is remembered: some seconds.
 const SENT_KEPT: usize = 256;
 
+fn told_age_ms(age_us: Micros) -> Option<u32> {
+    let age_ms = age_us / 1_000 + 1;
+    (age_ms < MAX_AGE_MS).then_some(age_ms as u32)
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Heard {
     incarnation: Incarnation,
@@ -63,6 +75,19 @@
     heard: HashMap<IpAddr, Heard>,
     told_at_us: Micros,
     turn: usize,
+    /// What was told last of the configuration and the endpoints: news goes to everybody at once.
+    told_state: (u64, u64),
+}
+
+/// Whom a round is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Audience {
+    /// Everybody.
+    All,
+    /// Those nearby, and those of other halls whose turn it is.
+    NearAndTurn,
+    /// Only those of other halls whose turn it is.
+    Turn,
 }
 
 /// The exchange of one instance.
@@ -131,11 +156,19 @@
     async fn tell(&self) {
         let now_us = self.gateway.clock.now_us();
         self.count_sharers(now_us);
+        let view = self.gossip.view();
+        let watchers = view.leaders("store", WATCHERS);
+        let watches = watchers
+            .iter()
+            .any(|m| m.info.incarnation == self.me.incarnation);
+        self.gateway.set_watches_store(watches);
         let changed = self.gateway.balancer().take_changed();
-        let Some(mut told) = self.next_round(now_us, changed) else {
+        let audience = self.audience(now_us, changed);
+        let targets = self.targets(&view, audience);
+        if targets.is_empty() {
             return;
-        };
-        let targets = self.targets();
+        }
+        let mut told = self.next_round(now_us);
         for target in targets {
             told.echo = self.echo_for(target.ip());
             let bytes = told::encode(&self.authenticator, &told);
@@ -144,16 +177,26 @@
         }
     }
 
-    fn next_round(&self, now_us: Micros, changed: bool) -> Option<Told> {
+    fn audience(&self, now_us: Micros, changed: bool) -> Audience {
+        let revision = self.gateway.balancer().endpoints_revision();
+        let news = (self.gateway.config.version(), revision);
+        let mut state = self.lock();
+        state.turn += 1;
+        if std::mem::replace(&mut state.told_state, news) != news {
+            return Audience::All;
+        }
+        let is_quiet = now_us.saturating_sub(state.told_at_us) < QUIET_US;
+        if changed || !is_quiet {
+            state.told_at_us = now_us;
+            return Audience::NearAndTurn;
+        }
+        Audience::Turn
+    }
+
+    fn next_round(&self, now_us: Micros) -> Told {
         let (seq, turn) = {
             let mut state = self.lock();
-            let is_quiet = now_us.saturating_sub(state.told_at_us) < QUIET_US;
-            if !changed && is_quiet {
-                return None;
-            }
-            state.told_at_us = now_us;
             state.seq += 1;
-            state.turn += 1;
             let seq = state.seq;
             state.sent.push_back((seq, now_us));
             if state.sent.len() > SENT_KEPT {
@@ -161,33 +204,33 @@
             }
             (seq, state.turn)
         };
-        let age_ms = self.gateway.config_age_us() / 1_000 + 1;
         let (used, uptime_us) = {
             let limits = self.gateway.limits();
             (limits.used(), limits.uptime_us(now_us))
         };
         let mut balancer = self.gateway.balancer();
-        Some(Told {
+        Told {
             from: self.me.incarnation,
             seq,
             echo: 0,
             uptime_ms: u32::try_from(uptime_us / 1_000).unwrap_or(u32::MAX),
             config_version: self.gateway.config.version(),
-            config_age_ms: (age_ms < MAX_AGE_MS).then_some(age_ms as u32),
+            config_age_ms: told_age_ms(self.gateway.config_age_us()),
+            endpoints_revision: balancer.endpoints_revision(),
+            endpoints_age_ms: told_age_ms(self.gateway.endpoints_age_us()),
             loads: balancer.own_loads(),
             read: balancer.take_news(READS_TOLD),
             speeds: balancer.speeds(turn * SPEEDS_TOLD, SPEEDS_TOLD),
             used,
-        })
+        }
     }
 
     fn echo_for(&self, ip: IpAddr) -> u64 {
         self.lock().heard.get(&ip).map_or(0, |h| h.seq)
     }
 
-    /// Returns whom this round is told to.
-    fn targets(&self) -> Vec<SocketAddr> {
-        let view = self.gossip.view();
+    /// Returns whom a round is told to.
+    fn targets(&self, view: &View, audience: Audience) -> Vec<SocketAddr> {
         let Ok(own) = self.socket.local_addr() else {
             return Vec::new();
         };
@@ -195,7 +238,12 @@
         let others: Vec<_> = view.others().collect();
         let is_small = others.len() < SMALL_GROUP;
         let chosen = others.iter().enumerate().filter(|(index, member)| {
-            is_small || member.info.hall == self.me.hall || index % FAR_ROUNDS == turn % FAR_ROUNDS
+            let is_near = is_small || member.info.hall == self.me.hall;
+            match audience {
+                Audience::All => true,
+                Audience::NearAndTurn if is_near => true,
+                _ => !is_near && index % FAR_ROUNDS == turn % FAR_ROUNDS,
+            }
         });
         chosen
             .map(|(_, m)| SocketAddr::new(m.info.peer_addr.ip(), own.port()))
@@ -263,47 +311,58 @@
         true
     }
 
-    /// Takes what the sender knows of the configuration. What it told is no older than the sending
-    /// of the number that it echoes.
+    /// Takes what the sender knows of the store. What it told is no older than the sending of the
+    /// number that it echoes.
     fn take_freshness(self: &Arc<Self>, told: &Told, from: SocketAddr) {
-        let own = self.gateway.config.version();
-        if told.config_version > own {
-            self.fetch(from.ip());
-            return;
-        }
-        let (Some(age_ms), true) = (told.config_age_ms, told.config_version == own) else {
-            return;
+        let version = self.gateway.config.version();
+        let revision = self.gateway.balancer().endpoints_revision();
+        let lacks = Lacks {
+            config_after: (told.config_version > version).then_some(version),
+            endpoints_after: (told.endpoints_revision > revision).then_some(revision),
         };
+        if lacks != Lacks::default() {
+            self.fetch(from.ip(), lacks);
+        }
         let state = self.lock();
         let sent = state.sent.iter().find(|(seq, _)| *seq == told.echo);
-        if let Some((_, sent_us)) = sent {
-            let asked_us = sent_us.saturating_sub(u64::from(age_ms) * 1_000);
-            self.gateway.config.confirm(own, asked_us);
+        let Some((_, sent_us)) = sent else { return };
+        let asked_us = |age_ms: u32| sent_us.saturating_sub(u64::from(age_ms) * 1_000);
+        if let (Some(age_ms), true) = (told.config_age_ms, told.config_version == version) {
+            self.gateway.config.confirm(version, asked_us(age_ms));
+        }
+        if let (Some(age_ms), true) = (told.endpoints_age_ms, told.endpoints_revision == revision) {
+            self.gateway.confirm_endpoints(asked_us(age_ms));
         }
     }
 
-    /// Fetches a newer configuration from another instance, one fetch at a time.
-    fn fetch(self: &Arc<Self>, ip: IpAddr) {
+    /// Fetches what another instance has newer, one fetch at a time.
+    fn fetch(self: &Arc<Self>, ip: IpAddr, lacks: Lacks) {
         if self.is_fetching.swap(true, Ordering::Relaxed) {
             return;
         }
         let exchange = self.clone();
         let addr = SocketAddr::new(ip, self.me.peer_addr.port());
         tokio::spawn(async move {
-            let known = exchange.gateway.config.version();
-            let codec = exchange.codec.clone();
-            match config_copy::fetch(addr, codec, known).await {
-                Ok(Some(config)) => exchange.gateway.offer(config, "peer"),
-                Ok(None) => {}
+            match config_copy::fetch(addr, exchange.codec.clone(), lacks).await {
+                Ok(copies) => exchange.take_copies(copies),
                 Err(error) => {
                     let reason = error.to_string();
-                    log::warn!(target: "ryevalve::process", reason; "configuration_not_fetched");
+                    log::warn!(target: "ryevalve::process", reason; "copies_not_fetched");
                 }
             }
             exchange.is_fetching.store(false, Ordering::Relaxed);
         });
     }
 
+    fn take_copies(&self, copies: Copies) {
+        if let Some(config) = copies.config {
+            self.gateway.offer(config, "peer");
+        }
+        if let Some(endpoints) = copies.endpoints {
+            self.gateway.take_endpoints(endpoints);
+        }
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
         // Every step leaves the state whole, so a poisoned lock is usable.
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     sync::{
         Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
 };
 
@@ -14,6 +14,7 @@
     balance::{
         balancer::{Balancer, Placement, WaitKey},
         cost::Ask,
+        discovery::{Change, EndpointsCopy},
         load::EndpointKey,
     },
     clock::Clock,
@@ -66,6 +67,9 @@
     /// Instances that share limits, and those heard of late, this one included.
     instances_known: AtomicUsize,
     instances_heard: AtomicUsize,
+    /// This instance watches the store for others.
+    watches_store: AtomicBool,
+    endpoints_fresh_at_us: AtomicU64,
     stopping: AtomicBool,
 }
 
@@ -89,6 +93,8 @@
             retries: Mutex::new(RetryBudget::new(bounds.retries)),
             instances_known: AtomicUsize::new(1),
             instances_heard: AtomicUsize::new(1),
+            watches_store: AtomicBool::new(true),
+            endpoints_fresh_at_us: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
         }
     }
@@ -175,6 +181,58 @@
         self.config.age_us(self.clock.now_us())
     }
 
+    /// Returns for how long the endpoints have not been known to be as the store has them.
+    pub fn endpoints_age_us(&self) -> Micros {
+        let fresh_at_us = self.endpoints_fresh_at_us.load(Ordering::Relaxed);
+        match fresh_at_us {
+            0 => Micros::MAX,
+            _ => self.clock.now_us().saturating_sub(fresh_at_us),
+        }
+    }
+
+    /// Notes that the endpoints were as the store had them when a question was sent.
+    pub fn confirm_endpoints(&self, asked_us: Micros) {
+        self.endpoints_fresh_at_us
+            .fetch_max(asked_us, Ordering::Relaxed);
+    }
+
+    /// Takes another instance's copy of the endpoints.
+    pub fn take_endpoints(&self, copy: EndpointsCopy) {
+        let now_us = self.clock.now_us();
+        let changes = self.balancer().take_endpoints(now_us, copy);
+        for (id, change) in &changes {
+            self.log_endpoint(id, *change, "peer");
+        }
+        self.reconsider();
+    }
+
+    /// Writes a line on a change of the set of endpoints.
+    pub fn log_endpoint(&self, id: &str, change: Change, from: &'static str) {
+        let (draining, revision) = {
+            let balancer = self.balancer();
+            let entry = balancer.entry(EndpointKey::of(id));
+            (
+                entry.is_some_and(|e| e.draining),
+                balancer.endpoints_revision(),
+            )
+        };
+        log::info!(
+            target: "ryevalve::endpoint",
+            endpoint = id, change = change.as_str(), draining, revision, from;
+            "endpoint_changed"
+        );
+    }
+
+    /// Returns whether this instance watches the store for others.
+    pub fn watches_store(&self) -> bool {
+        self.watches_store.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether this instance watches the store for others.
+    pub fn set_watches_store(&self, watches: bool) {
+        self.watches_store.store(watches, Ordering::Relaxed);
+    }
+
     /// Returns whether the configuration is new enough to judge a key by.
     pub fn is_fresh(&self) -> bool {
         let allowed_us = self.bounds().revoke_us.saturating_sub(FRESHNESS_MARGIN_US);
--- a/src/peers/told.rs
+++ b/src/peers/told.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     balance::{
+        discovery::Revision,
         load::{EndpointKey, InFlight},
         prefixes::ChainKey,
     },
@@ -31,6 +32,10 @@
     /// For how long it has not been known to be the newest, in milliseconds, rounded up; none if
     /// for too long to be of use.
     pub config_age_ms: Option<u32>,
+    /// The store's revision that the endpoints are up to.
+    pub endpoints_revision: Revision,
+    /// For how long they are not known to be so still, as for the configuration.
+    pub endpoints_age_ms: Option<u32>,
     /// Requests at endpoints.
     pub loads: Vec<(EndpointKey, InFlight)>,
     /// Chains of prompts that were read lately, and where.
--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -12,6 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    balance::discovery::Change,
     gateway::{
         config_copy,
         exchange::Exchange,
@@ -238,11 +239,7 @@
         gateway.connections.sweep(now_us);
         let (gone, silent) = gateway.balancer().tick(now_us);
         for id in gone {
-            log::info!(
-                target: "ryevalve::endpoint",
-                endpoint = &*id, change = "Gone";
-                "endpoint_changed"
-            );
+            gateway.log_endpoint(&id, Change::Gone, "lapse");
         }
         for instance in silent {
             gateway.limits().forget(instance);
--- a/src/platform/follow.rs
+++ b/src/platform/follow.rs
@@ -6,7 +6,6 @@
 use tokio::time;
 
 use crate::{
-    balance::discovery::Change,
     gateway::{protocol::Protocol, state::Gateway},
     platform::{
         configuration::{self, ConfigSpec},
@@ -16,18 +15,22 @@
     prelude::{Micros, Name},
 };
 
-/// How long a watch on the configuration waits: its answer says until when it was the newest.
-const CONFIG_WAIT: Duration = Duration::from_millis(1_200);
-/// How long a watch on the endpoints waits; a watch that was cut silently is noticed by then.
-const ENDPOINTS_WAIT: Duration = Duration::from_millis(1_500);
+/// How long a watch waits: its answer says until when a kind was as it is known here, and one that
+/// was cut silently is noticed by then.
+const WAIT: Duration = Duration::from_millis(1_000);
+/// Changes that come together are taken together.
+const GATHER: Duration = Duration::from_millis(100);
+/// Where others watch, a kind that they have not confirmed for this long is read here as well.
+const STALE_US: Micros = 2_500_000;
+/// How often that is looked at.
+const LOOK: Duration = Duration::from_millis(200);
 /// Pause after a call that brought nothing; spread, so that instances do not return together.
-const RETRY_MS: std::ops::Range<u64> = 100..250;
+const RETRY_MS: std::ops::Range<u64> = 150..350;
 
 /// What is done with what a kind's objects say.
 trait Follower {
     type Spec: serde::de::DeserializeOwned;
     const KIND: &'static str;
-    const WAIT: Duration;
 
     /// Takes all objects of the kind, asked for at `asked_us`.
     fn listed(&mut self, listing: Listing<Self::Spec>, asked_us: Micros);
@@ -35,11 +38,15 @@
     /// Takes what has changed since, asked for at `asked_us`.
     fn changed(&mut self, changes: Changes<Self::Spec>, asked_us: Micros);
 
+    /// Returns for how long the kind has not been known to be as the store has it.
+    fn age_us(&self) -> Micros;
+
     /// Notes that the store did not answer.
     fn lost(&mut self) {}
 }
 
-/// Follows a kind until dropped.
+/// Follows a kind until dropped: by watches where this instance watches for others, else by what
+/// those tell, and by reading for itself when they fall silent.
 async fn follow<P: Protocol, F: Follower>(
     gateway: &Gateway<P>,
     mut store: ObjectClient,
@@ -48,6 +55,13 @@
     let mut revision: Option<u64> = None;
     let mut is_lost = false;
     loop {
+        if !gateway.watches_store() {
+            revision = None;
+            if follower.age_us() < STALE_US {
+                time::sleep(LOOK).await;
+                continue;
+            }
+        }
         let asked_us = gateway.clock.now_us();
         let result = match revision {
             None => list(&mut store, &mut follower, asked_us).await,
@@ -59,6 +73,7 @@
                 if std::mem::take(&mut is_lost) {
                     log::info!(target: "ryevalve::process", kind = F::KIND; "store_regained");
                 }
+                time::sleep(GATHER).await;
             }
             Err(CallError::HistoryGone) => {
                 log::info!(target: "ryevalve::process", kind = F::KIND; "store_history_gone");
@@ -95,7 +110,7 @@
     from: u64,
     asked_us: Micros,
 ) -> Result<u64, CallError> {
-    let changes = store.watch::<F::Spec>(F::KIND, from, F::WAIT).await?;
+    let changes = store.watch::<F::Spec>(F::KIND, from, WAIT).await?;
     let revision = changes.revision;
     follower.changed(changes, asked_us);
     Ok(revision)
@@ -125,7 +140,10 @@
 impl<P: Protocol> Follower for ConfigFollower<P> {
     type Spec = ConfigSpec;
     const KIND: &'static str = configuration::OBJECT.0;
-    const WAIT: Duration = CONFIG_WAIT;
+
+    fn age_us(&self) -> Micros {
+        self.gateway.config_age_us()
+    }
 
     fn listed(&mut self, listing: Listing<ConfigSpec>, asked_us: Micros) {
         for object in listing.items {
@@ -151,30 +169,34 @@
 impl<P: Protocol> EndpointFollower<P> {
     fn seen(&self, object: Object<EndpointSpec>) {
         let Some(spec) = object.spec else { return };
-        let entry = spec.into_entry(&object.metadata.name);
-        let (id, draining) = (entry.id.clone(), entry.draining);
-        let change = self.gateway.balancer().endpoint_seen(entry);
-        if let Some(change) = change {
-            log_change(&id, change, draining);
+        let metadata = object.metadata;
+        let entry = spec.into_entry(&metadata.name);
+        let id = entry.id.clone();
+        let seen = self
+            .gateway
+            .balancer()
+            .endpoint_seen(entry, metadata.revision);
+        if let Some(change) = seen {
+            self.gateway.log_endpoint(&id, change, "store");
         }
     }
-}
 
-fn log_change(id: &Name, change: Change, draining: bool) {
-    let change = format!("{change:?}");
-    log::info!(
-        target: "ryevalve::endpoint",
-        endpoint = &**id, change = change.as_str(), draining;
-        "endpoint_changed"
-    );
+    fn reached(&self, revision: u64, asked_us: Micros) {
+        self.gateway.balancer().endpoints_reached(revision);
+        self.gateway.confirm_endpoints(asked_us);
+        self.gateway.reconsider();
+    }
 }
 
 impl<P: Protocol> Follower for EndpointFollower<P> {
     type Spec = EndpointSpec;
     const KIND: &'static str = endpoints::KIND;
-    const WAIT: Duration = ENDPOINTS_WAIT;
 
-    fn listed(&mut self, listing: Listing<EndpointSpec>, _: Micros) {
+    fn age_us(&self) -> Micros {
+        self.gateway.endpoints_age_us()
+    }
+
+    fn listed(&mut self, listing: Listing<EndpointSpec>, asked_us: Micros) {
         let names = listing.items.iter().map(|o| o.metadata.name.clone());
         let names: HashSet<String> = names.collect();
         for object in listing.items {
@@ -186,12 +208,12 @@
             .balancer()
             .endpoints_listed(now_us, |id| names.contains(id));
         for (id, change) in changes {
-            log_change(&id, change, false);
+            self.gateway.log_endpoint(&id, change, "store");
         }
-        self.gateway.reconsider();
+        self.reached(listing.revision, asked_us);
     }
 
-    fn changed(&mut self, changes: Changes<EndpointSpec>, _: Micros) {
+    fn changed(&mut self, changes: Changes<EndpointSpec>, asked_us: Micros) {
         let now_us = self.gateway.clock.now_us();
         for event in changes.events {
             if !event.deleted {
@@ -201,10 +223,10 @@
             let id: Name = event.object.metadata.name.into();
             let change = self.gateway.balancer().endpoint_removed(now_us, &id);
             if let Some(change) = change {
-                log_change(&id, change, false);
+                self.gateway.log_endpoint(&id, change, "store");
             }
         }
-        self.gateway.reconsider();
+        self.reached(changes.revision, asked_us);
     }
 
     fn lost(&mut self) {
