Refuse what would queue beyond a share of its target; an endpoint whose address another start has is gone

And an endpoint that answered 421 was asked again and again. Ruled out: wrong expectations; expected and seen first events agree within a third in the log. Change: a stream queues for .7, .45 or .2 of its target by rank, judged without its own prompt so that long prompts are not starved; 421 drops the endpoint here and, told, everywhere.

--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -21,12 +21,12 @@
 /// How long a request waits for a slot before it is decided, as a share of its target: a refusal
 /// after a quarter of it is of little use to the caller.
 const HOLD_SHARE: f64 = 0.2;
-/// Up to this share of its target a request is sent to an endpoint without a free slot, by rank.
-/// The less urgent leave the queues at the endpoints, which know no ranks, to the more urgent.
-const QUEUE_SHARE: [f64; 3] = [0.95, 0.75, 0.6];
-/// The share of its time left up to which a request of the highest rank is sent although its first
-/// event is expected after its target.
-const LATE_SHARE: f64 = 0.35;
+/// Up to this share of its target a stream may queue at an endpoint, by rank. Endpoints know no
+/// ranks, so the less urgent leave their queues to the more urgent. What would queue for longer is
+/// refused: it would be late, and make late all that come after it.
+const STREAM_QUEUE_SHARE: [f64; 3] = [0.7, 0.45, 0.2];
+/// The same for requests with one whole answer.
+const WHOLE_QUEUE_SHARE: f64 = 0.7;
 /// A refused caller is told to come back after at least this time, in milliseconds.
 const RETRY_MIN_MS: f64 = 150.0;
 const RETRY_MAX_MS: f64 = 3_000.0;
@@ -69,6 +69,15 @@
     number: u64,
 }
 
+/// Returns the share of its target for which a request may queue at an endpoint.
+fn queue_share(ask: &Ask) -> f64 {
+    if !ask.is_stream {
+        return WHOLE_QUEUE_SHARE;
+    }
+    let rank = usize::from(ask.rank).min(STREAM_QUEUE_SHARE.len() - 1);
+    STREAM_QUEUE_SHARE[rank]
+}
+
 #[derive(Debug)]
 struct Endpoint {
     entry: std::sync::Arc<EndpointEntry>,
@@ -88,6 +97,8 @@
     holders: PrefixHolders,
     /// What was read lately, to be told to the others.
     news: Vec<(ChainKey, EndpointKey)>,
+    /// Endpoints found gone, to be told to the others.
+    dead: Vec<EndpointKey>,
     waiting: BTreeMap<WaitKey, Ask>,
     next_number: u64,
     changed: bool,
@@ -105,6 +116,7 @@
             told: ToldLoads::default(),
             holders: PrefixHolders::default(),
             news: Vec::new(),
+            dead: Vec::new(),
             waiting: BTreeMap::new(),
             next_number: 0,
             changed: false,
@@ -193,6 +205,33 @@
         changes
     }
 
+    /// Notes that another start answers at an endpoint's address: it is gone, whatever its entry
+    /// says. Its entry comes in again only with a change.
+    pub fn endpoint_replaced(&mut self, key: EndpointKey) {
+        let Some(endpoint) = self.endpoints.get(&key) else {
+            return;
+        };
+        let id = endpoint.entry.id.clone();
+        self.drop_endpoint(&id);
+        self.dead.push(key);
+        self.changed = true;
+    }
+
+    /// Returns the endpoints found gone since this was asked last, to tell the others.
+    pub fn take_dead(&mut self) -> Vec<EndpointKey> {
+        std::mem::take(&mut self.dead)
+    }
+
+    /// Takes word from another instance of endpoints found gone.
+    pub fn told_dead(&mut self, dead: &[EndpointKey]) {
+        for key in dead {
+            if let Some(endpoint) = self.endpoints.get(key) {
+                let id = endpoint.entry.id.clone();
+                self.drop_endpoint(&id);
+            }
+        }
+    }
+
     /// Notes that the store could not be reached until now.
     pub fn store_was_away(&mut self, now_us: Micros) {
         self.discovery.store_was_away(now_us);
@@ -246,25 +285,16 @@
                 retry_after_ms: RETRY_MIN_MS as u32 * 4,
             };
         };
-        let queued = self.waits_before(ask.rank);
-        if best.expected.has_room && !queued {
+        let waited_us = now_us.saturating_sub(ask.arrived_us) as f64;
+        let queue_us = waited_us + best.expected.queue_ms * 1e3;
+        let fits = queue_us <= ask.target_us as f64 * queue_share(ask);
+        if fits && (best.expected.has_room || !self.waits_before(ask.rank)) {
             return self.send(now_us, ask, best);
         }
-        let waited_us = now_us.saturating_sub(ask.arrived_us);
-        let target_us = ask.target_us as f64;
-        let total_us = waited_us as f64 + best.expected.first_ms * 1e3;
-        let rank = usize::from(ask.rank).min(QUEUE_SHARE.len() - 1);
-        if best.expected.has_room || total_us <= target_us * QUEUE_SHARE[rank] {
-            return self.send(now_us, ask, best);
-        }
-        if (waited_us as f64) < target_us * HOLD_SHARE {
+        if waited_us < ask.target_us as f64 * HOLD_SHARE {
             return Placement::Wait;
         }
-        let left_us = ask.deadline_us.saturating_sub(now_us) as f64;
-        if ask.rank == 0 && best.expected.first_ms * 1e3 <= left_us * LATE_SHARE {
-            return self.send(now_us, ask, best);
-        }
-        let retry_ms = best.expected.first_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS);
+        let retry_ms = best.expected.queue_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS);
         Placement::Refuse {
             reason: "busy",
             retry_after_ms: retry_ms as u32,
--- a/src/balance/cost.rs
+++ b/src/balance/cost.rs
@@ -50,8 +50,12 @@
     pub cost: f64,
     /// Time to the first event, in milliseconds.
     pub first_ms: f64,
+    /// The part of that time that passes before the endpoint begins with it, in milliseconds.
+    pub queue_ms: f64,
     /// Prompt tokens that the endpoint has to read.
     pub uncached_tokens: u32,
+    /// Requests that are there already, as far as is known.
+    pub there: f64,
     /// Whether a slot is free.
     pub has_room: bool,
 }
@@ -78,13 +82,14 @@
     let ahead = (there + 1.0 - slots).max(0.0);
     let wait_ms = ahead / slots * known.speed.hold_ms();
     let uncached_tokens = ask.prompt_tokens.saturating_sub(known.cached_tokens);
-    let work_ms = if ask.is_stream {
-        let tokens = known.load.prompt_tokens() + f64::from(uncached_tokens);
-        known.speed.prompt_ms(tokens)
+    let (queue_ms, work_ms) = if ask.is_stream {
+        let pending = known.load.prompt_tokens();
+        let work_ms = known.speed.prompt_ms(f64::from(uncached_tokens));
+        (wait_ms + known.speed.read_ms(pending), work_ms)
     } else {
-        known.speed.whole_ms() * (1.0 + there / slots)
+        (wait_ms, known.speed.whole_ms() * (1.0 + there / slots))
     };
-    let first_ms = wait_ms + work_ms;
+    let first_ms = queue_ms + work_ms;
     let waited_ms = now_us.saturating_sub(ask.arrived_us) as f64 / 1e3;
     let target_ms = (ask.target_us as f64 / 1e3).max(1.0);
     let late = late_risk((waited_ms + first_ms) / target_ms);
@@ -98,7 +103,9 @@
     Expected {
         cost: late * LATE_LOSS + first_ms / target_ms * TIME_WEIGHT + hall + again + failing,
         first_ms,
+        queue_ms,
         uncached_tokens,
+        there,
         has_room: ahead < 1.0,
     }
 }
--- a/src/balance/speed.rs
+++ b/src/balance/speed.rs
@@ -46,9 +46,14 @@
 }
 
 impl Speed {
-    /// Returns the time to read `tokens` of prompts, in milliseconds.
+    /// Returns the time from the first to the last of `tokens` of prompts, in milliseconds.
+    pub fn read_ms(&self, tokens: f64) -> f64 {
+        tokens * self.prompt_ms_per_token
+    }
+
+    /// Returns the time to the first event of a prompt of `tokens`, in milliseconds.
     pub fn prompt_ms(&self, tokens: f64) -> f64 {
-        FIRST_MS + tokens * self.prompt_ms_per_token
+        FIRST_MS + self.read_ms(tokens)
     }
 
     /// Returns the time between two tokens of a stream, in milliseconds.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -221,6 +221,7 @@
             loads: balancer.own_loads(),
             read: balancer.take_news(READS_TOLD),
             speeds: balancer.speeds(turn * SPEEDS_TOLD, SPEEDS_TOLD),
+            dead: balancer.take_dead(),
             used,
         }
     }
@@ -289,6 +290,7 @@
             }
         }
         let mut balancer = self.gateway.balancer();
+        balancer.told_dead(&told.dead);
         balancer.told(now_us, told.from, told.loads, &told.read, &told.speeds);
         drop(balancer);
         self.gateway.reconsider();
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -15,7 +15,7 @@
 use crate::{
     balance::{
         balancer::{Choice, Placement},
-        cost::Ask,
+        cost::{Ask, Expected},
         load::EndpointKey,
         prefixes,
     },
@@ -54,7 +54,7 @@
 const RETRY_SPREAD: f64 = 0.5;
 
 /// How a request ended, for the log.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Trace {
     /// Its route.
     pub route: Option<Name>,
@@ -64,6 +64,8 @@
     pub attempts: u32,
     /// Why an attempt or the request failed.
     pub reason: Option<&'static str>,
+    /// What was expected of the last endpoint.
+    pub expected: Option<Expected>,
 }
 
 /// Answers one request.
@@ -327,8 +329,9 @@
             let choice = self.place().await?;
             trace.endpoint = Some(choice.id.clone());
             trace.attempts += 1;
+            trace.expected = Some(choice.expected);
             self.tried.push(choice.key);
-            match self.try_endpoint(choice).await {
+            match self.try_endpoint(choice, trace).await {
                 Tried::Answer(response) => return Ok(response),
                 Tried::NotRun { arrived, reason } => {
                     trace.reason = Some(reason);
@@ -346,7 +349,7 @@
                     trace.reason = Some("endpoint_error");
                     self.runs += 1;
                     if !self.may_run_again() {
-                        return Ok(self.pass_on(whole));
+                        return Ok(self.pass_on(whole, trace));
                     }
                 }
             }
@@ -392,7 +395,7 @@
         self.gateway.clock.now_us() + ANSWER_MARGIN_US < self.job.until_us
     }
 
-    async fn try_endpoint(&self, choice: Choice) -> Tried {
+    async fn try_endpoint(&self, choice: Choice, trace: &Trace) -> Tried {
         let until = self.attempt_until(&choice);
         let sent = attempt::send(&self.gateway, &self.job, choice, None, until).await;
         let answered = match sent {
@@ -408,11 +411,11 @@
             return self.failed(Failed::Unknown("unsigned_answer"));
         }
         if status.is_success() && self.job.route.kind.is_stream() {
-            return self.start_stream(answered).await;
+            return self.start_stream(answered, trace).await;
         }
         match attempt::collect(&self.gateway, answered, until).await {
             Ok(whole) if whole.status.is_server_error() => Tried::Error(whole),
-            Ok(whole) => Tried::Answer(self.pass_on(whole)),
+            Ok(whole) => Tried::Answer(self.pass_on(whole, trace)),
             Err(failed) => self.failed(failed),
         }
     }
@@ -453,7 +456,11 @@
 
     fn refused_there(&self, answered: Answered<P>) -> Tried {
         let reason = match answered.response.status() {
-            StatusCode::MISDIRECTED_REQUEST => "another_endpoint_there",
+            StatusCode::MISDIRECTED_REQUEST => {
+                let key = answered.sent.choice.key;
+                self.gateway.balancer().endpoint_replaced(key);
+                "another_endpoint_there"
+            }
             StatusCode::SERVICE_UNAVAILABLE => "endpoint_full",
             _ => "endpoint_refused",
         };
@@ -463,13 +470,14 @@
         }
     }
 
-    async fn start_stream(&self, answered: Answered<P>) -> Tried {
+    async fn start_stream(&self, answered: Answered<P>, trace: &Trace) -> Tried {
         let mut relay = Relay::new(
             self.gateway.clone(),
             self.job.clone(),
             answered,
             self.tried.clone(),
             self.runs,
+            trace.clone(),
         );
         match relay.first(self.first_event_until(&relay)).await {
             Ok(head) => Tried::Answer(relay.into_response(head)),
@@ -481,7 +489,7 @@
         self.attempt_until(relay.choice())
     }
 
-    fn pass_on(&self, whole: Whole) -> Response<Body> {
+    fn pass_on(&self, whole: Whole, trace: &Trace) -> Response<Body> {
         let outcome = if whole.status.is_success() {
             Outcome::Served
         } else {
@@ -491,14 +499,7 @@
         gateway.metrics.ended(&self.job.route.name, outcome);
         let took_us = gateway.clock.now_us() - self.job.ask.arrived_us;
         gateway.metrics.first_seconds.observe(took_us as f64 / 1e6);
-        log_answer(
-            gateway,
-            &self.job,
-            outcome,
-            whole.status,
-            took_us,
-            self.tried.len(),
-        );
+        log_answer(gateway, &self.job, outcome, whole.status, took_us, trace);
         let mut response = Response::new(full(whole.body));
         *response.status_mut() = whole.status;
         *response.headers_mut() = whole.headers;
@@ -516,8 +517,9 @@
     outcome: Outcome,
     status: StatusCode,
     first_us: Micros,
-    attempts: usize,
+    trace: &Trace,
 ) {
+    let attempts = trace.attempts;
     let in_time = first_us <= job.ask.target_us;
     let is_plain = outcome == Outcome::Served && in_time && attempts <= 1;
     if is_plain && rand::rng().random_range(0..SAMPLE) > 0 {
@@ -533,6 +535,11 @@
         first_ms = first_us / 1_000,
         target_ms = job.ask.target_us / 1_000,
         attempts,
+        endpoint = trace.endpoint.as_deref().unwrap_or("-"),
+        last_failure = trace.reason.unwrap_or("-"),
+        expected_first_ms = trace.expected.map_or(0.0, |e| e.first_ms.round()),
+        endpoint_requests = trace.expected.map_or(0.0, |e| e.there.round()),
+        uncached_tokens = trace.expected.map_or(0, |e| e.uncached_tokens),
         prompt_tokens = job.ask.prompt_tokens,
         config_version = gateway.config.version(),
         config_age_ms = gateway.config_age_us() / 1_000;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -27,7 +27,7 @@
         attempt::{self, Answered, Failed, Job, Sent},
         metrics::Outcome,
         protocol::Protocol,
-        run::log_answer,
+        run::{Trace, log_answer},
         state::Gateway,
     },
     prelude::Micros,
@@ -70,6 +70,7 @@
     runs: u32,
     first_us: Micros,
     is_over: bool,
+    trace: Trace,
 }
 
 /// Why a stream brings no more.
@@ -108,6 +109,7 @@
         answered: Answered<P>,
         tried: Vec<EndpointKey>,
         runs: u32,
+        trace: Trace,
     ) -> Self {
         let (source, headers) = Source::new(answered, gateway.clock.now_us());
         Self {
@@ -120,6 +122,7 @@
             runs: runs + 1,
             first_us: 0,
             is_over: false,
+            trace,
         }
     }
 
@@ -207,9 +210,15 @@
     fn ended(&mut self, outcome: Outcome) {
         self.is_over = true;
         self.gateway.metrics.ended(&self.job.route.name, outcome);
-        let attempts = self.tried.len();
         let (gateway, status) = (&self.gateway, self.source.status);
-        log_answer(gateway, &self.job, outcome, status, self.first_us, attempts);
+        log_answer(
+            gateway,
+            &self.job,
+            outcome,
+            status,
+            self.first_us,
+            &self.trace,
+        );
     }
 
     async fn next_events(&mut self) -> Result<Bytes, End> {
@@ -292,6 +301,9 @@
                 return false;
             };
             self.tried.push(choice.key);
+            self.trace.attempts += 1;
+            self.trace.endpoint = Some(choice.id.clone());
+            self.trace.reason = Some(reason);
             if !self.gateway.take_retry(&self.job.ask.service) {
                 let tokens = choice.expected.uncached_tokens;
                 self.gateway.balancer().end(choice.key, tokens, None);
--- a/src/peers/told.rs
+++ b/src/peers/told.rs
@@ -42,6 +42,8 @@
     pub read: Vec<(ChainKey, EndpointKey)>,
     /// Learned speeds of some endpoints: milliseconds a prompt token and a token.
     pub speeds: Vec<(EndpointKey, f32, f32)>,
+    /// Endpoints whose address another start has taken.
+    pub dead: Vec<EndpointKey>,
     /// What organisations used since the sender's start.
     pub used: Vec<ToldUse>,
 }
