What others use of a limit is taken to go on between their words; only watchers tell news to everybody

Ruled out: giving out a smaller share in large groups, which costs the limited organisation always. Change: a rate an instance and organisation, corrected by its next word; news from the three watchers.

--- a/src/balance/load.rs
+++ b/src/balance/load.rs
@@ -10,8 +10,9 @@
     prelude::{Incarnation, Micros},
 };
 
-/// What another instance told counts for this long: some of its messages may be lost.
-const TOLD_US: Micros = 1_200_000;
+/// What another instance told counts for this long: in large groups those of other halls tell each
+/// second, and a message may be lost.
+const TOLD_US: Micros = 2_500_000;
 /// An endpoint's own word counts in full when it comes and for nothing after this time.
 const REPORT_US: f64 = 700_000.0;
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -182,11 +182,13 @@
         let news = (self.gateway.config.version(), revision);
         let mut state = self.lock();
         state.turn += 1;
-        if std::mem::replace(&mut state.told_state, news) != news {
+        let has_news = std::mem::replace(&mut state.told_state, news) != news;
+        // Everybody passing it on to everybody would cost more than it tells.
+        if has_news && self.gateway.watches_store() {
             return Audience::All;
         }
         let is_quiet = now_us.saturating_sub(state.told_at_us) < QUIET_US;
-        if changed || !is_quiet {
+        if changed || has_news || !is_quiet {
             state.told_at_us = now_us;
             return Audience::NearAndTurn;
         }
@@ -280,13 +282,14 @@
         }
         self.take_freshness(&told, from);
         {
+            let sharers = self.gateway.sharers();
             let mut limits = self.gateway.limits();
             let teller = Teller {
                 incarnation: told.from,
                 uptime_us: u64::from(told.uptime_ms) * 1_000,
             };
             for used in &told.used {
-                limits.told(now_us, teller, *used);
+                limits.told(now_us, teller, *used, sharers);
             }
         }
         let mut balancer = self.gateway.balancer();
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -47,7 +47,7 @@
 /// Endpoints that refuse a request unrun are passed over this many times.
 const MAX_NOT_RUN: usize = 3;
 /// What sending a request to another hall costs, as a share of its worth.
-const OTHER_HALL_COST: f64 = 0.04;
+const OTHER_HALL_COST: f64 = 0.05;
 /// The length of an answer in tokens of which nothing is known.
 const PRIOR_OUTPUT_TOKENS: u32 = 300;
 /// What has been refused comes back spread over half of the time again.
--- a/src/limits/organisation.rs
+++ b/src/limits/organisation.rs
@@ -17,6 +17,8 @@
 /// rest covers what was used and not yet heard of, and requests that endpoints run later than they
 /// were sent.
 const GIVEN_SHARE: f64 = 0.88;
+/// The span over which the rate of another instance's use is taken, in seconds.
+const RATE_SPAN_S: f64 = 0.5;
 /// The share of a bucket that is left to the more urgent, a rank.
 const RANK_RESERVE: f64 = 0.1;
 /// A process takes over how full the buckets are from one that has run longer, in this time after
@@ -54,6 +56,17 @@
     used: u64,
     /// How full it is was taken over from another instance.
     has_learned: bool,
+    /// What the other instances told last.
+    others: HashMap<Incarnation, OtherUse>,
+    /// Units a second that they are taken to use until they tell again.
+    others_rate: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct OtherUse {
+    used: u64,
+    told_us: Micros,
+    rate_per_s: f64,
 }
 
 /// What an instance tells of its use of a limit.
@@ -81,8 +94,6 @@
 pub struct OrganisationLimits {
     tolerance: Tolerance,
     buckets: HashMap<Name, Bucket>,
-    /// What each other instance told last, by organisation.
-    told: HashMap<(Incarnation, u32), u64>,
     started_us: Micros,
     /// Nothing was used before this process started, by anybody.
     is_first_start: bool,
@@ -104,7 +115,6 @@
         Self {
             tolerance,
             buckets: HashMap::new(),
-            told: HashMap::new(),
             started_us: now_us,
             is_first_start,
         }
@@ -158,6 +168,8 @@
                 filled_us: now_us,
                 used: 0,
                 has_learned: false,
+                others: HashMap::new(),
+                others_rate: 0.0,
             },
         }
     }
@@ -207,7 +219,8 @@
 
     /// Returns what each organisation used here since this process started.
     pub fn used(&self) -> Vec<ToldUse> {
-        let used = self.buckets.iter().map(|(name, bucket)| ToldUse {
+        let used = self.buckets.iter().filter(|(_, b)| b.used > 0);
+        let used = used.map(|(name, bucket)| ToldUse {
             organisation: short_hash(name),
             used: bucket.used,
             level_percent: (bucket.level / bucket.depth.max(1.0) * 100.0).clamp(0.0, 100.0) as u8,
@@ -219,9 +232,7 @@
     ///
     /// Of the first word from a process that has run longer than this one nothing counts as use: it
     /// may be long past. Instead, how full its buckets are is taken over.
-    pub fn told(&mut self, now_us: Micros, from: Teller, told: ToldUse) {
-        let key = (from.incarnation, told.organisation);
-        let known = self.told.insert(key, told.used);
+    pub fn told(&mut self, now_us: Micros, from: Teller, told: ToldUse, sharers: Sharers) {
         let uptime_us = self.uptime_us(now_us);
         let is_older = from.uptime_us > uptime_us + SAME_START_US;
         let named = self.buckets.iter_mut();
@@ -229,18 +240,24 @@
         let Some((_, bucket)) = named.next() else {
             return;
         };
-        let before = known.unwrap_or(if is_older { told.used } else { 0 });
-        bucket.level -= told.used.saturating_sub(before) as f64;
-        if known.is_none() && is_older && uptime_us < LEARNING_US && !bucket.has_learned {
+        bucket.fill(now_us, sharers);
+        let is_first = !bucket.others.contains_key(&from.incarnation);
+        if is_first && is_older && uptime_us < LEARNING_US && !bucket.has_learned {
             bucket.has_learned = true;
             let level = bucket.depth * f64::from(told.level_percent) / 100.0;
             bucket.level = bucket.level.max(level);
         }
+        let unknown = if is_older { told.used } else { 0 };
+        bucket.other_used(now_us, from.incarnation, told.used, unknown);
     }
 
     /// Forgets an instance that is gone.
     pub fn forget(&mut self, gone: Incarnation) {
-        self.told.retain(|(from, _), _| *from != gone);
+        for bucket in self.buckets.values_mut() {
+            if let Some(other) = bucket.others.remove(&gone) {
+                bucket.others_rate = (bucket.others_rate - other.rate_per_s).max(0.0);
+            }
+        }
     }
 }
 
@@ -263,6 +280,33 @@
         let since_s = now_us.saturating_sub(self.filled_us) as f64 / 1e6;
         self.filled_us = now_us;
         let gained = self.limit.rate_per_s * sharers.share() * since_s;
-        self.level = (self.level + gained).min(self.depth * sharers.share());
+        let filled = (self.level + gained).min(self.depth * sharers.share());
+        self.level = filled - self.others_rate * since_s;
+    }
+
+    /// Corrects what an instance was taken to use since its last word by what it says. `unknown` is
+    /// the part of a first word that does not count.
+    fn other_used(&mut self, now_us: Micros, from: Incarnation, used: u64, unknown: u64) {
+        let before = self.others.get(&from).copied().unwrap_or(OtherUse {
+            used: unknown,
+            told_us: now_us,
+            rate_per_s: 0.0,
+        });
+        let since_s = now_us.saturating_sub(before.told_us) as f64 / 1e6;
+        let actual = used.saturating_sub(before.used) as f64;
+        self.level -= actual - before.rate_per_s * since_s;
+        let mut rate_per_s = before.rate_per_s;
+        if since_s > 0.0 {
+            // Short spans say little: a rate follows over about half a second.
+            let gain = (since_s / RATE_SPAN_S).min(1.0);
+            rate_per_s += (actual / since_s - rate_per_s) * gain;
+        }
+        self.others_rate = (self.others_rate + rate_per_s - before.rate_per_s).max(0.0);
+        let other = OtherUse {
+            used,
+            told_us: now_us,
+            rate_per_s,
+        };
+        self.others.insert(from, other);
     }
 }
