Test the gateway's parts; tell everybody at once when much of a limit was used; copies bring back what returned

Cause: two tests of the new parts failed first. A copy that held both an endpoint's removal and its return dropped it at whoever took it. Change: removals of what is there again are left out; an instance that used a 4n-th of a bucket tells everybody at once, so that at most a quarter of a bucket is used unheard.

--- a/src/balance/discovery.rs
+++ b/src/balance/discovery.rs
@@ -166,7 +166,9 @@
         let entries = self.by_id.values();
         let entries = entries.filter(|e| is_whole || e.revision > revision);
         let removals = self.removals.iter();
-        let removals = removals.filter(|(at, _)| !is_whole && *at > revision);
+        // One that came back since is no removal to whoever was not told of either.
+        let removals =
+            removals.filter(|(at, id)| !is_whole && *at > revision && !self.by_id.contains_key(id));
         EndpointsCopy {
             revision: self.revision,
             entries: entries
--- a/src/balance/prefixes.rs
+++ b/src/balance/prefixes.rs
@@ -86,6 +86,16 @@
         held.last().map_or(0, |(_, tokens)| *tokens)
     }
 
+    /// Returns the number of chains remembered.
+    pub fn len(&self) -> usize {
+        self.chains.len()
+    }
+
+    /// Returns whether no chain is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.chains.is_empty()
+    }
+
     /// Forgets an endpoint that is gone.
     pub fn forget_endpoint(&mut self, endpoint: EndpointKey) {
         self.chains.retain(|_, holders| {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -180,6 +180,10 @@
     fn audience(&self, now_us: Micros, changed: bool) -> Audience {
         let revision = self.gateway.balancer().endpoints_revision();
         let news = (self.gateway.config.version(), revision);
+        let sharers = self.gateway.sharers();
+        if self.gateway.limits().take_news(sharers) {
+            return Audience::All;
+        }
         let mut state = self.lock();
         state.turn += 1;
         let has_news = std::mem::replace(&mut state.told_state, news) != news;
--- a/src/limits/organisation.rs
+++ b/src/limits/organisation.rs
@@ -17,6 +17,8 @@
 /// rest covers what was used and not yet heard of, and requests that endpoints run later than they
 /// were sent.
 const GIVEN_SHARE: f64 = 0.88;
+/// What is used unheard in large groups is at most a bucket's depth divided by this.
+const NEWS_PARTS: f64 = 4.0;
 /// The span over which the rate of another instance's use is taken, in seconds.
 const RATE_SPAN_S: f64 = 0.5;
 /// The share of a bucket that is left to the more urgent, a rank.
@@ -54,6 +56,8 @@
     level: f64,
     filled_us: Micros,
     used: u64,
+    /// Units used since everybody was told.
+    untold: f64,
     /// How full it is was taken over from another instance.
     has_learned: bool,
     /// What the other instances told last.
@@ -167,6 +171,7 @@
                 level: if self.is_first_start { depth } else { 0.0 },
                 filled_us: now_us,
                 used: 0,
+                untold: 0.0,
                 has_learned: false,
                 others: HashMap::new(),
                 others_rate: 0.0,
@@ -205,6 +210,7 @@
         }
         bucket.level -= units;
         bucket.used += units as u64;
+        bucket.untold += units;
         Ok(())
     }
 
@@ -217,6 +223,21 @@
         }
     }
 
+    /// Returns whether so much was used since this was last true that everybody should be told.
+    ///
+    /// With `n` instances, what they use unheard is then at most a bucket's depth divided by
+    /// [`NEWS_PARTS`], however suddenly the organisation comes to all of them.
+    pub fn take_news(&mut self, sharers: Sharers) -> bool {
+        let parts = NEWS_PARTS * sharers.all.max(1) as f64;
+        let has_news = self.buckets.values().any(|b| b.untold > b.depth / parts);
+        if has_news {
+            for bucket in self.buckets.values_mut() {
+                bucket.untold = 0.0;
+            }
+        }
+        has_news
+    }
+
     /// Returns what each organisation used here since this process started.
     pub fn used(&self) -> Vec<ToldUse> {
         let used = self.buckets.iter().filter(|(_, b)| b.used > 0);
--- /dev/null
+++ b/tests/gateway/balancer.rs
@@ -0,0 +1,206 @@
+//! Which endpoint is chosen, what waits, and what is refused.
+
+use assert_matches::assert_matches;
+use proptest::prelude::*;
+use ryevalve::{
+    balance::{
+        balancer::{Balancer, Choice, Placement},
+        load::{EndpointKey, InFlight, OwnWord},
+    },
+    prelude::Incarnation,
+};
+
+use crate::support::{MS, SECOND, ask, entry};
+
+const SLOTS: u32 = 4;
+
+fn balancer(endpoints: &[(&str, &str)]) -> Balancer {
+    let mut balancer = Balancer::new("here".into());
+    for (id, hall) in endpoints {
+        balancer.endpoint_seen(entry(id, hall, SLOTS), 1);
+    }
+    balancer
+}
+
+fn sent(placement: Placement) -> Choice {
+    assert_matches!(placement, Placement::Send(choice) => choice)
+}
+
+#[test]
+fn the_own_hall_goes_first_and_others_follow_when_it_is_full() {
+    let mut balancer = balancer(&[("near", "here"), ("far", "there")]);
+    for subject in 0..SLOTS {
+        let choice = sent(balancer.place(0, &ask(u64::from(subject), 100, 0, 0), &[]));
+        assert_eq!(&*choice.id, "near");
+    }
+    let next = sent(balancer.place(0, &ask(99, 100, 0, 0), &[]));
+    assert_eq!(&*next.id, "far");
+}
+
+#[test]
+fn a_subject_stays_where_it_was_read() {
+    let mut balancer = balancer(&[("a", "here"), ("b", "here"), ("c", "here")]);
+    let first = sent(balancer.place(0, &ask(7, 6_000, 0, 0), &[]));
+    balancer.first_event(first.key, 6_000, 150.0);
+    balancer.end(first.key, 0, Some(900.0));
+    for _ in 0..5 {
+        let again = sent(balancer.place(SECOND, &ask(7, 6_000, 0, SECOND), &[]));
+        assert_eq!(again.key, first.key);
+        assert_eq!(again.expected.uncached_tokens, 0);
+        balancer.end(again.key, 0, None);
+    }
+}
+
+#[test]
+fn what_the_others_sent_counts() {
+    let mut balancer = balancer(&[("a", "here"), ("b", "here")]);
+    let (a, b) = (EndpointKey::of("a"), EndpointKey::of("b"));
+    let busy = InFlight {
+        requests: SLOTS,
+        prompt_tokens: 30_000,
+    };
+    balancer.told(0, Incarnation(1), vec![(a, busy)], &[], &[]);
+    assert_eq!(sent(balancer.place(0, &ask(1, 100, 0, 0), &[])).key, b);
+    // The next word replaces the one before; silence ends it.
+    balancer.told(MS, Incarnation(1), vec![(b, busy)], &[], &[]);
+    assert_eq!(sent(balancer.place(MS, &ask(2, 100, 0, MS), &[])).key, a);
+    let (_, silent) = balancer.tick(10 * SECOND);
+    assert_eq!(silent, vec![Incarnation(1)]);
+    assert_eq!(balancer.heard(), 0);
+}
+
+#[test]
+fn an_endpoints_own_word_counts_above_what_is_known_and_fades() {
+    let mut balancer = balancer(&[("a", "here"), ("b", "here")]);
+    let word = OwnWord {
+        running: SLOTS,
+        waiting: 6,
+        slots: SLOTS,
+    };
+    balancer.report(0, EndpointKey::of("a"), word);
+    let choice = sent(balancer.place(0, &ask(1, 100, 0, 0), &[]));
+    assert_eq!(&*choice.id, "b");
+    let later = sent(balancer.place(2 * SECOND, &ask(1, 100, 0, 2 * SECOND), &[choice.key]));
+    assert!(later.expected.has_room, "an old word is no word");
+}
+
+#[test]
+fn draining_tried_and_gone_endpoints_are_never_chosen() {
+    let mut balancer = balancer(&[("a", "here"), ("b", "here")]);
+    let mut draining = entry("a", "here", SLOTS);
+    draining.draining = true;
+    balancer.endpoint_seen(draining, 2);
+    let b = EndpointKey::of("b");
+    assert_eq!(sent(balancer.place(0, &ask(1, 100, 0, 0), &[])).key, b);
+    assert_matches!(
+        balancer.place(0, &ask(1, 100, 0, 0), &[b]),
+        Placement::Refuse { .. }
+    );
+    balancer.endpoint_replaced(b);
+    assert_eq!(balancer.take_dead(), vec![b]);
+    assert_matches!(
+        balancer.place(0, &ask(1, 100, 0, 0), &[]),
+        Placement::Refuse { .. }
+    );
+}
+
+#[test]
+fn an_endpoint_that_fails_is_avoided_and_tried_again() {
+    let mut balancer = balancer(&[("a", "here"), ("b", "here")]);
+    let first = sent(balancer.place(0, &ask(1, 100, 0, 0), &[]));
+    balancer.learn(first.key, |s| s.unreachable(0));
+    balancer.end(first.key, 100, None);
+    for step in 0..SLOTS {
+        let choice = sent(balancer.place(MS, &ask(u64::from(step), 100, 0, MS), &[]));
+        assert_ne!(choice.key, first.key);
+    }
+    let later_us = 30 * SECOND;
+    let choice = sent(balancer.place(later_us, &ask(50, 100, 0, later_us), &[]));
+    assert_eq!(choice.key, first.key);
+}
+
+#[test]
+fn a_full_service_lets_wait_and_then_refuses_with_a_time_to_come_back() {
+    let mut balancer = balancer(&[("a", "here")]);
+    // Long prompts: what comes after them would be late.
+    while let Placement::Send(_) = balancer.place(0, &ask(1, 9_000, 0, 0), &[]) {}
+    let late = ask(2, 9_000, 0, 0);
+    assert_matches!(balancer.place(0, &late, &[]), Placement::Wait);
+    let decided = balancer.place(300 * MS, &late, &[]);
+    assert_matches!(decided, Placement::Refuse { reason: "busy", retry_after_ms } if retry_after_ms >= 100);
+}
+
+#[test]
+fn the_most_urgent_of_those_that_wait_goes_first() {
+    let mut balancer = balancer(&[("a", "here")]);
+    let mut held = Vec::new();
+    while let Placement::Send(choice) = balancer.place(0, &ask(held.len() as u64, 2_000, 0, 0), &[])
+    {
+        held.push(choice);
+    }
+    let low = balancer.enqueue(ask(100, 100, 2, 0));
+    let high = balancer.enqueue(ask(101, 100, 0, 0));
+    for choice in &held {
+        balancer.first_event(choice.key, 2_000, 50.0);
+    }
+    for choice in held.drain(..).take(3) {
+        balancer.end(choice.key, 0, Some(100.0));
+    }
+    let decided: Vec<_> = balancer
+        .reconsider(10 * MS)
+        .into_iter()
+        .map(|(key, _)| key)
+        .collect();
+    assert_eq!(decided.first(), Some(&high));
+    assert!(decided.len() == 1 || decided[1] == low);
+}
+
+#[test]
+fn the_less_urgent_leaves_queues_at_endpoints_to_the_more_urgent() {
+    let mut balancer = balancer(&[("a", "here")]);
+    while let Placement::Send(_) = balancer.place(0, &ask(1, 2_000, 2, 0), &[]) {}
+    assert_matches!(
+        balancer.place(0, &ask(2, 2_000, 0, 0), &[]),
+        Placement::Send(_)
+    );
+}
+
+proptest! {
+    /// Whatever happens, what was sent and has ended is gone from the books.
+    #[test]
+    fn the_books_balance(steps in prop::collection::vec((0_u8..6, 0_u64..20, 0_u32..8_000), 1..300)) {
+        let mut balancer = balancer(&[("a", "here"), ("b", "here"), ("c", "there")]);
+        let mut running: Vec<(Choice, bool)> = Vec::new();
+        let mut now_us = 0;
+        for (what, subject, tokens) in steps {
+            now_us += 7 * MS;
+            match what {
+                0..=2 => {
+                    let placement = balancer.place(now_us, &ask(subject, tokens, (subject % 3) as u8, now_us), &[]);
+                    if let Placement::Send(choice) = placement {
+                        running.push((choice, false));
+                    }
+                }
+                3 => {
+                    if let Some((choice, seen)) = running.iter_mut().find(|(_, seen)| !*seen) {
+                        balancer.first_event(choice.key, choice.expected.uncached_tokens, 80.0);
+                        *seen = true;
+                    }
+                }
+                4 if !running.is_empty() => {
+                    let (choice, seen) = running.swap_remove(subject as usize % running.len());
+                    let left = if seen { 0 } else { choice.expected.uncached_tokens };
+                    balancer.end(choice.key, left, Some(500.0));
+                }
+                _ => {
+                    balancer.endpoint_seen(entry("b", "here", SLOTS), now_us);
+                }
+            }
+            let sent: u32 = balancer.own_loads().iter().map(|(_, l)| l.requests).sum();
+            prop_assert_eq!(sent as usize, running.len());
+            let unseen: u32 = running.iter().filter(|(_, s)| !*s).map(|(c, _)| c.expected.uncached_tokens).sum();
+            let pending: u32 = balancer.own_loads().iter().map(|(_, l)| l.prompt_tokens).sum();
+            prop_assert_eq!(pending, unseen);
+        }
+    }
+}
--- /dev/null
+++ b/tests/gateway/freshness.rs
@@ -0,0 +1,83 @@
+//! The configuration in force never goes back, and its freshness is never guessed.
+
+use proptest::prelude::*;
+use ryevalve::{
+    gateway::{
+        freshness::{CurrentConfig, Offered},
+        state::{Gateway, GatewayBounds},
+    },
+    limits::{organisation::Tolerance, retries::RetryBounds},
+    platform::headers::PlatformProtocol,
+};
+
+use crate::support::{SECOND, config};
+
+#[test]
+fn an_older_configuration_changes_nothing() {
+    let current = CurrentConfig::default();
+    assert_eq!(current.offer(config(7, vec![], vec![])), Offered::Applied);
+    assert_eq!(current.offer(config(5, vec![], vec![])), Offered::Older);
+    assert_eq!(current.offer(config(7, vec![], vec![])), Offered::Known);
+    assert_eq!(current.version(), 7);
+    assert_eq!(current.offer(config(12, vec![], vec![])), Offered::Applied);
+    assert_eq!(current.version(), 12);
+}
+
+#[test]
+fn freshness_counts_from_the_question_and_only_for_the_version_in_force() {
+    let current = CurrentConfig::default();
+    assert_eq!(current.age_us(5 * SECOND), u64::MAX);
+    current.offer(config(7, vec![], vec![]));
+    assert_eq!(current.age_us(5 * SECOND), u64::MAX);
+    current.confirm(7, 2 * SECOND);
+    assert_eq!(current.age_us(5 * SECOND), 3 * SECOND);
+    // An answer that was long on its way takes nothing back, nor does one on another version.
+    current.confirm(7, SECOND);
+    current.confirm(8, 4 * SECOND);
+    assert_eq!(current.age_us(5 * SECOND), 3 * SECOND);
+}
+
+#[test]
+fn keys_are_not_judged_by_a_configuration_that_may_be_older_than_a_revocation() {
+    let bounds = GatewayBounds {
+        revoke_us: SECOND / 1_000,
+        retries: RetryBounds {
+            ratio: 0.2,
+            slack: 10.0,
+            window_us: 10 * SECOND,
+        },
+        tolerance: Tolerance {
+            window_s: 8.0,
+            overage: 0.1,
+            slack: 0.0,
+        },
+    };
+    let gateway = Gateway::new(PlatformProtocol, "hall".into(), bounds, true);
+    gateway.offer(config(7, vec![], vec![]), "test");
+    assert!(!gateway.is_fresh(), "nothing has confirmed it yet");
+    std::thread::sleep(std::time::Duration::from_millis(5));
+    gateway.config.confirm(7, 1);
+    assert!(
+        !gateway.is_fresh(),
+        "confirmed longer ago than a key may be used"
+    );
+    let long = GatewayBounds {
+        revoke_us: 60 * SECOND,
+        ..bounds
+    };
+    gateway.set_bounds(long);
+    assert!(gateway.is_fresh());
+}
+
+proptest! {
+    #[test]
+    fn no_order_of_offers_takes_a_version_back(versions in prop::collection::vec(1_u64..50, 1..40)) {
+        let current = CurrentConfig::default();
+        let mut highest = 0;
+        for version in versions {
+            current.offer(config(version, vec![], vec![]));
+            highest = highest.max(version);
+            prop_assert_eq!(current.version(), highest);
+        }
+    }
+}
--- /dev/null
+++ b/tests/gateway/headers.rs
@@ -0,0 +1,180 @@
+//! The platform's headers and objects, decoded and written.
+
+use hyper::HeaderMap;
+use ryevalve::{
+    gateway::{
+        attempt::strip_connection_headers,
+        config::{GatewayConfig, RouteKind, UseUnit},
+        protocol::{Forward, Protocol},
+    },
+    platform::{configuration::ConfigSpec, endpoints::EndpointSpec, headers::PlatformProtocol},
+};
+
+fn headers(pairs: &[(&'static str, &'static str)]) -> HeaderMap {
+    let pairs = pairs.iter();
+    pairs
+        .map(|(name, value)| (name.parse().unwrap(), value.parse().unwrap()))
+        .collect()
+}
+
+#[test]
+fn a_callers_headers_are_read_once() {
+    let call = PlatformProtocol.read_call(&headers(&[
+        ("Request-Id", "9c41d07be2a35f68"),
+        ("Deadline-Ms", "12000"),
+        ("Authorization", "Token i9n73hh2"),
+        ("Token-Usage", "1460,80"),
+        ("Prefix-Hash", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
+        ("Last-Event-Id", "12"),
+        ("Length-Hint", "64"),
+    ]));
+    assert_eq!(call.request_id.unwrap(), "9c41d07be2a35f68");
+    assert_eq!(call.deadline_ms, Some(12_000));
+    assert_eq!(call.key.as_deref(), Some("i9n73hh2"));
+    assert_eq!(call.tokens.unwrap().total(), 1_540);
+    let parts: Vec<_> = call.parts.iter().map(|p| (p.id, p.tokens)).collect();
+    assert_eq!(
+        parts,
+        vec![(0x5c1e_07a2, 800), (0x91bd_3f06, 410), (0xe440_2b7d, 250)]
+    );
+    assert_eq!((call.resume_after, call.output_guess), (Some(12), Some(64)));
+}
+
+#[test]
+fn what_cannot_be_read_is_left_out() {
+    let call = PlatformProtocol.read_call(&headers(&[
+        ("Deadline-Ms", "soon"),
+        ("Authorization", "Bearer i9n73hh2"),
+        ("Token-Usage", "1460"),
+        ("Prefix-Hash", "zz:1"),
+    ]));
+    assert_eq!(call.deadline_ms, None);
+    assert_eq!(call.key, None);
+    assert_eq!(call.tokens, None);
+    assert!(call.parts.is_empty());
+}
+
+#[test]
+fn a_caller_cannot_speak_for_the_gateway() {
+    let mut forwarded = headers(&[
+        ("Tenant", "another"),
+        ("Expect-Instance", "i-another"),
+        ("Kv-From", "10.0.0.1:80/1"),
+        ("Retention", "stolen"),
+        ("Authorization", "Token secret"),
+        ("Deadline-Ms", "99999"),
+        ("Model", "m"),
+    ]);
+    let forward = Forward {
+        endpoint: "i-1",
+        organisation: None,
+        left_ms: 700,
+        resume_after: Some(3),
+    };
+    PlatformProtocol.write_forward(&mut forwarded, &forward);
+    let expected = headers(&[
+        ("Model", "m"),
+        ("Expect-Instance", "i-1"),
+        ("Deadline-Ms", "700"),
+        ("Last-Event-Id", "3"),
+    ]);
+    assert_eq!(forwarded, expected);
+    let named = Forward {
+        organisation: Some("hule930"),
+        resume_after: None,
+        ..forward
+    };
+    PlatformProtocol.write_forward(&mut forwarded, &named);
+    assert_eq!(forwarded["tenant"], "hule930");
+}
+
+#[test]
+fn headers_of_one_connection_stay_there() {
+    let mut passed = headers(&[
+        ("Connection", "keep-alive, X-Hop"),
+        ("X-Hop", "1"),
+        ("Keep-Alive", "timeout=5"),
+        ("Transfer-Encoding", "chunked"),
+        ("Content-Length", "7"),
+        ("Expect", "100-continue"),
+        ("Content-Type", "text/plain"),
+    ]);
+    strip_connection_headers(&mut passed);
+    assert_eq!(passed, headers(&[("Content-Type", "text/plain")]));
+}
+
+#[test]
+fn an_endpoints_head_is_read() {
+    let head = PlatformProtocol.read_answer(&headers(&[
+        ("Request-Id", "1"),
+        ("Not-Executed", "1"),
+        ("Instance-Load", "3, 1,8"),
+    ]));
+    let load = head.load.unwrap();
+    assert_eq!((load.running, load.waiting, load.slots), (3, 1, 8));
+    assert!(head.not_executed && !head.is_signed);
+    assert!(
+        PlatformProtocol
+            .read_answer(&headers(&[("Instance-Load", "3,x")]))
+            .load
+            .is_none()
+    );
+}
+
+#[test]
+fn a_configuration_is_decoded_into_the_gateways() {
+    let spec: ConfigSpec = serde_json::from_str(
+        r#"{"version":7,"later":{"unknown":1},
+        "routes":[
+         {"name":"s","hostname":"h.example","pathPrefix":"/s/","type":"streaming","timeoutMs":12000,
+          "targetLatencyMs":1200,"priority":0,"maxAttempts":2,"public":false,"sessionAffinity":true,
+          "trafficSplit":[{"backend":"m1","weight":90},{"backend":"m2","weight":10}],
+          "streamResume":true,"targetGapMs":600},
+         {"name":"u","hostname":"h.example","pathPrefix":"/u/","type":"non_idempotent",
+          "timeoutMs":800,"backend":"p"}],
+        "backends":[{"name":"m1","healthCheck":"/healthz","maxConnections":360,
+          "engine":{"capacity":7,"kvCapacity":356902,"stride":7}},{"name":"p"}],
+        "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
+          "idleTimeoutMs":15000},
+        "tenants":[{"name":"t","apiKeys":["k"],"priority":1,"unit":"token_count",
+          "uncachedTokens":200,"ratePerS":1000,"burst":500},{"name":"free","apiKeys":[],"ratePerS":0}]}"#,
+    )
+    .unwrap();
+    let config = GatewayConfig::from(spec);
+    assert_eq!(config.version, 7);
+    let stream = &config.routes[0];
+    assert_eq!(stream.kind, RouteKind::Stream { resumable: true });
+    assert_eq!(stream.target_gap.as_millis(), 600);
+    assert_eq!(stream.targets.len(), 2);
+    let unsafe_route = &config.routes[1];
+    assert!(!unsafe_route.kind.is_repeatable());
+    assert_eq!(
+        (unsafe_route.max_attempts, &*unsafe_route.targets[0].service),
+        (1, "p")
+    );
+    assert_eq!(unsafe_route.target, unsafe_route.timeout);
+    assert_eq!(config.services["m1"].engine.unwrap().slots, 7);
+    let limit = config.organisations[0].limit.unwrap();
+    assert_eq!(
+        limit.unit,
+        UseUnit::Tokens {
+            without_tokens: 200
+        }
+    );
+    assert!(config.organisations[1].limit.is_none());
+}
+
+#[test]
+fn an_endpoints_entry_is_decoded() {
+    let spec: EndpointSpec = serde_json::from_str(
+        r#"{"backend":"m1","address":"10.128.0.9:8080","zone":"hall","version":"v1","capacity":7,
+        "state":"draining","warmupLeftMs":0,"phase":"both","sequence":4}"#,
+    )
+    .unwrap();
+    let entry = spec.into_entry("i-1");
+    assert!(entry.draining);
+    assert_eq!(
+        (&*entry.service, &*entry.hall, entry.slots),
+        ("m1", "hall", 7)
+    );
+}
--- /dev/null
+++ b/tests/gateway/limits.rs
@@ -0,0 +1,218 @@
+//! What an organisation uses over all instances stays within its limit and tolerance.
+
+use proptest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use ryevalve::{
+    limits::organisation::{OrganisationLimits, Sharers, Teller, Tolerance},
+    prelude::Incarnation,
+};
+
+use crate::support::{MS, SECOND, config, limited, organisation};
+
+const TOLERANCE: Tolerance = Tolerance {
+    window_s: 8.0,
+    overage: 0.1,
+    slack: 20_000.0,
+};
+const RATE: f64 = 10_000.0;
+const BURST: f64 = 10_000.0;
+const ALLOWED: f64 = (RATE * 8.0 + BURST) * 1.1 + 20_000.0;
+const ALONE: Sharers = Sharers { all: 1, heard: 1 };
+
+fn limits(is_first_start: bool) -> OrganisationLimits {
+    let mut limits = OrganisationLimits::new(0, TOLERANCE, is_first_start);
+    limits.configure(0, &config(1, vec![], vec![limited("org", RATE, BURST)]));
+    limits
+}
+
+/// Asks for as much as there is, over `seconds`; returns what was given each time.
+fn drain(
+    limits: &mut OrganisationLimits,
+    from_us: u64,
+    seconds: u64,
+    tokens: u32,
+) -> Vec<(u64, f64)> {
+    let mut given = Vec::new();
+    for step in 0..seconds * 100 {
+        let now_us = from_us + step * 10 * MS;
+        while limits.take(now_us, "org", Some(tokens), 0, ALONE).is_ok() {
+            given.push((now_us, f64::from(tokens)));
+        }
+    }
+    given
+}
+
+fn most_in_window(given: &[(u64, f64)]) -> f64 {
+    let window = |from: u64| {
+        let inside = given
+            .iter()
+            .filter(|(at, _)| (from..from + 8 * SECOND).contains(at));
+        inside.map(|(_, tokens)| tokens).sum::<f64>()
+    };
+    given.iter().map(|(at, _)| window(*at)).fold(0.0, f64::max)
+}
+
+#[test]
+fn one_instance_gives_out_most_of_the_window_and_no_more() {
+    let given = drain(&mut limits(true), 0, 20, 500);
+    let most = most_in_window(&given);
+    assert!(most <= ALLOWED, "{most} of {ALLOWED}");
+    assert!(
+        most >= (RATE * 8.0 + BURST),
+        "{most} is below the limit itself"
+    );
+}
+
+#[test]
+fn an_organisation_without_a_limit_is_never_refused() {
+    let mut limits = OrganisationLimits::new(0, TOLERANCE, true);
+    limits.configure(0, &config(1, vec![], vec![organisation("free", &[])]));
+    for _ in 0..10_000 {
+        assert_eq!(limits.take(0, "free", Some(50_000), 2, ALONE), Ok(()));
+        assert_eq!(limits.take(0, "unheard-of", Some(50_000), 2, ALONE), Ok(()));
+    }
+}
+
+#[test]
+fn a_long_request_finds_room_beside_short_ones() {
+    let mut limits = limits(true);
+    drain(&mut limits, 0, 3, 100);
+    // The bucket is about empty; what is asked for next goes by turn, not by what fits.
+    let mut long = 0;
+    let mut short = 0;
+    for step in 0..400 {
+        let now_us = 3 * SECOND + step * 10 * MS;
+        long += u32::from(limits.take(now_us, "org", Some(6_000), 0, ALONE).is_ok());
+        short += u32::from(limits.take(now_us, "org", Some(100), 0, ALONE).is_ok());
+    }
+    assert!(long >= 5, "{long} long requests beside {short} short ones");
+}
+
+#[test]
+fn the_last_of_a_limit_is_for_the_most_urgent() {
+    let mut limits = limits(true);
+    while limits.take(0, "org", Some(500), 2, ALONE).is_ok() {}
+    assert!(limits.take(0, "org", Some(500), 1, ALONE).is_ok());
+    while limits.take(0, "org", Some(500), 1, ALONE).is_ok() {}
+    assert!(limits.take(0, "org", Some(500), 0, ALONE).is_ok());
+}
+
+#[test]
+fn a_refusal_says_when_to_come_back_and_then_there_is_room() {
+    let mut limits = limits(true);
+    while limits.take(0, "org", Some(500), 0, ALONE).is_ok() {}
+    let wait_ms = limits.take(0, "org", Some(500), 0, ALONE).unwrap_err();
+    let later_us = u64::from(wait_ms) * MS;
+    assert_eq!(limits.take(later_us, "org", Some(500), 0, ALONE), Ok(()));
+}
+
+#[test]
+fn what_did_not_run_is_given_back() {
+    let mut limits = limits(true);
+    while limits.take(0, "org", Some(500), 0, ALONE).is_ok() {}
+    limits.give_back("org", Some(5_000));
+    assert_eq!(limits.take(0, "org", Some(500), 0, ALONE), Ok(()));
+}
+
+#[test]
+fn a_lower_limit_binds_at_once_and_what_was_used_stays_used() {
+    let mut limits = limits(true);
+    while limits.take(0, "org", Some(500), 0, ALONE).is_ok() {}
+    limits.configure(
+        0,
+        &config(2, vec![], vec![limited("org", RATE / 10.0, BURST / 10.0)]),
+    );
+    assert!(limits.take(0, "org", Some(500), 0, ALONE).is_err());
+    let given = drain(&mut limits, 0, 20, 100);
+    let allowed = (RATE * 0.8 + BURST / 10.0) * 1.1 + 20_000.0;
+    assert!(most_in_window(&given) <= allowed);
+}
+
+#[test]
+fn a_restarted_process_begins_empty_and_takes_over_the_level_of_those_that_ran_on() {
+    let mut old = limits(true);
+    assert_eq!(old.take(0, "org", Some(500), 0, ALONE), Ok(()));
+    let mut new = OrganisationLimits::new(10 * SECOND, TOLERANCE, false);
+    new.configure(
+        10 * SECOND,
+        &config(1, vec![], vec![limited("org", RATE, BURST)]),
+    );
+    let two = Sharers { all: 2, heard: 2 };
+    assert!(new.take(10 * SECOND, "org", Some(500), 0, two).is_err());
+    let teller = Teller {
+        incarnation: Incarnation(1),
+        uptime_us: 10 * SECOND,
+    };
+    for told in old.used() {
+        new.told(10 * SECOND, teller, told, two);
+    }
+    assert_eq!(new.take(10 * SECOND, "org", Some(500), 0, two), Ok(()));
+}
+
+/// Instances that tell each other every `tell_ms` and are pressed far beyond the limit.
+fn together(instances: u64, tell_ms: u64, heard: bool, seed: u64) -> f64 {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut all: Vec<OrganisationLimits> = (0..instances).map(|_| limits(true)).collect();
+    let sharers = Sharers {
+        all: instances as usize,
+        heard: if heard { instances as usize } else { 1 },
+    };
+    let mut given = Vec::new();
+    for step in 0..2_000_u64 {
+        let now_us = step * 10 * MS;
+        for limits in &mut all {
+            let asks = rng.random_range(0..3);
+            for _ in 0..asks {
+                let tokens = rng.random_range(50..1_500);
+                if limits.take(now_us, "org", Some(tokens), 0, sharers).is_ok() {
+                    given.push((now_us, f64::from(tokens)));
+                }
+            }
+        }
+        if heard {
+            for from in 0..all.len() {
+                // Each 40 ms an instance looks whether it has news; else it tells by the clock.
+                let looks = (step * 10) % 40 == 0 && all[from].take_news(sharers);
+                if !looks && (step * 10) % tell_ms != 0 {
+                    continue;
+                }
+                let teller = Teller {
+                    incarnation: Incarnation(from as u64 + 1),
+                    uptime_us: now_us,
+                };
+                for told in all[from].used() {
+                    for (to, limits) in all.iter_mut().enumerate() {
+                        if to != from {
+                            limits.told(now_us, teller, told, sharers);
+                        }
+                    }
+                }
+            }
+        }
+    }
+    most_in_window(&given)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(12))]
+
+    #[test]
+    fn instances_that_hear_each_other_keep_the_limit_together(seed in any::<u64>(), n in 2_u64..9) {
+        let most = together(n, 40, true, seed);
+        prop_assert!(most <= ALLOWED, "{} of {}", most, ALLOWED);
+        prop_assert!(most >= RATE * 8.0, "{} is far below the limit", most);
+    }
+
+    #[test]
+    fn instances_that_hear_nobody_keep_the_limit_together(seed in any::<u64>(), n in 2_u64..9) {
+        let most = together(n, 40, false, seed);
+        prop_assert!(most <= ALLOWED, "{} of {}", most, ALLOWED);
+    }
+
+    #[test]
+    fn words_a_second_apart_do_where_news_is_told_at_once(seed in any::<u64>(), n in 2_u64..9) {
+        let most = together(n, 1_000, true, seed);
+        prop_assert!(most <= ALLOWED * 1.1, "{} of {}", most, ALLOWED);
+    }
+}
--- /dev/null
+++ b/tests/gateway/main.rs
@@ -0,0 +1,14 @@
+//! The gateway's parts by themselves: routes, freshness, limits, discovery, placement, logs.
+
+mod balancer;
+mod discovery;
+mod events;
+mod freshness;
+mod headers;
+mod limits;
+mod logs;
+mod prefixes;
+mod retries;
+mod routes;
+mod settings;
+mod support;
--- /dev/null
+++ b/tests/gateway/support.rs
@@ -0,0 +1,107 @@
+//! Small values that several tests use.
+
+use std::{sync::Arc, time::Duration};
+
+use ryevalve::{
+    balance::{
+        cost::Ask,
+        discovery::EndpointEntry,
+        prefixes::{PromptPart, chains},
+    },
+    gateway::config::{
+        GatewayConfig, Organisation, Route, RouteKind, Service, Target, UseLimit, UseUnit,
+    },
+};
+
+pub const MS: u64 = 1_000;
+pub const SECOND: u64 = 1_000_000;
+
+pub fn route(name: &str, host: &str, path_prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        path_prefix: path_prefix.into(),
+        kind: RouteKind::Whole { repeatable: true },
+        timeout: Duration::from_secs(3),
+        target: Duration::from_millis(500),
+        target_gap: Duration::from_millis(400),
+        priority: 0,
+        max_attempts: 2,
+        public: false,
+        targets: vec![Target {
+            service: "plain".into(),
+            weight: 1,
+        }],
+    }
+}
+
+pub fn organisation(name: &str, keys: &[&str]) -> Organisation {
+    Organisation {
+        name: name.into(),
+        keys: keys.iter().map(|k| (*k).into()).collect(),
+        priority: None,
+        limit: None,
+    }
+}
+
+pub fn limited(name: &str, rate_per_s: f64, burst: f64) -> Organisation {
+    Organisation {
+        limit: Some(UseLimit {
+            unit: UseUnit::Tokens {
+                without_tokens: 200,
+            },
+            rate_per_s,
+            burst,
+        }),
+        ..organisation(name, &[])
+    }
+}
+
+pub fn config(version: u64, routes: Vec<Route>, organisations: Vec<Organisation>) -> GatewayConfig {
+    let service = Service {
+        name: "plain".into(),
+        health_path: "/healthz".into(),
+        max_connections: 100,
+        engine: None,
+    };
+    GatewayConfig {
+        version,
+        routes: routes.into_iter().map(Arc::new).collect(),
+        services: [(service.name.clone(), Arc::new(service))].into(),
+        organisations: organisations.into_iter().map(Arc::new).collect(),
+        ..GatewayConfig::default()
+    }
+}
+
+pub fn entry(id: &str, hall: &str, slots: u32) -> EndpointEntry {
+    let last = id.bytes().fold(0_u8, u8::wrapping_add);
+    EndpointEntry {
+        id: id.into(),
+        service: "model".into(),
+        addr: ([10, 0, 0, last], 80).into(),
+        hall: hall.into(),
+        slots,
+        draining: false,
+        warmup_left_ms: 0,
+    }
+}
+
+/// A stream's request with a prompt of one part of its own.
+pub fn ask(subject: u64, prompt_tokens: u32, rank: u8, arrived_us: u64) -> Ask {
+    let parts = [PromptPart {
+        id: subject,
+        tokens: prompt_tokens,
+    }];
+    Ask {
+        service: "model".into(),
+        is_stream: true,
+        prompt_tokens,
+        chains: chains(&parts).collect(),
+        output_tokens: 100,
+        target_us: 800 * MS,
+        arrived_us,
+        deadline_us: arrived_us + 15 * SECOND,
+        rank,
+        other_hall_cost: 0.05,
+    }
+}
