The stand-in platform speaks the published protocol; the product's store is kept through the one client

Cause: the object API made up for the first stand-in was spoken by nobody else, and two clients stood side by side. Change: standins::platform has objects by kind, revisions, pages, watches, 410, late and lost writes, silence; platform::store implements the product's store trait over platform::objects; the first client is gone. Values that are no JSON go in base64, so a shard of claims holds 18,000.

--- a/benches/relay.rs
+++ b/benches/relay.rs
@@ -15,7 +15,7 @@
     distribution::{CONFIG_KEY, StoredConfig},
     entry::parse::key_digest,
     instance,
-    platform::http::HttpStore,
+    platform::store::PlatformStore,
     settings::{LogFormat, Secret, Settings},
 };
 use standins::{
@@ -110,7 +110,7 @@
         stop_timeout_ms: 1_000,
         record_requests: 1_000,
     };
-    let running = instance::start(settings, HttpStore::new(platform.addr())).await;
+    let running = instance::start(settings, PlatformStore::new(platform.addr())).await;
     let running = running.unwrap_or_else(|e| panic!("{e}"));
     while !running.instance.is_ready() {
         time::sleep(Duration::from_millis(10)).await;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -23,7 +23,7 @@
         log::{Reply, Status},
         table,
     },
-    platform::{self, edge::EdgeError},
+    platform::{self, edge::EdgeError, store::PlatformStore},
     replay::{
         expect::{Expectations, unmet},
         generate::{self, DEFAULT_REQUESTS, FAULTS, Fault, WORKLOADS, Workload},
@@ -32,7 +32,6 @@
         trace::Trace,
     },
     settings::{FLAGS, LogFormat, Secret, Settings, env_name},
-    store::http::HttpStore,
 };
 
 const EXIT_FAILED: u8 = 1;
@@ -377,7 +376,7 @@
     let failed = |error: io::Error| CliError::failed(format!("cannot listen for signals: {error}"));
     let mut terminate = signal(SignalKind::terminate()).map_err(failed)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
-    let store = HttpStore::new(settings.platform_addr);
+    let store = PlatformStore::new(settings.platform_addr);
     let running = instance::start(settings, store).await;
     let running = running.map_err(|error| {
         let source = std::error::Error::source(&error).map(ToString::to_string);
--- a/src/distribution.rs
+++ b/src/distribution.rs
@@ -28,7 +28,7 @@
         view::{Member, View},
     },
     prelude::Name,
-    store::{Object, Store, http::backoff},
+    store::{Object, Store, backoff},
 };
 
 /// The object that holds the configuration.
--- a/src/entry/claims.rs
+++ b/src/entry/claims.rs
@@ -25,8 +25,8 @@
 pub const SHARDS: u16 = 8;
 /// Time between two writes of a shard: 8 shards at 4 a second stay at 32 writes a second.
 pub const WRITE_INTERVAL: Duration = Duration::from_millis(250);
-/// More claims than this in a shard would not fit the platform's values.
-pub const MAX_CLAIMS: usize = 24_000;
+/// More claims than this in a shard would not fit the store's values: 42 bytes each, in base64.
+pub const MAX_CLAIMS: usize = 18_000;
 const WRITE_TRIES: u32 = 4;
 
 /// SHA-256 of organisation, service and key, shortened.
@@ -194,7 +194,7 @@
     async fn settle(&mut self, asks: &[ClaimAsk], releases: &[ClaimAsk]) -> Vec<ClaimAnswer> {
         for attempt in 0..WRITE_TRIES {
             if attempt > 0 {
-                time::sleep(crate::store::http::backoff(attempt)).await;
+                time::sleep(crate::store::backoff(attempt)).await;
             }
             let Some((version, mut claims)) = self.load().await else {
                 break;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -8,3 +8,4 @@
 pub mod headers;
 pub mod objects;
 pub mod settings;
+pub mod store;
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,175 @@
+//! The product's store, kept in objects of a kind of its own.
+
+use std::{net::SocketAddr, time::Duration};
+
+use base64::{Engine, prelude::BASE64_STANDARD};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use tokio::time::{self, Instant};
+
+use crate::{
+    platform::objects::{CallError, Metadata, Object, ObjectClient},
+    store::{self, ListedInstance, ReadError, Store, WriteError, backoff},
+};
+
+/// The kind of the product's own objects.
+pub const KIND: &str = "ryevalve";
+/// The kind of the instances' entries.
+pub const INSTANCE_KIND: &str = "ryevalve-instances";
+const READ_TRIES: u32 = 3;
+
+/// A value in an object's content, which is JSON.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Content {
+    /// A value that is JSON itself.
+    Json(serde_json::Value),
+    /// Any other, in base64.
+    Base64(String),
+}
+
+impl Content {
+    /// Wraps a value.
+    pub fn of(value: &[u8]) -> Self {
+        match serde_json::from_slice(value) {
+            Ok(json) => Self::Json(json),
+            Err(_) => Self::Base64(BASE64_STANDARD.encode(value)),
+        }
+    }
+
+    /// Returns the value; none if it is no base64.
+    pub fn value(&self) -> Option<Bytes> {
+        match self {
+            Self::Json(json) => Some(json.to_string().into()),
+            Self::Base64(text) => BASE64_STANDARD.decode(text).ok().map(Bytes::from),
+        }
+    }
+}
+
+/// The product's store on the platform; each call has its own connection, so a stuck one holds up
+/// no other.
+#[derive(Clone, Debug)]
+pub struct PlatformStore {
+    addr: SocketAddr,
+}
+
+impl PlatformStore {
+    /// Creates a store at `addr`.
+    pub fn new(addr: SocketAddr) -> Self {
+        Self { addr }
+    }
+
+    fn client(&self) -> ObjectClient {
+        ObjectClient::new(self.addr)
+    }
+}
+
+impl Store for PlatformStore {
+    async fn read(&self, key: &str) -> Result<Option<store::Object>, ReadError> {
+        let mut reason = String::new();
+        for attempt in 0..READ_TRIES {
+            if attempt > 0 {
+                time::sleep(backoff(attempt)).await;
+            }
+            match self.client().get::<Content>(KIND, key).await {
+                Ok(found) => return found.map(into_object).transpose(),
+                Err(error) => reason = error.to_string(),
+            }
+        }
+        Err(ReadError::Unavailable { reason })
+    }
+
+    async fn write(&self, key: &str, value: Bytes, expected: u64) -> Result<u64, WriteError> {
+        let object = Object {
+            metadata: Metadata {
+                name: key.to_owned(),
+                revision: expected,
+            },
+            spec: Some(Content::of(&value)),
+        };
+        let mut client = self.client();
+        let written = match expected {
+            0 => client.create(KIND, &object).await,
+            _ => client.replace(KIND, &object).await,
+        };
+        written.map_err(write_error)
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Option<store::Object>, ReadError> {
+        let until = Instant::now() + wait;
+        let mut client = self.client();
+        let mut from = after;
+        // The kind has other objects, which end a watch as well.
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            let changes = match client.watch::<Content>(KIND, from, left).await {
+                Ok(changes) => changes,
+                Err(CallError::HistoryGone) => return self.read_past(key, after).await,
+                Err(error) => return Err(unavailable(&error)),
+            };
+            let events = changes.events.into_iter().rev();
+            let mut events = events.filter(|e| !e.deleted && e.object.metadata.name == key);
+            if let Some(event) = events.next() {
+                return into_object(event.object).map(Some);
+            }
+            from = changes.revision;
+            if left.is_zero() {
+                return Ok(None);
+            }
+        }
+    }
+
+    async fn instances(&self) -> Result<Vec<ListedInstance>, ReadError> {
+        let listing = self.client().list(INSTANCE_KIND).await;
+        let listing = listing.map_err(|error| unavailable(&error))?;
+        Ok(listing.items.into_iter().filter_map(|o| o.spec).collect())
+    }
+}
+
+impl PlatformStore {
+    /// Reads an object where the history of its changes is gone.
+    async fn read_past(&self, key: &str, after: u64) -> Result<Option<store::Object>, ReadError> {
+        let found = self.read(key).await?;
+        Ok(found.filter(|object| object.version > after))
+    }
+}
+
+fn into_object(object: Object<Content>) -> Result<store::Object, ReadError> {
+    let value = object.spec.as_ref().and_then(Content::value);
+    let value = value.ok_or_else(|| ReadError::Unavailable {
+        reason: format!("object {} cannot be read", object.metadata.name),
+    })?;
+    Ok(store::Object {
+        version: object.metadata.revision,
+        value,
+    })
+}
+
+fn unavailable(error: &CallError) -> ReadError {
+    ReadError::Unavailable {
+        reason: error.to_string(),
+    }
+}
+
+fn write_error(error: CallError) -> WriteError {
+    let reason = error.to_string();
+    match error {
+        CallError::Conflict => WriteError::Conflict,
+        // An object that was to be replaced and is not there.
+        CallError::Refused { status } if status == hyper::StatusCode::NOT_FOUND => {
+            WriteError::Conflict
+        }
+        CallError::Refused { status }
+            if status.is_client_error() || status == hyper::StatusCode::SERVICE_UNAVAILABLE =>
+        {
+            WriteError::NotWritten { reason }
+        }
+        CallError::Unreachable { .. } => WriteError::NotWritten { reason },
+        _ => WriteError::Unknown { reason },
+    }
+}
--- a/src/store/mod.rs
+++ b/src/store.rs
@@ -1,12 +1,11 @@
-//! The platform's object API and instance list, behind a trait.
+//! The store of what must last, and the list of instances, behind a trait.
 //!
 //! Nothing on the request path waits for it, but for the claim of a key that may not be run twice.
 
-pub mod http;
-
 use std::{future::Future, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
+use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
@@ -98,3 +97,11 @@
     /// The platform did not answer.
     fn instances(&self) -> impl Future<Output = Result<Vec<ListedInstance>, ReadError>> + Send;
 }
+
+const RETRY_BASE_MS: u64 = 40;
+
+/// Returns a random wait that grows with each attempt.
+pub fn backoff(attempt: u32) -> Duration {
+    let ceiling = RETRY_BASE_MS << attempt.min(7);
+    Duration::from_millis(rand::rng().random_range(ceiling / 2..=ceiling))
+}
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -79,11 +79,16 @@
     Ok(collected.map_err(std::io::Error::other)?.to_bytes())
 }
 
-/// Returns a number from the query, as in `?after=7`.
-pub fn query_number(request: &Request<Incoming>, name: &str) -> Option<u64> {
+/// Returns a text from the query, as in `?after=name`.
+pub fn query_text(request: &Request<Incoming>, name: &str) -> Option<String> {
     let query = request.uri().query()?;
     query.split('&').find_map(|pair| {
         let (key, value) = pair.split_once('=')?;
-        (key == name).then(|| value.parse().ok()).flatten()
+        (key == name).then(|| value.to_owned())
     })
 }
+
+/// Returns a number from the query, as in `?after=7`.
+pub fn query_number(request: &Request<Incoming>, name: &str) -> Option<u64> {
+    query_text(request, name)?.parse().ok()
+}
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -1,7 +1,8 @@
-//! The platform: objects with versions, conditional updates and watches, and an instance list.
+//! The platform's store in its published protocol: objects by kind and name with revisions, lists by
+//! pages, watches, conditional writes, and the ways in which it fails.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, VecDeque},
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
@@ -10,13 +11,20 @@
 use bytes::Bytes;
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
 use tokio::sync::watch;
 
 use crate::http::{self, Body, Server};
 
 const WRITES_PER_S: f64 = 100.0;
 const READS_PER_S: f64 = 2_000.0;
-const MAX_VALUE_BYTES: usize = 1_000_000;
+const MAX_VALUE_BYTES: usize = 1_048_576;
+const PAGE_ITEMS: usize = 50;
+/// Changes that a watch can go back.
+const HISTORY: usize = 2_000;
+/// Where the product keeps its own objects and the instances' entries.
+const OWN_KIND: &str = "ryevalve";
+const INSTANCE_KIND: &str = "ryevalve-instances";
 
 /// One line of the instance list.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -34,10 +42,14 @@
 pub struct Faults {
     /// Answers nothing but 503.
     pub down: bool,
+    /// Takes calls and answers nothing.
+    pub silent: bool,
     /// Waits before it answers.
     pub delay: Duration,
     /// Carries out this many more writes and closes without an answer.
     pub lose_write_answers: u32,
+    /// Carries those out this much later.
+    pub lost_writes_late: Duration,
 }
 
 /// Calls taken so far, refused ones included; a watch counts as one read.
@@ -79,15 +91,137 @@
     }
 }
 
+#[derive(Clone)]
+struct Stored {
+    revision: u64,
+    created: u64,
+    spec: Value,
+}
+
+#[derive(Clone)]
+struct Change {
+    revision: u64,
+    kind: String,
+    object: Value,
+    deleted: bool,
+}
+
 struct State {
-    objects: HashMap<String, (u64, Bytes)>,
-    instances: Vec<Listed>,
+    revision: u64,
+    objects: BTreeMap<(String, String), Stored>,
+    history: VecDeque<Change>,
+    /// Changes up to this revision are forgotten.
+    forgotten: u64,
     faults: Faults,
     counts: Counts,
     reads: Bucket,
     writes: Bucket,
 }
 
+impl State {
+    fn new() -> Self {
+        Self {
+            revision: 0,
+            objects: BTreeMap::new(),
+            history: VecDeque::new(),
+            forgotten: 0,
+            faults: Faults::default(),
+            counts: Counts::default(),
+            reads: Bucket::new(READS_PER_S),
+            writes: Bucket::new(WRITES_PER_S),
+        }
+    }
+
+    fn object(&self, kind: &str, name: &str) -> Option<Value> {
+        let key = (kind.to_owned(), name.to_owned());
+        self.objects.get(&key).map(|o| shown(name, o))
+    }
+
+    fn revision_of(&self, kind: &str, name: &str) -> Option<u64> {
+        let key = (kind.to_owned(), name.to_owned());
+        self.objects.get(&key).map(|o| o.revision)
+    }
+
+    /// Sets an object's content; a write that changes nothing raises no revision.
+    fn set(&mut self, kind: &str, name: &str, spec: Value) -> u64 {
+        let key = (kind.to_owned(), name.to_owned());
+        let known = self.objects.get(&key);
+        if let Some(same) = known.filter(|o| o.spec == spec) {
+            return same.revision;
+        }
+        self.revision += 1;
+        let created = known.map_or(self.revision, |o| o.created);
+        let stored = Stored {
+            revision: self.revision,
+            created,
+            spec,
+        };
+        let object = shown(name, &stored);
+        self.objects.insert(key, stored);
+        self.changed(kind, object, false);
+        self.revision
+    }
+
+    fn remove(&mut self, kind: &str, name: &str) -> bool {
+        let key = (kind.to_owned(), name.to_owned());
+        let Some(stored) = self.objects.remove(&key) else {
+            return false;
+        };
+        self.revision += 1;
+        self.changed(kind, shown(name, &stored), true);
+        true
+    }
+
+    fn changed(&mut self, kind: &str, object: Value, deleted: bool) {
+        self.history.push_back(Change {
+            revision: self.revision,
+            kind: kind.to_owned(),
+            object,
+            deleted,
+        });
+        if self.history.len() > HISTORY {
+            self.forgotten = self.history.pop_front().map_or(0, |c| c.revision);
+        }
+    }
+
+    /// Returns what changed in a kind since a revision; none if that is forgotten.
+    fn since(&self, kind: &str, revision: u64) -> Option<Vec<Value>> {
+        if revision < self.forgotten {
+            return None;
+        }
+        let changes = self.history.iter();
+        let changes = changes.filter(|c| c.kind == kind && c.revision > revision);
+        let events = changes.map(|c| json!({"object": c.object, "deleted": c.deleted}));
+        Some(events.collect())
+    }
+
+    fn page(&self, kind: &str, after: Option<&str>) -> Value {
+        let names = self.objects.iter().filter(|((k, _), _)| k == kind);
+        let names = names.filter(|((_, name), _)| after.is_none_or(|a| name.as_str() > a));
+        let mut items: Vec<Value> = names
+            .take(PAGE_ITEMS + 1)
+            .map(|((_, name), o)| shown(name, o))
+            .collect();
+        let has_more = items.len() > PAGE_ITEMS;
+        items.truncate(PAGE_ITEMS);
+        json!({"items": items, "hasMore": has_more, "timestamp": self.revision})
+    }
+}
+
+fn shown(name: &str, stored: &Stored) -> Value {
+    json!({
+        "metadata": {
+            "name": name,
+            "revision": stored.revision,
+            "created": stored.created,
+            "finalizers": [],
+            "deletionPending": false,
+        },
+        "spec": stored.spec,
+        "status": null,
+    })
+}
+
 /// A running platform.
 pub struct Platform {
     server: Server,
@@ -103,14 +237,7 @@
 
     /// Starts an empty platform at `addr`.
     pub async fn start_at(addr: SocketAddr) -> Self {
-        let state = Arc::new(Mutex::new(State {
-            objects: HashMap::new(),
-            instances: Vec::new(),
-            faults: Faults::default(),
-            counts: Counts::default(),
-            reads: Bucket::new(READS_PER_S),
-            writes: Bucket::new(WRITES_PER_S),
-        }));
+        let state = Arc::new(Mutex::new(State::new()));
         let (changed, _) = watch::channel(0);
         let (shared, wake) = (state.clone(), changed.clone());
         let server = http::serve(addr, move |request| {
@@ -134,6 +261,16 @@
         change(&mut self.lock().faults);
     }
 
+    /// Forgets its history: watches that go on from before are answered 410.
+    pub fn forget_history(&self) {
+        let mut state = self.lock();
+        state.history.clear();
+        state.forgotten = state.revision + 1;
+        state.revision += 1;
+        drop(state);
+        self.wake();
+    }
+
     /// Returns the calls taken so far.
     pub fn counts(&self) -> Counts {
         self.lock().counts
@@ -141,26 +278,56 @@
 
     /// Replaces the instance list.
     pub fn list(&self, instances: Vec<Listed>) {
-        self.lock().instances = instances;
+        let mut state = self.lock();
+        let known = state.objects.keys().filter(|(k, _)| k == INSTANCE_KIND);
+        let known: Vec<String> = known.map(|(_, name)| name.clone()).collect();
+        for name in known {
+            if !instances.iter().any(|i| i.name == name) {
+                state.remove(INSTANCE_KIND, &name);
+            }
+        }
+        for instance in instances {
+            let spec = serde_json::to_value(&instance).expect("plain data");
+            state.set(INSTANCE_KIND, &instance.name, spec);
+        }
+        drop(state);
+        self.wake();
+    }
+
+    /// Sets an object of any kind as an outsider would; returns its revision.
+    pub fn set(&self, kind: &str, name: &str, spec: Value) -> u64 {
+        let revision = self.lock().set(kind, name, spec);
+        self.wake();
+        revision
+    }
+
+    /// Removes an object of any kind as an outsider would.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.lock().remove(kind, name);
+        self.wake();
     }
 
-    /// Sets an object as an outsider would; returns its version.
+    /// Returns an object's content.
+    pub fn spec(&self, kind: &str, name: &str) -> Option<Value> {
+        self.lock().object(kind, name).map(|o| o["spec"].clone())
+    }
+
+    /// Sets one of the product's objects, which is JSON, as an outsider would.
     pub fn put(&self, key: &str, value: impl Into<Bytes>) -> u64 {
-        let version = {
-            let mut state = self.lock();
-            let version = state.objects.get(key).map_or(0, |o| o.0) + 1;
-            state
-                .objects
-                .insert(key.to_owned(), (version, value.into()));
-            version
-        };
-        self.changed.send_modify(|n| *n += 1);
-        version
+        let value: Value = serde_json::from_slice(&value.into()).expect("a value in JSON");
+        self.set(OWN_KIND, key, json!({"json": value}))
     }
 
-    /// Returns an object's version and value.
+    /// Returns one of the product's objects, which is JSON, with its revision.
     pub fn get(&self, key: &str) -> Option<(u64, Bytes)> {
-        self.lock().objects.get(key).cloned()
+        let state = self.lock();
+        let object = state.object(OWN_KIND, key)?;
+        let revision = object["metadata"]["revision"].as_u64()?;
+        Some((revision, object["spec"]["json"].to_string().into()))
+    }
+
+    fn wake(&self) {
+        self.changed.send_modify(|n| *n += 1);
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
@@ -173,40 +340,47 @@
     changed: watch::Sender<u64>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, std::io::Error> {
-    let is_write = request.method() == Method::PUT;
+    let is_write = request.method() != Method::GET;
     let (faults, allowed) = admit(&state, is_write);
     tokio::time::sleep(faults.delay).await;
+    if faults.silent {
+        std::future::pending::<()>().await;
+    }
     if faults.down {
         return Ok(http::answer(StatusCode::SERVICE_UNAVAILABLE, "down"));
     }
     if !allowed {
-        return Ok(http::answer(
-            StatusCode::TOO_MANY_REQUESTS,
-            "over the limit",
-        ));
-    }
-    if request.uri().path() == "/instances" {
-        let list = state.lock().expect("no holder panics").instances.clone();
-        return Ok(http::json(&list));
+        let status = StatusCode::TOO_MANY_REQUESTS;
+        return Ok(http::answer(status, "over the limit"));
     }
-    let Some(key) = request.uri().path().strip_prefix("/objects/") else {
+    let path = request.uri().path().to_owned();
+    let mut parts = path.trim_start_matches('/').split('/');
+    let (Some("objects"), Some(kind)) = (parts.next(), parts.next()) else {
         return Ok(http::answer(StatusCode::NOT_FOUND, "no such path"));
     };
-    let key = key.to_owned();
+    let name = parts.next();
     if is_write {
-        return write(&state, &changed, key, request).await;
+        return write(&state, &changed, kind, name, request).await;
     }
-    match http::query_number(&request, "after") {
-        Some(after) => {
-            let wait_ms = http::query_number(&request, "wait_ms").unwrap_or(0);
-            Ok(wait_past(&state, &changed, &key, after, wait_ms).await)
-        }
-        None => Ok(found(&state, &key, 0).unwrap_or_else(missing)),
+    if let Some(name) = name {
+        let found = lock(&state).object(kind, name);
+        return Ok(found.map_or_else(missing, |object| http::json(&object)));
+    }
+    if let Some(revision) = http::query_number(&request, "watch") {
+        let wait_ms = http::query_number(&request, "waitMs").unwrap_or(0);
+        return Ok(wait_past(&state, &changed, kind, revision, wait_ms).await);
     }
+    let after = http::query_text(&request, "sinceRevision");
+    let page = lock(&state).page(kind, after.as_deref());
+    Ok(http::json(&page))
+}
+
+fn lock(state: &Mutex<State>) -> std::sync::MutexGuard<'_, State> {
+    state.lock().expect("no holder panics")
 }
 
 fn admit(state: &Mutex<State>, is_write: bool) -> (Faults, bool) {
-    let mut state = state.lock().expect("no holder panics");
+    let mut state = lock(state);
     let allowed = if is_write {
         state.counts.writes += 1;
         state.writes.take()
@@ -224,65 +398,129 @@
     http::answer(StatusCode::NOT_FOUND, "no such object")
 }
 
-fn found(state: &Mutex<State>, key: &str, after: u64) -> Option<Response<Body>> {
-    let state = state.lock().expect("no holder panics");
-    let (version, value) = state.objects.get(key).filter(|o| o.0 > after)?;
-    Some(with_version(*version, value.clone()))
-}
-
-fn with_version(version: u64, value: Bytes) -> Response<Body> {
-    let mut response = http::answer(StatusCode::OK, value);
-    response.headers_mut().insert("x-version", version.into());
-    response
-}
-
 async fn wait_past(
     state: &Mutex<State>,
     changed: &watch::Sender<u64>,
-    key: &str,
-    after: u64,
+    kind: &str,
+    revision: u64,
     wait_ms: u64,
 ) -> Response<Body> {
     let mut wake = changed.subscribe();
     let until = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
     loop {
-        if let Some(response) = found(state, key, after) {
-            return response;
-        }
-        let woken = tokio::time::timeout_at(until, wake.changed()).await;
-        if woken.is_err() {
-            return http::answer(StatusCode::NOT_MODIFIED, "");
+        let (events, reached) = {
+            let state = lock(state);
+            (state.since(kind, revision), state.revision)
+        };
+        let Some(events) = events else {
+            return http::answer(StatusCode::GONE, "that history is gone");
+        };
+        let woken = match events.is_empty() {
+            true => tokio::time::timeout_at(until, wake.changed()).await.is_ok(),
+            false => false,
+        };
+        if !woken {
+            return http::json(&json!({"events": events, "timestamp": reached}));
         }
     }
 }
 
+#[derive(Deserialize)]
+struct Written {
+    metadata: WrittenMetadata,
+    #[serde(default)]
+    spec: Value,
+}
+
+#[derive(Deserialize)]
+struct WrittenMetadata {
+    name: String,
+    #[serde(default)]
+    revision: u64,
+}
+
 async fn write(
-    state: &Mutex<State>,
+    state: &Arc<Mutex<State>>,
     changed: &watch::Sender<u64>,
-    key: String,
+    kind: &str,
+    name: Option<&str>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, std::io::Error> {
-    let expected = request.headers().get("x-if-version");
-    let expected = expected.and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
-    let value = http::body(request).await?;
-    if value.len() > MAX_VALUE_BYTES {
+    let method = request.method().clone();
+    let condition = http::query_number(&request, "revision").unwrap_or(0);
+    let body = http::body(request).await?;
+    if body.len() > MAX_VALUE_BYTES {
         return Ok(http::answer(StatusCode::PAYLOAD_TOO_LARGE, "over 1 MB"));
     }
-    let lose = {
-        let mut state = state.lock().expect("no holder panics");
-        let version = state.objects.get(&key).map_or(0, |o| o.0);
-        if expected != Some(version) {
-            return Ok(http::answer(StatusCode::CONFLICT, version.to_string()));
-        }
-        state.objects.insert(key.clone(), (version + 1, value));
+    let written = match (&method, name) {
+        (&Method::DELETE, Some(name)) => Written {
+            metadata: WrittenMetadata {
+                name: name.to_owned(),
+                revision: condition,
+            },
+            spec: Value::Null,
+        },
+        _ => match serde_json::from_slice::<Written>(&body) {
+            Ok(written) => written,
+            Err(error) => return Ok(http::answer(StatusCode::BAD_REQUEST, error.to_string())),
+        },
+    };
+    let (lose, late) = {
+        let mut state = lock(state);
         let lose = state.faults.lose_write_answers > 0;
         state.faults.lose_write_answers -= u32::from(lose);
-        lose
+        (lose, state.faults.lost_writes_late)
     };
-    changed.send_modify(|n| *n += 1);
+    if lose && late.is_zero() {
+        carry_out(state, changed, kind, &method, written);
+        return Err(std::io::Error::other("answer lost"));
+    }
     if lose {
+        let (state, changed, kind) = (state.clone(), changed.clone(), kind.to_owned());
+        tokio::spawn(async move {
+            tokio::time::sleep(late).await;
+            carry_out(&state, &changed, &kind, &method, written);
+        });
         return Err(std::io::Error::other("answer lost"));
     }
-    let version = expected.unwrap_or(0) + 1;
-    Ok(with_version(version, Bytes::new()))
+    Ok(carry_out(state, changed, kind, &method, written))
+}
+
+/// Carries a write out if its condition holds.
+fn carry_out(
+    state: &Mutex<State>,
+    changed: &watch::Sender<u64>,
+    kind: &str,
+    method: &Method,
+    written: Written,
+) -> Response<Body> {
+    let mut state = lock(state);
+    let Written { metadata, spec } = written;
+    let name = metadata.name;
+    let known = state.revision_of(kind, &name);
+    let makes = *method == Method::POST;
+    let conflicts = match known {
+        Some(revision) => makes || (metadata.revision != 0 && metadata.revision != revision),
+        None => false,
+    };
+    if conflicts {
+        let object = state.object(kind, &name);
+        let mut response = http::json(&object);
+        *response.status_mut() = StatusCode::CONFLICT;
+        return response;
+    }
+    if known.is_none() && !makes {
+        return missing();
+    }
+    let object = if *method == Method::DELETE {
+        let object = state.object(kind, &name);
+        state.remove(kind, &name);
+        object
+    } else {
+        state.set(kind, &name, spec);
+        state.object(kind, &name)
+    };
+    drop(state);
+    changed.send_modify(|n| *n += 1);
+    http::json(&object)
 }
