Instances meet through the seeds; a restarted process gives out nothing of a limit until it has met them

Ruled out: waiting for the membership's own rumours, which take seconds at that size. Change: a call to the seeds for all that they have met, each 250 ms for three seconds; buckets of a restarted process open after 600 ms unless their level is learned; news by the root of the number.

--- a/src/gateway/config_copy.rs
+++ b/src/gateway/config_copy.rs
@@ -50,6 +50,8 @@
 trait Copying {
     /// Returns the configuration in force if it is newer than `version`.
     async fn config_after(version: ConfigVersion) -> Option<GatewayConfig>;
+    /// Takes the address of the one who asks, and returns all that are known.
+    async fn meet(me: SocketAddr) -> Vec<SocketAddr>;
     /// Returns what has changed in the endpoints since `revision`.
     async fn endpoints_after(revision: Revision) -> EndpointsCopy;
 }
@@ -73,6 +75,10 @@
         (config.version > version).then(|| config.clone())
     }
 
+    async fn meet(self, _: Context, me: SocketAddr) -> Vec<SocketAddr> {
+        self.gateway.meet(&[me])
+    }
+
     async fn endpoints_after(self, _: Context, revision: Revision) -> EndpointsCopy {
         self.gateway.balancer().endpoints_since(revision)
     }
@@ -132,13 +138,7 @@
     codec: SealedCodec,
     lacks: Lacks,
 ) -> Result<Copies, CopyError> {
-    let mut connect = tarpc::serde_transport::tcp::connect(addr, move || codec.clone());
-    connect.config_mut().max_frame_length(MAX_FRAME_BYTES);
-    let connected = time::timeout(TIMEOUT, connect).await;
-    let transport = connected
-        .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
-        .context(ConnectSnafu { addr })?;
-    let client = CopyingClient::new(client::Config::default(), transport).spawn();
+    let client = connect(addr, codec).await?;
     let mut copies = Copies::default();
     if let Some(version) = lacks.config_after {
         let asked = client.config_after(context(), version).await;
@@ -151,6 +151,29 @@
     Ok(copies)
 }
 
+/// Tells an instance this one's address; returns those that it knows.
+///
+/// # Errors
+/// It did not answer.
+pub async fn meet(
+    addr: SocketAddr,
+    codec: SealedCodec,
+    me: SocketAddr,
+) -> Result<Vec<SocketAddr>, CopyError> {
+    let client = connect(addr, codec).await?;
+    client.meet(context(), me).await.context(NoAnswerSnafu)
+}
+
+async fn connect(addr: SocketAddr, codec: SealedCodec) -> Result<CopyingClient, CopyError> {
+    let mut connect = tarpc::serde_transport::tcp::connect(addr, move || codec.clone());
+    connect.config_mut().max_frame_length(MAX_FRAME_BYTES);
+    let connected = time::timeout(TIMEOUT, connect).await;
+    let transport = connected
+        .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+        .context(ConnectSnafu { addr })?;
+    Ok(CopyingClient::new(client::Config::default(), transport).spawn())
+}
+
 fn context() -> Context {
     let mut context = Context::current();
     context.deadline = std::time::Instant::now() + TIMEOUT;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -52,8 +52,13 @@
 const MAX_DATAGRAM: usize = 9_000;
 const READS_TOLD: usize = 48;
 const SPEEDS_TOLD: usize = 4;
+/// One that was met or heard and is not in the view is told for this long.
+const MET_UNHEARD_US: Micros = 4_000_000;
 /// Rounds of which the time of sending is remembered: some seconds.
 const SENT_KEPT: usize = 256;
+/// The seeds are asked for the others this often after the start, some seconds in all.
+const MEETINGS: usize = 12;
+const MEETING_PAUSE: Duration = Duration::from_millis(250);
 
 fn told_age_ms(age_us: Micros) -> Option<u32> {
     let age_ms = age_us / 1_000 + 1;
@@ -98,6 +103,7 @@
     authenticator: Authenticator,
     codec: SealedCodec,
     me: MemberInfo,
+    seeds: Vec<SocketAddr>,
     state: Mutex<State>,
     is_fetching: AtomicBool,
 }
@@ -130,6 +136,11 @@
             socket,
             authenticator: Authenticator::new(cluster_key, "ryevalve told"),
             codec,
+            seeds: seeds
+                .iter()
+                .filter(|s| **s != me.peer_addr)
+                .copied()
+                .collect(),
             me,
             state: Mutex::new(state),
             is_fetching: AtomicBool::new(false),
@@ -153,6 +164,41 @@
         }
     }
 
+    /// Meets the others through the seeds for some seconds after the start, which is quicker than
+    /// hearing of each by probes when all of a large group start at once.
+    pub async fn meet(self: Arc<Self>) {
+        for _ in 0..MEETINGS {
+            for seed in &self.seeds {
+                let asked = config_copy::meet(*seed, self.codec.clone(), self.me.peer_addr);
+                // A seed may be long gone; the others are asked all the same.
+                let known = asked.await.unwrap_or_default();
+                self.take_met(&known);
+            }
+            time::sleep(MEETING_PAUSE).await;
+        }
+    }
+
+    /// Takes control addresses of instances: they are told of this one, and share limits with it.
+    fn take_met(&self, addrs: &[SocketAddr]) {
+        let now_us = self.gateway.clock.now_us();
+        let others = addrs.iter().filter(|a| **a != self.me.peer_addr);
+        let others: Vec<SocketAddr> = others.copied().collect();
+        if others.is_empty() {
+            return;
+        }
+        let known = self.gateway.meet(&others);
+        let mut state = self.lock();
+        for addr in others {
+            state.heard.entry(addr.ip()).or_insert(Heard {
+                incarnation: Incarnation(0),
+                seq: 0,
+                at_us: now_us,
+            });
+        }
+        drop(state);
+        self.gossip.set_listed(known);
+    }
+
     async fn tell(&self) {
         let now_us = self.gateway.clock.now_us();
         self.count_sharers(now_us);
@@ -164,7 +210,7 @@
         self.gateway.set_watches_store(watches);
         let changed = self.gateway.balancer().take_changed();
         let audience = self.audience(now_us, changed);
-        let targets = self.targets(&view, audience);
+        let targets = self.targets(now_us, &view, audience);
         if targets.is_empty() {
             return;
         }
@@ -237,7 +283,7 @@
     }
 
     /// Returns whom a round is told to.
-    fn targets(&self, view: &View, audience: Audience) -> Vec<SocketAddr> {
+    fn targets(&self, now_us: Micros, view: &View, audience: Audience) -> Vec<SocketAddr> {
         let Ok(own) = self.socket.local_addr() else {
             return Vec::new();
         };
@@ -252,9 +298,21 @@
                 _ => !is_near && index % FAR_ROUNDS == turn % FAR_ROUNDS,
             }
         });
-        chosen
+        let mut targets: Vec<SocketAddr> = chosen
             .map(|(_, m)| SocketAddr::new(m.info.peer_addr.ip(), own.port()))
-            .collect()
+            .collect();
+        // Met, and not yet admitted by the membership.
+        let state = self.lock();
+        let unheard = state.heard.iter().enumerate().filter(|(index, (ip, h))| {
+            let in_view = || others.iter().any(|m| m.info.peer_addr.ip() == **ip);
+            let is_turn = is_small || index % FAR_ROUNDS == turn % FAR_ROUNDS;
+            (audience == Audience::All || is_turn)
+                && *ip != &own.ip()
+                && now_us.saturating_sub(h.at_us) < MET_UNHEARD_US
+                && !in_view()
+        });
+        targets.extend(unheard.map(|(_, (ip, _))| SocketAddr::new(*ip, own.port())));
+        targets
     }
 
     /// Counts those who may use a part of a limit, and those of them that are heard.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{
         Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
@@ -36,6 +37,9 @@
 /// hear nothing for a second while changes are made.
 const FRESHNESS_MARGIN_US: Micros = 1_200_000;
 
+/// An instance's address is told to others for this long after it was met.
+const MET_US: Micros = 10_000_000;
+
 /// Figures that a gateway is run by; they may change while it runs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct GatewayBounds {
@@ -67,6 +71,8 @@
     /// Instances that share limits, and those heard of late, this one included.
     instances_known: AtomicUsize,
     instances_heard: AtomicUsize,
+    /// Control addresses of the instances that were met of late.
+    met: Mutex<HashMap<SocketAddr, Micros>>,
     /// This instance watches the store for others.
     watches_store: AtomicBool,
     endpoints_fresh_at_us: AtomicU64,
@@ -93,6 +99,7 @@
             retries: Mutex::new(RetryBudget::new(bounds.retries)),
             instances_known: AtomicUsize::new(1),
             instances_heard: AtomicUsize::new(1),
+            met: Mutex::default(),
             watches_store: AtomicBool::new(true),
             endpoints_fresh_at_us: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
@@ -223,6 +230,15 @@
         );
     }
 
+    /// Takes control addresses of instances; returns all that were met of late.
+    pub fn meet(&self, addrs: &[SocketAddr]) -> Vec<SocketAddr> {
+        let now_us = self.clock.now_us();
+        let mut met = lock(&self.met);
+        met.extend(addrs.iter().map(|addr| (*addr, now_us)));
+        met.retain(|_, at_us| now_us.saturating_sub(*at_us) < MET_US);
+        met.keys().copied().collect()
+    }
+
     /// Returns whether this instance watches the store for others.
     pub fn watches_store(&self) -> bool {
         self.watches_store.load(Ordering::Relaxed)
--- a/src/limits/organisation.rs
+++ b/src/limits/organisation.rs
@@ -17,8 +17,9 @@
 /// rest covers what was used and not yet heard of, and requests that endpoints run later than they
 /// were sent.
 const GIVEN_SHARE: f64 = 0.88;
-/// What is used unheard in large groups is at most a bucket's depth divided by this.
-const NEWS_PARTS: f64 = 4.0;
+/// What an instance may use unheard is a bucket's depth divided by this and by the root of their
+/// number: by the number itself, ordinary requests would be news to everybody.
+const NEWS_PARTS: f64 = 8.0;
 /// The span over which the rate of another instance's use is taken, in seconds.
 const RATE_SPAN_S: f64 = 0.5;
 /// The share of a bucket that is left to the more urgent, a rank.
@@ -26,6 +27,9 @@
 /// A process takes over how full the buckets are from one that has run longer, in this time after
 /// its start.
 const LEARNING_US: Micros = 2_000_000;
+/// A process that starts later than the first gives nothing out for this long, unless it hears how
+/// full the buckets are: until then it doesn't know how many share them.
+const MEETING_US: Micros = 600_000;
 /// Instances that start within this time of each other have heard of all that either used.
 const SAME_START_US: Micros = 400_000;
 
@@ -169,7 +173,11 @@
                 limit,
                 depth,
                 level: if self.is_first_start { depth } else { 0.0 },
-                filled_us: now_us,
+                filled_us: if self.is_first_start {
+                    now_us
+                } else {
+                    now_us.max(self.started_us + MEETING_US)
+                },
                 used: 0,
                 untold: 0.0,
                 has_learned: false,
@@ -225,10 +233,10 @@
 
     /// Returns whether so much was used since this was last true that everybody should be told.
     ///
-    /// With `n` instances, what they use unheard is then at most a bucket's depth divided by
-    /// [`NEWS_PARTS`], however suddenly the organisation comes to all of them.
+    /// With `n` instances, what they use unheard is then at most √n / [`NEWS_PARTS`] of a bucket's
+    /// depth, however suddenly the organisation comes to all of them.
     pub fn take_news(&mut self, sharers: Sharers) -> bool {
-        let parts = NEWS_PARTS * sharers.all.max(1) as f64;
+        let parts = NEWS_PARTS * (sharers.all.max(1) as f64).sqrt();
         let has_news = self.buckets.values().any(|b| b.untold > b.depth / parts);
         if has_news {
             for bucket in self.buckets.values_mut() {
@@ -299,7 +307,7 @@
 
     fn fill(&mut self, now_us: Micros, sharers: Sharers) {
         let since_s = now_us.saturating_sub(self.filled_us) as f64 / 1e6;
-        self.filled_us = now_us;
+        self.filled_us = self.filled_us.max(now_us);
         let gained = self.limit.rate_per_s * sharers.share() * since_s;
         let filled = (self.level + gained).min(self.depth * sharers.share());
         self.level = filled - self.others_rate * since_s;
--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -177,6 +177,7 @@
         &settings.seeds,
     ));
     tokio::spawn(async move { gossip.run(CancellationToken::new()).await });
+    tokio::spawn(exchange.clone().meet());
     tokio::spawn(exchange.run());
     let serving = config_copy::serve(gateway.clone(), copies, codec);
     tokio::spawn(async move {
