Test the edge program among misbehaving endpoints; an attempt after another has its own time to wait

Cause: a test of a mute endpoint got 502: a request that had waited longer than its share of the target was refused a second endpoint although one was free; and so was each stream that broke after that time. Both tests failed first (502 for 200; a stream cut after three events). Ruled out: the retry budget, of which 30 were left.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -308,6 +308,8 @@
 pub struct Run<P: Protocol> {
     gateway: Arc<Gateway<P>>,
     job: Arc<Job>,
+    /// What the balancer is asked; an attempt after another has its own time to wait.
+    ask: Ask,
     tried: Vec<EndpointKey>,
     runs: u32,
     not_run: usize,
@@ -317,6 +319,7 @@
     fn new(gateway: Arc<Gateway<P>>, job: Job) -> Self {
         Self {
             gateway,
+            ask: job.ask.clone(),
             job: Arc::new(job),
             tried: Vec::new(),
             runs: 0,
@@ -326,6 +329,9 @@
 
     async fn until_answered(mut self, trace: &mut Trace) -> Result<Response<Body>, Refusal> {
         loop {
+            if trace.attempts > 0 {
+                self.ask.arrived_us = self.gateway.clock.now_us();
+            }
             let choice = self.place().await?;
             trace.endpoint = Some(choice.id.clone());
             trace.attempts += 1;
@@ -359,7 +365,7 @@
     /// Waits for an endpoint; refuses once the request's time is over.
     async fn place(&self) -> Result<Choice, Refusal> {
         let until = self.gateway.clock.instant(self.job.until_us);
-        let placed = time::timeout_at(until, self.gateway.place(&self.job.ask, &self.tried)).await;
+        let placed = time::timeout_at(until, self.gateway.place(&self.ask, &self.tried)).await;
         match placed {
             Ok(Placement::Send(choice)) => Ok(choice),
             Ok(Placement::Refuse {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -296,7 +296,10 @@
     async fn resume(&mut self, reason: &'static str) -> bool {
         let end = self.gateway.clock.instant(self.job.until_us);
         while self.may_resume() && Instant::now() < end {
-            let placed = self.gateway.place(&self.job.ask, &self.tried).await;
+            // Going on has its own time to wait: the first event came long ago.
+            let mut ask = self.job.ask.clone();
+            ask.arrived_us = self.gateway.clock.now_us();
+            let placed = self.gateway.place(&ask, &self.tried).await;
             let Placement::Send(choice) = placed else {
                 return false;
             };
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod http;
 pub mod plain;
 pub mod platform;
+pub mod runner;
--- /dev/null
+++ b/standins/src/runner.rs
@@ -0,0 +1,309 @@
+//! An endpoint of the users' platform on a plain socket, so that it can misbehave byte by byte.
+//!
+//! It answers `POST` and `GET` on any path: whole answers, or events where the path ends in
+//! `/stream`. Every answer repeats `Request-Id` and carries `Instance-Signature`.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+    time,
+};
+
+/// Events of a whole stream.
+pub const EVENTS: u64 = 8;
+
+/// How an endpoint misbehaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// Not at all.
+    #[default]
+    None,
+    /// Turns requests away unrun.
+    Full,
+    /// Runs requests and resets the connection.
+    ResetAfterRun,
+    /// Runs requests and says nothing.
+    Mute,
+    /// Cuts streams in the middle of their fourth event.
+    CutStream,
+    /// Sends a second whole answer after each.
+    Surplus,
+    /// Sends whole answers without a length, and resets the connection inside them.
+    Unframed,
+    /// Answers with another endpoint's proof missing.
+    Unsigned,
+}
+
+/// One request as it reached the endpoint.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    /// Its first line.
+    pub line: String,
+    /// Its headers, with names in lower case.
+    pub headers: HashMap<String, String>,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// Whether it was run.
+    pub has_run: bool,
+    /// Whether the caller's connection was still there at its end.
+    pub finished: bool,
+}
+
+#[derive(Default)]
+struct State {
+    id: String,
+    fault: Fault,
+    /// Time between two events, and of a whole answer.
+    pace: Duration,
+    seen: Vec<Seen>,
+}
+
+/// A running endpoint; it stops when this is dropped.
+pub struct Runner {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    state: Arc<Mutex<State>>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Runner {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Runner {
+    /// Starts an endpoint with an id on a free loopback port.
+    ///
+    /// # Panics
+    /// No port can be bound.
+    pub async fn start(id: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let addr = listener.local_addr().expect("a bound address");
+        let state = Arc::new(Mutex::new(State {
+            id: id.to_owned(),
+            pace: Duration::from_millis(5),
+            ..State::default()
+        }));
+        let shared = state.clone();
+        let task = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                // The end of a connection is its caller's leaving.
+                tokio::spawn(serve(stream, shared.clone()));
+            }
+        });
+        Self { addr, state, task }
+    }
+
+    /// Sets how it misbehaves.
+    pub fn fault(&self, fault: Fault) {
+        self.lock().fault = fault;
+    }
+
+    /// Sets the time between two events, and of a whole answer.
+    pub fn pace(&self, pace: Duration) {
+        self.lock().pace = pace;
+    }
+
+    /// Goes on under another id, as a new start at the same address does.
+    pub fn replace(&self, id: &str) {
+        self.lock().id = id.to_owned();
+    }
+
+    /// Returns the requests that reached it.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.lock().seen.clone()
+    }
+
+    /// Returns how often it ran a request.
+    pub fn runs(&self, request_id: &str) -> usize {
+        let seen = self.lock();
+        let runs = seen.seen.iter().filter(|s| s.has_run);
+        runs.filter(|s| {
+            s.headers
+                .get("request-id")
+                .is_some_and(|id| id == request_id)
+        })
+        .count()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+}
+
+/// Returns the body of a whole answer to a request.
+pub fn whole_body(request_id: &str) -> String {
+    format!("the answer to {request_id}")
+}
+
+/// Returns an event of a request's stream.
+pub fn event(request_id: &str, number: u64) -> String {
+    format!("id: {number}\ndata: {request_id} {number}\n\n")
+}
+
+async fn serve(mut stream: TcpStream, state: Arc<Mutex<State>>) -> std::io::Result<()> {
+    while let Some(seen) = read(&mut stream).await? {
+        let request_id = seen.headers.get("request-id").cloned().unwrap_or_default();
+        let (fault, pace, id, index) = {
+            let mut state = state.lock().expect("no holder panics");
+            state.seen.push(seen.clone());
+            (
+                state.fault,
+                state.pace,
+                state.id.clone(),
+                state.seen.len() - 1,
+            )
+        };
+        let mark = |change: fn(&mut Seen)| {
+            change(&mut state.lock().expect("no holder panics").seen[index]);
+        };
+        let expected = seen.headers.get("expect-instance");
+        if expected.is_some_and(|e| *e != id) {
+            refuse(&mut stream, "421 Misdirected Request", &request_id).await?;
+            continue;
+        }
+        if fault == Fault::Full {
+            refuse(&mut stream, "503 Service Unavailable", &request_id).await?;
+            continue;
+        }
+        mark(|s| s.has_run = true);
+        match fault {
+            Fault::Mute => std::future::pending::<()>().await,
+            Fault::ResetAfterRun => return reset(stream),
+            _ => {}
+        }
+        if seen
+            .line
+            .split(' ')
+            .nth(1)
+            .is_some_and(|p| p.ends_with("/stream"))
+        {
+            let from = seen.headers.get("last-event-id");
+            let from: u64 = from.and_then(|f| f.parse().ok()).unwrap_or(0);
+            if !events(&mut stream, &request_id, from, fault, pace).await? {
+                return Ok(());
+            }
+        } else {
+            time::sleep(pace).await;
+            if !whole(&mut stream, &request_id, fault).await? {
+                return reset(stream);
+            }
+        }
+        mark(|s| s.finished = true);
+    }
+    Ok(())
+}
+
+fn reset(stream: TcpStream) -> std::io::Result<()> {
+    let stream = stream.into_std()?;
+    // Dropping it with a linger of zero sends a reset.
+    socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO))
+}
+
+async fn refuse(stream: &mut TcpStream, status: &str, request_id: &str) -> std::io::Result<()> {
+    let head = format!(
+        "HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\nNot-Executed: 1\r\n\
+         Instance-Load: 4,9,4\r\nContent-Length: 0\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await
+}
+
+fn head(request_id: &str, rest: &str, fault: Fault) -> String {
+    let proof = if fault == Fault::Unsigned {
+        ""
+    } else {
+        "Instance-Signature: 3e1b.07\r\n"
+    };
+    format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n{proof}Instance-Load: 1,0,4\r\n{rest}\r\n\r\n"
+    )
+}
+
+async fn whole(stream: &mut TcpStream, request_id: &str, fault: Fault) -> std::io::Result<bool> {
+    let body = whole_body(request_id);
+    if fault == Fault::Unframed {
+        let text = head(request_id, "Connection: close", fault) + &body[..body.len() / 2];
+        stream.write_all(text.as_bytes()).await?;
+        stream.flush().await?;
+        time::sleep(Duration::from_millis(20)).await;
+        return Ok(false);
+    }
+    let length = format!("Content-Length: {}", body.len());
+    let mut text = head(request_id, &length, fault) + &body;
+    if fault == Fault::Surplus {
+        text = text.repeat(2);
+    }
+    stream.write_all(text.as_bytes()).await?;
+    Ok(true)
+}
+
+async fn events(
+    stream: &mut TcpStream,
+    request_id: &str,
+    from: u64,
+    fault: Fault,
+    pace: Duration,
+) -> std::io::Result<bool> {
+    let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked";
+    stream
+        .write_all(head(request_id, kind, fault).as_bytes())
+        .await?;
+    for number in from + 1..=EVENTS {
+        time::sleep(pace).await;
+        let event = event(request_id, number);
+        if fault == Fault::CutStream && number == 4 {
+            let half = &event[..event.len() / 2];
+            let chunk = format!("{:x}\r\n{half}\r\n", half.len());
+            stream.write_all(chunk.as_bytes()).await?;
+            return Ok(false);
+        }
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        stream.write_all(chunk.as_bytes()).await?;
+    }
+    stream.write_all(b"0\r\n\r\n").await?;
+    Ok(true)
+}
+
+/// Reads a request with a length or without a body; none at the connection's end.
+async fn read(stream: &mut TcpStream) -> std::io::Result<Option<Seen>> {
+    let mut bytes = Vec::new();
+    let end = loop {
+        if let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") {
+            break end + 4;
+        }
+        if stream.read_buf(&mut bytes).await? == 0 {
+            return Ok(None);
+        }
+    };
+    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+    let mut lines = head.lines();
+    let mut seen = Seen {
+        line: lines.next().unwrap_or_default().to_owned(),
+        ..Seen::default()
+    };
+    for line in lines {
+        if let Some((name, value)) = line.split_once(':') {
+            let name = name.to_ascii_lowercase();
+            seen.headers.insert(name, value.trim().to_owned());
+        }
+    }
+    let length = seen.headers.get("content-length");
+    let length: usize = length.and_then(|l| l.parse().ok()).unwrap_or(0);
+    let mut body = bytes.split_off(end);
+    while body.len() < length {
+        if stream.read_buf(&mut body).await? == 0 {
+            return Ok(None);
+        }
+    }
+    seen.body = body;
+    Ok(Some(seen))
+}
--- /dev/null
+++ b/tests/edge/answers.rs
@@ -0,0 +1,233 @@
+//! What callers get when endpoints misbehave: the whole answer and only their own, or the truth.
+
+use std::time::{Duration, Instant};
+
+use hyper::StatusCode;
+use standins::runner::{EVENTS, Fault, event, whole_body};
+use tokio::time;
+
+use crate::support::{Edge, exchange, request};
+
+fn stream_of(id: &str) -> String {
+    (1..=EVENTS).map(|number| event(id, number)).collect()
+}
+
+#[tokio::test]
+async fn an_answer_passes_unchanged_and_the_request_carries_what_the_gateway_says() {
+    let edge = Edge::start(1).await;
+    let forged = [
+        ("tenant", "another"),
+        ("kv-from", "10.0.0.1:1/1"),
+        ("x-own", "kept"),
+    ];
+    let got = edge.call_with("/once/a/b?c=d", "r-1", &forged).await;
+    assert_eq!(
+        (got.status, got.text()),
+        (StatusCode::OK, whole_body("r-1"))
+    );
+    assert_eq!(got.headers["instance-signature"], "3e1b.07");
+    let seen = &edge.runners[0].seen()[0];
+    assert_eq!(seen.line, "POST /once/a/b?c=d HTTP/1.1");
+    assert_eq!(seen.body, b"a prompt");
+    let header = |name: &str| seen.headers.get(name).map(String::as_str);
+    assert_eq!(header("tenant"), Some("org"));
+    assert_eq!(header("expect-instance"), Some("i-0"));
+    assert_eq!(header("request-id"), Some("r-1"));
+    assert_eq!(header("x-own"), Some("kept"));
+    assert_eq!(header("host"), Some("h.example"));
+    assert_eq!((header("kv-from"), header("authorization")), (None, None));
+    let left: u64 = header("deadline-ms").unwrap().parse().unwrap();
+    assert!(
+        (2_000..=3_000).contains(&left),
+        "{left}: the route's time-out is the shorter"
+    );
+}
+
+#[tokio::test]
+async fn bad_requests_get_a_clear_answer_and_reach_no_endpoint() {
+    let edge = Edge::start(1).await;
+    assert_eq!(
+        edge.call("/nowhere/", "r-1").await.status,
+        StatusCode::NOT_FOUND
+    );
+    let wrong = [("authorization", "Token wrong")];
+    let got = edge.call_with("/once/", "r-2", &wrong).await;
+    assert_eq!(got.status, StatusCode::UNAUTHORIZED);
+    let mut long = request("/once/", "r-3", &[]);
+    *long.body_mut() = vec![0; 200_000].into();
+    let got = exchange(edge.callers, long).await;
+    // Refused unread, the rest of the body may break the connection before the answer is seen.
+    assert!(got.is_none_or(|g| g.status == StatusCode::PAYLOAD_TOO_LARGE));
+    assert!(edge.runners[0].seen().is_empty());
+}
+
+#[tokio::test]
+async fn what_may_run_once_runs_once_and_the_answer_does_not_claim_otherwise() {
+    let edge = Edge::start(3).await;
+    for runner in &edge.runners {
+        runner.fault(Fault::ResetAfterRun);
+    }
+    for number in 0..10 {
+        let id = format!("r-{number}");
+        let got = edge.call("/once/", &id).await;
+        assert_eq!(got.status, StatusCode::BAD_GATEWAY);
+        let runs: usize = edge.runners.iter().map(|r| r.runs(&id)).sum();
+        assert_eq!(runs, 1, "{id}");
+    }
+}
+
+#[tokio::test]
+async fn what_may_run_again_is_served_by_another_endpoint() {
+    let edge = Edge::start(2).await;
+    edge.runners[0].fault(Fault::ResetAfterRun);
+    for number in 0..6 {
+        let id = format!("r-{number}");
+        let got = edge.call("/again/", &id).await;
+        assert_eq!((got.status, got.text()), (StatusCode::OK, whole_body(&id)));
+        assert!(edge.runners[0].runs(&id) <= 1);
+    }
+}
+
+#[tokio::test]
+async fn a_mute_endpoint_is_given_up_for_another_in_time() {
+    let edge = Edge::start(2).await;
+    edge.runners[0].fault(Fault::Mute);
+    edge.runners[1].fault(Fault::Mute);
+    let begun = Instant::now();
+    let got = edge.call("/once/", "r-1").await;
+    assert_eq!(got.status, StatusCode::GATEWAY_TIMEOUT);
+    let took = begun.elapsed();
+    assert!(
+        took < Duration::from_millis(3_400),
+        "{took:?} with a time-out of 3 s"
+    );
+    edge.runners[1].fault(Fault::None);
+    for number in 0..4 {
+        let got = edge.call("/again/", &format!("a-{number}")).await;
+        assert_eq!(got.status, StatusCode::OK);
+    }
+}
+
+#[tokio::test]
+async fn full_endpoints_are_passed_over_and_a_refusal_is_true() {
+    let edge = Edge::start(2).await;
+    edge.runners[0].fault(Fault::Full);
+    for number in 0..4 {
+        let got = edge.call("/once/", &format!("r-{number}")).await;
+        assert_eq!(got.status, StatusCode::OK);
+    }
+    edge.runners[1].fault(Fault::Full);
+    let got = edge.call("/once/", "r-9").await;
+    assert_eq!(got.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(got.retry_after_s().is_some_and(|s| s > 0.0 && s < 10.0));
+    assert_eq!(edge.runners.iter().map(|r| r.runs("r-9")).sum::<usize>(), 0);
+}
+
+#[tokio::test]
+async fn an_endpoint_replaced_at_its_address_runs_nothing_and_is_asked_once() {
+    let edge = Edge::start(2).await;
+    edge.runners[0].replace("i-new");
+    for number in 0..6 {
+        let id = format!("r-{number}");
+        assert_eq!(edge.call("/once/", &id).await.status, StatusCode::OK);
+        assert_eq!(edge.runners[0].runs(&id), 0);
+    }
+    assert!(edge.runners[0].seen().len() <= 1);
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_goes_on_elsewhere_with_no_event_missing_or_doubled() {
+    let edge = Edge::start(2).await;
+    for runner in &edge.runners {
+        runner.fault(Fault::CutStream);
+    }
+    // Whoever takes it up after the third event gets past the one that cuts.
+    let got = edge.call("/resume/stream", "r-1").await;
+    assert_eq!(got.status, StatusCode::OK);
+    assert!(!got.is_whole, "both cut the fourth event");
+    assert_eq!(got.text(), stream_of("r-1")[..got.body.len()]);
+    edge.runners[1].fault(Fault::None);
+    for number in 2..6 {
+        let id = format!("r-{number}");
+        let got = edge.call("/resume/stream", &id).await;
+        assert!(got.is_whole, "{id}");
+        assert_eq!(got.text(), stream_of(&id));
+    }
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_long_after_its_target_goes_on_too() {
+    let edge = Edge::start(2).await;
+    for runner in &edge.runners {
+        runner.pace(Duration::from_millis(170));
+    }
+    // Whoever is chosen while both are idle is the one that cuts.
+    assert!(edge.call("/resume/stream", "r-0").await.is_whole);
+    let first = edge.runners.iter().find(|r| r.runs("r-0") == 1).unwrap();
+    first.fault(Fault::CutStream);
+    let got = edge.call("/resume/stream", "r-1").await;
+    assert_eq!(first.runs("r-1"), 1);
+    assert!(got.is_whole);
+    assert_eq!(got.text(), stream_of("r-1"));
+}
+
+#[tokio::test]
+async fn a_stream_that_may_not_be_resumed_is_visibly_cut() {
+    let edge = Edge::start(2).await;
+    for runner in &edge.runners {
+        runner.fault(Fault::CutStream);
+    }
+    let got = edge.call("/fixed/stream", "r-1").await;
+    assert!(!got.is_whole);
+    let whole = stream_of("r-1");
+    assert_eq!(
+        got.text(),
+        whole[..event("r-1", 1).len() * 3],
+        "only whole events"
+    );
+    assert_eq!(edge.runners.iter().map(|r| r.runs("r-1")).sum::<usize>(), 1);
+}
+
+#[tokio::test]
+async fn a_surplus_answer_reaches_nobody() {
+    let edge = Edge::start(1).await;
+    edge.runners[0].fault(Fault::Surplus);
+    for number in 0..20 {
+        let id = format!("r-{number}");
+        let got = edge.call("/again/", &id).await;
+        assert_eq!((got.status, got.text()), (StatusCode::OK, whole_body(&id)));
+    }
+}
+
+#[tokio::test]
+async fn an_answer_cut_without_a_length_or_without_proof_is_no_answer() {
+    let edge = Edge::start(1).await;
+    edge.runners[0].fault(Fault::Unframed);
+    assert_eq!(
+        edge.call("/once/", "r-1").await.status,
+        StatusCode::BAD_GATEWAY
+    );
+    edge.runners[0].fault(Fault::Unsigned);
+    assert_eq!(
+        edge.call("/once/", "r-2").await.status,
+        StatusCode::BAD_GATEWAY
+    );
+}
+
+#[tokio::test]
+async fn when_a_caller_leaves_its_run_is_ended() {
+    let edge = Edge::start(1).await;
+    edge.runners[0].pace(Duration::from_millis(300));
+    let call = edge.call("/resume/stream", "r-1");
+    assert!(
+        time::timeout(Duration::from_millis(500), call)
+            .await
+            .is_err()
+    );
+    time::sleep(Duration::from_millis(3_000)).await;
+    let seen = edge.runners[0].seen();
+    assert!(
+        seen[0].has_run && !seen[0].finished,
+        "the run went on for nobody"
+    );
+}
--- /dev/null
+++ b/tests/edge/main.rs
@@ -0,0 +1,5 @@
+//! The `edge` program as a process of its own, among a store and endpoints that misbehave.
+
+mod answers;
+mod control;
+mod support;
--- /dev/null
+++ b/tests/edge/support.rs
@@ -0,0 +1,274 @@
+//! Starts the program among stand-ins, and calls it.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU16, Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Method, Request, StatusCode, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use standins::{platform::Platform, runner::Runner};
+use tokio::{net::TcpStream, time};
+
+pub const KEY: &str = "Token key-of-the-tests";
+/// Far above what anything here takes: only a hang reaches it.
+const PATIENCE: Duration = Duration::from_secs(40);
+
+static NEXT: AtomicU16 = AtomicU16::new(1);
+
+/// One instance among stand-ins.
+pub struct Edge {
+    pub platform: Platform,
+    pub runners: Vec<Runner>,
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    pub log: PathBuf,
+    child: Child,
+    dir: PathBuf,
+}
+
+/// What a caller got.
+#[derive(Debug)]
+pub struct Got {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    /// The body came to its end.
+    pub is_whole: bool,
+}
+
+impl Got {
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    pub fn retry_after_s(&self) -> Option<f64> {
+        self.headers.get("retry-after")?.to_str().ok()?.parse().ok()
+    }
+}
+
+/// The routes `/once/`, `/again/`, `/resume/` and `/fixed/` of `h.example`, keyed.
+pub fn config(version: u64, keys: &[&str]) -> Value {
+    let route = |name: &str, kind: &str, attempts: u32, resume: bool| {
+        json!({
+            "name": name, "hostname": "h.example", "pathPrefix": format!("/{name}/"),
+            "type": kind, "timeoutMs": 3_000, "targetLatencyMs": 400, "targetGapMs": 200,
+            "priority": 0, "maxAttempts": attempts, "public": false, "streamResume": resume,
+            "backend": "svc",
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("once", "non_idempotent", 1, false),
+            route("again", "idempotent", 2, false),
+            route("resume", "streaming", 2, true),
+            route("fixed", "streaming", 1, false),
+        ],
+        "backends": [{"name": "svc", "healthCheck": "/healthz", "maxConnections": 100}],
+        "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 100_000,
+            "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000},
+        "tenants": [{"name": "org", "apiKeys": keys, "unit": "token_count",
+            "uncachedTokens": 200, "ratePerS": 0, "burst": 0}],
+    })
+}
+
+impl Edge {
+    /// Starts one instance before `count` endpoints, and waits until it is ready.
+    pub async fn start(count: usize) -> Self {
+        let platform = Platform::start().await;
+        platform.set("config", "main", config(3, &["key-of-the-tests"]));
+        let mut runners = Vec::new();
+        for index in 0..count {
+            let runner = Runner::start(&format!("i-{index}")).await;
+            platform.set(
+                "servers",
+                &format!("i-{index}"),
+                entry(runner.addr, "ready"),
+            );
+            runners.push(runner);
+        }
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let process = std::process::id();
+        let ip = format!("127.77.{}.{}", process % 250 + 1, number);
+        let dir = std::env::temp_dir().join(format!("ryevalve-edge-{process}-{number}"));
+        fs::create_dir_all(&dir).unwrap();
+        let settings = dir.join("boot.toml");
+        fs::write(&settings, settings_text(&ip, platform.addr())).unwrap();
+        let log = dir.join("log.jsonl");
+        let child = Command::new(env!("CARGO_BIN_EXE_ryevalve"))
+            .arg("edge")
+            .env("RYEVALVE_CONFIG", &settings)
+            .env("RYEVALVE_CLUSTER_KEY", "cluster-key-of-the-tests")
+            .stdout(fs::File::create(&log).unwrap())
+            .stderr(Stdio::inherit())
+            .spawn()
+            .unwrap();
+        let edge = Self {
+            platform,
+            runners,
+            callers: format!("{ip}:8221").parse().unwrap(),
+            ready: format!("{ip}:8224").parse().unwrap(),
+            log,
+            child,
+            dir,
+        };
+        edge.until(|| edge.is_ready()).await;
+        edge
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        let request = Request::get("/readyz").header("host", "x");
+        let request = request.body(Full::default()).unwrap();
+        let got = exchange(self.ready, request).await;
+        got.is_some_and(|g| g.status == StatusCode::OK)
+    }
+
+    /// Waits until something holds.
+    pub async fn until<F: Future<Output = bool>>(&self, holds: impl Fn() -> F) {
+        let waiting = async {
+            while !holds().await {
+                time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        time::timeout(PATIENCE, waiting)
+            .await
+            .expect("it holds in time");
+    }
+
+    /// Sends a request under an id and returns what came.
+    pub async fn call(&self, path: &str, id: &str) -> Got {
+        self.call_with(path, id, &[]).await
+    }
+
+    pub async fn call_with(&self, path: &str, id: &str, headers: &[(&str, &str)]) -> Got {
+        let request = request(path, id, headers);
+        let calling = exchange(self.callers, request);
+        let got = time::timeout(PATIENCE, calling)
+            .await
+            .expect("an answer in time");
+        got.expect("an answer")
+    }
+
+    pub fn entry(&self, index: usize, state: &str) {
+        let spec = entry(self.runners[index].addr, state);
+        self.platform.set("servers", &format!("i-{index}"), spec);
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", name, &pid]).status();
+        assert!(status.unwrap().success());
+    }
+
+    pub async fn exit_code(&mut self) -> Option<i32> {
+        let waiting = async {
+            loop {
+                if let Some(status) = self.child.try_wait().unwrap() {
+                    return status.code();
+                }
+                time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        time::timeout(PATIENCE, waiting)
+            .await
+            .expect("an end in time")
+    }
+
+    /// Returns the log's lines.
+    pub fn lines(&self) -> Vec<Value> {
+        let text = fs::read_to_string(&self.log).unwrap();
+        let lines = text.lines();
+        lines
+            .map(|l| serde_json::from_str(l).expect("a line of JSON"))
+            .collect()
+    }
+}
+
+impl Drop for Edge {
+    fn drop(&mut self) {
+        // Errors only say that it has ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
+
+fn entry(addr: SocketAddr, state: &str) -> Value {
+    json!({"backend": "svc", "address": addr, "zone": "hall", "version": "v1", "capacity": 4,
+        "state": state, "warmupLeftMs": 0, "sequence": 1})
+}
+
+fn settings_text(ip: &str, store: SocketAddr) -> String {
+    format!(
+        r#"
+nodeName = "edge-1"
+zone = "hall"
+region = "city"
+internalPorts = [7600, 7615]
+seeds = ["{ip}:8229"]
+bootstrap = true
+[listen]
+frontend = "{ip}:8221"
+ready = "{ip}:8224"
+control = "{ip}:8229"
+[limits]
+memoryMb = 110
+maxFds = 4100
+[bounds]
+graceS = 8
+revokeMs = 5000
+retryBudgetRatio = 0.2
+budgetSlack = 50
+[platform]
+address = "{store}"
+"#
+    )
+}
+
+pub fn request(path: &str, id: &str, headers: &[(&str, &str)]) -> Request<Full<Bytes>> {
+    let mut builder = Request::builder()
+        .method(Method::POST)
+        .uri(path)
+        .header("host", "h.example")
+        .header("request-id", id)
+        .header("deadline-ms", "5000");
+    if !headers.iter().any(|(name, _)| *name == "authorization") {
+        builder = builder.header("authorization", KEY);
+    }
+    for (name, value) in headers {
+        builder = builder.header(*name, *value);
+    }
+    builder.body(Full::from("a prompt")).unwrap()
+}
+
+/// Sends a request on a connection of its own; none if it brought no answer.
+pub async fn exchange(addr: SocketAddr, request: Request<Full<Bytes>>) -> Option<Got> {
+    let stream = TcpStream::connect(addr).await.ok()?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    let driver = tokio::spawn(connection);
+    let response = sender.send_request(request).await.ok()?;
+    let (parts, mut body) = response.into_parts();
+    let mut bytes = Vec::new();
+    let is_whole = loop {
+        match body.frame().await {
+            None => break true,
+            Some(Ok(frame)) => bytes.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new())),
+            Some(Err(_)) => break false,
+        }
+    };
+    driver.abort();
+    Some(Got {
+        status: parts.status,
+        headers: parts.headers,
+        body: bytes.into(),
+        is_whole,
+    })
+}
