A restarted process finds 1.3 s of a limit's rate; second attempts yield to first ones

Change: buckets of a restarted process begin with what the rate gives while processes start; second attempts queue at rank 2.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -41,6 +41,11 @@
 /// An answer of a request that may run again is given up after this many times its target, if
 /// another endpoint can be asked.
 const PATIENCE_TARGETS: f64 = 1.5;
+/// The same for streams: under load a first event that is late is on its way, and what was read of
+/// the prompt would be read again.
+const STREAM_PATIENCE_TARGETS: f64 = 3.0;
+/// The rank at which a second attempt queues.
+const RETRY_RANK: Rank = 2;
 /// And not before this many times what was expected of it.
 const PATIENCE_EXPECTED: f64 = 4.0;
 const PATIENCE_MIN_MS: f64 = 250.0;
@@ -331,6 +336,8 @@
         loop {
             if trace.attempts > 0 {
                 self.ask.arrived_us = self.gateway.clock.now_us();
+                // Under load a second attempt would make the first ones of others late.
+                self.ask.rank = self.ask.rank.max(RETRY_RANK);
             }
             let choice = self.place().await?;
             trace.endpoint = Some(choice.id.clone());
@@ -434,7 +441,12 @@
             return end;
         }
         let target_ms = self.job.ask.target_us as f64 / 1e3;
-        let patience_ms = (target_ms * PATIENCE_TARGETS)
+        let targets = if self.job.route.kind.is_stream() {
+            STREAM_PATIENCE_TARGETS
+        } else {
+            PATIENCE_TARGETS
+        };
+        let patience_ms = (target_ms * targets)
             .max(choice.expected.first_ms * PATIENCE_EXPECTED)
             .max(PATIENCE_MIN_MS);
         end.min(Instant::now() + Duration::from_secs_f64(patience_ms / 1e3))
--- a/src/limits/organisation.rs
+++ b/src/limits/organisation.rs
@@ -27,9 +27,12 @@
 /// A process takes over how full the buckets are from one that has run longer, in this time after
 /// its start.
 const LEARNING_US: Micros = 2_000_000;
-/// A process that starts later than the first gives nothing out for this long, unless it hears how
-/// full the buckets are: until then it doesn't know how many share them.
-const MEETING_US: Micros = 600_000;
+/// The buckets of a process that starts later than the first do not fill for this long: until then
+/// it doesn't know how many share them.
+const MEETING_US: Micros = 300_000;
+/// Seconds of the rate that such a process finds in its buckets, unless it hears how full they are:
+/// if nobody ran on, nobody used anything while processes started again, which takes that long.
+const RESTART_LEVEL_S: f64 = 1.3;
 /// Instances that start within this time of each other have heard of all that either used.
 const SAME_START_US: Micros = 400_000;
 
@@ -118,7 +121,7 @@
 
 impl OrganisationLimits {
     /// Starts without limits. Buckets are full at the first start of all; later, a process knows
-    /// nothing of what was used before it and starts with empty ones.
+    /// nothing of what was used before it and starts with little.
     pub fn new(now_us: Micros, tolerance: Tolerance, is_first_start: bool) -> Self {
         Self {
             tolerance,
@@ -172,7 +175,11 @@
             None => Bucket {
                 limit,
                 depth,
-                level: if self.is_first_start { depth } else { 0.0 },
+                level: if self.is_first_start {
+                    depth
+                } else {
+                    (limit.rate_per_s * RESTART_LEVEL_S).min(depth)
+                },
                 filled_us: if self.is_first_start {
                     now_us
                 } else {
