ryevalve explain: a request's lines from any number of logs, in order and in words

Cause: on-call engineers have an id and log files of several instances. Nothing of the request path changes.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -16,7 +16,7 @@
 use crate::{
     client::{self, ClientError},
     config::check::{self, nearest},
-    instance,
+    explain, instance,
     logs::{self, LogTarget},
     operator::{
         http::{CommandBody, new_id},
@@ -49,6 +49,7 @@
   check FILE     validate a configuration, and report every fault with its place
   command TEXT   ask or order through an instance; without TEXT, read lines
   dump           print an instance's state as JSON
+  explain ID     say from log lines what happened to a request
   trace          print a trace, one JSON object a line
   replay FILE    replay a trace through policies, in virtual time
   help           print this
@@ -97,6 +98,16 @@
 Prints an instance's state as JSON.
 ";
 
+const EXPLAIN_HELP: &str = "\
+usage: ryevalve explain ID [FILE...]
+
+Collects a request's lines from logs of any number of instances (standard input
+without FILE), in the order of their times, and says what happened and what
+decided it.
+
+Exit 0: explained. 1: no line is about the request. 2: bad input.
+";
+
 const TRACE_HELP: &str = "\
 usage: ryevalve trace --workload broye|steppe [--seed N] [--requests N] [--fault FAULT]
 
@@ -200,13 +211,15 @@
         "check" => check_file(parser),
         "command" => command(parser),
         "dump" => dump(parser),
+        "explain" => explain_request(parser),
         "trace" => trace(parser),
         "replay" => replay_file(parser),
         "help" => print(HELP),
         "version" => print(concat!("ryevalve ", env!("CARGO_PKG_VERSION"), "\n")),
         other => {
             let known = [
-                "serve", "edge", "check", "command", "dump", "trace", "replay", "help", "version",
+                "serve", "edge", "check", "command", "dump", "explain", "trace", "replay", "help",
+                "version",
             ];
             let hint = nearest(other, known);
             Err(CliError::usage(format!(
@@ -404,6 +417,28 @@
     fs::read_to_string(path).map_err(|error| CliError::usage(format!("{path}: {error}")))
 }
 
+fn explain_request(parser: Parser) -> Result<ExitCode, CliError> {
+    let args = Args::read(parser, &[])?;
+    if args.help {
+        return print(EXPLAIN_HELP);
+    }
+    let Some((id, files)) = args.values.split_first() else {
+        return Err(CliError::usage("expected a request's ID".to_owned()));
+    };
+    let mut text = String::new();
+    for file in files {
+        text.push_str(&read_file(file)?);
+        text.push('\n');
+    }
+    if files.is_empty() {
+        text = read_file("-")?;
+    }
+    match explain::explain(&text, id) {
+        Some(words) => print(&words),
+        None => Err(CliError::failed(format!("no line is about request {id}"))),
+    }
+}
+
 fn check_file(parser: Parser) -> Result<ExitCode, CliError> {
     let args = Args::read(parser, &[])?;
     if args.help {
--- /dev/null
+++ b/src/explain.rs
@@ -0,0 +1,167 @@
+//! Explains one request from the log lines of any number of instances.
+
+use std::fmt::Write as _;
+
+use serde_json::{Map, Value};
+
+/// Lines that are not JSON objects may begin with what a collector put before them.
+fn object(line: &str) -> Option<Map<String, Value>> {
+    let start = line.find('{')?;
+    serde_json::from_str(&line[start..]).ok()
+}
+
+/// Returns the lines of a request, in the order of their times.
+pub fn lines_of(text: &str, request_id: &str) -> Vec<Map<String, Value>> {
+    let objects = text.lines().filter_map(object);
+    let own = objects.filter(|o| o.get("request_id").and_then(Value::as_str) == Some(request_id));
+    let mut own: Vec<_> = own.collect();
+    own.sort_by_key(|o| o.get("at").and_then(Value::as_u64));
+    own
+}
+
+/// Says in words what happened to a request; none if no line is about it.
+pub fn explain(text: &str, request_id: &str) -> Option<String> {
+    let lines = lines_of(text, request_id);
+    let first_at = lines.first()?.get("at").and_then(Value::as_u64)?;
+    let mut out = format!("request {request_id}\n");
+    for line in &lines {
+        let at = line.get("at").and_then(Value::as_u64).unwrap_or(first_at);
+        let event = text_of(line, "event");
+        // Writing into a string cannot fail.
+        let _ = writeln!(out, "  +{:>5} ms  {}", at - first_at, sentence(event, line));
+        let _ = writeln!(out, "             {}", inputs(line));
+    }
+    Some(out)
+}
+
+fn text_of<'l>(line: &'l Map<String, Value>, field: &str) -> &'l str {
+    line.get(field).and_then(Value::as_str).unwrap_or("-")
+}
+
+fn number_of(line: &Map<String, Value>, field: &str) -> i64 {
+    let number = line.get(field);
+    number
+        .and_then(|n| n.as_i64().or(n.as_f64().map(|f| f as i64)))
+        .unwrap_or(0)
+}
+
+fn sentence(event: &str, line: &Map<String, Value>) -> String {
+    match event {
+        "request_refused" => format!(
+            "answered {} after {} ms: {}",
+            number_of(line, "status"),
+            number_of(line, "held_ms"),
+            reason(text_of(line, "reason")),
+        ),
+        "request_answered" => format!(
+            "{} by {} with status {}, first event or answer after {} ms of {} ms",
+            text_of(line, "outcome"),
+            text_of(line, "endpoint"),
+            number_of(line, "status"),
+            number_of(line, "first_ms"),
+            number_of(line, "target_ms"),
+        ),
+        "stream_resumed" => format!(
+            "taken up at {} after event {}: {}",
+            text_of(line, "endpoint"),
+            number_of(line, "after_event"),
+            reason(text_of(line, "reason")),
+        ),
+        other => other.to_owned(),
+    }
+}
+
+/// The words of reasons, for people.
+const REASONS: [(&str, &str); 22] = [
+    (
+        "answer_broke_off",
+        "the endpoint's answer broke off, so it may have run",
+    ),
+    (
+        "another_endpoint_there",
+        "another endpoint has the address, and ran nothing",
+    ),
+    ("busy", "all endpoints would have kept it waiting too long"),
+    (
+        "closed_before",
+        "the connection closed before anything was sent",
+    ),
+    (
+        "configuration_too_old",
+        "the configuration was not known to be the newest",
+    ),
+    (
+        "connection_broke",
+        "the connection broke after sending, so it may have run",
+    ),
+    (
+        "endpoint_error",
+        "the endpoint answered with an error of its own",
+    ),
+    ("endpoint_full", "the endpoint was full and did not run it"),
+    (
+        "foreign_answer",
+        "an answer to another request came in its place",
+    ),
+    (
+        "no_answer",
+        "the endpoint did not answer in time, and may have run it",
+    ),
+    ("no_configuration", "no configuration was known yet"),
+    (
+        "no_endpoint",
+        "the service had no endpoint that could be used",
+    ),
+    ("no_first_event", "no first event came in time"),
+    ("no_other_endpoint", "no other endpoint was left to try"),
+    ("no_route", "no route fits its host and path"),
+    (
+        "no_time_left",
+        "its time was over before an endpoint was free",
+    ),
+    ("over_limit", "its organisation had used up its limit"),
+    ("stream_broke", "the endpoint's stream broke"),
+    ("stream_silent", "the endpoint's stream fell silent"),
+    (
+        "timed_out",
+        "the endpoint did not answer before the time-out",
+    ),
+    (
+        "unknown_key",
+        "its key is in no organisation of the configuration",
+    ),
+    ("unreachable", "no connection to the endpoint came up"),
+];
+
+fn reason(word: &str) -> &str {
+    let known = REASONS.iter().find(|(known, _)| *known == word);
+    known.map_or(word, |(_, text)| text)
+}
+
+/// The fields that decided, each with its name.
+const INPUTS: [&str; 13] = [
+    "route",
+    "organisation",
+    "attempts",
+    "last_failure",
+    "endpoint",
+    "expected_first_ms",
+    "endpoint_requests",
+    "uncached_tokens",
+    "prompt_tokens",
+    "retries_left",
+    "retry_after_ms",
+    "config_version",
+    "config_age_ms",
+];
+
+fn inputs(line: &Map<String, Value>) -> String {
+    let known = INPUTS.iter().filter_map(|name| {
+        let value = line.get(*name)?;
+        let text = value
+            .as_str()
+            .map_or_else(|| value.to_string(), str::to_owned);
+        (text != "-").then(|| format!("{name} {text}"))
+    });
+    known.collect::<Vec<_>>().join(", ")
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod distribution;
 pub mod endpoint;
 pub mod entry;
+pub mod explain;
 pub mod gateway;
 pub mod instance;
 pub mod limits;
--- /dev/null
+++ b/tests/gateway/explain.rs
@@ -0,0 +1,28 @@
+//! A request's lines are found among others, put in order and said in words.
+
+use ryevalve::explain::explain;
+
+const LOG: &str = r#"
+   1.2000 edge-2 {"at":2000,"event":"request_refused","request_id":"r-1","status":502,"held_ms":900,"reason":"no_other_endpoint","last_failure":"stream_broke","config_version":7}
+{"at":1500,"event":"request_refused","request_id":"r-2","status":429,"held_ms":0,"reason":"over_limit"}
+not a line of ours
+{"at":1400,"event":"stream_resumed","request_id":"r-1","endpoint":"i-9","after_event":3,"reason":"stream_broke","retries_left":4.5}
+{"at":1,"event":"started"}
+"#;
+
+#[test]
+fn lines_of_several_instances_come_in_order() {
+    let words = explain(LOG, "r-1").unwrap();
+    let resumed = words.find("taken up at i-9 after event 3").unwrap();
+    let refused = words.find("answered 502 after 900 ms").unwrap();
+    assert!(resumed < refused, "{words}");
+    assert!(words.contains("+  600 ms"), "{words}");
+    assert!(words.contains("config_version 7"), "{words}");
+    assert!(!words.contains("r-2"));
+}
+
+#[test]
+fn a_request_without_a_line_is_not_explained() {
+    assert_eq!(explain(LOG, "r-3"), None);
+    assert_eq!(explain("", "r-1"), None);
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod balancer;
 mod discovery;
 mod events;
+mod explain;
 mod freshness;
 mod headers;
 mod limits;
