Long answers go where they can end before their caller leaves

Change: the risk that a stream does not end in time, from the caller's guess (right in the median, spread .5) and the learned time between events, is part of a placement's cost. Test: balancer:: a_long_answer_goes_where_it_can_end_in_time, which fails without the term.

--- a/src/balance/cost.rs
+++ b/src/balance/cost.rs
@@ -13,6 +13,11 @@
 const LATE_SLOPE: f64 = 9.0;
 /// What a late answer loses of its worth; from the users' sheets of worth.
 const LATE_LOSS: f64 = 0.7;
+/// The spread of the expected number of events, as the standard deviation of its logarithm; from the
+/// users' sheets of hints.
+const EVENTS_SPREAD: f64 = 0.5;
+/// What a stream loses that is not at its end when its caller stops waiting: all.
+const UNFINISHED_LOSS: f64 = 1.0;
 /// What a prompt costs that is read again, a thousand tokens; other requests wait for it.
 const READ_AGAIN_PER_K: f64 = 0.006;
 /// The share of its worth that a request loses at an endpoint that fails always.
@@ -29,8 +34,8 @@
     pub prompt_tokens: u32,
     /// The prompt's chains of parts, the shortest first.
     pub chains: Vec<(ChainKey, u32)>,
-    /// How long the answer is expected to be.
-    pub output_tokens: u32,
+    /// How many events the answer is expected to have: right in the median.
+    pub output_events: f64,
     /// The time from the arrival within which the first event is of full use.
     pub target_us: Micros,
     /// When it arrived.
@@ -93,6 +98,13 @@
     let waited_ms = now_us.saturating_sub(ask.arrived_us) as f64 / 1e3;
     let target_ms = (ask.target_us as f64 / 1e3).max(1.0);
     let late = late_risk((waited_ms + first_ms) / target_ms);
+    let unfinished = if ask.is_stream {
+        let left_ms = ask.deadline_us.saturating_sub(now_us) as f64 / 1e3;
+        let rest_ms = ask.output_events * known.speed.event_ms();
+        unfinished_risk(left_ms - first_ms, rest_ms)
+    } else {
+        0.0
+    };
     let hall = if known.same_hall {
         0.0
     } else {
@@ -101,7 +113,12 @@
     let again = f64::from(uncached_tokens) / 1e3 * READ_AGAIN_PER_K;
     let failing = known.speed.failing_now(now_us) * FAILING_LOSS;
     Expected {
-        cost: late * LATE_LOSS + first_ms / target_ms * TIME_WEIGHT + hall + again + failing,
+        cost: late * LATE_LOSS
+            + unfinished * UNFINISHED_LOSS
+            + first_ms / target_ms * TIME_WEIGHT
+            + hall
+            + again
+            + failing,
         first_ms,
         queue_ms,
         uncached_tokens,
@@ -114,3 +131,15 @@
 pub fn late_risk(share: f64) -> f64 {
     1.0 / (1.0 + (-LATE_SLOPE * (share - LATE_MIDPOINT)).exp())
 }
+
+/// Returns the risk that a stream whose events are expected to take `rest_ms` does not end within
+/// `left_ms`.
+pub fn unfinished_risk(left_ms: f64, rest_ms: f64) -> f64 {
+    /// A logistic curve with this slope is close to the normal one.
+    const NORMAL_SLOPE: f64 = 1.7;
+    if left_ms <= 0.0 {
+        return 1.0;
+    }
+    let deviations = (left_ms / rest_ms.max(1.0)).ln() / EVENTS_SPREAD;
+    1.0 / (1.0 + (NORMAL_SLOPE * deviations).exp())
+}
--- a/src/balance/speed.rs
+++ b/src/balance/speed.rs
@@ -4,10 +4,12 @@
 
 /// Gain of one observation; about ten of them replace what was believed.
 const GAIN: f64 = 0.2;
+/// Gain of one event: there are a hundred times more of them than of first events.
+const EVENT_GAIN: f64 = 0.01;
 /// Prompt tokens read in a millisecond before anything is learned.
 const PRIOR_PROMPT_TOKENS_PER_MS: f64 = 40.0;
-/// Milliseconds between two tokens of a stream before anything is learned.
-const PRIOR_TOKEN_MS: f64 = 5.0;
+/// Milliseconds between two events of a stream before anything is learned.
+const PRIOR_EVENT_MS: f64 = 25.0;
 /// Milliseconds of a plain request before anything is learned.
 const PRIOR_WHOLE_MS: f64 = 40.0;
 /// The time before the first event that does not grow with the prompt, in milliseconds.
@@ -25,7 +27,7 @@
 #[derive(Clone, Debug)]
 pub struct Speed {
     prompt_ms_per_token: f64,
-    token_ms: f64,
+    event_ms: f64,
     whole_ms: f64,
     hold_ms: f64,
     failing: f64,
@@ -36,7 +38,7 @@
     fn default() -> Self {
         Self {
             prompt_ms_per_token: 1.0 / PRIOR_PROMPT_TOKENS_PER_MS,
-            token_ms: PRIOR_TOKEN_MS,
+            event_ms: PRIOR_EVENT_MS,
             whole_ms: PRIOR_WHOLE_MS,
             hold_ms: 1_000.0,
             failing: 0.0,
@@ -56,9 +58,9 @@
         FIRST_MS + self.read_ms(tokens)
     }
 
-    /// Returns the time between two tokens of a stream, in milliseconds.
-    pub fn token_ms(&self) -> f64 {
-        self.token_ms
+    /// Returns the time between two events of a stream, in milliseconds.
+    pub fn event_ms(&self) -> f64 {
+        self.event_ms
     }
 
     /// Returns the time that a plain request takes, in milliseconds.
@@ -80,12 +82,9 @@
         self.prompt_ms_per_token += (seen - self.prompt_ms_per_token) * GAIN;
     }
 
-    /// Learns from a stream's tokens after the first.
-    pub fn tokens(&mut self, took_ms: f64, tokens: f64) {
-        if tokens >= 1.0 {
-            let seen = (took_ms / tokens).clamp(0.1, 1_000.0);
-            self.token_ms += (seen - self.token_ms) * GAIN;
-        }
+    /// Learns from the time between two of a stream's events.
+    pub fn event(&mut self, gap_ms: f64) {
+        self.event_ms += (gap_ms.clamp(0.1, 1_000.0) - self.event_ms) * EVENT_GAIN;
     }
 
     /// Learns from a plain answer.
@@ -124,19 +123,19 @@
         self.failing * (-since_us / FAILURE_FADE_US).exp()
     }
 
-    /// Returns milliseconds a prompt token and a token, for others to learn from.
+    /// Returns milliseconds a prompt token and an event, for others to learn from.
     pub fn told(&self) -> (f32, f32) {
-        (self.prompt_ms_per_token as f32, self.token_ms as f32)
+        (self.prompt_ms_per_token as f32, self.event_ms as f32)
     }
 
     /// Learns from what another instance learned.
-    pub fn learn_told(&mut self, prompt_ms_per_token: f32, token_ms: f32) {
+    pub fn learn_told(&mut self, prompt_ms_per_token: f32, event_ms: f32) {
         const TOLD_GAIN: f64 = 0.05;
         let sound = |v: f32| v.is_finite() && v > 0.0;
-        if sound(prompt_ms_per_token) && sound(token_ms) {
+        if sound(prompt_ms_per_token) && sound(event_ms) {
             let prompt = f64::from(prompt_ms_per_token) - self.prompt_ms_per_token;
             self.prompt_ms_per_token += prompt * TOLD_GAIN;
-            self.token_ms += (f64::from(token_ms) - self.token_ms) * TOLD_GAIN;
+            self.event_ms += (f64::from(event_ms) - self.event_ms) * TOLD_GAIN;
         }
     }
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -159,11 +159,20 @@
         return Err(refuse::not_run("no_service", 1_000));
     };
     gateway.count_request(&service);
+    let engine = table.service(&service).and_then(|s| s.engine);
+    let tokens_per_event = engine.map_or(1, |e| e.tokens_per_event);
     let until_us = arrived_us + allowed_us(&route, &head);
     let mut headers = parts.headers;
     attempt::strip_connection_headers(&mut headers);
     let job = Job {
-        ask: ask(&route, &head, service, arrived_us, until_us),
+        ask: ask(
+            &route,
+            &head,
+            service,
+            tokens_per_event,
+            arrived_us,
+            until_us,
+        ),
         route,
         head,
         method: parts.method,
@@ -278,17 +287,19 @@
     route: &Route,
     head: &CallHead,
     service: Name,
+    tokens_per_event: u32,
     arrived_us: Micros,
     deadline_us: Micros,
 ) -> Ask {
     let prompt_tokens = head.tokens.map_or(0, |t| t.prompt);
     let most = head.tokens.map_or(u32::MAX, |t| t.max_output);
+    let output_tokens = head.output_guess.unwrap_or(PRIOR_OUTPUT_TOKENS).min(most);
     Ask {
         service,
         is_stream: route.kind.is_stream(),
         prompt_tokens,
         chains: prefixes::chains(&head.parts).collect(),
-        output_tokens: head.output_guess.unwrap_or(PRIOR_OUTPUT_TOKENS).min(most),
+        output_events: f64::from(output_tokens) / f64::from(tokens_per_event),
         target_us: route.target.as_micros() as Micros,
         arrived_us,
         deadline_us,
--- a/src/peers/told.rs
+++ b/src/peers/told.rs
@@ -40,7 +40,7 @@
     pub loads: Vec<(EndpointKey, InFlight)>,
     /// Chains of prompts that were read lately, and where.
     pub read: Vec<(ChainKey, EndpointKey)>,
-    /// Learned speeds of some endpoints: milliseconds a prompt token and a token.
+    /// Learned speeds of some endpoints: milliseconds a prompt token and an event.
     pub speeds: Vec<(EndpointKey, f32, f32)>,
     /// Endpoints whose address another start has taken.
     pub dead: Vec<EndpointKey>,
--- a/tests/gateway/balancer.rs
+++ b/tests/gateway/balancer.rs
@@ -51,6 +51,21 @@
     }
 }
 
+#[test]
+fn a_long_answer_goes_where_it_can_end_in_time() {
+    let mut balancer = balancer(&[("slow", "here"), ("fast", "there")]);
+    for _ in 0..2_000 {
+        balancer.learn(EndpointKey::of("slow"), |s| s.event(60.0));
+        balancer.learn(EndpointKey::of("fast"), |s| s.event(12.0));
+    }
+    let short = ask(1, 100, 0, 0);
+    assert_eq!(&*sent(balancer.place(0, &short, &[])).id, "slow");
+    // 15 s at 60 ms an event are 250 of them.
+    let mut long = ask(2, 100, 0, 0);
+    long.output_events = 400.0;
+    assert_eq!(&*sent(balancer.place(0, &long, &[])).id, "fast");
+}
+
 #[test]
 fn what_the_others_sent_counts() {
     let mut balancer = balancer(&[("a", "here"), ("b", "here")]);
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -97,7 +97,7 @@
         is_stream: true,
         prompt_tokens,
         chains: chains(&parts).collect(),
-        output_tokens: 100,
+        output_events: 20.0,
         target_us: 800 * MS,
         arrived_us,
         deadline_us: arrived_us + 15 * SECOND,
