--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -84,6 +84,13 @@
     told_state: (u64, u64),
 }
 
+/// One whom a round is told to.
+#[derive(Clone, Copy, Debug)]
+struct Target {
+    addr: SocketAddr,
+    is_near: bool,
+}
+
 /// Whom a round is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Audience {
@@ -214,12 +221,20 @@
         if targets.is_empty() {
             return;
         }
-        let mut told = self.next_round(now_us);
+        let mut near = self.next_round(now_us);
+        // What is read and learned in one hall is of little use in another, and bytes between data
+        // centres are dear.
+        let mut far = Told {
+            read: Vec::new(),
+            speeds: Vec::new(),
+            ..near.clone()
+        };
         for target in targets {
-            told.echo = self.echo_for(target.ip());
-            let bytes = told::encode(&self.authenticator, &told);
+            let told = if target.is_near { &mut near } else { &mut far };
+            told.echo = self.echo_for(target.addr.ip());
+            let bytes = told::encode(&self.authenticator, told);
             // One that cannot be sent is as one lost on the way.
-            let _ = self.socket.send_to(&bytes, target).await;
+            let _ = self.socket.send_to(&bytes, target.addr).await;
         }
     }
 
@@ -283,35 +298,38 @@
     }
 
     /// Returns whom a round is told to.
-    fn targets(&self, now_us: Micros, view: &View, audience: Audience) -> Vec<SocketAddr> {
+    fn targets(&self, now_us: Micros, view: &View, audience: Audience) -> Vec<Target> {
         let Ok(own) = self.socket.local_addr() else {
             return Vec::new();
         };
-        let turn = self.lock().turn;
+        let state = self.lock();
         let others: Vec<_> = view.others().collect();
         let is_small = others.len() < SMALL_GROUP;
-        let chosen = others.iter().enumerate().filter(|(index, member)| {
+        let is_turn = |index: usize| index % FAR_ROUNDS == state.turn % FAR_ROUNDS;
+        let mut targets = Vec::new();
+        for (index, member) in others.iter().enumerate() {
             let is_near = is_small || member.info.hall == self.me.hall;
-            match audience {
+            let is_told = match audience {
                 Audience::All => true,
-                Audience::NearAndTurn if is_near => true,
-                _ => !is_near && index % FAR_ROUNDS == turn % FAR_ROUNDS,
+                Audience::NearAndTurn => is_near || is_turn(index),
+                Audience::Turn => !is_near && is_turn(index),
+            };
+            if is_told {
+                let addr = SocketAddr::new(member.info.peer_addr.ip(), own.port());
+                targets.push(Target { addr, is_near });
             }
-        });
-        let mut targets: Vec<SocketAddr> = chosen
-            .map(|(_, m)| SocketAddr::new(m.info.peer_addr.ip(), own.port()))
-            .collect();
+        }
         // Met, and not yet admitted by the membership.
-        let state = self.lock();
-        let unheard = state.heard.iter().enumerate().filter(|(index, (ip, h))| {
-            let in_view = || others.iter().any(|m| m.info.peer_addr.ip() == **ip);
-            let is_turn = is_small || index % FAR_ROUNDS == turn % FAR_ROUNDS;
-            (audience == Audience::All || is_turn)
-                && *ip != &own.ip()
-                && now_us.saturating_sub(h.at_us) < MET_UNHEARD_US
-                && !in_view()
-        });
-        targets.extend(unheard.map(|(_, (ip, _))| SocketAddr::new(*ip, own.port())));
+        for (index, (ip, heard)) in state.heard.iter().enumerate() {
+            let is_late = now_us.saturating_sub(heard.at_us) >= MET_UNHEARD_US;
+            let is_due = audience == Audience::All || is_small || is_turn(index);
+            let in_view = others.iter().any(|m| m.info.peer_addr.ip() == *ip);
+            if is_due && !is_late && !in_view && *ip != own.ip() {
+                let addr = SocketAddr::new(*ip, own.port());
+                let is_near = is_small;
+                targets.push(Target { addr, is_near });
+            }
+        }
         targets
     }
 
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -198,6 +198,7 @@
             self.source.sent.failed();
             // Ends the run there before another one begins.
             drop(self.source.connection.take());
+            self.trace.reason = Some(reason);
             if !self.resume(reason).await {
                 self.ended(Outcome::Broken);
                 // hyper drops what it has not written when a body fails: let it write first.
