--- a/src/operator/language.rs
+++ b/src/operator/language.rs
@@ -1,6 +1,6 @@
 //! The operators' language: its grammar, its parser and its text form.
 //!
-//! The grammar stands in docs/OPERATING.md. What is parsed prints as a text that parses to the same.
+//! The grammar stands in docs/OPERATIONS.md. What is parsed prints as a text that parses to the same.
 
 use std::fmt;
 
