--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -15,7 +15,7 @@
 use serde_json::json;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Semaphore, mpsc},
+    sync::mpsc,
     time,
 };
 use tokio_util::sync::CancellationToken;
@@ -28,13 +28,13 @@
         run,
     },
     instance::Instance,
+    listener,
     store::Store,
 };
 
 const MAX_HEADER_BYTES: usize = 64 << 10;
 const MAX_HEADERS: usize = 64;
 const PARTS_IN_FLIGHT: usize = 16;
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Serves callers until cancelled, then returns once the open connections have finished theirs.
 pub async fn serve<S: Store>(
@@ -42,30 +42,10 @@
     listener: TcpListener,
     stop: CancellationToken,
 ) {
-    let permits = Arc::new(Semaphore::new(instance.settings.max_connections));
-    loop {
-        // Above the bound nothing is accepted: callers wait in the system's queue, unread.
-        let Ok(permit) = permits.clone().acquire_owned().await else {
-            return;
-        };
-        let accepted = tokio::select! {
-            () = stop.cancelled() => break,
-            accepted = listener.accept() => accepted,
-        };
-        let Ok((stream, _)) = accepted else {
-            time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let (instance, stop) = (instance.clone(), stop.clone());
-        tokio::spawn(async move {
-            serve_connection(instance, stream, stop).await;
-            drop(permit);
-        });
-    }
-    // Each open connection holds a permit until its last byte is written.
-    drop(listener);
-    let all = u32::try_from(instance.settings.max_connections).unwrap_or(u32::MAX);
-    let _ = permits.acquire_many(all).await;
+    let max_connections = instance.settings.max_connections;
+    let open_stop = stop.clone();
+    let serve_one = move |stream| serve_connection(instance.clone(), stream, open_stop.clone());
+    listener::serve(listener, max_connections, stop, serve_one).await;
 }
 
 async fn serve_connection<S: Store>(
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     gateway::{
-        config_copy::{self, Copies, Lacks},
+        copies::{self, Copies, Lacks},
         protocol::Protocol,
         state::Gateway,
     },
@@ -176,7 +176,7 @@
     pub async fn meet(self: Arc<Self>) {
         for _ in 0..MEETINGS {
             for seed in &self.seeds {
-                let asked = config_copy::meet(*seed, self.codec.clone(), self.me.peer_addr);
+                let asked = copies::meet(*seed, self.codec.clone(), self.me.peer_addr);
                 // A seed may be long gone; the others are asked all the same.
                 let known = asked.await.unwrap_or_default();
                 self.take_met(&known);
@@ -428,7 +428,7 @@
         let exchange = self.clone();
         let addr = SocketAddr::new(ip, self.me.peer_addr.port());
         tokio::spawn(async move {
-            match config_copy::fetch(addr, exchange.codec.clone(), lacks).await {
+            match copies::fetch(addr, exchange.codec.clone(), lacks).await {
                 Ok(copies) => exchange.take_copies(copies),
                 Err(error) => {
                     let reason = error.to_string();
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -4,20 +4,17 @@
 
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::Semaphore,
-    time,
-};
+use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use crate::gateway::{config::CallerLimits, protocol::Protocol, run, state::Gateway};
+use crate::{
+    gateway::{config::CallerLimits, protocol::Protocol, run, state::Gateway},
+    listener,
+};
 
 const MAX_HEADERS: usize = 100;
 /// hyper's least buffer.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
-/// Out of descriptors, the next accept is tried after this time.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// A caller's connection rests for as long as operators say and this much longer, so that the
 /// caller is the one who closes it.
 const IDLE_MARGIN: Duration = Duration::from_secs(3);
@@ -38,30 +35,12 @@
     max_connections: usize,
     stop: FrontStop,
 ) {
-    let permits = Arc::new(Semaphore::new(max_connections));
-    loop {
-        // Above the bound nothing is accepted: callers wait in the system's queue, unread.
-        let Ok(permit) = permits.clone().acquire_owned().await else {
-            return;
-        };
-        let accepted = tokio::select! {
-            () = stop.accept.cancelled() => break,
-            accepted = listener.accept() => accepted,
-        };
-        let Ok((stream, _)) = accepted else {
-            time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let serving = serve_connection(gateway.clone(), stream, stop.connections.clone());
-        tokio::spawn(async move {
-            serving.await;
-            drop(permit);
-        });
-    }
-    drop(listener);
-    let all = u32::try_from(max_connections).unwrap_or(u32::MAX);
-    // Each open connection holds a permit until its last byte is written.
-    let _ = permits.acquire_many(all).await;
+    let FrontStop {
+        accept,
+        connections,
+    } = stop;
+    let serve_one = move |stream| serve_connection(gateway.clone(), stream, connections.clone());
+    listener::serve(listener, max_connections, accept, serve_one).await;
 }
 
 async fn serve_connection<P: Protocol>(
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,14 +5,16 @@
 
 pub mod attempt;
 pub mod config;
-pub mod config_copy;
+pub mod copies;
 pub mod exchange;
 pub mod freshness;
 pub mod front;
+pub mod intake;
 pub mod metrics;
 pub mod probes;
 pub mod protocol;
 pub mod refuse;
+pub mod report;
 pub mod routes;
 pub mod run;
 pub mod state;
--- /dev/null
+++ b/src/gateway/report.rs
@@ -0,0 +1,101 @@
+//! What the log says of how requests ended: a line for each that was refused, late, failed or tried
+//! again, and for a sample of the rest.
+
+use hyper::{StatusCode, header::HeaderValue};
+use rand::RngExt;
+
+use crate::{
+    balance::cost::Expected,
+    entry::refusal::Refusal,
+    gateway::{
+        attempt::{self, Job},
+        metrics::Outcome,
+        protocol::Protocol,
+        state::Gateway,
+    },
+    prelude::{Micros, Name},
+};
+
+/// What happened to a request, for its line.
+#[derive(Clone, Debug, Default)]
+pub struct Trace {
+    /// Its route.
+    pub route: Option<Name>,
+    /// The endpoint that it was sent to last.
+    pub endpoint: Option<Name>,
+    /// How many endpoints it was sent to.
+    pub attempts: u32,
+    /// Why an attempt or the request failed.
+    pub reason: Option<&'static str>,
+    /// What was expected of the last endpoint.
+    pub expected: Option<Expected>,
+}
+
+/// Counts a refusal and writes its line.
+pub fn note_refusal<P: Protocol>(
+    gateway: &Gateway<P>,
+    trace: &Trace,
+    refusal: &Refusal,
+    request_id: Option<&HeaderValue>,
+    arrived_us: Micros,
+) {
+    let route = trace.route.as_deref().unwrap_or("-");
+    gateway.metrics.ended(route, Outcome::of(refusal));
+    let held_ms = gateway.clock.now_us().saturating_sub(arrived_us) / 1_000;
+    log::info!(
+        target: "ryevalve::request",
+        request_id = attempt::shown(request_id),
+        route,
+        outcome = Outcome::of(refusal).as_str(),
+        status = refusal.status.as_u16(),
+        reason = refusal.reason,
+        last_failure = trace.reason.unwrap_or("-"),
+        endpoint = trace.endpoint.as_deref().unwrap_or("-"),
+        attempts = trace.attempts,
+        held_ms,
+        retry_after_ms = refusal.retry_after_ms.unwrap_or(0),
+        config_version = gateway.config.version(),
+        config_age_ms = gateway.config_age_us() / 1_000;
+        "request_refused"
+    );
+}
+
+/// One in this many answers in time has a line; all others do.
+const SAMPLE: u32 = 16;
+
+/// Writes the line of an answer that came from an endpoint.
+pub fn log_answer<P: Protocol>(
+    gateway: &Gateway<P>,
+    job: &Job,
+    outcome: Outcome,
+    status: StatusCode,
+    first_us: Micros,
+    trace: &Trace,
+) {
+    let attempts = trace.attempts;
+    let in_time = first_us <= job.ask.target_us;
+    let is_plain = outcome == Outcome::Served && in_time && attempts <= 1;
+    if is_plain && rand::rng().random_range(0..SAMPLE) > 0 {
+        return;
+    }
+    log::info!(
+        target: "ryevalve::request",
+        request_id = job.id(),
+        route = &*job.route.name,
+        organisation = job.organisation.as_deref().unwrap_or("-"),
+        outcome = outcome.as_str(),
+        status = status.as_u16(),
+        first_ms = first_us / 1_000,
+        target_ms = job.ask.target_us / 1_000,
+        attempts,
+        endpoint = trace.endpoint.as_deref().unwrap_or("-"),
+        last_failure = trace.reason.unwrap_or("-"),
+        expected_first_ms = trace.expected.map_or(0.0, |e| e.first_ms.round()),
+        endpoint_requests = trace.expected.map_or(0.0, |e| e.there.round()),
+        uncached_tokens = trace.expected.map_or(0, |e| e.uncached_tokens),
+        prompt_tokens = job.ask.prompt_tokens,
+        config_version = gateway.config.version(),
+        config_age_ms = gateway.config_age_us() / 1_000;
+        "request_answered"
+    );
+}
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -2,10 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::{
-    HeaderMap, Request, Response, StatusCode,
+    Request, Response, StatusCode,
     body::Incoming,
     header::{CONNECTION, HOST, HeaderValue},
 };
@@ -15,9 +13,8 @@
 use crate::{
     balance::{
         balancer::{Choice, Placement},
-        cost::{Ask, Expected},
+        cost::Ask,
         load::EndpointKey,
-        prefixes,
     },
     entry::{
         answer::{Body, full},
@@ -25,19 +22,20 @@
     },
     gateway::{
         attempt::{self, Answered, Failed, Job, Whole},
-        config::{Organisation, Route},
+        intake::{
+            ANSWER_MARGIN_US, allowed_us, ask, find_organisation, find_route, read_body,
+            take_from_limit,
+        },
         metrics::Outcome,
         protocol::{CallHead, Protocol},
         refuse,
-        routes::RouteTable,
+        report::{Trace, log_answer, note_refusal},
         state::Gateway,
         stream::Relay,
     },
-    prelude::{Micros, Name, Rank},
+    prelude::{Micros, Rank},
 };
 
-/// A final answer leaves this long before the caller gives up.
-const ANSWER_MARGIN_US: Micros = 30_000;
 /// An answer of a request that may run again is given up after this many times its target, if
 /// another endpoint can be asked.
 const PATIENCE_TARGETS: f64 = 1.5;
@@ -51,28 +49,9 @@
 const PATIENCE_MIN_MS: f64 = 250.0;
 /// Endpoints that refuse a request unrun are passed over this many times.
 const MAX_NOT_RUN: usize = 3;
-/// What sending a request to another hall costs, as a share of its worth.
-const OTHER_HALL_COST: f64 = 0.05;
-/// The length of an answer in tokens of which nothing is known.
-const PRIOR_OUTPUT_TOKENS: u32 = 300;
 /// What has been refused comes back spread over half of the time again.
 const RETRY_SPREAD: f64 = 0.5;
 
-/// How a request ended, for the log.
-#[derive(Clone, Debug, Default)]
-pub struct Trace {
-    /// Its route.
-    pub route: Option<Name>,
-    /// The endpoint that it was sent to last.
-    pub endpoint: Option<Name>,
-    /// How many endpoints it was sent to.
-    pub attempts: u32,
-    /// Why an attempt or the request failed.
-    pub reason: Option<&'static str>,
-    /// What was expected of the last endpoint.
-    pub expected: Option<Expected>,
-}
-
 /// Answers one request.
 pub async fn answer<P: Protocol>(
     gateway: Arc<Gateway<P>>,
@@ -107,34 +86,6 @@
     refusal
 }
 
-fn note_refusal<P: Protocol>(
-    gateway: &Gateway<P>,
-    trace: &Trace,
-    refusal: &Refusal,
-    request_id: Option<&HeaderValue>,
-    arrived_us: Micros,
-) {
-    let route = trace.route.as_deref().unwrap_or("-");
-    gateway.metrics.ended(route, Outcome::of(refusal));
-    let held_ms = gateway.clock.now_us().saturating_sub(arrived_us) / 1_000;
-    log::info!(
-        target: "ryevalve::request",
-        request_id = attempt::shown(request_id),
-        route,
-        outcome = Outcome::of(refusal).as_str(),
-        status = refusal.status.as_u16(),
-        reason = refusal.reason,
-        last_failure = trace.reason.unwrap_or("-"),
-        endpoint = trace.endpoint.as_deref().unwrap_or("-"),
-        attempts = trace.attempts,
-        held_ms,
-        retry_after_ms = refusal.retry_after_ms.unwrap_or(0),
-        config_version = gateway.config.version(),
-        config_age_ms = gateway.config_age_us() / 1_000;
-        "request_refused"
-    );
-}
-
 async fn take<P: Protocol>(
     gateway: &Arc<Gateway<P>>,
     request: Request<Incoming>,
@@ -193,121 +144,6 @@
     result
 }
 
-fn find_route<P: Protocol>(
-    gateway: &Gateway<P>,
-    table: &RouteTable,
-    host: Option<&str>,
-    path: &str,
-) -> Result<Arc<Route>, Refusal> {
-    match table.route(host.unwrap_or_default(), path) {
-        Some(route) => Ok(route.clone()),
-        // A route may have been added that is not known here yet.
-        None if !gateway.is_fresh() => Err(refuse::not_ready("configuration_too_old")),
-        None => Err(Refusal::bad(
-            StatusCode::NOT_FOUND,
-            "no_route",
-            "no such route",
-        )),
-    }
-}
-
-fn find_organisation<P: Protocol>(
-    gateway: &Gateway<P>,
-    table: &RouteTable,
-    route: &Route,
-    head: &CallHead,
-) -> Result<Option<Arc<Organisation>>, Refusal> {
-    if !table.needs_key(route) {
-        return Ok(None);
-    }
-    if !gateway.is_fresh() {
-        return Err(refuse::not_ready("configuration_too_old"));
-    }
-    let known = head.key.as_deref().and_then(|k| table.organisation(k));
-    match known {
-        Some(organisation) => Ok(Some(organisation.clone())),
-        None => {
-            let message = "the key is not known";
-            Err(Refusal::bad(
-                StatusCode::UNAUTHORIZED,
-                "unknown_key",
-                message,
-            ))
-        }
-    }
-}
-
-async fn read_body(
-    headers: &HeaderMap,
-    body: Incoming,
-    max_bytes: usize,
-) -> Result<Bytes, Refusal> {
-    let too_large = || {
-        let message = format!("the body is longer than {max_bytes} bytes");
-        Refusal::bad(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message)
-    };
-    let promised = headers.get(hyper::header::CONTENT_LENGTH);
-    let promised = promised.and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
-    if promised.is_some_and(|p| p > max_bytes as u64) {
-        return Err(too_large());
-    }
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(too_large()),
-        Err(_) => {
-            let message = "the body broke off";
-            Err(Refusal::bad(StatusCode::BAD_REQUEST, "body_cut", message))
-        }
-    }
-}
-
-fn take_from_limit<P: Protocol>(
-    gateway: &Gateway<P>,
-    organisation: Option<&str>,
-    tokens: Option<u32>,
-    rank: Rank,
-) -> Result<(), Refusal> {
-    let Some(name) = organisation else {
-        return Ok(());
-    };
-    let now_us = gateway.clock.now_us();
-    let sharers = gateway.sharers();
-    let taken = gateway.limits().take(now_us, name, tokens, rank, sharers);
-    taken.map_err(refuse::over_limit)
-}
-
-/// Returns for how long a request is held at most.
-fn allowed_us(route: &Route, head: &CallHead) -> Micros {
-    let route_us = route.timeout.as_micros() as Micros;
-    let caller_us = head.deadline_ms.map_or(route_us, |ms| ms * 1_000);
-    caller_us.min(route_us).saturating_sub(ANSWER_MARGIN_US)
-}
-
-fn ask(
-    route: &Route,
-    head: &CallHead,
-    service: Name,
-    tokens_per_event: u32,
-    arrived_us: Micros,
-    deadline_us: Micros,
-) -> Ask {
-    let prompt_tokens = head.tokens.map_or(0, |t| t.prompt);
-    let most = head.tokens.map_or(u32::MAX, |t| t.max_output);
-    let output_tokens = head.output_guess.unwrap_or(PRIOR_OUTPUT_TOKENS).min(most);
-    Ask {
-        service,
-        is_stream: route.kind.is_stream(),
-        prompt_tokens,
-        chains: prefixes::chains(&head.parts).collect(),
-        output_events: f64::from(output_tokens) / f64::from(tokens_per_event),
-        target_us: route.target.as_micros() as Micros,
-        arrived_us,
-        deadline_us,
-        rank: route.priority,
-        other_hall_cost: OTHER_HALL_COST,
-    }
-}
-
 /// What came of sending a request to one endpoint.
 enum Tried {
     /// The final answer.
@@ -535,43 +371,3 @@
         response
     }
 }
-
-/// One in this many answers in time has a line; all others do.
-const SAMPLE: u32 = 16;
-
-/// Writes the line of an answer that came from an endpoint.
-pub fn log_answer<P: Protocol>(
-    gateway: &Gateway<P>,
-    job: &Job,
-    outcome: Outcome,
-    status: StatusCode,
-    first_us: Micros,
-    trace: &Trace,
-) {
-    let attempts = trace.attempts;
-    let in_time = first_us <= job.ask.target_us;
-    let is_plain = outcome == Outcome::Served && in_time && attempts <= 1;
-    if is_plain && rand::rng().random_range(0..SAMPLE) > 0 {
-        return;
-    }
-    log::info!(
-        target: "ryevalve::request",
-        request_id = job.id(),
-        route = &*job.route.name,
-        organisation = job.organisation.as_deref().unwrap_or("-"),
-        outcome = outcome.as_str(),
-        status = status.as_u16(),
-        first_ms = first_us / 1_000,
-        target_ms = job.ask.target_us / 1_000,
-        attempts,
-        endpoint = trace.endpoint.as_deref().unwrap_or("-"),
-        last_failure = trace.reason.unwrap_or("-"),
-        expected_first_ms = trace.expected.map_or(0.0, |e| e.first_ms.round()),
-        endpoint_requests = trace.expected.map_or(0.0, |e| e.there.round()),
-        uncached_tokens = trace.expected.map_or(0, |e| e.uncached_tokens),
-        prompt_tokens = job.ask.prompt_tokens,
-        config_version = gateway.config.version(),
-        config_age_ms = gateway.config_age_us() / 1_000;
-        "request_answered"
-    );
-}
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -27,7 +27,7 @@
         attempt::{self, Answered, Failed, Job, Sent},
         metrics::Outcome,
         protocol::Protocol,
-        run::{Trace, log_answer},
+        report::{Trace, log_answer},
         state::Gateway,
     },
     prelude::Micros,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod gateway;
 pub mod instance;
 pub mod limits;
+pub mod listener;
 pub mod logs;
 pub mod metrics;
 pub mod operator;
--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -14,7 +14,7 @@
 use crate::{
     balance::discovery::Change,
     gateway::{
-        config_copy,
+        copies,
         exchange::Exchange,
         front::{self, FrontStop},
         probes,
@@ -179,7 +179,7 @@
     tokio::spawn(async move { gossip.run(CancellationToken::new()).await });
     tokio::spawn(exchange.clone().meet());
     tokio::spawn(exchange.run());
-    let serving = config_copy::serve(gateway.clone(), copies, codec);
+    let serving = copies::serve(gateway.clone(), copies, codec);
     tokio::spawn(async move {
         if let Err(error) = serving.await {
             let reason = error.to_string();
