Callers no longer order a prompt to be pinned

Cause: the list of headers that only the gateway may set lacked Pin-Ms, so a caller's own value reached the endpoint on every attempt. Ruled out: another way into the request; first attempts, retries and resumed streams all pass through write_forward, and a map of headers folds spelling and holds repetitions. Change: Pin-Ms is on the list. After: both tests pass.

--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -35,13 +35,14 @@
 
 /// Headers that only the gateway may set towards an endpoint: from a caller they would reach into
 /// what is another's.
-const GATEWAY_ONLY: [HeaderName; 9] = [
+const GATEWAY_ONLY: [HeaderName; 10] = [
     ORGANISATION,
     EXPECTED_ENDPOINT,
     DEADLINE_MS,
     AUTHORIZATION,
     HeaderName::from_static("expect-version"),
     HeaderName::from_static("retention"),
+    HeaderName::from_static("pin-ms"),
     HeaderName::from_static("kv-from"),
     HeaderName::from_static("kv-fetch"),
     HeaderName::from_static("kv-backup"),
--- a/tests/edge/answers.rs
+++ b/tests/edge/answers.rs
@@ -155,6 +155,41 @@
     }
 }
 
+#[tokio::test]
+async fn no_attempt_carries_what_only_the_gateway_may_order() {
+    let forged = [
+        ("pin-ms", "4000"),
+        ("Pin-Ms", "3000"),
+        ("retention", "r"),
+        ("kv-backup", "10.0.0.1:1"),
+        ("kv-from", "10.0.0.1:1/1"),
+        ("kv-fetch", "10.0.0.1:1"),
+    ];
+    let edge = Edge::start(2).await;
+    // Whoever is asked first fails, so that every request is sent twice.
+    let cases = [
+        (Fault::ResetAfterRun, "/again/"),
+        (Fault::CutNewStream, "/resume/stream"),
+    ];
+    for (fault, path) in cases {
+        for runner in &edge.runners {
+            runner.fault(fault);
+        }
+        for number in 0..2 {
+            let id = format!("{path}-{number}");
+            edge.call_with(path, &id, &forged).await;
+        }
+    }
+    let seen: Vec<_> = edge.runners.iter().flat_map(|r| r.seen()).collect();
+    assert_eq!(seen.len(), 8, "four requests, each sent twice");
+    for request in &seen {
+        for (name, _) in forged {
+            let name = name.to_lowercase();
+            assert!(!request.headers.contains_key(&name), "{name}: {request:?}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn a_stream_that_breaks_long_after_its_target_goes_on_too() {
     let edge = Edge::start(2).await;
--- a/tests/gateway/headers.rs
+++ b/tests/gateway/headers.rs
@@ -1,6 +1,9 @@
 //! The platform's headers and objects, decoded and written.
 
-use hyper::HeaderMap;
+use hyper::{
+    HeaderMap,
+    header::{HeaderName, HeaderValue},
+};
 use ryevalve::{
     gateway::{
         attempt::strip_connection_headers,
@@ -88,6 +91,40 @@
     assert_eq!(forwarded["tenant"], "hule930");
 }
 
+#[test]
+fn no_header_that_orders_an_endpoint_comes_from_a_caller() {
+    let forward = Forward {
+        endpoint: "i-1",
+        organisation: None,
+        left_ms: 700,
+        resume_after: None,
+    };
+    let orders = [
+        "Pin-Ms",
+        "Retention",
+        "Kv-Backup",
+        "Kv-From",
+        "Kv-Fetch",
+        "Expect-Version",
+        "Tenant",
+    ];
+    for name in orders {
+        for spelling in [name.to_owned(), name.to_lowercase(), name.to_uppercase()] {
+            let mut forwarded = headers(&[("Model", "m")]);
+            let spelled: HeaderName = spelling.parse().unwrap();
+            forwarded.append(spelled.clone(), HeaderValue::from_static("1"));
+            forwarded.append(spelled, HeaderValue::from_static("2"));
+            PlatformProtocol.write_forward(&mut forwarded, &forward);
+            let expected = headers(&[
+                ("Model", "m"),
+                ("Expect-Instance", "i-1"),
+                ("Deadline-Ms", "700"),
+            ]);
+            assert_eq!(forwarded, expected, "{spelling} was passed on");
+        }
+    }
+}
+
 #[test]
 fn headers_of_one_connection_stay_there() {
     let mut passed = headers(&[
