Without strict revocation, known keys are served while the store is away

Cause: `strictRevocation` of the settings was not read; after 3.8 s without word from the store every request with a key was refused, also where operators don't ask for that. Ruled out: slow recovery after the loss (the configuration is back 16 ms after a start). Change: keys that the configuration in force has are served whatever its age unless revocation is strict (the default); unknown keys and routes are still answered 503 while newer word may exist, and the instance still calls itself not ready.

--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -62,12 +62,13 @@
     if !table.needs_key(route) {
         return Ok(None);
     }
-    if !gateway.is_fresh() {
-        return Err(refuse::not_ready("configuration_too_old"));
-    }
     let known = head.key.as_deref().and_then(|k| table.organisation(k));
     match known {
-        Some(organisation) => Ok(Some(organisation.clone())),
+        Some(organisation) if gateway.may_use_keys() => Ok(Some(organisation.clone())),
+        // The key may have been taken away.
+        Some(_) => Err(refuse::not_ready("configuration_too_old")),
+        // Or it may have been added.
+        None if !gateway.is_fresh() => Err(refuse::not_ready("configuration_too_old")),
         None => {
             let message = "the key is not known";
             Err(Refusal::bad(
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -45,6 +45,8 @@
 pub struct GatewayBounds {
     /// How long a key may be used after it was taken away.
     pub revoke_us: Micros,
+    /// That is kept even if it means refusing callers while nothing newer can be learned.
+    pub is_revocation_strict: bool,
     /// Retries of a service.
     pub retries: RetryBounds,
     /// How far above its limit an organisation may come.
@@ -255,6 +257,14 @@
         self.config_age_us() <= allowed_us
     }
 
+    /// Returns whether a key that the configuration in force has may be used.
+    ///
+    /// Operators who do not ask for strict revocation are served by the last configuration known
+    /// while the store is away.
+    pub fn may_use_keys(&self) -> bool {
+        !self.bounds().is_revocation_strict || self.is_fresh()
+    }
+
     /// Returns whether callers are to be sent here.
     pub fn is_ready(&self) -> bool {
         let serves = self.is_fresh() && self.balancer().endpoint_count() > 0;
--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -198,6 +198,7 @@
 fn gateway_bounds(bounds: &Bounds) -> GatewayBounds {
     GatewayBounds {
         revoke_us: bounds.revoke_ms * 1_000,
+        is_revocation_strict: bounds.strict_revocation,
         retries: RetryBounds {
             ratio: bounds.retry_budget_ratio,
             slack: bounds.budget_slack,
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -105,6 +105,9 @@
     pub grace_s: f64,
     /// How long a key may be used after it was taken away, in milliseconds.
     pub revoke_ms: u64,
+    /// A key that was taken away may not be used longer than that, whatever it costs; else callers are
+    /// served by the last configuration known while a newer one cannot be learned.
+    pub strict_revocation: bool,
     /// Retries a request of a service.
     pub retry_budget_ratio: f64,
     /// Retries on top of that in a window, over all instances.
@@ -125,6 +128,7 @@
         Self {
             grace_s: 8.0,
             revoke_ms: 5_000,
+            strict_revocation: true,
             retry_budget_ratio: 0.2,
             budget_slack: 50.0,
             budget_window_s: 10.0,
--- a/tests/edge/control.rs
+++ b/tests/edge/control.rs
@@ -45,6 +45,27 @@
     assert!(events.contains(&"store_lost".into()) && events.contains(&"store_regained".into()));
 }
 
+#[tokio::test]
+async fn without_strict_revocation_known_keys_are_served_by_the_last_configuration() {
+    let edge = Edge::start_with(1, "strictRevocation = false").await;
+    edge.platform.fault(|f| f.silent = true);
+    time::sleep(Duration::from_millis(5_000)).await;
+    assert!(!edge.is_ready().await, "others may know more");
+    let got = edge.call("/once/", "r-1").await;
+    assert_eq!(got.status, StatusCode::OK);
+    // Keys and routes may have been added: what is not known is not judged.
+    let unknown = [("authorization", "Token new")];
+    let got = edge.call_with("/once/", "r-2", &unknown).await;
+    assert_eq!(got.status, StatusCode::SERVICE_UNAVAILABLE);
+    let got = edge.call("/new/", "r-3").await;
+    assert_eq!(got.status, StatusCode::SERVICE_UNAVAILABLE);
+    edge.platform.fault(|f| f.silent = false);
+    edge.platform.set("config", "main", config(7, &["another"]));
+    let edge = &edge;
+    edge.until(|| async { edge.call("/once/", "r-4").await.status == StatusCode::UNAUTHORIZED })
+        .await;
+}
+
 #[tokio::test]
 async fn a_draining_endpoint_gets_no_new_request() {
     let edge = Edge::start(2).await;
--- a/tests/edge/support.rs
+++ b/tests/edge/support.rs
@@ -83,6 +83,11 @@
 impl Edge {
     /// Starts one instance before `count` endpoints, and waits until it is ready.
     pub async fn start(count: usize) -> Self {
+        Self::start_with(count, "").await
+    }
+
+    /// The same with further lines of settings under `bounds`.
+    pub async fn start_with(count: usize, bounds: &str) -> Self {
         let platform = Platform::start().await;
         platform.set("config", "main", config(3, &["key-of-the-tests"]));
         let mut runners = Vec::new();
@@ -101,7 +106,7 @@
         let dir = std::env::temp_dir().join(format!("ryevalve-edge-{process}-{number}"));
         fs::create_dir_all(&dir).unwrap();
         let settings = dir.join("boot.toml");
-        fs::write(&settings, settings_text(&ip, platform.addr())).unwrap();
+        fs::write(&settings, settings_text(&ip, platform.addr(), bounds)).unwrap();
         let log = dir.join("log.jsonl");
         let child = Command::new(env!("CARGO_BIN_EXE_ryevalve"))
             .arg("edge")
@@ -206,7 +211,7 @@
         "state": state, "warmupLeftMs": 0, "sequence": 1})
 }
 
-fn settings_text(ip: &str, store: SocketAddr) -> String {
+fn settings_text(ip: &str, store: SocketAddr, bounds: &str) -> String {
     format!(
         r#"
 nodeName = "edge-1"
@@ -227,6 +232,7 @@
 revokeMs = 5000
 retryBudgetRatio = 0.2
 budgetSlack = 50
+{bounds}
 [platform]
 address = "{store}"
 "#
--- a/tests/gateway/freshness.rs
+++ b/tests/gateway/freshness.rs
@@ -41,6 +41,7 @@
 fn keys_are_not_judged_by_a_configuration_that_may_be_older_than_a_revocation() {
     let bounds = GatewayBounds {
         revoke_us: SECOND / 1_000,
+        is_revocation_strict: true,
         retries: RetryBounds {
             ratio: 0.2,
             slack: 10.0,
@@ -61,6 +62,12 @@
         !gateway.is_fresh(),
         "confirmed longer ago than a key may be used"
     );
+    assert!(!gateway.may_use_keys());
+    gateway.set_bounds(GatewayBounds {
+        is_revocation_strict: false,
+        ..bounds
+    });
+    assert!(gateway.may_use_keys() && !gateway.is_fresh());
     let long = GatewayBounds {
         revoke_us: 60 * SECOND,
         ..bounds
--- a/tests/gateway/settings.rs
+++ b/tests/gateway/settings.rs
@@ -34,6 +34,7 @@
     assert_eq!(settings.peer_ports, (7600, 7615));
     assert_eq!(settings.bounds.revoke_ms, 5_000);
     assert_eq!(settings.bounds.budget_window_s, 10.0);
+    assert!(settings.bounds.strict_revocation, "unless it is said");
 }
 
 #[test]
