An endpoint's own failure is passed on where nothing came of a second try

Ruled out: streams and requests that run once pass answers on. Change: the failure is kept and passed on unless a later try is answered. Before: the test gets 502 for 500; after: passes. Two more tests of rules of the new deployment, which the code kept already: drains hold and requests without a key are served while the store is away.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -187,7 +187,25 @@
         }
     }
 
+    /// Runs the request until it has an answer. Where nothing came of sending it again, an endpoint's own
+    /// answer is passed on, though it is a failure: the caller learns what was said, not that nothing was.
     async fn until_answered(mut self, trace: &mut Trace) -> Result<Response<Body>, Refusal> {
+        let mut made = None;
+        match self.try_endpoints(trace, &mut made).await {
+            Ok(response) => Ok(response),
+            Err(refusal) => match made {
+                Some(whole) => Ok(self.pass_on(whole, trace)),
+                None => Err(refusal),
+            },
+        }
+    }
+
+    /// Tries endpoints one after the other; a failure that one answered with is left in `made`.
+    async fn try_endpoints(
+        &mut self,
+        trace: &mut Trace,
+        made: &mut Option<Whole>,
+    ) -> Result<Response<Body>, Refusal> {
         loop {
             if trace.attempts > 0 {
                 self.ask.arrived_us = self.gateway.clock.now_us();
@@ -222,6 +240,7 @@
                     if !self.may_run_again() {
                         return Ok(self.pass_on(whole, trace));
                     }
+                    *made = Some(whole);
                 }
             }
         }
--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -42,6 +42,8 @@
     Unframed,
     /// Answers with another endpoint's proof missing.
     Unsigned,
+    /// Runs requests and answers with an error of its own.
+    Error,
 }
 
 /// One request as it reached the endpoint.
@@ -227,8 +229,12 @@
     } else {
         "Instance-Signature: 3e1b.07\r\n"
     };
+    let status = match fault {
+        Fault::Error => "500 Internal Server Error",
+        _ => "200 OK",
+    };
     format!(
-        "HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n{proof}Instance-Load: 1,0,4\r\n{rest}\r\n\r\n"
+        "HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\n{proof}Instance-Load: 1,0,4\r\n{rest}\r\n\r\n"
     )
 }
 
--- a/tests/edge/answers.rs
+++ b/tests/edge/answers.rs
@@ -88,6 +88,32 @@
     }
 }
 
+#[tokio::test]
+async fn an_endpoints_own_failure_is_passed_on_where_nothing_else_came_of_the_request() {
+    let edge = Edge::start(2).await;
+    edge.runners[0].fault(Fault::Error);
+    edge.runners[1].fault(Fault::ResetAfterRun);
+    for number in 0..4 {
+        let id = format!("r-{number}");
+        let got = edge.call("/again/", &id).await;
+        let errors = edge.runners[0].runs(&id);
+        let expected = match errors {
+            0 => StatusCode::BAD_GATEWAY,
+            _ => StatusCode::INTERNAL_SERVER_ERROR,
+        };
+        assert_eq!(got.status, expected, "{id}");
+        assert_eq!(got.headers.contains_key("instance-signature"), errors > 0);
+    }
+    // With one endpoint there is no other to ask.
+    let edge = Edge::start(1).await;
+    edge.runners[0].fault(Fault::Error);
+    let got = edge.call("/again/", "r-1").await;
+    assert_eq!(
+        (got.status, got.text()),
+        (StatusCode::INTERNAL_SERVER_ERROR, whole_body("r-1"))
+    );
+}
+
 #[tokio::test]
 async fn a_mute_endpoint_is_given_up_for_another_in_time() {
     let edge = Edge::start(2).await;
--- a/tests/edge/control.rs
+++ b/tests/edge/control.rs
@@ -66,6 +66,21 @@
         .await;
 }
 
+#[tokio::test]
+async fn while_the_store_is_away_drains_hold_and_requests_without_a_key_are_served() {
+    let edge = Edge::start(2).await;
+    edge.entry(0, "draining");
+    time::sleep(Duration::from_millis(1_000)).await;
+    edge.platform.fault(|f| f.silent = true);
+    time::sleep(Duration::from_millis(5_000)).await;
+    let before = edge.runners[0].seen().len();
+    for number in 0..10 {
+        let got = edge.call("/open/", &format!("r-{number}")).await;
+        assert_eq!(got.status, StatusCode::OK);
+    }
+    assert_eq!(edge.runners[0].seen().len(), before);
+}
+
 #[tokio::test]
 async fn a_draining_endpoint_gets_no_new_request() {
     let edge = Edge::start(2).await;
--- a/tests/edge/support.rs
+++ b/tests/edge/support.rs
@@ -64,6 +64,8 @@
             "backend": "svc",
         })
     };
+    let mut open_route = route("open", "non_idempotent", 1, false);
+    open_route["public"] = true.into();
     json!({
         "version": version,
         "routes": [
@@ -71,6 +73,7 @@
             route("again", "idempotent", 2, false),
             route("resume", "streaming", 2, true),
             route("fixed", "streaming", 1, false),
+            open_route,
         ],
         "backends": [{"name": "svc", "healthCheck": "/healthz", "maxConnections": 100}],
         "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 100_000,
