A caller who waits longer than all others has to be joined by others; a bench of placements

Cause: one caller with a longer deadline than is usual on its route took over the standing of the usual one, so that up to 55 of the next callers counted as late (worked out from the gain; the test allowed 100). Change: a longer deadline begins with the least standing, and nothing follows from it until others say the same. The test now allows one. The new bench measures a placement over 18, 90 and 1,100 endpoints in small and large groups; not run yet, the machine is busy.

--- /dev/null
+++ b/benches/placing.rs
@@ -0,0 +1,90 @@
+//! One placement by an instance on the platform, against endpoints and the size of the group.
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use ryevalve::{
+    balance::{
+        balancer::{Balancer, Placement},
+        cost::Ask,
+        discovery::EndpointEntry,
+        load::{EndpointKey, InFlight},
+        picture::Group,
+    },
+    prelude::Incarnation,
+};
+
+/// Endpoints, in three halls.
+const SIZES: [usize; 3] = [18, 90, 1_100];
+const SLOTS: u32 = 7;
+/// Placements are this far apart, in microseconds: 1,000 a second.
+const APART_US: u64 = 1_000;
+
+fn entry(number: usize) -> EndpointEntry {
+    EndpointEntry {
+        id: format!("i-{number}").into(),
+        service: "model".into(),
+        addr: ([10, 0, 0, 1], 80).into(),
+        hall: format!("hall-{}", number % 3).into(),
+        slots: SLOTS,
+        draining: false,
+        warmup_left_ms: 0,
+    }
+}
+
+/// A balancer that knows of requests of others at all endpoints.
+fn balancer(endpoints: usize, group: Group) -> Balancer {
+    let mut balancer = Balancer::new("hall-0".into());
+    balancer.picture_mut().set_group(group);
+    for number in 0..endpoints {
+        balancer.endpoint_seen(entry(number), 1);
+    }
+    let load = |number: usize| InFlight {
+        requests: (number % 5) as u32,
+        prompt_tokens: (number % 7) as u32 * 300,
+    };
+    let loads = (0..endpoints).map(|n| (EndpointKey::of(&format!("i-{n}")), load(n)));
+    balancer.told(0, Incarnation(1), loads.collect(), &[], &[]);
+    balancer
+}
+
+fn ask(number: u64, now_us: u64) -> Ask {
+    Ask {
+        service: "model".into(),
+        is_stream: true,
+        prompt_tokens: 600,
+        chains: Vec::new(),
+        output_events: 40.0,
+        target_us: 800_000,
+        arrived_us: now_us,
+        waited_us: 0,
+        deadline_us: now_us + 15_000_000,
+        rank: 0,
+        other_hall_cost: 0.05,
+        draw: number,
+    }
+}
+
+fn placing(c: &mut Criterion) {
+    let mut benches = c.benchmark_group("placing");
+    for endpoints in SIZES {
+        for group in [Group::Small, Group::Large] {
+            let mut balancer = balancer(endpoints, group);
+            let (mut number, mut now_us) = (0, APART_US);
+            let id = BenchmarkId::new(format!("{group:?}"), endpoints);
+            benches.bench_function(id, |b| {
+                b.iter(|| {
+                    number += 1;
+                    now_us += APART_US;
+                    if let Placement::Send(choice) =
+                        balancer.place(now_us, &ask(number, now_us), &[])
+                    {
+                        balancer.end(choice.key, choice.expected.uncached_tokens, None);
+                    }
+                });
+            });
+        }
+    }
+    benches.finish();
+}
+
+criterion_group!(benches, placing);
+criterion_main!(benches);
--- a/src/gateway/patience.rs
+++ b/src/gateway/patience.rs
@@ -2,6 +2,8 @@
 //!
 //! A try bears an id of its own and does not say that it is a second one. But callers say how long
 //! they will still wait: one that was refused and comes back says less than is usual on its route.
+//! In a surge, some 390 of 564 late answers of one kind went to such callers (6 instances, from logs).
+//! Whom they give way to is decided in [`crate::balance::balancer`].
 
 use std::collections::HashMap;
 
@@ -13,7 +15,7 @@
 const MIN_USUAL_SHARE: f64 = 0.3;
 /// The usual is what differs by less than this share from the longest.
 const USUAL_TOLERANCE: f64 = 0.02;
-/// Gain of one caller in the share; some fifty callers make it.
+/// Gain of one caller in the share, which stands for the latest fifty or so.
 const GAIN: f64 = 0.02;
 /// Routes that are known at most; with more, all are learned anew.
 const MOST_ROUTES: usize = 4_096;
@@ -34,10 +36,11 @@
     fn learn(&mut self, patience_us: Micros) {
         let seen = if self.is_like(patience_us) { 1.0 } else { 0.0 };
         self.share += (seen - self.share) * GAIN;
-        // A longer one replaces it, and one that nobody else says gives way.
+        // A longer one replaces it, and has to be said by others too before anything follows from it;
+        // one that nobody else says gives way.
         if patience_us > self.patience_us || self.share < GAIN {
             self.patience_us = patience_us;
-            self.share = self.share.max(MIN_USUAL_SHARE);
+            self.share = MIN_USUAL_SHARE;
         }
     }
 }
--- a/tests/gateway/patience.rs
+++ b/tests/gateway/patience.rs
@@ -52,7 +52,7 @@
     usual.waited_us(&route, 60 * SECOND);
     let late = (0..400).map(|_| usual.waited_us(&route, 3 * SECOND));
     let late = late.filter(|us| *us > 0).count();
-    assert!(late < 100, "{late} of 400 were taken for late");
+    assert!(late <= 1, "{late} of 400 were taken for late");
     assert_eq!(usual.waited_us(&route, 3 * SECOND), 0);
 }
 
