--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -44,10 +44,6 @@
 /// Late first events of a calm day over 78 instances and 30 endpoints a hall, of two kinds of request:
 /// all looked at 314 and 325, twelve 217 and 204, six 143 and 151, four 186 and 199.
 const NEAR_LOOKED_AT: usize = 6;
-/// In a large group, that much of the time for which a request may queue is kept for those that others
-/// sent there and are not heard of yet: a round of words and the way there, in microseconds. Worth of
-/// surges over 78 instances, two seeds of two days: .508 without, .528 with queues as much shorter.
-const UNHEARD_US: f64 = 60_000.0;
 /// What was read lately and nobody was told of, at most: some seconds of a busy instance.
 const MOST_NEWS: usize = 1_024;
 /// Spreads numbers that differ little; 2^64 over the golden ratio.
@@ -339,11 +335,7 @@
         let waited_us = now_us.saturating_sub(ask.arrived_us) as f64;
         // One that is late in any case loses nothing more by having waited.
         let spent_us = if ask.is_late() { 0.0 } else { waited_us };
-        let unheard_us = match self.picture.group() {
-            Group::Large if ask.is_stream => UNHEARD_US,
-            _ => 0.0,
-        };
-        let queue_us = spent_us + best.expected.queue_ms * 1e3 + unheard_us;
+        let queue_us = spent_us + best.expected.queue_ms * 1e3;
         let fits = queue_us <= ask.target_us as f64 * queue_share(ask);
         // One that is late in any case passes nobody.
         let may_pass = best.expected.has_room && !ask.is_late();
