Halls are told one sum of the others, and summaries go out with pauses

Cause: an aggregator passed on five halls' summaries as they came, some 7 KB to each of 49, all at once: the ends of full links' queues lost them, some instances each time. What decided refusals over limits, now in their line, showed it: words up to 2.7 s old, 181 to 295 of 295 heard. Change: aggregators sum the other halls up; a summary goes out to six at a time, in another order each time, within half of the link; chains of prompts under 128 tokens are not told in large groups. Refusals over a limit say organisation, level, reserve, what is withheld, the age of the oldest word and how many are heard.

--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -44,6 +44,9 @@
 /// Late first events of a calm day over 78 instances and 30 endpoints a hall, of two kinds of request:
 /// all looked at 314 and 325, twelve 217 and 204, six 143 and 151, four 186 and 199.
 const NEAR_LOOKED_AT: usize = 6;
+/// In a large group others are told of no shorter chains: 60 tokens are read in a millisecond, and were
+/// half of what a hall's instances told each other of reads.
+const LEAST_TOLD_TOKENS: u32 = 128;
 /// What was read lately and nobody was told of, at most: some seconds of a busy instance.
 const MOST_NEWS: usize = 1_024;
 /// Spreads numbers that differ little; 2^64 over the golden ratio.
@@ -435,9 +438,15 @@
     fn send(&mut self, now_us: Micros, ask: &Ask, choice: Choice) -> Placement {
         self.picture
             .sent(choice.key, choice.expected.uncached_tokens);
-        for (chain, _) in &ask.chains {
+        let least_tokens = match self.picture.group() {
+            Group::Small => 0,
+            Group::Large => LEAST_TOLD_TOKENS,
+        };
+        for (chain, tokens) in &ask.chains {
             self.holders.note(now_us, *chain, choice.key);
-            self.news.push((*chain, choice.key));
+            if *tokens >= least_tokens {
+                self.news.push((*chain, choice.key));
+            }
         }
         if self.news.len() > MOST_NEWS {
             // An instance that is alone tells nobody.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -13,6 +13,7 @@
     time::Duration,
 };
 
+use rand::seq::SliceRandom;
 use tokio::{
     net::UdpSocket,
     time::{self, MissedTickBehavior},
@@ -26,6 +27,7 @@
     gateway::{
         aggregators::{Aggregators, hall_key},
         copies::{self, Copies, Lacks},
+        far_book::{FAR_HALLS, FarBook},
         hall_book::{HallBook, News},
         halls::Halls,
         heard::HeardInstances,
@@ -55,9 +57,9 @@
 /// believed about as old as a round.
 const SUMMARY_US: Micros = 80_000;
 /// The share of an instance's link that its summaries take at most; beyond it they come less often.
-/// The rest is for answers: at 20 Mbit/s and 49 instances a hall a summary of 1.2 KB goes out each
-/// 120 ms.
-const SUMMARY_LINK_SHARE: f64 = 0.2;
+/// The rest is for answers: at 20 Mbit/s and 49 instances a hall a summary of 1.5 KB goes out each
+/// 100 ms.
+const SUMMARY_LINK_SHARE: f64 = 0.3;
 /// An aggregator tells its peers in other halls its sums this often: with two of them, each 200 ms in
 /// the mean. In between it tells them how fresh its configuration is.
 const FAR_SUMMARY_US: Micros = 400_000;
@@ -72,8 +74,12 @@
 const MAX_DATAGRAM: usize = 65_536;
 /// Endpoints of which one summary tells the load; about 9 bytes each. More go into several.
 const LOADS_TOLD: usize = 400;
-/// Summaries of other halls in one datagram to the own; about 1 KB each.
+/// Summaries of other halls that one that is no aggregator hands on at a time; about 1 KB each.
 const HALLS_TOLD: usize = 4;
+/// A summary goes out to so many at a time, with pauses that leave half of the link free: sent at once
+/// to 49, those at the end of a full link's queue lost it each time.
+const SENT_AT_ONCE: usize = 6;
+const SENT_LINK_SHARE: f64 = 0.5;
 const READS_TOLD: usize = 48;
 /// Endpoints of which a round tells how fast they were seen to be; about 15 bytes each.
 const SEEN_TOLD: usize = 4;
@@ -108,16 +114,21 @@
     heard: HeardInstances,
     halls: Halls,
     book: HallBook,
+    far_book: FarBook,
     aggregators: Aggregators,
-    /// Which organisations' use went into reports, summaries and summaries for other halls.
+    /// Which organisations' use went into reports, summaries, summaries for other halls, and those of
+    /// other halls.
     report_turns: UseTurns,
     summary_turns: UseTurns,
+    peer_turns: UseTurns,
     far_turns: UseTurns,
     told_at_us: Micros,
     summary_at_us: Micros,
     /// How long the last summary was.
     summary_bytes: usize,
+    /// When the peers in other halls were told of this one, and this one of other halls.
     far_summary_at_us: Micros,
+    far_told_at_us: Micros,
     turn: usize,
     /// What was told last of the configuration and the endpoints: news goes out at once.
     told_state: (u64, u64),
@@ -377,10 +388,11 @@
 
     /// Tells the hall its sums, if this instance is one of its aggregators and it is time; and its
     /// peers in other halls.
-    async fn tell_hall(&self, now_us: Micros, has_news: bool) {
+    async fn tell_hall(self: &Arc<Self>, now_us: Micros, has_news: bool) {
         let (reporters, peers) = {
             let mut state = self.lock();
             state.book.expire(now_us);
+            state.far_book.expire(now_us);
             let since_us = now_us.saturating_sub(state.summary_at_us);
             let reporters = state.book.reporters(now_us);
             let pace_us = self.pace_us(reporters.len(), state.summary_bytes);
@@ -396,12 +408,13 @@
         }
         let mut update = self.next_update(now_us, Purpose::Summary);
         let summaries = self.own_summaries(now_us, &mut update);
-        for summary in &summaries {
+        let far_summaries = self.far_summaries(now_us, &update);
+        for summary in summaries.iter().chain(&far_summaries) {
             self.take_summary(now_us, summary, update.seq);
         }
         if !reporters.is_empty() {
-            self.send_summaries(&reporters, update.clone(), &summaries)
-                .await;
+            let all: Vec<_> = summaries.iter().chain(&far_summaries).cloned().collect();
+            self.send_summaries(reporters, update.clone(), &all);
         }
         self.tell_peers(now_us, &peers, update, summaries).await;
     }
@@ -442,36 +455,87 @@
         summaries
     }
 
-    /// Sends the hall its sums, with what its instances saw and what other halls said.
-    async fn send_summaries(
-        &self,
-        reporters: &[IpAddr],
+    /// Returns the sums of all other halls, of all endpoints together, now and then.
+    fn far_summaries(&self, now_us: Micros, update: &Update) -> Vec<HallSummary> {
+        let own_used = self.gateway.limits().used();
+        let mut state = self.lock();
+        let is_due = now_us.saturating_sub(state.far_told_at_us) >= FAR_SUMMARY_US;
+        if !is_due || state.far_book.is_empty() {
+            return Vec::new();
+        }
+        state.far_told_at_us = now_us;
+        let loads = state.far_book.loads();
+        let used = state.far_book.used(&own_used);
+        let used = state.far_turns.select(now_us, &used);
+        let mut whole = HallSummary {
+            hall: FAR_HALLS,
+            by: self.place.me.incarnation,
+            seq: update.seq,
+            uptime_ms: update.uptime_ms,
+            ..HallSummary::default()
+        };
+        state.far_book.complete(now_us, &mut whole);
+        let parts = split_loads(&loads, LOADS_TOLD).into_iter();
+        let parts = parts.map(|(span, loads)| HallSummary {
+            span,
+            loads,
+            ..whole.clone()
+        });
+        let mut parts: Vec<HallSummary> = parts.collect();
+        for part in parts.iter_mut().skip(1) {
+            part.reports = Vec::new();
+            part.speeds = Vec::new();
+        }
+        if let Some(first) = parts.first_mut() {
+            first.used = used;
+        }
+        parts
+    }
+
+    /// Sends the hall its sums and those of the others, with what its instances saw, a datagram a sum.
+    fn send_summaries(
+        self: &Arc<Self>,
+        mut reporters: Vec<IpAddr>,
         mut update: Update,
         summaries: &[HallSummary],
     ) {
         let news = {
             let mut state = self.lock();
             update.echoes = state.book.echoes(self.gateway.clock.now_us());
-            update.halls = state.book.take_to_pass_on(HALLS_TOLD);
             state.book.take_news()
         };
         self.add_news(&mut update, news);
-        let (first, rest) = summaries.split_at(summaries.len().min(1));
-        update.halls.extend_from_slice(first);
-        let mut bytes_sent = self.send_same(reporters, &update).await;
-        for summary in rest {
-            let part = Update {
-                halls: vec![summary.clone()],
-                reports: Vec::new(),
-                read: Vec::new(),
-                seen: Vec::new(),
-                dead: Vec::new(),
-                seq: self.next_seq(),
-                ..update.clone()
-            };
-            bytes_sent += self.send_same(reporters, &part).await;
-        }
-        self.lock().summary_bytes = bytes_sent;
+        let mut datagrams = Vec::new();
+        for (place, summary) in summaries.iter().enumerate() {
+            if place > 0 {
+                self.add_news(&mut update, News::default());
+                update.seq = self.next_seq();
+            }
+            update.halls = vec![summary.clone()];
+            datagrams.push(update::encode(&self.authenticator, &update));
+        }
+        let bytes: usize = datagrams.iter().map(Vec::len).sum();
+        self.lock().summary_bytes = bytes;
+        // Nobody is the last each time.
+        reporters.shuffle(&mut rand::rng());
+        let exchange = self.clone();
+        tokio::spawn(async move { exchange.send_spread(&reporters, &datagrams).await });
+    }
+
+    /// Sends all the same, with pauses in which the link can carry it.
+    async fn send_spread(&self, targets: &[IpAddr], datagrams: &[Vec<u8>]) {
+        let bytes: usize = datagrams.iter().map(Vec::len).sum();
+        let carried = self.place.link_bytes_per_s * SENT_LINK_SHARE;
+        let pause = Duration::from_secs_f64((SENT_AT_ONCE * bytes) as f64 / carried.max(1.0));
+        for some in targets.chunks(SENT_AT_ONCE) {
+            for ip in some {
+                for bytes in datagrams {
+                    self.send_bytes(SocketAddr::new(*ip, self.port), bytes)
+                        .await;
+                }
+            }
+            time::sleep(pause).await;
+        }
     }
 
     /// Tells the peers in other halls the sums of this one, or only how fresh its configuration is.
@@ -494,7 +558,7 @@
             let own_used = self.gateway.limits().used();
             let mut state = self.lock();
             let used = state.book.used(&own_used);
-            first.used = state.far_turns.select(now_us, &used);
+            first.used = state.peer_turns.select(now_us, &used);
             first.reports = state.book.take_far_reports();
             let turn = state.turn;
             drop(state);
@@ -543,16 +607,6 @@
         self.send_bytes(addr, &bytes).await;
     }
 
-    /// Sends all the same update; returns its length.
-    async fn send_same(&self, reporters: &[IpAddr], update: &Update) -> usize {
-        let bytes = update::encode(&self.authenticator, update);
-        for ip in reporters {
-            self.send_bytes(SocketAddr::new(*ip, self.port), &bytes)
-                .await;
-        }
-        bytes.len()
-    }
-
     async fn send_bytes(&self, addr: SocketAddr, bytes: &[u8]) {
         self.gateway.metrics.updates_sent.inc();
         self.gateway.metrics.told_bytes.inc_by(bytes.len() as u64);
@@ -711,23 +765,27 @@
             self.take_news(now_us, &update);
         }
         for summary in update.halls {
-            match (is_near, summary.hall == self.my_hall) {
-                (true, true) => self.take_summary(now_us, &summary, echo),
-                (true, false) => self.take_summary(now_us, &summary, 0),
-                (false, false) => self.take_far_summary(now_us, summary),
-                // What another hall believes of this one is old.
-                (false, true) => (),
+            if is_near {
+                self.take_summary(now_us, &summary, echo);
+            } else {
+                self.take_far_summary(now_us, summary);
             }
         }
     }
 
-    /// Takes a summary of another hall that the own hall was not told.
+    /// Takes a summary of another hall that the own hall was not told: it is summed up by an aggregator,
+    /// and handed on by others.
     fn take_far_summary(&self, now_us: Micros, summary: HallSummary) {
-        if summary.hall == self.my_hall {
+        if summary.hall == self.my_hall || summary.hall == FAR_HALLS {
             return;
         }
-        self.take_summary(now_us, &summary, 0);
-        self.lock().book.note_hall(summary);
+        let mut state = self.lock();
+        if !state.far_book.note(now_us, &summary) {
+            return;
+        }
+        if !state.book.is_aggregator(now_us) {
+            state.book.note_hall(summary);
+        }
     }
 
     /// Takes a summary; `echo` is the newest round of this instance that is in it.
--- a/src/gateway/hall_book.rs
+++ b/src/gateway/hall_book.rs
@@ -181,7 +181,7 @@
     }
 
     /// Returns the newest number of each that reports, for [`Update::echoes`].
-    pub fn echoes(&self, now_us: Micros) -> Vec<(u32, u64)> {
+    pub fn echoes(&self, now_us: Micros) -> Vec<(u16, u64)> {
         let heard = self.heard(now_us);
         heard.map(|(a, m)| (address_key(*a), m.seq)).collect()
     }
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -14,6 +14,7 @@
         config::{Organisation, Route},
         protocol::{CallHead, Protocol},
         refuse,
+        report::Trace,
         routes::RouteTable,
         state::Gateway,
     },
@@ -108,25 +109,29 @@
     }
 }
 
-/// Takes what a request uses from its organisation's limit.
+/// Takes what a request uses from its organisation's limit. What decided against it is noted in
+/// `trace`.
 ///
 /// # Errors
 /// The limit is used up.
 pub fn take_from_limit<P: Protocol>(
     gateway: &Gateway<P>,
-    organisation: Option<&str>,
     tokens: Option<u32>,
     rank: Rank,
     allowed_us: Micros,
+    trace: &mut Trace,
 ) -> Result<(), Refusal> {
-    let Some(name) = organisation else {
+    let Some(name) = &trace.organisation else {
         return Ok(());
     };
     let now_us = gateway.clock.now_us();
     let sharers = gateway.sharers();
     let taken = gateway.limits().take(now_us, name, tokens, rank, sharers);
-    // There may be room for this one sooner, but not for all that were refused with it.
-    taken.map_err(|ms| refuse::over_limit(ms.max(come_back_ms(allowed_us))))
+    taken.map_err(|used_up| {
+        trace.used_up = Some(used_up);
+        // There may be room for this one sooner, but not for all that were refused with it.
+        refuse::over_limit(used_up.wait_ms.max(come_back_ms(allowed_us)))
+    })
 }
 
 /// Returns for how long a request is held at most.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod copies;
 pub mod exchange;
+pub mod far_book;
 pub mod freshness;
 pub mod front;
 pub mod hall_book;
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -13,6 +13,7 @@
         protocol::Protocol,
         state::Gateway,
     },
+    limits::organisation::UsedUp,
     prelude::{Micros, Name},
 };
 
@@ -25,6 +26,10 @@
     pub deadline_ms: Option<u64>,
     /// For how long its caller had waited before this try, as far as is known.
     pub waited_ms: u64,
+    /// The organisation that it is of.
+    pub organisation: Option<Name>,
+    /// What decided that the organisation's limit left no room.
+    pub used_up: Option<UsedUp>,
     /// The endpoint that it was sent to last.
     pub endpoint: Option<Name>,
     /// How many endpoints it was sent to.
@@ -48,6 +53,7 @@
     let route = trace.route.as_deref().unwrap_or("-");
     gateway.metrics.ended(route, Outcome::of(refusal));
     let held_ms = gateway.clock.now_us().saturating_sub(arrived_us) / 1_000;
+    let sharers = gateway.sharers();
     log::info!(
         target: "ryevalve::request",
         request_id = attempt::shown(request_id),
@@ -63,7 +69,14 @@
         waited_before_ms = trace.waited_ms,
         retry_after_ms = refusal.retry_after_ms.unwrap_or(0),
         config_version = gateway.config.version(),
-        config_age_ms = gateway.config_age_us() / 1_000;
+        config_age_ms = gateway.config_age_us() / 1_000,
+        organisation = trace.organisation.as_deref().unwrap_or("-"),
+        limit_level = trace.used_up.map_or(0, |u| u.level),
+        limit_reserve = trace.used_up.map_or(0, |u| u.reserve),
+        limit_withheld = trace.used_up.map_or(0, |u| u.withheld),
+        limit_word_ms = trace.used_up.map_or(0, |u| u.oldest_word_ms),
+        instances = sharers.all,
+        instances_heard = sharers.heard;
         "request_refused"
     );
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -108,7 +108,8 @@
     let tokens = head.tokens.map(|t| t.total());
     let name = organisation.as_ref().map(|o| o.name.clone());
     let allowed_us = allowed_us(&route, &head);
-    take_from_limit(gateway, name.as_deref(), tokens, route.priority, allowed_us)?;
+    trace.organisation.clone_from(&name);
+    take_from_limit(gateway, tokens, route.priority, allowed_us, trace)?;
     let draw = rand::rng().random_range(0.0..1.0);
     let Some(service) = route.pick_target(draw).cloned() else {
         return Err(refuse::not_run("no_service", 1_000));
--- a/src/limits/organisation.rs
+++ b/src/limits/organisation.rs
@@ -98,6 +98,23 @@
     rate_per_s: f64,
 }
 
+/// Why a limit left no room for a request: what was believed of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UsedUp {
+    /// When there will be room, in milliseconds from now.
+    pub wait_ms: u32,
+    /// Units left here; below nothing after others used more than was known.
+    pub level: i64,
+    /// Units that were left to more urgent requests or other instances.
+    pub reserve: i64,
+    /// Units that instances which are not heard may use.
+    pub withheld: i64,
+    /// Who shares the limit.
+    pub sharers: Sharers,
+    /// Age of the oldest word on others' use that counts, in milliseconds.
+    pub oldest_word_ms: Micros,
+}
+
 /// What an instance tells of its use of a limit.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ToldUse {
@@ -222,7 +239,7 @@
     }
 
     /// Takes `tokens` (or one request) of an organisation's limit; none left is an error that says
-    /// in how many milliseconds there will be. It is spent by [`Self::spend`], or given back.
+    /// when there will be, and what decided. It is spent by [`Self::spend`], or given back.
     ///
     /// # Errors
     /// The limit is used up.
@@ -233,7 +250,7 @@
         tokens: Option<u32>,
         rank: Rank,
         sharers: Sharers,
-    ) -> Result<(), u32> {
+    ) -> Result<(), UsedUp> {
         let Some(bucket) = self.buckets.get_mut(organisation) else {
             return Ok(());
         };
@@ -251,7 +268,14 @@
         if bucket.level <= reserve {
             let missing = reserve - bucket.level + units;
             let rate = (bucket.limit.rate_per_s * sharers.share()).max(1.0);
-            return Err((missing / rate * 1e3).clamp(50.0, 60_000.0) as u32);
+            return Err(UsedUp {
+                wait_ms: (missing / rate * 1e3).clamp(50.0, 60_000.0) as u32,
+                level: bucket.level as i64,
+                reserve: reserve as i64,
+                withheld: bucket.withheld as i64,
+                sharers,
+                oldest_word_ms: bucket.oldest_word_us(now_us) / 1_000,
+            });
         }
         bucket.level -= units;
         Ok(())
@@ -351,6 +375,13 @@
         }
     }
 
+    /// Returns the age of the oldest word of those whose use is extrapolated.
+    fn oldest_word_us(&self, now_us: Micros) -> Micros {
+        let using = self.others.values().filter(|o| o.rate_per_s > 0.0);
+        let ages = using.map(|o| now_us.saturating_sub(o.told_us));
+        ages.max().unwrap_or(0)
+    }
+
     /// Returns a number from 0 to 1 that differs by request and instance.
     fn draw(&mut self) -> f64 {
         /// 2^64 over the golden ratio: its multiples are spread evenly.
--- a/src/peers/update.rs
+++ b/src/peers/update.rs
@@ -73,7 +73,7 @@
     pub echo: u64,
     /// The same for each instance of the hall, in a summary that all of them get; by
     /// [`address_key`].
-    pub echoes: Vec<(u32, u64)>,
+    pub echoes: Vec<(u16, u64)>,
     /// For how long the sender has run, in milliseconds.
     pub uptime_ms: u32,
     /// The configuration in force.
@@ -103,18 +103,18 @@
 
 impl Update {
     /// Returns the newest number of `address` that the sender has, or 0.
-    pub fn echo_of(&self, address: u32) -> u64 {
+    pub fn echo_of(&self, address: u16) -> u64 {
         let named = self.echoes.iter().find(|(key, _)| *key == address);
         named.map_or(self.echo, |(_, seq)| *seq)
     }
 }
 
-/// Names an instance's address in [`Update::echoes`]. Instances of a deployment have addresses of one
-/// family; of two whose last four bytes are alike, both take the other's echo for an old one.
-pub fn address_key(address: std::net::IpAddr) -> u32 {
+/// Names an instance's address in [`Update::echoes`], among those of its hall: its last two bytes. Of
+/// two that are alike, both would take the other's echo, and forget it as a round that they never sent.
+pub fn address_key(address: std::net::IpAddr) -> u16 {
     match address {
-        std::net::IpAddr::V4(v4) => v4.to_bits(),
-        std::net::IpAddr::V6(v6) => v6.to_bits() as u32,
+        std::net::IpAddr::V4(v4) => v4.to_bits() as u16,
+        std::net::IpAddr::V6(v6) => v6.to_bits() as u16,
     }
 }
 
--- /dev/null
+++ b/tests/gateway/far_book.rs
@@ -0,0 +1,86 @@
+//! What an aggregator sums up of other halls.
+
+use ryevalve::{
+    balance::load::{EndpointKey, InFlight, KeySpan},
+    gateway::far_book::FarBook,
+    limits::organisation::ToldUse,
+    peers::update::HallSummary,
+    prelude::Incarnation,
+};
+
+use crate::support::{MS, SECOND};
+
+fn load(key: u32, requests: u32) -> (EndpointKey, InFlight) {
+    let load = InFlight {
+        requests,
+        prompt_tokens: requests * 100,
+    };
+    (EndpointKey(key), load)
+}
+
+fn summary(hall: u32, seq: u64, used: u64) -> HallSummary {
+    HallSummary {
+        hall,
+        by: Incarnation(u64::from(hall) * 10),
+        seq,
+        instances: 50,
+        heard: 49,
+        loads: vec![load(1, 2), load(hall + 10, 1)],
+        reports: vec![(EndpointKey(1), seq as i8)],
+        used: vec![ToldUse {
+            organisation: 9,
+            used,
+            level_percent: 50,
+        }],
+        ..HallSummary::default()
+    }
+}
+
+#[test]
+fn halls_are_summed() {
+    let mut book = FarBook::default();
+    assert!(book.is_empty());
+    assert!(book.note(0, &summary(1, 1, 100)));
+    assert!(book.note(0, &summary(2, 1, 1_000)));
+    assert!(book.note(100 * MS, &summary(1, 2, 150)));
+    assert!(!book.note(100 * MS, &summary(1, 1, 100)), "an older one");
+    assert_eq!(book.loads(), vec![load(1, 4), load(11, 1), load(12, 1)]);
+    let used = book.used(&[]);
+    assert_eq!(used[0].used, 1_150);
+    let mut whole = HallSummary::default();
+    book.complete(200 * MS, &mut whole);
+    assert_eq!((whole.instances, whole.heard), (100, 98));
+    assert_eq!(whole.reports, vec![(EndpointKey(1), 2)]);
+    book.complete(200 * MS, &mut whole);
+    assert!(whole.reports.is_empty(), "told once");
+}
+
+#[test]
+fn a_part_of_a_summary_replaces_only_its_endpoints() {
+    let mut book = FarBook::default();
+    book.note(0, &summary(1, 1, 100));
+    let part = HallSummary {
+        span: KeySpan {
+            first: EndpointKey(11),
+            last: EndpointKey(u32::MAX),
+        },
+        loads: vec![load(12, 3)],
+        ..summary(1, 2, 100)
+    };
+    book.note(MS, &part);
+    assert_eq!(book.loads(), vec![load(1, 2), load(12, 3)]);
+}
+
+#[test]
+fn a_hall_that_fell_silent_has_no_requests_and_its_use_stays_counted() {
+    let mut book = FarBook::default();
+    book.note(0, &summary(1, 1, 100));
+    book.expire(SECOND);
+    assert_eq!(book.loads().len(), 2);
+    book.expire(3 * SECOND);
+    assert!(book.loads().is_empty());
+    assert_eq!(book.used(&[])[0].used, 100);
+    let mut whole = HallSummary::default();
+    book.complete(3 * SECOND, &mut whole);
+    assert_eq!((whole.instances, whole.heard), (50, 0));
+}
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -102,7 +102,10 @@
 fn a_refusal_says_when_to_come_back_and_then_there_is_room() {
     let mut limits = limits(true);
     while limits.take(0, "org", Some(500), 0, ALONE).is_ok() {}
-    let wait_ms = limits.take(0, "org", Some(500), 0, ALONE).unwrap_err();
+    let wait_ms = limits
+        .take(0, "org", Some(500), 0, ALONE)
+        .unwrap_err()
+        .wait_ms;
     let later_us = u64::from(wait_ms) * MS;
     assert_eq!(limits.take(later_us, "org", Some(500), 0, ALONE), Ok(()));
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod discovery;
 mod events;
 mod explain;
+mod far_book;
 mod freshness;
 mod hall_book;
 mod halls;
