--- a/src/gateway/aggregators.rs
+++ b/src/gateway/aggregators.rs
@@ -52,14 +52,15 @@
 }
 
 impl Aggregators {
-    /// Takes a view; nothing is worked out anew while it stays the same.
-    pub fn set_view(&mut self, view: &Arc<View>) {
+    /// Takes a view; false if it is the one taken last, of which nothing is worked out anew.
+    pub fn set_view(&mut self, view: &Arc<View>) -> bool {
         if Arc::ptr_eq(&self.view, view) {
-            return;
+            return false;
         }
         self.view = view.clone();
         self.halls = halls(view);
         self.unanswered.retain(|i, _| view.member(*i).is_some());
+        true
     }
 
     /// Notes that an instance was told something that it answers.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -116,6 +116,8 @@
     book: HallBook,
     far_book: FarBook,
     aggregators: Aggregators,
+    /// By its view this instance is one of those that watch the store for all.
+    is_watcher: bool,
     /// Which organisations' use went into reports, summaries, summaries for other halls, and those of
     /// other halls.
     report_turns: UseTurns,
@@ -293,11 +295,13 @@
 
     /// Works out from a new view what this instance does for others.
     fn take_view(&self, view: &Arc<View>) {
-        self.lock().aggregators.set_view(view);
-        let watchers = view.leaders("store", WATCHERS);
-        let me = self.place.me.incarnation;
-        let is_chosen = watchers.iter().any(|m| m.info.incarnation == me);
-        let watches = is_chosen && self.gateway.clock.now_us() >= SETTLED_US;
+        let mut state = self.lock();
+        if state.aggregators.set_view(view) {
+            let watchers = view.leaders("store", WATCHERS);
+            let me = self.place.me.incarnation;
+            state.is_watcher = watchers.iter().any(|m| m.info.incarnation == me);
+        }
+        let watches = state.is_watcher && self.gateway.clock.now_us() >= SETTLED_US;
         self.gateway.set_watches_store(watches);
     }
 
--- a/src/peers/view.rs
+++ b/src/peers/view.rs
@@ -66,7 +66,7 @@
         may: impl Fn(&Member) -> bool,
     ) -> Vec<&Member> {
         let mut able: Vec<&Member> = self.members.iter().filter(|m| may(m)).collect();
-        able.sort_by_key(|m| std::cmp::Reverse(score(subject, m.info.incarnation)));
+        able.sort_by_cached_key(|m| std::cmp::Reverse(score(subject, m.info.incarnation)));
         able.truncate(count);
         able
     }
