Seeds watch the store at once

A single instance, and those that all others ask, saw no change for the first 1.5 s since instances settle before they watch: three tests of tests/edge failed. Seeds, and whoever has none, watch at once; the others wait as before.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -65,8 +65,8 @@
 const FAR_SUMMARY_US: Micros = 400_000;
 /// Instances that watch the store for all: two may be lost at once.
 const WATCHERS: usize = 3;
-/// An instance watches the store for others only after this time: until then it knows few of them, and
-/// of 295 that start together most would believe to be among the first three.
+/// An instance that is no seed watches the store for others only after this time: until then it knows
+/// few of them, and of 295 that start together most would believe to be among the first three.
 const SETTLED_US: Micros = 1_500_000;
 /// A configuration's age beyond this is of no use to anybody.
 const MAX_AGE_MS: u64 = 60_000;
@@ -175,6 +175,8 @@
     codec: SealedCodec,
     place: ExchangePlace,
     my_hall: u32,
+    /// The others ask it who is there, or there are none that would.
+    is_seed: bool,
     state: Mutex<State>,
     is_fetching: AtomicBool,
 }
@@ -195,6 +197,7 @@
         let mut state = State::default();
         let now_us = gateway.clock.now_us();
         let my_addr = place.me.peer_addr;
+        let is_seed = place.seeds.is_empty() || place.seeds.contains(&my_addr);
         place.seeds.retain(|seed| *seed != my_addr);
         // The seeds are taken to share limits until they had time to be heard.
         for seed in place.seeds.iter().filter(|s| s.ip() != my_addr.ip()) {
@@ -208,6 +211,7 @@
             authenticator: Authenticator::new(cluster_key, "ryevalve update"),
             codec,
             my_hall: hall_key(&place.me.hall),
+            is_seed,
             place,
             state: Mutex::new(state),
             is_fetching: AtomicBool::new(false),
@@ -301,7 +305,8 @@
             let me = self.place.me.incarnation;
             state.is_watcher = watchers.iter().any(|m| m.info.incarnation == me);
         }
-        let watches = state.is_watcher && self.gateway.clock.now_us() >= SETTLED_US;
+        let is_settled = self.is_seed || self.gateway.clock.now_us() >= SETTLED_US;
+        let watches = state.is_watcher && is_settled;
         self.gateway.set_watches_store(watches);
     }
 
