--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -301,9 +301,12 @@
     fn take_view(&self, view: &Arc<View>) {
         let mut state = self.lock();
         if state.aggregators.set_view(view) {
-            let watchers = view.leaders("store", WATCHERS);
+            let in_turn = view.chosen("store", usize::MAX, Member::can_lead);
             let me = self.place.me.incarnation;
-            state.is_watcher = watchers.iter().any(|m| m.info.incarnation == me);
+            let place = in_turn.iter().position(|m| m.info.incarnation == me);
+            state.is_watcher = place.is_some_and(|p| p < WATCHERS);
+            let turn = place.unwrap_or(in_turn.len()).saturating_sub(WATCHERS);
+            self.gateway.set_turn_to_watch(turn);
         }
         let is_settled = self.is_seed || self.gateway.clock.now_us() >= SETTLED_US;
         let watches = state.is_watcher && is_settled;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -79,6 +79,8 @@
     met: Mutex<HashMap<SocketAddr, Micros>>,
     /// This instance watches the store for others.
     watches_store: AtomicBool,
+    /// How many others go before this one where a watcher of the store is lost.
+    turn_to_watch: AtomicUsize,
     /// It starts with all others, and some of them ask the store for it.
     waits_for_others: AtomicBool,
     endpoints_fresh_at_us: AtomicU64,
@@ -108,6 +110,7 @@
             instances_heard: AtomicUsize::new(1),
             met: Mutex::default(),
             watches_store: AtomicBool::new(false),
+            turn_to_watch: AtomicUsize::new(0),
             waits_for_others: AtomicBool::new(false),
             endpoints_fresh_at_us: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
@@ -262,6 +265,16 @@
         self.watches_store.store(watches, Ordering::Relaxed);
     }
 
+    /// Returns how many others go before this instance where a watcher of the store is lost.
+    pub fn turn_to_watch(&self) -> usize {
+        self.turn_to_watch.load(Ordering::Relaxed)
+    }
+
+    /// Sets how many others go before this instance where a watcher of the store is lost.
+    pub fn set_turn_to_watch(&self, turn: usize) {
+        self.turn_to_watch.store(turn, Ordering::Relaxed);
+    }
+
     /// Returns whether others ask the store for this instance while it starts.
     pub fn waits_for_others(&self) -> bool {
         self.waits_for_others.load(Ordering::Relaxed)
--- a/src/platform/follow.rs
+++ b/src/platform/follow.rs
@@ -18,10 +18,15 @@
 /// How long a watch waits: its answer says until when a kind was as it is known here, and one that
 /// was cut silently is noticed by then.
 const WAIT: Duration = Duration::from_millis(1_000);
-/// Changes that come together are taken together.
-const GATHER: Duration = Duration::from_millis(100);
+/// Changes that come together are taken together: a call is paid for, and three watchers made up to 30
+/// a second while endpoints were replaced. An endpoint that says it leaves goes on for seconds.
+const GATHER: Duration = Duration::from_millis(250);
 /// Where others watch, a kind that they have not confirmed for this long is read here as well.
 const STALE_US: Micros = 2_500_000;
+/// But first by those next in turn to watch, one after the other at this interval: who gets an answer
+/// tells the others. All 295 at once made some 800 calls in an outage of 8 s, of which none brought
+/// anything.
+const TURN_US: Micros = 50_000;
 /// At the first start of all, an instance that is no seed waits this long for others to tell it what
 /// the store has: 295 instances made 1,690 calls before the first request, .059 of a calm day's worth.
 /// Callers come some seconds later. Whoever starts again asks at once.
@@ -65,7 +70,9 @@
         if !gateway.watches_store() {
             revision = None;
             let waits = gateway.waits_for_others() && gateway.clock.now_us() < FIRST_WAIT_US;
-            if waits || follower.age_us() < STALE_US {
+            let age_us = follower.age_us();
+            let is_others_turn = is_known(age_us) && age_us < stale_us(gateway);
+            if waits || is_others_turn {
                 time::sleep(LOOK).await;
                 continue;
             }
@@ -100,6 +107,20 @@
     }
 }
 
+/// Returns whether a kind was ever read here or told by another.
+fn is_known(age_us: Micros) -> bool {
+    age_us < Micros::MAX
+}
+
+/// Returns the age from which a kind is read here though others watch.
+fn stale_us<P: Protocol>(gateway: &Gateway<P>) -> Micros {
+    if gateway.sharers().heard <= 1 {
+        // Nobody could tell of a change.
+        return STALE_US;
+    }
+    STALE_US + gateway.turn_to_watch() as Micros * TURN_US
+}
+
 fn retry_pause<P: Protocol>(gateway: &Gateway<P>) -> Duration {
     let pause_ms = rand::rng().random_range(RETRY_MS);
     if gateway.watches_store() {
