Hundreds that start at once meet in two seconds, and what they used since counts whole

Each met eight others a period, all passed on the same rumours first, and the seeds told 295 addresses to 295 instances each 250 ms. Meanwhile an aggregator took reports of processes that started some ms before it as those of older ones, whose use is long past; and of two aggregators' counts only the first was laid from nothing. Change: sixty meetings a period, twelve rumours from a member drawn at random, six questions to one seed each; counts of processes that started together are whole.

--- a/benches/exchange.rs
+++ b/benches/exchange.rs
@@ -134,7 +134,7 @@
             b.iter(|| {
                 let update = update::decode(&authenticator, black_box(&bytes));
                 let update = update.expect("an update");
-                halls.note(0, &update.halls[0], &HashMap::new())
+                halls.note(0, 0, &update.halls[0], &HashMap::new())
             });
         });
         group.bench_function(id("choose aggregators"), |b| {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -13,7 +13,7 @@
     time::Duration,
 };
 
-use rand::seq::SliceRandom;
+use rand::{RngExt, seq::SliceRandom};
 use tokio::{
     net::UdpSocket,
     time::{self, MissedTickBehavior},
@@ -89,9 +89,9 @@
 const MET_UNHEARD_US: Micros = 4_000_000;
 /// Rounds of which it is remembered what was sent: a second and more.
 const SENT_KEPT: usize = 64;
-/// The seeds are asked for the others this often after the start, some seconds in all.
-const MEETINGS: usize = 12;
-const MEETING_PAUSE: Duration = Duration::from_millis(250);
+/// The seeds are asked for the others after these times from the start, one of them each time: 295
+/// instances are 6 KB, and three seeds told to all of them each 250 ms filled the seeds' links.
+const MEETINGS_MS: [u64; 6] = [0, 150, 400, 800, 1_500, 3_000];
 
 fn told_age_ms(age_us: Micros) -> Option<u32> {
     let age_ms = age_us / 1_000 + 1;
@@ -238,14 +238,15 @@
     /// Meets the others through the seeds for some seconds after the start, which is quicker than
     /// hearing of each by probes when all of a large group start at once.
     pub async fn meet(self: Arc<Self>) {
-        for _ in 0..MEETINGS {
-            for seed in &self.place.seeds {
-                let asked = copies::meet(*seed, self.codec.clone(), self.place.me.peer_addr);
-                // A seed may be long gone; the others are asked all the same.
-                let known = asked.await.unwrap_or_default();
-                self.take_met(&known);
-            }
-            time::sleep(MEETING_PAUSE).await;
+        let started = time::Instant::now();
+        let first = rand::rng().random_range(0..self.place.seeds.len().max(1));
+        let seeds = self.place.seeds.iter().cycle().skip(first);
+        for (after_ms, seed) in MEETINGS_MS.into_iter().zip(seeds) {
+            time::sleep_until(started + Duration::from_millis(after_ms)).await;
+            let asked = copies::meet(*seed, self.codec.clone(), self.place.me.peer_addr);
+            // A seed may be long gone; the others are asked all the same.
+            let known = asked.await.unwrap_or_default();
+            self.take_met(&known);
         }
     }
 
@@ -628,6 +629,11 @@
         }
     }
 
+    fn uptime_ms(&self, now_us: Micros) -> u32 {
+        let uptime_us = self.gateway.limits().uptime_us(now_us);
+        u32::try_from(uptime_us / 1_000).unwrap_or(u32::MAX)
+    }
+
     fn next_seq(&self) -> u64 {
         let mut state = self.lock();
         state.seq += 1;
@@ -639,10 +645,7 @@
     fn next_update(&self, now_us: Micros, purpose: Purpose) -> Update {
         let seq = self.next_seq();
         let loads = self.gateway.balancer().picture().own_loads();
-        let (used, uptime_us) = {
-            let limits = self.gateway.limits();
-            (limits.used(), limits.uptime_us(now_us))
-        };
+        let used = self.gateway.limits().used();
         let told_used = {
             let mut state = self.lock();
             state.remember(Sent {
@@ -661,7 +664,7 @@
             hall: self.my_hall,
             seq,
             purpose,
-            uptime_ms: u32::try_from(uptime_us / 1_000).unwrap_or(u32::MAX),
+            uptime_ms: self.uptime_ms(now_us),
             config_version: self.gateway.config.version(),
             config_age_ms: told_age_ms(self.gateway.config_age_us()),
             endpoints_revision: self.gateway.balancer().endpoints_revision(),
@@ -762,8 +765,7 @@
             return;
         }
         self.take_news(now_us, &update);
-        let uptime_us = self.gateway.limits().uptime_us(now_us);
-        let uptime_ms = u32::try_from(uptime_us / 1_000).unwrap_or(u32::MAX);
+        let uptime_ms = self.uptime_ms(now_us);
         self.lock().book.note(now_us, from, uptime_ms, &update);
         for summary in update.halls {
             self.take_far_summary(now_us, summary);
@@ -791,8 +793,9 @@
         if summary.hall == self.my_hall || summary.hall == FAR_HALLS {
             return;
         }
+        let uptime_ms = self.uptime_ms(now_us);
         let mut state = self.lock();
-        if !state.far_book.note(now_us, &summary) {
+        if !state.far_book.note(now_us, uptime_ms, &summary) {
             return;
         }
         if !state.book.is_aggregator(now_us) {
@@ -803,6 +806,7 @@
     /// Takes a summary; `echo` is the newest round of this instance that is in it.
     fn take_summary(&self, now_us: Micros, summary: &HallSummary, echo: u64) {
         let is_own = summary.hall == self.my_hall;
+        let uptime_ms = self.uptime_ms(now_us);
         let taken = {
             let mut state = self.lock();
             let sent = state.sent(echo).cloned();
@@ -816,7 +820,7 @@
                 .iter()
                 .map(|told| (told.organisation, told.used))
                 .collect();
-            let taken = state.halls.note(now_us, summary, &own);
+            let taken = state.halls.note(now_us, uptime_ms, summary, &own);
             taken.map(|taken| (taken, sent))
         };
         let Some((taken, sent)) = taken else { return };
--- a/src/gateway/far_book.rs
+++ b/src/gateway/far_book.rs
@@ -35,9 +35,11 @@
 }
 
 impl FarBook {
-    /// Takes a summary of another hall; false if a newer one was taken.
-    pub fn note(&mut self, now_us: Micros, summary: &HallSummary) -> bool {
-        let Some(taken) = self.halls.note(now_us, summary, &HashMap::new()) else {
+    /// Takes a summary of another hall; false if a newer one was taken. `uptime_ms` says for how long
+    /// this instance has run.
+    pub fn note(&mut self, now_us: Micros, uptime_ms: u32, summary: &HallSummary) -> bool {
+        let taken = self.halls.note(now_us, uptime_ms, summary, &HashMap::new());
+        let Some(taken) = taken else {
             return false;
         };
         let used = self.used.entry(summary.hall).or_default();
--- a/src/gateway/hall_book.rs
+++ b/src/gateway/hall_book.rs
@@ -14,7 +14,7 @@
         speed::Evidence,
     },
     gateway::heard::{HEARD_US, SHARER_US},
-    limits::organisation::ToldUse,
+    limits::organisation::{SAME_START_MS, ToldUse},
     peers::update::{HallSummary, Update, address_key},
     prelude::{Incarnation, Micros},
 };
@@ -74,6 +74,8 @@
 
 impl HallBook {
     /// Takes a report. What a process used before this one started does not count: it may be long past.
+    /// Those that started together count whole: after the loss of all, half of what 295 instances used
+    /// of a limit was not counted, and it was passed by 11 in 100.
     pub fn note(&mut self, now_us: Micros, addr: IpAddr, my_uptime_ms: u32, report: &Update) {
         let member = self.members.entry(addr).or_insert_with(|| Member {
             from: Incarnation(0),
@@ -82,7 +84,7 @@
             loads: Vec::new(),
             used: HashMap::new(),
         });
-        let is_older = report.uptime_ms > my_uptime_ms;
+        let is_older = report.uptime_ms > my_uptime_ms.saturating_add(SAME_START_MS);
         if member.from != report.from {
             member.from = report.from;
             member.used.clear();
--- a/src/gateway/halls.rs
+++ b/src/gateway/halls.rs
@@ -3,7 +3,9 @@
 //!
 //! Two aggregators of a hall count the same requests from starts of their own. What both say of an
 //! organisation's use is laid on one count: each is taken from where the count stood at its first word,
-//! and the higher one holds, so that nothing counts twice and the loss of either costs nothing.
+//! and the higher one holds, so that nothing counts twice and the loss of either costs nothing. Those
+//! that started together with this instance counted from nothing, as it did: after the loss of all,
+//! what one has heard of more than another is use too.
 //!
 //! Free of clock and socket, so that tests drive it step by step.
 
@@ -11,7 +13,7 @@
 
 use crate::{
     gateway::heard::{HEARD_US, SHARER_US},
-    limits::organisation::{Sharers, ToldUse},
+    limits::organisation::{SAME_START_MS, Sharers, ToldUse},
     peers::update::HallSummary,
     prelude::{Incarnation, Micros},
 };
@@ -53,19 +55,20 @@
         )
     }
 
-    fn count(&mut self, by: Incarnation, told: &ToldUse, own: u64) -> u64 {
+    /// Counts what an aggregator said of an organisation; `own` is this instance's part of it.
+    fn count(&mut self, by: Incarnation, is_same_start: bool, told: &ToldUse, own: u64) -> u64 {
         let is_first_source = self.sources.len() == 1;
         let known = self.used.get(&told.organisation).copied();
         let Some(source) = self.sources.get_mut(&by) else {
             return 0;
         };
         let said = told.used as i64 - own as i64;
-        let offset = source.offsets.entry(told.organisation).or_insert({
-            match known {
-                None if is_first_source => 0,
-                known => said - known.unwrap_or(0),
-            }
-        });
+        let offset = match known {
+            _ if is_same_start => 0,
+            None if is_first_source => 0,
+            known => said - known.unwrap_or(0),
+        };
+        let offset = source.offsets.entry(told.organisation).or_insert(offset);
         let used = self.used.entry(told.organisation).or_default();
         *used = (*used).max(said - *offset);
         *used as u64
@@ -89,10 +92,11 @@
 
 impl Halls {
     /// Takes a summary; none if a newer one of its aggregator was taken. `own` is what of it this
-    /// instance used itself.
+    /// instance used itself, and `uptime_ms` for how long this instance has run.
     pub fn note(
         &mut self,
         now_us: Micros,
+        uptime_ms: u32,
         summary: &HallSummary,
         own: &HashMap<u32, u64>,
     ) -> Option<Taken> {
@@ -112,9 +116,11 @@
         source.instances = summary.instances;
         source.heard = summary.heard;
         hall.is_forgotten = false;
+        let is_same_start = summary.uptime_ms.abs_diff(uptime_ms) <= SAME_START_MS;
         let used = summary.used.iter().map(|told| ToldUse {
             used: hall.count(
                 summary.by,
+                is_same_start,
                 told,
                 own.get(&told.organisation).copied().unwrap_or(0),
             ),
--- a/src/limits/organisation.rs
+++ b/src/limits/organisation.rs
@@ -43,7 +43,8 @@
 /// How long what a silent instance used is known; it may be cut off and come back.
 const SILENT_KEPT_US: Micros = 60_000_000;
 /// Instances that start within this time of each other have heard of all that either used.
-const SAME_START_US: Micros = 400_000;
+pub const SAME_START_MS: u32 = 400;
+const SAME_START_US: Micros = SAME_START_MS as Micros * 1_000;
 
 /// How far above its limit an organisation may come in a window.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/peers/membership.rs
+++ b/src/peers/membership.rs
@@ -34,9 +34,11 @@
 /// Up to this many members each one probes two a period, above it one.
 const SMALL_GROUP: usize = 12;
 const HELPERS: usize = 2;
-/// How many that were only heard of are met a period.
-const MEETINGS: usize = 8;
-const RUMOURS_PER_PACKET: usize = 6;
+/// How many that were only heard of are met a period. After the loss of all 295 instances, at eight a
+/// period three to five seconds passed until they heard of each other, and for as long organisations
+/// below their limits were refused. Forty are some 6 KB.
+const MEETINGS: usize = 60;
+const RUMOURS_PER_PACKET: usize = 12;
 const REPLAY_WINDOW: u64 = 64;
 
 /// A datagram to send.
@@ -554,16 +556,31 @@
         }
     }
 
+    /// Returns news to pass on, from a member on that differs by packet: when many start at once, all
+    /// would pass on the same few first.
+    fn take_rumours(&mut self) -> Vec<Rumour> {
+        let first = Incarnation(self.rng.random());
+        let news = |known: &&mut Known| known.rumour_left > 0;
+        let after = self.known.range_mut(first..);
+        let mut taken: Vec<Rumour> = after
+            .map(|(_, known)| known)
+            .filter(news)
+            .take(RUMOURS_PER_PACKET)
+            .map(Known::take_rumour)
+            .collect();
+        let before = self.known.range_mut(..first);
+        let rest = before
+            .map(|(_, known)| known)
+            .filter(news)
+            .take(RUMOURS_PER_PACKET - taken.len())
+            .map(Known::take_rumour);
+        taken.extend(rest);
+        taken
+    }
+
     fn packet(&mut self, to: SocketAddr, body: Body) -> Outgoing {
         self.seq += 1;
-        let mut rumours = Vec::new();
-        for known in self.known.values_mut().filter(|k| k.rumour_left > 0) {
-            if rumours.len() == RUMOURS_PER_PACKET {
-                break;
-            }
-            known.rumour_left -= 1;
-            rumours.push(known.rumour());
-        }
+        let mut rumours = self.take_rumours();
         // Besides news, pass on one member at random, so that all are known to all in time.
         if rumours.is_empty() && !self.known.is_empty() {
             let pick = self.rng.random_range(0..self.known.len());
@@ -603,6 +620,11 @@
         }
     }
 
+    fn take_rumour(&mut self) -> Rumour {
+        self.rumour_left -= 1;
+        self.rumour()
+    }
+
     /// Returns whether the number was not seen before, and remembers it.
     fn is_new(&mut self, seq: u64) -> bool {
         if seq > self.newest_seq {
--- a/tests/gateway/far_book.rs
+++ b/tests/gateway/far_book.rs
@@ -10,6 +10,9 @@
 
 use crate::support::{MS, SECOND};
 
+/// This instance has run longer than the aggregators.
+const UPTIME_MS: u32 = 60_000;
+
 fn load(key: u32, requests: u32) -> (EndpointKey, InFlight) {
     let load = InFlight {
         requests,
@@ -40,10 +43,13 @@
 fn halls_are_summed() {
     let mut book = FarBook::default();
     assert!(book.is_empty());
-    assert!(book.note(0, &summary(1, 1, 100)));
-    assert!(book.note(0, &summary(2, 1, 1_000)));
-    assert!(book.note(100 * MS, &summary(1, 2, 150)));
-    assert!(!book.note(100 * MS, &summary(1, 1, 100)), "an older one");
+    assert!(book.note(0, UPTIME_MS, &summary(1, 1, 100)));
+    assert!(book.note(0, UPTIME_MS, &summary(2, 1, 1_000)));
+    assert!(book.note(100 * MS, UPTIME_MS, &summary(1, 2, 150)));
+    assert!(
+        !book.note(100 * MS, UPTIME_MS, &summary(1, 1, 100)),
+        "an older one"
+    );
     assert_eq!(book.loads(), vec![load(1, 4), load(11, 1), load(12, 1)]);
     let used = book.used(&[]);
     assert_eq!(used[0].used, 1_150);
@@ -58,7 +64,7 @@
 #[test]
 fn a_part_of_a_summary_replaces_only_its_endpoints() {
     let mut book = FarBook::default();
-    book.note(0, &summary(1, 1, 100));
+    book.note(0, UPTIME_MS, &summary(1, 1, 100));
     let part = HallSummary {
         span: KeySpan {
             first: EndpointKey(11),
@@ -67,14 +73,14 @@
         loads: vec![load(12, 3)],
         ..summary(1, 2, 100)
     };
-    book.note(MS, &part);
+    book.note(MS, UPTIME_MS, &part);
     assert_eq!(book.loads(), vec![load(1, 2), load(12, 3)]);
 }
 
 #[test]
 fn a_hall_that_fell_silent_has_no_requests_and_its_use_stays_counted() {
     let mut book = FarBook::default();
-    book.note(0, &summary(1, 1, 100));
+    book.note(0, UPTIME_MS, &summary(1, 1, 100));
     book.expire(SECOND);
     assert_eq!(book.loads().len(), 2);
     book.expire(3 * SECOND);
--- a/tests/gateway/hall_book.rs
+++ b/tests/gateway/hall_book.rs
@@ -220,3 +220,16 @@
         assert_eq!(parts[0].0.first, KeySpan::ALL.first);
     }
 }
+
+#[test]
+fn what_those_used_that_started_together_with_it_counts_whole() {
+    let mut book = HallBook::default();
+    for number in 0..10 {
+        let started = Update {
+            uptime_ms: UPTIME_MS - 300 + number * 60,
+            ..report(u64::from(number) + 1, 1, 100)
+        };
+        book.note(0, addr(number as u8), UPTIME_MS, &started);
+    }
+    assert_eq!(used(&book), 1_000);
+}
--- a/tests/gateway/halls.rs
+++ b/tests/gateway/halls.rs
@@ -11,6 +11,9 @@
 
 use crate::support::{MS, SECOND};
 
+/// This instance has run longer than the aggregators.
+const UPTIME_MS: u32 = 60_000;
+
 const ORGANISATION: u32 = 9;
 
 fn use_of(used: u64) -> ToldUse {
@@ -38,7 +41,7 @@
 }
 
 fn note(halls: &mut Halls, now_us: u64, summary: &HallSummary) -> Option<u64> {
-    used(halls.note(now_us, summary, &HashMap::new()))
+    used(halls.note(now_us, UPTIME_MS, summary, &HashMap::new()))
 }
 
 #[test]
@@ -90,20 +93,20 @@
     let mut halls = Halls::default();
     let own = |used| HashMap::from([(ORGANISATION, used)]);
     assert_eq!(
-        used(halls.note(0, &summary(1, 1, 1_000), &own(400))),
+        used(halls.note(0, UPTIME_MS, &summary(1, 1, 1_000), &own(400))),
         Some(600)
     );
     assert_eq!(
-        used(halls.note(MS, &summary(1, 2, 1_300), &own(700))),
+        used(halls.note(MS, UPTIME_MS, &summary(1, 2, 1_300), &own(700))),
         Some(600)
     );
     // An aggregator that counted from later on, of this instance as of all others.
     assert_eq!(
-        used(halls.note(MS, &summary(2, 1, 50), &own(700))),
+        used(halls.note(MS, UPTIME_MS, &summary(2, 1, 50), &own(700))),
         Some(600)
     );
     assert_eq!(
-        used(halls.note(2 * MS, &summary(2, 2, 160), &own(800))),
+        used(halls.note(2 * MS, UPTIME_MS, &summary(2, 2, 160), &own(800))),
         Some(610)
     );
 }
@@ -117,7 +120,9 @@
         instances: 2,
         ..summary(2, 1, 0)
     };
-    let taken = halls.note(0, &few, &HashMap::new()).expect("news");
+    let taken = halls
+        .note(0, UPTIME_MS, &few, &HashMap::new())
+        .expect("news");
     assert!(!taken.takes_loads, "it hears two of ten");
     assert_eq!(halls.sharers(MS), Sharers { all: 10, heard: 10 });
     assert!(halls.expire(2 * SECOND).is_empty());
@@ -129,3 +134,16 @@
     halls.expire(26 * SECOND);
     assert_eq!(halls.sharers(26 * SECOND), Sharers { all: 0, heard: 0 });
 }
+
+#[test]
+fn after_the_loss_of_all_the_most_that_any_aggregator_counted_is_the_use() {
+    let mut halls = Halls::default();
+    let started_with_it = |by, seq, used| HallSummary {
+        uptime_ms: UPTIME_MS - 200,
+        ..summary(by, seq, used)
+    };
+    assert_eq!(note(&mut halls, 0, &started_with_it(1, 1, 100)), Some(100));
+    // The other aggregator has heard of more by now; none of it is long past.
+    assert_eq!(note(&mut halls, MS, &started_with_it(2, 1, 900)), Some(900));
+    assert_eq!(note(&mut halls, MS, &started_with_it(1, 2, 950)), Some(950));
+}
--- a/tests/properties/membership.rs
+++ b/tests/properties/membership.rs
@@ -196,3 +196,24 @@
     let each = (net.bytes - before) / 100 / 5;
     assert!(each < 10_000, "{each} bytes a second");
 }
+
+/// Returns after how many periods each of `count` that start at once knows nine in ten of the others,
+/// in the mean.
+fn periods_until_met(count: usize) -> usize {
+    let mut net = Net::new(count, 0.01);
+    for period in 1..100 {
+        net.run(1);
+        let known = net.members.iter().flatten();
+        let known: usize = known.map(|m| m.view().others().count()).sum();
+        if known * 10 >= count * (count - 1) * 9 {
+            return period;
+        }
+    }
+    100
+}
+
+#[test]
+fn hundreds_that_start_at_once_meet_within_two_seconds() {
+    let periods = periods_until_met(250);
+    assert!(periods <= 10, "{periods} periods of 200 ms");
+}
