Counters and lines of the exchange: how old beliefs are, who reports, when summaries are lost

hall_summary_age_seconds, far_summary_age_seconds, instances, reporters, updates_sent, updates_received, updates_unsent; lines summaries_lost and summaries_regained, one a change.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -715,7 +715,16 @@
         };
         for teller in silent {
             self.gateway.limits().forget(now_us, teller);
+            if group == Group::Large {
+                let whose = self.whose(teller);
+                log::warn!(
+                    target: "ryevalve::process",
+                    whose, instances = sharers.all, instances_heard = sharers.heard;
+                    "summaries_lost"
+                );
+            }
         }
+        self.show(now_us, sharers);
         self.gateway.set_sharers(sharers);
         let mut balancer = self.gateway.balancer();
         balancer.picture_mut().set_group(group);
@@ -727,6 +736,30 @@
         group
     }
 
+    /// Shows in the counters what the exchange believes.
+    fn show(&self, now_us: Micros, sharers: Sharers) {
+        let state = self.lock();
+        let age_s = |hall: u32| {
+            let age_us = state.halls.age_us(now_us, hall);
+            age_us.map_or(0.0, |us| us as f64 / 1e6)
+        };
+        let metrics = &self.gateway.metrics;
+        metrics.instances.set(sharers.all as i64);
+        metrics.hall_summary_age_seconds.set(age_s(self.my_hall));
+        metrics.far_summary_age_seconds.set(age_s(FAR_HALLS));
+        let reporters = state.book.headcount(now_us).heard.saturating_sub(1);
+        metrics.reporters.set(i64::from(reporters));
+    }
+
+    /// Names in logs whose summaries are meant.
+    fn whose(&self, teller: Incarnation) -> &'static str {
+        if teller == teller_of_hall(FAR_HALLS) {
+            "other_halls"
+        } else {
+            "own_hall"
+        }
+    }
+
     fn receive(self: &Arc<Self>, bytes: &[u8], from: SocketAddr) {
         let Ok(update) = update::decode(&self.authenticator, bytes) else {
             self.gateway.metrics.datagrams_dropped.inc();
@@ -837,6 +870,10 @@
             incarnation: teller_of_hall(summary.hall),
             uptime_us: u64::from(summary.uptime_ms) * 1_000,
         };
+        if taken.is_regained {
+            let whose = self.whose(teller.incarnation);
+            log::info!(target: "ryevalve::process", whose; "summaries_regained");
+        }
         self.take_used(now_us, teller, &taken.used);
         let mut balancer = self.gateway.balancer();
         if taken.takes_loads {
--- a/src/gateway/halls.rs
+++ b/src/gateway/halls.rs
@@ -82,6 +82,8 @@
     pub used: Vec<ToldUse>,
     /// The summary's loads stand for the hall.
     pub takes_loads: bool,
+    /// The hall had fallen silent.
+    pub is_regained: bool,
 }
 
 /// What is known of the halls.
@@ -115,7 +117,7 @@
         source.at_us = now_us;
         source.instances = summary.instances;
         source.heard = summary.heard;
-        hall.is_forgotten = false;
+        let is_regained = std::mem::take(&mut hall.is_forgotten);
         let is_same_start = summary.uptime_ms.abs_diff(uptime_ms) <= SAME_START_MS;
         let used = summary.used.iter().map(|told| ToldUse {
             used: hall.count(
@@ -133,6 +135,7 @@
         Some(Taken {
             used,
             takes_loads: f64::from(summary.heard) >= f64::from(most) * COMPARED_SHARE,
+            is_regained,
         })
     }
 
@@ -151,6 +154,13 @@
         silent
     }
 
+    /// Returns the age of a hall's newest summary, if any is known.
+    pub fn age_us(&self, now_us: Micros, hall: u32) -> Option<Micros> {
+        let sources = self.by_key.get(&hall)?.sources.values();
+        let newest_us = sources.map(|s| s.at_us).max()?;
+        Some(now_us.saturating_sub(newest_us))
+    }
+
     /// Returns how many instances of a hall are heard.
     pub fn heard_of(&self, now_us: Micros, hall: u32) -> usize {
         let hall = self.by_key.get(&hall);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -85,6 +85,14 @@
     pub updates_unsent: Counter,
     /// Updates taken from other instances.
     pub updates_received: Counter,
+    /// Instances that share limits, heard or not, this one included.
+    pub instances: Gauge,
+    /// Instances that report to this one.
+    pub reporters: Gauge,
+    /// Age of the newest summary of the own hall.
+    pub hall_summary_age_seconds: Gauge<f64, std::sync::atomic::AtomicU64>,
+    /// Age of the newest summary of all other halls.
+    pub far_summary_age_seconds: Gauge<f64, std::sync::atomic::AtomicU64>,
     config_version: Gauge,
     config_age_seconds: Gauge<f64, std::sync::atomic::AtomicU64>,
     endpoints: Gauge,
@@ -107,6 +115,10 @@
             updates_sent: Counter::default(),
             updates_unsent: Counter::default(),
             updates_received: Counter::default(),
+            instances: Gauge::default(),
+            reporters: Gauge::default(),
+            hall_summary_age_seconds: Gauge::default(),
+            far_summary_age_seconds: Gauge::default(),
             config_version: Gauge::default(),
             config_age_seconds: Gauge::default(),
             endpoints: Gauge::default(),
@@ -158,14 +170,8 @@
         registry.register("store_failures", failures, self.store_failures.clone());
         let dropped = "Datagrams from instances that were dropped";
         registry.register("datagrams_dropped", dropped, self.datagrams_dropped.clone());
-        let told = "Bytes told to other instances by datagrams";
-        registry.register("told_bytes", told, self.told_bytes.clone());
-        let sent = "Datagrams sent to other instances";
-        registry.register("updates_sent", sent, self.updates_sent.clone());
-        let unsent = "Datagrams to other instances that could not be sent";
-        registry.register("updates_unsent", unsent, self.updates_unsent.clone());
-        let received = "Datagrams taken from other instances";
-        registry.register("updates_received", received, self.updates_received.clone());
+        self.register_exchange();
+        let registry = &mut self.registry;
         let version = "Version of the configuration in force";
         registry.register("config_version", version, self.config_version.clone());
         let age = "Time since the configuration was known to be the newest";
@@ -186,6 +192,28 @@
         );
     }
 
+    fn register_exchange(&mut self) {
+        let registry = &mut self.registry;
+        let told = "Bytes told to other instances by datagrams";
+        registry.register("told_bytes", told, self.told_bytes.clone());
+        let sent = "Datagrams sent to other instances";
+        registry.register("updates_sent", sent, self.updates_sent.clone());
+        let unsent = "Datagrams to other instances that could not be sent";
+        registry.register("updates_unsent", unsent, self.updates_unsent.clone());
+        let received = "Datagrams taken from other instances";
+        registry.register("updates_received", received, self.updates_received.clone());
+        let instances = "Instances that share limits, heard or not";
+        registry.register("instances", instances, self.instances.clone());
+        let reporters = "Instances that report to this one";
+        registry.register("reporters", reporters, self.reporters.clone());
+        let age = "Age of the newest summary of the own hall, in large groups";
+        let gauge = self.hall_summary_age_seconds.clone();
+        registry.register("hall_summary_age_seconds", age, gauge);
+        let age = "Age of the newest summary of the other halls, in large groups";
+        let gauge = self.far_summary_age_seconds.clone();
+        registry.register("far_summary_age_seconds", age, gauge);
+    }
+
     /// Counts a request that ended.
     pub fn ended(&self, route: &str, outcome: Outcome) {
         let labels = RouteLabels {
