--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -15,7 +15,6 @@
         picture::{Group, HallsOfServices, Picture},
         prefixes::{ChainKey, PrefixHolders},
         speed::{Evidence, Speed, ToldSpeed},
-        turns::{Fill, Turns},
     },
     prelude::{Incarnation, Micros, Name, Rank},
 };
@@ -107,18 +106,6 @@
     (left_ms * RETRY_SHARE).clamp(RETRY_MIN_MS, RETRY_MAX_MS) as u32
 }
 
-/// Decides on a request for which there is no room now.
-fn wait_or_refuse(now_us: Micros, ask: &Ask) -> Placement {
-    let waited_us = now_us.saturating_sub(ask.arrived_us) as f64;
-    if waited_us < ask.target_us as f64 * HOLD_SHARE {
-        return Placement::Wait;
-    }
-    Placement::Refuse {
-        reason: "busy",
-        retry_after_ms: come_back_ms(ask.deadline_us.saturating_sub(now_us)),
-    }
-}
-
 /// Returns the share of its target for which a request may queue at an endpoint.
 fn queue_share(ask: &Ask) -> f64 {
     if !ask.is_stream {
@@ -135,16 +122,6 @@
     same_hall: bool,
 }
 
-/// The best endpoint for a request.
-enum Best {
-    /// It may be used.
-    Open(Choice),
-    /// All are nearly full, and it is other instances' turn to use them.
-    OthersTurn,
-    /// There is none.
-    None,
-}
-
 /// The picture of all endpoints, and the requests that wait.
 #[derive(Debug)]
 pub struct Balancer {
@@ -162,7 +139,6 @@
     /// Endpoints found gone, to be told to the others.
     dead: Vec<EndpointKey>,
     waiting: BTreeMap<WaitKey, Ask>,
-    turns: Turns,
     next_number: u64,
     changed: bool,
 }
@@ -182,7 +158,6 @@
             news: Vec::new(),
             dead: Vec::new(),
             waiting: BTreeMap::new(),
-            turns: Turns::default(),
             next_number: 0,
             changed: false,
         }
@@ -359,15 +334,11 @@
     /// Those in `tried` are not chosen.
     pub fn place(&mut self, now_us: Micros, ask: &Ask, tried: &[EndpointKey]) -> Placement {
         self.picture.refresh_means(now_us, &self.by_hall);
-        let best = match self.best(now_us, ask, tried) {
-            Best::Open(best) => best,
-            Best::OthersTurn => return wait_or_refuse(now_us, ask),
-            Best::None => {
-                return Placement::Refuse {
-                    reason: "no_endpoint",
-                    retry_after_ms: NO_ENDPOINT_RETRY_MS,
-                };
-            }
+        let Some(best) = self.best(now_us, ask, tried) else {
+            return Placement::Refuse {
+                reason: "no_endpoint",
+                retry_after_ms: NO_ENDPOINT_RETRY_MS,
+            };
         };
         let waited_us = now_us.saturating_sub(ask.arrived_us) as f64;
         // One that is late in any case loses nothing more by having waited.
@@ -379,21 +350,21 @@
         if fits && (may_pass || !self.waits_before(ask.rank)) {
             return self.send(now_us, ask, best);
         }
-        wait_or_refuse(now_us, ask)
-    }
-
-    /// Sets who competes with this instance for endpoints.
-    pub fn set_turns(&mut self, turns: Turns) {
-        self.turns = turns;
+        if waited_us < ask.target_us as f64 * HOLD_SHARE {
+            return Placement::Wait;
+        }
+        Placement::Refuse {
+            reason: "busy",
+            retry_after_ms: come_back_ms(ask.deadline_us.saturating_sub(now_us)),
+        }
     }
 
     fn waits_before(&self, rank: Rank) -> bool {
         self.waiting.keys().next().is_some_and(|k| k.rank <= rank)
     }
 
-    fn best(&self, now_us: Micros, ask: &Ask, tried: &[EndpointKey]) -> Best {
+    fn best(&self, now_us: Micros, ask: &Ask, tried: &[EndpointKey]) -> Option<Choice> {
         let mut best: Option<(EndpointKey, Expected)> = None;
-        let mut is_others_turn = false;
         let near_looked_at = match self.picture.group() {
             Group::Small => usize::MAX,
             Group::Large => NEAR_LOOKED_AT,
@@ -417,10 +388,6 @@
             if endpoint.entry.draining {
                 continue;
             }
-            if !self.is_open(now_us, key, endpoint) {
-                is_others_turn = true;
-                continue;
-            }
             let expected = self.expect(now_us, ask, key, endpoint);
             far += usize::from(!endpoint.same_hall);
             near += usize::from(endpoint.same_hall);
@@ -429,31 +396,15 @@
                 best = Some((key, expected));
             }
         }
-        let best = best.and_then(|(key, expected)| Some((key, expected, self.entry(key)?)));
-        match best {
-            Some((key, expected, entry)) => Best::Open(Choice {
-                id: entry.id.clone(),
-                key,
-                addr: entry.addr,
-                hall: entry.hall.clone(),
-                expected,
-            }),
-            None if is_others_turn => Best::OthersTurn,
-            None => Best::None,
-        }
-    }
-
-    /// Returns whether this instance may use an endpoint now.
-    fn is_open(&self, now_us: Micros, key: EndpointKey, endpoint: &Endpoint) -> bool {
-        if self.picture.group() == Group::Small {
-            return true;
-        }
-        let fill = Fill {
-            requests: self.believed(now_us, key, endpoint).requests,
-            slots: f64::from(endpoint.entry.slots),
-            hold_ms: endpoint.speed.hold_ms(),
-        };
-        self.turns.is_open(now_us, key, endpoint.same_hall, fill)
+        let (key, expected) = best?;
+        let entry = self.entry(key)?;
+        Some(Choice {
+            id: entry.id.clone(),
+            key,
+            addr: entry.addr,
+            hall: entry.hall.clone(),
+            expected,
+        })
     }
 
     fn believed(&self, now_us: Micros, key: EndpointKey, endpoint: &Endpoint) -> Believed {
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -8,4 +8,3 @@
 pub mod picture;
 pub mod prefixes;
 pub mod speed;
-pub mod turns;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -23,7 +23,6 @@
     balance::{
         load::{EndpointKey, InFlight, split_loads},
         picture::Group,
-        turns::Turns,
     },
     gateway::{
         aggregators::{Aggregators, hall_key},
@@ -697,20 +696,18 @@
 
     /// Counts those who may use a part of a limit, and forgets the rates of the silent.
     fn count_sharers(&self, now_us: Micros, view: &View) -> Group {
-        let (group, silent, sharers, near) = {
+        let (group, silent, sharers) = {
             let mut state = self.lock();
             let silent = state.heard.expire(now_us);
             let silent_halls = state.halls.expire(now_us);
             let known = state.known(now_us, view);
             if known < SMALL_GROUP {
-                let sharers = state.heard.sharers(now_us);
-                (Group::Small, silent, sharers, sharers.heard)
+                (Group::Small, silent, state.heard.sharers(now_us))
             } else {
                 let halls = silent_halls.into_iter().map(teller_of_hall).collect();
                 let heard = state.halls.sharers(now_us).heard.max(1);
                 let all = (known + 1).max(heard);
-                let near = state.halls.heard_of(now_us, self.my_hall);
-                (Group::Large, halls, Sharers { all, heard }, near)
+                (Group::Large, halls, Sharers { all, heard })
             }
         };
         for teller in silent {
@@ -726,13 +723,7 @@
         }
         self.show(now_us, sharers);
         self.gateway.set_sharers(sharers);
-        let mut balancer = self.gateway.balancer();
-        balancer.picture_mut().set_group(group);
-        balancer.set_turns(Turns {
-            salt: self.place.me.incarnation.0,
-            near,
-            all: sharers.all,
-        });
+        self.gateway.balancer().picture_mut().set_group(group);
         group
     }
 
--- a/src/gateway/halls.rs
+++ b/src/gateway/halls.rs
@@ -161,12 +161,6 @@
         Some(now_us.saturating_sub(newest_us))
     }
 
-    /// Returns how many instances of a hall are heard.
-    pub fn heard_of(&self, now_us: Micros, hall: u32) -> usize {
-        let hall = self.by_key.get(&hall);
-        hall.map_or(0, |h| h.headcount(now_us).1 as usize)
-    }
-
     /// Counts the instances of all halls, and those of them that are heard.
     pub fn sharers(&self, now_us: Micros) -> Sharers {
         let counts = self.by_key.values().map(|h| h.headcount(now_us));
--- a/tests/gateway/balancer.rs
+++ b/tests/gateway/balancer.rs
@@ -9,7 +9,6 @@
         load::{EndpointKey, InFlight, OwnWord},
         picture::Group,
         speed::{Evidence, ToldSpeed},
-        turns::Turns,
     },
     prelude::Incarnation,
 };
@@ -574,70 +573,3 @@
     let choice = sent(balancer.place(100 * MS, &ask(7, 100, 0, 100 * MS), &[]));
     assert_eq!(&*choice.hall, "calm", "{}", choice.id);
 }
-
-/// Returns how many of the instances of a hall send at once when all believe one place to be left at the
-/// only endpoint, in the mean over some turns.
-fn senders(instances: u64) -> f64 {
-    const TURNS: u64 = 40;
-    let mut sent = 0;
-    for instance in 0..instances {
-        let mut balancer = balancer(&[("near", "here")]);
-        balancer.picture_mut().set_group(Group::Large);
-        balancer.set_turns(Turns {
-            salt: instance * 0x1234_5678_9abc,
-            near: instances as usize,
-            all: instances as usize * 6,
-        });
-        let nearly_full = InFlight {
-            requests: SLOTS - 1,
-            prompt_tokens: 0,
-        };
-        let told = [(EndpointKey::of("near"), nearly_full)];
-        for turn in 0..TURNS {
-            let now_us = turn * 100 * MS;
-            balancer.told(now_us, Incarnation(1), &told, &[], &[]);
-            if let Placement::Send(choice) = balancer.place(now_us, &ask(turn, 100, 0, now_us), &[])
-            {
-                balancer.end(choice.key, choice.expected.uncached_tokens, None);
-                sent += 1;
-            }
-        }
-    }
-    sent as f64 / TURNS as f64
-}
-
-#[test]
-fn the_last_place_of_an_endpoint_is_not_used_by_all_who_hear_of_it() {
-    // One place is left, and .4 come free in a turn while a request holds one for a second.
-    for instances in [5, 20, 49] {
-        let senders = senders(instances);
-        assert!((0.8..=2.2).contains(&senders), "{senders} of {instances}");
-    }
-}
-
-#[test]
-fn where_nobody_has_a_turn_a_request_waits_and_is_then_refused() {
-    let mut balancer = balancer(&[("near", "here")]);
-    balancer.picture_mut().set_group(Group::Large);
-    balancer.set_turns(Turns {
-        salt: 1,
-        near: 1_000_000,
-        all: 1_000_000,
-    });
-    let full = InFlight {
-        requests: SLOTS,
-        prompt_tokens: 0,
-    };
-    balancer.told(
-        0,
-        Incarnation(1),
-        &[(EndpointKey::of("near"), full)],
-        &[],
-        &[],
-    );
-    let ask = ask(7, 100, 0, 0);
-    assert_matches!(balancer.place(0, &ask, &[]), Placement::Wait);
-    let later_us = ask.target_us / 2;
-    let refused = balancer.place(later_us, &ask, &[]);
-    assert_matches!(refused, Placement::Refuse { reason: "busy", .. });
-}
