--- a/tests/edge/answers.rs
+++ b/tests/edge/answers.rs
@@ -317,3 +317,50 @@
     let runs: Vec<usize> = edge.runners.iter().map(|r| r.runs("r-1")).collect();
     assert_eq!(runs, [1, 1], "after {:?}", started.elapsed());
 }
+
+/// Sends a request whose caller leaves after a while; returns how often it has reached an endpoint some
+/// seconds later, and whether a run went on to its end.
+async fn left_by_its_caller(edge: &Edge, path: &str, after: Duration) -> (usize, bool) {
+    let call = edge.call(path, "r-1");
+    assert!(time::timeout(after, call).await.is_err());
+    time::sleep(Duration::from_millis(3_000)).await;
+    let seen: Vec<_> = edge.runners.iter().flat_map(|r| r.seen()).collect();
+    (seen.len(), seen.iter().any(|s| s.finished))
+}
+
+#[tokio::test]
+async fn when_a_caller_leaves_before_its_answer_nobody_else_is_asked() {
+    let edge = Edge::start(2).await;
+    for runner in &edge.runners {
+        runner.fault(Fault::Mute);
+    }
+    let left = left_by_its_caller(&edge, "/again/", Duration::from_millis(100)).await;
+    assert_eq!(left, (1, false));
+}
+
+#[tokio::test]
+async fn when_a_caller_leaves_in_a_pause_its_stream_goes_on_nowhere() {
+    let edge = Edge::start(2).await;
+    for runner in &edge.runners {
+        runner.fault(Fault::Pause);
+    }
+    // Another endpoint would be asked after 800 ms of silence.
+    let left = left_by_its_caller(&edge, "/resume/stream", Duration::from_millis(500)).await;
+    assert_eq!(left, (1, false));
+}
+
+#[tokio::test]
+async fn when_a_caller_leaves_full_endpoints_its_request_is_not_tried_on() {
+    let edge = Edge::start(2).await;
+    for runner in &edge.runners {
+        runner.fault(Fault::Full);
+    }
+    let call = edge.call("/again/", "r-1");
+    let _ = time::timeout(Duration::from_millis(60), call).await;
+    let soon: usize = edge.runners.iter().map(|r| r.seen().len()).sum();
+    time::sleep(Duration::from_millis(500)).await;
+    let half_a_second_on: usize = edge.runners.iter().map(|r| r.seen().len()).sum();
+    time::sleep(Duration::from_millis(2_000)).await;
+    let later: usize = edge.runners.iter().map(|r| r.seen().len()).sum();
+    assert_eq!(half_a_second_on, later, "{soon} at first");
+}
