--- /dev/null
+++ b/tests/edge/group.rs
@@ -0,0 +1,219 @@
+//! Instances in this process that are connected over real sockets, for tests of what they tell each other.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use ryevalve::{
+    balance::{balancer::Placement, cost::Ask, discovery::EndpointEntry, load::EndpointKey},
+    gateway::{
+        copies,
+        exchange::{Exchange, ExchangePlace},
+        state::{Gateway, GatewayBounds},
+    },
+    limits::{organisation::Tolerance, retries::RetryBounds},
+    peers::{datagram::MemberInfo, gossip::Gossip, membership::Membership, rpc::SealedCodec},
+    platform::{follow, headers::PlatformProtocol, objects::ObjectClient},
+    prelude::{Incarnation, Micros, Name},
+};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    task::JoinHandle,
+    time,
+};
+use tokio_util::sync::CancellationToken;
+
+const KEY: &[u8] = b"a key of sixteen and more";
+const PATIENCE: Duration = Duration::from_secs(20);
+/// How long an endpoint that leaves may be sent requests.
+pub const DRAIN: Duration = Duration::from_secs(2);
+pub const BOUNDS: GatewayBounds = GatewayBounds {
+    revoke_us: 5_000_000,
+    is_revocation_strict: true,
+    retries: RetryBounds {
+        ratio: 0.2,
+        slack: 50.0,
+        window_us: 10_000_000,
+    },
+    tolerance: Tolerance {
+        window_s: 8.0,
+        overage: 0.1,
+        slack: 1_000.0,
+    },
+};
+
+/// Where an instance stands, and what it does beside telling and listening.
+#[derive(Clone, Copy)]
+pub struct Place<'p> {
+    /// The network of the group, so that tests beside each other do not meet.
+    pub net: u8,
+    pub number: usize,
+    pub hall: &'p str,
+    pub port: u16,
+    pub seeds: &'p [SocketAddr],
+}
+
+pub struct Instance {
+    pub hall: Name,
+    pub gateway: Arc<Gateway<PlatformProtocol>>,
+    pub gossip: Arc<Gossip>,
+    pub codec: SealedCodec,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Instance {
+    /// Starts an instance that tells and listens, and neither gives copies nor reads the store.
+    pub async fn start(place: Place<'_>) -> Self {
+        let Place {
+            net, number, port, ..
+        } = place;
+        let hall = Name::from(place.hall);
+        let gateway = Arc::new(Gateway::new(PlatformProtocol, hall.clone(), BOUNDS, true));
+        let control = SocketAddr::new(address(net, number), port);
+        let me = MemberInfo {
+            name: format!("i{number}").into(),
+            incarnation: Incarnation(number as u64 + 1),
+            peer_addr: control,
+            hall: hall.clone(),
+            data_centre: "one".into(),
+            beat: 1,
+            leaving: false,
+        };
+        let membership = Membership::new(me.clone(), place.seeds.to_vec(), number as u64);
+        let gossip = Gossip::bind(control, membership, KEY, gateway.clock).await;
+        let gossip = Arc::new(gossip.expect("a socket"));
+        let told = SocketAddr::new(control.ip(), port + 1);
+        let socket = UdpSocket::bind(told).await.expect("a socket");
+        let codec = SealedCodec::new(KEY, Arc::default());
+        let place = ExchangePlace {
+            me,
+            seeds: place.seeds.to_vec(),
+            link_bytes_per_s: 1_250_000.0,
+        };
+        let exchange = Exchange::new(
+            gateway.clone(),
+            gossip.clone(),
+            socket,
+            KEY,
+            codec.clone(),
+            place,
+        );
+        let exchange = Arc::new(exchange.expect("an exchange"));
+        let probing = gossip.clone();
+        let tasks = vec![
+            tokio::spawn(async move { probing.run(CancellationToken::new()).await }),
+            tokio::spawn(exchange.run()),
+        ];
+        Self {
+            hall,
+            gateway,
+            gossip,
+            codec,
+            tasks,
+        }
+    }
+
+    /// Gives copies to the others through `listener`.
+    pub fn give_copies(&mut self, listener: TcpListener) {
+        let (gateway, codec) = (self.gateway.clone(), self.codec.clone());
+        self.tasks.push(tokio::spawn(async move {
+            // It serves until the test ends.
+            let _ = copies::serve(gateway, listener, codec).await;
+        }));
+    }
+
+    /// Follows the store at `addr`.
+    pub fn follow(&mut self, addr: SocketAddr) {
+        let gateway = self.gateway.clone();
+        let client = ObjectClient::new(addr);
+        self.tasks
+            .push(tokio::spawn(follow::endpoints(gateway.clone(), client)));
+        let client = ObjectClient::new(addr);
+        self.tasks
+            .push(tokio::spawn(follow::configuration(gateway, client)));
+    }
+
+    /// Ends all that it does, as a kill would.
+    pub fn stop(&mut self) {
+        for task in self.tasks.drain(..) {
+            task.abort();
+        }
+    }
+
+    /// Returns the id of the endpoint that a request is sent to now, if it is sent.
+    pub async fn place_one(&self) -> Option<Name> {
+        let ask = ask(self.gateway.clock.now_us());
+        match self.gateway.place(&ask, &[]).await {
+            Placement::Send(choice) => {
+                self.gateway.balancer().end(choice.key, 0, None);
+                Some(choice.id)
+            }
+            _ => None,
+        }
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+/// A request that any endpoint of the service may take.
+pub fn ask(now_us: Micros) -> Ask {
+    Ask {
+        service: "plain".into(),
+        is_stream: false,
+        prompt_tokens: 0,
+        chains: Vec::new(),
+        output_events: 1.0,
+        target_us: 10_000_000,
+        arrived_us: now_us,
+        waited_us: 0,
+        deadline_us: now_us + 10_000_000,
+        rank: 0,
+        other_hall_cost: 0.0,
+        draw: 7,
+    }
+}
+
+pub fn address(net: u8, number: usize) -> IpAddr {
+    IpAddr::from([127, 0, net, number as u8 + 1])
+}
+
+pub fn key() -> EndpointKey {
+    EndpointKey::of("one")
+}
+
+pub fn endpoint(id: &str) -> EndpointEntry {
+    EndpointEntry {
+        id: id.into(),
+        service: "plain".into(),
+        addr: ([10, 0, 0, 1], 80).into(),
+        hall: "a".into(),
+        slots: 100,
+        draining: false,
+        warmup_left_ms: 0,
+    }
+}
+
+/// Returns a port that is free, with the one after it, on the first instance's address.
+pub async fn free_port(net: u8) -> u16 {
+    loop {
+        let first = UdpSocket::bind((address(net, 0), 0)).await.expect("a port");
+        let port = first.local_addr().expect("an address").port();
+        if port < u16::MAX && UdpSocket::bind((address(net, 0), port + 1)).await.is_ok() {
+            return port;
+        }
+    }
+}
+
+pub async fn until(what: &str, holds: impl Fn() -> bool) {
+    let started = time::Instant::now();
+    while !holds() {
+        assert!(started.elapsed() < PATIENCE, "waited in vain for {what}");
+        time::sleep(Duration::from_millis(5)).await;
+    }
+}
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -2,5 +2,7 @@
 
 mod answers;
 mod control;
+mod group;
 mod large_group;
+mod late_news;
 mod support;
