--- a/src/gateway/staleness.rs
+++ b/src/gateway/staleness.rs
@@ -39,8 +39,10 @@
 const TURN_US: Micros = 50_000;
 /// What is acted on is no older than this; the rest of the bound is for the way to the endpoint.
 const USE_SHARE: f64 = 0.9;
-/// The store answers within this time, or does not answer this instance.
-const ANSWER_SHARE: f64 = 0.25;
+/// The store answers within this time, which is 300 ms of a bound of 2 s, or does not answer this instance. In an
+/// outage the first in turn know by the time that requests would wait, and the last hold them up for a twentieth of
+/// the bound. With a quarter a request with a target of 800 ms was held so long that it was refused.
+const ANSWER_SHARE: f64 = 0.15;
 
 /// How long after a change an instance may act as before it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -37,8 +37,10 @@
 };
 
 /// A key may be used this much less long than operators allow after it was taken away: a watch may
-/// hear nothing for a second while changes are made.
+/// hear nothing for a second while changes are made. At most the share below of what they allow.
 const FRESHNESS_MARGIN_US: Micros = 1_200_000;
+/// With less left, calm instances would refuse keys between one word of the store and the next.
+const FRESHNESS_MARGIN_SHARE: f64 = 0.25;
 
 /// How often what waits for the store's answer looks whether the store still is to be waited for.
 const ANSWER_LOOK: Duration = Duration::from_millis(20);
@@ -63,6 +65,19 @@
     pub tolerance: Tolerance,
 }
 
+impl GatewayBounds {
+    /// Returns how long after a configuration an instance may act by the one before, and use its keys.
+    pub fn config(&self) -> StalenessBound {
+        StalenessBound(self.config_apply.0.min(self.revoke_us))
+    }
+
+    /// Returns how old the configuration may be for its keys to be used.
+    fn key_age_us(&self) -> Micros {
+        let share_us = (self.revoke_us as f64 * FRESHNESS_MARGIN_SHARE) as Micros;
+        self.revoke_us - share_us.min(FRESHNESS_MARGIN_US)
+    }
+}
+
 /// One gateway.
 pub struct Gateway<P: Protocol> {
     /// How callers and endpoints speak.
@@ -302,7 +317,7 @@
 
     /// Returns whether the configuration may be acted on.
     pub fn config_standing(&self) -> Standing {
-        let bound = self.bounds().config_apply;
+        let bound = self.bounds().config();
         self.config.staleness.standing(self.clock.now_us(), bound)
     }
 
@@ -337,8 +352,7 @@
 
     /// Returns whether the configuration is new enough to judge a key by.
     pub fn is_fresh(&self) -> bool {
-        let allowed_us = self.bounds().revoke_us.saturating_sub(FRESHNESS_MARGIN_US);
-        self.config_age_us() <= allowed_us
+        self.config_age_us() <= self.bounds().key_age_us()
     }
 
     /// Returns whether a key that the configuration in force has may be used.
--- a/src/platform/follow.rs
+++ b/src/platform/follow.rs
@@ -23,6 +23,8 @@
 /// Changes that come together are taken together: a call is paid for, and three watchers made up to 30
 /// a second while endpoints were replaced. An endpoint that says it leaves goes on for seconds.
 const GATHER: Duration = Duration::from_millis(250);
+/// But for no longer than this share of a watch's wait, which falls with the bound.
+const GATHER_SHARE: f64 = 0.5;
 /// At the first start of all, an instance that is no seed waits this long for others to tell it what
 /// the store has: 295 instances made 1,690 calls before the first request, .059 of a calm day's worth.
 /// Callers come some seconds later. Whoever starts again asks at once.
@@ -98,7 +100,8 @@
                     log::info!(target: "ryevalve::process", kind = F::KIND; "store_regained");
                 }
                 if had_news {
-                    time::sleep(GATHER).await;
+                    let wait = follower.bound().watch_wait();
+                    time::sleep(GATHER.min(wait.mul_f64(GATHER_SHARE))).await;
                 }
             }
             Err(CallError::HistoryGone) => {
@@ -231,7 +234,7 @@
     }
 
     fn bound(&self) -> StalenessBound {
-        self.gateway.bounds().config_apply
+        self.gateway.bounds().config()
     }
 
     fn listed(&mut self, listing: Listing<ConfigSpec>, asked_us: Micros) {
--- /dev/null
+++ b/tests/gateway/copies.rs
@@ -0,0 +1,32 @@
+//! Who is given a configuration when many ask at once.
+
+use ryevalve::gateway::copies::Takers;
+
+use crate::support::MS;
+
+const AT_ONCE: u64 = 4;
+
+#[test]
+fn a_few_are_given_a_configuration_at_a_time_and_the_others_after_them() {
+    let mut takers = Takers::default();
+    for taker in 0..AT_ONCE {
+        assert!(takers.admit(0, taker));
+    }
+    assert!(!takers.admit(MS, 9), "the link is taken");
+    assert!(
+        takers.admit(2 * MS, 0),
+        "one that is being given it goes on"
+    );
+    takers.finished(0);
+    assert!(takers.admit(3 * MS, 9));
+}
+
+#[test]
+fn a_taker_that_has_gone_takes_no_place() {
+    let mut takers = Takers::default();
+    for taker in 0..AT_ONCE {
+        assert!(takers.admit(0, taker));
+    }
+    assert!(!takers.admit(400 * MS, 9));
+    assert!(takers.admit(600 * MS, 9));
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod aggregators;
 mod balancer;
+mod copies;
 mod discovery;
 mod events;
 mod explain;
