--- a/src/gateway/copies.rs
+++ b/src/gateway/copies.rs
@@ -27,6 +27,7 @@
 
 use crate::{
     balance::discovery::{EndpointsCopy, Revision},
+    clock::Clock,
     gateway::{
         config::{ConfigVersion, GatewayConfig},
         packed::{self, UnpackError},
@@ -47,8 +48,8 @@
 /// were given up after 0.8 s and asked for again, the last instance had them 3.6 s after the first, and news
 /// of endpoints took as long. Packed, in parts and to a few: none, 1.0 s, and 0.35 s for news of endpoints.
 const TAKERS_AT_ONCE: usize = 4;
-/// A taker that asks for no more within this time has gone.
-const TAKER_GONE_US: Micros = 500_000;
+/// A taker that asks for no more within this time has gone: it waits for [`TIMEOUT`] for each part.
+const TAKER_GONE_US: Micros = 1_000_000;
 
 /// Why no copy came.
 #[derive(Debug, Snafu)]
@@ -260,12 +261,12 @@
 pub struct TakenConfig {
     /// The configuration.
     pub config: GatewayConfig,
-    /// For how long it had not been known to be the newest when its last part was given.
-    pub age_us: Option<Micros>,
+    /// When it was known to be the newest, by the clock of the one that asked.
+    pub fresh_at_us: Option<Micros>,
 }
 
 /// Asks an instance for a configuration newer than `version`; none if it has none, or is busy giving it to
-/// others. `asking` is called before each part is asked for.
+/// others.
 ///
 /// # Errors
 /// It did not come whole.
@@ -273,13 +274,13 @@
     addr: SocketAddr,
     codec: SealedCodec,
     version: ConfigVersion,
-    mut asking: impl FnMut(),
+    clock: Clock,
 ) -> Result<Option<TakenConfig>, CopyError> {
     let client = connect(addr, codec).await?;
     let mut coming: ConfigVersion = 0;
     let mut bytes = Vec::new();
     loop {
-        asking();
+        let asked_us = clock.now_us();
         let asked = client.config_part(context(), version, bytes.len() as u64);
         let ConfigAnswer::Part(part) = asked.await.context(NoAnswerSnafu)? else {
             return Ok(None);
@@ -296,8 +297,11 @@
         bytes.extend(part.bytes);
         if is_last || bytes.len() as u64 >= part.total_bytes {
             let config = packed::unpack(&bytes).context(UnreadableSnafu)?;
-            let age_us = part.age_us;
-            return Ok(Some(TakenConfig { config, age_us }));
+            let fresh_at_us = part.age_us.map(|age_us| asked_us.saturating_sub(age_us));
+            return Ok(Some(TakenConfig {
+                config,
+                fresh_at_us,
+            }));
         }
     }
 }
--- a/src/gateway/fetching.rs
+++ b/src/gateway/fetching.rs
@@ -5,7 +5,7 @@
     net::{IpAddr, SocketAddr},
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
 };
 
@@ -43,18 +43,13 @@
 
     async fn take_config(&self, ip: IpAddr, version: ConfigVersion) -> Result<(), CopyError> {
         let gateway = &self.gateway;
-        let asked_us = AtomicU64::new(0);
-        let asking = || asked_us.store(gateway.clock.now_us(), Ordering::Relaxed);
         let addr = self.copies_at(ip);
-        let taken = copies::fetch_config(addr, self.codec.clone(), version, asking).await?;
+        let taken = copies::fetch_config(addr, self.codec.clone(), version, gateway.clock).await?;
         let Some(taken) = taken else { return Ok(()) };
         let version = taken.config.version;
         gateway.offer(taken.config, "peer");
-        if let Some(age_us) = taken.age_us {
-            let asked_us = asked_us.load(Ordering::Relaxed);
-            gateway
-                .config
-                .confirm(version, asked_us.saturating_sub(age_us));
+        if let Some(fresh_at_us) = taken.fresh_at_us {
+            gateway.config.confirm(version, fresh_at_us);
         }
         Ok(())
     }
