--- a/tests/edge/late_news.rs
+++ b/tests/edge/late_news.rs
@@ -143,24 +143,14 @@
         "state": state, "warmupLeftMs": warmup_left_ms, "sequence": 1})
 }
 
-/// Starts an instance that gives copies and follows the store, with a way there of its own.
-async fn start_follower(place: Place<'_>, store: SocketAddr) -> (Instance, Proxy) {
-    let mut instance = Instance::start(place).await;
-    let listener = TcpListener::bind((address(place.net, place.number), place.port)).await;
-    instance.give_copies(listener.expect("a port"));
-    let path = Proxy::start(store).await;
-    instance.follow(path.addr);
-    (instance, path)
-}
-
-/// Six instances of which three watch the store for all, each with its own way there.
-async fn start_group(net: u8, store: SocketAddr) -> Vec<(Instance, Proxy)> {
+/// Starts instances that give copies and follow the store, each with its own way there.
+async fn start_followers(net: u8, count: usize, store: SocketAddr) -> Vec<(Instance, Proxy)> {
     let port = free_port(net).await;
-    let seeds: Vec<SocketAddr> = (0..3)
+    let seeds: Vec<SocketAddr> = (0..count.min(3))
         .map(|n| SocketAddr::new(address(net, n), port))
         .collect();
     let mut all = Vec::new();
-    for number in 0..6 {
+    for number in 0..count {
         let place = Place {
             net,
             number,
@@ -168,16 +158,21 @@
             port,
             seeds: &seeds,
         };
-        all.push(start_follower(place, store).await);
+        let mut instance = Instance::start(place).await;
+        let listener = TcpListener::bind((address(net, number), port)).await;
+        instance.give_copies(listener.expect("a port"));
+        let path = Proxy::start(store).await;
+        instance.follow(path.addr);
+        all.push((instance, path));
     }
     until("all to hear of all", || {
         let heard = |i: &Instance| i.gateway.sharers().heard;
         all.iter().all(|(i, _)| heard(i) == all.len())
     })
     .await;
-    until("three to watch", || {
+    until("as many as there are, or three, to watch", || {
         let watching = all.iter().filter(|(i, _)| i.gateway.watches_store());
-        watching.count() == 3
+        watching.count() == count.min(3)
     })
     .await;
     all
@@ -188,7 +183,7 @@
     let platform = Platform::start().await;
     platform.set("servers", "leaving", entry("ready", 0));
     platform.set("servers", "staying", entry("ready", 0));
-    let all = start_group(net, platform.addr()).await;
+    let all = start_followers(net, 6, platform.addr()).await;
     for (instance, _) in &all {
         instance.gateway.set_bounds(GatewayBounds {
             drain: StalenessBound(drain.as_micros() as u64),
@@ -252,23 +247,10 @@
     let platform = Platform::start().await;
     platform.set("servers", "leaving", entry("ready", 0));
     platform.set("servers", "staying", entry("ready", 0));
-    let net = 11;
-    let port = free_port(net).await;
-    let seeds = [SocketAddr::new(address(net, 0), port)];
-    let mut both = Vec::new();
-    for number in 0..2 {
-        let place = Place {
-            net,
-            number,
-            hall: "a",
-            port,
-            seeds: &seeds,
-        };
-        both.push(start_follower(place, platform.addr()).await);
-    }
-    until("both to watch and to know", || {
-        both.iter()
-            .all(|(i, _)| i.gateway.watches_store() && i.gateway.balancer().endpoint_count() == 2)
+    let both = start_followers(11, 2, platform.addr()).await;
+    until("both to know", || {
+        let known = |i: &Instance| i.gateway.balancer().endpoint_count();
+        both.iter().all(|(i, _)| known(i) == 2)
     })
     .await;
     let [(_, sound_path), (broken, broken_path)] = &both[..] else {
--- a/tests/gateway/settings.rs
+++ b/tests/gateway/settings.rs
@@ -20,6 +20,7 @@
 [bounds]
 graceS = 8
 revokeMs = 5000
+drainMs = 1500
 retryBudgetRatio = 0.2
 [platform]
 address = "10.200.1.7:8225"
@@ -33,6 +34,11 @@
     assert_eq!(settings.hall, "hall-a");
     assert_eq!(settings.peer_ports, (7600, 7615));
     assert_eq!(settings.bounds.revoke_ms, 5_000);
+    assert_eq!(settings.bounds.drain_ms, 1_500);
+    assert_eq!(
+        settings.bounds.config_apply_ms, 2_000,
+        "the strictest seen, where none is given"
+    );
     assert_eq!(settings.bounds.budget_window_s, 10.0);
     assert!(settings.bounds.strict_revocation, "unless it is said");
 }
@@ -60,10 +66,17 @@
         .replace("[7600, 7615]", "[7615, 7600]")
         .replace("maxFds = 4200", "maxFds = 20")
         .replace("graceS = 8", "graceS = 0")
+        .replace("drainMs = 1500", "drainMs = 0")
         .replace("retryBudgetRatio = 0.2", "retryBudgetRatio = -1");
     let settings: PlatformSettings = toml::from_str(&text).unwrap();
     let faults = settings.faults().join("\n");
-    for field in ["internalPorts", "maxFds", "graceS", "retryBudgetRatio"] {
+    for field in [
+        "internalPorts",
+        "maxFds",
+        "graceS",
+        "drainMs",
+        "retryBudgetRatio",
+    ] {
         assert!(faults.contains(field), "{field} in {faults}");
     }
     assert!(faults.contains("expected"));
