Endpoints are known by id and birth; entries of other writers harm no other

Cause: an id was taken for one start of an endpoint, so one that came back under its id kept the loads, speed, failures and prompts of the start before, and what that one had written could land later and be taken for it. A list with one entry that could not be decoded was dropped whole, and a state that nobody named counted as ready. Found beside them: an entry that went and was made again within one answer of a watch was taken for gone, since word of a removal bore the revision of the whole answer.

Change: entries carry `born`, keys are made of id and birth, an earlier birth never replaces a later one (watch, list, copy, after a removal). Objects are decoded one by one; what cannot be read names no endpoint. Resting connections of the start before are closed.

An entry without `born` is accepted (an earlier start than any that says so): noted as a question.

--- a/benches/placing.rs
+++ b/benches/placing.rs
@@ -21,6 +21,7 @@
 fn entry(number: usize) -> EndpointEntry {
     EndpointEntry {
         id: format!("i-{number}").into(),
+        born_ms: 0,
         service: "model".into(),
         addr: ([10, 0, 0, 1], 80).into(),
         hall: format!("hall-{}", number % 3).into(),
--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -128,6 +128,8 @@
     hall: Name,
     discovery: Discovery,
     endpoints: HashMap<EndpointKey, Endpoint>,
+    /// The keys of the starts that are known, by the endpoints' ids.
+    keys: HashMap<Name, EndpointKey>,
     services: HashMap<Name, Vec<EndpointKey>>,
     by_hall: HallsOfServices,
     /// How fast the endpoints of a service are together: what is believed of one that is not known.
@@ -150,6 +152,7 @@
             hall,
             discovery: Discovery::default(),
             endpoints: HashMap::new(),
+            keys: HashMap::new(),
             services: HashMap::new(),
             by_hall: HashMap::new(),
             typical: HashMap::new(),
@@ -177,7 +180,11 @@
         let Some(entry) = self.discovery.get(id).cloned() else {
             return;
         };
-        let key = EndpointKey::of(id);
+        let key = entry.key();
+        let before = self.keys.insert(entry.id.clone(), key);
+        if let Some(before) = before.filter(|before| *before != key) {
+            self.forget(before);
+        }
         let same_hall = entry.hall == self.hall;
         let speed = self.endpoints.remove(&key).map(|e| e.speed);
         let endpoint = Endpoint {
@@ -289,10 +296,17 @@
     }
 
     fn drop_endpoint(&mut self, id: &str) {
-        let key = EndpointKey::of(id);
+        if let Some(key) = self.keys.remove(id) {
+            self.forget(key);
+            self.index_services();
+        }
+    }
+
+    /// Forgets what is believed and was learned of a start of an endpoint. What instances still have there
+    /// is told under its key and counts for no other.
+    fn forget(&mut self, key: EndpointKey) {
         self.endpoints.remove(&key);
         self.holders.forget_endpoint(key);
-        self.index_services();
     }
 
     fn index_services(&mut self) {
@@ -325,6 +339,11 @@
         self.endpoints.len()
     }
 
+    /// Returns the key of the start that is known under an endpoint's id.
+    pub fn key_of(&self, id: &str) -> Option<EndpointKey> {
+        self.keys.get(id).copied()
+    }
+
     /// Returns an endpoint's entry while it is in use.
     pub fn entry(&self, key: EndpointKey) -> Option<&EndpointEntry> {
         self.endpoints.get(&key).map(|e| &*e.entry)
--- a/src/balance/discovery.rs
+++ b/src/balance/discovery.rs
@@ -8,7 +8,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::prelude::{Micros, Name};
+use crate::{
+    balance::load::EndpointKey,
+    prelude::{Micros, Name},
+};
 
 /// How long an endpoint whose entry lapsed while the store was away is still used: entries of
 /// living endpoints are back within about two seconds of the store's return.
@@ -23,8 +26,11 @@
 /// What an endpoint's entry in the store says.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EndpointEntry {
-    /// This start of the endpoint; no two starts share it.
+    /// Its name, which a later start of it may bear again.
     pub id: Name,
+    /// When this start of it began, in Unix milliseconds by its own clock; 0 if it does not say. Only
+    /// compared among starts under one id, where the later one is the endpoint.
+    pub born_ms: u64,
     /// The service it belongs to.
     pub service: Name,
     /// Where it listens.
@@ -39,6 +45,13 @@
     pub warmup_left_ms: u64,
 }
 
+impl EndpointEntry {
+    /// Returns the key of this start of the endpoint: what is learned of one start says nothing of the next.
+    pub fn key(&self) -> EndpointKey {
+        EndpointKey::of_start(&self.id, self.born_ms)
+    }
+}
+
 /// An endpoint as far as it is known.
 #[derive(Clone, Debug)]
 pub struct LiveEndpoint {
@@ -70,6 +83,8 @@
     Appeared,
     /// A known endpoint's entry changed.
     Updated,
+    /// Another start of a known endpoint took its place; it has and knows nothing of before.
+    Restarted,
     /// Its entry is gone, but it may live.
     Lapsed,
     /// It is gone.
@@ -82,12 +97,29 @@
         match self {
             Self::Appeared => "appeared",
             Self::Updated => "updated",
+            Self::Restarted => "restarted",
             Self::Lapsed => "lapsed",
             Self::Gone => "gone",
         }
     }
 }
 
+/// A removal that those who lag behind are told of.
+#[derive(Clone, Debug)]
+struct Removal {
+    at: Revision,
+    id: Name,
+    /// The latest start that was known then.
+    born_ms: u64,
+}
+
+impl Removal {
+    /// Returns whether an entry as it was at a revision is older than this removal, or of an earlier start.
+    fn is_after(&self, entry: &EndpointEntry, revision: Revision) -> bool {
+        self.id == entry.id && (self.at > revision || self.born_ms > entry.born_ms)
+    }
+}
+
 /// The set of endpoints.
 #[derive(Debug, Default)]
 pub struct Discovery {
@@ -98,7 +130,7 @@
     revision: Revision,
     /// The last removals, and the revision after which none is missing here; who is behind that gets
     /// the whole set.
-    removals: VecDeque<(Revision, Name)>,
+    removals: VecDeque<Removal>,
     removals_from: Revision,
 }
 
@@ -118,14 +150,11 @@
         self.forgiving_until_us = now_us + LAPSE_US;
     }
 
-    /// Takes an entry as it was at a revision; returns what changed. What is known to be newer stays.
+    /// Takes an entry as it was at a revision; returns what changed. What is known to be newer stays: an
+    /// entry of a later start, whatever the revisions say, since what an earlier one wrote may land late.
     pub fn seen(&mut self, entry: EndpointEntry, revision: Revision) -> Option<Change> {
         let id = entry.id.clone();
-        if self
-            .removals
-            .iter()
-            .any(|(at, gone)| *gone == id && *at > revision)
-        {
+        if self.removals.iter().any(|r| r.is_after(&entry, revision)) {
             return None;
         }
         let live = LiveEndpoint {
@@ -137,7 +166,12 @@
             self.by_id.insert(id, live);
             return Some(Change::Appeared);
         };
-        if known.revision > revision {
+        let known_born_ms = known.entry.born_ms;
+        if known_born_ms < live.entry.born_ms {
+            *known = live;
+            return Some(Change::Restarted);
+        }
+        if known_born_ms > live.entry.born_ms || known.revision > revision {
             return None;
         }
         let changed = known.entry != live.entry || known.lapsed_until_us.is_some();
@@ -149,7 +183,7 @@
     pub fn removed(&mut self, now_us: Micros, id: &str, at: Revision) -> Option<Change> {
         let Some(known) = self.by_id.get_mut(id) else {
             // Others may have it.
-            self.note_removal(id.into(), at);
+            self.note_removal(id.into(), at, 0);
             return None;
         };
         if known.revision > at {
@@ -170,17 +204,17 @@
     /// Removes an endpoint that was gone at a revision, or before. Whoever is behind that revision is
     /// told, so it must not be taken too low: others get the same changes in other portions.
     fn remove(&mut self, id: &str, at: Revision) {
-        if let Some((id, _)) = self.by_id.remove_entry(id) {
-            self.note_removal(id, at);
+        if let Some((id, known)) = self.by_id.remove_entry(id) {
+            self.note_removal(id, at, known.entry.born_ms);
         }
     }
 
-    fn note_removal(&mut self, id: Name, at: Revision) {
-        self.removals.push_back((at, id));
+    fn note_removal(&mut self, id: Name, at: Revision, born_ms: u64) {
+        self.removals.push_back(Removal { at, id, born_ms });
         if self.removals.len() > REMOVALS_KEPT
-            && let Some((revision, _)) = self.removals.pop_front()
+            && let Some(oldest) = self.removals.pop_front()
         {
-            self.removals_from = self.removals_from.max(revision);
+            self.removals_from = self.removals_from.max(oldest.at);
         }
     }
 
@@ -192,13 +226,13 @@
         let removals = self.removals.iter();
         // One that came back since is no removal to whoever was not told of either.
         let removals =
-            removals.filter(|(at, id)| !is_whole && *at > revision && !self.by_id.contains_key(id));
+            removals.filter(|r| !is_whole && r.at > revision && !self.by_id.contains_key(&r.id));
         EndpointsCopy {
             revision: self.revision,
             entries: entries
                 .map(|e| ((*e.entry).clone(), e.lapsed_until_us.is_some()))
                 .collect(),
-            removed: removals.map(|(_, id)| id.clone()).collect(),
+            removed: removals.map(|r| r.id.clone()).collect(),
             is_whole,
         }
     }
@@ -225,7 +259,7 @@
                 self.remove(&id, copy.revision);
                 changes.push((id, Change::Gone));
             } else {
-                self.note_removal(id, copy.revision);
+                self.note_removal(id, copy.revision, 0);
             }
         }
         if copy.is_whole {
--- a/src/balance/load.rs
+++ b/src/balance/load.rs
@@ -15,15 +15,23 @@
 /// An endpoint's own word counts in full when it comes and for nothing after this time.
 const REPORT_US: f64 = 700_000.0;
 
-/// Names an endpoint among instances; a hash of its id.
+/// Names a start of an endpoint among instances; a hash of its id and of when it began.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct EndpointKey(pub u32);
 
 impl EndpointKey {
-    /// Returns the key of an endpoint's id.
+    /// Returns the key of an endpoint that does not say when it started.
     pub fn of(id: &str) -> Self {
         Self(short_hash(id))
     }
+
+    /// Returns the key of an endpoint's start at `born_ms`, 0 if that is not known.
+    pub fn of_start(id: &str, born_ms: u64) -> Self {
+        match born_ms {
+            0 => Self::of(id),
+            born_ms => Self(short_hash(&format!("{id} {born_ms}"))),
+        }
+    }
 }
 
 /// Endpoints by their keys, from the first to the last. A list of loads too long for a datagram is
--- a/src/endpoint/kept.rs
+++ b/src/endpoint/kept.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Closes the connections that rest at an address.
+    pub fn forget(&self, addr: SocketAddr) {
+        self.lock().remove(&addr);
+    }
+
     /// Closes connections that rested for their time or were closed by the endpoint.
     pub fn sweep(&self, now_us: Micros) {
         self.lock().retain(|_, to_addr| {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -75,6 +75,8 @@
     pub retries_denied: Counter,
     /// Calls to the store that brought nothing.
     pub store_failures: Counter,
+    /// Entries of endpoints that could not be read: another writer's.
+    pub entries_unused: Counter,
     /// Datagrams from other instances that were dropped.
     pub datagrams_dropped: Counter,
     /// Bytes told to other instances.
@@ -113,6 +115,7 @@
             connections_opened: Counter::default(),
             retries_denied: Counter::default(),
             store_failures: Counter::default(),
+            entries_unused: Counter::default(),
             datagrams_dropped: Counter::default(),
             told_bytes: Counter::default(),
             copies_put_off: Counter::default(),
@@ -175,6 +178,8 @@
         registry.register("retries_denied", denied, self.retries_denied.clone());
         let failures = "Calls to the store that brought nothing";
         registry.register("store_failures", failures, self.store_failures.clone());
+        let unused = "Entries of endpoints that could not be read";
+        registry.register("entries_unused", unused, self.entries_unused.clone());
         let dropped = "Datagrams from instances that were dropped";
         registry.register("datagrams_dropped", dropped, self.datagrams_dropped.clone());
         self.register_exchange();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -248,16 +248,30 @@
             changes
         };
         for (id, change) in &changes {
-            self.log_endpoint(id, *change, "peer");
+            self.endpoint_changed(id, *change, "peer");
         }
         self.reconsider();
     }
 
+    /// Does what a change of the set of endpoints asks for beside the set itself; `from` says who told.
+    pub fn endpoint_changed(&self, id: &str, change: Change, from: &'static str) {
+        if change == Change::Restarted {
+            let balancer = self.balancer();
+            let key = balancer.key_of(id);
+            let addr = key.and_then(|key| balancer.entry(key)).map(|e| e.addr);
+            drop(balancer);
+            // They lead to the start before, if to anything.
+            addr.inspect(|addr| self.connections.forget(*addr));
+        }
+        self.log_endpoint(id, change, from);
+    }
+
     /// Writes a line on a change of the set of endpoints.
     pub fn log_endpoint(&self, id: &str, change: Change, from: &'static str) {
         let (draining, revision) = {
             let balancer = self.balancer();
-            let entry = balancer.entry(EndpointKey::of(id));
+            let key = balancer.key_of(id);
+            let entry = key.and_then(|key| balancer.entry(key));
             (
                 entry.is_some_and(|e| e.draining),
                 balancer.endpoints_revision(),
--- a/src/platform/endpoints.rs
+++ b/src/platform/endpoints.rs
@@ -1,6 +1,9 @@
 //! The entries that endpoints keep of themselves in the store.
+//!
+//! Others may write entries of this kind too. One that lacks a field, has one of another type, or a
+//! state that is not known here cannot be decoded: it names no endpoint, and the others hold.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, num::NonZeroU32};
 
 use serde::Deserialize;
 
@@ -16,14 +19,28 @@
     backend: Name,
     address: SocketAddr,
     zone: Name,
-    capacity: u32,
-    state: String,
-    #[serde(default)]
+    /// Of the endpoint's software; only its type is looked at.
+    #[serde(rename = "version")]
+    _version: Name,
+    capacity: NonZeroU32,
+    state: State,
     warmup_left_ms: f64,
+    /// Counts the endpoint's words; only its type is looked at.
+    #[serde(rename = "sequence")]
+    _sequence: u64,
+    /// When this start of the endpoint began, in Unix milliseconds. Endpoints that never start again
+    /// under their id do not say it.
+    #[serde(default)]
+    born: u64,
 }
 
-/// The state of an endpoint that takes no new work.
-const DRAINING: &str = "draining";
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum State {
+    Ready,
+    /// It is about to leave and takes no new work.
+    Draining,
+}
 
 impl EndpointSpec {
     /// Returns the entry of the endpoint `id`.
@@ -33,8 +50,9 @@
             service: self.backend,
             addr: self.address,
             hall: self.zone,
-            slots: self.capacity,
-            draining: self.state == DRAINING,
+            born_ms: self.born,
+            slots: self.capacity.get(),
+            draining: self.state == State::Draining,
             warmup_left_ms: self.warmup_left_ms as u64,
         }
     }
--- a/src/platform/follow.rs
+++ b/src/platform/follow.rs
@@ -15,9 +15,9 @@
     platform::{
         configuration::{self, ConfigSpec},
         endpoints::{self, EndpointSpec},
-        objects::{CallError, Changes, Listing, Object, ObjectClient},
+        objects::{CallError, Changes, Event, Listing, Object, ObjectClient, Unreadable},
     },
-    prelude::{Micros, Name},
+    prelude::Micros,
 };
 
 /// Changes that come together are taken together: a call is paid for, and three watchers made up to 30
@@ -255,22 +255,44 @@
 
     fn changed(&mut self, changes: Changes<ConfigSpec>, asked_us: Micros) {
         for event in changes.events {
-            if !event.deleted {
-                self.take(event.object);
+            match event {
+                Event::Changed(object) => self.take(object),
+                // The last one known stays in force.
+                Event::Deleted(name) => log_unused(Self::KIND, Some(&name), "it was removed"),
+                Event::Unreadable(what) => {
+                    log_unused(Self::KIND, what.name.as_deref(), &what.reason);
+                }
             }
         }
         self.confirm(asked_us);
     }
 }
 
+/// Entries of other writers that are remembered to have been logged, at most.
+const MOST_UNUSED: usize = 64;
+
+/// Writes a line on an object that is passed over.
+fn log_unused(kind: &'static str, name: Option<&str>, reason: &str) {
+    let name = name.unwrap_or("-");
+    log::warn!(target: "ryevalve::process", kind, name, reason; "entry_unused");
+}
+
 struct EndpointFollower<P: Protocol> {
     gateway: Arc<Gateway<P>>,
+    /// Names of unreadable entries that were logged: their writers may write them several times a second.
+    unused: HashSet<String>,
 }
 
 impl<P: Protocol> EndpointFollower<P> {
-    fn seen(&self, object: Object<EndpointSpec>) {
-        let Some(spec) = object.spec else { return };
+    fn seen(&mut self, object: Object<EndpointSpec>) {
         let metadata = object.metadata;
+        let Some(spec) = object.spec else {
+            let reason = "it has no content".into();
+            let name = Some(metadata.name);
+            self.pass_over(metadata.revision, Unreadable { name, reason });
+            return;
+        };
+        self.unused.remove(&metadata.name);
         let entry = spec.into_entry(&metadata.name);
         let id = entry.id.clone();
         let seen = self
@@ -278,7 +300,30 @@
             .balancer()
             .endpoint_seen(entry, metadata.revision);
         if let Some(change) = seen {
-            self.gateway.log_endpoint(&id, change, "store");
+            self.gateway.endpoint_changed(&id, change, "store");
+        }
+    }
+
+    fn removed(&self, name: &str, revision: u64) {
+        let now_us = self.gateway.clock.now_us();
+        let mut balancer = self.gateway.balancer();
+        let change = balancer.endpoint_removed(now_us, name, revision);
+        drop(balancer);
+        if let Some(change) = change {
+            self.gateway.endpoint_changed(name, change, "store");
+        }
+    }
+
+    /// An entry that cannot be read names no endpoint, also where it took the place of one that did.
+    fn pass_over(&mut self, revision: u64, what: Unreadable) {
+        self.gateway.metrics.entries_unused.inc();
+        let Some(name) = what.name else {
+            log::debug!(target: "ryevalve::process", reason = what.reason; "entry_without_name");
+            return;
+        };
+        self.removed(&name, revision);
+        if self.unused.len() < MOST_UNUSED && self.unused.insert(name.clone()) {
+            log_unused(endpoints::KIND, Some(&name), &what.reason);
         }
     }
 
@@ -313,24 +358,21 @@
             .balancer()
             .endpoints_listed(now_us, listing.revision, |id| names.contains(id));
         for (id, change) in changes {
-            self.gateway.log_endpoint(&id, change, "store");
+            self.gateway.endpoint_changed(&id, change, "store");
+        }
+        for what in listing.unreadable {
+            self.pass_over(listing.revision, what);
         }
         self.reached(listing.revision, asked_us);
     }
 
     fn changed(&mut self, changes: Changes<EndpointSpec>, asked_us: Micros) {
-        let now_us = self.gateway.clock.now_us();
-        for event in changes.events {
-            if !event.deleted {
-                self.seen(event.object);
-                continue;
-            }
-            let id: Name = event.object.metadata.name.into();
-            let mut balancer = self.gateway.balancer();
-            let change = balancer.endpoint_removed(now_us, &id, changes.revision);
-            drop(balancer);
-            if let Some(change) = change {
-                self.gateway.log_endpoint(&id, change, "store");
+        let done_by = changes.done_by();
+        for (event, done_by) in changes.events.into_iter().zip(done_by) {
+            match event {
+                Event::Changed(object) => self.seen(object),
+                Event::Deleted(name) => self.removed(&name, done_by),
+                Event::Unreadable(what) => self.pass_over(done_by, what),
             }
         }
         self.reached(changes.revision, asked_us);
@@ -359,6 +401,7 @@
 pub async fn endpoints<P: Protocol>(gateway: Arc<Gateway<P>>, store: ObjectClient) {
     let follower = EndpointFollower {
         gateway: gateway.clone(),
+        unused: HashSet::new(),
     };
     follow(&gateway, store, follower).await;
 }
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -21,6 +21,7 @@
 };
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde_json::value::RawValue;
 use snafu::{ResultExt, Snafu};
 use tokio::{net::TcpStream, time};
 use tokio_util::task::AbortOnDropHandle;
@@ -95,18 +96,30 @@
     None
 }
 
+/// An object that is not what its kind's objects are: another writer's.
+#[derive(Debug)]
+pub struct Unreadable {
+    /// Its name, if that can be read.
+    pub name: Option<String>,
+    /// What the decoder said.
+    pub reason: String,
+}
+
 /// The objects of a kind.
 #[derive(Debug)]
 pub struct Listing<T> {
-    /// The objects.
+    /// The objects that could be read.
     pub items: Vec<Object<T>>,
+    /// The others.
+    pub unreadable: Vec<Unreadable>,
     /// The store's revision that a watch goes on from.
     pub revision: u64,
 }
 
 #[derive(Debug, Deserialize)]
-struct Page<T> {
-    items: Vec<Object<T>>,
+struct Page {
+    /// Each by itself: one that cannot be read harms no other.
+    items: Vec<Box<RawValue>>,
     #[serde(rename = "hasMore", default)]
     has_more: bool,
     /// The store's revision, not a time.
@@ -115,23 +128,89 @@
 }
 
 /// What changed in a kind.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
 pub struct Changes<T> {
     /// The changes, in their order.
     pub events: Vec<Event<T>>,
     /// The store's revision that the next watch goes on from.
-    #[serde(rename = "timestamp")]
     pub revision: u64,
 }
 
+impl<T> Changes<T> {
+    /// Returns for each event the last revision at which it may have been done. Word that an object is gone
+    /// bears no revision, and one of the same name may have been made since.
+    pub fn done_by(&self) -> Vec<u64> {
+        let mut latest = self.revision;
+        let backwards = self.events.iter().rev().map(|event| {
+            let done_by = latest;
+            if let Event::Changed(object) = event {
+                latest = latest.min(object.metadata.revision.saturating_sub(1));
+            }
+            done_by
+        });
+        let mut done_by: Vec<u64> = backwards.collect();
+        done_by.reverse();
+        done_by
+    }
+}
+
 /// One change.
+#[derive(Debug)]
+pub enum Event<T> {
+    /// An object was made or replaced; this is what it is now.
+    Changed(Object<T>),
+    /// The object of this name is gone.
+    Deleted(String),
+    /// An object is now one that cannot be read.
+    Unreadable(Unreadable),
+}
+
 #[derive(Debug, Deserialize)]
-pub struct Event<T> {
-    /// The object as it is now, or as it was when it went.
-    pub object: Object<T>,
-    /// The object is gone.
+struct WatchAnswer {
+    events: Vec<RawEvent>,
+    /// The store's revision, not a time.
+    #[serde(rename = "timestamp")]
+    revision: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawEvent {
+    object: Box<RawValue>,
     #[serde(default)]
-    pub deleted: bool,
+    deleted: bool,
+}
+
+impl RawEvent {
+    fn read<T: DeserializeOwned>(&self) -> Event<T> {
+        if !self.deleted {
+            return read_object(&self.object).map_or_else(Event::Unreadable, Event::Changed);
+        }
+        match name_of(&self.object) {
+            Some(name) => Event::Deleted(name),
+            None => Event::Unreadable(Unreadable {
+                name: None,
+                reason: "it went, and has no name".into(),
+            }),
+        }
+    }
+}
+
+fn name_of(object: &RawValue) -> Option<String> {
+    #[derive(Deserialize)]
+    struct Named {
+        metadata: Metadata,
+    }
+    // Whatever else is wrong with the object is said where the object is read.
+    let named: Named = serde_json::from_str(object.get()).ok()?;
+    Some(named.metadata.name)
+}
+
+/// Reads one object of a list or a watch.
+fn read_object<T: DeserializeOwned>(object: &RawValue) -> Result<Object<T>, Unreadable> {
+    serde_json::from_str(object.get()).map_err(|error| Unreadable {
+        name: name_of(object),
+        reason: error.to_string(),
+    })
 }
 
 /// A client of the store with one kept connection; a call at a time.
@@ -161,19 +240,27 @@
     /// # Errors
     /// The store did not answer one of the pages.
     pub async fn list<T: DeserializeOwned>(&mut self, kind: &str) -> Result<Listing<T>, CallError> {
-        let mut items = Vec::new();
+        let mut listing = Listing {
+            items: Vec::new(),
+            unreadable: Vec::new(),
+            revision: 0,
+        };
         let mut path = format!("/objects/{kind}");
         loop {
-            let page: Page<T> = self.read(&path, CALL_TIMEOUT).await?;
-            items.extend(page.items);
-            let last = items.last().filter(|_| page.has_more);
-            let Some(last) = last else {
-                return Ok(Listing {
-                    items,
-                    revision: page.revision,
-                });
-            };
-            path = format!("/objects/{kind}?sinceRevision={}", last.metadata.name);
+            let page: Page = self.read(&path, CALL_TIMEOUT).await?;
+            let last = page.items.iter().rev().find_map(|item| name_of(item));
+            let next = last.map(|name| format!("/objects/{kind}?sinceRevision={name}"));
+            for item in &page.items {
+                match read_object(item) {
+                    Ok(object) => listing.items.push(object),
+                    Err(unreadable) => listing.unreadable.push(unreadable),
+                }
+            }
+            listing.revision = page.revision;
+            match next {
+                Some(next) if page.has_more && next != path => path = next,
+                _ => return Ok(listing),
+            }
         }
     }
 
@@ -206,7 +293,11 @@
     ) -> Result<Changes<T>, CallError> {
         let wait_ms = wait.as_millis();
         let path = format!("/objects/{kind}?watch={revision}&waitMs={wait_ms}");
-        self.read(&path, wait + CALL_TIMEOUT).await
+        let answer: WatchAnswer = self.read(&path, wait + CALL_TIMEOUT).await?;
+        Ok(Changes {
+            events: answer.events.iter().map(RawEvent::read).collect(),
+            revision: answer.revision,
+        })
     }
 
     /// Makes an object.
@@ -257,7 +348,8 @@
         let request = build(Method::GET, path, Bytes::new());
         let (status, body) = self.call(request, timeout).await?;
         check(status)?;
-        serde_json::from_slice(&body).context(UnreadableSnafu)
+        // Bytes that are no text may stand in one object only: the others are read all the same.
+        serde_json::from_str(&String::from_utf8_lossy(&body)).context(UnreadableSnafu)
     }
 
     async fn write<T: Serialize>(
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -8,7 +8,7 @@
 use tokio::time::{self, Instant};
 
 use crate::{
-    platform::objects::{CallError, Metadata, Object, ObjectClient},
+    platform::objects::{CallError, Event, Metadata, Object, ObjectClient},
     store::{self, ListedInstance, ReadError, Store, WriteError, backoff},
 };
 
@@ -112,10 +112,12 @@
                 Err(CallError::HistoryGone) => return self.read_past(key, after).await,
                 Err(error) => return Err(unavailable(&error)),
             };
-            let events = changes.events.into_iter().rev();
-            let mut events = events.filter(|e| !e.deleted && e.object.metadata.name == key);
-            if let Some(event) = events.next() {
-                return into_object(event.object).map(Some);
+            let newest = changes.events.into_iter().rev().find_map(|e| match e {
+                Event::Changed(object) if object.metadata.name == key => Some(object),
+                _ => None,
+            });
+            if let Some(object) = newest {
+                return into_object(object).map(Some);
             }
             from = changes.revision;
             if left.is_zero() {
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -48,6 +48,8 @@
     pub hurried: bool,
     /// Waits before it answers.
     pub delay: Duration,
+    /// In lists and watches, bytes that are no text stand in place of this text.
+    pub spoils: Option<String>,
     /// Carries out this many more writes and closes without an answer.
     pub lose_write_answers: u32,
     /// Carries those out this much later.
@@ -374,7 +376,22 @@
     }
     let after = http::query_text(&request, "sinceRevision");
     let page = lock(&state).page(kind, after.as_deref());
-    Ok(http::json(&page))
+    Ok(shown_with(&faults, &page))
+}
+
+/// Makes an answer of JSON, spoiled as the faults say.
+fn shown_with(faults: &Faults, value: &Value) -> Response<Body> {
+    let Some(spoils) = &faults.spoils else {
+        return http::json(value);
+    };
+    let mut bytes = value.to_string().into_bytes();
+    let text = spoils.as_bytes();
+    for at in 0..bytes.len().saturating_sub(text.len()) {
+        if bytes[at..].starts_with(text) {
+            bytes[at..at + text.len()].fill(0xff);
+        }
+    }
+    http::answer(StatusCode::OK, bytes)
 }
 
 fn lock(state: &Mutex<State>) -> std::sync::MutexGuard<'_, State> {
@@ -427,7 +444,8 @@
             false => false,
         };
         if !woken {
-            return http::json(&json!({"events": events, "timestamp": reached}));
+            let faults = lock(state).faults.clone();
+            return shown_with(&faults, &json!({"events": events, "timestamp": reached}));
         }
     }
 }
--- a/tests/edge/group.rs
+++ b/tests/edge/group.rs
@@ -193,6 +193,7 @@
 pub fn endpoint(id: &str) -> EndpointEntry {
     EndpointEntry {
         id: id.into(),
+        born_ms: 0,
         service: "plain".into(),
         addr: ([10, 0, 0, 1], 80).into(),
         hall: "a".into(),
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -5,4 +5,5 @@
 mod group;
 mod large_group;
 mod late_news;
+mod other_writers;
 mod support;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod packed;
 mod patience;
 mod prefixes;
+mod restarts;
 mod retries;
 mod routes;
 mod settings;
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -77,6 +77,7 @@
     let last = id.bytes().fold(0_u8, u8::wrapping_add);
     EndpointEntry {
         id: id.into(),
+        born_ms: 0,
         service: "model".into(),
         addr: ([10, 0, 0, last], 80).into(),
         hall: hall.into(),
