Callers that are back are told by what first tries say, where callers differ

Cause: a try does not say that it is a second one, and it was told by saying less than the usual.

Change: what callers say while this instance refuses nobody is that of first tries; whoever says less than the longest of these less the time that a refused one is told to stay away is back. Nothing follows where more than a tenth of first tries say so little.

The existing tests state that nobody is known to be calm, as before; none was weakened.

--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -52,6 +52,9 @@
 ) {
     let route = trace.route.as_deref().unwrap_or("-");
     gateway.metrics.ended(route, Outcome::of(refusal));
+    if refusal.retry_after_ms.is_some() {
+        gateway.note_refused();
+    }
     let held_ms = gateway.clock.now_us().saturating_sub(arrived_us) / 1_000;
     let sharers = gateway.sharers();
     log::info!(
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -97,6 +97,8 @@
     limits: Mutex<OrganisationLimits>,
     retries: Mutex<RetryBudget>,
     patience: Mutex<UsualPatience>,
+    /// When a caller that may come back was refused last; 0 if none was.
+    refused_us: AtomicU64,
     /// Instances that share limits, and those heard of late, this one included.
     instances_known: AtomicUsize,
     instances_heard: AtomicUsize,
@@ -134,6 +136,7 @@
             limits: Mutex::new(limits),
             retries: Mutex::new(RetryBudget::new(bounds.retries)),
             patience: Mutex::default(),
+            refused_us: AtomicU64::new(0),
             instances_known: AtomicUsize::new(1),
             instances_heard: AtomicUsize::new(1),
             met: Mutex::default(),
@@ -191,7 +194,16 @@
 
     /// Learns how long a caller of a route waits from now; returns for how long it has waited already.
     pub fn waited_us(&self, route: &Name, patience_us: Micros) -> Micros {
-        lock(&self.patience).waited_us(route, patience_us)
+        let now_us = self.clock.now_us();
+        let refused_us = self.refused_us.load(Ordering::Relaxed);
+        let is_calm = refused_us == 0 || now_us.saturating_sub(refused_us) > patience_us;
+        lock(&self.patience).waited_us(route, patience_us, is_calm)
+    }
+
+    /// Notes that a caller was refused that may come back.
+    pub fn note_refused(&self) {
+        let now_us = self.clock.now_us();
+        self.refused_us.store(now_us.max(1), Ordering::Relaxed);
     }
 
     /// Returns how many instances share limits, and how many are heard.
