Counters of places asked for, unanswered and decided

For whoever looks into slow placements: on an instance `places_unanswered` against `places_asked` says how often it placed by its own picture, and `places_decided` who gives places. No decision changes.

--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -83,6 +83,12 @@
     pub told_bytes: Counter,
     /// Instances that were put off when they asked for a configuration.
     pub copies_put_off: Counter,
+    /// Places at endpoints that this instance asked another for.
+    pub places_asked: Counter,
+    /// Those of them for which no answer came that could be used.
+    pub places_unanswered: Counter,
+    /// Places that others asked this instance for.
+    pub places_decided: Counter,
     /// Updates sent to other instances.
     pub updates_sent: Counter,
     /// Updates that could not be sent.
@@ -119,6 +125,9 @@
             datagrams_dropped: Counter::default(),
             told_bytes: Counter::default(),
             copies_put_off: Counter::default(),
+            places_asked: Counter::default(),
+            places_unanswered: Counter::default(),
+            places_decided: Counter::default(),
             updates_sent: Counter::default(),
             updates_unsent: Counter::default(),
             updates_received: Counter::default(),
@@ -213,6 +222,16 @@
         registry.register("told_bytes", told, self.told_bytes.clone());
         let put_off = "Instances put off when they asked for a configuration";
         registry.register("copies_put_off", put_off, self.copies_put_off.clone());
+        let asked = "Places at endpoints that another instance was asked for";
+        registry.register("places_asked", asked, self.places_asked.clone());
+        let unanswered = "Places asked for without an answer that could be used";
+        registry.register(
+            "places_unanswered",
+            unanswered,
+            self.places_unanswered.clone(),
+        );
+        let decided = "Places at endpoints that other instances asked for here";
+        registry.register("places_decided", decided, self.places_decided.clone());
         let sent = "Datagrams sent to other instances";
         registry.register("updates_sent", sent, self.updates_sent.clone());
         let unsent = "Datagrams to other instances that could not be sent";
--- a/src/gateway/reservations.rs
+++ b/src/gateway/reservations.rs
@@ -84,6 +84,7 @@
         channel.send(from, number, Word::Unable).await;
         return;
     }
+    gateway.metrics.places_decided.inc();
     let (ask, tried) = asked.into_ask(gateway.clock.now_us());
     let now_us = gateway.clock.now_us();
     let placement = gateway.balancer().place(now_us, &ask, &tried);
--- a/src/gateway/reserver.rs
+++ b/src/gateway/reserver.rs
@@ -236,11 +236,16 @@
         }
     }
 
-    /// Asks for a place; none if nobody is there to ask, or does not answer in time.
-    pub async fn ask(&self, clock: Clock, ask: &Ask, tried: &[EndpointKey]) -> Option<PlaceAnswer> {
+    /// Asks `ledger` for a place; none if it does not answer in time, or cannot say.
+    pub async fn ask(
+        &self,
+        clock: Clock,
+        ledger: IpAddr,
+        ask: &Ask,
+        tried: &[EndpointKey],
+    ) -> Option<PlaceAnswer> {
         let channel = self.channel.get()?;
         let now_us = clock.now_us();
-        let ledger = self.ledger(now_us)?;
         let mut pending = self.begin();
         let word = Word::Ask(Box::new(PlaceAsk::new(now_us, ask, tried)));
         channel.send(ledger, pending.number, word).await;
@@ -273,7 +278,8 @@
         }
     }
 
-    fn ledger(&self, now_us: Micros) -> Option<IpAddr> {
+    /// Returns whom to ask now; none if it is this instance, or nobody that answers.
+    pub fn ledger(&self, now_us: Micros) -> Option<IpAddr> {
         let mut state = self.lock();
         state
             .passed_over_until_us
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -432,7 +432,18 @@
         if !ask.is_stream {
             return None;
         }
-        let answer = self.reserver.ask(self.clock, ask, tried).await?;
+        let ledger = self.reserver.ledger(self.clock.now_us())?;
+        self.metrics.places_asked.inc();
+        let answer = self.reserver.ask(self.clock, ledger, ask, tried).await;
+        let placement = answer.and_then(|answer| self.take_answer(ask, answer));
+        if placement.is_none() {
+            self.metrics.places_unanswered.inc();
+        }
+        placement
+    }
+
+    /// Does what another instance decided on a request; none if it knows an endpoint that is not known here.
+    fn take_answer(&self, ask: &Ask, answer: PlaceAnswer) -> Option<Placement> {
         let now_us = self.clock.now_us();
         match answer {
             PlaceAnswer::Granted { key, expected } => {
