--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -186,7 +186,7 @@
         let bounds = &self.bounds;
         let checks = [
             (
-                self.peer_ports.0 <= self.peer_ports.1 && self.peer_ports.0 > 0,
+                0 < self.peer_ports.0 && self.peer_ports.0 < self.peer_ports.1,
                 format!(
                     "internalPorts = {:?}: expected two ports, the lower first",
                     self.peer_ports
--- a/tests/gateway/settings.rs
+++ b/tests/gateway/settings.rs
@@ -81,3 +81,11 @@
     }
     assert!(faults.contains("expected"));
 }
+
+/// Updates and places have a port each.
+#[test]
+fn one_port_for_what_instances_tell_each_other_is_too_few() {
+    let text = GOOD.replace("[7600, 7615]", "[7600, 7600]");
+    let settings: PlatformSettings = toml::from_str(&text).unwrap();
+    assert_eq!(settings.faults().len(), 1);
+}
