balancer.rs: what is told others, and places given to others, are files of their own

Text is moved (telling.rs, places.rs), fields that these use are visible within the folder; no line of a decision changes.

--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -1,4 +1,6 @@
-//! Places requests: keeps the picture, the queue of those that wait, and what was sent.
+//! Places requests: keeps the picture, the queue of those that wait, and what was sent. What is told
+//! others and taken from them is in [`crate::balance::telling`], places given to others in
+//! [`crate::balance::places`].
 //!
 //! Free of clock, socket and random source, so that tests drive it step by step.
 
@@ -11,11 +13,11 @@
     balance::{
         cost::{Ask, Expected, Known, expect},
         discovery::{Change, Discovery, EndpointEntry, EndpointsCopy, Revision},
-        grants::{Grant, Grants},
-        load::{Believed, EndpointKey, InFlight, KeySpan},
+        grants::Grants,
+        load::{Believed, EndpointKey},
         picture::{Group, HallsOfServices, Picture},
         prefixes::{ChainKey, PrefixHolders},
-        speed::{Evidence, Speed, ToldSpeed},
+        speed::Speed,
     },
     prelude::{Incarnation, Micros, Name, Rank},
 };
@@ -126,10 +128,10 @@
 }
 
 #[derive(Debug)]
-struct Endpoint {
-    entry: std::sync::Arc<EndpointEntry>,
-    speed: Speed,
-    same_hall: bool,
+pub(super) struct Endpoint {
+    pub(super) entry: std::sync::Arc<EndpointEntry>,
+    pub(super) speed: Speed,
+    pub(super) same_hall: bool,
 }
 
 /// The picture of all endpoints, and the requests that wait.
@@ -137,23 +139,23 @@
 pub struct Balancer {
     hall: Name,
     discovery: Discovery,
-    endpoints: HashMap<EndpointKey, Endpoint>,
+    pub(super) endpoints: HashMap<EndpointKey, Endpoint>,
     /// The keys of the starts that are known, by the endpoints' ids.
     keys: HashMap<Name, EndpointKey>,
     services: HashMap<Name, Vec<EndpointKey>>,
     by_hall: HallsOfServices,
     /// How fast the endpoints of a service are together: what is believed of one that is not known.
-    typical: HashMap<Name, Speed>,
-    picture: Picture,
-    grants: Grants,
-    holders: PrefixHolders,
+    pub(super) typical: HashMap<Name, Speed>,
+    pub(super) picture: Picture,
+    pub(super) grants: Grants,
+    pub(super) holders: PrefixHolders,
     /// What was read lately, to be told to the others.
-    news: Vec<(ChainKey, EndpointKey)>,
+    pub(super) news: Vec<(ChainKey, EndpointKey)>,
     /// Endpoints found gone, to be told to the others.
     dead: Vec<EndpointKey>,
     waiting: BTreeMap<WaitKey, Ask>,
     next_number: u64,
-    changed: bool,
+    pub(super) changed: bool,
 }
 
 impl Balancer {
@@ -479,7 +481,7 @@
         expect(now_us, ask, known)
     }
 
-    fn send(&mut self, now_us: Micros, ask: &Ask, choice: Choice) -> Placement {
+    pub(super) fn send(&mut self, now_us: Micros, ask: &Ask, choice: Choice) -> Placement {
         self.picture
             .sent(choice.key, choice.expected.uncached_tokens);
         let least_tokens = match self.picture.group() {
@@ -500,55 +502,6 @@
         Placement::Send(choice)
     }
 
-    /// Notes that what was just placed is another instance's, which asked for it under a number.
-    pub fn hand_over(&mut self, now_us: Micros, choice: &Choice, taker: Incarnation, number: u64) {
-        let uncached_tokens = choice.expected.uncached_tokens;
-        self.picture.ended(choice.key, uncached_tokens);
-        self.picture.grant(choice.key, uncached_tokens);
-        let grant = Grant {
-            number,
-            key: choice.key,
-            uncached_tokens,
-            at_us: now_us,
-        };
-        self.grants.note(taker, grant);
-    }
-
-    /// Takes what another instance of the hall has at endpoints, all that it asked for up to a number
-    /// included.
-    pub fn reported(
-        &mut self,
-        now_us: Micros,
-        from: Incarnation,
-        loads: &[(EndpointKey, InFlight)],
-        settled: u64,
-    ) {
-        self.picture.told_loads(now_us, from, KeySpan::ALL, loads);
-        for grant in self.grants.settle(from, settled) {
-            self.picture.settle(grant.key, grant.uncached_tokens);
-        }
-    }
-
-    /// Sends a request where another instance found a place for it; none if the endpoint is not known
-    /// here, or leaves.
-    pub fn take_place(
-        &mut self,
-        now_us: Micros,
-        ask: &Ask,
-        key: EndpointKey,
-        expected: Expected,
-    ) -> Option<Placement> {
-        let entry = self.entry(key).filter(|e| !e.draining)?;
-        let choice = Choice {
-            id: entry.id.clone(),
-            key,
-            addr: entry.addr,
-            hall: entry.hall.clone(),
-            expected,
-        };
-        Some(self.send(now_us, ask, choice))
-    }
-
     /// Adds a request to those that wait.
     pub fn enqueue(&mut self, ask: Ask) -> WaitKey {
         let key = WaitKey {
@@ -631,88 +584,4 @@
             lesson(&mut endpoint.speed);
         }
     }
-
-    /// Returns whether there is something to tell since the last time.
-    pub fn take_changed(&mut self) -> bool {
-        std::mem::take(&mut self.changed)
-    }
-
-    /// Returns what was read lately, at most `most`.
-    pub fn take_news(&mut self, most: usize) -> Vec<(ChainKey, EndpointKey)> {
-        let from = self.news.len().saturating_sub(most);
-        let news = self.news.split_off(from);
-        self.news.clear();
-        news
-    }
-
-    /// Returns what was seen of the speed of endpoints and not told yet, of at most `most` of them;
-    /// the others' turn comes as `turn` rises.
-    pub fn take_evidence(&mut self, turn: usize, most: usize) -> Vec<(EndpointKey, Evidence)> {
-        let untold = self.endpoints.iter().filter(|(_, e)| e.speed.has_untold());
-        let mut keys: Vec<EndpointKey> = untold.map(|(key, _)| *key).collect();
-        keys.sort_unstable();
-        let begin = turn.wrapping_mul(most) % keys.len().max(1);
-        keys.rotate_left(begin);
-        keys.truncate(most);
-        let taken = keys.into_iter().filter_map(|key| {
-            let endpoint = self.endpoints.get_mut(&key)?;
-            Some((key, endpoint.speed.take_untold()))
-        });
-        taken.collect()
-    }
-
-    /// Returns what is believed of the speed of endpoints of the own hall, of at most `most` of them;
-    /// the others' turn comes as `turn` rises.
-    pub fn hall_speeds(&self, turn: usize, most: usize) -> Vec<(EndpointKey, ToldSpeed)> {
-        let own = self.endpoints.iter().filter(|(_, e)| e.same_hall);
-        let known = own.filter(|(_, e)| e.speed.is_learned());
-        let mut known: Vec<_> = known.map(|(key, e)| (*key, e.speed.told())).collect();
-        known.sort_unstable_by_key(|(key, _)| *key);
-        let begin = turn.wrapping_mul(most) % known.len().max(1);
-        known.rotate_left(begin);
-        known.truncate(most);
-        known
-    }
-
-    /// Takes what another hall believes of its endpoints.
-    pub fn told_speeds(&mut self, speeds: &[(EndpointKey, ToldSpeed)]) {
-        for (key, told) in speeds {
-            let endpoint = self.endpoints.get_mut(key);
-            if let Some(endpoint) = endpoint.filter(|e| !e.same_hall) {
-                endpoint.speed.adopt(*told);
-            }
-        }
-    }
-
-    /// Takes what another instance told.
-    pub fn told(
-        &mut self,
-        now_us: Micros,
-        from: Incarnation,
-        loads: &[(EndpointKey, InFlight)],
-        read: &[(ChainKey, EndpointKey)],
-        seen: &[(EndpointKey, Evidence)],
-    ) {
-        self.picture.told_loads(now_us, from, KeySpan::ALL, loads);
-        self.told_news(now_us, read, seen);
-    }
-
-    /// Takes what others read where, and how fast they saw endpoints to be.
-    pub fn told_news(
-        &mut self,
-        now_us: Micros,
-        read: &[(ChainKey, EndpointKey)],
-        seen: &[(EndpointKey, Evidence)],
-    ) {
-        for (chain, endpoint) in read {
-            self.holders.note(now_us, *chain, *endpoint);
-        }
-        for (key, seen) in seen {
-            self.learn(*key, |s| s.learn_told(seen));
-            if let Some(endpoint) = self.endpoints.get(key) {
-                let service = endpoint.entry.service.clone();
-                self.typical.entry(service).or_default().learn_told(seen);
-            }
-        }
-    }
 }
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -7,5 +7,7 @@
 pub mod grants;
 pub mod load;
 pub mod picture;
+mod places;
 pub mod prefixes;
 pub mod speed;
+mod telling;
