--- a/tests/gateway/grants.rs
+++ b/tests/gateway/grants.rs
@@ -49,8 +49,7 @@
     assert_eq!(grants.settle(ONE, 2), vec![grant(2, 300 * MS)]);
 }
 
-/// Whoever gives places counts as many requests as there are, whenever reports come: none is missed while a
-/// place is on its way to its taker, and none is left when all have ended.
+/// What happens between whoever gives places and those that ask.
 #[derive(Clone, Copy, Debug)]
 enum Step {
     /// An instance asks; its answer comes with its next word.
@@ -105,6 +104,8 @@
 
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(500))]
+    /// Whenever reports come, no request is missed while a place is on its way to its taker, and none is left
+    /// once all have reported.
     #[test]
     fn whoever_gives_places_counts_no_fewer_than_there_are(steps in steps()) {
         let mut ledger = Balancer::new("h".into());
