Lines tell when tries are of the same work, and when an endpoint ended under them

A fingerprint (method, path, organisation, body) is the same for each try of the same work at any instance; it stands in the lines of tries that an endpoint failed. When a connection breaks after a request was sent, the endpoint's address is looked at beside whatever the request does next (40 ms after, at most three times): if it refuses connections and nothing that this instance sent there goes on, a line endpoint_ended names the request. No decision hangs on it.

Ruled out: taking a broken connection for an ending (resets, grey endpoints and cuts break them, too), and an address that does not answer (a cut link looks the same).

--- a/src/balance/picture.rs
+++ b/src/balance/picture.rs
@@ -160,6 +160,11 @@
         }
     }
 
+    /// Returns how many requests of this instance are at an endpoint.
+    pub fn own_requests(&self, key: EndpointKey) -> u32 {
+        self.loads.get(&key).map_or(0, |load| load.own.requests)
+    }
+
     /// Takes an endpoint's own word on its load.
     pub fn report(&mut self, now_us: Micros, key: EndpointKey, word: OwnWord) {
         self.loads.entry(key).or_default().report(now_us, word);
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -61,6 +61,10 @@
             number_of(line, "first_ms"),
             number_of(line, "target_ms"),
         ),
+        "endpoint_ended" => format!(
+            "endpoint {} ended while it was there: its address refuses connections",
+            text_of(line, "endpoint"),
+        ),
         "stream_resumed" => format!(
             "taken up at {} after event {}: {}",
             text_of(line, "endpoint"),
@@ -139,11 +143,12 @@
 }
 
 /// The fields that decided, each with its name.
-const INPUTS: [&str; 14] = [
+const INPUTS: [&str; 15] = [
     "route",
     "organisation",
     "attempts",
     "last_failure",
+    "fingerprint",
     "endpoint",
     "expected_first_ms",
     "endpoint_requests",
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,6 +1,9 @@
 //! One attempt: a request sent to one endpoint, up to the head of its answer.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -16,6 +19,7 @@
     endpoint::kept::EndpointConnection,
     gateway::{
         config::Route,
+        fingerprint::Fingerprint,
         protocol::{CallHead, Forward, Protocol},
         state::Gateway,
     },
@@ -46,6 +50,8 @@
     pub ask: Ask,
     /// When the caller or the route gives up.
     pub until_us: Micros,
+    /// What it is known by when it comes again, once somebody asked.
+    pub fingerprint: OnceLock<Fingerprint>,
 }
 
 impl Job {
@@ -54,6 +60,14 @@
         self.route.kind.is_repeatable()
     }
 
+    /// Returns what it is known by when it comes again. Worked out when first asked for: most requests
+    /// never need it.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let organisation = self.organisation.as_deref();
+        let work_out = || Fingerprint::of(&self.method, &self.uri, organisation, &self.body);
+        *self.fingerprint.get_or_init(work_out)
+    }
+
     /// Returns the caller's id, for logs.
     pub fn id(&self) -> &str {
         let id = self.head.request_id.as_ref();
@@ -80,6 +94,8 @@
 pub enum Failed {
     /// No byte reached the endpoint.
     NotSent(&'static str),
+    /// The connection broke: the endpoint may have run the request, and may have ended.
+    Broke(&'static str),
     /// The endpoint may have run the request.
     Unknown(&'static str),
 }
@@ -177,7 +193,7 @@
         Ok(Err(error)) if error.is_canceled() => return Err(Failed::NotSent("closed_before")),
         Ok(Err(_)) => {
             sent.failed();
-            return Err(Failed::Unknown("connection_broke"));
+            return Err(Failed::Broke("connection_broke"));
         }
         Err(_) => {
             sent.failed();
@@ -278,9 +294,16 @@
     let (parts, body) = response.into_parts();
     let rests = may_rest(&parts.headers, parts.status);
     let collected = time::timeout_at(until, Limited::new(body, MAX_WHOLE_BYTES).collect()).await;
-    let Ok(Ok(collected)) = collected else {
-        sent.failed();
-        return Err(Failed::Unknown("answer_broke_off"));
+    let collected = match collected {
+        Ok(Ok(collected)) => collected,
+        Ok(Err(_)) => {
+            sent.failed();
+            return Err(Failed::Broke("answer_broke_off"));
+        }
+        Err(_) => {
+            sent.failed();
+            return Err(Failed::Unknown("answer_broke_off"));
+        }
     };
     if parts.status.is_success() {
         sent.first_event();
--- /dev/null
+++ b/src/gateway/endings.rs
@@ -0,0 +1,129 @@
+//! Finds out whether an endpoint has ended when a connection to it breaks.
+//!
+//! Connections break for many reasons: a reset on the way, a link that was cut, an endpoint that fails a
+//! part of its requests. An endpoint has ended if its address refuses connections and nothing that this
+//! instance sent there goes on. An address that does not answer at all says nothing: the link to it may be
+//! cut.
+
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use tokio::{net::TcpStream, sync::watch, time};
+
+use crate::{
+    balance::{balancer::Choice, load::EndpointKey},
+    gateway::{attempt::Job, protocol::Protocol, report::log_ending, state::Gateway},
+    prelude::Micros,
+};
+
+/// The pauses before each look. All connections to an endpoint that ends break within some milliseconds;
+/// where requests of this instance seem to go on, the later looks tell whether they do.
+const LOOKS: [Duration; 3] = [
+    Duration::from_millis(40),
+    Duration::from_millis(100),
+    Duration::from_millis(200),
+];
+/// A port where nothing listens refuses within the round trip; links between halls take some
+/// milliseconds.
+const LOOK_TIMEOUT: Duration = Duration::from_millis(250);
+/// For how long it is remembered that an endpoint has ended: requests that were sent there just before
+/// break later.
+const REMEMBERED_US: Micros = 5_000_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Verdict {
+    Looking,
+    Lives,
+    Ended,
+}
+
+struct Look {
+    at_us: Micros,
+    verdict: watch::Receiver<Verdict>,
+}
+
+/// The endpoints that are looked at, and those that have ended of late.
+#[derive(Default)]
+pub struct Endings {
+    looks: Mutex<HashMap<EndpointKey, Look>>,
+}
+
+impl Endings {
+    /// Returns the verdict on an endpoint, and where to put it if nobody looks yet.
+    fn join(
+        &self,
+        now_us: Micros,
+        key: EndpointKey,
+    ) -> (watch::Receiver<Verdict>, Option<watch::Sender<Verdict>>) {
+        let mut looks = self.looks.lock().unwrap_or_else(PoisonError::into_inner);
+        looks.retain(|_, look| {
+            let is_recent = now_us.saturating_sub(look.at_us) < REMEMBERED_US;
+            // A link may be reset twice in a second: that it was not the end once says nothing of now.
+            is_recent && *look.verdict.borrow() != Verdict::Lives
+        });
+        if let Some(look) = looks.get(&key) {
+            return (look.verdict.clone(), None);
+        }
+        let (sender, verdict) = watch::channel(Verdict::Looking);
+        let look = Look {
+            at_us: now_us,
+            verdict: verdict.clone(),
+        };
+        looks.insert(key, look);
+        (verdict, Some(sender))
+    }
+}
+
+/// Looks, beside whatever the request does next, whether the endpoint at which its connection has just broken
+/// has ended.
+pub fn connection_broke<P: Protocol>(gateway: Arc<Gateway<P>>, job: Arc<Job>, choice: Choice) {
+    tokio::spawn(async move {
+        if has_ended(&gateway, &choice).await {
+            log_ending(&gateway, &job, &choice.id);
+        }
+    });
+}
+
+/// Returns whether the endpoint at which a connection has just broken has ended. Looking takes 40 ms, and
+/// 0.8 s at most.
+pub async fn has_ended<P: Protocol>(gateway: &Arc<Gateway<P>>, choice: &Choice) -> bool {
+    let (mut verdict, sender) = gateway.endings.join(gateway.clock.now_us(), choice.key);
+    if let Some(sender) = sender {
+        let looking = gateway.clone();
+        let (key, addr) = (choice.key, choice.addr);
+        tokio::spawn(async move {
+            let found = look(&looking, key, addr).await;
+            sender.send_replace(found);
+        });
+    }
+    let verdict = verdict.wait_for(|v| *v != Verdict::Looking).await;
+    // Without a verdict the process is about to end.
+    verdict.is_ok_and(|v| *v == Verdict::Ended)
+}
+
+async fn look<P: Protocol>(gateway: &Gateway<P>, key: EndpointKey, addr: SocketAddr) -> Verdict {
+    // One that has said that it leaves, or has left the set, ends as planned.
+    let is_expected_to_live = gateway.balancer().entry(key).is_some_and(|e| !e.draining);
+    if !is_expected_to_live {
+        return Verdict::Lives;
+    }
+    for pause in LOOKS {
+        time::sleep(pause).await;
+        match time::timeout(LOOK_TIMEOUT, TcpStream::connect(addr)).await {
+            Ok(Ok(_)) => return Verdict::Lives,
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                if gateway.balancer().picture().own_requests(key) == 0 {
+                    return Verdict::Ended;
+                }
+            }
+            // No word from there: the link may be cut.
+            Ok(Err(_)) | Err(_) => {}
+        }
+    }
+    Verdict::Lives
+}
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -9,6 +9,7 @@
     entry::refusal::Refusal,
     gateway::{
         attempt::{self, Job},
+        fingerprint::Fingerprint,
         metrics::Outcome,
         protocol::Protocol,
         state::Gateway,
@@ -36,12 +37,35 @@
     pub attempts: u32,
     /// Why an attempt or the request failed.
     pub reason: Option<&'static str>,
+    /// What it is known by when it comes again, if an endpoint failed it.
+    pub fingerprint: Option<Fingerprint>,
     /// What was expected of the last endpoint.
     pub expected: Option<Expected>,
     /// The longest pause between two events of a stream.
     pub longest_gap_us: Micros,
 }
 
+impl Trace {
+    fn shown_fingerprint(&self) -> String {
+        self.fingerprint
+            .map_or_else(|| "-".to_owned(), |f| f.to_string())
+    }
+}
+
+/// Writes the line of a request that was at an endpoint when it ended.
+pub fn log_ending<P: Protocol>(gateway: &Gateway<P>, job: &Job, endpoint: &str) {
+    let fingerprint = job.fingerprint().to_string();
+    log::info!(
+        target: "ryevalve::request",
+        request_id = job.id(),
+        route = &*job.route.name,
+        organisation = job.organisation.as_deref().unwrap_or("-"),
+        endpoint, fingerprint,
+        endpoints_age_ms = gateway.endpoints_age_us() / 1_000;
+        "endpoint_ended"
+    );
+}
+
 /// Counts a refusal and writes its line.
 pub fn note_refusal<P: Protocol>(
     gateway: &Gateway<P>,
@@ -65,6 +89,7 @@
         status = refusal.status.as_u16(),
         reason = refusal.reason,
         last_failure = trace.reason.unwrap_or("-"),
+        fingerprint = trace.shown_fingerprint(),
         endpoint = trace.endpoint.as_deref().unwrap_or("-"),
         attempts = trace.attempts,
         held_ms,
@@ -120,6 +145,7 @@
         waited_before_ms = trace.waited_ms,
         endpoint = trace.endpoint.as_deref().unwrap_or("-"),
         last_failure = trace.reason.unwrap_or("-"),
+        fingerprint = trace.shown_fingerprint(),
         expected_first_ms = trace.expected.map_or(0.0, |e| e.first_ms.round()),
         endpoint_requests = trace.expected.map_or(0.0, |e| e.there.round()),
         endpoint_event_ms = trace.expected.map_or(0.0, |e| e.event_ms.round()),
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -1,6 +1,9 @@
 //! Runs one request: checks it, places it, sends it, and gives it one final answer.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use hyper::{
     Request, Response, StatusCode,
@@ -22,6 +25,7 @@
     },
     gateway::{
         attempt::{self, Answered, Failed, Job, Whole},
+        endings,
         intake::{
             ANSWER_MARGIN_US, allowed_us, ask, find_organisation, find_route, read_body,
             take_from_limit,
@@ -142,6 +146,7 @@
         body,
         organisation: name.clone(),
         until_us,
+        fingerprint: OnceLock::new(),
     };
     let result = Run::new(gateway.clone(), job).until_answered(trace).await;
     let has_run = result
@@ -231,6 +236,7 @@
                 }
                 Tried::Failed { refusal } => {
                     trace.reason = Some(refusal.reason);
+                    trace.fingerprint = Some(self.job.fingerprint());
                     self.runs += 1;
                     if !self.may_run_again() {
                         return Err(*refusal);
@@ -297,10 +303,11 @@
 
     async fn try_endpoint(&self, choice: Choice, trace: &Trace) -> Tried {
         let until = self.attempt_until(&choice);
+        let asked = choice.clone();
         let sent = attempt::send(&self.gateway, &self.job, choice, None, until).await;
         let answered = match sent {
             Ok(answered) => answered,
-            Err(failed) => return self.failed(failed),
+            Err(failed) => return self.failed(failed, asked),
         };
         if answered.not_executed || answered.response.status() == StatusCode::MISDIRECTED_REQUEST {
             return self.refused_there(answered);
@@ -308,7 +315,7 @@
         let status = answered.response.status();
         if status.is_success() && !answered.is_signed {
             answered.sent.failed();
-            return self.failed(Failed::Unknown("unsigned_answer"));
+            return self.failed(Failed::Unknown("unsigned_answer"), asked);
         }
         if status.is_success() && self.job.route.kind.is_stream() {
             return self.start_stream(answered, trace).await;
@@ -316,7 +323,7 @@
         match attempt::collect(&self.gateway, answered, until).await {
             Ok(whole) if whole.status.is_server_error() => Tried::Error(whole),
             Ok(whole) => Tried::Answer(self.pass_on(whole, trace)),
-            Err(failed) => self.failed(failed),
+            Err(failed) => self.failed(failed, asked),
         }
     }
 
@@ -339,13 +346,16 @@
         end.min(Instant::now() + Duration::from_secs_f64(patience_ms / 1e3))
     }
 
-    fn failed(&self, failed: Failed) -> Tried {
+    fn failed(&self, failed: Failed, asked: Choice) -> Tried {
+        if matches!(failed, Failed::Broke(_)) {
+            endings::connection_broke(self.gateway.clone(), self.job.clone(), asked);
+        }
         match failed {
             Failed::NotSent(reason) => Tried::NotRun {
                 arrived: false,
                 reason,
             },
-            Failed::Unknown(reason) => {
+            Failed::Broke(reason) | Failed::Unknown(reason) => {
                 let over = self.gateway.clock.now_us() >= self.job.until_us;
                 let refusal = if over {
                     refuse::timed_out()
@@ -376,6 +386,7 @@
     }
 
     async fn start_stream(&self, answered: Answered<P>, trace: &Trace) -> Tried {
+        let asked = answered.sent.choice.clone();
         let mut relay = Relay::new(
             self.gateway.clone(),
             self.job.clone(),
@@ -386,7 +397,7 @@
         );
         match relay.first(self.first_event_until(&relay)).await {
             Ok(head) => Tried::Answer(relay.into_response(head)),
-            Err(failed) => self.failed(failed),
+            Err(failed) => self.failed(failed, asked),
         }
     }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -23,6 +23,7 @@
     endpoint::kept::KeptConnections,
     gateway::{
         config::GatewayConfig,
+        endings::Endings,
         freshness::{CurrentConfig, Offered},
         metrics::GatewayMetrics,
         patience::UsualPatience,
@@ -114,6 +115,8 @@
     pub endpoints: Staleness,
     /// Asks others for places at endpoints.
     pub reserver: Reserver,
+    /// Finds out which endpoints have ended.
+    pub endings: Endings,
     stopping: AtomicBool,
 }
 
@@ -144,6 +147,7 @@
             place_to_watch: AtomicUsize::new(0),
             waits_for_others: AtomicBool::new(false),
             reserver: Reserver::default(),
+            endings: Endings::default(),
             endpoints: Staleness::default(),
             stopping: AtomicBool::new(false),
         }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -25,6 +25,7 @@
     entry::answer::Body,
     gateway::{
         attempt::{self, Answered, Failed, Job, Sent},
+        endings,
         metrics::Outcome,
         protocol::Protocol,
         report::{Trace, log_answer},
@@ -149,7 +150,7 @@
             Ok(Err(End::Whole)) => Bytes::new(),
             Ok(Err(End::Broken(reason))) => {
                 self.source.sent.failed();
-                return Err(Failed::Unknown(reason));
+                return Err(Failed::Broke(reason));
             }
             Ok(Err(End::Silent)) | Err(_) => {
                 self.source.sent.failed();
@@ -206,6 +207,9 @@
                 },
             };
             self.source.sent.failed();
+            if reason != SILENT {
+                self.connection_broke(self.choice().clone());
+            }
             // Ends the run there before another one begins.
             drop(self.source.connection.take());
             self.trace.reason = Some(reason);
@@ -218,6 +222,12 @@
         }
     }
 
+    /// Finds out whether the endpoint has ended.
+    fn connection_broke(&mut self, choice: Choice) {
+        self.trace.fingerprint = Some(self.job.fingerprint());
+        endings::connection_broke(self.gateway.clone(), self.job.clone(), choice);
+    }
+
     fn ended(&mut self, outcome: Outcome) {
         self.is_over = true;
         self.gateway.metrics.ended(&self.job.route.name, outcome);
@@ -348,6 +358,7 @@
                 retries_left = self.gateway.retries_left(&self.job.ask.service);
                 "stream_resumed"
             );
+            let tried = choice.clone();
             let sent = attempt::send(&self.gateway, &self.job, choice, self.last_id, end).await;
             match sent {
                 Ok(answered) if answered.response.status().is_success() && answered.is_signed => {
@@ -358,6 +369,10 @@
                 Ok(answered) if answered.not_executed => {}
                 Ok(_) => self.runs += 1,
                 Err(Failed::NotSent(_)) => {}
+                Err(Failed::Broke(_)) => {
+                    self.runs += 1;
+                    self.connection_broke(tried);
+                }
                 Err(Failed::Unknown(_)) => self.runs += 1,
             }
         }
