Failing tests: a request that ends endpoints reaches one at each try

The fault of the incident, brought about in tests on the code as it is: eight endpoints that end when some work begins to run, instances in groups of 6 and 18 over real sockets with a store, the same work tried twelve times at instances in turn.

The stand-in of an endpoint can end as a crash does (port closed, connections reset) and start again under another id.

--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -13,9 +13,9 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    task::JoinHandle,
     time,
 };
+use tokio_util::sync::CancellationToken;
 
 /// Events of a whole stream.
 pub const EVENTS: u64 = 8;
@@ -75,6 +75,10 @@
     /// Time between two events, and of a whole answer.
     pace: Duration,
     seen: Vec<Seen>,
+    /// A request with these bytes in its body ends the endpoint.
+    ended_by: Option<Vec<u8>>,
+    /// The present start; cancelled when the endpoint ends.
+    life: CancellationToken,
 }
 
 /// A running endpoint; it stops when this is dropped.
@@ -82,12 +86,11 @@
     /// Where it listens.
     pub addr: SocketAddr,
     state: Arc<Mutex<State>>,
-    task: JoinHandle<()>,
 }
 
 impl Drop for Runner {
     fn drop(&mut self) {
-        self.task.abort();
+        self.end();
     }
 }
 
@@ -104,14 +107,53 @@
             pace: Duration::from_millis(5),
             ..State::default()
         }));
-        let shared = state.clone();
-        let task = tokio::spawn(async move {
+        let runner = Self { addr, state };
+        runner.accept(listener);
+        runner
+    }
+
+    /// Sets bytes that end the endpoint as a crash does when a request has them in its body and begins to run:
+    /// its port is closed and all its connections are reset.
+    pub fn ended_by(&self, bytes: &[u8]) {
+        self.lock().ended_by = Some(bytes.to_vec());
+    }
+
+    /// Ends the endpoint as a crash does.
+    pub fn end(&self) {
+        self.lock().life.cancel();
+    }
+
+    /// Returns whether the endpoint has ended.
+    pub fn has_ended(&self) -> bool {
+        self.lock().life.is_cancelled()
+    }
+
+    /// Starts it again at the same address under another id.
+    ///
+    /// # Panics
+    /// The port is taken.
+    pub async fn start_again(&self, id: &str) {
+        let listener = TcpListener::bind(self.addr)
+            .await
+            .expect("the port is free");
+        {
+            let mut state = self.lock();
+            state.id = id.to_owned();
+            state.life = CancellationToken::new();
+        }
+        self.accept(listener);
+    }
+
+    fn accept(&self, listener: TcpListener) {
+        let shared = self.state.clone();
+        let life = self.lock().life.clone();
+        let accepting = async move {
             while let Ok((stream, _)) = listener.accept().await {
                 // The end of a connection is its caller's leaving.
-                tokio::spawn(serve(stream, shared.clone()));
+                tokio::spawn(serve_until(stream, shared.clone()));
             }
-        });
-        Self { addr, state, task }
+        };
+        tokio::spawn(async move { life.run_until_cancelled(accepting).await });
     }
 
     /// Sets how it misbehaves.
@@ -161,8 +203,24 @@
     format!("id: {number}\ndata: {request_id} {number}\n\n")
 }
 
-async fn serve(mut stream: TcpStream, state: Arc<Mutex<State>>) -> std::io::Result<()> {
-    while let Some(seen) = read(&mut stream).await? {
+/// How a connection ends.
+enum End {
+    Closed,
+    Reset,
+}
+
+/// Serves a connection until it ends, or the endpoint does.
+async fn serve_until(mut stream: TcpStream, state: Arc<Mutex<State>>) -> std::io::Result<()> {
+    let life = state.lock().expect("no holder panics").life.clone();
+    let served = life.run_until_cancelled(serve(&mut stream, state)).await;
+    match served.unwrap_or(Ok(End::Reset))? {
+        End::Closed => Ok(()),
+        End::Reset => reset(stream),
+    }
+}
+
+async fn serve(stream: &mut TcpStream, state: Arc<Mutex<State>>) -> std::io::Result<End> {
+    while let Some(seen) = read(stream).await? {
         let request_id = seen.headers.get("request-id").cloned().unwrap_or_default();
         let (fault, pace, id, index) = {
             let mut state = state.lock().expect("no holder panics");
@@ -179,17 +237,23 @@
         };
         let expected = seen.headers.get("expect-instance");
         if expected.is_some_and(|e| *e != id) {
-            refuse(&mut stream, "421 Misdirected Request", &request_id).await?;
+            refuse(stream, "421 Misdirected Request", &request_id).await?;
             continue;
         }
         if fault == Fault::Full {
-            refuse(&mut stream, "503 Service Unavailable", &request_id).await?;
+            refuse(stream, "503 Service Unavailable", &request_id).await?;
             continue;
         }
         mark(|s| s.has_run = true);
+        let life = life_ended_by(&state, &seen.body);
+        if let Some(life) = life {
+            time::sleep(pace).await;
+            life.cancel();
+            return Ok(End::Reset);
+        }
         match fault {
             Fault::Mute => std::future::pending::<()>().await,
-            Fault::ResetAfterRun => return reset(stream),
+            Fault::ResetAfterRun => return Ok(End::Reset),
             _ => {}
         }
         if seen
@@ -200,18 +264,26 @@
         {
             let from = seen.headers.get("last-event-id");
             let from: u64 = from.and_then(|f| f.parse().ok()).unwrap_or(0);
-            if !events(&mut stream, &request_id, from, fault, pace).await? {
-                return Ok(());
+            if !events(stream, &request_id, from, fault, pace).await? {
+                return Ok(End::Closed);
             }
         } else {
             time::sleep(pace).await;
-            if !whole(&mut stream, &request_id, fault).await? {
-                return reset(stream);
+            if !whole(stream, &request_id, fault).await? {
+                return Ok(End::Reset);
             }
         }
         mark(|s| s.finished = true);
     }
-    Ok(())
+    Ok(End::Closed)
+}
+
+/// Returns the endpoint's present start if a request with this body ends it.
+fn life_ended_by(state: &Mutex<State>, body: &[u8]) -> Option<CancellationToken> {
+    let state = state.lock().expect("no holder panics");
+    let bytes = state.ended_by.as_deref()?;
+    let is_ended = body.windows(bytes.len()).any(|w| w == bytes);
+    is_ended.then(|| state.life.clone())
 }
 
 fn reset(stream: TcpStream) -> std::io::Result<()> {
--- /dev/null
+++ b/tests/edge/ending_requests.rs
@@ -0,0 +1,212 @@
+//! A request that ends the endpoints that run it reaches few of them, whichever instances it comes to.
+//!
+//! The story: on a day of seven instances one caller's work ended each endpoint that began to run it, some 100 ms
+//! after it came there. The caller tried again a second later, at another instance and under another id, and
+//! 17 endpoints ended in ten seconds, each with some five streams of others. The evidence: the lines of all these
+//! tries have one attempt each, at one endpoint that refused connections from then on; nothing of a try was kept
+//! once it was answered, and nothing of it was told to other instances.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use hyper::StatusCode;
+use ryevalve::gateway::front::{self, FrontStop};
+use serde_json::{Value, json};
+use standins::{platform::Platform, runner::Runner};
+use tokio::{net::TcpListener, task::JoinHandle, time};
+
+use crate::{
+    group::{Instance, Place, address, free_port, until},
+    support::{Got, config, exchange, request},
+};
+
+const HALLS: [&str; 3] = ["a", "b", "c"];
+const ENDPOINTS: usize = 8;
+/// What the work that ends endpoints has in its body.
+const ENDS: &str = "ends whatever runs it";
+/// An endpoint that ended is back after this time.
+const DOWN: Duration = Duration::from_millis(400);
+/// Tries of one work; each reached an endpoint before instances knew of it.
+const TRIES: usize = 12;
+/// How many endpoints such work may reach in all: three have to end before it is known beyond doubt, and one
+/// more may be asked before the last to hear has heard.
+const MOST_REACHED: usize = 4;
+/// What an instance is given to learn what the others know.
+const CONTACT: Duration = Duration::from_secs(3);
+
+struct Site {
+    platform: Arc<Platform>,
+    runners: Arc<Vec<Runner>>,
+    instances: Vec<Instance>,
+    callers: Vec<SocketAddr>,
+    port: u16,
+    net: u8,
+    restarting: JoinHandle<()>,
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.restarting.abort();
+    }
+}
+
+fn entry(addr: SocketAddr) -> Value {
+    json!({"backend": "svc", "address": addr, "zone": "a", "version": "v1", "capacity": 4,
+        "state": "ready", "warmupLeftMs": 0, "sequence": 1})
+}
+
+/// Starts endpoints that have ended again, at the same address under a new id.
+async fn start_again(platform: Arc<Platform>, runners: Arc<Vec<Runner>>) {
+    let mut starts = vec![0; runners.len()];
+    loop {
+        time::sleep(Duration::from_millis(10)).await;
+        let ended = (0..runners.len()).find(|index| runners[*index].has_ended());
+        let Some(index) = ended else { continue };
+        time::sleep(DOWN).await;
+        platform.remove("servers", &format!("e{index}-{}", starts[index]));
+        starts[index] += 1;
+        let id = format!("e{index}-{}", starts[index]);
+        runners[index].start_again(&id).await;
+        platform.set("servers", &id, entry(runners[index].addr));
+    }
+}
+
+impl Site {
+    async fn start(net: u8, instances: usize) -> Self {
+        let platform = Arc::new(Platform::start().await);
+        platform.set("config", "main", config(3, &["key-of-the-tests"]));
+        let mut runners = Vec::new();
+        for index in 0..ENDPOINTS {
+            let id = format!("e{index}-0");
+            let runner = Runner::start(&id).await;
+            runner.pace(Duration::from_millis(20));
+            runner.ended_by(ENDS.as_bytes());
+            platform.set("servers", &id, entry(runner.addr));
+            runners.push(runner);
+        }
+        let runners = Arc::new(runners);
+        let restarting = tokio::spawn(start_again(platform.clone(), runners.clone()));
+        let mut site = Self {
+            platform,
+            runners,
+            instances: Vec::new(),
+            callers: Vec::new(),
+            port: free_port(net).await,
+            net,
+            restarting,
+        };
+        for _ in 0..instances {
+            site.start_instance().await;
+        }
+        let knows = |i: &Instance| i.gateway.sharers().heard == instances && i.gateway.is_ready();
+        until("all to know each other", || {
+            site.instances.iter().all(knows)
+        })
+        .await;
+        // Whoever reported to others before does not any more.
+        time::sleep(Duration::from_millis(300)).await;
+        site
+    }
+
+    /// Starts one more instance.
+    async fn start_instance(&mut self) {
+        let number = self.instances.len();
+        let seeds: Vec<SocketAddr> = (0..3)
+            .map(|n| SocketAddr::new(address(self.net, n), self.port))
+            .collect();
+        let place = Place {
+            net: self.net,
+            number,
+            hall: HALLS[number % HALLS.len()],
+            port: self.port,
+            seeds: &seeds,
+        };
+        let mut instance = Instance::start(place).await;
+        instance.follow(self.platform.addr());
+        let listener = TcpListener::bind((address(self.net, number), 0)).await;
+        let listener = listener.expect("a port");
+        self.callers
+            .push(listener.local_addr().expect("an address"));
+        instance.serve(listener);
+        self.instances.push(instance);
+    }
+
+    /// Sends one try of some work to an instance.
+    async fn call(&self, instance: usize, path: &str, id: &str, body: &str) -> Got {
+        let mut request = request(path, id, &[]);
+        *request.body_mut() = body.to_owned().into();
+        let got = exchange(self.callers[instance], request).await;
+        got.expect("an answer")
+    }
+
+    /// Returns how many requests with a body reached endpoints.
+    fn reached(&self, body: &str) -> usize {
+        let seen = self.runners.iter().flat_map(|r| r.seen());
+        seen.filter(|s| s.body == body.as_bytes()).count()
+    }
+
+    /// Sends tries of some work that ends endpoints to instances in turn.
+    async fn try_in_turn(&self, path: &str, body: &str) {
+        for number in 0..TRIES {
+            let id = format!("{path}-{number}");
+            let got = self
+                .call(number % self.instances.len(), path, &id, body)
+                .await;
+            let is_served = got.is_whole && got.status == StatusCode::OK;
+            assert!(!is_served, "nothing can have run {path}: {got:?}");
+            time::sleep(Duration::from_millis(150)).await;
+        }
+    }
+}
+
+/// Each kind of route has work of its own: streams that may be taken up elsewhere and not, requests that may
+/// run again and not.
+const PATHS: [&str; 4] = ["/fixed/w/stream", "/resume/w/stream", "/once/w", "/again/w"];
+
+/// Twelve of twelve tries reached an endpoint on each route, and more where the instance sent them on itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_ends_endpoints_reaches_few() {
+    let site = Site::start(30, 6).await;
+    for path in PATHS {
+        let body = format!("{path} {ENDS}");
+        site.try_in_turn(path, &body).await;
+        let reached = site.reached(&body);
+        assert!(reached <= MOST_REACHED, "{path}: {reached} endpoints");
+    }
+    // The endpoints are there for everybody else.
+    until("the endpoints to be back", || {
+        site.runners.iter().all(|r| !r.has_ended())
+    })
+    .await;
+    time::sleep(DOWN).await;
+    let got = site.call(0, "/again/w", "other", "other work").await;
+    assert_eq!(got.status, StatusCode::OK);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn in_a_large_group_a_request_that_ends_endpoints_reaches_few() {
+    let site = Site::start(31, 18).await;
+    for path in ["/fixed/w/stream", "/again/w"] {
+        let body = format!("{path} {ENDS}");
+        site.try_in_turn(path, &body).await;
+        let reached = site.reached(&body);
+        assert!(reached <= MOST_REACHED, "{path}: {reached} endpoints");
+    }
+}
+
+/// An instance that was not there when the endpoints ended knows of it before it has been in touch for long.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_starts_later_sends_no_request_that_ended_endpoints() {
+    let mut site = Site::start(32, 3).await;
+    let (path, body) = ("/fixed/w/stream", format!("late {ENDS}"));
+    site.try_in_turn(path, &body).await;
+    let before = site.reached(&body);
+    site.start_instance().await;
+    time::sleep(CONTACT).await;
+    for number in 0..3 {
+        let id = format!("late-{number}");
+        site.call(3, path, &id, &body).await;
+        time::sleep(Duration::from_millis(150)).await;
+    }
+    let more = site.reached(&body) - before;
+    assert_eq!(more, 0, "endpoints reached through the one that came later");
+}
--- a/tests/edge/group.rs
+++ b/tests/edge/group.rs
@@ -11,6 +11,7 @@
     gateway::{
         copies,
         exchange::{Exchange, ExchangePlace},
+        front::{self, FrontStop},
         reservations,
         staleness::StalenessBound,
         state::{Gateway, GatewayBounds},
@@ -28,6 +29,8 @@
 use tokio_util::sync::CancellationToken;
 
 const KEY: &[u8] = b"a key of sixteen and more";
+/// Far more callers' connections than any test opens.
+const MAX_CALLERS: usize = 100;
 const PATIENCE: Duration = Duration::from_secs(20);
 /// How long an endpoint that leaves may be sent requests.
 pub const DRAIN: Duration = Duration::from_secs(2);
@@ -136,6 +139,17 @@
         }));
     }
 
+    /// Serves callers through `listener`.
+    pub fn serve(&mut self, listener: TcpListener) {
+        let serving = front::serve(
+            self.gateway.clone(),
+            listener,
+            MAX_CALLERS,
+            FrontStop::default(),
+        );
+        self.tasks.push(tokio::spawn(serving));
+    }
+
     /// Follows the store at `addr`.
     pub fn follow(&mut self, addr: SocketAddr) {
         let gateway = self.gateway.clone();
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod control;
+mod ending_requests;
 mod group;
 mod large_group;
 mod late_news;
