The clock goes on while the machine is suspended, and wakes who waits for a time of it

Cause: all ages, windows and deadlines hung on the steady clock, which stands during a suspension: right after one what was known of the store seemed new, limits' windows were too long, and requests were held past their end.

Patience with an endpoint and time-outs of calls stay on the steady clock: they are for how long others had to answer while this process could hear them.

The tests of staleness pause the runtime, so their gateway takes its time from there now; what they check is unchanged.

--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -121,12 +121,12 @@
 
 impl<S: Store> Run<S> {
     async fn until_ended(mut self) {
-        let deadline = self.instance.clock.instant(self.deadline_us);
+        let clock = self.instance.clock;
         loop {
             tokio::select! {
                 biased;
                 () = self.answer.closed() => return self.caller_left(),
-                () = time::sleep_until(deadline) => return self.expire().await,
+                () = clock.sleep_until(self.deadline_us) => return self.expire().await,
                 decision = self.held.decision() => match decision {
                     Decision::Granted { endpoint } => match self.try_endpoint(endpoint).await {
                         Tried::WaitsOn => {}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     balance::{balancer::Choice, cost::Ask},
+    clock::Clock,
     endpoint::kept::EndpointConnection,
     gateway::{
         config::Route,
@@ -29,6 +30,8 @@
 
 /// The longest whole answer that is taken.
 const MAX_WHOLE_BYTES: usize = 16 << 20;
+/// Longer than any request is held, for those whose endpoint is waited for until their end.
+const NO_PATIENCE_ENDS: Duration = Duration::from_secs(86_400);
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// A request as it was taken from its caller.
@@ -69,6 +72,14 @@
         *self.fingerprint.get_or_init(work_out)
     }
 
+    /// Returns until when an answer is waited for at most.
+    pub fn until(&self) -> Until {
+        Until {
+            end_us: self.until_us,
+            patience: Instant::now() + NO_PATIENCE_ENDS,
+        }
+    }
+
     /// Returns the caller's id, for logs.
     pub fn id(&self) -> &str {
         let id = self.head.request_id.as_ref();
@@ -101,6 +112,23 @@
     pub is_signed: bool,
 }
 
+/// Until when an answer is waited for.
+#[derive(Clone, Copy, Debug)]
+pub struct Until {
+    /// The request is over, by the gateway's clock: its caller counts suspensions of this machine, too.
+    pub end_us: Micros,
+    /// The endpoint has had its time, by the steady clock: what it sent during a suspension comes after it.
+    pub patience: Instant,
+}
+
+impl Until {
+    /// Waits for something; none if it has not come in time.
+    pub async fn wait<F: Future>(self, clock: Clock, future: F) -> Option<F::Output> {
+        let patient = time::timeout_at(self.patience, future);
+        clock.timeout_at(self.end_us, patient).await?.ok()
+    }
+}
+
 /// What came of an attempt that brought no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failed {
@@ -199,7 +227,7 @@
     job: &Job,
     choice: Choice,
     resume_after: Option<u64>,
-    until: Instant,
+    until: Until,
 ) -> Result<Answered<P>, Failed> {
     let mut sent = Sent::new(gateway.clone(), choice);
     let mut connection = connect(gateway, job, &sent).await?;
@@ -213,15 +241,15 @@
     }
     sent.at_us = gateway.clock.now_us();
     let request = forwarded(gateway, job, &sent.choice, resume_after);
-    let answer = time::timeout_at(until, connection.sender.send_request(request)).await;
-    let response = match answer {
-        Ok(Ok(response)) => response,
-        Ok(Err(error)) if error.is_canceled() => return Err(Failed::NotSent("closed_before")),
-        Ok(Err(_)) => {
+    let answer = connection.sender.send_request(request);
+    let response = match until.wait(gateway.clock, answer).await {
+        Some(Ok(response)) => response,
+        Some(Err(error)) if error.is_canceled() => return Err(Failed::NotSent("closed_before")),
+        Some(Err(_)) => {
             sent.failed();
             return Err(Failed::Broke("connection_broke"));
         }
-        Err(_) => {
+        None => {
             sent.failed();
             return Err(Failed::Unknown("no_answer"));
         }
@@ -309,7 +337,7 @@
 pub async fn collect<P: Protocol>(
     gateway: &Gateway<P>,
     answered: Answered<P>,
-    until: Instant,
+    until: Until,
 ) -> Result<Whole, Failed> {
     let Answered {
         response,
@@ -319,14 +347,14 @@
     } = answered;
     let (parts, body) = response.into_parts();
     let rests = may_rest(&parts.headers, parts.status);
-    let collected = time::timeout_at(until, Limited::new(body, MAX_WHOLE_BYTES).collect()).await;
-    let collected = match collected {
-        Ok(Ok(collected)) => collected,
-        Ok(Err(_)) => {
+    let body = Limited::new(body, MAX_WHOLE_BYTES).collect();
+    let collected = match until.wait(gateway.clock, body).await {
+        Some(Ok(collected)) => collected,
+        Some(Err(_)) => {
             sent.failed();
             return Err(Failed::Broke("answer_broke_off"));
         }
-        Err(_) => {
+        None => {
             sent.failed();
             return Err(Failed::Unknown("answer_broke_off"));
         }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -11,7 +11,7 @@
     header::{CONNECTION, HOST, HeaderValue},
 };
 use rand::RngExt;
-use tokio::time::{self, Instant};
+use tokio::time::Instant;
 
 use crate::{
     balance::{
@@ -24,7 +24,7 @@
         refusal::Refusal,
     },
     gateway::{
-        attempt::{self, Answered, Failed, Job, Whole},
+        attempt::{self, Answered, Failed, Job, Until, Whole},
         endings,
         intake::{
             ANSWER_MARGIN_US, allowed_us, ask, find_organisation, find_route, read_body,
@@ -285,15 +285,15 @@
 
     /// Waits for an endpoint; refuses once the request's time is over.
     async fn place(&self) -> Result<Choice, Refusal> {
-        let until = self.gateway.clock.instant(self.job.until_us);
-        let placed = time::timeout_at(until, self.gateway.place(&self.ask, &self.tried)).await;
-        match placed {
-            Ok(Placement::Send(choice)) => Ok(choice),
-            Ok(Placement::Refuse {
+        let placing = self.gateway.place(&self.ask, &self.tried);
+        let clock = self.gateway.clock;
+        match clock.timeout_at(self.job.until_us, placing).await {
+            Some(Placement::Send(choice)) => Ok(choice),
+            Some(Placement::Refuse {
                 reason,
                 retry_after_ms,
             }) if self.runs == 0 => Err(refuse::not_run(reason, retry_after_ms)),
-            Ok(_) | Err(_) if self.runs == 0 => Err(refuse::not_run("no_time_left", 500)),
+            Some(_) | None if self.runs == 0 => Err(refuse::not_run("no_time_left", 500)),
             // An earlier attempt may have run.
             _ => Err(refuse::unknown("no_other_endpoint")),
         }
@@ -364,11 +364,11 @@
     }
 
     /// An attempt that may be repeated is given up earlier than the request.
-    fn attempt_until(&self, choice: &Choice) -> Instant {
-        let end = self.gateway.clock.instant(self.job.until_us);
+    fn attempt_until(&self, choice: &Choice) -> Until {
+        let mut until = self.job.until();
         let again = self.job.is_repeatable() && self.runs + 1 < self.job.route.max_attempts;
         if !again || self.gateway.retries_left(&self.job.ask.service) < 1.0 {
-            return end;
+            return until;
         }
         let target_ms = self.job.ask.target_us as f64 / 1e3;
         let targets = if self.job.route.kind.is_stream() {
@@ -379,7 +379,9 @@
         let patience_ms = (target_ms * targets)
             .max(choice.expected.first_ms * PATIENCE_EXPECTED)
             .max(PATIENCE_MIN_MS);
-        end.min(Instant::now() + Duration::from_secs_f64(patience_ms / 1e3))
+        let patience = Instant::now() + Duration::from_secs_f64(patience_ms / 1e3);
+        until.patience = until.patience.min(patience);
+        until
     }
 
     async fn failed(&self, failed: Failed, asked: Choice) -> Tried {
@@ -442,7 +444,7 @@
         }
     }
 
-    fn first_event_until(&self, relay: &Relay<P>) -> Instant {
+    fn first_event_until(&self, relay: &Relay<P>) -> Until {
         self.attempt_until(relay.choice())
     }
 
--- a/src/gateway/staleness.rs
+++ b/src/gateway/staleness.rs
@@ -137,6 +137,12 @@
         self.moved.notify_waiters();
     }
 
+    /// Notes that this instance does not wait for its open question any more, and will ask another: that
+    /// nothing came says nothing of the store.
+    pub fn abandoned(&self) {
+        self.answer_due_us.store(0, Ordering::Relaxed);
+    }
+
     /// Notes that the store did not answer this instance.
     pub fn failed(&self, now_us: Micros) {
         self.answer_due_us.store(0, Ordering::Relaxed);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -128,7 +128,17 @@
     ///
     /// `is_first_start` says that no instance has run before it.
     pub fn new(protocol: P, hall: Name, bounds: GatewayBounds, is_first_start: bool) -> Self {
-        let clock = Clock::default();
+        Self::with_clock(protocol, hall, bounds, is_first_start, Clock::default())
+    }
+
+    /// The same by a clock that has been started.
+    pub fn with_clock(
+        protocol: P,
+        hall: Name,
+        bounds: GatewayBounds,
+        is_first_start: bool,
+        clock: Clock,
+    ) -> Self {
         let limits = OrganisationLimits::new(clock.now_us(), bounds.tolerance, is_first_start);
         Self {
             protocol,
@@ -374,14 +384,20 @@
 
     /// Returns whether the endpoints may be acted on.
     pub fn endpoints_standing(&self) -> Standing {
-        let bound = self.bounds().drain;
-        self.endpoints.standing(self.clock.now_us(), bound)
+        self.standing(&self.endpoints, self.bounds().drain)
     }
 
     /// Returns whether the configuration may be acted on.
     pub fn config_standing(&self) -> Standing {
-        let bound = self.bounds().config();
-        self.config.staleness.standing(self.clock.now_us(), bound)
+        self.standing(&self.config.staleness, self.bounds().config())
+    }
+
+    fn standing(&self, known: &Staleness, bound: StalenessBound) -> Standing {
+        match known.standing(self.clock.now_us(), bound) {
+            // The store had no time to answer: this machine was not there.
+            Standing::Unreachable if self.clock.has_just_resumed() => Standing::Asking,
+            standing => standing,
+        }
     }
 
     /// Waits, while the store is being asked, until what is known of the endpoints may be acted on.
@@ -402,7 +418,7 @@
         let until_us = self.clock.now_us() + bound.answer_us();
         loop {
             let now_us = self.clock.now_us();
-            if now_us >= until_us || known.standing(now_us, bound) != Standing::Asking {
+            if now_us >= until_us || self.standing(known, bound) != Standing::Asking {
                 return;
             }
             known.wait_for_answer(ANSWER_LOOK).await;
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
-use tokio::{task::JoinHandle, time};
+use tokio::task::JoinHandle;
 
-use crate::gateway::{front::FrontStop, protocol::Protocol, state::Gateway};
+use crate::{
+    gateway::{front::FrontStop, protocol::Protocol, state::Gateway},
+    prelude::Micros,
+};
 
 /// The balancer asks every second and drops an instance after two answers; callers that it sent
 /// here before that still come. After this time none does.
@@ -19,19 +22,27 @@
     serving: JoinHandle<()>,
     grace: Duration,
 ) -> bool {
-    let begun = time::Instant::now();
+    // Whoever stops this process counts suspensions of the machine, too.
+    let clock = gateway.clock;
+    let begun_us = clock.now_us();
     gateway.begin_stop();
     log::info!(target: "ryevalve::process", grace_ms = grace.as_millis() as u64; "stop_begun");
-    time::sleep(UNTIL_UNSEEN.min(grace / 3)).await;
+    clock
+        .sleep_until(begun_us + micros(UNTIL_UNSEEN.min(grace / 3)))
+        .await;
     front.connections.cancel();
     front.accept.cancel();
-    let until = begun + grace.saturating_sub(BEFORE_KILL);
-    let whole = time::timeout_at(until, serving).await.is_ok();
+    let until_us = begun_us + micros(grace.saturating_sub(BEFORE_KILL));
+    let whole = clock.timeout_at(until_us, serving).await.is_some();
     log::info!(
         target: "ryevalve::process",
         all_answered = whole,
-        took_ms = begun.elapsed().as_millis() as u64;
+        took_ms = clock.now_us().saturating_sub(begun_us) / 1_000;
         "stopped"
     );
     whole
 }
+
+fn micros(time: Duration) -> Micros {
+    time.as_micros() as Micros
+}
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -24,7 +24,7 @@
     endpoint::{events::EventCutter, kept::EndpointConnection},
     entry::answer::Body,
     gateway::{
-        attempt::{self, Answered, Failed, Job, Sent},
+        attempt::{self, Answered, Failed, Job, Sent, Until},
         endings,
         metrics::Outcome,
         protocol::Protocol,
@@ -142,17 +142,17 @@
     ///
     /// # Errors
     /// None came: the request may have run.
-    pub async fn first(&mut self, until: Instant) -> Result<StreamHead, Failed> {
-        let next = time::timeout_at(until, self.next_events()).await;
-        let events = match next {
-            Ok(Ok(events)) => events,
+    pub async fn first(&mut self, until: Until) -> Result<StreamHead, Failed> {
+        let clock = self.gateway.clock;
+        let events = match until.wait(clock, self.next_events()).await {
+            Some(Ok(events)) => events,
             // An answer without any event is whole, too.
-            Ok(Err(End::Whole)) => Bytes::new(),
-            Ok(Err(End::Broken(reason))) => {
+            Some(Err(End::Whole)) => Bytes::new(),
+            Some(Err(End::Broken(reason))) => {
                 self.source.sent.failed();
                 return Err(Failed::Broke(reason));
             }
-            Ok(Err(End::Silent)) | Err(_) => {
+            Some(Err(End::Silent)) | None => {
                 self.source.sent.failed();
                 return Err(Failed::Unknown("no_first_event"));
             }
@@ -257,21 +257,20 @@
                 Err(_) => return Err(End::Broken("event_too_long")),
             }
             let until = self.silence_until();
-            match time::timeout_at(until, self.source.body.frame()).await {
-                Ok(Some(Ok(frame))) => {
+            let clock = self.gateway.clock;
+            match until.wait(clock, self.source.body.frame()).await {
+                Some(Some(Ok(frame))) => {
                     if let Some(bytes) = frame.data_ref() {
                         self.source.cutter.push(bytes);
                     }
                 }
-                Ok(Some(Err(_))) => return Err(End::Broken("stream_broke")),
-                Ok(None) if self.source.cutter.has_rest() => {
+                Some(Some(Err(_))) => return Err(End::Broken("stream_broke")),
+                Some(None) if self.source.cutter.has_rest() => {
                     return Err(End::Broken("ended_inside_event"));
                 }
-                Ok(None) => return Err(self.whole()),
-                Err(_) if Instant::now() < self.gateway.clock.instant(self.job.until_us) => {
-                    return Err(End::Silent);
-                }
-                Err(_) => return Err(End::Broken(SILENT)),
+                Some(None) => return Err(self.whole()),
+                None if self.is_in_time() => return Err(End::Silent),
+                None => return Err(End::Broken(SILENT)),
             }
         }
     }
@@ -305,13 +304,17 @@
     }
 
     /// Returns until when the next event is waited for.
-    fn silence_until(&self) -> Instant {
-        let end = self.gateway.clock.instant(self.job.until_us);
-        if self.source.events_seen == 0 || !self.may_resume() {
-            return end;
+    fn silence_until(&self) -> Until {
+        let mut until = self.job.until();
+        if self.source.events_seen > 0 && self.may_resume() {
+            let gap = self.job.route.target_gap.mul_f64(SILENCE_GAPS);
+            until.patience = Instant::now() + gap.max(SILENCE_MIN);
         }
-        let gap = self.job.route.target_gap.mul_f64(SILENCE_GAPS);
-        end.min(Instant::now() + gap.max(SILENCE_MIN))
+        until
+    }
+
+    fn is_in_time(&self) -> bool {
+        self.gateway.clock.now_us() < self.job.until_us
     }
 
     fn may_resume(&self) -> bool {
@@ -335,8 +338,7 @@
 
     /// Takes the stream up at another endpoint, first at `chosen`; false if it cannot be.
     async fn resume(&mut self, reason: &'static str, mut chosen: Option<Choice>) -> bool {
-        let end = self.gateway.clock.instant(self.job.until_us);
-        while self.may_resume() && Instant::now() < end {
+        while self.may_resume() && self.is_in_time() {
             let choice = match chosen.take() {
                 Some(choice) => choice,
                 None => match self.other_endpoint().await {
@@ -363,7 +365,8 @@
                 "stream_resumed"
             );
             let tried = choice.clone();
-            let sent = attempt::send(&self.gateway, &self.job, choice, self.last_id, end).await;
+            let until = self.job.until();
+            let sent = attempt::send(&self.gateway, &self.job, choice, self.last_id, until).await;
             match sent {
                 Ok(answered) if answered.response.status().is_success() && answered.is_signed => {
                     self.runs += 1;
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -284,6 +284,7 @@
     };
     running.spawn_control(peer_listener, codec);
     running.spawn(operator::http::serve(instance.clone(), operator_listener));
+    running.spawn(clock.watch_for_suspensions());
     running.spawn(become_ready(instance));
     Ok(running)
 }
--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -43,7 +43,7 @@
 const BYTES_PER_MBIT: f64 = 125_000.0;
 /// How often silent peers, lapsed endpoints and resting connections are looked at.
 const SWEEP: Duration = Duration::from_millis(250);
-/// How often the requests that wait are looked at.
+/// How often the requests that wait are looked at, and whether the machine was suspended.
 const RECONSIDER: Duration = Duration::from_millis(20);
 /// How often the settings file is read, since it may change without a signal.
 const REREAD: Duration = Duration::from_secs(5);
@@ -277,6 +277,7 @@
     period.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         period.tick().await;
+        gateway.clock.look_for_suspension().await;
         gateway.reconsider();
     }
 }
--- a/src/platform/follow.rs
+++ b/src/platform/follow.rs
@@ -82,6 +82,7 @@
     let mut revision: Option<u64> = None;
     let mut is_lost = false;
     let mut had_news = true;
+    let mut was_suspended = false;
     loop {
         if !gateway.watches_store() {
             revision = None;
@@ -91,12 +92,21 @@
             }
         }
         let asked_us = gateway.clock.now_us();
-        let wait = revision.map_or(Duration::ZERO, |_| watch_wait(gateway, &follower, had_news));
+        let wait = match revision {
+            // Whoever waits for news does not know yet what came meanwhile.
+            Some(_) if !was_suspended => watch_wait(gateway, &follower, had_news),
+            _ => Duration::ZERO,
+        };
         follower.staleness().asks(asked_us, follower.bound(), wait);
-        let result = match revision {
-            None => list(&mut store, &mut follower, asked_us).await,
-            Some(from) => watch(&mut store, &mut follower, from, wait, asked_us).await,
+        let asking = ask(&mut store, &mut follower, revision, wait, asked_us);
+        let Some(result) = gateway.clock.unless_suspended(asking).await else {
+            // The answer was on its way to a machine that was not there; it may come seconds later.
+            store.close();
+            follower.staleness().abandoned();
+            was_suspended = true;
+            continue;
         };
+        was_suspended = false;
         match result {
             Ok(answer) => {
                 follower.staleness().answered();
@@ -183,6 +193,20 @@
     (pause * groups).min(longest)
 }
 
+/// Asks for what changed since a revision, or for all.
+async fn ask<F: Follower>(
+    store: &mut ObjectClient,
+    follower: &mut F,
+    revision: Option<u64>,
+    wait: Duration,
+    asked_us: Micros,
+) -> Result<Answer, CallError> {
+    match revision {
+        None => list(store, follower, asked_us).await,
+        Some(from) => watch(store, follower, from, wait, asked_us).await,
+    }
+}
+
 async fn list<F: Follower>(
     store: &mut ObjectClient,
     follower: &mut F,
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -367,6 +367,11 @@
         Ok(written.metadata.revision)
     }
 
+    /// Closes the connection that rests: its other end may have given it up.
+    pub fn close(&mut self) {
+        self.kept = None;
+    }
+
     /// Makes one call. A connection that lost an answer is not used again.
     async fn call(
         &mut self,
--- a/tests/edge/group.rs
+++ b/tests/edge/group.rs
@@ -8,6 +8,7 @@
 
 use ryevalve::{
     balance::{balancer::Placement, cost::Ask, discovery::EndpointEntry, load::EndpointKey},
+    clock::Clock,
     gateway::{
         copies,
         exchange::{Exchange, ExchangePlace},
@@ -73,11 +74,17 @@
 impl Instance {
     /// Starts an instance that tells and listens, and neither gives copies nor reads the store.
     pub async fn start(place: Place<'_>) -> Self {
+        Self::start_with_clock(place, Clock::default()).await
+    }
+
+    /// The same by a clock that the test may move on.
+    pub async fn start_with_clock(place: Place<'_>, clock: Clock) -> Self {
         let Place {
             net, number, port, ..
         } = place;
         let hall = Name::from(place.hall);
-        let gateway = Arc::new(Gateway::new(PlatformProtocol, hall.clone(), BOUNDS, true));
+        let gateway = Gateway::with_clock(PlatformProtocol, hall.clone(), BOUNDS, true, clock);
+        let gateway = Arc::new(gateway);
         let control = SocketAddr::new(address(net, number), port);
         let me = MemberInfo {
             name: format!("i{number}").into(),
@@ -116,6 +123,7 @@
         let tasks = vec![
             tokio::spawn(async move { probing.run(CancellationToken::new()).await }),
             tokio::spawn(exchange.run()),
+            tokio::spawn(clock.watch_for_suspensions()),
             tokio::spawn(async move {
                 // It gives places until the test ends.
                 let _ = reservations::run(giving, places, KEY, incarnation).await;
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -9,3 +9,4 @@
 mod other_writers;
 mod places;
 mod support;
+mod suspension;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod aggregators;
 mod balancer;
+mod clock;
 mod copies;
 mod discovery;
 mod events;
--- a/tests/gateway/staleness.rs
+++ b/tests/gateway/staleness.rs
@@ -6,6 +6,7 @@
 use proptest::prelude::*;
 use ryevalve::{
     balance::{balancer::Placement, load::EndpointKey},
+    clock::{Clock, TimeSource},
     gateway::{
         staleness::{Staleness, StalenessBound, Standing},
         state::Gateway,
@@ -65,7 +66,9 @@
 
 /// A gateway that knows two endpoints, and knows them to be the store's since now.
 fn gateway() -> Arc<Gateway<PlatformProtocol>> {
-    let gateway = Gateway::new(PlatformProtocol, "h".into(), bounds(true), true);
+    // By the runtime's time, which these tests pause.
+    let clock = Clock::new(TimeSource::steered());
+    let gateway = Gateway::with_clock(PlatformProtocol, "h".into(), bounds(true), true, clock);
     for id in ["leaving", "staying"] {
         gateway.balancer().endpoint_seen(entry(id, "h", 4), 1);
     }
