An endpoint that refuses for a third of a second has ended, though a request seems to go on there

Found by reading: a stream whose caller does not read keeps its account at the endpoint, and the verdict then was that the endpoint lives, so nothing was noted of the requests that ended it. Three refusals in a row decide now. Tested with an account that hangs, beside an endpoint that lives, one that ended and one that had said that it leaves.

--- a/src/gateway/endings.rs
+++ b/src/gateway/endings.rs
@@ -1,9 +1,9 @@
 //! Finds out whether an endpoint has ended when a connection to it breaks.
 //!
 //! Connections break for many reasons: a reset on the way, a link that was cut, an endpoint that fails a
-//! part of its requests. An endpoint has ended if its address refuses connections and nothing that this
-//! instance sent there goes on. An address that does not answer at all says nothing: the link to it may be
-//! cut.
+//! part of its requests. An endpoint has ended if its address refuses connections, and nothing that this
+//! instance sent there goes on or it refuses them for a third of a second. An address that does not answer at
+//! all says nothing: the link to it may be cut.
 
 use std::{
     collections::HashMap,
@@ -97,7 +97,7 @@
 }
 
 async fn note_ending<P: Protocol>(gateway: Arc<Gateway<P>>, job: Arc<Job>, choice: Choice) {
-    if !has_ended(&gateway, &choice).await {
+    if !has_ended(&gateway, choice.key, choice.addr).await {
         return;
     }
     let now_us = gateway.clock.now_us();
@@ -112,11 +112,14 @@
 
 /// Returns whether the endpoint at which a connection has just broken has ended. Looking takes 40 ms, and
 /// 0.8 s at most.
-pub async fn has_ended<P: Protocol>(gateway: &Arc<Gateway<P>>, choice: &Choice) -> bool {
-    let (mut verdict, sender) = gateway.endings.join(gateway.clock.now_us(), choice.key);
+pub async fn has_ended<P: Protocol>(
+    gateway: &Arc<Gateway<P>>,
+    key: EndpointKey,
+    addr: SocketAddr,
+) -> bool {
+    let (mut verdict, sender) = gateway.endings.join(gateway.clock.now_us(), key);
     if let Some(sender) = sender {
         let looking = gateway.clone();
-        let (key, addr) = (choice.key, choice.addr);
         tokio::spawn(async move {
             let found = look(&looking, key, addr).await;
             sender.send_replace(found);
@@ -133,17 +136,19 @@
     if !is_expected_to_live {
         return Verdict::Lives;
     }
+    let mut refusals = 0;
     for pause in LOOKS {
         time::sleep(pause).await;
         match time::timeout(LOOK_TIMEOUT, TcpStream::connect(addr)).await {
             Ok(Ok(_)) => return Verdict::Lives,
-            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                if gateway.balancer().picture().own_requests(key) == 0 {
-                    return Verdict::Ended;
-                }
-            }
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => refusals += 1,
             // No word from there: the link may be cut.
-            Ok(Err(_)) | Err(_) => {}
+            Ok(Err(_)) | Err(_) => continue,
+        }
+        // What a caller does not read seems to go on; each look tells the same by then.
+        let goes_on = gateway.balancer().picture().own_requests(key) > 0;
+        if !goes_on || refusals == LOOKS.len() {
+            return Verdict::Ended;
         }
     }
     Verdict::Lives
--- a/tests/edge/ending_requests.rs
+++ b/tests/edge/ending_requests.rs
@@ -9,7 +9,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use hyper::StatusCode;
-use ryevalve::explain::explain;
+use ryevalve::{explain::explain, gateway::endings};
 use serde_json::{Value, json};
 use standins::{platform::Platform, runner::Runner};
 use tokio::{net::TcpListener, task::JoinHandle, time};
@@ -289,3 +289,40 @@
         explain(&text.join("\n"), "r-1").expect("lines of the request")
     );
 }
+
+/// Returns whether an instance finds that an endpoint has ended, by its entry in the store.
+async fn has_ended(site: &Site, id: &str) -> bool {
+    let gateway = &site.instances[0].gateway;
+    let (key, addr) = {
+        let balancer = gateway.balancer();
+        let key = balancer.key_of(id).expect("it is known");
+        (key, balancer.entry(key).expect("it is known").addr)
+    };
+    endings::has_ended(gateway, key, addr).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_has_ended_if_its_port_is_closed_and_it_did_not_say_that_it_leaves() {
+    let site = Site::start(36, 1).await;
+    site.restarting.abort();
+    assert!(!has_ended(&site, "e0-0").await, "it lives");
+    site.runners[1].end();
+    assert!(has_ended(&site, "e1-0").await);
+    // A request whose caller does not read seems to be there still.
+    site.runners[2].end();
+    let gateway = &site.instances[0].gateway;
+    let key = gateway.balancer().key_of("e2-0").expect("it is known");
+    gateway.balancer().picture_mut().sent(key, 0);
+    assert!(has_ended(&site, "e2-0").await);
+    let mut spec = entry(site.runners[3].addr);
+    spec["state"] = "draining".into();
+    site.platform.set("servers", "e3-0", spec);
+    until("the instance to know that it leaves", || {
+        let balancer = gateway.balancer();
+        let entry = balancer.key_of("e3-0").and_then(|key| balancer.entry(key));
+        entry.is_some_and(|e| e.draining)
+    })
+    .await;
+    site.runners[3].end();
+    assert!(!has_ended(&site, "e3-0").await, "it ended as planned");
+}
