Tests that play a surge against placing: what a shorter wait and steadier holds give callers

Also: one try on a route of five attempts ends two endpoints (the mutation that does not wait for the verdict was green before it).

--- a/tests/edge/ending_requests.rs
+++ b/tests/edge/ending_requests.rs
@@ -205,6 +205,17 @@
     assert_eq!(got.status, StatusCode::OK);
 }
 
+/// An instance that sends a request on by itself waits for the verdict on the second endpoint: without that it
+/// would be at the fourth by then.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_try_that_may_be_sent_on_five_times_ends_two_endpoints() {
+    let site = Site::start(37, 1).await;
+    let body = format!("once and often {ENDS}");
+    let got = site.call(0, "/often/w", "r-1", &body).await;
+    assert_eq!(got.status, StatusCode::BAD_GATEWAY, "it may have run");
+    assert_eq!(site.reached(&body), 2);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn in_a_large_group_a_request_that_ends_endpoints_reaches_few() {
     let site = Site::start(31, 18).await;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -26,6 +26,7 @@
 mod staleness;
 mod summary;
 mod support;
+mod surge;
 mod suspects;
 mod suspects_weighed;
 mod use_turns;
