--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -31,7 +31,7 @@
 /// The longest whole answer that is taken.
 const MAX_WHOLE_BYTES: usize = 16 << 20;
 /// Longer than any request is held, for those whose endpoint is waited for until their end.
-const NO_PATIENCE_ENDS: Duration = Duration::from_secs(86_400);
+const UNLIMITED_PATIENCE: Duration = Duration::from_secs(86_400);
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// A request as it was taken from its caller.
@@ -76,7 +76,7 @@
     pub fn until(&self) -> Until {
         Until {
             end_us: self.until_us,
-            patience: Instant::now() + NO_PATIENCE_ENDS,
+            patient_until: Instant::now() + UNLIMITED_PATIENCE,
         }
     }
 
@@ -118,13 +118,13 @@
     /// The request is over, by the gateway's clock: its caller counts suspensions of this machine, too.
     pub end_us: Micros,
     /// The endpoint has had its time, by the steady clock: what it sent during a suspension comes after it.
-    pub patience: Instant,
+    pub patient_until: Instant,
 }
 
 impl Until {
     /// Waits for something; none if it has not come in time.
     pub async fn wait<F: Future>(self, clock: Clock, future: F) -> Option<F::Output> {
-        let patient = time::timeout_at(self.patience, future);
+        let patient = time::timeout_at(self.patient_until, future);
         clock.timeout_at(self.end_us, patient).await?.ok()
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! In whose words callers and endpoints speak is a [`protocol::Protocol`]'s matter.
 
+mod acting;
 pub mod aggregators;
 pub mod attempt;
 pub mod block_list;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -380,7 +380,7 @@
             .max(choice.expected.first_ms * PATIENCE_EXPECTED)
             .max(PATIENCE_MIN_MS);
         let patience = Instant::now() + Duration::from_secs_f64(patience_ms / 1e3);
-        until.patience = until.patience.min(patience);
+        until.patient_until = until.patient_until.min(patience);
         until
     }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -7,7 +7,6 @@
         Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
-    time::Duration,
 };
 
 use tokio::sync::oneshot;
@@ -16,7 +15,7 @@
     balance::{
         balancer::{Balancer, Placement, WaitKey, come_back_ms},
         cost::Ask,
-        discovery::{Change, EndpointEntry, EndpointsCopy},
+        discovery::{Change, EndpointsCopy},
         load::EndpointKey,
     },
     clock::Clock,
@@ -29,7 +28,7 @@
         patience::UsualPatience,
         protocol::Protocol,
         reserver::{PlaceAnswer, Reserver},
-        staleness::{Staleness, StalenessBound, Standing},
+        staleness::{Staleness, StalenessBound},
     },
     limits::{
         fingerprint::Fingerprint,
@@ -46,9 +45,6 @@
 /// With less left, calm instances would refuse keys between one word of the store and the next.
 const FRESHNESS_MARGIN_SHARE: f64 = 0.25;
 
-/// How often what waits for the store's answer looks whether the store still is to be waited for.
-const ANSWER_LOOK: Duration = Duration::from_millis(20);
-
 /// An instance's address is told to others for this long after it was met.
 const MET_US: Micros = 10_000_000;
 
@@ -76,7 +72,7 @@
     }
 
     /// Returns how old the configuration may be for its keys to be used.
-    fn key_age_us(&self) -> Micros {
+    pub fn key_age_us(&self) -> Micros {
         let share_us = (self.revoke_us as f64 * FRESHNESS_MARGIN_SHARE) as Micros;
         self.revoke_us - share_us.min(FRESHNESS_MARGIN_US)
     }
@@ -283,16 +279,6 @@
         );
     }
 
-    /// Returns for how long the configuration has not been known to be the newest.
-    pub fn config_age_us(&self) -> Micros {
-        self.config.age_us(self.clock.now_us())
-    }
-
-    /// Returns for how long the endpoints have not been known to be as the store has them.
-    pub fn endpoints_age_us(&self) -> Micros {
-        self.endpoints.age_us(self.clock.now_us())
-    }
-
     /// Takes another instance's copy of the endpoints, which were the store's when a question was sent at
     /// `asked_us`, if that is known.
     pub fn take_endpoints(&self, copy: EndpointsCopy, asked_us: Option<Micros>) {
@@ -382,80 +368,6 @@
         self.waits_for_others.store(true, Ordering::Relaxed);
     }
 
-    /// Returns whether the endpoints may be acted on.
-    pub fn endpoints_standing(&self) -> Standing {
-        self.standing(&self.endpoints, self.bounds().drain)
-    }
-
-    /// Returns whether the configuration may be acted on.
-    pub fn config_standing(&self) -> Standing {
-        self.standing(&self.config.staleness, self.bounds().config())
-    }
-
-    fn standing(&self, known: &Staleness, bound: StalenessBound) -> Standing {
-        match known.standing(self.clock.now_us(), bound) {
-            // The store had no time to answer: this machine was not there.
-            Standing::Unreachable if self.clock.has_just_resumed() => Standing::Asking,
-            standing => standing,
-        }
-    }
-
-    /// Waits, while the store is being asked, until what is known of the endpoints may be acted on.
-    ///
-    /// An instance that nobody tells of changes would use endpoints that have left; one that gets no answer goes
-    /// on with what it knows, as all do in an outage.
-    pub async fn endpoints_settled(&self) {
-        self.settled(&self.endpoints, self.bounds().drain).await;
-    }
-
-    /// The same for the configuration.
-    pub async fn config_settled(&self) {
-        let bound = self.bounds().config();
-        self.settled(&self.config.staleness, bound).await;
-    }
-
-    async fn settled(&self, known: &Staleness, bound: StalenessBound) {
-        let until_us = self.clock.now_us() + bound.answer_us();
-        loop {
-            let now_us = self.clock.now_us();
-            if now_us >= until_us || self.standing(known, bound) != Standing::Asking {
-                return;
-            }
-            known.wait_for_answer(ANSWER_LOOK).await;
-        }
-    }
-
-    /// Returns whether the configuration in force may deny what it does not have.
-    pub fn may_deny(&self) -> bool {
-        self.is_fresh() && self.config_standing() == Standing::Fresh
-    }
-
-    /// Returns whether a request may be sent to an endpoint that was chosen for it some time ago.
-    pub fn may_send_to(&self, key: EndpointKey) -> bool {
-        let is_used = |e: &EndpointEntry| !e.draining;
-        self.balancer().entry(key).is_some_and(is_used)
-            && self.endpoints_standing() != Standing::Asking
-    }
-
-    /// Returns whether the configuration is new enough to judge a key by.
-    pub fn is_fresh(&self) -> bool {
-        self.config_age_us() <= self.bounds().key_age_us()
-    }
-
-    /// Returns whether a key that the configuration in force has may be used.
-    ///
-    /// Operators who do not ask for strict revocation are served by the last configuration known
-    /// while the store is away.
-    pub fn may_use_keys(&self) -> bool {
-        !self.bounds().is_revocation_strict || self.is_fresh()
-    }
-
-    /// Returns whether callers are to be sent here.
-    pub fn is_ready(&self) -> bool {
-        let serves = self.is_fresh() && self.balancer().endpoint_count() > 0;
-        serves && !self.is_stopping()
-    }
-
     /// Returns whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -308,7 +308,7 @@
         let mut until = self.job.until();
         if self.source.events_seen > 0 && self.may_resume() {
             let gap = self.job.route.target_gap.mul_f64(SILENCE_GAPS);
-            until.patience = Instant::now() + gap.max(SILENCE_MIN);
+            until.patient_until = Instant::now() + gap.max(SILENCE_MIN);
         }
         until
     }
