A process held up between two readings of clocks is not taken for a suspended machine

Suspected, not traced: the steady clock was read before the other, so that whoever was held up for 50 ms between them saw a suspension, and gave up the list of endpoints that it was reading.

Change: the steady clock is read last, so what is seen is never more than there was; at the start the most of three readings counts.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -18,8 +18,7 @@
 
 use crate::prelude::Micros;
 
-/// Readings of two clocks one after the other differ by more than this only after a suspension, or where the
-/// process was held up between them; then whoever waits looks at the time once more than needed.
+/// Less is no suspension that matters to any bound.
 const LEAST_SUSPENDED_US: Micros = 50_000;
 /// How often it is looked whether the machine was suspended, where nothing else is done as often.
 const LOOK: Duration = Duration::from_millis(100);
@@ -75,8 +74,10 @@
     fn suspended_us(&self) -> Micros {
         match &self.reading {
             Reading::Machine => {
-                let steady_us = read_us(ClockId::CLOCK_MONOTONIC);
-                read_us(ClockId::CLOCK_BOOTTIME).saturating_sub(steady_us)
+                // The steady clock is read last: a process that is held up between the readings sees less
+                // than there was, and looks again, where the other way round it would see a suspension.
+                let boot_us = read_us(ClockId::CLOCK_BOOTTIME);
+                boot_us.saturating_sub(read_us(ClockId::CLOCK_MONOTONIC))
             }
             Reading::Runtime { suspended_us } => suspended_us.load(Ordering::Relaxed),
         }
@@ -106,7 +107,13 @@
 impl Clock {
     /// Starts a clock.
     pub fn new(source: &'static TimeSource) -> Self {
-        let suspended_us = source.suspended_us();
+        // What one reading misses would look like a suspension later.
+        let readings = [
+            source.suspended_us(),
+            source.suspended_us(),
+            source.suspended_us(),
+        ];
+        let suspended_us = readings.into_iter().fold(0, Micros::max);
         source.seen_us.fetch_max(suspended_us, Ordering::Relaxed);
         let start_us = match source.reading {
             Reading::Machine => read_us(ClockId::CLOCK_BOOTTIME),
