Sight: limits that endpoints name are read, written to the log and counted

Cause looked for: whether instances are told of a limit, and whether they send on. Until now no line or counter could tell "not read" from "read and held to by each alone" or "heard too late". Ruled out: nothing by itself; nothing is decided by what is read. Change: Server-Limit is read in src/platform; limits::endpoint keeps what is known of each endpoint, by versions, since answers overtake each other; lines endpoint_limit and endpoint_limit_unreadable; three metrics. What is told several times to two audiences stood in limits::suspects alone and is limits::telling now. The stand-in endpoint can name a limit; the tests' Site of endpoints, store and instances is a file of its own.

--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -19,6 +19,7 @@
         prefixes::{ChainKey, PrefixHolders},
         speed::Speed,
     },
+    limits::endpoint::EndpointLimits,
     prelude::{Incarnation, Micros, Name, Rank},
 };
 
@@ -153,6 +154,7 @@
     pub(super) news: Vec<(ChainKey, EndpointKey)>,
     /// Endpoints found gone, to be told to the others.
     dead: Vec<EndpointKey>,
+    pub(super) limits: EndpointLimits,
     waiting: BTreeMap<WaitKey, Ask>,
     next_number: u64,
     pub(super) changed: bool,
@@ -174,6 +176,7 @@
             holders: PrefixHolders::default(),
             news: Vec::new(),
             dead: Vec::new(),
+            limits: EndpointLimits::default(),
             waiting: BTreeMap::new(),
             next_number: 0,
             changed: false,
@@ -324,6 +327,7 @@
     fn forget(&mut self, key: EndpointKey) {
         self.endpoints.remove(&key);
         self.holders.forget_endpoint(key);
+        self.limits.forget(key);
     }
 
     fn index_services(&mut self) {
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -5,6 +5,7 @@
 pub mod cost;
 pub mod discovery;
 pub mod grants;
+mod limited;
 pub mod load;
 pub mod picture;
 mod places;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -20,6 +20,7 @@
     endpoint::kept::EndpointConnection,
     gateway::{
         config::Route,
+        endpoint_limits,
         protocol::{CallHead, Forward, Protocol},
         refuse,
         state::Gateway,
@@ -147,6 +148,8 @@
     pub choice: Choice,
     /// When it was sent.
     pub at_us: Micros,
+    /// The version of what was known then of the endpoint's limit.
+    limit_version: u32,
     first_seen: bool,
     counts_hold: bool,
     is_over: bool,
@@ -156,6 +159,7 @@
     fn new(gateway: Arc<Gateway<P>>, choice: Choice) -> Self {
         Self {
             at_us: gateway.clock.now_us(),
+            limit_version: 0,
             gateway,
             choice,
             first_seen: false,
@@ -240,6 +244,7 @@
         return Err(Failed::NotSent(refuse::ENDS_ENDPOINTS));
     }
     sent.at_us = gateway.clock.now_us();
+    sent.limit_version = endpoint_limits::note_sent(gateway, sent.choice.key);
     let request = forwarded(gateway, job, &sent.choice, resume_after);
     let answer = connection.sender.send_request(request);
     let response = match until.wait(gateway.clock, answer).await {
@@ -260,6 +265,9 @@
         sent.failed();
         return Err(Failed::Unknown("foreign_answer"));
     }
+    if response.status() != StatusCode::MISDIRECTED_REQUEST {
+        endpoint_limits::heard(gateway, &sent.choice, sent.limit_version, &head);
+    }
     if let Some(word) = head.load {
         let now_us = gateway.clock.now_us();
         gateway
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -75,6 +75,10 @@
     pub retries_denied: Counter,
     /// Requests refused because endpoints ended under them.
     pub requests_blocked: Counter,
+    /// Requests sent to endpoints that had named a limit.
+    pub sent_to_limited: Counter,
+    /// Limits named in words that cannot be read.
+    pub limit_words_unreadable: Counter,
     /// Calls to the store that brought nothing.
     pub store_failures: Counter,
     /// Entries of endpoints that could not be read: another writer's.
@@ -109,6 +113,7 @@
     config_age_seconds: Gauge<f64, std::sync::atomic::AtomicU64>,
     endpoints_age_seconds: Gauge<f64, std::sync::atomic::AtomicU64>,
     endpoints: Gauge,
+    limited_endpoints: Gauge,
     waiting: Gauge,
     instances_heard: Gauge,
     resting_connections: Gauge,
@@ -123,6 +128,8 @@
             connections_opened: Counter::default(),
             retries_denied: Counter::default(),
             requests_blocked: Counter::default(),
+            sent_to_limited: Counter::default(),
+            limit_words_unreadable: Counter::default(),
             store_failures: Counter::default(),
             entries_unused: Counter::default(),
             datagrams_dropped: Counter::default(),
@@ -142,6 +149,7 @@
             config_age_seconds: Gauge::default(),
             endpoints_age_seconds: Gauge::default(),
             endpoints: Gauge::default(),
+            limited_endpoints: Gauge::default(),
             waiting: Gauge::default(),
             instances_heard: Gauge::default(),
             resting_connections: Gauge::default(),
@@ -162,6 +170,8 @@
     pub endpoints_age_s: f64,
     /// Endpoints in use.
     pub endpoints: usize,
+    /// Endpoints that named a limit.
+    pub limited_endpoints: usize,
     /// Requests that wait for a slot.
     pub waiting: usize,
     /// Instances heard of late, this one included.
@@ -197,6 +207,7 @@
         let dropped = "Datagrams from instances that were dropped";
         registry.register("datagrams_dropped", dropped, self.datagrams_dropped.clone());
         self.register_exchange();
+        self.register_endpoint_limits();
         let registry = &mut self.registry;
         let version = "Version of the configuration in force";
         registry.register("config_version", version, self.config_version.clone());
@@ -221,6 +232,20 @@
         );
     }
 
+    fn register_endpoint_limits(&mut self) {
+        let registry = &mut self.registry;
+        let limited = "Endpoints that named a limit of their own";
+        registry.register("limited_endpoints", limited, self.limited_endpoints.clone());
+        let sent = "Requests sent to endpoints that had named a limit";
+        registry.register("sent_to_limited", sent, self.sent_to_limited.clone());
+        let unreadable = "Limits named by endpoints in words that cannot be read";
+        registry.register(
+            "limit_words_unreadable",
+            unreadable,
+            self.limit_words_unreadable.clone(),
+        );
+    }
+
     fn register_exchange(&mut self) {
         let registry = &mut self.registry;
         let told = "Bytes told to other instances by datagrams";
@@ -270,6 +295,8 @@
         self.config_age_seconds.set(readings.config_age_s);
         self.endpoints_age_seconds.set(readings.endpoints_age_s);
         self.endpoints.set(readings.endpoints as i64);
+        self.limited_endpoints
+            .set(readings.limited_endpoints as i64);
         self.waiting.set(readings.waiting as i64);
         self.instances_heard.set(readings.instances_heard as i64);
         let resting = readings.resting_connections;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod copies;
 pub mod endings;
+pub mod endpoint_limits;
 pub mod exchange;
 pub mod far_book;
 mod fetching;
--- a/src/gateway/probes.rs
+++ b/src/gateway/probes.rs
@@ -53,6 +53,7 @@
         config_age_s: config_age_us as f64 / 1e6,
         endpoints_age_s: endpoints_age_us as f64 / 1e6,
         endpoints: balancer.endpoint_count(),
+        limited_endpoints: balancer.limits().limited(),
         waiting: balancer.waiting_count(),
         instances_heard: gateway.sharers().heard,
         resting_connections: gateway.connections.count(),
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     balance::{load::OwnWord, prefixes::PromptPart},
+    limits::endpoint::LimitWord,
     prelude::Name,
 };
 
@@ -66,6 +67,8 @@
     pub not_executed: bool,
     /// The endpoint's load.
     pub load: Option<OwnWord>,
+    /// How many requests it takes from all instances together.
+    pub limit: LimitWord,
 }
 
 /// The headers of one platform.
--- a/src/gateway/rounds.rs
+++ b/src/gateway/rounds.rs
@@ -17,7 +17,7 @@
         hall_book::News,
         protocol::Protocol,
     },
-    limits::suspects::Audience,
+    limits::telling::Audience,
     peers::{
         update::{self, HallSummary, Purpose, Update},
         view::{Member, View},
--- /dev/null
+++ b/src/limits/endpoint.rs
@@ -0,0 +1,312 @@
+//! How many requests a second endpoints in need take from all instances together, as they say in answers.
+//!
+//! An endpoint names its limit for as long as it holds: an answer without one says that it is over. Answers
+//! overtake each other, at one instance and between instances, so what is known of an endpoint has a version.
+//! Only an answer to a request that was sent by whoever knew the newest version raises the limit or ends it: the
+//! endpoint said it later than what is known. A lower limit holds at once. So what instances tell each other may
+//! come in any order, late, twice or not at all.
+//!
+//! Free of clock and socket, so that tests drive it step by step.
+
+use std::{
+    collections::{HashMap, HashSet},
+    fmt,
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    balance::load::EndpointKey,
+    limits::telling::{Audience, Telling},
+    prelude::Micros,
+};
+
+/// Endpoints of which one datagram tells the limit, about 12 bytes each: all of a service of 168 come in three
+/// rounds.
+const MOST_TOLD: usize = 64;
+/// Limits that are remembered, at some 60 bytes each; more than there are endpoints in a large deployment.
+const MOST_KNOWN: usize = 4_096;
+/// What is known of an endpoint that is in no list is forgotten after this time: word of its limit may come
+/// before its entry, and far longer after it than a word is on its way.
+const UNLISTED_US: Micros = 60_000_000;
+
+/// Requests a second, in thousandths.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RequestRate {
+    milli_per_s: u32,
+}
+
+impl RequestRate {
+    /// Returns the rate that a decimal number names; none if it is no decimal number. Thousandths are
+    /// rounded down, and what is beyond any endpoint's reach is cut.
+    pub fn parse(text: &str) -> Option<Self> {
+        let is_digit_or_point = |byte: u8| byte.is_ascii_digit() || byte == b'.';
+        if !text.bytes().all(is_digit_or_point) {
+            // What else a float may be: signs, exponents, infinity.
+            return None;
+        }
+        let per_s: f64 = text.parse().ok()?;
+        // A cast keeps to the bounds of the type.
+        let milli_per_s = (per_s * 1e3) as u32;
+        Some(Self { milli_per_s })
+    }
+
+    /// Returns it as requests a second.
+    pub fn per_s(self) -> f64 {
+        f64::from(self.milli_per_s) / 1e3
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:.3}", self.per_s())
+    }
+}
+
+/// What an endpoint's answer says of its limit.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum LimitWord {
+    /// It has none.
+    #[default]
+    Free,
+    /// It has one.
+    Named(RequestRate),
+    /// Something that is no rate; it counts for nothing.
+    Unreadable(String),
+}
+
+/// What is known of an endpoint's limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownLimit {
+    /// Rises with each word that is known to be later than what was known.
+    pub version: u32,
+    /// The limit; none if it is over.
+    pub rate: Option<RequestRate>,
+}
+
+impl KnownLimit {
+    /// Returns whichever is later, and the stricter of two that may be of the same time.
+    fn merged(self, other: Self) -> Self {
+        match self.version.cmp(&other.version) {
+            std::cmp::Ordering::Less => other,
+            std::cmp::Ordering::Greater => self,
+            std::cmp::Ordering::Equal => Self {
+                rate: stricter(self.rate, other.rate),
+                ..self
+            },
+        }
+    }
+}
+
+fn stricter(one: Option<RequestRate>, other: Option<RequestRate>) -> Option<RequestRate> {
+    match (one, other) {
+        (Some(one), Some(other)) => Some(one.min(other)),
+        (one, other) => one.or(other),
+    }
+}
+
+/// What an instance tells of an endpoint's limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldLimit {
+    /// The start of the endpoint.
+    pub endpoint: EndpointKey,
+    /// Its limit.
+    pub known: KnownLimit,
+}
+
+/// A limit that changed here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LimitChange {
+    /// The start of the endpoint.
+    pub endpoint: EndpointKey,
+    /// The limit before.
+    pub before: Option<RequestRate>,
+    /// The limit now.
+    pub now: Option<RequestRate>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    known: KnownLimit,
+    changed_us: Micros,
+    telling: Telling,
+}
+
+/// The limits of all endpoints that named one.
+#[derive(Debug, Default)]
+pub struct EndpointLimits {
+    by_endpoint: HashMap<EndpointKey, Entry>,
+    /// Endpoints whose last word could not be read.
+    unreadable: HashSet<EndpointKey>,
+    has_news: bool,
+}
+
+impl EndpointLimits {
+    /// Returns whether no endpoint has named a limit.
+    pub fn is_empty(&self) -> bool {
+        self.by_endpoint.is_empty()
+    }
+
+    /// Returns an endpoint's limit, if it has one.
+    pub fn rate(&self, endpoint: EndpointKey) -> Option<RequestRate> {
+        self.by_endpoint.get(&endpoint)?.known.rate
+    }
+
+    /// Returns the version of what is known of an endpoint's limit, 0 if it never had one: whoever sends a
+    /// request there keeps it, for [`Self::heard`].
+    pub fn version(&self, endpoint: EndpointKey) -> u32 {
+        let entry = self.by_endpoint.get(&endpoint);
+        entry.map_or(0, |entry| entry.known.version)
+    }
+
+    /// Returns how many endpoints have a limit.
+    pub fn limited(&self) -> usize {
+        let entries = self.by_endpoint.values();
+        entries.filter(|e| e.known.rate.is_some()).count()
+    }
+
+    /// Takes an endpoint's own word from the answer to a request that was sent when `sent_at` was the version.
+    pub fn heard(
+        &mut self,
+        now_us: Micros,
+        endpoint: EndpointKey,
+        sent_at: u32,
+        word: &LimitWord,
+    ) -> Option<LimitChange> {
+        let said = match word {
+            LimitWord::Free => None,
+            LimitWord::Named(rate) => Some(*rate),
+            LimitWord::Unreadable(_) => return None,
+        };
+        self.unreadable.remove(&endpoint);
+        let known = self.by_endpoint.get(&endpoint).map(|entry| entry.known);
+        let Some(known) = known else {
+            let first = KnownLimit {
+                version: 1,
+                rate: said,
+            };
+            return said.and_then(|_| self.replace(now_us, endpoint, first));
+        };
+        if said == known.rate {
+            return None;
+        }
+        // Where it is free by what is known, the word that it is not counts even if it may be the older: it costs a
+        // request's time to be wrong that way, a burst the other way.
+        let is_later = sent_at >= known.version || known.rate.is_none();
+        let next = match (is_later, said) {
+            (true, _) => KnownLimit {
+                version: known.version.saturating_add(1),
+                rate: said,
+            },
+            (false, None) => return None,
+            (false, Some(_)) => KnownLimit {
+                rate: stricter(known.rate, said),
+                ..known
+            },
+        };
+        if next == known {
+            return None;
+        }
+        self.replace(now_us, endpoint, next)
+    }
+
+    /// Notes that an endpoint's word could not be read; returns whether the one before could be.
+    pub fn note_unreadable(&mut self, endpoint: EndpointKey) -> bool {
+        self.unreadable.len() < MOST_KNOWN && self.unreadable.insert(endpoint)
+    }
+
+    /// Takes what another instance told; returns what changed. One that knows less is told.
+    pub fn told(&mut self, now_us: Micros, told: &[ToldLimit]) -> Vec<LimitChange> {
+        let mut changes = Vec::new();
+        for ToldLimit { endpoint, known } in told {
+            let Some(entry) = self.by_endpoint.get_mut(endpoint) else {
+                changes.extend(self.replace(now_us, *endpoint, *known));
+                continue;
+            };
+            let merged = entry.known.merged(*known);
+            if merged != *known {
+                entry.telling.renew(Audience::Peers);
+                entry.telling.renew(Audience::Hall);
+                self.has_news = true;
+            }
+            if merged != entry.known {
+                changes.extend(self.replace(now_us, *endpoint, merged));
+            }
+        }
+        changes
+    }
+
+    fn replace(
+        &mut self,
+        now_us: Micros,
+        endpoint: EndpointKey,
+        known: KnownLimit,
+    ) -> Option<LimitChange> {
+        let is_new = !self.by_endpoint.contains_key(&endpoint);
+        if is_new && self.by_endpoint.len() >= MOST_KNOWN {
+            return None;
+        }
+        let entry = self.by_endpoint.entry(endpoint).or_insert(Entry {
+            known: KnownLimit {
+                version: 0,
+                rate: None,
+            },
+            changed_us: now_us,
+            telling: Telling::default(),
+        });
+        let before = std::mem::replace(&mut entry.known, known).rate;
+        entry.changed_us = now_us;
+        entry.telling.renew(Audience::Peers);
+        entry.telling.renew(Audience::Hall);
+        self.has_news = true;
+        (before != known.rate).then_some(LimitChange {
+            endpoint,
+            before,
+            now: known.rate,
+        })
+    }
+
+    /// Returns whether something is to be told at once, if that was not asked since.
+    pub fn take_news(&mut self) -> bool {
+        std::mem::take(&mut self.has_news)
+    }
+
+    /// Returns what an audience is to be told in this round of the endpoints that are listed here: of others two
+    /// instances would remind each other for ever. A limit is told again and again; that it is over, a few times
+    /// and to whoever does not know.
+    pub fn take_told(
+        &mut self,
+        now_us: Micros,
+        audience: Audience,
+        is_listed: impl Fn(EndpointKey) -> bool,
+    ) -> Vec<ToldLimit> {
+        let listed = self.by_endpoint.iter_mut();
+        let listed = listed.filter(|(endpoint, _)| is_listed(**endpoint));
+        let is_due = |e: &Entry| e.telling.is_due(now_us, audience, e.known.rate.is_some());
+        let mut due: Vec<_> = listed.filter(|(_, entry)| is_due(entry)).collect();
+        due.sort_by_key(|(_, entry)| entry.telling.order(audience));
+        let told = due.into_iter().take(MOST_TOLD);
+        let told = told.map(|(endpoint, entry)| {
+            entry.telling.note_told(now_us, audience);
+            ToldLimit {
+                endpoint: *endpoint,
+                known: entry.known,
+            }
+        });
+        told.collect()
+    }
+
+    /// Forgets a start of an endpoint that is gone: a later one has a limit of its own.
+    pub fn forget(&mut self, endpoint: EndpointKey) {
+        self.by_endpoint.remove(&endpoint);
+        self.unreadable.remove(&endpoint);
+    }
+
+    /// Forgets what others told of endpoints that are in no list.
+    pub fn expire(&mut self, now_us: Micros, is_listed: impl Fn(EndpointKey) -> bool) {
+        let is_young = |e: &Entry| now_us.saturating_sub(e.changed_us) < UNLISTED_US;
+        self.by_endpoint
+            .retain(|endpoint, entry| is_listed(*endpoint) || is_young(entry));
+        self.unreadable.retain(|endpoint| is_listed(*endpoint));
+    }
+}
--- a/src/limits/suspects.rs
+++ b/src/limits/suspects.rs
@@ -12,7 +12,14 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{balance::load::EndpointKey, limits::fingerprint::Fingerprint, prelude::Micros};
+use crate::{
+    balance::load::EndpointKey,
+    limits::{
+        fingerprint::Fingerprint,
+        telling::{Audience, Telling},
+    },
+    prelude::Micros,
+};
 
 /// A request under which so many endpoints ended, and none came to the end of its run, is blocked. In a model of
 /// 18 endpoints that end by themselves, one a second, 1,663 requests were at one that ended (eight runs of 35 s):
@@ -43,26 +50,12 @@
 const DROPPED_AT_ONCE: usize = MOST_SUSPECTS / 8;
 /// Endpoints that ended of late, at most; more than there are in a large deployment.
 const MOST_ENDED: usize = 2_048;
-/// What is new is told in so many rounds: some datagrams are lost.
-const TELLINGS: u8 = 3;
-/// What is known of requests that are blocked, or nearly so, is told again after this time: instances that
-/// started or were cut off meanwhile are to know before they have been in touch for 3 s.
-const RETOLD_US: Micros = 1_500_000;
 /// Requests of which one datagram tells, about 25 bytes each.
 const MOST_TOLD: usize = 16;
 
 /// Requests that are kept for instances that start when no other is left, at some 30 bytes each.
 const MOST_KEPT: usize = 1_000;
 
-/// Who is told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Audience {
-    /// All instances of a small group, or the aggregators of a large one.
-    Peers = 0,
-    /// The instances that report to this one, and the aggregators of other halls.
-    Hall = 1,
-}
-
 /// An endpoint that ended while a request was there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ending {
@@ -88,9 +81,7 @@
     endings: Vec<Ending>,
     /// When an ending was added or cleared last.
     changed_us: Micros,
-    /// Rounds in which it is still to be told, by audience.
-    untold: [u8; 2],
-    told_us: [Micros; 2],
+    telling: Telling,
 }
 
 impl Suspect {
@@ -152,8 +143,8 @@
     }
 
     fn is_due(&self, now_us: Micros, audience: Audience) -> bool {
-        let since_us = now_us.saturating_sub(self.told_us[audience as usize]);
-        self.untold[audience as usize] > 0 || (since_us >= RETOLD_US && self.is_retold(now_us))
+        self.telling
+            .is_due(now_us, audience, self.is_retold(now_us))
     }
 }
 
@@ -236,7 +227,7 @@
             ending.is_cleared = true;
         }
         suspect.changed_us = now_us;
-        suspect.untold[Audience::Hall as usize] = TELLINGS;
+        suspect.telling.renew(Audience::Hall);
         self.tell(fingerprint, Audience::Peers);
     }
 
@@ -266,7 +257,7 @@
         }
         if is_new {
             suspect.changed_us = suspect.changed_us.max(at_us);
-            suspect.untold[Audience::Hall as usize] = TELLINGS;
+            suspect.telling.renew(Audience::Hall);
             self.has_news = true;
         }
         for ending in endings {
@@ -284,7 +275,7 @@
 
     fn tell(&mut self, fingerprint: Fingerprint, audience: Audience) {
         if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
-            suspect.untold[audience as usize] = TELLINGS;
+            suspect.telling.renew(audience);
             self.has_news = true;
         }
     }
@@ -313,18 +304,10 @@
         let due = self.suspects.iter_mut();
         let due = due.filter(|(_, s)| s.is_due(now_us, audience));
         let mut due: Vec<_> = due.collect();
-        // News first, then what was not told for longest.
-        due.sort_by_key(|(_, s)| {
-            (
-                s.untold[audience as usize] == 0,
-                s.told_us[audience as usize],
-            )
-        });
+        due.sort_by_key(|(_, s)| s.telling.order(audience));
         let told = due.into_iter().take(MOST_TOLD);
         let told = told.map(|(fingerprint, suspect)| {
-            let untold = &mut suspect.untold[audience as usize];
-            *untold = untold.saturating_sub(1);
-            suspect.told_us[audience as usize] = now_us;
+            suspect.telling.note_told(now_us, audience);
             suspect.told(now_us, *fingerprint)
         });
         told.collect()
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -8,6 +8,7 @@
 use crate::{
     balance::{load::OwnWord, prefixes::PromptPart},
     gateway::protocol::{AnswerHead, CallHead, Forward, Protocol, TokenCounts},
+    limits::endpoint::{LimitWord, RequestRate},
 };
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
@@ -25,6 +26,8 @@
 const EXPECTED_ENDPOINT: HeaderName = HeaderName::from_static("expect-instance");
 /// Requests running, requests waiting and slots, separated by commas.
 const LOAD: HeaderName = HeaderName::from_static("instance-load");
+/// Requests a second that the endpoint takes from all instances together, for as long as it says so.
+const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 /// Says that the endpoint did not run the request.
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
 /// Tokens of the prompt, and the most of the answer.
@@ -89,6 +92,7 @@
             is_signed: headers.contains_key(SIGNATURE),
             not_executed: headers.contains_key(NOT_EXECUTED),
             load: text(headers, LOAD).and_then(load),
+            limit: limit(headers),
         }
     }
 
@@ -132,6 +136,26 @@
     parts.collect()
 }
 
+/// Returns the limit that an answer names; the lowest of several.
+fn limit(headers: &HeaderMap) -> LimitWord {
+    let mut lowest = LimitWord::Free;
+    for value in headers.get_all(LIMIT) {
+        let rate = value
+            .to_str()
+            .ok()
+            .map(str::trim)
+            .and_then(RequestRate::parse);
+        let Some(rate) = rate else {
+            return LimitWord::Unreadable(String::from_utf8_lossy(value.as_bytes()).into_owned());
+        };
+        lowest = match lowest {
+            LimitWord::Named(lower) => LimitWord::Named(lower.min(rate)),
+            _ => LimitWord::Named(rate),
+        };
+    }
+    lowest
+}
+
 fn load(text: &str) -> Option<OwnWord> {
     let mut numbers = text.split(',').map(|n| n.trim().parse().ok());
     Some(OwnWord {
--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -77,6 +77,8 @@
     seen: Vec<Seen>,
     /// A request with these bytes in its body ends the endpoint.
     ended_by: Option<Vec<u8>>,
+    /// What its answers name as the requests a second that it takes.
+    limit: Option<String>,
     /// The present start; cancelled when the endpoint ends.
     life: CancellationToken,
 }
@@ -166,6 +168,11 @@
         self.lock().pace = pace;
     }
 
+    /// Sets what its answers name as the requests a second that it takes from all together; none ends that.
+    pub fn name_limit(&self, limit: Option<&str>) {
+        self.lock().limit = limit.map(str::to_owned);
+    }
+
     /// Goes on under another id, as a new start at the same address does.
     pub fn replace(&self, id: &str) {
         self.lock().id = id.to_owned();
@@ -232,16 +239,18 @@
                 state.seen.len() - 1,
             )
         };
+        // As it is when an answer begins.
+        let limit = || limit_line(&state.lock().expect("no holder panics"));
         let mark = |change: fn(&mut Seen)| {
             change(&mut state.lock().expect("no holder panics").seen[index]);
         };
         let expected = seen.headers.get("expect-instance");
         if expected.is_some_and(|e| *e != id) {
-            refuse(stream, "421 Misdirected Request", &request_id).await?;
+            refuse(stream, "421 Misdirected Request", &request_id, &limit()).await?;
             continue;
         }
         if fault == Fault::Full {
-            refuse(stream, "503 Service Unavailable", &request_id).await?;
+            refuse(stream, "503 Service Unavailable", &request_id, &limit()).await?;
             continue;
         }
         mark(|s| s.has_run = true);
@@ -264,12 +273,22 @@
         {
             let from = seen.headers.get("last-event-id");
             let from: u64 = from.and_then(|f| f.parse().ok()).unwrap_or(0);
-            if !events(stream, &request_id, from, fault, pace).await? {
+            let answer = Answer {
+                request_id: &request_id,
+                fault,
+                limit: &limit(),
+            };
+            if !events(stream, answer, from, pace).await? {
                 return Ok(End::Closed);
             }
         } else {
             time::sleep(pace).await;
-            if !whole(stream, &request_id, fault).await? {
+            let answer = Answer {
+                request_id: &request_id,
+                fault,
+                limit: &limit(),
+            };
+            if !whole(stream, answer).await? {
                 return Ok(End::Reset);
             }
         }
@@ -292,15 +311,39 @@
     socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO))
 }
 
-async fn refuse(stream: &mut TcpStream, status: &str, request_id: &str) -> std::io::Result<()> {
+/// What an answer is like.
+#[derive(Clone, Copy)]
+struct Answer<'a> {
+    request_id: &'a str,
+    fault: Fault,
+    /// The line of its head that names a limit, or nothing.
+    limit: &'a str,
+}
+
+fn limit_line(state: &State) -> String {
+    let limit = state.limit.as_ref();
+    limit.map_or_else(String::new, |limit| format!("Server-Limit: {limit}\r\n"))
+}
+
+async fn refuse(
+    stream: &mut TcpStream,
+    status: &str,
+    request_id: &str,
+    limit: &str,
+) -> std::io::Result<()> {
     let head = format!(
-        "HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\nNot-Executed: 1\r\n\
+        "HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\nNot-Executed: 1\r\n{limit}\
          Instance-Load: 4,9,4\r\nContent-Length: 0\r\n\r\n"
     );
     stream.write_all(head.as_bytes()).await
 }
 
-fn head(request_id: &str, rest: &str, fault: Fault) -> String {
+fn head(answer: Answer<'_>, rest: &str) -> String {
+    let Answer {
+        request_id,
+        fault,
+        limit,
+    } = answer;
     let proof = if fault == Fault::Unsigned {
         ""
     } else {
@@ -311,21 +354,22 @@
         _ => "200 OK",
     };
     format!(
-        "HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\n{proof}Instance-Load: 1,0,4\r\n{rest}\r\n\r\n"
+        "HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\n{proof}{limit}Instance-Load: 1,0,4\r\n{rest}\r\n\r\n"
     )
 }
 
-async fn whole(stream: &mut TcpStream, request_id: &str, fault: Fault) -> std::io::Result<bool> {
-    let body = whole_body(request_id);
+async fn whole(stream: &mut TcpStream, answer: Answer<'_>) -> std::io::Result<bool> {
+    let fault = answer.fault;
+    let body = whole_body(answer.request_id);
     if fault == Fault::Unframed {
-        let text = head(request_id, "Connection: close", fault) + &body[..body.len() / 2];
+        let text = head(answer, "Connection: close") + &body[..body.len() / 2];
         stream.write_all(text.as_bytes()).await?;
         stream.flush().await?;
         time::sleep(Duration::from_millis(20)).await;
         return Ok(false);
     }
     let length = format!("Content-Length: {}", body.len());
-    let mut text = head(request_id, &length, fault) + &body;
+    let mut text = head(answer, &length) + &body;
     if fault == Fault::Surplus {
         text = text.repeat(2);
     }
@@ -335,15 +379,15 @@
 
 async fn events(
     stream: &mut TcpStream,
-    request_id: &str,
+    answer: Answer<'_>,
     from: u64,
-    fault: Fault,
     pace: Duration,
 ) -> std::io::Result<bool> {
+    let Answer {
+        request_id, fault, ..
+    } = answer;
     let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked";
-    stream
-        .write_all(head(request_id, kind, fault).as_bytes())
-        .await?;
+    stream.write_all(head(answer, kind).as_bytes()).await?;
     for number in from + 1..=EVENTS {
         time::sleep(pace).await;
         if fault == Fault::Pause && number == 4 {
--- a/tests/edge/ending_requests.rs
+++ b/tests/edge/ending_requests.rs
@@ -6,29 +6,22 @@
 //! tries have one attempt each, at one endpoint that refused connections from then on; nothing of a try was kept
 //! once it was answered, and nothing of it was told to other instances.
 
-use std::{
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use hyper::StatusCode;
 use ryevalve::{explain::explain, gateway::endings};
-use serde_json::{Value, json};
-use standins::{platform::Platform, runner::Runner};
-use tokio::{net::TcpListener, task::JoinHandle, time};
+use serde_json::Value;
+use tokio::time;
 
 use crate::{
-    group::{Instance, Place, address, free_port, until},
-    support::{Edge, Got, config, exchange, request},
+    group::until,
+    site::{DOWN, Site, entry},
+    support::{Edge, exchange, request},
 };
 
-const HALLS: [&str; 3] = ["a", "b", "c"];
 const ENDPOINTS: usize = 8;
 /// What the work that ends endpoints has in its body.
 const ENDS: &str = "ends whatever runs it";
-/// An endpoint that ended is back after this time.
-const DOWN: Duration = Duration::from_millis(400);
 /// Tries of one work; each reached an endpoint before instances knew of it.
 const TRIES: usize = 12;
 /// How many endpoints such work may reach in all: three have to end before it is known beyond doubt, and one
@@ -43,128 +36,16 @@
 /// What an instance is given to learn what the others know.
 const CONTACT: Duration = Duration::from_secs(3);
 
-struct Site {
-    platform: Arc<Platform>,
-    runners: Arc<Vec<Runner>>,
-    instances: Vec<Instance>,
-    callers: Vec<SocketAddr>,
-    /// Instances that were lost; their addresses are not used again.
-    lost: usize,
-    port: u16,
-    net: u8,
-    restarting: JoinHandle<()>,
-}
-
-impl Drop for Site {
-    fn drop(&mut self) {
-        self.restarting.abort();
-    }
-}
-
-fn entry(addr: SocketAddr) -> Value {
-    json!({"backend": "svc", "address": addr, "zone": "a", "version": "v1", "capacity": 4,
-        "state": "ready", "warmupLeftMs": 0, "sequence": 1})
-}
-
-/// Starts endpoints that have ended again, at the same address under a new id.
-async fn start_again(platform: Arc<Platform>, runners: Arc<Vec<Runner>>) {
-    let mut starts = vec![0; runners.len()];
-    loop {
-        time::sleep(Duration::from_millis(10)).await;
-        let ended = (0..runners.len()).find(|index| runners[*index].has_ended());
-        let Some(index) = ended else { continue };
-        time::sleep(DOWN).await;
-        platform.remove("servers", &format!("e{index}-{}", starts[index]));
-        starts[index] += 1;
-        let id = format!("e{index}-{}", starts[index]);
-        runners[index].start_again(&id).await;
-        platform.set("servers", &id, entry(runners[index].addr));
+/// Starts endpoints that some work ends, and instances.
+async fn start(net: u8, instances: usize) -> Site {
+    let site = Site::start(net, instances, ENDPOINTS).await;
+    for runner in site.runners.iter() {
+        runner.ended_by(ENDS.as_bytes());
     }
+    site
 }
 
 impl Site {
-    async fn start(net: u8, instances: usize) -> Self {
-        let platform = Arc::new(Platform::start().await);
-        platform.set("config", "main", config(3, &["key-of-the-tests"]));
-        let mut runners = Vec::new();
-        for index in 0..ENDPOINTS {
-            let id = format!("e{index}-0");
-            let runner = Runner::start(&id).await;
-            runner.pace(Duration::from_millis(20));
-            runner.ended_by(ENDS.as_bytes());
-            platform.set("servers", &id, entry(runner.addr));
-            runners.push(runner);
-        }
-        let runners = Arc::new(runners);
-        let restarting = tokio::spawn(start_again(platform.clone(), runners.clone()));
-        let mut site = Self {
-            platform,
-            runners,
-            instances: Vec::new(),
-            callers: Vec::new(),
-            lost: 0,
-            port: free_port(net).await,
-            net,
-            restarting,
-        };
-        site.start_instances(instances).await;
-        site
-    }
-
-    /// Starts instances that are to know each other.
-    async fn start_instances(&mut self, instances: usize) {
-        for _ in 0..instances {
-            self.start_instance().await;
-        }
-        let site = self;
-        let knows = |i: &Instance| i.gateway.sharers().heard == instances && i.gateway.is_ready();
-        until("all to know each other", || {
-            site.instances.iter().all(knows)
-        })
-        .await;
-        // Whoever reported to others before does not any more.
-        time::sleep(Duration::from_millis(300)).await;
-    }
-
-    /// Ends all instances as a kill does.
-    fn lose_all(&mut self) {
-        self.lost += self.instances.len();
-        self.instances.clear();
-        self.callers.clear();
-    }
-
-    /// Starts one more instance.
-    async fn start_instance(&mut self) {
-        let number = self.lost + self.instances.len();
-        let seeds: Vec<SocketAddr> = (self.lost..self.lost + 3)
-            .map(|n| SocketAddr::new(address(self.net, n), self.port))
-            .collect();
-        let place = Place {
-            net: self.net,
-            number,
-            hall: HALLS[number % HALLS.len()],
-            port: self.port,
-            seeds: &seeds,
-        };
-        let mut instance = Instance::start(place).await;
-        instance.follow(self.platform.addr());
-        instance.keep_block_list(self.platform.addr());
-        let listener = TcpListener::bind((address(self.net, number), 0)).await;
-        let listener = listener.expect("a port");
-        self.callers
-            .push(listener.local_addr().expect("an address"));
-        instance.serve(listener);
-        self.instances.push(instance);
-    }
-
-    /// Sends one try of some work to an instance.
-    async fn call(&self, instance: usize, path: &str, id: &str, body: &str) -> Got {
-        let mut request = request(path, id, &[]);
-        *request.body_mut() = body.to_owned().into();
-        let got = exchange(self.callers[instance], request).await;
-        got.expect("an answer")
-    }
-
     /// Returns how many requests with a body reached endpoints.
     fn reached(&self, body: &str) -> usize {
         let seen = self.runners.iter().flat_map(|r| r.seen());
@@ -210,7 +91,7 @@
 /// Twelve of twelve tries reached an endpoint on each route, and more where the instance sent them on itself.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_ends_endpoints_reaches_few() {
-    let site = Site::start(30, 6).await;
+    let site = start(30, 6).await;
     for path in PATHS {
         let body = format!("{path} {ENDS}");
         site.try_in_turn(path, &body).await;
@@ -230,7 +111,7 @@
 /// would be at the fourth by then.
 #[tokio::test(flavor = "multi_thread")]
 async fn one_try_that_may_be_sent_on_five_times_ends_two_endpoints() {
-    let site = Site::start(37, 1).await;
+    let site = start(37, 1).await;
     let body = format!("once and often {ENDS}");
     let got = site.call(0, "/often/w", "r-1", &body).await;
     assert_eq!(got.status, StatusCode::BAD_GATEWAY, "it may have run");
@@ -239,7 +120,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn in_a_large_group_a_request_that_ends_endpoints_reaches_few() {
-    let site = Site::start(31, 18).await;
+    let site = start(31, 18).await;
     for path in ["/fixed/w/stream", "/again/w"] {
         let body = format!("{path} {ENDS}");
         site.try_in_turn(path, &body).await;
@@ -250,7 +131,7 @@
 /// An instance that was not there when the endpoints ended knows of it before it has been in touch for long.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_instance_that_starts_later_sends_no_request_that_ended_endpoints() {
-    let mut site = Site::start(32, 3).await;
+    let mut site = start(32, 3).await;
     let (path, body) = ("/fixed/w/stream", format!("late {ENDS}"));
     site.try_in_turn(path, &body).await;
     let before = site.reached(&body);
@@ -268,7 +149,7 @@
 /// Nobody is left who knew; the store is.
 #[tokio::test(flavor = "multi_thread")]
 async fn after_the_loss_of_all_a_request_that_ended_endpoints_reaches_none() {
-    let mut site = Site::start(35, 3).await;
+    let mut site = start(35, 3).await;
     let (path, body) = ("/fixed/w/stream", format!("lost {ENDS}"));
     site.try_in_turn(path, &body).await;
     let before = site.reached(&body);
@@ -334,7 +215,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_endpoint_has_ended_if_its_port_is_closed_and_it_did_not_say_that_it_leaves() {
-    let site = Site::start(36, 1).await;
+    let site = start(36, 1).await;
     site.restarting.abort();
     assert!(!has_ended(&site, "e0-0").await, "it lives");
     site.runners[1].end();
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -8,5 +8,6 @@
 mod late_news;
 mod other_writers;
 mod places;
+mod site;
 mod support;
 mod suspension;
--- a/tests/gateway/suspects.rs
+++ b/tests/gateway/suspects.rs
@@ -2,10 +2,7 @@
 
 use ryevalve::{
     balance::load::EndpointKey,
-    limits::{
-        fingerprint::Fingerprint,
-        suspects::{Audience, SuspectBook},
-    },
+    limits::{fingerprint::Fingerprint, suspects::SuspectBook, telling::Audience},
 };
 
 use crate::support::SECOND;
