Failing test: an endpoint that names a limit gets several times as much

Seven instances over real sockets, one endpoint of four names 1.9 a second: 34 requests in 4 s, 16 allowed; each instance knows of the limit from the endpoint's own answers. Ruled out: that instances are not told (the test checks that all know).

--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod control;
 mod ending_requests;
+mod endpoint_limits;
 mod group;
 mod large_group;
 mod late_news;
