An endpoint that names a limit is sent requests by permit only, from one account for all instances

Cause: an endpoint's word on how much it takes from all instances together was read by nobody; each instance decides by itself, so a limit on the sum was no one's to keep. Change: what is known of limits goes between instances with the updates (limits::endpoint, by versions: lower at once, higher or over only by an answer to a request that was sent knowing the newest). Where only such endpoints are left it is refused as endpoint_limits with a time to come back.

--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -101,6 +101,11 @@
     },
 }
 
+/// Why a request is refused: all endpoints would keep it waiting for too long.
+pub const BUSY: &str = "busy";
+/// Why a request is refused: all endpoints that could take it take only so many a second.
+pub const ENDPOINT_LIMITS: &str = "endpoint_limits";
+
 /// Names a waiting request; the most urgent and oldest first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct WaitKey {
@@ -128,6 +133,50 @@
     STREAM_QUEUE_SHARE[rank]
 }
 
+/// Returns the refusal of a request for which there is no room: its caller may come back later.
+pub fn refused(now_us: Micros, ask: &Ask, reason: &'static str) -> Placement {
+    Placement::Refuse {
+        reason,
+        retry_after_ms: come_back_ms(ask.deadline_us.saturating_sub(now_us)),
+    }
+}
+
+/// Returns whichever endpoint costs less.
+fn better(
+    best: Option<(EndpointKey, Expected)>,
+    key: EndpointKey,
+    expected: Expected,
+) -> Option<(EndpointKey, Expected)> {
+    match best {
+        Some((_, known)) if known.cost <= expected.cost => best,
+        _ => Some((key, expected)),
+    }
+}
+
+/// What was found for a request.
+pub(super) struct Found {
+    /// The endpoint that costs least of those that may be sent to now.
+    best: Option<Choice>,
+    /// One that would cost no more, and for which a permit is needed and may be asked for.
+    pub(super) limited: Option<EndpointKey>,
+    /// There are endpoints for which a permit is needed.
+    has_limited: bool,
+}
+
+impl Found {
+    /// Returns what becomes of a request that no endpoint may be sent.
+    fn without_endpoint(&self, now_us: Micros, ask: &Ask) -> Placement {
+        if self.has_limited {
+            // Waiting would not help: whoever is told at once comes back sooner.
+            return refused(now_us, ask, ENDPOINT_LIMITS);
+        }
+        Placement::Refuse {
+            reason: "no_endpoint",
+            retry_after_ms: NO_ENDPOINT_RETRY_MS,
+        }
+    }
+}
+
 #[derive(Debug)]
 pub(super) struct Endpoint {
     pub(super) entry: std::sync::Arc<EndpointEntry>,
@@ -155,6 +204,8 @@
     /// Endpoints found gone, to be told to the others.
     dead: Vec<EndpointKey>,
     pub(super) limits: EndpointLimits,
+    /// Until when no permit is asked for: there was none, or no answer.
+    pub(super) no_permits_until_us: HashMap<EndpointKey, Micros>,
     waiting: BTreeMap<WaitKey, Ask>,
     next_number: u64,
     pub(super) changed: bool,
@@ -177,6 +228,7 @@
             news: Vec::new(),
             dead: Vec::new(),
             limits: EndpointLimits::default(),
+            no_permits_until_us: HashMap::new(),
             waiting: BTreeMap::new(),
             next_number: 0,
             changed: false,
@@ -311,6 +363,7 @@
         for grant in self.grants.expire(now_us) {
             self.picture.settle(grant.key, grant.uncached_tokens);
         }
+        self.expire_limits(now_us);
         let silent = self.picture.expire(now_us);
         (expired, silent)
     }
@@ -328,6 +381,7 @@
         self.endpoints.remove(&key);
         self.holders.forget_endpoint(key);
         self.limits.forget(key);
+        self.no_permits_until_us.remove(&key);
     }
 
     fn index_services(&mut self) {
@@ -373,12 +427,22 @@
     /// Decides on a request that has just come, or comes back from an endpoint that did not run it.
     /// Those in `tried` are not chosen.
     pub fn place(&mut self, now_us: Micros, ask: &Ask, tried: &[EndpointKey]) -> Placement {
+        self.place_with(now_us, ask, tried, None)
+    }
+
+    /// The same with a permit to send it to an endpoint that takes only so many requests a second, if there is
+    /// one; without, no such endpoint is chosen.
+    pub fn place_with(
+        &mut self,
+        now_us: Micros,
+        ask: &Ask,
+        tried: &[EndpointKey],
+        permit: Option<EndpointKey>,
+    ) -> Placement {
         self.picture.refresh_means(now_us, &self.by_hall);
-        let Some(best) = self.best(now_us, ask, tried) else {
-            return Placement::Refuse {
-                reason: "no_endpoint",
-                retry_after_ms: NO_ENDPOINT_RETRY_MS,
-            };
+        let found = self.best(now_us, ask, tried, permit);
+        let Some(best) = found.best else {
+            return found.without_endpoint(now_us, ask);
         };
         let waited_us = now_us.saturating_sub(ask.arrived_us) as f64;
         // One that is late in any case loses nothing more by having waited.
@@ -393,25 +457,31 @@
         if now_us.saturating_sub(ask.arrived_us) < hold_us(ask) {
             return Placement::Wait;
         }
-        Placement::Refuse {
-            reason: "busy",
-            retry_after_ms: come_back_ms(ask.deadline_us.saturating_sub(now_us)),
-        }
+        refused(now_us, ask, BUSY)
     }
 
     fn waits_before(&self, rank: Rank) -> bool {
         self.waiting.keys().next().is_some_and(|k| k.rank <= rank)
     }
 
-    fn best(&self, now_us: Micros, ask: &Ask, tried: &[EndpointKey]) -> Option<Choice> {
+    pub(super) fn best(
+        &self,
+        now_us: Micros,
+        ask: &Ask,
+        tried: &[EndpointKey],
+        permit: Option<EndpointKey>,
+    ) -> Found {
         let mut best: Option<(EndpointKey, Expected)> = None;
+        let mut limited: Option<(EndpointKey, Expected)> = None;
+        let mut has_limited = false;
         let near_looked_at = match self.picture.group() {
             Group::Large if !self.picture.is_ledger() => NEAR_LOOKED_AT,
             _ => usize::MAX,
         };
         let (mut near, mut far) = (0, 0);
         for key in self.in_turn(now_us, ask) {
-            if near >= near_looked_at && far >= FAR_LOOKED_AT {
+            let is_enough = near >= near_looked_at && far >= FAR_LOOKED_AT;
+            if is_enough && self.limits.is_empty() {
                 break;
             }
             let Some(endpoint) = self.endpoints.get(&key) else {
@@ -422,21 +492,36 @@
             } else {
                 far < FAR_LOOKED_AT
             };
-            if !is_looked_at || tried.contains(&key) {
+            let needs_permit = self.limits.rate(key).is_some() && permit != Some(key);
+            if tried.contains(&key) || endpoint.entry.draining {
                 continue;
             }
-            if endpoint.entry.draining {
+            if !is_looked_at && !needs_permit && permit != Some(key) {
+                continue;
+            }
+            has_limited |= needs_permit;
+            if needs_permit && !self.may_ask_for_permit(now_us, key) {
                 continue;
             }
             let expected = self.expect(now_us, ask, key, endpoint);
+            if needs_permit {
+                limited = better(limited, key, expected);
+                continue;
+            }
             far += usize::from(!endpoint.same_hall);
             near += usize::from(endpoint.same_hall);
-            let better = best.is_none_or(|(_, b)| expected.cost < b.cost);
-            if better {
-                best = Some((key, expected));
-            }
+            best = better(best, key, expected);
         }
-        let (key, expected) = best?;
+        let is_wanted = |expected: Expected| best.is_none_or(|(_, b)| expected.cost <= b.cost);
+        Found {
+            best: best.and_then(|(key, expected)| self.choice(key, expected)),
+            limited: limited.filter(|(_, l)| is_wanted(*l)).map(|(key, _)| key),
+            has_limited,
+        }
+    }
+
+    /// Returns the choice of an endpoint that is known.
+    pub(super) fn choice(&self, key: EndpointKey, expected: Expected) -> Option<Choice> {
         let entry = self.entry(key)?;
         Some(Choice {
             id: entry.id.clone(),
--- a/src/balance/places.rs
+++ b/src/balance/places.rs
@@ -49,14 +49,9 @@
         key: EndpointKey,
         expected: Expected,
     ) -> Option<Placement> {
-        let entry = self.entry(key).filter(|e| !e.draining)?;
-        let choice = Choice {
-            id: entry.id.clone(),
-            key,
-            addr: entry.addr,
-            hall: entry.hall.clone(),
-            expected,
-        };
+        self.entry(key).filter(|e| !e.draining)?;
+        let choice = self.choice(key, expected)?;
+        // Whoever gave the place has used a permit if one was needed.
         Some(self.send(now_us, ask, choice))
     }
 }
--- a/src/gateway/endpoint_limits.rs
+++ b/src/gateway/endpoint_limits.rs
@@ -6,7 +6,7 @@
         protocol::{AnswerHead, Protocol},
         state::Gateway,
     },
-    limits::endpoint::{LimitChange, LimitWord, RequestRate},
+    limits::endpoint::{LimitChange, LimitWord, RequestRate, ToldLimit},
 };
 
 /// So much of a word that cannot be read is shown in its line, in characters.
@@ -51,6 +51,25 @@
     }
 }
 
+/// Takes what another instance told.
+pub(super) fn told<P: Protocol>(gateway: &Gateway<P>, told: &[ToldLimit]) {
+    if told.is_empty() {
+        return;
+    }
+    let now_us = gateway.clock.now_us();
+    let mut balancer = gateway.balancer();
+    let changes = balancer.told_limits(now_us, told);
+    let lines = changes.into_iter().filter_map(|change| {
+        let id = balancer.entry(change.endpoint)?.id.clone();
+        Some((id, change, balancer.limits().version(change.endpoint)))
+    });
+    let lines: Vec<_> = lines.collect();
+    drop(balancer);
+    for (id, change, version) in lines {
+        log_change(&id, change, version, "peer");
+    }
+}
+
 /// Writes a line on a limit that changed; `from` says who told.
 fn log_change(endpoint: &str, change: LimitChange, version: u32, from: &'static str) {
     let shown =
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -239,7 +239,8 @@
         let group = self.count_sharers(now_us, &view);
         let has_news = self.take_state_news();
         let is_suspected = self.gateway.suspects().take_news();
-        let changed = self.gateway.balancer().take_changed() || is_suspected;
+        let has_limits = self.gateway.balancer().take_limit_news();
+        let changed = self.gateway.balancer().take_changed() || is_suspected || has_limits;
         let is_due = {
             let mut state = self.lock();
             state.turn += 1;
@@ -289,6 +290,7 @@
 
     /// Works out from a new view what this instance does for others.
     fn take_view(&self, view: &Arc<View>) {
+        self.gateway.permits.set_view(view);
         let mut state = self.lock();
         if state.aggregators.set_view(view) {
             let in_turn = view.chosen("store", usize::MAX, Member::can_lead);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -77,6 +77,14 @@
     pub requests_blocked: Counter,
     /// Requests sent to endpoints that had named a limit.
     pub sent_to_limited: Counter,
+    /// Permits for such endpoints that this instance asked for.
+    pub permits_asked: Counter,
+    /// Permits that it gave, to itself too.
+    pub permits_given: Counter,
+    /// Permits that it had and gave back.
+    pub permits_unused: Counter,
+    /// Permits that it asked for without an answer.
+    pub permits_unanswered: Counter,
     /// Limits named in words that cannot be read.
     pub limit_words_unreadable: Counter,
     /// Calls to the store that brought nothing.
@@ -129,6 +137,10 @@
             retries_denied: Counter::default(),
             requests_blocked: Counter::default(),
             sent_to_limited: Counter::default(),
+            permits_asked: Counter::default(),
+            permits_given: Counter::default(),
+            permits_unused: Counter::default(),
+            permits_unanswered: Counter::default(),
             limit_words_unreadable: Counter::default(),
             store_failures: Counter::default(),
             entries_unused: Counter::default(),
@@ -238,6 +250,18 @@
         registry.register("limited_endpoints", limited, self.limited_endpoints.clone());
         let sent = "Requests sent to endpoints that had named a limit";
         registry.register("sent_to_limited", sent, self.sent_to_limited.clone());
+        let asked = "Permits for such endpoints that were asked for";
+        registry.register("permits_asked", asked, self.permits_asked.clone());
+        let given = "Permits for such endpoints that were given here";
+        registry.register("permits_given", given, self.permits_given.clone());
+        let unused = "Permits for such endpoints that were given back";
+        registry.register("permits_unused", unused, self.permits_unused.clone());
+        let unanswered = "Permits for such endpoints that were asked for without an answer";
+        registry.register(
+            "permits_unanswered",
+            unanswered,
+            self.permits_unanswered.clone(),
+        );
         let unreadable = "Limits named by endpoints in words that cannot be read";
         registry.register(
             "limit_words_unreadable",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 pub mod metrics;
 pub mod packed;
 pub mod patience;
+pub mod permits;
 pub mod probes;
 pub mod protocol;
 pub mod refuse;
--- a/src/gateway/reservations.rs
+++ b/src/gateway/reservations.rs
@@ -7,8 +7,9 @@
 use tokio::net::UdpSocket;
 
 use crate::{
-    balance::balancer::Placement,
+    balance::balancer::{BUSY, ENDPOINT_LIMITS, Placement},
     gateway::{
+        permits,
         protocol::Protocol,
         reserver::{Channel, PlaceAnswer, PlaceAsk, PlaceDatagram, Word},
         state::Gateway,
@@ -47,7 +48,7 @@
             continue;
         };
         match decode(&channel.authenticator, &buffer[..len]) {
-            Ok(datagram) => take(&gateway, from.ip(), datagram).await,
+            Ok(datagram) => take(&gateway, channel, from.ip(), datagram).await,
             Err(_) => drop(gateway.metrics.datagrams_dropped.inc()),
         }
     }
@@ -58,13 +59,21 @@
     postcard::from_bytes(body).context(UnreadableSnafu)
 }
 
-async fn take<P: Protocol>(gateway: &Arc<Gateway<P>>, from: IpAddr, datagram: PlaceDatagram) {
+async fn take<P: Protocol>(
+    gateway: &Arc<Gateway<P>>,
+    channel: &Channel,
+    from: IpAddr,
+    datagram: PlaceDatagram,
+) {
     match datagram.word {
         Word::Ask(asked) => {
             let number = datagram.number;
             let taker = datagram.from;
             decide(gateway, from, taker, number, *asked).await;
         }
+        Word::Permits(word) => {
+            permits::take(gateway, channel, from, datagram.number, word).await;
+        }
         word => gateway.reserver.take(datagram.number, word),
     }
 }
@@ -87,16 +96,25 @@
     gateway.metrics.places_decided.inc();
     let (ask, tried) = asked.into_ask(gateway.clock.now_us());
     let now_us = gateway.clock.now_us();
-    let placement = gateway.balancer().place(now_us, &ask, &tried);
-    if !matches!(placement, Placement::Wait) {
-        let word = settle(gateway, taker, number, placement);
-        channel.send(from, number, word).await;
-        return;
+    let needs_permit = gateway
+        .balancer()
+        .wanted_permit(now_us, &ask, &tried)
+        .is_some();
+    if !needs_permit {
+        let placement = gateway.balancer().place(now_us, &ask, &tried);
+        if !matches!(placement, Placement::Wait) {
+            let word = settle(gateway, taker, number, placement);
+            channel.send(from, number, word).await;
+            return;
+        }
     }
     channel.send(from, number, Word::Waits).await;
     let gateway = gateway.clone();
     tokio::spawn(async move {
-        let placement = gateway.wait_for_place(&ask).await;
+        let placement = match needs_permit {
+            true => gateway.place_here(&ask, &tried).await,
+            false => gateway.wait_for_place(&ask).await,
+        };
         let word = settle(&gateway, taker, number, placement);
         if let Some(channel) = gateway.reserver.channel() {
             channel.send(from, number, word).await;
@@ -119,9 +137,14 @@
             Word::Decided(PlaceAnswer::Granted {
                 key: choice.key,
                 expected: choice.expected,
+                by_permit: balancer.limits().rate(choice.key).is_some(),
             })
         }
-        Placement::Refuse { reason: "busy", .. } => Word::Decided(PlaceAnswer::Refused),
+        Placement::Refuse { reason: BUSY, .. } => Word::Decided(PlaceAnswer::Refused),
+        Placement::Refuse {
+            reason: ENDPOINT_LIMITS,
+            ..
+        } => Word::Decided(PlaceAnswer::OverEndpointLimits),
         // It may know endpoints that this instance does not.
         Placement::Refuse { .. } | Placement::Wait => Word::Unable,
     }
--- a/src/gateway/reserver.rs
+++ b/src/gateway/reserver.rs
@@ -30,6 +30,7 @@
         prefixes::ChainKey,
     },
     clock::Clock,
+    gateway::permits::PermitWord,
     peers::datagram::Authenticator,
     prelude::{Incarnation, Micros, Name, Rank},
 };
@@ -120,9 +121,13 @@
         key: EndpointKey,
         /// What is expected of it.
         expected: Expected,
+        /// A permit was used for it: the endpoint takes only so many requests a second.
+        by_permit: bool,
     },
     /// There is none, and it waited for as long as it may.
     Refused,
+    /// There is none but at endpoints that take only so many requests a second.
+    OverEndpointLimits,
 }
 
 /// What a datagram about a place says.
@@ -136,6 +141,8 @@
     Decided(PlaceAnswer),
     /// Whoever was asked does not know the endpoints' load.
     Unable,
+    /// Is of permits, not of places.
+    Permits(PermitWord),
 }
 
 /// A datagram about a place.
@@ -256,7 +263,7 @@
             match time::timeout_at(until, pending.words.recv()).await {
                 Ok(Some(Word::Decided(answer))) => return Some(answer),
                 Ok(Some(Word::Waits)) => until = Instant::now() + hold + DECIDED_AFTER,
-                Ok(Some(Word::Ask(_))) => {}
+                Ok(Some(Word::Ask(_) | Word::Permits(_))) => {}
                 Ok(Some(Word::Unable) | None) | Err(_) => {
                     self.pass_over(clock.now_us(), ledger);
                     return None;
--- a/src/gateway/rounds.rs
+++ b/src/gateway/rounds.rs
@@ -75,7 +75,7 @@
             return;
         }
         let mut update = self.next_update(now_us, Purpose::Direct);
-        update.suspects = self.gateway.suspects().take_told(now_us, Audience::Peers);
+        self.add_standing(now_us, &mut update, Audience::Peers);
         let news = self.take_own_news();
         self.add_news(&mut update, news);
         for addr in targets {
@@ -128,7 +128,7 @@
             (false, false) => self.take_own_news(),
         };
         let mut plain = self.next_update(now_us, Purpose::Report);
-        plain.suspects = self.gateway.suspects().take_told(now_us, Audience::Peers);
+        self.add_standing(now_us, &mut plain, Audience::Peers);
         plain.dead.clone_from(&news.dead);
         if !is_aggregator {
             plain.halls = self.lock().book.take_to_pass_on(HALLS_TOLD);
@@ -167,7 +167,7 @@
             return;
         }
         let mut update = self.next_update(now_us, Purpose::Summary);
-        update.suspects = self.gateway.suspects().take_told(now_us, Audience::Hall);
+        self.add_standing(now_us, &mut update, Audience::Hall);
         let summaries = self.own_summaries(now_us, &mut update);
         let far_summaries = self.far_summaries(now_us, &update);
         for summary in summaries.iter().chain(&far_summaries) {
@@ -270,6 +270,7 @@
         for (place, summary) in summaries.iter().enumerate() {
             if place > 0 {
                 update.suspects = Vec::new();
+                update.limits = Vec::new();
                 self.add_news(&mut update, News::default());
                 update.seq = self.next_seq();
             }
@@ -439,6 +440,12 @@
         }
     }
 
+    /// Adds what an audience is to know for as long as it stands.
+    fn add_standing(&self, now_us: Micros, update: &mut Update, audience: Audience) {
+        update.suspects = self.gateway.suspects().take_told(now_us, audience);
+        update.limits = self.gateway.balancer().take_told_limits(now_us, audience);
+    }
+
     fn add_news(&self, update: &mut Update, news: News) {
         update.reports = news.reports;
         update.read = news.read;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     balance::{
-        balancer::{Balancer, Placement, WaitKey, come_back_ms},
+        balancer::{BUSY, Balancer, ENDPOINT_LIMITS, Placement, WaitKey, refused},
         cost::Ask,
         discovery::{Change, EndpointsCopy},
         load::EndpointKey,
@@ -26,6 +26,7 @@
         freshness::{CurrentConfig, Offered},
         metrics::GatewayMetrics,
         patience::UsualPatience,
+        permits::{self, Permits},
         protocol::Protocol,
         reserver::{PlaceAnswer, Reserver},
         staleness::{Staleness, StalenessBound},
@@ -45,6 +46,9 @@
 /// With less left, calm instances would refuse keys between one word of the store and the next.
 const FRESHNESS_MARGIN_SHARE: f64 = 0.25;
 
+/// So many endpoints that take only so many requests a second are asked permits for, one after the other, for one
+/// request: two milliseconds each, and after that whoever refuses is not asked for a while.
+const MOST_PERMITS_ASKED: usize = 3;
 /// An instance's address is told to others for this long after it was met.
 const MET_US: Micros = 10_000_000;
 
@@ -114,6 +118,8 @@
     pub endpoints: Staleness,
     /// Asks others for places at endpoints.
     pub reserver: Reserver,
+    /// Asks for permits to send to endpoints that take only so many requests a second, and gives them.
+    pub permits: Permits,
     /// Finds out which endpoints have ended.
     pub endings: Endings,
     stopping: AtomicBool,
@@ -157,6 +163,7 @@
             place_to_watch: AtomicUsize::new(0),
             waits_for_others: AtomicBool::new(false),
             reserver: Reserver::default(),
+            permits: Permits::default(),
             endings: Endings::default(),
             endpoints: Staleness::default(),
             stopping: AtomicBool::new(false),
@@ -407,20 +414,44 @@
     fn take_answer(&self, ask: &Ask, answer: PlaceAnswer) -> Option<Placement> {
         let now_us = self.clock.now_us();
         match answer {
-            PlaceAnswer::Granted { key, expected } => {
-                self.balancer().take_place(now_us, ask, key, expected)
+            PlaceAnswer::Granted {
+                key,
+                expected,
+                by_permit,
+            } => {
+                let mut balancer = self.balancer();
+                if !by_permit && balancer.limits().rate(key).is_some() {
+                    // Whoever gave the place has not heard of the limit.
+                    return None;
+                }
+                balancer.take_place(now_us, ask, key, expected)
             }
-            PlaceAnswer::Refused => Some(Placement::Refuse {
-                reason: "busy",
-                retry_after_ms: come_back_ms(ask.deadline_us.saturating_sub(now_us)),
-            }),
+            PlaceAnswer::Refused => Some(refused(now_us, ask, BUSY)),
+            PlaceAnswer::OverEndpointLimits => Some(refused(now_us, ask, ENDPOINT_LIMITS)),
         }
     }
 
+    /// Asks for a permit, if a request had best go to an endpoint that takes only so many a second; one after the
+    /// other for some such endpoints.
+    async fn permit_for(&self, ask: &Ask, tried: &[EndpointKey]) -> Option<EndpointKey> {
+        for _ in 0..MOST_PERMITS_ASKED {
+            let now_us = self.clock.now_us();
+            let wanted = self.balancer().wanted_permit(now_us, ask, tried)?;
+            if permits::ask(self, wanted).await {
+                return Some(wanted);
+            }
+        }
+        None
+    }
+
     /// Decides on a request by what this instance knows, waiting for a slot if it must.
     pub async fn place_here(&self, ask: &Ask, tried: &[EndpointKey]) -> Placement {
+        let permit = self.permit_for(ask, tried).await;
         let now_us = self.clock.now_us();
-        let placement = self.balancer().place(now_us, ask, tried);
+        let placement = self.balancer().place_with(now_us, ask, tried, permit);
+        if let Some(permit) = permit.filter(|permit| !is_sent_to(&placement, *permit)) {
+            permits::give_back(self, permit).await;
+        }
         if !matches!(placement, Placement::Wait) {
             return placement;
         }
@@ -436,7 +467,7 @@
         let placement = receiver.await;
         drop(waiting);
         placement.unwrap_or(Placement::Refuse {
-            reason: "busy",
+            reason: BUSY,
             retry_after_ms: 500,
         })
     }
@@ -466,6 +497,10 @@
     }
 }
 
+fn is_sent_to(placement: &Placement, endpoint: EndpointKey) -> bool {
+    matches!(placement, Placement::Send(choice) if choice.key == endpoint)
+}
+
 /// A request in the queue; leaves it when its caller does.
 struct Waiting<'g, P: Protocol> {
     gateway: &'g Gateway<P>,
--- a/src/limits/endpoint.rs
+++ b/src/limits/endpoint.rs
@@ -51,6 +51,13 @@
         Some(Self { milli_per_s })
     }
 
+    /// Returns a part of it.
+    pub fn part(self, share: f64) -> Self {
+        // A cast keeps to the bounds of the type.
+        let milli_per_s = (f64::from(self.milli_per_s) * share) as u32;
+        Self { milli_per_s }
+    }
+
     /// Returns it as requests a second.
     pub fn per_s(self) -> f64 {
         f64::from(self.milli_per_s) / 1e3
@@ -138,13 +145,15 @@
     by_endpoint: HashMap<EndpointKey, Entry>,
     /// Endpoints whose last word could not be read.
     unreadable: HashSet<EndpointKey>,
+    /// Endpoints that have a limit now.
+    limited: usize,
     has_news: bool,
 }
 
 impl EndpointLimits {
-    /// Returns whether no endpoint has named a limit.
+    /// Returns whether no endpoint has a limit.
     pub fn is_empty(&self) -> bool {
-        self.by_endpoint.is_empty()
+        self.limited == 0
     }
 
     /// Returns an endpoint's limit, if it has one.
@@ -161,8 +170,12 @@
 
     /// Returns how many endpoints have a limit.
     pub fn limited(&self) -> usize {
+        self.limited
+    }
+
+    fn count_limited(&mut self) {
         let entries = self.by_endpoint.values();
-        entries.filter(|e| e.known.rate.is_some()).count()
+        self.limited = entries.filter(|e| e.known.rate.is_some()).count();
     }
 
     /// Takes an endpoint's own word from the answer to a request that was sent when `sent_at` was the version.
@@ -220,6 +233,10 @@
         let mut changes = Vec::new();
         for ToldLimit { endpoint, known } in told {
             let Some(entry) = self.by_endpoint.get_mut(endpoint) else {
+                if known.version == 0 {
+                    // Whoever asked knows of no limit, either.
+                    continue;
+                }
                 changes.extend(self.replace(now_us, *endpoint, *known));
                 continue;
             };
@@ -259,6 +276,7 @@
         entry.telling.renew(Audience::Peers);
         entry.telling.renew(Audience::Hall);
         self.has_news = true;
+        self.count_limited();
         (before != known.rate).then_some(LimitChange {
             endpoint,
             before,
@@ -298,8 +316,11 @@
 
     /// Forgets a start of an endpoint that is gone: a later one has a limit of its own.
     pub fn forget(&mut self, endpoint: EndpointKey) {
-        self.by_endpoint.remove(&endpoint);
+        if self.by_endpoint.remove(&endpoint).is_none() {
+            return;
+        }
         self.unreadable.remove(&endpoint);
+        self.count_limited();
     }
 
     /// Forgets what others told of endpoints that are in no list.
@@ -308,5 +329,6 @@
         self.by_endpoint
             .retain(|endpoint, entry| is_listed(*endpoint) || is_young(entry));
         self.unreadable.retain(|endpoint| is_listed(*endpoint));
+        self.count_limited();
     }
 }
--- /dev/null
+++ b/src/limits/permits.rs
@@ -0,0 +1,103 @@
+//! Gives out leave to send requests to endpoints that take only so many a second.
+//!
+//! Of each such endpoint one instance keeps the account for all; the others ask it for a permit for each request.
+//! Shares instead would be under one request in any window where instances are many, and lost where there are no
+//! requests for them. In four seconds an endpoint gets at most what is given out in them and what was saved: 4.25
+//! times its limit a second, and two. Twice that for a second in which two instances believe to keep the account is
+//! within one and a half times the limit and five.
+//!
+//! Free of clock and socket, so that tests drive it step by step.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{balance::load::EndpointKey, limits::endpoint::RequestRate, prelude::Micros};
+
+/// An endpoint that takes less than this a second, or nothing, is still asked so often: only its answer says that
+/// its limit is over.
+const LEAST_PER_S: f64 = 0.2;
+/// Permits that may be saved where nobody asks for a while, beside those of [`SAVED_US`]: where an
+/// endpoint takes one or two a second, requests come and do not come for as long as that.
+const SAVED: f64 = 1.0;
+/// What comes together in this time may be saved, too.
+const SAVED_US: f64 = 250_000.0;
+/// Those that are given none wait longer, the more of them there are, by this share of the time between two
+/// permits each: with 295 instances that all want one, some 24 ask in that time, not all.
+const QUEUE_SHARE: f64 = 0.5;
+/// But no longer than this: meanwhile the others may want none any more.
+const MOST_WAIT_US: f64 = 2_000_000.0;
+/// An account that nobody asked of for this long is as a new one.
+const FORGOTTEN_US: Micros = 60_000_000;
+
+/// What one gets that asked for a permit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Permit {
+    /// It may send one request.
+    Given,
+    /// It may not, and there will be none for it before this time is over.
+    Denied {
+        /// The time.
+        wait_us: Micros,
+    },
+}
+
+#[derive(Debug)]
+struct Account {
+    /// When the next permit is due; before now if some are saved.
+    next_us: f64,
+    /// Those that were given none since one was given last.
+    denied: u32,
+    asked_us: Micros,
+}
+
+/// The accounts of the endpoints for which this instance gives permits.
+#[derive(Debug, Default)]
+pub struct PermitGiver {
+    by_endpoint: HashMap<EndpointKey, Account>,
+}
+
+fn interval_us(rate: RequestRate) -> f64 {
+    1e6 / rate.per_s().max(LEAST_PER_S)
+}
+
+impl PermitGiver {
+    /// Gives a permit for an endpoint that takes `rate`, if one is due.
+    pub fn give(&mut self, now_us: Micros, endpoint: EndpointKey, rate: RequestRate) -> Permit {
+        let interval_us = interval_us(rate);
+        let now = now_us as f64;
+        let account = self.by_endpoint.entry(endpoint).or_insert(Account {
+            next_us: now,
+            denied: 0,
+            asked_us: now_us,
+        });
+        account.asked_us = now_us;
+        let saved_us = SAVED * interval_us + SAVED_US;
+        // What was due at a slower rate is due sooner at this one.
+        account.next_us = account.next_us.clamp(now - saved_us, now + interval_us);
+        if account.next_us <= now {
+            account.next_us += interval_us;
+            account.denied = 0;
+            return Permit::Given;
+        }
+        let queue_us = f64::from(account.denied) * QUEUE_SHARE * interval_us;
+        account.denied += 1;
+        let wait_us = account.next_us - now + queue_us;
+        Permit::Denied {
+            wait_us: wait_us.min(MOST_WAIT_US) as Micros,
+        }
+    }
+
+    /// Takes back a permit that was not used.
+    pub fn take_back(&mut self, endpoint: EndpointKey, rate: RequestRate) {
+        if let Some(account) = self.by_endpoint.get_mut(&endpoint) {
+            account.next_us -= interval_us(rate);
+        }
+    }
+
+    /// Forgets the accounts that nobody asks of.
+    pub fn expire(&mut self, now_us: Micros) {
+        let is_in_use = |a: &Account| now_us.saturating_sub(a.asked_us) < FORGOTTEN_US;
+        self.by_endpoint.retain(|_, account| is_in_use(account));
+    }
+}
--- a/src/peers/update.rs
+++ b/src/peers/update.rs
@@ -11,7 +11,7 @@
         prefixes::ChainKey,
         speed::{Evidence, ToldSpeed},
     },
-    limits::{organisation::ToldUse, suspects::ToldSuspect},
+    limits::{endpoint::ToldLimit, organisation::ToldUse, suspects::ToldSuspect},
     peers::datagram::{Authenticator, DatagramError, UnreadableSnafu},
     prelude::Incarnation,
 };
@@ -99,6 +99,8 @@
     pub dead: Vec<EndpointKey>,
     /// Requests under which endpoints ended.
     pub suspects: Vec<ToldSuspect>,
+    /// Limits that endpoints named, or that are over.
+    pub limits: Vec<ToldLimit>,
     /// What organisations used since the sender's start, through the sender alone.
     pub used: Vec<ToldUse>,
     /// Summaries of halls.
--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -272,6 +272,7 @@
         let now_us = gateway.clock.now_us();
         gateway.connections.sweep(now_us);
         gateway.suspects().expire(now_us);
+        gateway.permits.expire(now_us);
         let (gone, _) = gateway.balancer().tick(now_us);
         for id in gone {
             gateway.log_endpoint(&id, Change::Gone, "lapse");
--- a/tests/properties/suspects.rs
+++ b/tests/properties/suspects.rs
@@ -5,7 +5,8 @@
     balance::load::EndpointKey,
     limits::{
         fingerprint::Fingerprint,
-        suspects::{Audience, SuspectBook, ToldSuspect},
+        suspects::{SuspectBook, ToldSuspect},
+        telling::Audience,
     },
 };
 
