Tests of limits that endpoints name: changes, loss of whoever keeps the account, large groups, all endpoints; seeds never heard count for nobody

Cause found by a test: an instance alone with two seeds that never lived gave out under half of a limit for 20 s, since they counted as instances that are not heard. In small groups those that never spoke count no more for permits. Ruled out: that the account itself was slow (its unit tests). Change: HeardInstances::spoken_sharers; explain names the refusal.

--- a/src/explain.rs
+++ b/src/explain.rs
@@ -76,7 +76,7 @@
 }
 
 /// The words of reasons, for people.
-const REASONS: [(&str, &str); 23] = [
+const REASONS: [(&str, &str); 24] = [
     (
         "answer_broke_off",
         "the endpoint's answer broke off, so it may have run",
@@ -102,6 +102,10 @@
         "endpoint_error",
         "the endpoint answered with an error of its own",
     ),
+    (
+        "endpoint_limits",
+        "all endpoints that could run it take only so many requests a second",
+    ),
     ("endpoint_full", "the endpoint was full and did not run it"),
     (
         "ends_endpoints",
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -307,20 +307,23 @@
 
     /// Counts those who may use a part of a limit, and forgets the rates of the silent.
     fn count_sharers(&self, now_us: Micros, view: &View) -> Group {
-        let (group, silent, sharers) = {
+        let (group, silent, sharers, known_sharers) = {
             let mut state = self.lock();
             let silent = state.heard.expire(now_us);
             let silent_halls = state.halls.expire(now_us);
             let known = state.known(now_us, view);
             if known < SMALL_GROUP {
-                (Group::Small, silent, state.heard.sharers(now_us))
+                let known = state.heard.spoken_sharers(now_us);
+                (Group::Small, silent, state.heard.sharers(now_us), known)
             } else {
                 let halls = silent_halls.into_iter().map(teller_of_hall).collect();
                 let heard = state.halls.sharers(now_us).heard.max(1);
                 let all = (known + 1).max(heard);
-                (Group::Large, halls, Sharers { all, heard })
+                let sharers = Sharers { all, heard };
+                (Group::Large, halls, sharers, sharers)
             }
         };
+        self.gateway.permits.set_heard_share(known_sharers.share());
         for teller in silent {
             self.gateway.limits().forget(now_us, teller);
             if group == Group::Large {
--- a/src/gateway/heard.rs
+++ b/src/gateway/heard.rs
@@ -113,12 +113,23 @@
     /// Counts those who may use a part of a limit, and those of them that are heard, this instance
     /// included.
     pub fn sharers(&self, now_us: Micros) -> Sharers {
-        let has_spoken = |h: &&Heard| h.incarnation != Incarnation(0);
         let is_heard = |h: &&Heard| now_us.saturating_sub(h.at_us) < HEARD_US;
-        let heard = self.by_addr.values().filter(has_spoken).filter(is_heard);
         Sharers {
             all: self.by_addr.len() + 1,
-            heard: heard.count() + 1,
+            heard: self.spoken().filter(is_heard).count() + 1,
         }
     }
+
+    /// The same without those that were met and never heard: a seed may be long gone.
+    pub fn spoken_sharers(&self, now_us: Micros) -> Sharers {
+        Sharers {
+            all: self.spoken().count() + 1,
+            ..self.sharers(now_us)
+        }
+    }
+
+    fn spoken(&self) -> impl Iterator<Item = &Heard> {
+        let heard = self.by_addr.values();
+        heard.filter(|h| h.incarnation != Incarnation(0))
+    }
 }
--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -62,15 +62,28 @@
     Unused(EndpointKey),
 }
 
-#[derive(Default)]
 struct State {
     view: Arc<View>,
+    /// The share of the instances known that are heard.
+    heard_share: f64,
     giver: PermitGiver,
     last_number: u64,
     /// Questions that are not answered, by number.
     pending: HashMap<u64, oneshot::Sender<Permit>>,
 }
 
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            view: Arc::default(),
+            heard_share: 1.0,
+            giver: PermitGiver::default(),
+            last_number: 0,
+            pending: HashMap::new(),
+        }
+    }
+}
+
 /// What an instance needs to ask for permits and to give them.
 #[derive(Default)]
 pub struct Permits {
@@ -102,6 +115,11 @@
         self.lock().view.clone_from(view);
     }
 
+    /// Sets the share of the instances known that are heard.
+    pub fn set_heard_share(&self, share: f64) {
+        self.lock().heard_share = share;
+    }
+
     /// Forgets the accounts that nobody asks of.
     pub fn expire(&self, now_us: Micros) {
         self.lock().giver.expire(now_us);
@@ -249,6 +267,6 @@
 /// Returns the part of an endpoint's limit that this instance gives out, if it has one.
 fn rate_given<P: Protocol>(gateway: &Gateway<P>, endpoint: EndpointKey) -> Option<RequestRate> {
     let rate = gateway.balancer().limits().rate(endpoint)?;
-    let part = gateway.sharers().share() * HEARD_PART;
+    let part = gateway.permits.lock().heard_share * HEARD_PART;
     Some(rate.part(part.min(1.0)))
 }
--- a/tests/edge/endpoint_limits.rs
+++ b/tests/edge/endpoint_limits.rs
@@ -14,7 +14,14 @@
 use hyper::StatusCode;
 use tokio::{task::JoinSet, time};
 
-use crate::{site::Site, support::Got};
+use ryevalve::{balance::load::EndpointKey, explain::explain};
+use serde_json::Value;
+
+use crate::{
+    group::until,
+    site::Site,
+    support::{Edge, Got},
+};
 
 /// What an endpoint may get in any span of this length.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -26,14 +33,26 @@
 /// The share of a limit that is used while there are requests for it.
 const USED_SHARE: f64 = 0.9;
 
-/// When callers send requests to an instance.
+/// Whatever is told is with all instances of a small group after this time, and used there.
+const SOON: Duration = Duration::from_millis(1_500);
+
+/// When callers send requests to each instance.
 #[derive(Clone, Copy)]
 struct Demand {
     path: &'static str,
     every: Duration,
     lasts: Duration,
+    /// Instances that get none, from the first on.
+    spared: usize,
 }
 
+const PLAIN: Demand = Demand {
+    path: "/again/w",
+    every: Duration::from_millis(200),
+    lasts: Duration::from_secs(9),
+    spared: 0,
+};
+
 /// How requests ended.
 #[derive(Clone, Copy, Debug, Default)]
 struct Ended {
@@ -63,15 +82,15 @@
     let started = Instant::now();
     let mut number = 0;
     while started.elapsed() < demand.lasts {
-        for instance in 0..instances {
+        for instance in demand.spared..instances {
             let site = site.clone();
             let (id, body) = (format!("r-{number}"), format!("work {number}"));
+            number += 1;
             let after = demand.every.mul_f64(instance as f64 / instances as f64);
             calls.spawn(async move {
                 time::sleep(after).await;
                 site.call(instance, demand.path, &id, &body).await
             });
-            number += 1;
         }
         time::sleep(demand.every).await;
     }
@@ -118,18 +137,19 @@
     );
 }
 
+/// Returns whether an instance knows that endpoints have a limit.
+fn limited(site: &Site, instance: usize) -> usize {
+    let gateway = &site.instances[instance].gateway;
+    gateway.balancer().limits().limited()
+}
+
 /// Seven instances, one endpoint of four in need: it gets what it takes, the others the rest, and no caller loses.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_endpoint_gets_no_more_than_the_limit_it_names() {
     let site = Arc::new(Site::start(40, 7, 4).await);
     site.runners[0].name_limit(Some("1.9"));
     let named = Instant::now();
-    let demand = Demand {
-        path: "/again/w",
-        every: Duration::from_millis(200),
-        lasts: Duration::from_secs(9),
-    };
-    let ended = press(&site, demand).await;
+    let ended = press(&site, PLAIN).await;
     for instance in &site.instances {
         let limited = instance.gateway.balancer().limits().limited();
         assert_eq!(limited, 1, "it knows of the limit");
@@ -138,3 +158,200 @@
     check_used(&site, 0, 1.9, named + CONTACT);
     assert_eq!(ended.served, ended.all(), "{ended:?}");
 }
+
+/// One instance, and a request every second or third of which no endpoint takes: it is refused at once and true, with
+/// a time to come back.
+#[tokio::test(flavor = "multi_thread")]
+async fn where_all_endpoints_name_limits_each_gets_its_own_and_the_rest_is_refused() {
+    let site = Arc::new(Site::start(41, 1, 2).await);
+    site.runners[0].name_limit(Some("4"));
+    site.runners[1].name_limit(Some("0.5"));
+    let named = Instant::now();
+    let demand = Demand {
+        every: Duration::from_millis(70),
+        ..PLAIN
+    };
+    let ended = press(&site, demand).await;
+    for (endpoint, limit_per_s) in [(0, 4.0), (1, 0.5)] {
+        check_kept(&site, endpoint, limit_per_s, named + CONTACT);
+        check_used(&site, endpoint, limit_per_s, named + CONTACT);
+    }
+    assert_eq!(ended.other, 0, "{ended:?}");
+    assert!(ended.refused > 0, "{ended:?}");
+    let got = site.call(0, PLAIN.path, "last", "work").await;
+    let comes_back_s = got.retry_after_s();
+    if got.status == StatusCode::SERVICE_UNAVAILABLE {
+        assert!(comes_back_s.is_some_and(|s| s < 5.0), "{got:?}");
+    }
+}
+
+/// A large group places streams by one instance of a hall: its permits are used for the others' requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn in_a_large_group_a_limit_holds_for_streams_and_plain_requests_together() {
+    let site = Arc::new(Site::start(42, 18, 4).await);
+    site.runners[0].name_limit(Some("2.5"));
+    site.runners[1].name_limit(Some("0.4"));
+    let named = Instant::now();
+    let streams = Demand {
+        path: "/resume/w/stream",
+        every: Duration::from_millis(800),
+        ..PLAIN
+    };
+    let plain = Demand {
+        every: Duration::from_millis(800),
+        ..PLAIN
+    };
+    let (of_streams, of_plain) = tokio::join!(press(&site, streams), press(&site, plain));
+    for (endpoint, limit_per_s) in [(0, 2.5), (1, 0.4)] {
+        check_kept(&site, endpoint, limit_per_s, named + CONTACT);
+        check_used(&site, endpoint, limit_per_s, named + CONTACT);
+    }
+    assert_eq!(
+        of_plain.other + of_streams.other,
+        0,
+        "{of_plain:?} {of_streams:?}"
+    );
+}
+
+/// Retries are requests like others: an endpoint in need gets none beyond its limit, however often others fail.
+#[tokio::test(flavor = "multi_thread")]
+async fn retries_and_resumed_streams_keep_to_a_limit_too() {
+    let site = Arc::new(Site::start(43, 3, 3).await);
+    site.runners[0].name_limit(Some("2"));
+    site.runners[1].fault(standins::runner::Fault::CutNewStream);
+    site.runners[2].fault(standins::runner::Fault::CutNewStream);
+    let named = Instant::now();
+    let streams = Demand {
+        path: "/resume/w/stream",
+        ..PLAIN
+    };
+    press(&site, streams).await;
+    check_kept(&site, 0, 2.0, named + CONTACT);
+}
+
+/// A limit is lowered, ends, is spoiled and is named again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_that_changes_is_followed() {
+    let site = Arc::new(Site::start(44, 3, 2).await);
+    let for_s = |seconds: u64| Demand {
+        every: Duration::from_millis(60),
+        lasts: Duration::from_secs(seconds),
+        ..PLAIN
+    };
+    site.runners[0].name_limit(Some("8"));
+    let named = Instant::now();
+    press(&site, for_s(5)).await;
+    check_kept(&site, 0, 8.0, named + SOON);
+    site.runners[0].name_limit(Some("1"));
+    let lowered = Instant::now();
+    press(&site, for_s(6)).await;
+    check_kept(&site, 0, 1.0, lowered + SOON);
+    site.runners[0].name_limit(Some("5.5"));
+    let raised = Instant::now();
+    press(&site, for_s(5)).await;
+    check_kept(&site, 0, 5.5, raised);
+    check_used(&site, 0, 5.5, raised + SOON);
+    site.runners[0].name_limit(None);
+    let over = Instant::now();
+    press(&site, for_s(4)).await;
+    // Fifty a second at two endpoints alike.
+    let got = arrivals(&site, 0, over + SOON).len();
+    assert!(got >= 35, "{got} in 2.5 s after the limit was over");
+    for spoiled in ["1,5", "-3", "NaN", "1e9", "", "9.9.9"] {
+        site.runners[0].name_limit(Some(spoiled));
+        press(&site, for_s(1)).await;
+        assert_eq!(limited(&site, 0), 0, "{spoiled} is no limit");
+    }
+    site.runners[0].name_limit(Some("1.5"));
+    let again = Instant::now();
+    press(&site, for_s(6)).await;
+    check_kept(&site, 0, 1.5, again + SOON);
+}
+
+/// The instance that keeps the endpoint's account is lost: no more is sent than the limit allows, and after some
+/// seconds another keeps it. One that starts later knows the limit before it has sent anything there. After the
+/// loss of all the endpoint's own word is enough.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_outlasts_the_loss_of_whoever_keeps_its_account() {
+    let mut site = Site::start(45, 4, 2).await;
+    site.runners[0].name_limit(Some("3"));
+    let named = Instant::now();
+    let site_before = Arc::new(site);
+    press(&site_before, PLAIN).await;
+    check_used(&site_before, 0, 3.0, named + CONTACT);
+    site = Arc::into_inner(site_before).expect("no call is under way");
+    let key = EndpointKey::of("e0-0");
+    let keeper = {
+        let view = site.instances[0].gossip.view();
+        let keeper = view.leader(&format!("limit {}", key.0)).expect("a keeper");
+        keeper.info.incarnation.0 as usize - 1
+    };
+    // Callers go to the others only.
+    site.instances.swap(0, keeper);
+    site.callers.swap(0, keeper);
+    site.instances[0].stop();
+    let site = Arc::new(site);
+    let others = Demand { spared: 1, ..PLAIN };
+    let lost = Instant::now();
+    press(&site, others).await;
+    check_kept(&site, 0, 3.0, named + CONTACT);
+    check_used(&site, 0, 3.0, lost + Duration::from_secs(5));
+
+    let mut site = Arc::into_inner(site).expect("no call is under way");
+    site.start_instance().await;
+    until("the new one to know the limit", || limited(&site, 4) == 1).await;
+
+    site.lose_all();
+    site.start_instances(3).await;
+    let started = Instant::now();
+    let site = Arc::new(site);
+    press(&site, PLAIN).await;
+    check_kept(&site, 0, 3.0, started + CONTACT);
+    check_used(&site, 0, 3.0, started + CONTACT);
+}
+
+/// The lines of one instance tell an operator which endpoint named what, that a word could not be read, and why a
+/// request is refused.
+#[tokio::test]
+async fn lines_lead_from_a_refusal_to_the_limit_that_an_endpoint_named() {
+    let edge = Edge::start(1).await;
+    edge.runners[0].name_limit(Some("many"));
+    for number in 0..3 {
+        edge.call("/again/w", &format!("spoiled-{number}")).await;
+    }
+    edge.runners[0].name_limit(Some("0.25"));
+    // From here on it is over its limit.
+    time::sleep(Duration::from_secs(2)).await;
+    let mut refused = None;
+    for number in 0..40 {
+        let id = format!("r-{number}");
+        let got = edge.call("/again/w", &id).await;
+        if got.status == StatusCode::SERVICE_UNAVAILABLE {
+            refused = Some(id);
+        }
+    }
+    let refused = refused.expect("a refusal");
+    let of = |event: &'static str| {
+        let lines = edge.lines().into_iter();
+        lines.filter(move |l| l["event"] == event)
+    };
+    let is_written = |l: &Value| l["request_id"] == refused.as_str();
+    edge.until(|| async { edge.lines().iter().any(is_written) })
+        .await;
+    let named: Vec<Value> = of("endpoint_limit").collect();
+    assert_eq!(named.len(), 1, "{named:?}");
+    assert_eq!(named[0]["limit_per_s"], "0.250");
+    assert_eq!(named[0]["before_per_s"], "none");
+    assert_eq!(
+        of("endpoint_limit_unreadable").count(),
+        1,
+        "once for three words"
+    );
+    let text: Vec<String> = edge.lines().iter().map(Value::to_string).collect();
+    let words = explain(&text.join("\n"), &refused).expect("lines of the request");
+    assert!(
+        words.contains("take only so many requests a second"),
+        "{words}"
+    );
+    println!("{words}");
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod clock;
 mod copies;
 mod discovery;
+mod endpoint_limits;
 mod endpoint_limits_weighed;
 mod events;
 mod explain;
