Test: eighty-five instances keep to a limit that one of them heard

Cause: the tests before had 18 instances at most. Ruled out: that word reaches 85 later than contact time (3 s) or that the limit is not used (13 and more of 15 in 8 s). Change: a test.

--- a/tests/edge/endpoint_limits.rs
+++ b/tests/edge/endpoint_limits.rs
@@ -7,6 +7,7 @@
 //! as now, each instance had been told, and each sent on as before.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -14,11 +15,15 @@
 use hyper::StatusCode;
 use tokio::{task::JoinSet, time};
 
-use ryevalve::{balance::load::EndpointKey, explain::explain};
+use ryevalve::{
+    balance::load::EndpointKey,
+    explain::explain,
+    limits::endpoint::{LimitWord, RequestRate},
+};
 use serde_json::Value;
 
 use crate::{
-    group::until,
+    group::{Instance, Place, address, endpoint, free_port, key, until},
     site::Site,
     support::{Edge, Got},
 };
@@ -310,6 +315,87 @@
     check_used(&site, 0, 3.0, started + CONTACT);
 }
 
+/// Starts instances of a large group that know an endpoint which is to be limited, and another.
+async fn start_group(net: u8, instances: usize) -> Vec<Instance> {
+    let port = free_port(net).await;
+    let seeds: Vec<SocketAddr> = (0..3)
+        .map(|n| SocketAddr::new(address(net, n), port))
+        .collect();
+    let mut all = Vec::new();
+    for number in 0..instances {
+        let place = Place {
+            net,
+            number,
+            hall: ["a", "b", "c", "d"][number % 4],
+            port,
+            seeds: &seeds,
+        };
+        let instance = Instance::start(place).await;
+        for id in ["one", "other"] {
+            let seen = endpoint(id);
+            instance.gateway.balancer().endpoint_seen(seen, 1);
+        }
+        all.push(instance);
+    }
+    let knows_all = |i: &Instance| i.gateway.sharers().heard == instances;
+    until("all to hear of all", || all.iter().all(knows_all)).await;
+    all
+}
+
+/// Eighty-five instances, each of which would send the endpoint a request now and then: what one of them heard all
+/// know soon, all together keep to it and use it, and what one of them hears of its end all know soon.
+#[tokio::test(flavor = "multi_thread")]
+async fn eighty_five_instances_keep_to_a_limit_that_one_of_them_heard() {
+    let all = Arc::new(start_group(46, 85).await);
+    let hear = |instance: usize, word: LimitWord| {
+        let mut balancer = all[instance].gateway.balancer();
+        let version = balancer.limits().version(key());
+        let now_us = all[instance].gateway.clock.now_us();
+        assert!(
+            balancer
+                .heard_limit(now_us, key(), version, &word)
+                .is_some()
+        );
+    };
+    let all_know = |rate: Option<RequestRate>| {
+        let limit = |i: &Instance| i.gateway.balancer().limits().rate(key());
+        all.iter().all(|i| limit(i) == rate)
+    };
+    let rate = RequestRate::parse("1.9");
+    let heard = Instant::now();
+    hear(7, LimitWord::Named(rate.expect("a rate")));
+    until("all to know the limit", || all_know(rate)).await;
+    assert!(heard.elapsed() < CONTACT, "{:?}", heard.elapsed());
+
+    let started = Instant::now();
+    let mut calls = JoinSet::new();
+    for number in 0..all.len() {
+        let all = all.clone();
+        calls.spawn(async move {
+            let mut sent = Vec::new();
+            time::sleep(Duration::from_millis(number as u64 * 11)).await;
+            while started.elapsed() < Duration::from_secs(8) {
+                let placed = all[number].place_one().await;
+                if placed.as_deref() == Some("one") {
+                    sent.push(Instant::now());
+                }
+                time::sleep(Duration::from_millis(950)).await;
+            }
+            sent
+        });
+    }
+    let mut sent: Vec<Instant> = calls.join_all().await.into_iter().flatten().collect();
+    sent.sort_unstable();
+    let most = most_in_window(&sent);
+    assert!(most <= 16, "{most} in 4 s");
+    assert!(sent.len() >= 13, "{} of 15 in 8 s", sent.len());
+
+    hear(30, LimitWord::Free);
+    let over = Instant::now();
+    until("all to know that it is over", || all_know(None)).await;
+    assert!(over.elapsed() < CONTACT, "{:?}", over.elapsed());
+}
+
 /// The lines of one instance tell an operator which endpoint named what, that a word could not be read, and why a
 /// request is refused.
 #[tokio::test]
