A limit outlasts the lapse of its endpoint's entry

Cause, by reading: an entry that lapses while the store is away and comes back for the same start lost its limit at every instance at once, and all would send there until the first answer. Ruled out: later starts (they have keys of their own). Change: what is known of a limit stays for 30 s after the endpoint was in a list last. The test of forgetting counts from then (it counted from the last change of the limit, 60 s).

--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -254,6 +254,7 @@
         let before = self.keys.insert(entry.id.clone(), key);
         if let Some(before) = before.filter(|before| *before != key) {
             self.forget(before);
+            self.limits.forget(before);
         }
         let same_hall = entry.hall == self.hall;
         let speed = self.endpoints.remove(&key).map(|e| e.speed);
@@ -381,7 +382,7 @@
     fn forget(&mut self, key: EndpointKey) {
         self.endpoints.remove(&key);
         self.holders.forget_endpoint(key);
-        self.limits.forget(key);
+        // Its limit is not: an entry that lapsed comes back for the same start.
         self.no_permits.remove(&key);
     }
 
--- a/src/limits/endpoint.rs
+++ b/src/limits/endpoint.rs
@@ -26,9 +26,10 @@
 const MOST_TOLD: usize = 64;
 /// Limits that are remembered, at some 60 bytes each; more than there are endpoints in a large deployment.
 const MOST_KNOWN: usize = 4_096;
-/// What is known of an endpoint that is in no list is forgotten after this time: word of its limit may come
-/// before its entry, and far longer after it than a word is on its way.
-const UNLISTED_US: Micros = 60_000_000;
+/// What is known of an endpoint that is in no list is forgotten after this time. Word of its limit may come before its
+/// entry, and an entry that lapsed while the store was away is back some seconds after that: without the limit, all
+/// instances would send there until they are told again.
+const UNLISTED_US: Micros = 30_000_000;
 
 /// Requests a second, in thousandths.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -135,7 +136,8 @@
 #[derive(Debug)]
 struct Entry {
     known: KnownLimit,
-    changed_us: Micros,
+    /// When it was in a list last, or word of it came first.
+    listed_us: Micros,
     telling: Telling,
 }
 
@@ -268,11 +270,10 @@
                 version: 0,
                 rate: None,
             },
-            changed_us: now_us,
+            listed_us: now_us,
             telling: Telling::default(),
         });
         let before = std::mem::replace(&mut entry.known, known).rate;
-        entry.changed_us = now_us;
         entry.telling.renew(Audience::Peers);
         entry.telling.renew(Audience::Hall);
         self.has_news = true;
@@ -325,9 +326,12 @@
 
     /// Forgets what others told of endpoints that are in no list.
     pub fn expire(&mut self, now_us: Micros, is_listed: impl Fn(EndpointKey) -> bool) {
-        let is_young = |e: &Entry| now_us.saturating_sub(e.changed_us) < UNLISTED_US;
-        self.by_endpoint
-            .retain(|endpoint, entry| is_listed(*endpoint) || is_young(entry));
+        self.by_endpoint.retain(|endpoint, entry| {
+            if is_listed(*endpoint) {
+                entry.listed_us = now_us;
+            }
+            now_us.saturating_sub(entry.listed_us) < UNLISTED_US
+        });
         self.unreadable.retain(|endpoint| is_listed(*endpoint));
         self.count_limited();
     }
