Soak: endpoints name limits in series among faults, and one in the calm part is checked

Cause: the soak named no limits, so nothing played them among kills, freezes and cuts of real processes.

--- a/standins/src/soak/checks.rs
+++ b/standins/src/soak/checks.rs
@@ -9,6 +9,7 @@
     soak::{
         IN_FORCE, Promised, REVOKED, Report, World,
         callers::{Outcome, Path, Sent},
+        limits,
     },
 };
 
@@ -54,6 +55,7 @@
         report.breaches.push(unasked);
     }
     check_calm(&sent, &promised, &mut report);
+    limits::check(world, &promised, &mut report);
     report
 }
 
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod checks;
 mod faults;
+mod limits;
 mod process;
 
 use std::{
@@ -95,6 +96,8 @@
     draining: Vec<(usize, Instant)>,
     /// Planned stops of the calm part.
     stopped: Vec<(usize, Instant)>,
+    /// The endpoint that names a limit in the calm part, and since when.
+    limited: Option<(usize, Instant)>,
     /// When the calm part began.
     calm_from: Option<Instant>,
     breaches: Vec<String>,
@@ -113,7 +116,10 @@
         callers.spawn(callers::run(world.clone(), number, rng.random()));
     }
     let watching = tokio::spawn(process::keep_running(world.clone()));
+    let naming = tokio::spawn(limits::name_in_series(world.clone(), plan.clone()));
     let faults = faults::bring(&world, plan, &mut rng).await;
+    // It ends with the faults, and fails only if a part of the run panics.
+    let _ = naming.await;
     time::sleep(RECOVERY).await;
     world.calm_part(&mut rng).await;
     callers.abort_all();
@@ -195,11 +201,12 @@
         }
     }
 
-    /// Without faults: a drain, a key taken away and a planned stop, all heeded.
+    /// Without faults: an endpoint's limit, a drain, a key taken away and a planned stop, all heeded.
     async fn calm_part(&self, rng: &mut ChaCha8Rng) {
         self.promised().calm_from = Some(Instant::now());
-        time::sleep(BEFORE_CHANGES).await;
         let drained = rng.random_range(0..self.runners.len());
+        limits::name_for_calm(self, (drained + 1) % self.runners.len());
+        time::sleep(BEFORE_CHANGES).await;
         self.endpoint(drained, "draining");
         self.promised().draining.push((drained, Instant::now()));
         self.change_keys(|promised| {
