Failing tests: a list of many pages that is refused midway is begun anew without end; what changes while it is read is missed

One instance, 400 endpoints in eight pages: each fourth reading call refused, no end in 20 s. An endpoint that says it leaves between the first page and the last stays ready for ever: the list's revision is the last page's, and the watch goes on from it.

--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -42,6 +42,8 @@
 pub struct Faults {
     /// Answers nothing but 503.
     pub down: bool,
+    /// Refuses each so manieth reading call as one over the limit; 0: none.
+    pub refuses_each: u64,
     /// Takes calls and answers nothing.
     pub silent: bool,
     /// Answers watches at once, whether or not something has changed.
@@ -405,7 +407,9 @@
         state.writes.take()
     } else {
         state.counts.reads += 1;
-        state.reads.take()
+        let each = state.faults.refuses_each;
+        let is_refused = each > 0 && state.counts.reads.is_multiple_of(each);
+        state.reads.take() && !is_refused
     };
     if !allowed {
         state.counts.limited += 1;
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -10,5 +10,6 @@
 mod other_writers;
 mod places;
 mod site;
+mod store_lists;
 mod support;
 mod suspension;
--- /dev/null
+++ b/tests/edge/store_lists.rs
@@ -0,0 +1,89 @@
+//! Lists of the store that take many pages, while calls are refused and entries change.
+//!
+//! The story: after the loss of all 300 instances, some of the sweeps served again only after 30 s, others after 9. By reading: a list
+//! of 3,000 endpoints is 60 pages and more, and one refused page throws all pages away; where 300 processes list at once the store
+//! refuses calls, and all begin anew. What is shown here is that one instance alone never comes to the end of
+//! such a list; that the sweeps' 30 s have this cause is not shown.
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use standins::platform::Platform;
+
+use crate::{
+    group::{Instance, Place, free_port, until},
+    support::config,
+};
+
+/// Eight pages of the stand-in.
+const ENDPOINTS: usize = 400;
+
+fn entry(state: &str) -> Value {
+    json!({"backend": "svc", "address": "127.0.0.1:9", "zone": "a", "version": "v1", "capacity": 4,
+        "state": state, "warmupLeftMs": 0, "sequence": 1})
+}
+
+fn id(number: usize) -> String {
+    format!("e{number:03}")
+}
+
+async fn start_store() -> Platform {
+    let platform = Platform::start().await;
+    platform.set("config", "main", config(3, &["key-of-the-tests"]));
+    for number in 0..ENDPOINTS {
+        platform.set("servers", &id(number), entry("ready"));
+    }
+    platform
+}
+
+async fn start_instance(net: u8) -> Instance {
+    let port = free_port(net).await;
+    let place = Place {
+        net,
+        number: 0,
+        hall: "a",
+        port,
+        seeds: &[],
+    };
+    Instance::start(place).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_list_goes_on_after_a_page_that_was_refused() {
+    let platform = start_store().await;
+    platform.fault(|f| f.refuses_each = 4);
+    let mut instance = start_instance(60).await;
+    instance.follow(platform.addr());
+    until("all endpoints to be known", || {
+        instance.gateway.balancer().endpoint_count() == ENDPOINTS
+    })
+    .await;
+}
+
+/// An endpoint says that it leaves after the page it is on was read and before the last one was.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_changes_while_a_list_is_read_is_not_missed() {
+    let platform = start_store().await;
+    platform.fault(|f| f.delay = Duration::from_millis(60));
+    let mut instance = start_instance(61).await;
+    instance.follow(platform.addr());
+    let before = platform.counts().reads;
+    // The configuration's list and two pages of the endpoints' at least, and not all.
+    until("two pages to be read", || {
+        platform.counts().reads >= before + 4
+    })
+    .await;
+    platform.set("servers", &id(0), entry("draining"));
+    assert_eq!(
+        instance.gateway.balancer().endpoint_count(),
+        0,
+        "the list is not whole yet"
+    );
+    platform.fault(|f| f.delay = Duration::ZERO);
+    let draining = || {
+        let balancer = instance.gateway.balancer();
+        let entry = balancer.key_of(&id(0)).and_then(|key| balancer.entry(key));
+        entry.is_some_and(|e| e.draining)
+    };
+    until("the endpoint to be known as leaving", draining).await;
+}
