A list of the store keeps the pages that were read over a refused call, and is as old as its first page

Cause: a list that one page of was refused was thrown away whole and begun anew, so where the store refuses each fourth call a list of eight pages never ended; and a watch went on from the revision of the last page, so what changed on a page that had been read was never known. Ruled out: that the store's answers are out of order (the stand-in's lists are whole by page). Change: pages are kept for 10 s over calls that bring nothing, a wrong verdict of a suspended machine among them; the list's revision and freshness are those of its first page.

--- a/src/platform/follow.rs
+++ b/src/platform/follow.rs
@@ -15,7 +15,9 @@
     platform::{
         configuration::{self, ConfigSpec},
         endpoints::{self, EndpointSpec},
-        objects::{CallError, Changes, Event, Listing, Object, ObjectClient, Unreadable},
+        objects::{
+            CallError, Changes, Event, Listing, Object, ObjectClient, PartialListing, Unreadable,
+        },
     },
     prelude::Micros,
 };
@@ -64,6 +66,33 @@
     fn lost(&mut self) {}
 }
 
+/// Pages of a list that were read are kept for this long over calls that bring nothing. A watch goes on from the first of
+/// them, and stores keep a history of 20 s and more.
+const LIST_KEPT_US: Micros = 10_000_000;
+
+/// A list that is being read.
+struct Reading<T> {
+    pages: PartialListing<T>,
+    /// When the first page was asked for.
+    asked_us: Micros,
+}
+
+impl<T> Reading<T> {
+    fn new(asked_us: Micros) -> Self {
+        Self {
+            pages: PartialListing::default(),
+            asked_us,
+        }
+    }
+
+    /// Begins anew if what was read is too old to go on with.
+    fn renew(&mut self, now_us: Micros) {
+        if now_us.saturating_sub(self.asked_us) >= LIST_KEPT_US {
+            *self = Self::new(now_us);
+        }
+    }
+}
+
 /// What an answer of the store brought.
 struct Answer {
     /// The revision that a watch goes on from.
@@ -80,6 +109,7 @@
     mut follower: F,
 ) {
     let mut revision: Option<u64> = None;
+    let mut reading = Reading::new(gateway.clock.now_us());
     let mut is_lost = false;
     let mut had_news = true;
     let mut was_suspended = false;
@@ -91,6 +121,7 @@
                 continue;
             }
         }
+        reading.renew(gateway.clock.now_us());
         let asked_us = gateway.clock.now_us();
         let wait = match revision {
             // Whoever waits for news does not know yet what came meanwhile.
@@ -98,7 +129,12 @@
             _ => Duration::ZERO,
         };
         follower.staleness().asks(asked_us, follower.bound(), wait);
-        let asking = ask(&mut store, &mut follower, revision, wait, asked_us);
+        let asking = async {
+            match revision {
+                None => list(&mut store, &mut follower, &mut reading, asked_us).await,
+                Some(from) => watch(&mut store, &mut follower, from, wait, asked_us).await,
+            }
+        };
         let Some(result) = gateway.clock.unless_suspended(asking).await else {
             // The answer was on its way to a machine that was not there; it may come seconds later.
             store.close();
@@ -193,28 +229,19 @@
     (pause * groups).min(longest)
 }
 
-/// Asks for what changed since a revision, or for all.
-async fn ask<F: Follower>(
-    store: &mut ObjectClient,
-    follower: &mut F,
-    revision: Option<u64>,
-    wait: Duration,
-    asked_us: Micros,
-) -> Result<Answer, CallError> {
-    match revision {
-        None => list(store, follower, asked_us).await,
-        Some(from) => watch(store, follower, from, wait, asked_us).await,
-    }
-}
-
+/// Asks for all, from where the list that is being read stands. What it tells is as old as its first page.
 async fn list<F: Follower>(
     store: &mut ObjectClient,
     follower: &mut F,
+    reading: &mut Reading<F::Spec>,
     asked_us: Micros,
 ) -> Result<Answer, CallError> {
-    let listing = store.list::<F::Spec>(F::KIND).await?;
+    if reading.pages.is_empty() {
+        reading.asked_us = asked_us;
+    }
+    let listing = store.list_on(F::KIND, &mut reading.pages).await?;
     let revision = listing.revision;
-    follower.listed(listing, asked_us);
+    follower.listed(listing, reading.asked_us);
     Ok(Answer {
         revision,
         has_news: true,
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -112,10 +112,67 @@
     pub items: Vec<Object<T>>,
     /// The others.
     pub unreadable: Vec<Unreadable>,
-    /// The store's revision that a watch goes on from.
+    /// The store's revision that a watch goes on from: that of the first page. What changed while the others were
+    /// read may be on a page that had been read by then.
     pub revision: u64,
 }
 
+/// The pages of a list that were read so far: a call that brings nothing costs one page, not all. Where 300 processes
+/// list 3,000 endpoints at once the store refuses some calls of each.
+#[derive(Debug)]
+pub struct PartialListing<T> {
+    listing: Listing<T>,
+    /// The name after which the next page begins; none before the first.
+    after: Option<String>,
+}
+
+impl<T> Default for PartialListing<T> {
+    fn default() -> Self {
+        let listing = Listing {
+            items: Vec::new(),
+            unreadable: Vec::new(),
+            revision: 0,
+        };
+        Self {
+            listing,
+            after: None,
+        }
+    }
+}
+
+impl<T> PartialListing<T> {
+    /// Returns whether no page was read.
+    pub fn is_empty(&self) -> bool {
+        self.after.is_none()
+    }
+}
+
+impl<T: DeserializeOwned> PartialListing<T> {
+    fn path(&self, kind: &str) -> String {
+        match &self.after {
+            None => format!("/objects/{kind}"),
+            Some(name) => format!("/objects/{kind}?sinceRevision={name}"),
+        }
+    }
+
+    /// Takes a page; returns whether it was the last.
+    fn take(&mut self, page: &Page) -> bool {
+        if self.after.is_none() {
+            self.listing.revision = page.revision;
+        }
+        for item in &page.items {
+            match read_object(item) {
+                Ok(object) => self.listing.items.push(object),
+                Err(unreadable) => self.listing.unreadable.push(unreadable),
+            }
+        }
+        let last = page.items.iter().rev().find_map(|item| name_of(item));
+        let is_last = !page.has_more || last.is_none() || last == self.after;
+        self.after = last;
+        is_last
+    }
+}
+
 #[derive(Debug, Deserialize)]
 struct Page {
     /// Each by itself: one that cannot be read harms no other.
@@ -240,26 +297,23 @@
     /// # Errors
     /// The store did not answer one of the pages.
     pub async fn list<T: DeserializeOwned>(&mut self, kind: &str) -> Result<Listing<T>, CallError> {
-        let mut listing = Listing {
-            items: Vec::new(),
-            unreadable: Vec::new(),
-            revision: 0,
-        };
-        let mut path = format!("/objects/{kind}");
+        self.list_on(kind, &mut PartialListing::default()).await
+    }
+
+    /// Goes on with a list from the pages that were read, which are kept if the call brings nothing; after a whole
+    /// list none are.
+    ///
+    /// # Errors
+    /// The store did not answer one of the pages.
+    pub async fn list_on<T: DeserializeOwned>(
+        &mut self,
+        kind: &str,
+        partial: &mut PartialListing<T>,
+    ) -> Result<Listing<T>, CallError> {
         loop {
-            let page: Page = self.read(&path, CALL_TIMEOUT).await?;
-            let last = page.items.iter().rev().find_map(|item| name_of(item));
-            let next = last.map(|name| format!("/objects/{kind}?sinceRevision={name}"));
-            for item in &page.items {
-                match read_object(item) {
-                    Ok(object) => listing.items.push(object),
-                    Err(unreadable) => listing.unreadable.push(unreadable),
-                }
-            }
-            listing.revision = page.revision;
-            match next {
-                Some(next) if page.has_more && next != path => path = next,
-                _ => return Ok(listing),
+            let page: Page = self.read(&partial.path(kind), CALL_TIMEOUT).await?;
+            if partial.take(&page) {
+                return Ok(std::mem::take(partial).listing);
             }
         }
     }
