Move: an endpoint's rate and what is known of endpoints in files of their own

Cause: what endpoints say of themselves is to have one place (limits::standings), of which a limit is one part. Ruled out: a change of logic; names and places only.

--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -20,7 +20,7 @@
         prefixes::{ChainKey, PrefixHolders},
         speed::Speed,
     },
-    limits::endpoint::EndpointLimits,
+    limits::standings::EndpointStandings,
     prelude::{Incarnation, Micros, Name, Rank},
 };
 
@@ -204,7 +204,7 @@
     pub(super) news: Vec<(ChainKey, EndpointKey)>,
     /// Endpoints found gone, to be told to the others.
     dead: Vec<EndpointKey>,
-    pub(super) limits: EndpointLimits,
+    pub(super) limits: EndpointStandings,
     /// Endpoints for which there was no permit, or no answer.
     pub(super) no_permits: HashMap<EndpointKey, NoPermits>,
     waiting: BTreeMap<WaitKey, Ask>,
@@ -228,7 +228,7 @@
             holders: PrefixHolders::default(),
             news: Vec::new(),
             dead: Vec::new(),
-            limits: EndpointLimits::default(),
+            limits: EndpointStandings::default(),
             no_permits: HashMap::new(),
             waiting: BTreeMap::new(),
             next_number: 0,
--- a/src/balance/limited.rs
+++ b/src/balance/limited.rs
@@ -3,7 +3,8 @@
 use crate::{
     balance::{balancer::Balancer, cost::Ask, load::EndpointKey},
     limits::{
-        endpoint::{EndpointLimits, KnownLimit, LimitChange, LimitWord, ToldLimit},
+        rate::LimitWord,
+        standings::{EndpointStandings, KnownLimit, LimitChange, ToldStanding},
         telling::Audience,
     },
     prelude::{Micros, Rank},
@@ -19,7 +20,7 @@
 
 impl Balancer {
     /// Returns the limits that endpoints named.
-    pub fn limits(&self) -> &EndpointLimits {
+    pub fn limits(&self) -> &EndpointStandings {
         &self.limits
     }
 
@@ -55,7 +56,7 @@
         none.is_none_or(|none| none.until_us <= now_us || rank < none.rank)
     }
 
-    /// Takes an endpoint's own word on its limit, as [`EndpointLimits::heard`]; one that is gone has none.
+    /// Takes an endpoint's own word on its limit, as [`EndpointStandings::heard`]; one that is gone has none.
     pub fn heard_limit(
         &mut self,
         now_us: Micros,
@@ -75,7 +76,7 @@
     }
 
     /// Takes limits that another instance told; returns what changed.
-    pub fn told_limits(&mut self, now_us: Micros, told: &[ToldLimit]) -> Vec<LimitChange> {
+    pub fn told_limits(&mut self, now_us: Micros, told: &[ToldStanding]) -> Vec<LimitChange> {
         let changes = self.limits.told(now_us, told);
         for change in &changes {
             self.no_permits.remove(&change.endpoint);
@@ -89,15 +90,15 @@
     }
 
     /// Returns the limits that an audience is to be told in this round.
-    pub fn take_told_limits(&mut self, now_us: Micros, audience: Audience) -> Vec<ToldLimit> {
+    pub fn take_told_limits(&mut self, now_us: Micros, audience: Audience) -> Vec<ToldStanding> {
         let endpoints = &self.endpoints;
         let is_listed = |key: EndpointKey| endpoints.contains_key(&key);
         self.limits.take_told(now_us, audience, is_listed)
     }
 
     /// Returns what is known of one endpoint's limit, to be told beside a question on it.
-    pub fn told_limit(&self, key: EndpointKey) -> ToldLimit {
-        ToldLimit {
+    pub fn told_limit(&self, key: EndpointKey) -> ToldStanding {
+        ToldStanding {
             endpoint: key,
             known: KnownLimit {
                 version: self.limits.version(key),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -20,7 +20,7 @@
     endpoint::kept::EndpointConnection,
     gateway::{
         config::Route,
-        endpoint_limits,
+        endpoint_words,
         protocol::{CallHead, Forward, Protocol},
         refuse,
         state::Gateway,
@@ -244,7 +244,7 @@
         return Err(Failed::NotSent(refuse::ENDS_ENDPOINTS));
     }
     sent.at_us = gateway.clock.now_us();
-    sent.limit_version = endpoint_limits::note_sent(gateway, sent.choice.key);
+    sent.limit_version = endpoint_words::note_sent(gateway, sent.choice.key);
     let request = forwarded(gateway, job, &sent.choice, resume_after);
     let answer = connection.sender.send_request(request);
     let response = match until.wait(gateway.clock, answer).await {
@@ -266,7 +266,7 @@
         return Err(Failed::Unknown("foreign_answer"));
     }
     if response.status() != StatusCode::MISDIRECTED_REQUEST {
-        endpoint_limits::heard(gateway, &sent.choice, sent.limit_version, &head);
+        endpoint_words::heard(gateway, &sent.choice, sent.limit_version, &head);
     }
     if let Some(word) = head.load {
         let now_us = gateway.clock.now_us();
--- a/src/gateway/endpoint_limits.rs
+++ b/src/gateway/endpoint_words.rs
@@ -6,7 +6,10 @@
         protocol::{AnswerHead, Protocol},
         state::Gateway,
     },
-    limits::endpoint::{LimitChange, LimitWord, RequestRate, ToldLimit},
+    limits::{
+        rate::{LimitWord, RequestRate},
+        standings::{LimitChange, ToldStanding},
+    },
 };
 
 /// So much of a word that cannot be read is shown in its line, in characters.
@@ -52,7 +55,7 @@
 }
 
 /// Takes what another instance told.
-pub(super) fn told<P: Protocol>(gateway: &Gateway<P>, told: &[ToldLimit]) {
+pub(super) fn told<P: Protocol>(gateway: &Gateway<P>, told: &[ToldStanding]) {
     if told.is_empty() {
         return;
     }
--- a/src/gateway/hearing.rs
+++ b/src/gateway/hearing.rs
@@ -12,7 +12,7 @@
         picture::Group,
     },
     gateway::{
-        endpoint_limits, exchange::Exchange, far_book::FAR_HALLS, halls::teller_of_hall,
+        endpoint_words, exchange::Exchange, far_book::FAR_HALLS, halls::teller_of_hall,
         protocol::Protocol,
     },
     limits::organisation::{Teller, ToldUse},
@@ -42,7 +42,7 @@
         let echo = update.echo_of(address_key(self.place.me.peer_addr.ip()));
         self.take_freshness(&update, echo, from);
         self.gateway.suspects().told(now_us, &update.suspects);
-        endpoint_limits::told(&self.gateway, &update.limits);
+        endpoint_words::told(&self.gateway, &update.limits);
         let group = self.gateway.balancer().picture().group();
         match (group, update.purpose) {
             (Group::Small, _) => self.take_direct(now_us, &update),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,7 +10,7 @@
 pub mod config;
 pub mod copies;
 pub mod endings;
-pub mod endpoint_limits;
+pub mod endpoint_words;
 pub mod exchange;
 pub mod far_book;
 mod fetching;
--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -18,14 +18,15 @@
 use crate::{
     balance::load::EndpointKey,
     gateway::{
-        endpoint_limits,
+        endpoint_words,
         protocol::Protocol,
         reserver::{Channel, Word},
         state::Gateway,
     },
     limits::{
-        endpoint::{RequestRate, ToldLimit},
         permits::{Permit, PermitGiver},
+        rate::RequestRate,
+        standings::ToldStanding,
     },
     peers::view::{Member, View},
     prelude::{Micros, Rank},
@@ -52,14 +53,14 @@
     /// Asks for one, under the datagram's number.
     Ask {
         /// What is known of the endpoint's limit.
-        limit: ToldLimit,
+        limit: ToldStanding,
         /// How urgent the request is.
         rank: Rank,
     },
     /// Answers what was asked under the datagram's number.
     Answer {
         /// What is known of the endpoint's limit.
-        limit: ToldLimit,
+        limit: ToldStanding,
         /// The answer.
         permit: Permit,
     },
@@ -230,7 +231,7 @@
 ) {
     match word {
         PermitWord::Ask { limit, rank } => {
-            endpoint_limits::told(gateway, &[limit]);
+            endpoint_words::told(gateway, &[limit]);
             let endpoint = limit.endpoint;
             let permit = match gateway.permits.keeper(endpoint) {
                 Some(Keeper::Me) => give(gateway, endpoint, rank),
@@ -243,7 +244,7 @@
             channel.send(from, number, answer).await;
         }
         PermitWord::Answer { limit, permit } => {
-            endpoint_limits::told(gateway, &[limit]);
+            endpoint_words::told(gateway, &[limit]);
             let is_taken = gateway.permits.answer(number, permit);
             if !is_taken && permit == Permit::Given {
                 // It came too late: its request went elsewhere.
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     balance::{load::OwnWord, prefixes::PromptPart},
-    limits::endpoint::LimitWord,
+    limits::rate::LimitWord,
     prelude::Name,
 };
 
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -1,9 +1,10 @@
 //! Limits that all instances keep together.
 
-pub mod endpoint;
 pub mod fingerprint;
 pub mod organisation;
 pub mod permits;
+pub mod rate;
 pub mod retries;
+pub mod standings;
 pub mod suspects;
 pub mod telling;
--- a/src/limits/permits.rs
+++ b/src/limits/permits.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     balance::load::EndpointKey,
-    limits::endpoint::RequestRate,
+    limits::rate::RequestRate,
     prelude::{Micros, Rank},
 };
 
--- a/src/limits/endpoint.rs
+++ b/src/limits/standings.rs
@@ -8,16 +8,16 @@
 //!
 //! Free of clock and socket, so that tests drive it step by step.
 
-use std::{
-    collections::{HashMap, HashSet},
-    fmt,
-};
+use std::collections::{HashMap, HashSet};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
     balance::load::EndpointKey,
-    limits::telling::{Audience, Telling},
+    limits::{
+        rate::{LimitWord, RequestRate},
+        telling::{Audience, Telling},
+    },
     prelude::Micros,
 };
 
@@ -31,58 +31,6 @@
 /// instances would send there until they are told again.
 const UNLISTED_US: Micros = 30_000_000;
 
-/// Requests a second, in thousandths.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct RequestRate {
-    milli_per_s: u32,
-}
-
-impl RequestRate {
-    /// Returns the rate that a decimal number names; none if it is no decimal number. Thousandths are
-    /// rounded down, and what is beyond any endpoint's reach is cut.
-    pub fn parse(text: &str) -> Option<Self> {
-        let is_digit_or_point = |byte: u8| byte.is_ascii_digit() || byte == b'.';
-        if !text.bytes().all(is_digit_or_point) {
-            // What else a float may be: signs, exponents, infinity.
-            return None;
-        }
-        let per_s: f64 = text.parse().ok()?;
-        // A cast keeps to the bounds of the type.
-        let milli_per_s = (per_s * 1e3) as u32;
-        Some(Self { milli_per_s })
-    }
-
-    /// Returns a part of it.
-    pub fn part(self, share: f64) -> Self {
-        // A cast keeps to the bounds of the type.
-        let milli_per_s = (f64::from(self.milli_per_s) * share) as u32;
-        Self { milli_per_s }
-    }
-
-    /// Returns it as requests a second.
-    pub fn per_s(self) -> f64 {
-        f64::from(self.milli_per_s) / 1e3
-    }
-}
-
-impl fmt::Display for RequestRate {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:.3}", self.per_s())
-    }
-}
-
-/// What an endpoint's answer says of its limit.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub enum LimitWord {
-    /// It has none.
-    #[default]
-    Free,
-    /// It has one.
-    Named(RequestRate),
-    /// Something that is no rate; it counts for nothing.
-    Unreadable(String),
-}
-
 /// What is known of an endpoint's limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KnownLimit {
@@ -115,7 +63,7 @@
 
 /// What an instance tells of an endpoint's limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ToldLimit {
+pub struct ToldStanding {
     /// The start of the endpoint.
     pub endpoint: EndpointKey,
     /// Its limit.
@@ -143,7 +91,7 @@
 
 /// The limits of all endpoints that named one.
 #[derive(Debug, Default)]
-pub struct EndpointLimits {
+pub struct EndpointStandings {
     by_endpoint: HashMap<EndpointKey, Entry>,
     /// Endpoints whose last word could not be read.
     unreadable: HashSet<EndpointKey>,
@@ -152,7 +100,7 @@
     has_news: bool,
 }
 
-impl EndpointLimits {
+impl EndpointStandings {
     /// Returns whether no endpoint has a limit.
     pub fn is_empty(&self) -> bool {
         self.limited == 0
@@ -231,9 +179,9 @@
     }
 
     /// Takes what another instance told; returns what changed. One that knows less is told.
-    pub fn told(&mut self, now_us: Micros, told: &[ToldLimit]) -> Vec<LimitChange> {
+    pub fn told(&mut self, now_us: Micros, told: &[ToldStanding]) -> Vec<LimitChange> {
         let mut changes = Vec::new();
-        for ToldLimit { endpoint, known } in told {
+        for ToldStanding { endpoint, known } in told {
             let Some(entry) = self.by_endpoint.get_mut(endpoint) else {
                 if known.version == 0 {
                     // Whoever asked knows of no limit, either.
@@ -298,7 +246,7 @@
         now_us: Micros,
         audience: Audience,
         is_listed: impl Fn(EndpointKey) -> bool,
-    ) -> Vec<ToldLimit> {
+    ) -> Vec<ToldStanding> {
         let listed = self.by_endpoint.iter_mut();
         let listed = listed.filter(|(endpoint, _)| is_listed(**endpoint));
         let is_due = |e: &Entry| e.telling.is_due(now_us, audience, e.known.rate.is_some());
@@ -307,7 +255,7 @@
         let told = due.into_iter().take(MOST_TOLD);
         let told = told.map(|(endpoint, entry)| {
             entry.telling.note_told(now_us, audience);
-            ToldLimit {
+            ToldStanding {
                 endpoint: *endpoint,
                 known: entry.known,
             }
--- a/src/peers/update.rs
+++ b/src/peers/update.rs
@@ -11,7 +11,7 @@
         prefixes::ChainKey,
         speed::{Evidence, ToldSpeed},
     },
-    limits::{endpoint::ToldLimit, organisation::ToldUse, suspects::ToldSuspect},
+    limits::{organisation::ToldUse, standings::ToldStanding, suspects::ToldSuspect},
     peers::datagram::{Authenticator, DatagramError, UnreadableSnafu},
     prelude::Incarnation,
 };
@@ -100,7 +100,7 @@
     /// Requests under which endpoints ended.
     pub suspects: Vec<ToldSuspect>,
     /// Limits that endpoints named, or that are over.
-    pub limits: Vec<ToldLimit>,
+    pub limits: Vec<ToldStanding>,
     /// What organisations used since the sender's start, through the sender alone.
     pub used: Vec<ToldUse>,
     /// Summaries of halls.
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -8,7 +8,7 @@
 use crate::{
     balance::{load::OwnWord, prefixes::PromptPart},
     gateway::protocol::{AnswerHead, CallHead, Forward, Protocol, TokenCounts},
-    limits::endpoint::{LimitWord, RequestRate},
+    limits::rate::{LimitWord, RequestRate},
 };
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
--- a/tests/edge/endpoint_limits.rs
+++ b/tests/edge/endpoint_limits.rs
@@ -18,7 +18,7 @@
 use ryevalve::{
     balance::load::EndpointKey,
     explain::explain,
-    limits::endpoint::{LimitWord, RequestRate},
+    limits::rate::{LimitWord, RequestRate},
 };
 use serde_json::Value;
 
--- a/tests/gateway/endpoint_limits.rs
+++ b/tests/gateway/endpoint_limits.rs
@@ -10,8 +10,9 @@
         picture::Group,
     },
     limits::{
-        endpoint::{EndpointLimits, LimitWord, RequestRate, ToldLimit},
         permits::{Permit, PermitGiver},
+        rate::{LimitWord, RequestRate},
+        standings::{EndpointStandings, ToldStanding},
         telling::Audience,
     },
 };
@@ -28,17 +29,17 @@
     LimitWord::Named(rate(text))
 }
 
-fn limit(limits: &EndpointLimits) -> Option<String> {
+fn limit(limits: &EndpointStandings) -> Option<String> {
     limits.rate(ENDPOINT).map(|rate| rate.to_string())
 }
 
 /// Says a word to a request that was sent knowing all that is known.
-fn hear(limits: &mut EndpointLimits, word: &LimitWord) {
+fn hear(limits: &mut EndpointStandings, word: &LimitWord) {
     let version = limits.version(ENDPOINT);
     limits.heard(SECOND, ENDPOINT, version, word);
 }
 
-fn told(limits: &mut EndpointLimits, now_us: u64) -> Vec<ToldLimit> {
+fn told(limits: &mut EndpointStandings, now_us: u64) -> Vec<ToldStanding> {
     limits.take_told(now_us, Audience::Peers, |_| true)
 }
 
@@ -66,7 +67,7 @@
 
 #[test]
 fn a_lower_word_holds_at_once_and_a_higher_one_only_if_it_is_known_to_be_later() {
-    let mut limits = EndpointLimits::default();
+    let mut limits = EndpointStandings::default();
     hear(&mut limits, &named("4"));
     let early = limits.version(ENDPOINT);
     hear(&mut limits, &named("2"));
@@ -89,7 +90,7 @@
 
 #[test]
 fn a_word_that_cannot_be_read_changes_nothing_and_is_noted_once() {
-    let mut limits = EndpointLimits::default();
+    let mut limits = EndpointStandings::default();
     hear(&mut limits, &named("4"));
     let spoiled = LimitWord::Unreadable("four".into());
     hear(&mut limits, &spoiled);
@@ -105,7 +106,7 @@
 
 #[test]
 fn one_that_knows_less_is_told_and_what_is_over_is_not_told_for_ever() {
-    let (mut one, mut other) = (EndpointLimits::default(), EndpointLimits::default());
+    let (mut one, mut other) = (EndpointStandings::default(), EndpointStandings::default());
     hear(&mut one, &named("4"));
     let late = told(&mut one, SECOND);
     other.told(SECOND, &late);
@@ -122,7 +123,7 @@
 
 #[test]
 fn a_limit_that_stands_is_told_again_and_again_but_not_of_endpoints_in_no_list() {
-    let mut limits = EndpointLimits::default();
+    let mut limits = EndpointStandings::default();
     hear(&mut limits, &named("4"));
     for round in 1..10 {
         let now_us = round * 2 * SECOND;
@@ -138,7 +139,7 @@
 
 #[test]
 fn memory_for_limits_is_bounded() {
-    let mut limits = EndpointLimits::default();
+    let mut limits = EndpointStandings::default();
     for number in 0..10_000 {
         limits.heard(SECOND, EndpointKey(number), 0, &named("1"));
     }
@@ -386,8 +387,8 @@
         let word = |milli_per_s: Option<u16>| {
             milli_per_s.map_or(LimitWord::Free, |m| named(&format!("0.00{m}")))
         };
-        let mut all: Vec<EndpointLimits> = (0..INSTANCES).map(|_| EndpointLimits::default()).collect();
-        let mut words: Vec<Vec<ToldLimit>> = Vec::new();
+        let mut all: Vec<EndpointStandings> = (0..INSTANCES).map(|_| EndpointStandings::default()).collect();
+        let mut words: Vec<Vec<ToldStanding>> = Vec::new();
         let mut now_us = 0;
         for step in steps {
             now_us += 2 * SECOND;
@@ -409,7 +410,7 @@
                 }
             }
         }
-        let mut tell_all = |all: &mut Vec<EndpointLimits>| {
+        let mut tell_all = |all: &mut Vec<EndpointStandings>| {
             for _ in 0..2 * INSTANCES {
                 now_us += 2 * SECOND;
                 for from in 0..INSTANCES {
--- a/tests/gateway/endpoint_limits_weighed.rs
+++ b/tests/gateway/endpoint_limits_weighed.rs
@@ -16,8 +16,8 @@
 use ryevalve::{
     balance::load::EndpointKey,
     limits::{
-        endpoint::RequestRate,
         permits::{Permit, PermitGiver},
+        rate::RequestRate,
     },
 };
 
