Sight: that endpoints leave or want rest is read, written to the log and counted; headers that nothing reads are named

Cause looked for: whether instances are told that an endpoint leaves or wants rest, and whether they send on. Until now no line or counter could tell "not read" from "read and undone" or "read too late". Ruled out: nothing by itself; nothing is decided by what is read. Change: an answer's words on its endpoint are decoded once, in src/platform, into EndpointWords; limits::standings knows who leaves, limits::rest who wants rest of this instance; lines endpoint_leaves, endpoint_rests, endpoint_rest_unreadable, answer_header_unread; gauges and counters of the same. Limits move to the same place (gateway::endpoint_words, balance::standing).

--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -14,13 +14,13 @@
         cost::{Ask, Expected, Known, expect},
         discovery::{Change, Discovery, EndpointEntry, EndpointsCopy, Revision},
         grants::Grants,
-        limited::NoPermits,
         load::{Believed, EndpointKey},
         picture::{Group, HallsOfServices, Picture},
         prefixes::{ChainKey, PrefixHolders},
         speed::Speed,
+        standing::NoPermits,
     },
-    limits::standings::EndpointStandings,
+    limits::{rest::Rests, standings::EndpointStandings},
     prelude::{Incarnation, Micros, Name, Rank},
 };
 
@@ -204,7 +204,8 @@
     pub(super) news: Vec<(ChainKey, EndpointKey)>,
     /// Endpoints found gone, to be told to the others.
     dead: Vec<EndpointKey>,
-    pub(super) limits: EndpointStandings,
+    pub(super) standings: EndpointStandings,
+    pub(super) rests: Rests,
     /// Endpoints for which there was no permit, or no answer.
     pub(super) no_permits: HashMap<EndpointKey, NoPermits>,
     waiting: BTreeMap<WaitKey, Ask>,
@@ -228,7 +229,8 @@
             holders: PrefixHolders::default(),
             news: Vec::new(),
             dead: Vec::new(),
-            limits: EndpointStandings::default(),
+            standings: EndpointStandings::default(),
+            rests: Rests::default(),
             no_permits: HashMap::new(),
             waiting: BTreeMap::new(),
             next_number: 0,
@@ -254,7 +256,7 @@
         let before = self.keys.insert(entry.id.clone(), key);
         if let Some(before) = before.filter(|before| *before != key) {
             self.forget(before);
-            self.limits.forget(before);
+            self.standings.forget(before);
         }
         let same_hall = entry.hall == self.hall;
         let speed = self.endpoints.remove(&key).map(|e| e.speed);
@@ -365,7 +367,7 @@
         for grant in self.grants.expire(now_us) {
             self.picture.settle(grant.key, grant.uncached_tokens);
         }
-        self.expire_limits(now_us);
+        self.expire_standings(now_us);
         let silent = self.picture.expire(now_us);
         (expired, silent)
     }
@@ -483,7 +485,7 @@
         let (mut near, mut far) = (0, 0);
         for key in self.in_turn(now_us, ask) {
             let is_enough = near >= near_looked_at && far >= FAR_LOOKED_AT;
-            if is_enough && self.limits.is_empty() {
+            if is_enough && self.standings.is_empty() {
                 break;
             }
             let Some(endpoint) = self.endpoints.get(&key) else {
@@ -494,7 +496,7 @@
             } else {
                 far < FAR_LOOKED_AT
             };
-            let needs_permit = self.limits.rate(key).is_some() && permit != Some(key);
+            let needs_permit = self.standings.rate(key).is_some() && permit != Some(key);
             if tried.contains(&key) || endpoint.entry.draining {
                 continue;
             }
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -5,10 +5,11 @@
 pub mod cost;
 pub mod discovery;
 pub mod grants;
-mod limited;
+
 pub mod load;
 pub mod picture;
 mod places;
 pub mod prefixes;
 pub mod speed;
+pub mod standing;
 mod telling;
--- /dev/null
+++ b/src/balance/standing.rs
@@ -0,0 +1,161 @@
+//! What a balancer knows of what endpoints said of themselves: that they leave, want rest, or take only so many
+//! requests a second.
+
+use crate::{
+    balance::{balancer::Balancer, cost::Ask, load::EndpointKey},
+    limits::{
+        rate::LimitWord,
+        rest::Rests,
+        standings::{EndpointStandings, KnownLimit, LimitChange, StandingChange, ToldStanding},
+        telling::Audience,
+    },
+    prelude::{Micros, Rank},
+};
+
+/// That there are no permits for an endpoint for a while.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct NoPermits {
+    /// For requests of this rank, and less urgent ones.
+    rank: Rank,
+    until_us: Micros,
+}
+
+impl Balancer {
+    /// Returns what endpoints said that binds all instances.
+    pub fn standings(&self) -> &EndpointStandings {
+        &self.standings
+    }
+
+    /// Returns the rests that endpoints asked this instance for.
+    pub fn rests(&self) -> &Rests {
+        &self.rests
+    }
+
+    /// Takes an endpoint's own word that it leaves, also of one that is in no list now: its entry may come back.
+    /// Returns whether that is new.
+    pub fn heard_leaving(&mut self, now_us: Micros, key: EndpointKey) -> bool {
+        self.standings.heard_leaving(now_us, key)
+    }
+
+    /// Takes an endpoint's own word that it wants rest, as [`Rests::asked`].
+    pub fn heard_rest(
+        &mut self,
+        now_us: Micros,
+        key: EndpointKey,
+        rest_us: Micros,
+        instances: usize,
+        draw: f64,
+    ) -> bool {
+        self.rests.asked(now_us, key, rest_us, instances, draw)
+    }
+
+    /// Notes that an endpoint's word on rest could not be read; returns whether the one before could be.
+    pub fn note_unreadable_rest(&mut self, key: EndpointKey) -> bool {
+        self.rests.note_unreadable(key)
+    }
+
+    /// Notes that a request goes to an endpoint.
+    pub fn note_sent(&mut self, now_us: Micros, key: EndpointKey) {
+        self.rests.note_sent(now_us, key);
+    }
+
+    /// Notes an answer without a word of rest to a request that was sent at `sent_us`.
+    pub fn note_answered(&mut self, key: EndpointKey, sent_us: Micros) {
+        if !self.rests.is_empty() {
+            self.rests.note_answered(key, sent_us);
+        }
+    }
+
+    /// Returns the endpoint for which a request would need a permit, if one is worth asking for: none that
+    /// needs no permit would be better. Those in `tried` are not chosen.
+    pub fn wanted_permit(
+        &self,
+        now_us: Micros,
+        ask: &Ask,
+        tried: &[EndpointKey],
+    ) -> Option<EndpointKey> {
+        if self.standings.is_empty() {
+            return None;
+        }
+        self.best(now_us, ask, tried, None).limited
+    }
+
+    /// Notes that there is no permit for an endpoint before `until_us`, for requests of `rank` and less urgent ones.
+    pub fn note_no_permit(&mut self, endpoint: EndpointKey, rank: Rank, until_us: Micros) {
+        if self.endpoints.contains_key(&endpoint) {
+            self.no_permits
+                .insert(endpoint, NoPermits { rank, until_us });
+        }
+    }
+
+    pub(super) fn may_ask_for_permit(
+        &self,
+        now_us: Micros,
+        endpoint: EndpointKey,
+        rank: Rank,
+    ) -> bool {
+        let none = self.no_permits.get(&endpoint);
+        none.is_none_or(|none| none.until_us <= now_us || rank < none.rank)
+    }
+
+    /// Takes an endpoint's own word on its limit, as [`EndpointStandings::heard`]; one that is gone has none.
+    pub fn heard_limit(
+        &mut self,
+        now_us: Micros,
+        key: EndpointKey,
+        sent_at: u32,
+        word: &LimitWord,
+    ) -> Option<LimitChange> {
+        self.entry(key)?;
+        let change = self.standings.heard(now_us, key, sent_at, word)?;
+        self.no_permits.remove(&key);
+        Some(change)
+    }
+
+    /// Notes that an endpoint's word on its limit could not be read; returns whether the one before could be.
+    pub fn note_unreadable_limit(&mut self, key: EndpointKey) -> bool {
+        self.entry(key).is_some() && self.standings.note_unreadable(key)
+    }
+
+    /// Takes standings that another instance told; returns what changed.
+    pub fn told_standings(&mut self, now_us: Micros, told: &[ToldStanding]) -> Vec<StandingChange> {
+        let changes = self.standings.told(now_us, told);
+        for change in &changes {
+            self.no_permits.remove(&change.endpoint());
+        }
+        changes
+    }
+
+    /// Returns whether standings are to be told at once, if that was not asked since.
+    pub fn take_standing_news(&mut self) -> bool {
+        self.standings.take_news()
+    }
+
+    /// Returns the standings that an audience is to be told in this round.
+    pub fn take_told_standings(&mut self, now_us: Micros, audience: Audience) -> Vec<ToldStanding> {
+        let endpoints = &self.endpoints;
+        let is_listed = |key: EndpointKey| endpoints.contains_key(&key);
+        self.standings.take_told(now_us, audience, is_listed)
+    }
+
+    /// Returns what is known of one endpoint, to be told beside a question on it.
+    pub fn told_standing(&self, key: EndpointKey) -> ToldStanding {
+        ToldStanding {
+            endpoint: key,
+            known: KnownLimit {
+                version: self.standings.version(key),
+                rate: self.standings.rate(key),
+            },
+            leaves: self.standings.leaves(key),
+        }
+    }
+
+    /// Forgets what is over, and limits of endpoints that are in no list.
+    pub fn expire_standings(&mut self, now_us: Micros) {
+        let endpoints = &self.endpoints;
+        self.rests
+            .expire(now_us, |key| endpoints.contains_key(&key));
+        self.standings
+            .expire(now_us, |key| endpoints.contains_key(&key));
+    }
+}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -149,7 +149,7 @@
     /// When it was sent.
     pub at_us: Micros,
     /// The version of what was known then of the endpoint's limit.
-    limit_version: u32,
+    pub(super) limit_version: u32,
     first_seen: bool,
     counts_hold: bool,
     is_over: bool,
@@ -259,14 +259,16 @@
             return Err(Failed::Unknown("no_answer"));
         }
     };
-    let head = gateway.protocol.read_answer(response.headers());
+    let status = response.status();
+    let head = gateway.protocol.read_answer(status, response.headers());
+    endpoint_words::heard(gateway, &sent, &head);
     if head.request_id != job.head.request_id {
         // A surplus answer of an earlier request; ours may run all the same.
         sent.failed();
         return Err(Failed::Unknown("foreign_answer"));
     }
-    if response.status() != StatusCode::MISDIRECTED_REQUEST {
-        endpoint_words::heard(gateway, &sent.choice, sent.limit_version, &head);
+    if status != StatusCode::MISDIRECTED_REQUEST {
+        endpoint_words::heard_limit(gateway, &sent, &head);
     }
     if let Some(word) = head.load {
         let now_us = gateway.clock.now_us();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -239,7 +239,7 @@
         let group = self.count_sharers(now_us, &view);
         let has_news = self.take_state_news();
         let is_suspected = self.gateway.suspects().take_news();
-        let has_limits = self.gateway.balancer().take_limit_news();
+        let has_limits = self.gateway.balancer().take_standing_news();
         let changed = self.gateway.balancer().take_changed() || is_suspected || has_limits;
         let is_due = {
             let mut state = self.lock();
--- a/src/gateway/hearing.rs
+++ b/src/gateway/hearing.rs
@@ -42,7 +42,7 @@
         let echo = update.echo_of(address_key(self.place.me.peer_addr.ip()));
         self.take_freshness(&update, echo, from);
         self.gateway.suspects().told(now_us, &update.suspects);
-        endpoint_words::told(&self.gateway, &update.limits);
+        endpoint_words::told(&self.gateway, &update.standings);
         let group = self.gateway.balancer().picture().group();
         match (group, update.purpose) {
             (Group::Small, _) => self.take_direct(now_us, &update),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -87,6 +87,12 @@
     pub permits_unanswered: Counter,
     /// Limits named in words that cannot be read.
     pub limit_words_unreadable: Counter,
+    /// Words of endpoints that ask this instance for rest.
+    pub rests_asked: Counter,
+    /// Rest asked for in words that cannot be read.
+    pub rest_words_unreadable: Counter,
+    /// Headers of endpoints' answers that nothing reads.
+    pub answer_headers_unread: Counter,
     /// Calls to the store that brought nothing.
     pub store_failures: Counter,
     /// Entries of endpoints that could not be read: another writer's.
@@ -122,6 +128,8 @@
     endpoints_age_seconds: Gauge<f64, std::sync::atomic::AtomicU64>,
     endpoints: Gauge,
     limited_endpoints: Gauge,
+    leaving_endpoints: Gauge,
+    resting_endpoints: Gauge,
     waiting: Gauge,
     instances_heard: Gauge,
     resting_connections: Gauge,
@@ -142,6 +150,9 @@
             permits_unused: Counter::default(),
             permits_unanswered: Counter::default(),
             limit_words_unreadable: Counter::default(),
+            rests_asked: Counter::default(),
+            rest_words_unreadable: Counter::default(),
+            answer_headers_unread: Counter::default(),
             store_failures: Counter::default(),
             entries_unused: Counter::default(),
             datagrams_dropped: Counter::default(),
@@ -162,6 +173,8 @@
             endpoints_age_seconds: Gauge::default(),
             endpoints: Gauge::default(),
             limited_endpoints: Gauge::default(),
+            leaving_endpoints: Gauge::default(),
+            resting_endpoints: Gauge::default(),
             waiting: Gauge::default(),
             instances_heard: Gauge::default(),
             resting_connections: Gauge::default(),
@@ -184,6 +197,10 @@
     pub endpoints: usize,
     /// Endpoints that named a limit.
     pub limited_endpoints: usize,
+    /// Endpoints that said that they leave, those that have left among them.
+    pub leaving_endpoints: usize,
+    /// Endpoints that asked this instance for rest and have not served since.
+    pub resting_endpoints: usize,
     /// Requests that wait for a slot.
     pub waiting: usize,
     /// Instances heard of late, this one included.
@@ -220,6 +237,7 @@
         registry.register("datagrams_dropped", dropped, self.datagrams_dropped.clone());
         self.register_exchange();
         self.register_endpoint_limits();
+        self.register_endpoint_words();
         let registry = &mut self.registry;
         let version = "Version of the configuration in force";
         registry.register("config_version", version, self.config_version.clone());
@@ -270,6 +288,28 @@
         );
     }
 
+    fn register_endpoint_words(&mut self) {
+        let registry = &mut self.registry;
+        let leaving = "Endpoints that said that they leave, those that have left among them";
+        registry.register("leaving_endpoints", leaving, self.leaving_endpoints.clone());
+        let resting = "Endpoints that asked this instance for rest and have not served since";
+        registry.register("resting_endpoints", resting, self.resting_endpoints.clone());
+        let asked = "Words of endpoints that ask this instance for rest";
+        registry.register("rests_asked", asked, self.rests_asked.clone());
+        let unreadable = "Rest asked for by endpoints in words that cannot be read";
+        registry.register(
+            "rest_words_unreadable",
+            unreadable,
+            self.rest_words_unreadable.clone(),
+        );
+        let unread = "Headers of endpoints' answers that nothing reads";
+        registry.register(
+            "answer_headers_unread",
+            unread,
+            self.answer_headers_unread.clone(),
+        );
+    }
+
     fn register_exchange(&mut self) {
         let registry = &mut self.registry;
         let told = "Bytes told to other instances by datagrams";
@@ -321,6 +361,10 @@
         self.endpoints.set(readings.endpoints as i64);
         self.limited_endpoints
             .set(readings.limited_endpoints as i64);
+        let leaving = readings.leaving_endpoints;
+        self.leaving_endpoints.set(leaving as i64);
+        let resting = readings.resting_endpoints;
+        self.resting_endpoints.set(resting as i64);
         self.waiting.set(readings.waiting as i64);
         self.instances_heard.set(readings.instances_heard as i64);
         let resting = readings.resting_connections;
--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -201,7 +201,7 @@
 ) -> Option<Permit> {
     let channel = gateway.reserver.channel()?;
     let mut pending = gateway.permits.begin();
-    let limit = gateway.balancer().told_limit(endpoint);
+    let limit = gateway.balancer().told_standing(endpoint);
     let word = Word::Permits(PermitWord::Ask { limit, rank });
     channel.send(keeper, pending.number, word).await;
     let answered = time::timeout(ANSWER, &mut pending.answer).await;
@@ -239,7 +239,7 @@
                     wait_us: NOT_KEPT_WAIT_US,
                 },
             };
-            let limit = gateway.balancer().told_limit(endpoint);
+            let limit = gateway.balancer().told_standing(endpoint);
             let answer = Word::Permits(PermitWord::Answer { limit, permit });
             channel.send(from, number, answer).await;
         }
@@ -280,7 +280,7 @@
 
 /// Returns the part of an endpoint's limit that this instance gives out, if it has one.
 fn rate_given<P: Protocol>(gateway: &Gateway<P>, endpoint: EndpointKey) -> Option<RequestRate> {
-    let rate = gateway.balancer().limits().rate(endpoint)?;
+    let rate = gateway.balancer().standings().rate(endpoint)?;
     let part = gateway.permits.lock().heard_share * HEARD_PART;
     Some(rate.part(part.min(1.0)))
 }
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -1,10 +1,13 @@
 //! How callers are read and answered and how endpoints are asked, in whatever headers they use.
 
-use hyper::{HeaderMap, header::HeaderValue};
+use hyper::{
+    HeaderMap, StatusCode,
+    header::{HeaderName, HeaderValue},
+};
 
 use crate::{
     balance::{load::OwnWord, prefixes::PromptPart},
-    limits::rate::LimitWord,
+    limits::{rate::LimitWord, rest::RestWord},
     prelude::Name,
 };
 
@@ -67,6 +70,19 @@
     pub not_executed: bool,
     /// The endpoint's load.
     pub load: Option<OwnWord>,
+    /// What it says of itself.
+    pub words: EndpointWords,
+    /// Headers that nothing here reads.
+    pub unread: Vec<HeaderName>,
+}
+
+/// What an endpoint's start says of itself in an answer, whatever the answer is.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EndpointWords {
+    /// It leaves: nothing more is to be sent to it.
+    pub leaves: bool,
+    /// For how long it wants nothing from this instance.
+    pub rest: RestWord,
     /// How many requests it takes from all instances together.
     pub limit: LimitWord,
 }
@@ -80,7 +96,7 @@
     fn write_forward(&self, headers: &mut HeaderMap, forward: &Forward<'_>);
 
     /// Reads the head of an endpoint's answer.
-    fn read_answer(&self, headers: &HeaderMap) -> AnswerHead;
+    fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerHead;
 
     /// Adds to a refusal what lets the caller tell its request.
     fn write_refusal(&self, headers: &mut HeaderMap, request_id: Option<&HeaderValue>);
--- a/src/gateway/rounds.rs
+++ b/src/gateway/rounds.rs
@@ -270,7 +270,7 @@
         for (place, summary) in summaries.iter().enumerate() {
             if place > 0 {
                 update.suspects = Vec::new();
-                update.limits = Vec::new();
+                update.standings = Vec::new();
                 self.add_news(&mut update, News::default());
                 update.seq = self.next_seq();
             }
@@ -443,7 +443,10 @@
     /// Adds what an audience is to know for as long as it stands.
     fn add_standing(&self, now_us: Micros, update: &mut Update, audience: Audience) {
         update.suspects = self.gateway.suspects().take_told(now_us, audience);
-        update.limits = self.gateway.balancer().take_told_limits(now_us, audience);
+        update.standings = self
+            .gateway
+            .balancer()
+            .take_told_standings(now_us, audience);
     }
 
     fn add_news(&self, update: &mut Update, news: News) {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -23,6 +23,7 @@
     gateway::{
         config::GatewayConfig,
         endings::Endings,
+        endpoint_words::UnreadHeaders,
         freshness::{CurrentConfig, Offered},
         metrics::GatewayMetrics,
         patience::UsualPatience,
@@ -122,6 +123,8 @@
     pub permits: Permits,
     /// Finds out which endpoints have ended.
     pub endings: Endings,
+    /// Headers of endpoints that nothing reads.
+    pub unread_headers: UnreadHeaders,
     stopping: AtomicBool,
 }
 
@@ -165,6 +168,7 @@
             reserver: Reserver::default(),
             permits: Permits::default(),
             endings: Endings::default(),
+            unread_headers: UnreadHeaders::default(),
             endpoints: Staleness::default(),
             stopping: AtomicBool::new(false),
         }
@@ -418,7 +422,7 @@
                 by_permit,
             } => {
                 let mut balancer = self.balancer();
-                if !by_permit && balancer.limits().rate(key).is_some() {
+                if !by_permit && balancer.standings().rate(key).is_some() {
                     // Whoever gave the place has not heard of the limit.
                     return None;
                 }
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -4,6 +4,7 @@
 pub mod organisation;
 pub mod permits;
 pub mod rate;
+pub mod rest;
 pub mod retries;
 pub mod standings;
 pub mod suspects;
--- a/src/limits/standings.rs
+++ b/src/limits/standings.rs
@@ -1,4 +1,7 @@
-//! How many requests a second endpoints in need take from all instances together, as they say in answers.
+//! What starts of endpoints said of themselves that binds all instances: how many requests a second they take, and
+//! that they leave.
+//!
+//! That a start leaves is final: no word, entry or list after it undoes it, and a later start has a standing of its own.
 //!
 //! An endpoint names its limit for as long as it holds: an answer without one says that it is over. Answers
 //! overtake each other, at one instance and between instances, so what is known of an endpoint has a version.
@@ -21,12 +24,15 @@
     prelude::Micros,
 };
 
-/// Endpoints of which one datagram tells the limit, about 12 bytes each: all of a service of 168 come in three
+/// Endpoints of which one datagram tells the standing, about 13 bytes each: all of a service of 168 come in three
 /// rounds.
 const MOST_TOLD: usize = 64;
-/// Limits that are remembered, at some 60 bytes each; more than there are endpoints in a large deployment.
+/// Standings that are remembered, at some 60 bytes each; more than there are endpoints in a large deployment. Of those
+/// that are in no list the one that was in a list longest ago gives way first; those of listed endpoints never do.
 const MOST_KNOWN: usize = 4_096;
-/// What is known of an endpoint that is in no list is forgotten after this time. Word of its limit may come before its
+/// An endpoint that was in a list within this time is in one, as far as room is made.
+const LISTED_US: Micros = 1_000_000;
+/// The limit of an endpoint that is in no list is forgotten after this time. Word of its limit may come before its
 /// entry, and an entry that lapsed while the store was away is back some seconds after that: without the limit, all
 /// instances would send there until they are told again.
 const UNLISTED_US: Micros = 30_000_000;
@@ -61,13 +67,34 @@
     }
 }
 
-/// What an instance tells of an endpoint's limit.
+/// What an instance tells of an endpoint's standing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ToldStanding {
     /// The start of the endpoint.
     pub endpoint: EndpointKey,
     /// Its limit.
     pub known: KnownLimit,
+    /// It said that it leaves.
+    pub leaves: bool,
+}
+
+/// A standing that changed here by what another instance told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StandingChange {
+    /// Its limit changed.
+    Limit(LimitChange),
+    /// It leaves.
+    Leaves(EndpointKey),
+}
+
+impl StandingChange {
+    /// Returns the endpoint that it is of.
+    pub fn endpoint(self) -> EndpointKey {
+        match self {
+            Self::Limit(change) => change.endpoint,
+            Self::Leaves(endpoint) => endpoint,
+        }
+    }
 }
 
 /// A limit that changed here.
@@ -84,12 +111,13 @@
 #[derive(Debug)]
 struct Entry {
     known: KnownLimit,
+    leaves: bool,
     /// When it was in a list last, or word of it came first.
     listed_us: Micros,
     telling: Telling,
 }
 
-/// The limits of all endpoints that named one.
+/// The standings of all endpoints that said something of themselves.
 #[derive(Debug, Default)]
 pub struct EndpointStandings {
     by_endpoint: HashMap<EndpointKey, Entry>,
@@ -97,6 +125,8 @@
     unreadable: HashSet<EndpointKey>,
     /// Endpoints that have a limit now.
     limited: usize,
+    /// Endpoints that leave.
+    leaving: usize,
     has_news: bool,
 }
 
@@ -123,9 +153,65 @@
         self.limited
     }
 
-    fn count_limited(&mut self) {
+    /// Returns whether an endpoint said that it leaves.
+    pub fn leaves(&self, endpoint: EndpointKey) -> bool {
+        self.leaving > 0 && self.by_endpoint.get(&endpoint).is_some_and(|e| e.leaves)
+    }
+
+    /// Returns how many endpoints are known to leave, those that have left among them.
+    pub fn leaving(&self) -> usize {
+        self.leaving
+    }
+
+    fn count(&mut self) {
         let entries = self.by_endpoint.values();
-        self.limited = entries.filter(|e| e.known.rate.is_some()).count();
+        self.limited = entries.clone().filter(|e| e.known.rate.is_some()).count();
+        self.leaving = entries.filter(|e| e.leaves).count();
+    }
+
+    /// Takes an endpoint's own word that it leaves; returns whether that is new.
+    pub fn heard_leaving(&mut self, now_us: Micros, endpoint: EndpointKey) -> bool {
+        if self.leaves(endpoint) {
+            return false;
+        }
+        let is_known = self.entry(now_us, endpoint).is_some_and(|entry| {
+            entry.leaves = true;
+            entry.telling.renew(Audience::Peers);
+            entry.telling.renew(Audience::Hall);
+            true
+        });
+        self.has_news |= is_known;
+        self.count();
+        is_known
+    }
+
+    /// Returns the entry of an endpoint, a new one if there is none; none if there is no room.
+    fn entry(&mut self, now_us: Micros, endpoint: EndpointKey) -> Option<&mut Entry> {
+        let is_new = !self.by_endpoint.contains_key(&endpoint);
+        if is_new && self.by_endpoint.len() >= MOST_KNOWN {
+            self.make_room(now_us)?;
+        }
+        let entry = self.by_endpoint.entry(endpoint).or_insert(Entry {
+            known: KnownLimit {
+                version: 0,
+                rate: None,
+            },
+            leaves: false,
+            listed_us: now_us,
+            telling: Telling::default(),
+        });
+        Some(entry)
+    }
+
+    /// Drops the entry that was in a list longest ago; none if all are in one.
+    fn make_room(&mut self, now_us: Micros) -> Option<()> {
+        let (endpoint, oldest) = self.by_endpoint.iter().min_by_key(|(_, e)| e.listed_us)?;
+        if now_us.saturating_sub(oldest.listed_us) < LISTED_US {
+            return None;
+        }
+        let endpoint = *endpoint;
+        self.by_endpoint.remove(&endpoint);
+        Some(())
     }
 
     /// Takes an endpoint's own word from the answer to a request that was sent when `sent_at` was the version.
@@ -179,53 +265,50 @@
     }
 
     /// Takes what another instance told; returns what changed. One that knows less is told.
-    pub fn told(&mut self, now_us: Micros, told: &[ToldStanding]) -> Vec<LimitChange> {
+    pub fn told(&mut self, now_us: Micros, told: &[ToldStanding]) -> Vec<StandingChange> {
         let mut changes = Vec::new();
-        for ToldStanding { endpoint, known } in told {
-            let Some(entry) = self.by_endpoint.get_mut(endpoint) else {
-                if known.version == 0 {
-                    // Whoever asked knows of no limit, either.
-                    continue;
-                }
-                changes.extend(self.replace(now_us, *endpoint, *known));
-                continue;
-            };
-            let merged = entry.known.merged(*known);
-            if merged != *known {
-                entry.telling.renew(Audience::Peers);
-                entry.telling.renew(Audience::Hall);
-                self.has_news = true;
-            }
-            if merged != entry.known {
-                changes.extend(self.replace(now_us, *endpoint, merged));
+        for told in told {
+            if told.leaves && self.heard_leaving(now_us, told.endpoint) {
+                changes.push(StandingChange::Leaves(told.endpoint));
             }
+            let limit = self.told_limit(now_us, told);
+            changes.extend(limit.map(StandingChange::Limit));
         }
         changes
     }
 
+    fn told_limit(&mut self, now_us: Micros, told: &ToldStanding) -> Option<LimitChange> {
+        let Some(entry) = self.by_endpoint.get_mut(&told.endpoint) else {
+            // Whoever asked may know of no limit, either.
+            let names_limit = told.known.version > 0;
+            return names_limit
+                .then(|| self.replace(now_us, told.endpoint, told.known))
+                .flatten();
+        };
+        let merged = entry.known.merged(told.known);
+        if merged != told.known || entry.leaves != told.leaves {
+            entry.telling.renew(Audience::Peers);
+            entry.telling.renew(Audience::Hall);
+            self.has_news = true;
+        }
+        if merged == entry.known {
+            return None;
+        }
+        self.replace(now_us, told.endpoint, merged)
+    }
+
     fn replace(
         &mut self,
         now_us: Micros,
         endpoint: EndpointKey,
         known: KnownLimit,
     ) -> Option<LimitChange> {
-        let is_new = !self.by_endpoint.contains_key(&endpoint);
-        if is_new && self.by_endpoint.len() >= MOST_KNOWN {
-            return None;
-        }
-        let entry = self.by_endpoint.entry(endpoint).or_insert(Entry {
-            known: KnownLimit {
-                version: 0,
-                rate: None,
-            },
-            listed_us: now_us,
-            telling: Telling::default(),
-        });
+        let entry = self.entry(now_us, endpoint)?;
         let before = std::mem::replace(&mut entry.known, known).rate;
         entry.telling.renew(Audience::Peers);
         entry.telling.renew(Audience::Hall);
         self.has_news = true;
-        self.count_limited();
+        self.count();
         (before != known.rate).then_some(LimitChange {
             endpoint,
             before,
@@ -239,8 +322,8 @@
     }
 
     /// Returns what an audience is to be told in this round of the endpoints that are listed here: of others two
-    /// instances would remind each other for ever. A limit is told again and again; that it is over, a few times
-    /// and to whoever does not know.
+    /// instances would remind each other for ever. A limit is told again and again, and that one leaves; that a limit
+    /// is over, a few times and to whoever does not know.
     pub fn take_told(
         &mut self,
         now_us: Micros,
@@ -249,7 +332,10 @@
     ) -> Vec<ToldStanding> {
         let listed = self.by_endpoint.iter_mut();
         let listed = listed.filter(|(endpoint, _)| is_listed(**endpoint));
-        let is_due = |e: &Entry| e.telling.is_due(now_us, audience, e.known.rate.is_some());
+        let is_due = |e: &Entry| {
+            let stands = e.leaves || e.known.rate.is_some();
+            e.telling.is_due(now_us, audience, stands)
+        };
         let mut due: Vec<_> = listed.filter(|(_, entry)| is_due(entry)).collect();
         due.sort_by_key(|(_, entry)| entry.telling.order(audience));
         let told = due.into_iter().take(MOST_TOLD);
@@ -258,29 +344,30 @@
             ToldStanding {
                 endpoint: *endpoint,
                 known: entry.known,
+                leaves: entry.leaves,
             }
         });
         told.collect()
     }
 
-    /// Forgets a start of an endpoint that is gone: a later one has a limit of its own.
+    /// Forgets a start of an endpoint that is gone: a later one has a standing of its own.
     pub fn forget(&mut self, endpoint: EndpointKey) {
         if self.by_endpoint.remove(&endpoint).is_none() {
             return;
         }
         self.unreadable.remove(&endpoint);
-        self.count_limited();
+        self.count();
     }
 
-    /// Forgets what others told of endpoints that are in no list.
+    /// Forgets the limits of endpoints that are in no list. That one leaves is kept: an entry may come back late.
     pub fn expire(&mut self, now_us: Micros, is_listed: impl Fn(EndpointKey) -> bool) {
         self.by_endpoint.retain(|endpoint, entry| {
             if is_listed(*endpoint) {
                 entry.listed_us = now_us;
             }
-            now_us.saturating_sub(entry.listed_us) < UNLISTED_US
+            entry.leaves || now_us.saturating_sub(entry.listed_us) < UNLISTED_US
         });
         self.unreadable.retain(|endpoint| is_listed(*endpoint));
-        self.count_limited();
+        self.count();
     }
 }
--- a/src/peers/update.rs
+++ b/src/peers/update.rs
@@ -99,8 +99,8 @@
     pub dead: Vec<EndpointKey>,
     /// Requests under which endpoints ended.
     pub suspects: Vec<ToldSuspect>,
-    /// Limits that endpoints named, or that are over.
-    pub limits: Vec<ToldStanding>,
+    /// What endpoints said of themselves that binds all instances.
+    pub standings: Vec<ToldStanding>,
     /// What organisations used since the sender's start, through the sender alone.
     pub used: Vec<ToldUse>,
     /// Summaries of halls.
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -1,14 +1,20 @@
 //! What callers and endpoints say in headers, decoded once.
 
+use std::time::{Duration, SystemTime};
+
 use hyper::{
-    HeaderMap,
-    header::{AUTHORIZATION, HeaderName, HeaderValue},
+    HeaderMap, StatusCode,
+    header::{self, AUTHORIZATION, DATE, HeaderName, HeaderValue, RETRY_AFTER},
 };
 
 use crate::{
     balance::{load::OwnWord, prefixes::PromptPart},
-    gateway::protocol::{AnswerHead, CallHead, Forward, Protocol, TokenCounts},
-    limits::rate::{LimitWord, RequestRate},
+    gateway::protocol::{AnswerHead, CallHead, EndpointWords, Forward, Protocol, TokenCounts},
+    limits::{
+        rate::{LimitWord, RequestRate},
+        rest::RestWord,
+    },
+    prelude::Micros,
 };
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
@@ -28,6 +34,8 @@
 const LOAD: HeaderName = HeaderName::from_static("instance-load");
 /// Requests a second that the endpoint takes from all instances together, for as long as it says so.
 const LIMIT: HeaderName = HeaderName::from_static("server-limit");
+/// Says that the endpoint leaves.
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 /// Says that the endpoint did not run the request.
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
 /// Tokens of the prompt, and the most of the answer.
@@ -51,6 +59,36 @@
     HeaderName::from_static("kv-backup"),
 ];
 
+/// Headers of answers that are read here or by the HTTP library, or passed on as they are for the caller to read.
+/// Of any other it is not known what an endpoint says by it.
+const KNOWN_OF_ANSWERS: [HeaderName; 25] = [
+    REQUEST_ID,
+    SIGNATURE,
+    LOAD,
+    LIMIT,
+    LEAVING,
+    NOT_EXECUTED,
+    RETRY_AFTER,
+    DATE,
+    HeaderName::from_static("keep-alive"),
+    header::ACCEPT_RANGES,
+    header::AGE,
+    header::ALLOW,
+    header::CACHE_CONTROL,
+    header::CONNECTION,
+    header::CONTENT_ENCODING,
+    header::CONTENT_LANGUAGE,
+    header::CONTENT_LENGTH,
+    header::CONTENT_TYPE,
+    header::ETAG,
+    header::LAST_MODIFIED,
+    header::LOCATION,
+    header::SERVER,
+    header::TRANSFER_ENCODING,
+    header::VARY,
+    header::WWW_AUTHENTICATE,
+];
+
 /// The platform's headers.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PlatformProtocol;
@@ -86,13 +124,18 @@
         }
     }
 
-    fn read_answer(&self, headers: &HeaderMap) -> AnswerHead {
+    fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerHead {
         AnswerHead {
             request_id: headers.get(REQUEST_ID).cloned(),
             is_signed: headers.contains_key(SIGNATURE),
             not_executed: headers.contains_key(NOT_EXECUTED),
             load: text(headers, LOAD).and_then(load),
-            limit: limit(headers),
+            words: EndpointWords {
+                leaves: leaves(headers),
+                rest: rest(status, headers),
+                limit: limit(headers),
+            },
+            unread: unread(headers),
         }
     }
 
@@ -136,6 +179,63 @@
     parts.collect()
 }
 
+/// Returns the headers of an answer that nothing here knows.
+fn unread(headers: &HeaderMap) -> Vec<HeaderName> {
+    let is_unread = |name: &&HeaderName| !KNOWN_OF_ANSWERS.contains(name);
+    headers.keys().filter(is_unread).cloned().collect()
+}
+
+/// Returns whether an answer says that its endpoint leaves: `1` does, other words do not.
+fn leaves(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(LEAVING).iter();
+    let mut words = values.filter_map(|value| value.to_str().ok());
+    words.any(|word| word.trim() == "1")
+}
+
+/// Returns the rest that an answer asks for; the longest of several. Only with 503 does the time to come back say
+/// something of the endpoint: with another status it is the caller's alone.
+fn rest(status: StatusCode, headers: &HeaderMap) -> RestWord {
+    let mut longest = RestWord::None;
+    if status != StatusCode::SERVICE_UNAVAILABLE {
+        return longest;
+    }
+    let answered = text(headers, DATE).and_then(|date| httpdate::parse_http_date(date).ok());
+    for value in headers.get_all(RETRY_AFTER) {
+        let word = value.to_str().ok().map(str::trim);
+        let rest_us = word.and_then(|word| seconds(word).or_else(|| until_date(word, answered)));
+        longest = match (rest_us, longest) {
+            (Some(rest_us), RestWord::Asked(longer_us)) => RestWord::Asked(rest_us.max(longer_us)),
+            (Some(rest_us), _) => RestWord::Asked(rest_us),
+            (None, asked @ RestWord::Asked(_)) => asked,
+            (None, _) => {
+                RestWord::Unreadable(String::from_utf8_lossy(value.as_bytes()).into_owned())
+            }
+        };
+    }
+    longest
+}
+
+/// Returns seconds with or without a fraction, in microseconds.
+fn seconds(word: &str) -> Option<Micros> {
+    let is_digit_or_point = |byte: u8| byte.is_ascii_digit() || byte == b'.';
+    if !word.bytes().all(is_digit_or_point) {
+        // What else a float may be: signs, exponents, infinity.
+        return None;
+    }
+    let seconds: f64 = word.parse().ok()?;
+    // A cast keeps to the bounds of the type.
+    Some((seconds * 1e6) as Micros)
+}
+
+/// Returns the time until a date as HTTP has them, from when the answer was made if it says so: clocks differ.
+fn until_date(word: &str, answered: Option<SystemTime>) -> Option<Micros> {
+    let until = httpdate::parse_http_date(word).ok()?;
+    let from = answered.unwrap_or_else(SystemTime::now);
+    // A date that has passed asks for no rest.
+    let rest = until.duration_since(from).unwrap_or(Duration::ZERO);
+    Some(rest.as_micros() as Micros)
+}
+
 /// Returns the limit that an answer names; the lowest of several.
 fn limit(headers: &HeaderMap) -> LimitWord {
     let mut lowest = LimitWord::Free;
--- a/tests/gateway/endpoint_limits.rs
+++ b/tests/gateway/endpoint_limits.rs
@@ -292,7 +292,7 @@
         ..entry("limited", "here", 4)
     };
     balancer.endpoint_seen(born(100), 2);
-    assert!(balancer.limits().is_empty());
+    assert!(balancer.standings().is_empty());
     let later = EndpointKey::of_start("limited", 100);
     // An answer of the start before comes late.
     assert_eq!(
--- a/tests/gateway/headers.rs
+++ b/tests/gateway/headers.rs
@@ -1,7 +1,7 @@
 //! The platform's headers and objects, decoded and written.
 
 use hyper::{
-    HeaderMap,
+    HeaderMap, StatusCode,
     header::{HeaderName, HeaderValue},
 };
 use ryevalve::{
@@ -142,17 +142,20 @@
 
 #[test]
 fn an_endpoints_head_is_read() {
-    let head = PlatformProtocol.read_answer(&headers(&[
-        ("Request-Id", "1"),
-        ("Not-Executed", "1"),
-        ("Instance-Load", "3, 1,8"),
-    ]));
+    let head = PlatformProtocol.read_answer(
+        StatusCode::OK,
+        &headers(&[
+            ("Request-Id", "1"),
+            ("Not-Executed", "1"),
+            ("Instance-Load", "3, 1,8"),
+        ]),
+    );
     let load = head.load.unwrap();
     assert_eq!((load.running, load.waiting, load.slots), (3, 1, 8));
     assert!(head.not_executed && !head.is_signed);
     assert!(
         PlatformProtocol
-            .read_answer(&headers(&[("Instance-Load", "3,x")]))
+            .read_answer(StatusCode::OK, &headers(&[("Instance-Load", "3,x")]))
             .load
             .is_none()
     );
