Failing tests: an endpoint that says that it leaves is sent on; one that asks for rest gets none

Seven instances over real sockets, three endpoints, the store away: 25 requests reach the one that leaves later than 2 s after its word. Seven instances, two of four endpoints ask for 3 s of rest: 25 requests of one instance in a rest; one instance alone: 16; all at rest: callers are told to come back in .7 s, the first is back in 1.9 s. Ruled out: that instances are not told (their own lines say so with the words read, as now). A stand-in that wants rest names no load: an endpoint at rest is idle.

--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -79,6 +79,10 @@
     ended_by: Option<Vec<u8>>,
     /// What its answers name as the requests a second that it takes.
     limit: Option<String>,
+    /// What its answers say of its leaving.
+    leaving: Option<String>,
+    /// It turns requests away unrun, and asks for so much rest.
+    rest: Option<String>,
     /// The present start; cancelled when the endpoint ends.
     life: CancellationToken,
 }
@@ -142,6 +146,8 @@
             let mut state = self.lock();
             state.id = id.to_owned();
             state.life = CancellationToken::new();
+            state.leaving = None;
+            state.rest = None;
         }
         self.accept(listener);
     }
@@ -173,6 +179,16 @@
         self.lock().limit = limit.map(str::to_owned);
     }
 
+    /// Sets what its answers say of its leaving: `1` that it leaves; none takes the word out of them.
+    pub fn say_leaving(&self, word: Option<&str>) {
+        self.lock().leaving = word.map(str::to_owned);
+    }
+
+    /// Turns requests away unrun and asks for rest in their refusals, in seconds or as a date; none ends that.
+    pub fn ask_for_rest(&self, rest: Option<&str>) {
+        self.lock().rest = rest.map(str::to_owned);
+    }
+
     /// Goes on under another id, as a new start at the same address does.
     pub fn replace(&self, id: &str) {
         self.lock().id = id.to_owned();
@@ -240,17 +256,35 @@
             )
         };
         // As it is when an answer begins.
-        let limit = || limit_line(&state.lock().expect("no holder panics"));
+        let words = || word_lines(&state.lock().expect("no holder panics"));
         let mark = |change: fn(&mut Seen)| {
             change(&mut state.lock().expect("no holder panics").seen[index]);
         };
         let expected = seen.headers.get("expect-instance");
         if expected.is_some_and(|e| *e != id) {
-            refuse(stream, "421 Misdirected Request", &request_id, &limit()).await?;
+            refuse(
+                stream,
+                "421 Misdirected Request",
+                &request_id,
+                &(words() + FULL_LOAD),
+            )
+            .await?;
+            continue;
+        }
+        let rest = state.lock().expect("no holder panics").rest.clone();
+        if let Some(rest) = rest {
+            let lines = format!("{}Retry-After: {rest}\r\n", words());
+            refuse(stream, "503 Service Unavailable", &request_id, &lines).await?;
             continue;
         }
         if fault == Fault::Full {
-            refuse(stream, "503 Service Unavailable", &request_id, &limit()).await?;
+            refuse(
+                stream,
+                "503 Service Unavailable",
+                &request_id,
+                &(words() + FULL_LOAD),
+            )
+            .await?;
             continue;
         }
         mark(|s| s.has_run = true);
@@ -276,7 +310,7 @@
             let answer = Answer {
                 request_id: &request_id,
                 fault,
-                limit: &limit(),
+                words: &words(),
             };
             if !events(stream, answer, from, pace).await? {
                 return Ok(End::Closed);
@@ -286,7 +320,7 @@
             let answer = Answer {
                 request_id: &request_id,
                 fault,
-                limit: &limit(),
+                words: &words(),
             };
             if !whole(stream, answer).await? {
                 return Ok(End::Reset);
@@ -311,29 +345,35 @@
     socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO))
 }
 
+/// The load that an endpoint names that has no room.
+const FULL_LOAD: &str = "Instance-Load: 4,9,4\r\n";
+
 /// What an answer is like.
 #[derive(Clone, Copy)]
 struct Answer<'a> {
     request_id: &'a str,
     fault: Fault,
-    /// The line of its head that names a limit, or nothing.
-    limit: &'a str,
+    /// The lines of its head by which the endpoint speaks of itself.
+    words: &'a str,
 }
 
-fn limit_line(state: &State) -> String {
-    let limit = state.limit.as_ref();
-    limit.map_or_else(String::new, |limit| format!("Server-Limit: {limit}\r\n"))
+fn word_lines(state: &State) -> String {
+    let line = |name: &str, word: &Option<String>| {
+        let word = word.as_ref();
+        word.map_or_else(String::new, |word| format!("{name}: {word}\r\n"))
+    };
+    line("Server-Limit", &state.limit) + &line("Server-Leaving", &state.leaving)
 }
 
 async fn refuse(
     stream: &mut TcpStream,
     status: &str,
     request_id: &str,
-    limit: &str,
+    words: &str,
 ) -> std::io::Result<()> {
     let head = format!(
-        "HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\nNot-Executed: 1\r\n{limit}\
-         Instance-Load: 4,9,4\r\nContent-Length: 0\r\n\r\n"
+        "HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\nNot-Executed: 1\r\n{words}\
+         Content-Length: 0\r\n\r\n"
     );
     stream.write_all(head.as_bytes()).await
 }
@@ -342,7 +382,7 @@
     let Answer {
         request_id,
         fault,
-        limit,
+        words,
     } = answer;
     let proof = if fault == Fault::Unsigned {
         ""
@@ -354,7 +394,7 @@
         _ => "200 OK",
     };
     format!(
-        "HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\n{proof}{limit}Instance-Load: 1,0,4\r\n{rest}\r\n\r\n"
+        "HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\n{proof}{words}Instance-Load: 1,0,4\r\n{rest}\r\n\r\n"
     )
 }
 
--- a/tests/edge/endpoint_limits.rs
+++ b/tests/edge/endpoint_limits.rs
@@ -24,8 +24,9 @@
 
 use crate::{
     group::{Instance, Place, address, endpoint, free_port, key, until},
+    pressing::{Demand, press},
     site::Site,
-    support::{Edge, Got},
+    support::Edge,
 };
 
 /// What an endpoint may get in any span of this length.
@@ -41,16 +42,6 @@
 /// Whatever is told is with all instances of a small group after this time, and used there.
 const SOON: Duration = Duration::from_millis(1_500);
 
-/// When callers send requests to each instance.
-#[derive(Clone, Copy)]
-struct Demand {
-    path: &'static str,
-    every: Duration,
-    lasts: Duration,
-    /// Instances that get none, from the first on.
-    spared: usize,
-}
-
 const PLAIN: Demand = Demand {
     path: "/again/w",
     every: Duration::from_millis(200),
@@ -58,54 +49,6 @@
     spared: 0,
 };
 
-/// How requests ended.
-#[derive(Clone, Copy, Debug, Default)]
-struct Ended {
-    served: usize,
-    refused: usize,
-    other: usize,
-}
-
-impl Ended {
-    fn note(&mut self, got: &Got) {
-        match got.status {
-            StatusCode::OK if got.is_whole => self.served += 1,
-            StatusCode::SERVICE_UNAVAILABLE => self.refused += 1,
-            _ => self.other += 1,
-        }
-    }
-
-    fn all(self) -> usize {
-        self.served + self.refused + self.other
-    }
-}
-
-/// Sends requests to all instances, each at its own moments, and waits for their answers.
-async fn press(site: &Arc<Site>, demand: Demand) -> Ended {
-    let mut calls = JoinSet::new();
-    let instances = site.callers.len();
-    let started = Instant::now();
-    let mut number = 0;
-    while started.elapsed() < demand.lasts {
-        for instance in demand.spared..instances {
-            let site = site.clone();
-            let (id, body) = (format!("r-{number}"), format!("work {number}"));
-            number += 1;
-            let after = demand.every.mul_f64(instance as f64 / instances as f64);
-            calls.spawn(async move {
-                time::sleep(after).await;
-                site.call(instance, demand.path, &id, &body).await
-            });
-        }
-        time::sleep(demand.every).await;
-    }
-    let mut ended = Ended::default();
-    while let Some(got) = calls.join_next().await {
-        ended.note(&got.expect("no call panics"));
-    }
-    ended
-}
-
 /// Returns when requests reached an endpoint from a moment on.
 fn arrivals(site: &Site, endpoint: usize, from: Instant) -> Vec<Instant> {
     let seen = site.runners[endpoint].seen();
@@ -145,7 +88,7 @@
 /// Returns whether an instance knows that endpoints have a limit.
 fn limited(site: &Site, instance: usize) -> usize {
     let gateway = &site.instances[instance].gateway;
-    gateway.balancer().limits().limited()
+    gateway.balancer().standings().limited()
 }
 
 /// Seven instances, one endpoint of four in need: it gets what it takes, the others the rest, and no caller loses.
@@ -156,7 +99,7 @@
     let named = Instant::now();
     let ended = press(&site, PLAIN).await;
     for instance in &site.instances {
-        let limited = instance.gateway.balancer().limits().limited();
+        let limited = instance.gateway.balancer().standings().limited();
         assert_eq!(limited, 1, "it knows of the limit");
     }
     check_kept(&site, 0, 1.9, named + CONTACT);
@@ -349,7 +292,7 @@
     let all = Arc::new(start_group(46, 85).await);
     let hear = |instance: usize, word: LimitWord| {
         let mut balancer = all[instance].gateway.balancer();
-        let version = balancer.limits().version(key());
+        let version = balancer.standings().version(key());
         let now_us = all[instance].gateway.clock.now_us();
         assert!(
             balancer
@@ -358,7 +301,7 @@
         );
     };
     let all_know = |rate: Option<RequestRate>| {
-        let limit = |i: &Instance| i.gateway.balancer().limits().rate(key());
+        let limit = |i: &Instance| i.gateway.balancer().standings().rate(key());
         all.iter().all(|i| limit(i) == rate)
     };
     let rate = RequestRate::parse("1.9");
