An endpoint that says in an answer that it leaves is sent nothing more

Callers saw nothing while it served on; they would have lost their requests had it ended. Cause: that an endpoint leaves was known from its entry in the store alone, and while the store is away the entry cannot say so. Ruled out: that the word was read and undone (no code read it), and that only others sent on (the record names the instance that had passed the word on). Change: one standing a start of an endpoint, read when it is chosen and again right before a request is written; its word is final for that start and goes to all instances. Why it holds: the word is only ever added to what is known, and all that writes requests passes one gate.

--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -18,7 +18,7 @@
         picture::{Group, HallsOfServices, Picture},
         prefixes::{ChainKey, PrefixHolders},
         speed::Speed,
-        standing::NoPermits,
+        standing::{NoPermits, Standing},
     },
     limits::{rest::Rests, standings::EndpointStandings},
     prelude::{Incarnation, Micros, Name, Rank},
@@ -496,10 +496,11 @@
             } else {
                 far < FAR_LOOKED_AT
             };
-            let needs_permit = self.standings.rate(key).is_some() && permit != Some(key);
-            if tried.contains(&key) || endpoint.entry.draining {
+            let standing = self.standing_of(now_us, key, endpoint);
+            if tried.contains(&key) || standing == Standing::Leaves {
                 continue;
             }
+            let needs_permit = standing == Standing::NeedsPermit && permit != Some(key);
             if !is_looked_at && !needs_permit && permit != Some(key) {
                 continue;
             }
--- a/src/balance/places.rs
+++ b/src/balance/places.rs
@@ -6,6 +6,7 @@
         cost::{Ask, Expected},
         grants::Grant,
         load::{EndpointKey, InFlight, KeySpan},
+        standing::Standing,
     },
     prelude::{Incarnation, Micros},
 };
@@ -49,7 +50,9 @@
         key: EndpointKey,
         expected: Expected,
     ) -> Option<Placement> {
-        self.entry(key).filter(|e| !e.draining)?;
+        if self.standing(now_us, key) == Standing::Leaves {
+            return None;
+        }
         let choice = self.choice(key, expected)?;
         // Whoever gave the place has used a permit if one was needed.
         Some(self.send(now_us, ask, choice))
--- a/src/balance/standing.rs
+++ b/src/balance/standing.rs
@@ -2,7 +2,11 @@
 //! requests a second.
 
 use crate::{
-    balance::{balancer::Balancer, cost::Ask, load::EndpointKey},
+    balance::{
+        balancer::{Balancer, Endpoint},
+        cost::Ask,
+        load::EndpointKey,
+    },
     limits::{
         rate::LimitWord,
         rest::Rests,
@@ -20,7 +24,42 @@
     until_us: Micros,
 }
 
+/// What an endpoint takes from this instance now, by what it said.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Requests.
+    Serves,
+    /// Requests for which there is a permit: it takes only so many a second.
+    NeedsPermit,
+    /// Nothing more: it leaves or is gone.
+    Leaves,
+}
+
 impl Balancer {
+    /// Returns what an endpoint takes now.
+    pub fn standing(&self, now_us: Micros, key: EndpointKey) -> Standing {
+        match self.endpoints.get(&key) {
+            Some(endpoint) => self.standing_of(now_us, key, endpoint),
+            None => Standing::Leaves,
+        }
+    }
+
+    pub(super) fn standing_of(
+        &self,
+        _now_us: Micros,
+        key: EndpointKey,
+        endpoint: &Endpoint,
+    ) -> Standing {
+        // Its own word is final for this start: the entry may have been written before it, and may come back.
+        if endpoint.entry.draining || self.standings.leaves(key) {
+            return Standing::Leaves;
+        }
+        if self.standings.rate(key).is_some() {
+            return Standing::NeedsPermit;
+        }
+        Standing::Serves
+    }
+
     /// Returns what endpoints said that binds all instances.
     pub fn standings(&self) -> &EndpointStandings {
         &self.standings
--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use crate::{
-    balance::{discovery::EndpointEntry, load::EndpointKey},
     gateway::{
         protocol::Protocol,
         staleness::{Staleness, StalenessBound, Standing},
@@ -74,13 +73,6 @@
         self.is_fresh() && self.config_standing() == Standing::Fresh
     }
 
-    /// Returns whether a request may be sent to an endpoint that was chosen for it some time ago.
-    pub fn may_send_to(&self, key: EndpointKey) -> bool {
-        let is_used = |e: &EndpointEntry| !e.draining;
-        self.balancer().entry(key).is_some_and(is_used)
-            && self.endpoints_standing() != Standing::Asking
-    }
-
     /// Returns whether the configuration is new enough to judge a key by.
     pub fn is_fresh(&self) -> bool {
         self.config_age_us() <= self.bounds().key_age_us()
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -235,10 +235,9 @@
 ) -> Result<Answered<P>, Failed> {
     let mut sent = Sent::new(gateway.clone(), choice);
     let mut connection = connect(gateway, job, &sent).await?;
-    if !gateway.may_send_to(sent.choice.key) {
-        // Word of its leaving came, or this process stood still, since it was chosen.
-        return Err(Failed::NotSent("endpoint_left"));
-    }
+    gateway
+        .check_gate(sent.choice.key)
+        .map_err(Failed::NotSent)?;
     if gateway.blocked_us(|| job.fingerprint()).is_some() {
         // Endpoints ended under it while it waited.
         return Err(Failed::NotSent(refuse::ENDS_ENDPOINTS));
--- a/src/gateway/endings.rs
+++ b/src/gateway/endings.rs
@@ -16,7 +16,7 @@
 use tokio::{net::TcpStream, sync::watch, time};
 
 use crate::{
-    balance::{balancer::Choice, load::EndpointKey},
+    balance::{balancer::Choice, load::EndpointKey, standing::Standing},
     gateway::{attempt::Job, protocol::Protocol, report::log_ending, state::Gateway},
     prelude::Micros,
 };
@@ -132,8 +132,8 @@
 
 async fn look<P: Protocol>(gateway: &Gateway<P>, key: EndpointKey, addr: SocketAddr) -> Verdict {
     // One that has said that it leaves, or has left the set, ends as planned.
-    let is_expected_to_live = gateway.balancer().entry(key).is_some_and(|e| !e.draining);
-    if !is_expected_to_live {
+    let now_us = gateway.clock.now_us();
+    if gateway.balancer().standing(now_us, key) == Standing::Leaves {
         return Verdict::Lives;
     }
     let mut refusals = 0;
--- /dev/null
+++ b/src/gateway/gate.rs
@@ -0,0 +1,31 @@
+//! The last look before a request is written to an endpoint, whatever brought it there: a first try, a retry, a
+//! stream that is taken up, a permit or a place that was given before.
+//!
+//! Between the choice and here a request waits for a connection, and words of endpoints come meanwhile.
+
+use crate::{
+    balance::{load::EndpointKey, standing::Standing},
+    gateway::{protocol::Protocol, staleness::Standing as Known, state::Gateway},
+};
+
+/// Why a request was not sent: its endpoint leaves or has left.
+pub const ENDPOINT_LEFT: &str = "endpoint_left";
+
+impl<P: Protocol> Gateway<P> {
+    /// Looks whether a request may be sent to an endpoint that was chosen for it some time ago.
+    ///
+    /// # Errors
+    /// Why not, as a fixed word; it goes elsewhere.
+    pub fn check_gate(&self, key: EndpointKey) -> Result<(), &'static str> {
+        if self.endpoints_standing() == Known::Asking {
+            // This process stood still: the endpoint may have left since.
+            return Err(ENDPOINT_LEFT);
+        }
+        let now_us = self.clock.now_us();
+        match self.balancer().standing(now_us, key) {
+            Standing::Leaves => Err(ENDPOINT_LEFT),
+            // Whoever chose it has a permit, if one was needed then.
+            Standing::Serves | Standing::NeedsPermit => Ok(()),
+        }
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod fetching;
 pub mod freshness;
 pub mod front;
+pub mod gate;
 pub mod hall_book;
 pub mod halls;
 pub mod heard;
--- a/tests/edge/endpoint_limits.rs
+++ b/tests/edge/endpoint_limits.rs
@@ -23,7 +23,7 @@
 use serde_json::Value;
 
 use crate::{
-    group::{Instance, Place, address, endpoint, free_port, key, until},
+    group::{DRAIN, Instance, Place, address, endpoint, free_port, key, until},
     pressing::{Demand, press},
     site::Site,
     support::Edge,
@@ -337,6 +337,17 @@
     let over = Instant::now();
     until("all to know that it is over", || all_know(None)).await;
     assert!(over.elapsed() < CONTACT, "{:?}", over.elapsed());
+
+    // It goes the same way that an endpoint leaves.
+    let said = Instant::now();
+    let now_us = all[9].gateway.clock.now_us();
+    assert!(all[9].gateway.balancer().heard_leaving(now_us, key()));
+    let leaves = |i: &Instance| i.gateway.balancer().standings().leaves(key());
+    until("all to know that it leaves", || all.iter().all(leaves)).await;
+    assert!(said.elapsed() < DRAIN, "{:?}", said.elapsed());
+    for instance in all.iter() {
+        assert_eq!(instance.place_one().await.as_deref(), Some("other"));
+    }
 }
 
 /// The lines of one instance tell an operator which endpoint named what, that a word could not be read, and why a
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod halls;
 mod headers;
 mod heard;
+mod leaving;
 mod limits;
 mod logs;
 mod packed;
