An endpoint that asks an instance for rest gets it, and serves again by turns

Callers saw up to a third of their requests refused while most endpoints had room. Cause: a 503 passed the endpoint over for that request alone; at rest it is idle, so it was the best choice for the next, four times a request. Ruled out: requests that had chosen it before (arrivals did not end), places given for others (no bursts). Change: limits::rest keeps what each endpoint asked this instance for; choosing, places that others give and the gate before each write heed it. All at rest: refused at once with the time when the first is back. Why it holds: all that writes requests passes the gate, so at most what crosses the word reaches the endpoint in its rest.

--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -18,7 +18,7 @@
         picture::{Group, HallsOfServices, Picture},
         prefixes::{ChainKey, PrefixHolders},
         speed::Speed,
-        standing::{NoPermits, Standing},
+        standing::{ENDPOINTS_REST, NoPermits, Standing, back_ms},
     },
     limits::{rest::Rests, standings::EndpointStandings},
     prelude::{Incarnation, Micros, Name, Rank},
@@ -162,6 +162,8 @@
     pub(super) limited: Option<EndpointKey>,
     /// There are endpoints for which a permit is needed.
     has_limited: bool,
+    /// All that do not leave are at rest, the first of them until this time.
+    first_back_us: Option<Micros>,
 }
 
 impl Found {
@@ -171,6 +173,12 @@
             // Waiting would not help: whoever is told at once comes back sooner.
             return refused(now_us, ask, ENDPOINT_LIMITS);
         }
+        if let Some(back_us) = self.first_back_us {
+            return Placement::Refuse {
+                reason: ENDPOINTS_REST,
+                retry_after_ms: back_ms(now_us, back_us),
+            };
+        }
         Placement::Refuse {
             reason: "no_endpoint",
             retry_after_ms: NO_ENDPOINT_RETRY_MS,
@@ -428,6 +436,11 @@
         self.endpoints.get(&key).map(|e| &*e.entry)
     }
 
+    /// Returns the keys of a service's endpoints.
+    pub(super) fn keys_of(&self, service: &str) -> &[EndpointKey] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+
     /// Decides on a request that has just come, or comes back from an endpoint that did not run it.
     /// Those in `tried` are not chosen.
     pub fn place(&mut self, now_us: Micros, ask: &Ask, tried: &[EndpointKey]) -> Placement {
@@ -478,6 +491,7 @@
         let mut best: Option<(EndpointKey, Expected)> = None;
         let mut limited: Option<(EndpointKey, Expected)> = None;
         let mut has_limited = false;
+        let (mut all_rest, mut first_back_us) = (true, Micros::MAX);
         let near_looked_at = match self.picture.group() {
             Group::Large if !self.picture.is_ledger() => NEAR_LOOKED_AT,
             _ => usize::MAX,
@@ -497,7 +511,15 @@
                 far < FAR_LOOKED_AT
             };
             let standing = self.standing_of(now_us, key, endpoint);
-            if tried.contains(&key) || standing == Standing::Leaves {
+            match standing {
+                Standing::Leaves => continue,
+                Standing::RestsUntil(until_us) => {
+                    first_back_us = first_back_us.min(until_us);
+                    continue;
+                }
+                Standing::Serves | Standing::NeedsPermit => all_rest = false,
+            }
+            if tried.contains(&key) {
                 continue;
             }
             let needs_permit = standing == Standing::NeedsPermit && permit != Some(key);
@@ -522,6 +544,7 @@
             best: best.and_then(|(key, expected)| self.choice(key, expected)),
             limited: limited.filter(|(_, l)| is_wanted(*l)).map(|(key, _)| key),
             has_limited,
+            first_back_us: (all_rest && first_back_us < Micros::MAX).then_some(first_back_us),
         }
     }
 
@@ -550,8 +573,7 @@
     /// Returns a service's endpoints from a place on that differs by request and time: one that
     /// waits looks at others the next time.
     fn in_turn(&self, now_us: Micros, ask: &Ask) -> impl Iterator<Item = EndpointKey> {
-        let keys = self.services.get(&ask.service);
-        let keys = keys.map_or(&[][..], Vec::as_slice);
+        let keys = self.keys_of(&ask.service);
         let mixed = (ask.draw ^ now_us).wrapping_mul(GOLDEN) >> 32;
         let begin = mixed as usize % keys.len().max(1);
         let (before, after) = keys.split_at(begin);
--- a/src/balance/picture.rs
+++ b/src/balance/picture.rs
@@ -165,6 +165,12 @@
         self.loads.get(&key).map_or(0, |load| load.own.requests)
     }
 
+    /// Returns whether others have requests at an endpoint, as far as they told.
+    pub fn has_others(&self, key: EndpointKey) -> bool {
+        let load = self.loads.get(&key);
+        load.is_some_and(|load| load.others().requests > 0)
+    }
+
     /// Takes an endpoint's own word on its load.
     pub fn report(&mut self, now_us: Micros, key: EndpointKey, word: OwnWord) {
         self.loads.entry(key).or_default().report(now_us, word);
--- a/src/balance/places.rs
+++ b/src/balance/places.rs
@@ -42,7 +42,7 @@
     }
 
     /// Sends a request where another instance found a place for it; none if the endpoint is not known
-    /// here, or leaves.
+    /// here, leaves, or asked this instance for rest.
     pub fn take_place(
         &mut self,
         now_us: Micros,
@@ -50,8 +50,9 @@
         key: EndpointKey,
         expected: Expected,
     ) -> Option<Placement> {
-        if self.standing(now_us, key) == Standing::Leaves {
-            return None;
+        match self.standing(now_us, key) {
+            Standing::Leaves | Standing::RestsUntil(_) => return None,
+            Standing::Serves | Standing::NeedsPermit => {}
         }
         let choice = self.choice(key, expected)?;
         // Whoever gave the place has used a permit if one was needed.
--- a/src/balance/standing.rs
+++ b/src/balance/standing.rs
@@ -3,13 +3,13 @@
 
 use crate::{
     balance::{
-        balancer::{Balancer, Endpoint},
+        balancer::{Balancer, Endpoint, Placement},
         cost::Ask,
         load::EndpointKey,
     },
     limits::{
         rate::LimitWord,
-        rest::Rests,
+        rest::{Rest, Rests},
         standings::{EndpointStandings, KnownLimit, LimitChange, StandingChange, ToldStanding},
         telling::Audience,
     },
@@ -24,6 +24,19 @@
     until_us: Micros,
 }
 
+/// Why a request is refused: all endpoints that could take it asked this instance for rest.
+pub const ENDPOINTS_REST: &str = "endpoints_rest";
+/// No caller is told to come back sooner than this, in milliseconds.
+const LEAST_BACK_MS: u32 = 150;
+
+/// Returns when a caller may come back for whom an endpoint is back at `back_us`.
+pub fn back_ms(now_us: Micros, back_us: Micros) -> u32 {
+    let left_ms = back_us.saturating_sub(now_us).div_ceil(1_000);
+    u32::try_from(left_ms)
+        .unwrap_or(u32::MAX)
+        .max(LEAST_BACK_MS)
+}
+
 /// What an endpoint takes from this instance now, by what it said.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -31,6 +44,8 @@
     Serves,
     /// Requests for which there is a permit: it takes only so many a second.
     NeedsPermit,
+    /// Nothing before this time: it asked this instance for rest.
+    RestsUntil(Micros),
     /// Nothing more: it leaves or is gone.
     Leaves,
 }
@@ -46,7 +61,7 @@
 
     pub(super) fn standing_of(
         &self,
-        _now_us: Micros,
+        now_us: Micros,
         key: EndpointKey,
         endpoint: &Endpoint,
     ) -> Standing {
@@ -54,6 +69,10 @@
         if endpoint.entry.draining || self.standings.leaves(key) {
             return Standing::Leaves;
         }
+        let is_used = || self.picture.has_others(key);
+        if let Rest::Until(until_us) = self.rests.rest(now_us, key, is_used) {
+            return Standing::RestsUntil(until_us);
+        }
         if self.standings.rate(key).is_some() {
             return Standing::NeedsPermit;
         }
@@ -93,11 +112,46 @@
         self.rests.note_unreadable(key)
     }
 
+    /// Returns when the first of a service's endpoints may be sent to again; none if one may be now, or all leave.
+    pub fn first_back_us(&self, now_us: Micros, service: &str) -> Option<Micros> {
+        if self.rests.is_empty() {
+            return None;
+        }
+        let mut first_us: Option<Micros> = None;
+        for key in self.keys_of(service) {
+            match self.standing(now_us, *key) {
+                Standing::Leaves => {}
+                Standing::RestsUntil(until_us) => {
+                    first_us = Some(first_us.map_or(until_us, |first_us| first_us.min(until_us)));
+                }
+                Standing::Serves | Standing::NeedsPermit => return None,
+            }
+        }
+        first_us
+    }
+
+    /// Returns the refusal of a request while all endpoints that could take it are at rest: waiting would not help, and
+    /// whoever is told when the first is back does not come into the same refusal.
+    pub fn refuse_at_rest(&self, now_us: Micros, ask: &Ask) -> Option<Placement> {
+        let back_us = self.first_back_us(now_us, &ask.service)?;
+        Some(Placement::Refuse {
+            reason: ENDPOINTS_REST,
+            retry_after_ms: back_ms(now_us, back_us),
+        })
+    }
+
     /// Notes that a request goes to an endpoint.
     pub fn note_sent(&mut self, now_us: Micros, key: EndpointKey) {
         self.rests.note_sent(now_us, key);
     }
 
+    /// Notes that what was sent at `sent_us` brought no answer.
+    pub fn note_unanswered(&mut self, key: EndpointKey, sent_us: Micros) {
+        if !self.rests.is_empty() {
+            self.rests.note_unanswered(key, sent_us);
+        }
+    }
+
     /// Notes an answer without a word of rest to a request that was sent at `sent_us`.
     pub fn note_answered(&mut self, key: EndpointKey, sent_us: Micros) {
         if !self.rests.is_empty() {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -150,6 +150,8 @@
     pub at_us: Micros,
     /// The version of what was known then of the endpoint's limit.
     pub(super) limit_version: u32,
+    /// The head of an answer came.
+    is_answered: bool,
     first_seen: bool,
     counts_hold: bool,
     is_over: bool,
@@ -162,6 +164,7 @@
             limit_version: 0,
             gateway,
             choice,
+            is_answered: false,
             first_seen: false,
             counts_hold: false,
             is_over: false,
@@ -204,9 +207,12 @@
             self.choice.expected.uncached_tokens
         };
         let held_ms = self.counts_hold.then(|| self.age_ms());
-        self.gateway
-            .balancer()
-            .end(self.choice.key, waiting_tokens, held_ms);
+        let mut balancer = self.gateway.balancer();
+        balancer.end(self.choice.key, waiting_tokens, held_ms);
+        if !self.is_answered {
+            balancer.note_unanswered(self.choice.key, self.at_us);
+        }
+        drop(balancer);
         self.gateway.reconsider();
     }
 
@@ -243,7 +249,7 @@
         return Err(Failed::NotSent(refuse::ENDS_ENDPOINTS));
     }
     sent.at_us = gateway.clock.now_us();
-    sent.limit_version = endpoint_words::note_sent(gateway, sent.choice.key);
+    sent.limit_version = endpoint_words::note_sent(gateway, sent.choice.key, sent.at_us);
     let request = forwarded(gateway, job, &sent.choice, resume_after);
     let answer = connection.sender.send_request(request);
     let response = match until.wait(gateway.clock, answer).await {
@@ -258,6 +264,7 @@
             return Err(Failed::Unknown("no_answer"));
         }
     };
+    sent.is_answered = true;
     let status = response.status();
     let head = gateway.protocol.read_answer(status, response.headers());
     endpoint_words::heard(gateway, &sent, &head);
--- a/src/gateway/endpoint_words.rs
+++ b/src/gateway/endpoint_words.rs
@@ -20,6 +20,7 @@
         rest::RestWord,
         standings::{LimitChange, StandingChange, ToldStanding},
     },
+    prelude::Micros,
 };
 
 /// So much of a word that cannot be read is shown in its line, in characters.
@@ -42,10 +43,9 @@
 }
 
 /// Notes that a request goes to an endpoint; returns the version of what is known of its limit.
-pub(super) fn note_sent<P: Protocol>(gateway: &Gateway<P>, key: EndpointKey) -> u32 {
-    let now_us = gateway.clock.now_us();
+pub(super) fn note_sent<P: Protocol>(gateway: &Gateway<P>, key: EndpointKey, at_us: Micros) -> u32 {
     let mut balancer = gateway.balancer();
-    balancer.note_sent(now_us, key);
+    balancer.note_sent(at_us, key);
     let standings = balancer.standings();
     if standings.rate(key).is_some() {
         gateway.metrics.sent_to_limited.inc();
@@ -86,7 +86,7 @@
     }
 }
 
-fn heard_rest<P: Protocol>(gateway: &Gateway<P>, choice: &Choice, rest_us: u64) {
+fn heard_rest<P: Protocol>(gateway: &Gateway<P>, choice: &Choice, rest_us: Micros) {
     gateway.metrics.rests_asked.inc();
     let now_us = gateway.clock.now_us();
     let instances = gateway.sharers().all;
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -10,6 +10,8 @@
 
 /// Why a request was not sent: its endpoint leaves or has left.
 pub const ENDPOINT_LEFT: &str = "endpoint_left";
+/// Why a request was not sent: its endpoint asked this instance for rest since it was chosen.
+pub const ENDPOINT_RESTS: &str = "endpoint_rests";
 
 impl<P: Protocol> Gateway<P> {
     /// Looks whether a request may be sent to an endpoint that was chosen for it some time ago.
@@ -24,6 +26,7 @@
         let now_us = self.clock.now_us();
         match self.balancer().standing(now_us, key) {
             Standing::Leaves => Err(ENDPOINT_LEFT),
+            Standing::RestsUntil(_) => Err(ENDPOINT_RESTS),
             // Whoever chose it has a permit, if one was needed then.
             Standing::Serves | Standing::NeedsPermit => Ok(()),
         }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -26,6 +26,7 @@
     gateway::{
         attempt::{self, Answered, Failed, Job, Until, Whole},
         endings,
+        gate::{ENDPOINT_LEFT, ENDPOINT_RESTS},
         intake::{
             ANSWER_MARGIN_US, allowed_us, ask, find_organisation, find_route, read_body,
             take_from_limit,
@@ -252,7 +253,9 @@
                 Tried::Answer(response) => return Ok(response),
                 Tried::NotRun { arrived, reason } => {
                     trace.reason = Some(reason);
-                    self.not_run += 1;
+                    // What the gate held back was nowhere, and each endpoint does so once.
+                    let is_held_back = [ENDPOINT_LEFT, ENDPOINT_RESTS].contains(&reason);
+                    self.not_run += usize::from(!is_held_back);
                     self.may_go_on(arrived, reason)?;
                 }
                 Tried::Failed { refusal } => {
@@ -310,7 +313,10 @@
             false if self.runs == 0 && reason == refuse::ENDS_ENDPOINTS => {
                 Err(refuse::blocked(self.blocked_us().unwrap_or(0)))
             }
-            false if self.runs == 0 => Err(refuse::not_run(reason, 500)),
+            false if self.runs == 0 => {
+                let back_ms = self.gateway.turned_away_back_ms(&self.job.ask.service);
+                Err(refuse::not_run(reason, back_ms))
+            }
             false => Err(refuse::unknown(reason)),
         }
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -17,6 +17,7 @@
         cost::Ask,
         discovery::{Change, EndpointsCopy},
         load::EndpointKey,
+        standing::back_ms,
     },
     clock::Clock,
     endpoint::kept::KeptConnections,
@@ -50,6 +51,11 @@
 /// So many endpoints that take only so many requests a second are asked permits for, one after the other, for one
 /// request: two milliseconds each, and after that whoever refuses is not asked for a while.
 const MOST_PERMITS_ASKED: usize = 3;
+/// When a caller may come back whose request endpoints turned away, where others have not.
+const TURNED_AWAY_BACK_MS: u32 = 500;
+/// Endpoints at rest that are named when a place is asked for, at most, at 5 bytes each. A place at another of them is not
+/// taken.
+const MOST_CLOSED_TOLD: usize = 128;
 /// An instance's address is told to others for this long after it was met.
 const MET_US: Micros = 10_000_000;
 
@@ -390,6 +396,11 @@
     /// Decides on a request, waiting for a slot if it must. Those in `tried` are not chosen.
     pub async fn place(&self, ask: &Ask, tried: &[EndpointKey]) -> Placement {
         self.endpoints_settled().await;
+        let now_us = self.clock.now_us();
+        let refusal = self.balancer().refuse_at_rest(now_us, ask);
+        if let Some(refusal) = refusal {
+            return refusal;
+        }
         if let Some(placement) = self.reserve(ask, tried).await {
             return placement;
         }
@@ -404,7 +415,8 @@
         }
         let ledger = self.reserver.ledger(self.clock.now_us())?;
         self.metrics.places_asked.inc();
-        let answer = self.reserver.ask(self.clock, ledger, ask, tried).await;
+        let closed = self.closed_to_me(tried);
+        let answer = self.reserver.ask(self.clock, ledger, ask, &closed).await;
         let placement = answer.and_then(|answer| self.take_answer(ask, answer));
         if placement.is_none() {
             self.metrics.places_unanswered.inc();
@@ -412,6 +424,22 @@
         placement
     }
 
+    /// Returns the endpoints that a place is not to be given at: those tried, and those that rest from this instance.
+    fn closed_to_me(&self, tried: &[EndpointKey]) -> Vec<EndpointKey> {
+        let now_us = self.clock.now_us();
+        let at_rest = self.balancer().rests().at_rest(now_us);
+        let mut closed = tried.to_vec();
+        closed.extend(at_rest.into_iter().take(MOST_CLOSED_TOLD));
+        closed
+    }
+
+    /// Returns when a caller may come back whose request endpoints turned away.
+    pub fn turned_away_back_ms(&self, service: &Name) -> u32 {
+        let now_us = self.clock.now_us();
+        let back_us = self.balancer().first_back_us(now_us, service);
+        back_us.map_or(TURNED_AWAY_BACK_MS, |back_us| back_ms(now_us, back_us))
+    }
+
     /// Does what another instance decided on a request; none if it knows an endpoint that is not known here.
     fn take_answer(&self, ask: &Ask, answer: PlaceAnswer) -> Option<Placement> {
         let now_us = self.clock.now_us();
