Soak: endpoints leave and ask for rest in series among faults, and both words are checked

For each instance, from what endpoints saw of it: nothing later than 2.5 s after an answer with the word that it leaves, two requests at most in a rest past its first half second; excused are instances that were signalled and endpoints whose connections were held up meanwhile.

--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -62,6 +62,8 @@
     pub headers: HashMap<String, String>,
     /// Its body.
     pub body: Vec<u8>,
+    /// Whether it was turned away with a word that asks for rest.
+    pub was_asked_to_rest: bool,
     /// Whether it was run.
     pub has_run: bool,
     /// Whether the caller's connection was still there at its end.
@@ -273,6 +275,7 @@
         }
         let rest = state.lock().expect("no holder panics").rest.clone();
         if let Some(rest) = rest {
+            mark(|s| s.was_asked_to_rest = true);
             let lines = format!("{}Retry-After: {rest}\r\n", words());
             refuse(stream, "503 Service Unavailable", &request_id, &lines).await?;
             continue;
@@ -466,6 +469,7 @@
         line: lines.next().unwrap_or_default().to_owned(),
         headers: HashMap::new(),
         body: Vec::new(),
+        was_asked_to_rest: false,
         has_run: false,
         finished: false,
     };
--- a/standins/src/soak/checks.rs
+++ b/standins/src/soak/checks.rs
@@ -7,16 +7,14 @@
 use crate::{
     runner::{EVENTS, event, whole_body},
     soak::{
-        IN_FORCE, Promised, REVOKED, Report, World,
+        IN_FORCE, Promised, REVOKED, Report, SLACK, World,
         callers::{Outcome, Path, Sent},
-        limits,
+        limits, words,
     },
 };
 
 /// Of the requests of the calm part, at least this share is served.
 const CALM_SHARE: f64 = 0.9;
-/// Requests cross what they race with by this much: sending takes time.
-const SLACK: std::time::Duration = std::time::Duration::from_millis(500);
 
 struct Run {
     endpoint: usize,
@@ -56,6 +54,7 @@
     }
     check_calm(&sent, &promised, &mut report);
     limits::check(world, &promised, &mut report);
+    words::check(world, &sent, &promised, &mut report);
     report
 }
 
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -1,6 +1,9 @@
 //! Faults in series that overlap, drawn from a seed.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -116,14 +119,17 @@
             world.runners[endpoint].fault(Fault::None);
         }
         Kind::EndpointPath(mode) => {
+            let from = Instant::now();
             world.runner_proxies[endpoint].set(mode);
             time::sleep(lasts).await;
             world.runner_proxies[endpoint].set(Mode::Pass);
+            let held_up = (endpoint, from, Instant::now());
+            world.promised().held_up.push(held_up);
         }
         Kind::Keys => world.change_keys(|promised| {
             if promised.keys.len() > 2 {
                 let key = promised.keys.remove(0);
-                promised.revoked.push((key, std::time::Instant::now()));
+                promised.revoked.push((key, Instant::now()));
             }
         }),
         Kind::Drain => {
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -9,11 +9,15 @@
 mod faults;
 mod limits;
 mod process;
+mod words;
 
 use std::{
     collections::HashMap,
     path::PathBuf,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -36,6 +40,8 @@
 const IN_FORCE: Duration = Duration::from_secs(2);
 /// A key may be used this long after it was taken away, whatever is cut off or frozen.
 const REVOKED: Duration = Duration::from_secs(5);
+/// Requests cross what they race with by this much: sending takes time.
+const SLACK: Duration = Duration::from_millis(500);
 /// Time after the last fault in which everything comes back.
 const RECOVERY: Duration = Duration::from_secs(9);
 /// The calm part.
@@ -79,6 +85,8 @@
     runners: Vec<Runner>,
     runner_proxies: Vec<Proxy>,
     store_proxies: Vec<Proxy>,
+    /// How often each endpoint started again.
+    starts: Vec<AtomicUsize>,
     instances: Mutex<Vec<Instance>>,
     sent: Mutex<HashMap<String, Sent>>,
     state: Mutex<Promised>,
@@ -98,11 +106,29 @@
     stopped: Vec<(usize, Instant)>,
     /// The endpoint that names a limit in the calm part, and since when.
     limited: Option<(usize, Instant)>,
+    /// Words of endpoints that stood for a while.
+    words: Vec<words::Stood>,
+    /// Instances that forgot or stood still, and from when until when.
+    disturbed: Vec<(usize, Instant, Instant)>,
+    /// Endpoints whose connections were held up, and from when until when.
+    held_up: Vec<(usize, Instant, Instant)>,
     /// When the calm part began.
     calm_from: Option<Instant>,
     breaches: Vec<String>,
 }
 
+impl Promised {
+    /// Returns whether an instance need not have kept to an endpoint's word at some moment in a span: it was disturbed, or
+    /// its connections to the endpoint were held up.
+    fn is_excused(&self, instance: usize, endpoint: usize, from: Instant, until: Instant) -> bool {
+        let meets = |f: Instant, u: Instant| f < until && u + SLACK > from;
+        let mut disturbed = self.disturbed.iter();
+        let mut held_up = self.held_up.iter();
+        disturbed.any(|(i, f, u)| *i == instance && meets(*f, *u))
+            || held_up.any(|(e, f, u)| *e == endpoint && meets(*f, *u))
+    }
+}
+
 /// Runs a plan.
 ///
 /// # Panics
@@ -117,9 +143,11 @@
     }
     let watching = tokio::spawn(process::keep_running(world.clone()));
     let naming = tokio::spawn(limits::name_in_series(world.clone(), plan.clone()));
+    let saying = tokio::spawn(words::say_in_series(world.clone(), plan.clone()));
     let faults = faults::bring(&world, plan, &mut rng).await;
     // It ends with the faults, and fails only if a part of the run panics.
     let _ = naming.await;
+    let _ = saying.await;
     time::sleep(RECOVERY).await;
     world.calm_part(&mut rng).await;
     callers.abort_all();
@@ -138,7 +166,7 @@
         let mut runners = Vec::new();
         let mut runner_proxies = Vec::new();
         for index in 0..plan.endpoints {
-            let runner = Runner::start(&runner_id(index)).await;
+            let runner = Runner::start(&runner_id(index, 0)).await;
             runner.pace(Duration::from_millis(15));
             runner_proxies.push(Proxy::start(runner.addr).await);
             runners.push(runner);
@@ -157,6 +185,7 @@
             runners,
             runner_proxies,
             store_proxies,
+            starts: (0..plan.endpoints).map(|_| AtomicUsize::new(0)).collect(),
             instances: Mutex::new(instances),
             sent: Mutex::default(),
             state: Mutex::default(),
@@ -189,7 +218,17 @@
         let spec = json!({"backend": "svc", "address": self.runner_proxies[index].addr,
             "zone": "hall", "version": "v1", "capacity": 8, "state": state, "warmupLeftMs": 0,
             "sequence": 1});
-        self.platform.set("servers", &runner_id(index), spec);
+        let start = self.starts[index].load(Ordering::Relaxed);
+        self.platform.set("servers", &runner_id(index, start), spec);
+    }
+
+    /// Starts an endpoint that has ended again, under a new id.
+    async fn start_again(&self, index: usize) {
+        let start = self.starts[index].fetch_add(1, Ordering::Relaxed);
+        self.platform.remove("servers", &runner_id(index, start));
+        let id = runner_id(index, start + 1);
+        self.runners[index].start_again(&id).await;
+        self.endpoint(index, "ready");
     }
 
     async fn until_ready(&self) {
@@ -221,8 +260,8 @@
     }
 }
 
-fn runner_id(index: usize) -> String {
-    format!("i-soak{index}")
+fn runner_id(index: usize, start: usize) -> String {
+    format!("i-soak{index}-{start}")
 }
 
 /// The routes `/once/`, `/again/` and `/resume/`, keyed.
--- a/standins/src/soak/process.rs
+++ b/standins/src/soak/process.rs
@@ -6,7 +6,7 @@
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use tokio::{
@@ -20,6 +20,10 @@
 const KEY: &str = "cluster-key-of-the-soak";
 /// The platform starts a process again after a short delay.
 const RESTART_AFTER: Duration = Duration::from_millis(300);
+/// A process is frozen no longer than a fault lasts.
+const LONGEST_FREEZE: Duration = Duration::from_secs(3);
+/// A planned stop ends after the time that the settings give it, and some more.
+const LONGEST_STOP: Duration = Duration::from_secs(9);
 
 /// Where an instance runs: every one has a loopback address of its own, and all have the same ports.
 #[derive(Clone, Debug)]
@@ -155,6 +159,17 @@
     )
 }
 
+/// Returns for how long a signal makes a process forget or stand still; none if it does neither.
+fn lasts_after(signal: &str) -> Option<Duration> {
+    match signal {
+        "KILL" | "CONT" => Some(Duration::ZERO),
+        "STOP" => Some(LONGEST_FREEZE),
+        // It ends within this time and starts anew.
+        "TERM" => Some(LONGEST_STOP),
+        _ => None,
+    }
+}
+
 /// Sends a signal to an instance's process, if it runs.
 pub fn signal(world: &World, index: usize, name: &str) {
     let mut instances = world.instances.lock().expect("no holder panics");
@@ -162,6 +177,11 @@
     if matches!(instance.child.try_wait(), Ok(Some(_))) {
         return;
     }
+    if let Some(lasts) = lasts_after(name) {
+        let now = Instant::now();
+        let disturbed = (index, now, now + lasts);
+        world.promised().disturbed.push(disturbed);
+    }
     match name {
         "KILL" | "TERM" => instance.may_end = true,
         "STOP" => instance.is_frozen = true,
