An organisation's priority goes before that of its route

Callers of an organisation that operators call urgent, or not, were ranked by their route alone: in a surge they were refused, or served, as if nothing had been said. Cause: the word was decoded from the configuration and read by nobody; found by listing the words of other parties. Ruled out: that it is heeded elsewhere (limits took the route's, too).

--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -81,6 +81,12 @@
     }
 }
 
+/// Returns how urgent a request is: what operators say of its organisation goes before what they say of its route.
+pub fn rank(route: &Route, organisation: Option<&Organisation>) -> Rank {
+    let of_organisation = organisation.and_then(|o| o.priority);
+    of_organisation.unwrap_or(route.priority)
+}
+
 /// Reads a request's body.
 ///
 /// # Errors
@@ -144,6 +150,7 @@
 /// Returns what the balancer is asked for a request.
 pub fn ask(
     route: &Route,
+    rank: Rank,
     head: &CallHead,
     service: Name,
     tokens_per_event: u32,
@@ -164,7 +171,7 @@
         arrived_us,
         waited_us,
         deadline_us,
-        rank: route.priority,
+        rank,
         other_hall_cost: OTHER_HALL_COST,
         draw: rand::rng().random(),
     }
