--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -11,14 +11,14 @@
 
 use crate::{
     balance::{
-        cost::{Ask, Expected, Known, expect},
+        cost::{Ask, Expected},
         discovery::{Change, Discovery, EndpointEntry, EndpointsCopy, Revision},
         grants::Grants,
-        load::{Believed, EndpointKey},
+        load::EndpointKey,
         picture::{Group, HallsOfServices, Picture},
         prefixes::{ChainKey, PrefixHolders},
         speed::Speed,
-        standing::{ENDPOINTS_REST, NoPermits, Standing, back_ms},
+        standing::NoPermits,
     },
     limits::{rest::Rests, standings::EndpointStandings},
     prelude::{Incarnation, Micros, Name, Rank},
@@ -45,21 +45,11 @@
 const WHOLE_QUEUE_SHARE: f64 = 0.7;
 /// The least urgent rank that is told apart.
 const LEAST_URGENT: Rank = 2;
-/// Endpoints of other halls that are looked at for a request. What is known of them is some tenths of
-/// a second old: if all instances looked at all, all would send to the same one within that time.
-const FAR_LOOKED_AT: usize = 4;
-/// In a large group, endpoints of the own hall that are looked at: some 30 instances of a hall place as
-/// many requests in the 40 ms before they hear of each other, and whoever looked idle to all was not.
-/// Late first events of a calm day over 78 instances and 30 endpoints a hall, of two kinds of request:
-/// all looked at 314 and 325, twelve 217 and 204, six 143 and 151, four 186 and 199.
-const NEAR_LOOKED_AT: usize = 6;
 /// In a large group others are told of no shorter chains: 60 tokens are read in a millisecond, and were
 /// half of what a hall's instances told each other of reads.
 const LEAST_TOLD_TOKENS: u32 = 128;
 /// What was read lately and nobody was told of, at most: some seconds of a busy instance.
 const MOST_NEWS: usize = 1_024;
-/// Spreads numbers that differ little; 2^64 over the golden ratio.
-const GOLDEN: u64 = 0x9e37_79b9_7f4a_7c15;
 /// The share of the time left to it after which a caller that is refused for want of room may come
 /// back, before spread. Surges last for seconds: whoever comes back at once is refused again. Callers
 /// wait up to a third of what they have left; with the spread this is .2 to .3 of it.
@@ -68,8 +58,6 @@
 const RETRY_MIN_MS: f64 = 150.0;
 /// Nor after this time: a surge at the start of an event is over by then.
 const RETRY_MAX_MS: f64 = 4_000.0;
-/// When a caller may come back for whom there is no endpoint at all.
-const NO_ENDPOINT_RETRY_MS: u32 = 600;
 
 /// An endpoint chosen for a request.
 #[derive(Clone, Debug)]
@@ -142,50 +130,6 @@
     }
 }
 
-/// Returns whichever endpoint costs less.
-fn better(
-    best: Option<(EndpointKey, Expected)>,
-    key: EndpointKey,
-    expected: Expected,
-) -> Option<(EndpointKey, Expected)> {
-    match best {
-        Some((_, known)) if known.cost <= expected.cost => best,
-        _ => Some((key, expected)),
-    }
-}
-
-/// What was found for a request.
-pub(super) struct Found {
-    /// The endpoint that costs least of those that may be sent to now.
-    best: Option<Choice>,
-    /// One that would cost no more, and for which a permit is needed and may be asked for.
-    pub(super) limited: Option<EndpointKey>,
-    /// There are endpoints for which a permit is needed.
-    has_limited: bool,
-    /// All that do not leave are at rest, the first of them until this time.
-    first_back_us: Option<Micros>,
-}
-
-impl Found {
-    /// Returns what becomes of a request that no endpoint may be sent.
-    fn without_endpoint(&self, now_us: Micros, ask: &Ask) -> Placement {
-        if self.has_limited {
-            // Waiting would not help: whoever is told at once comes back sooner.
-            return refused(now_us, ask, ENDPOINT_LIMITS);
-        }
-        if let Some(back_us) = self.first_back_us {
-            return Placement::Refuse {
-                reason: ENDPOINTS_REST,
-                retry_after_ms: back_ms(now_us, back_us),
-            };
-        }
-        Placement::Refuse {
-            reason: "no_endpoint",
-            retry_after_ms: NO_ENDPOINT_RETRY_MS,
-        }
-    }
-}
-
 #[derive(Debug)]
 pub(super) struct Endpoint {
     pub(super) entry: std::sync::Arc<EndpointEntry>,
@@ -481,73 +425,6 @@
         self.waiting.keys().next().is_some_and(|k| k.rank <= rank)
     }
 
-    pub(super) fn best(
-        &self,
-        now_us: Micros,
-        ask: &Ask,
-        tried: &[EndpointKey],
-        permit: Option<EndpointKey>,
-    ) -> Found {
-        let mut best: Option<(EndpointKey, Expected)> = None;
-        let mut limited: Option<(EndpointKey, Expected)> = None;
-        let mut has_limited = false;
-        let (mut all_rest, mut first_back_us) = (true, Micros::MAX);
-        let near_looked_at = match self.picture.group() {
-            Group::Large if !self.picture.is_ledger() => NEAR_LOOKED_AT,
-            _ => usize::MAX,
-        };
-        let (mut near, mut far) = (0, 0);
-        for key in self.in_turn(now_us, ask) {
-            let is_enough = near >= near_looked_at && far >= FAR_LOOKED_AT;
-            if is_enough && self.standings.is_empty() {
-                break;
-            }
-            let Some(endpoint) = self.endpoints.get(&key) else {
-                continue;
-            };
-            let is_looked_at = if endpoint.same_hall {
-                near < near_looked_at
-            } else {
-                far < FAR_LOOKED_AT
-            };
-            let standing = self.standing_of(now_us, key, endpoint);
-            match standing {
-                Standing::Leaves => continue,
-                Standing::RestsUntil(until_us) => {
-                    first_back_us = first_back_us.min(until_us);
-                    continue;
-                }
-                Standing::Serves | Standing::NeedsPermit => all_rest = false,
-            }
-            if tried.contains(&key) {
-                continue;
-            }
-            let needs_permit = standing == Standing::NeedsPermit && permit != Some(key);
-            if !is_looked_at && !needs_permit && permit != Some(key) {
-                continue;
-            }
-            has_limited |= needs_permit;
-            if needs_permit && !self.may_ask_for_permit(now_us, key, ask.rank) {
-                continue;
-            }
-            let expected = self.expect(now_us, ask, key, endpoint);
-            if needs_permit {
-                limited = better(limited, key, expected);
-                continue;
-            }
-            far += usize::from(!endpoint.same_hall);
-            near += usize::from(endpoint.same_hall);
-            best = better(best, key, expected);
-        }
-        let is_wanted = |expected: Expected| best.is_none_or(|(_, b)| expected.cost <= b.cost);
-        Found {
-            best: best.and_then(|(key, expected)| self.choice(key, expected)),
-            limited: limited.filter(|(_, l)| is_wanted(*l)).map(|(key, _)| key),
-            has_limited,
-            first_back_us: (all_rest && first_back_us < Micros::MAX).then_some(first_back_us),
-        }
-    }
-
     /// Returns the choice of an endpoint that is known.
     pub(super) fn choice(&self, key: EndpointKey, expected: Expected) -> Option<Choice> {
         let entry = self.entry(key)?;
@@ -560,48 +437,6 @@
         })
     }
 
-    fn believed(&self, now_us: Micros, key: EndpointKey, endpoint: &Endpoint) -> Believed {
-        self.picture.believed(
-            now_us,
-            key,
-            &endpoint.entry.service,
-            &endpoint.entry.hall,
-            endpoint.same_hall,
-        )
-    }
-
-    /// Returns a service's endpoints from a place on that differs by request and time: one that
-    /// waits looks at others the next time.
-    fn in_turn(&self, now_us: Micros, ask: &Ask) -> impl Iterator<Item = EndpointKey> {
-        let keys = self.keys_of(&ask.service);
-        let mixed = (ask.draw ^ now_us).wrapping_mul(GOLDEN) >> 32;
-        let begin = mixed as usize % keys.len().max(1);
-        let (before, after) = keys.split_at(begin);
-        after.iter().chain(before).copied()
-    }
-
-    fn expect(&self, now_us: Micros, ask: &Ask, key: EndpointKey, endpoint: &Endpoint) -> Expected {
-        let cached = self.holders.cached_tokens(now_us, &ask.chains, key);
-        let own = &endpoint.speed;
-        // Only the reading of prompts tells whether an endpoint is known.
-        let typical = self.typical.get(&endpoint.entry.service);
-        let typical = typical.filter(|_| ask.is_stream);
-        let mut load = self.believed(now_us, key, endpoint);
-        if self.standings.rests(now_us, key) {
-            // It asked others for rest: as one whose slots are taken beside.
-            load.requests += f64::from(endpoint.entry.slots);
-        }
-        let known = Known {
-            load,
-            speed: typical.filter(|_| !own.is_learned()).unwrap_or(own),
-            failing: own.failing_now(now_us),
-            slots: endpoint.entry.slots,
-            same_hall: endpoint.same_hall,
-            cached_tokens: cached,
-        };
-        expect(now_us, ask, known)
-    }
-
     pub(super) fn send(&mut self, now_us: Micros, ask: &Ask, choice: Choice) -> Placement {
         self.picture
             .sent(choice.key, choice.expected.uncached_tokens);
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -2,6 +2,7 @@
 //! over a picture of all endpoints that the instances share.
 
 pub mod balancer;
+mod choosing;
 pub mod cost;
 pub mod discovery;
 pub mod grants;
--- a/src/balance/standing.rs
+++ b/src/balance/standing.rs
@@ -168,7 +168,7 @@
         ask: &Ask,
         tried: &[EndpointKey],
     ) -> Option<EndpointKey> {
-        if self.standings.is_empty() {
+        if !self.standings.has_limits() {
             return None;
         }
         self.best(now_us, ask, tried, None).limited
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -147,6 +147,17 @@
     caller_us.min(route_us).saturating_sub(ANSWER_MARGIN_US)
 }
 
+/// The times of a request, in microseconds of this process's clock.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestTimes {
+    /// When it came.
+    pub arrived_us: Micros,
+    /// When its caller or its route gives up.
+    pub deadline_us: Micros,
+    /// For how long its caller had waited before it came.
+    pub waited_us: Micros,
+}
+
 /// Returns what the balancer is asked for a request.
 pub fn ask(
     route: &Route,
@@ -154,9 +165,7 @@
     head: &CallHead,
     service: Name,
     tokens_per_event: u32,
-    arrived_us: Micros,
-    deadline_us: Micros,
-    waited_us: Micros,
+    times: RequestTimes,
 ) -> Ask {
     let prompt_tokens = head.tokens.map_or(0, |t| t.prompt);
     let most = head.tokens.map_or(u32::MAX, |t| t.max_output);
@@ -168,9 +177,9 @@
         chains: prefixes::chains(&head.parts).collect(),
         output_events: f64::from(output_tokens) / f64::from(tokens_per_event),
         target_us: route.target.as_micros() as Micros,
-        arrived_us,
-        waited_us,
-        deadline_us,
+        arrived_us: times.arrived_us,
+        waited_us: times.waited_us,
+        deadline_us: times.deadline_us,
         rank,
         other_hall_cost: OTHER_HALL_COST,
         draw: rand::rng().random(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 pub mod packed;
 pub mod patience;
 pub mod permits;
+mod placing;
 pub mod probes;
 pub mod protocol;
 pub mod refuse;
--- a/src/limits/standings.rs
+++ b/src/limits/standings.rs
@@ -150,9 +150,9 @@
 }
 
 impl EndpointStandings {
-    /// Returns whether no endpoint has a limit.
-    pub fn is_empty(&self) -> bool {
-        self.limited == 0
+    /// Returns whether any endpoint has a limit.
+    pub fn has_limits(&self) -> bool {
+        self.limited > 0
     }
 
     /// Returns an endpoint's limit, if it has one.
@@ -205,7 +205,7 @@
     }
 
     /// Returns whether an endpoint asked some instance for rest that is not over.
-    pub fn rests(&self, now_us: Micros, endpoint: EndpointKey) -> bool {
+    pub fn wants_rest(&self, now_us: Micros, endpoint: EndpointKey) -> bool {
         let until_us = || self.by_endpoint.get(&endpoint).map(|e| e.rests_until_us);
         now_us < self.last_rest_us && until_us().is_some_and(|until_us| now_us < until_us)
     }
--- a/tests/gateway/endpoint_limits.rs
+++ b/tests/gateway/endpoint_limits.rs
@@ -83,7 +83,7 @@
     assert_eq!(limit(&limits).as_deref(), Some("3.000"));
     hear(&mut limits, &LimitWord::Free);
     assert_eq!(limit(&limits), None);
-    assert!(limits.is_empty());
+    assert!(!limits.has_limits());
     limits.heard(SECOND, ENDPOINT, early, &named("3"));
     assert_eq!(limit(&limits).as_deref(), Some("3.000"), "named again");
 }
@@ -292,7 +292,7 @@
         ..entry("limited", "here", 4)
     };
     balancer.endpoint_seen(born(100), 2);
-    assert!(balancer.standings().is_empty());
+    assert!(!balancer.standings().has_limits());
     let later = EndpointKey::of_start("limited", 100);
     // An answer of the start before comes late.
     assert_eq!(
--- a/tests/gateway/endpoint_rests.rs
+++ b/tests/gateway/endpoint_rests.rs
@@ -283,8 +283,8 @@
     // It is over for all in the same moment, and is told on with the time that is left.
     let later = other.take_told_standings(3 * SECOND, Audience::Peers);
     assert_eq!(later[0].rest_ms, 1_000);
-    assert!(other.standings().rests(4 * SECOND - 1, key));
-    assert!(!other.standings().rests(4 * SECOND, key));
+    assert!(other.standings().wants_rest(4 * SECOND - 1, key));
+    assert!(!other.standings().wants_rest(4 * SECOND, key));
 }
 
 /// Many instances are asked one after the other: that is told once, not by each anew.
