--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -81,12 +81,6 @@
     }
 }
 
-/// Returns how urgent a request is: what operators say of its organisation goes before what they say of its route.
-pub fn rank(route: &Route, organisation: Option<&Organisation>) -> Rank {
-    let of_organisation = organisation.and_then(|o| o.priority);
-    of_organisation.unwrap_or(route.priority)
-}
-
 /// Reads a request's body.
 ///
 /// # Errors
@@ -161,7 +155,6 @@
 /// Returns what the balancer is asked for a request.
 pub fn ask(
     route: &Route,
-    rank: Rank,
     head: &CallHead,
     service: Name,
     tokens_per_event: u32,
@@ -180,7 +173,7 @@
         arrived_us: times.arrived_us,
         waited_us: times.waited_us,
         deadline_us: times.deadline_us,
-        rank,
+        rank: route.priority,
         other_hall_cost: OTHER_HALL_COST,
         draw: rand::rng().random(),
     }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -28,7 +28,7 @@
         endings,
         gate::{ENDPOINT_LEFT, ENDPOINT_RESTS},
         intake::{
-            ANSWER_MARGIN_US, RequestTimes, allowed_us, ask, find_organisation, find_route, rank,
+            ANSWER_MARGIN_US, RequestTimes, allowed_us, ask, find_organisation, find_route,
             read_body, take_from_limit,
         },
         metrics::Outcome,
@@ -122,8 +122,7 @@
         let work_out = || attempt::fingerprint(&parts.method, &parts.uri, organisation, &body);
         *fingerprint.get_or_init(work_out)
     })?;
-    let rank = rank(&route, organisation.as_deref());
-    take_from_limit(gateway, tokens, rank, allowed_us, trace)?;
+    take_from_limit(gateway, tokens, route.priority, allowed_us, trace)?;
     let draw = rand::rng().random_range(0.0..1.0);
     let Some(service) = route.pick_target(draw).cloned() else {
         return Err(refuse::not_run("no_service", 1_000));
@@ -140,7 +139,6 @@
     let job = Job {
         ask: ask(
             &route,
-            rank,
             &head,
             service,
             tokens_per_event,
--- a/tests/gateway/routes.rs
+++ b/tests/gateway/routes.rs
@@ -1,10 +1,6 @@
 //! Which route and organisation a request belongs to.
 
-use ryevalve::gateway::{
-    config::{Organisation, Route, Target},
-    intake::rank,
-    routes::RouteTable,
-};
+use ryevalve::gateway::{config::Target, routes::RouteTable};
 
 use crate::support::{config, organisation, route};
 
@@ -73,19 +69,3 @@
     split.targets = vec![target("none", 0)];
     assert_eq!(split.pick_target(0.5), None);
 }
-
-/// Operators say of an organisation how urgent its requests are; without a word their routes decide.
-#[test]
-fn an_organisations_priority_goes_before_that_of_the_route() {
-    let route = Route {
-        priority: 2,
-        ..route("any", "a.example", "/x/")
-    };
-    let urgent = Organisation {
-        priority: Some(0),
-        ..organisation("urgent", &[])
-    };
-    assert_eq!(rank(&route, Some(&urgent)), 0);
-    assert_eq!(rank(&route, Some(&organisation("usual", &[]))), 2);
-    assert_eq!(rank(&route, None), 2);
-}
