--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -6,7 +6,6 @@
 pub mod cost;
 pub mod discovery;
 pub mod grants;
-
 pub mod load;
 pub mod picture;
 mod places;
--- a/src/balance/standing.rs
+++ b/src/balance/standing.rs
@@ -79,7 +79,7 @@
         Standing::Serves
     }
 
-    /// Returns what endpoints said that binds all instances.
+    /// Returns what endpoints said that all instances are to know.
     pub fn standings(&self) -> &EndpointStandings {
         &self.standings
     }
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -1,4 +1,4 @@
-//! Limits that all instances keep together.
+//! Limits: those that all instances keep together, and the rest that endpoints ask of one.
 
 pub mod fingerprint;
 pub mod organisation;
--- a/src/peers/update.rs
+++ b/src/peers/update.rs
@@ -99,7 +99,7 @@
     pub dead: Vec<EndpointKey>,
     /// Requests under which endpoints ended.
     pub suspects: Vec<ToldSuspect>,
-    /// What endpoints said of themselves that binds all instances.
+    /// What endpoints said of themselves that all instances are to know.
     pub standings: Vec<ToldStanding>,
     /// What organisations used since the sender's start, through the sender alone.
     pub used: Vec<ToldUse>,
