--- a/src/cli.rs
+++ b/src/cli.rs
@@ -114,9 +114,10 @@
 const LIMITS_HELP: &str = "\
 usage: ryevalve limits ORGANISATION FILE...
 
-Shows by second what instances let an organisation use, how many requests they
-refused, how many instances they knew and heard at the least, the oldest report
-of use that they counted, and each change of its limit. One FILE an instance.
+Shows by second what quota servers granted an organisation and how many requests
+they denied, from which share of its limit (1 is all of it), by how many instances
+limits were divided at the least, and each change of its limit. One FILE an
+instance.
 
 Exit 0: shown. 1: no line is about its limit. 2: bad input.
 ";
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -138,6 +138,16 @@
     pub burst: f64,
 }
 
+impl UseLimit {
+    /// Returns what a request uses that names `tokens`.
+    pub fn units(&self, tokens: Option<u32>) -> u32 {
+        match self.unit {
+            UseUnit::Requests => 1,
+            UseUnit::Tokens { without_tokens } => tokens.unwrap_or(without_tokens),
+        }
+    }
+}
+
 /// What a limit counts.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum UseUnit {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -5,7 +5,7 @@
 
 use std::{
     collections::VecDeque,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -30,6 +30,7 @@
         halls::{Halls, teller_of_hall},
         heard::HeardInstances,
         protocol::Protocol,
+        quota,
         state::Gateway,
         use_turns::UseTurns,
     },
@@ -162,6 +163,7 @@
         let mut state = State::default();
         let now_us = gateway.clock.now_us();
         let my_addr = place.me.peer_addr;
+        gateway.quota.join(place.me.incarnation, my_addr.ip());
         let is_seed = place.seeds.is_empty() || place.seeds.contains(&my_addr);
         place.seeds.retain(|seed| *seed != my_addr);
         // The seeds are taken to share limits until they had time to be heard.
@@ -236,6 +238,7 @@
         let now_us = self.gateway.clock.now_us();
         let view = self.gossip.view();
         self.take_view(&view);
+        quota::tick(&self.gateway).await;
         let group = self.count_sharers(now_us, &view);
         let has_news = self.take_state_news();
         let is_suspected = self.gateway.suspects().take_news();
@@ -290,7 +293,9 @@
 
     /// Works out from a new view what this instance does for others.
     fn take_view(&self, view: &Arc<View>) {
+        let now_us = self.gateway.clock.now_us();
         self.gateway.permits.set_view(view);
+        self.gateway.quota.set_view(now_us, view);
         let mut state = self.lock();
         if state.aggregators.set_view(view) {
             let in_turn = view.chosen("store", usize::MAX, Member::can_lead);
@@ -323,7 +328,16 @@
                 (Group::Large, halls, sharers, sharers)
             }
         };
+        let addresses: Vec<IpAddr> = {
+            let state = self.lock();
+            let met = state.heard.iter().map(|(ip, _)| *ip);
+            let members = view.members.iter().map(|m| m.info.peer_addr.ip());
+            met.chain(members).collect()
+        };
         self.gateway.permits.set_heard_share(known_sharers.share());
+        let instances = view.instances().max(sharers.all);
+        self.gateway.quota.set_instances(instances);
+        self.gateway.quota.set_addresses(addresses.into_iter());
         for teller in silent {
             self.gateway.limits().forget(now_us, teller);
             if group == Group::Large {
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -13,11 +13,12 @@
     gateway::{
         config::{Organisation, Route},
         protocol::{CallHead, Protocol},
-        refuse,
+        quota, refuse,
         report::Trace,
         routes::RouteTable,
         state::Gateway,
     },
+    limits::quota::Grant,
     prelude::{Micros, Name, Rank},
 };
 
@@ -25,6 +26,9 @@
 pub const ANSWER_MARGIN_US: Micros = 30_000;
 /// What sending a request to another hall costs, as a share of its worth.
 const OTHER_HALL_COST: f64 = 0.05;
+/// The times that callers over a limit are told to come back after.
+const MIN_WAIT_MS: u32 = 50;
+const MAX_WAIT_MS: u32 = 60_000;
 /// The length of an answer in tokens of which nothing is known.
 const PRIOR_OUTPUT_TOKENS: u32 = 300;
 
@@ -109,28 +113,33 @@
     }
 }
 
-/// Takes what a request uses from its organisation's limit. What decided against it is noted in
-/// `trace`.
+/// Takes what a request uses from its organisation's limit; none if there is no limit. What decided against
+/// it is noted in `trace`.
 ///
 /// # Errors
 /// The limit is used up.
-pub fn take_from_limit<P: Protocol>(
+pub async fn take_from_limit<P: Protocol>(
     gateway: &Gateway<P>,
+    organisation: Option<&Organisation>,
     tokens: Option<u32>,
     rank: Rank,
     allowed_us: Micros,
     trace: &mut Trace,
-) -> Result<(), Refusal> {
-    let Some(name) = &trace.organisation else {
-        return Ok(());
+) -> Result<Option<Grant>, Refusal> {
+    let limited = organisation.and_then(|o| Some((&*o.name, o.limit?)));
+    let Some((name, limit)) = limited else {
+        return Ok(None);
     };
-    let now_us = gateway.clock.now_us();
-    let sharers = gateway.sharers();
-    let taken = gateway.limits().take(now_us, name, tokens, rank, sharers);
-    taken.map_err(|used_up| {
-        trace.used_up = Some(used_up);
+    let units = limit.units(tokens);
+    // One that names no tokens takes next to nothing: it does not leave the last of a limit to others.
+    let rank = if tokens.is_some() { rank } else { 0 };
+    let taken = quota::acquire(gateway, name, units, rank, allowed_us).await;
+    taken.map_err(|denied| {
+        trace.denied = Some(denied);
+        let wait_ms = u32::try_from(denied.wait_us / 1_000).unwrap_or(u32::MAX);
+        let wait_ms = wait_ms.clamp(MIN_WAIT_MS, MAX_WAIT_MS);
         // There may be room for this one sooner, but not for all that were refused with it.
-        refuse::over_limit(used_up.wait_ms.max(come_back_ms(allowed_us)))
+        refuse::over_limit(wait_ms.max(come_back_ms(allowed_us)))
     })
 }
 
--- a/src/gateway/limit_log.rs
+++ b/src/gateway/limit_log.rs
@@ -2,10 +2,10 @@
 
 use crate::{
     gateway::{protocol::Protocol, state::Gateway},
-    limits::organisation::LimitChange,
+    limits::quota::LimitChange,
 };
 
-/// Organisations of which an instance writes the state a second.
+/// Accounts of which an instance writes the state a second.
 const STATES_A_SECOND: usize = 16;
 /// Limits of which one configuration's change is written.
 const CHANGES_A_VERSION: usize = 32;
@@ -20,9 +20,7 @@
             before_per_s = change.before.map_or(0.0, |l| l.rate_per_s),
             before_burst = change.before.map_or(0.0, |l| l.burst),
             rate_per_s = change.after.map_or(0.0, |l| l.rate_per_s),
-            burst = change.after.map_or(0.0, |l| l.burst),
-            level_before = change.level_before as i64,
-            level = change.level as i64;
+            burst = change.after.map_or(0.0, |l| l.burst);
             "limit_changed"
         );
     }
@@ -32,27 +30,25 @@
     }
 }
 
-/// Writes the state of limits in use; called once a second.
+/// Writes the state of the accounts that are scarce; called once a second.
 pub fn log_states<P: Protocol>(gateway: &Gateway<P>) {
     let now_us = gateway.clock.now_us();
-    let states = gateway.limits().take_states(now_us, STATES_A_SECOND);
-    let sharers = gateway.sharers();
+    let states = gateway.quota.take_states(now_us, STATES_A_SECOND);
+    let instances = gateway.quota.divisor(now_us);
     for state in states {
         log::info!(
             target: "ryevalve::limit",
             organisation = &*state.organisation,
+            copy = state.copy,
             config_version = gateway.config.version(),
             rate_per_s = state.limit.rate_per_s,
             burst = state.limit.burst,
-            depth = state.depth as i64,
-            level = state.level as i64,
-            withheld = state.withheld as i64,
-            used = state.used,
-            others_used = state.others_used,
-            oldest_report_ms = state.oldest_report_ms,
-            refused = state.refused,
-            instances = sharers.all,
-            instances_heard = sharers.heard;
+            level = state.level,
+            share = state.share,
+            lessors = state.lessors,
+            granted = state.granted,
+            denied = state.denied,
+            instances;
             "limit_state"
         );
     }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -85,6 +85,14 @@
     pub permits_unused: Counter,
     /// Permits that it asked for without an answer.
     pub permits_unanswered: Counter,
+    /// Requests for whose quota another instance was asked.
+    pub quota_asked: Counter,
+    /// Those for which a second one was asked, since the first was slow.
+    pub quota_hedged: Counter,
+    /// Those for which nobody answered in time.
+    pub quota_unanswered: Counter,
+    /// Those that did not use their quota.
+    pub quota_unused: Counter,
     /// Limits named in words that cannot be read.
     pub limit_words_unreadable: Counter,
     /// Words of endpoints that ask this instance for rest.
@@ -149,6 +157,10 @@
             permits_given: Counter::default(),
             permits_unused: Counter::default(),
             permits_unanswered: Counter::default(),
+            quota_asked: Counter::default(),
+            quota_hedged: Counter::default(),
+            quota_unanswered: Counter::default(),
+            quota_unused: Counter::default(),
             limit_words_unreadable: Counter::default(),
             rests_asked: Counter::default(),
             rest_words_unreadable: Counter::default(),
@@ -237,6 +249,7 @@
         registry.register("datagrams_dropped", dropped, self.datagrams_dropped.clone());
         self.register_exchange();
         self.register_endpoint_limits();
+        self.register_quota();
         self.register_endpoint_words();
         let registry = &mut self.registry;
         let version = "Version of the configuration in force";
@@ -262,6 +275,22 @@
         );
     }
 
+    fn register_quota(&mut self) {
+        let registry = &mut self.registry;
+        let asked = "Requests for whose quota another instance was asked";
+        registry.register("quota_asked", asked, self.quota_asked.clone());
+        let hedged = "Requests for whose quota a second instance was asked";
+        registry.register("quota_hedged", hedged, self.quota_hedged.clone());
+        let unanswered = "Requests for whose quota nobody answered in time";
+        registry.register(
+            "quota_unanswered",
+            unanswered,
+            self.quota_unanswered.clone(),
+        );
+        let unused = "Requests that gave their quota back";
+        registry.register("quota_unused", unused, self.quota_unused.clone());
+    }
+
     fn register_endpoint_limits(&mut self) {
         let registry = &mut self.registry;
         let limited = "Endpoints that named a limit of their own";
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -14,7 +14,7 @@
         refuse,
         state::Gateway,
     },
-    limits::{fingerprint::Fingerprint, organisation::UsedUp},
+    limits::{fingerprint::Fingerprint, quota::Denied},
     prelude::{Micros, Name},
 };
 
@@ -29,8 +29,8 @@
     pub waited_ms: u64,
     /// The organisation that it is of.
     pub organisation: Option<Name>,
-    /// What decided that the organisation's limit left no room.
-    pub used_up: Option<UsedUp>,
+    /// Why the organisation's limit left no room.
+    pub denied: Option<Denied>,
     /// The endpoint that it was sent to last.
     pub endpoint: Option<Name>,
     /// How many endpoints it was sent to.
@@ -103,10 +103,9 @@
         config_age_ms:serde = gateway.config_age_ms(),
         endpoints_age_ms:serde = gateway.endpoints_age_ms(),
         organisation = trace.organisation.as_deref().unwrap_or("-"),
-        limit_level = trace.used_up.map_or(0, |u| u.level),
-        limit_reserve = trace.used_up.map_or(0, |u| u.reserve),
-        limit_withheld = trace.used_up.map_or(0, |u| u.withheld),
-        limit_word_ms = trace.used_up.map_or(0, |u| u.oldest_word_ms),
+        limit_level:serde = trace.denied.and_then(|d| d.level),
+        limit_wait_ms:serde = trace.denied.map(|d| d.wait_us / 1_000),
+        limit_asked = trace.denied.is_some_and(|d| !d.is_known),
         instances = sharers.all,
         instances_heard = sharers.heard;
         "request_refused"
--- a/src/gateway/reservations.rs
+++ b/src/gateway/reservations.rs
@@ -11,6 +11,7 @@
     gateway::{
         permits,
         protocol::Protocol,
+        quota,
         reserver::{Channel, PlaceAnswer, PlaceAsk, PlaceDatagram, Word},
         state::Gateway,
     },
@@ -74,6 +75,7 @@
         Word::Permits(word) => {
             permits::take(gateway, channel, from, datagram.number, word).await;
         }
+        Word::Quota(message) => quota::take(gateway, datagram.from, from, message).await,
         word => gateway.reserver.take(datagram.number, word),
     }
 }
--- a/src/gateway/reserver.rs
+++ b/src/gateway/reserver.rs
@@ -31,6 +31,7 @@
     },
     clock::Clock,
     gateway::permits::PermitWord,
+    limits::quota::Message,
     peers::datagram::Authenticator,
     prelude::{Incarnation, Micros, Name, Rank},
 };
@@ -143,6 +144,8 @@
     Unable,
     /// Is of permits, not of places.
     Permits(PermitWord),
+    /// Is of organisations' limits, not of places.
+    Quota(Message),
 }
 
 /// A datagram about a place.
@@ -263,7 +266,7 @@
             match time::timeout_at(until, pending.words.recv()).await {
                 Ok(Some(Word::Decided(answer))) => return Some(answer),
                 Ok(Some(Word::Waits)) => until = Instant::now() + hold + DECIDED_AFTER,
-                Ok(Some(Word::Ask(_) | Word::Permits(_))) => {}
+                Ok(Some(Word::Ask(_) | Word::Permits(_) | Word::Quota(_))) => {}
                 Ok(Some(Word::Unable) | None) | Err(_) => {
                     self.pass_over(clock.now_us(), ledger);
                     return None;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -33,7 +33,7 @@
         },
         metrics::Outcome,
         protocol::{CallHead, Protocol},
-        refuse,
+        quota, refuse,
         report::{Trace, log_answer, note_refusal},
         state::Gateway,
         stream::Relay,
@@ -122,7 +122,9 @@
         let work_out = || attempt::fingerprint(&parts.method, &parts.uri, organisation, &body);
         *fingerprint.get_or_init(work_out)
     })?;
-    take_from_limit(gateway, tokens, route.priority, allowed_us, trace)?;
+    let limited = organisation.as_deref();
+    let grant =
+        take_from_limit(gateway, limited, tokens, route.priority, allowed_us, trace).await?;
     let draw = rand::rng().random_range(0.0..1.0);
     let Some(service) = route.pick_target(draw).cloned() else {
         return Err(refuse::not_run("no_service", 1_000));
@@ -163,8 +165,8 @@
         .as_ref()
         .err()
         .is_none_or(|r| r.retry_after_ms.is_none());
-    if let Some(name) = name.filter(|_| !has_run) {
-        gateway.limits().give_back(&name, tokens);
+    if let Some(grant) = grant.filter(|_| !has_run) {
+        quota::give_back(gateway, grant).await;
     }
     result
 }
@@ -245,9 +247,6 @@
             }
             let choice = self.place().await?;
             trace.endpoint = Some(choice.id.clone());
-            if trace.attempts == 0 {
-                self.spend_limit();
-            }
             trace.attempts += 1;
             trace.expected = Some(choice.expected);
             self.tried.push(choice.key);
@@ -280,14 +279,6 @@
         }
     }
 
-    /// What the request took from its organisation's limit is used from now on.
-    fn spend_limit(&self) {
-        if let Some(organisation) = self.job.organisation.as_deref() {
-            let tokens = self.job.head.tokens.map(|t| t.total());
-            self.gateway.limits().spend(organisation, tokens);
-        }
-    }
-
     /// Waits for an endpoint; refuses once the request's time is over.
     async fn place(&self) -> Result<Choice, Refusal> {
         let placing = self.gateway.place(&self.ask, &self.tried);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -28,12 +28,14 @@
         patience::UsualPatience,
         permits::Permits,
         protocol::Protocol,
+        quota::Quota,
         reserver::Reserver,
         staleness::{Staleness, StalenessBound},
     },
     limits::{
         fingerprint::Fingerprint,
-        organisation::{OrganisationLimits, Sharers, Tolerance},
+        organisation::{self, OrganisationLimits, Sharers},
+        quota::Tolerance,
         retries::{RetryBounds, RetryBudget},
         suspects::SuspectBook,
     },
@@ -117,6 +119,8 @@
     pub reserver: Reserver,
     /// Asks for permits to send to endpoints that take only so many requests a second, and gives them.
     pub permits: Permits,
+    /// Organisations' limits.
+    pub quota: Quota,
     /// Finds out which endpoints have ended.
     pub endings: Endings,
     /// Headers of endpoints that nothing reads.
@@ -140,7 +144,12 @@
         is_first_start: bool,
         clock: Clock,
     ) -> Self {
-        let limits = OrganisationLimits::new(clock.now_us(), bounds.tolerance, is_first_start);
+        let tolerance = organisation::Tolerance {
+            window_s: bounds.tolerance.window_s,
+            overage: bounds.tolerance.overage,
+            slack: bounds.tolerance.slack,
+        };
+        let limits = OrganisationLimits::new(clock.now_us(), tolerance, is_first_start);
         Self {
             protocol,
             clock,
@@ -163,6 +172,7 @@
             waits_for_others: AtomicBool::new(false),
             reserver: Reserver::default(),
             permits: Permits::default(),
+            quota: Quota::new(clock.now_us(), bounds.tolerance),
             endings: Endings::default(),
             unread_headers: UnreadHeaders::default(),
             endpoints: Staleness::default(),
@@ -178,7 +188,7 @@
     /// Replaces the figures in force.
     pub fn set_bounds(&self, bounds: GatewayBounds) {
         *lock(&self.bounds) = bounds;
-        lock(&self.limits).set_tolerance(bounds.tolerance);
+        self.quota.set_tolerance(bounds.tolerance);
         lock(&self.retries).set_bounds(bounds.retries);
     }
 
@@ -275,7 +285,7 @@
         let applied = offered == Offered::Applied;
         if let Some(table) = self.config.table().filter(|_| applied) {
             let now_us = self.clock.now_us();
-            let changes = self.limits().configure(now_us, table.config());
+            let changes = self.quota.configure(now_us, table.config());
             limit_log::log_changes(version, &changes);
         }
         log::info!(
--- a/src/limit_history.rs
+++ b/src/limit_history.rs
@@ -1,4 +1,4 @@
-//! Sums up from log lines, second by second, what instances let an organisation use and what they believed.
+//! Sums up from log lines, second by second, what quota servers granted an organisation, and by which shares.
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -7,32 +7,33 @@
 
 use serde_json::{Map, Value};
 
-use crate::explain::{number_of, object, text_of};
+use crate::{
+    explain::{number_of, object, text_of},
+    limits::quota::COPIES,
+};
 
 const MS_A_SECOND: i64 = 1_000;
 
-/// What instances wrote of an organisation's limit in one second.
+/// What quota servers wrote of an organisation's limit in one second.
 #[derive(Debug, Default)]
 pub struct Second {
-    /// Units used, over all instances.
-    pub used: i64,
-    /// Requests refused, over all instances.
-    pub refused: i64,
-    /// Instances that wrote a line.
-    pub writers: usize,
-    /// The fewest instances that one of them knew.
-    pub fewest_known: Option<i64>,
-    /// The fewest that one of them heard.
-    pub fewest_heard: Option<i64>,
-    /// The oldest report that one of them counted, in milliseconds.
-    pub oldest_report_ms: i64,
+    /// Units granted, over all servers.
+    pub granted: i64,
+    /// Requests denied, over all servers.
+    pub denied: i64,
+    /// Accounts of which a line was written.
+    pub accounts: usize,
+    /// The shares of the limit that were leased to them, summed; 1 is the whole limit.
+    pub share: f64,
+    /// The fewest instances by which one of them divides a limit.
+    pub fewest_instances: Option<i64>,
     /// The configurations in force.
     pub versions: BTreeSet<i64>,
     /// Changes of the limit, in words.
     pub changes: BTreeSet<String>,
 }
 
-/// An organisation's use, by second since 1970.
+/// What an organisation was granted, by second since 1970.
 #[derive(Debug, Default)]
 pub struct LimitHistory {
     /// What was written in each.
@@ -41,8 +42,8 @@
 
 /// Returns the history of an organisation's limit; none if no line is about it.
 ///
-/// Lines of several instances may be mixed, but those of one are in order, each behind its name or in a file after
-/// another: an instance's use is the growth of what it counts since its start.
+/// A log is of one instance, or has its name before each line: what a server granted is the growth of what it counts
+/// since it opened the account.
 pub fn history(logs: &[&str], organisation: &str) -> Option<LimitHistory> {
     let mut history = LimitHistory::default();
     for log in logs {
@@ -53,7 +54,7 @@
 
 impl LimitHistory {
     fn add(&mut self, log: &str, organisation: &str) {
-        let mut used_before: HashMap<String, i64> = HashMap::new();
+        let mut granted_before: HashMap<(String, i64), i64> = HashMap::new();
         for line in log.lines() {
             let Some(fields) = object(line) else { continue };
             if text_of(&fields, "organisation") != organisation {
@@ -69,9 +70,10 @@
                     // What a collector put before the line names the instance.
                     let writer = line.split('{').next().unwrap_or_default();
                     let writer = writer.split_whitespace().last().unwrap_or_default();
-                    let used = number_of(&fields, "used");
-                    let before = used_before.insert(writer.to_owned(), used);
-                    let grown = used - before.filter(|b| *b <= used).unwrap_or(0);
+                    let account = (writer.to_owned(), number_of(&fields, "copy"));
+                    let granted = number_of(&fields, "granted");
+                    let before = granted_before.insert(account, granted);
+                    let grown = granted - before.filter(|b| *b <= granted).unwrap_or(0);
                     self.seconds.entry(at).or_default().add(&fields, grown);
                 }
                 _ => {}
@@ -81,16 +83,15 @@
 }
 
 impl Second {
-    fn add(&mut self, fields: &Map<String, Value>, used: i64) {
-        self.used += used;
-        self.refused += number_of(fields, "refused");
-        self.writers += 1;
-        let known = number_of(fields, "instances");
-        let heard = number_of(fields, "instances_heard");
-        self.fewest_known = Some(self.fewest_known.map_or(known, |k| k.min(known)));
-        self.fewest_heard = Some(self.fewest_heard.map_or(heard, |h| h.min(heard)));
-        let age_ms = number_of(fields, "oldest_report_ms");
-        self.oldest_report_ms = self.oldest_report_ms.max(age_ms);
+    fn add(&mut self, fields: &Map<String, Value>, granted: i64) {
+        self.granted += granted;
+        self.denied += number_of(fields, "denied");
+        self.accounts += 1;
+        let share = fields.get("share").and_then(Value::as_f64);
+        self.share += share.unwrap_or(0.0) / f64::from(COPIES);
+        let instances = number_of(fields, "instances");
+        let fewest = self.fewest_instances.unwrap_or(instances);
+        self.fewest_instances = Some(fewest.min(instances));
         self.versions.insert(number_of(fields, "config_version"));
     }
 }
@@ -113,21 +114,20 @@
         let first = self.seconds.keys().next().copied().unwrap_or(0);
         writeln!(
             f,
-            "{:>6} {:>10} {:>8} {:>9} {:>6} {:>6} {:>10}  versions",
-            "second", "used", "refused", "instances", "known", "heard", "report ms"
+            "{:>6} {:>10} {:>8} {:>8} {:>6} {:>9}  versions",
+            "second", "granted", "denied", "accounts", "share", "instances"
         )?;
         for (at, second) in &self.seconds {
             let versions: Vec<String> = second.versions.iter().map(i64::to_string).collect();
             writeln!(
                 f,
-                "{:>6} {:>10} {:>8} {:>9} {:>6} {:>6} {:>10}  {}",
+                "{:>6} {:>10} {:>8} {:>8} {:>6.2} {:>9}  {}",
                 at - first,
-                second.used,
-                second.refused,
-                second.writers,
-                second.fewest_known.unwrap_or(0),
-                second.fewest_heard.unwrap_or(0),
-                second.oldest_report_ms,
+                second.granted,
+                second.denied,
+                second.accounts,
+                second.share,
+                second.fewest_instances.unwrap_or(0),
                 versions.join(" ")
             )?;
             for change in &second.changes {
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -3,6 +3,7 @@
 pub mod fingerprint;
 pub mod organisation;
 pub mod permits;
+pub mod quota;
 pub mod rate;
 pub mod rest;
 pub mod retries;
--- /dev/null
+++ b/src/limits/quota/account.rs
@@ -0,0 +1,169 @@
+//! One account of an organisation's limit: a token bucket that fills at the share of the rate that is leased.
+
+use crate::{
+    gateway::config::UseLimit,
+    limits::quota::{message::Verdict, partition::COPIES, shares::Shares},
+    prelude::{Micros, Rank},
+};
+
+/// What is granted reaches an endpoint within this time, in seconds.
+const ARRIVAL_S: f64 = 0.25;
+/// The longest that a grant may be kept for a later request, in seconds.
+const MAX_CREDIT_S: f64 = 0.5;
+/// The part of what a window allows beyond the rate that grants kept for later requests may take.
+const CREDIT_PART: f64 = 0.2;
+/// The part of an account that is debt: a request is let in while anything is left and its debt is within it, so that
+/// long requests find room beside short ones.
+const DEBT_PART: f64 = 0.2;
+/// The part of an account that is left to the more urgent, a rank.
+const RANK_RESERVE: f64 = 0.05;
+/// The least urgent rank that is told apart.
+const LEAST_URGENT: Rank = 2;
+/// Those that are denied wait longer, the more of them there are, by this part of the time that one request's
+/// units take to come.
+const QUEUE_PART: f64 = 0.25;
+/// The longest that they wait for each other.
+const MAX_QUEUE_US: f64 = 400_000.0;
+/// The least that a denied one waits.
+const MIN_WAIT_US: f64 = 20_000.0;
+/// Who asks a server to which nothing is leased waits for leases to move.
+const NOTHING_LEASED_US: Micros = 100_000;
+
+/// How far above its limit an organisation may come in a window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tolerance {
+    /// Length of the window, in seconds.
+    pub window_s: f64,
+    /// Share of the limit.
+    pub overage: f64,
+    /// Units on top.
+    pub slack: f64,
+}
+
+/// What a limit comes to, for all accounts of an organisation together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Units a second.
+    pub rate_per_s: f64,
+    /// Units that may be saved.
+    pub depth: f64,
+    /// Units that may be owed.
+    pub debt: f64,
+    /// How long a grant may be kept for a later request.
+    pub credit_us: Micros,
+}
+
+impl Bounds {
+    /// Works them out. What may be granted in a window, and kept from before it, and arrive late in it, is within
+    /// what the window allows.
+    pub fn new(limit: &UseLimit, tolerance: &Tolerance) -> Self {
+        let rate_per_s = limit.rate_per_s;
+        let in_window = rate_per_s * tolerance.window_s;
+        let allowed = (in_window + limit.burst) * (1.0 + tolerance.overage) + tolerance.slack;
+        let room = allowed - in_window;
+        let credit_s = (room * CREDIT_PART / rate_per_s.max(1.0)).min(MAX_CREDIT_S);
+        let late = rate_per_s * (credit_s + ARRIVAL_S);
+        let capacity = (room - late).max(room * CREDIT_PART);
+        Self {
+            rate_per_s,
+            depth: capacity * (1.0 - DEBT_PART),
+            debt: capacity * DEBT_PART,
+            credit_us: (credit_s * 1e6) as Micros,
+        }
+    }
+}
+
+#[derive(Debug)]
+pub(super) struct Account {
+    pub(super) bounds: Bounds,
+    pub(super) limit: UseLimit,
+    pub(super) level: f64,
+    /// [`Shares::accrued_s`] up to which it is filled.
+    filled_s: f64,
+    /// Requests denied since one was granted.
+    queue: f64,
+    /// Units granted since the account was opened.
+    pub(super) granted: u64,
+    /// Requests denied since the state was shown last.
+    pub(super) denied: u64,
+}
+
+impl Account {
+    /// Opens an account with nothing in it: what was used before is not known.
+    pub(super) fn open(limit: UseLimit, tolerance: &Tolerance, shares: &Shares) -> Self {
+        Self {
+            bounds: Bounds::new(&limit, tolerance),
+            limit,
+            level: 0.0,
+            filled_s: shares.accrued_s(),
+            queue: 0.0,
+            granted: 0,
+            denied: 0,
+        }
+    }
+
+    /// Takes another limit. What is left stays left, as far as the new limit lets it.
+    pub(super) fn change(&mut self, limit: UseLimit, tolerance: &Tolerance, shares: &Shares) {
+        self.fill(shares);
+        self.limit = limit;
+        self.bounds = Bounds::new(&limit, tolerance);
+        self.clip(shares);
+    }
+
+    /// Adds what came of the leased shares since it was filled last.
+    pub(super) fn fill(&mut self, shares: &Shares) {
+        let gained_s = shares.accrued_s() - self.filled_s;
+        self.filled_s = shares.accrued_s();
+        self.level += self.bounds.rate_per_s * gained_s / f64::from(COPIES);
+        self.clip(shares);
+    }
+
+    /// Cuts off what the shares leased now do not cover.
+    pub(super) fn clip(&mut self, shares: &Shares) {
+        self.level = self.level.min(self.bounds.depth * part(shares));
+    }
+
+    pub(super) fn grant(&mut self, units: u32, rank: Rank, shares: &Shares) -> Verdict {
+        self.fill(shares);
+        let part = part(shares);
+        let reserve = self.bounds.depth * part * RANK_RESERVE * f64::from(rank.min(LEAST_URGENT));
+        let needed = f64::from(units) - self.bounds.debt * part;
+        if self.level > reserve && self.level >= needed {
+            self.level -= f64::from(units);
+            self.granted += u64::from(units);
+            self.queue = 0.0;
+            return Verdict::Granted;
+        }
+        self.denied += 1;
+        let missing = reserve.max(needed) - self.level;
+        Verdict::Denied {
+            wait_us: self.wait_us(missing, units, part),
+            level: self.level as i64,
+        }
+    }
+
+    /// Takes back what was not used.
+    pub(super) fn give_back(&mut self, units: u32, shares: &Shares) {
+        self.level += f64::from(units);
+        self.granted = self.granted.saturating_sub(u64::from(units));
+        self.clip(shares);
+    }
+
+    fn wait_us(&mut self, missing: f64, units: u32, part: f64) -> Micros {
+        let rate_per_us = self.bounds.rate_per_s * part / 1e6;
+        if rate_per_us <= 0.0 {
+            return NOTHING_LEASED_US;
+        }
+        let each_us = f64::from(units) / rate_per_us * QUEUE_PART;
+        let queue_us = (self.queue * each_us).min(MAX_QUEUE_US);
+        self.queue += 1.0;
+        let due_us = (missing / rate_per_us).max(MIN_WAIT_US);
+        // A cast keeps to the bounds of the type.
+        (due_us + queue_us) as Micros
+    }
+}
+
+/// Returns the part of an organisation's limit that one account has.
+fn part(shares: &Shares) -> f64 {
+    shares.total() / f64::from(COPIES)
+}
--- /dev/null
+++ b/src/limits/quota/delegation.rs
@@ -0,0 +1,172 @@
+//! Whom this instance has leased its share of each partition to, and until when.
+
+use std::collections::HashMap;
+
+use crate::{
+    limits::quota::{
+        message::{InstanceCount, Lease},
+        partition::{PARTITIONS, Partition, PartitionSet},
+    },
+    prelude::{Incarnation, Micros},
+};
+
+/// How long a lease runs, an instance: in large groups servers have more to renew.
+const LEASE_EACH_US: Micros = 24_000;
+const MIN_LEASE_US: Micros = 1_200_000;
+const MAX_LEASE_US: Micros = 3_600_000;
+/// A lease is renewed this many times before it would end.
+const RENEWALS: Micros = 3;
+
+/// Returns how long leases run in a group.
+fn lease_us(instances: u32) -> Micros {
+    (Micros::from(instances) * LEASE_EACH_US).clamp(MIN_LEASE_US, MAX_LEASE_US)
+}
+
+/// Returns how often leases are renewed in a group.
+pub(super) fn renewal_us(instances: u32) -> Micros {
+    lease_us(instances) / RENEWALS
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Leased {
+    to: Incarnation,
+    seq: u64,
+    until_us: Micros,
+}
+
+/// The leases that this instance gave.
+#[derive(Debug)]
+pub(super) struct Delegation {
+    /// This instance's address, by a hash.
+    pub(super) address: u32,
+    started_us: Micros,
+    /// Nobody holds anything of the start before this one.
+    has_begun: bool,
+    /// Since then nobody used what is leased for the first time; none if that is not known.
+    idle_since_us: Option<Micros>,
+    ever_leased: PartitionSet,
+    seq: u64,
+    leased: Vec<Option<Leased>>,
+    /// The newest stamp of each server.
+    stamps: HashMap<Incarnation, Micros>,
+}
+
+impl Delegation {
+    pub(super) fn new(started_us: Micros) -> Self {
+        Self {
+            address: 0,
+            started_us,
+            has_begun: false,
+            idle_since_us: None,
+            ever_leased: PartitionSet::default(),
+            seq: 0,
+            leased: vec![None; PARTITIONS],
+            stamps: HashMap::new(),
+        }
+    }
+
+    /// Begins to lease: nobody holds anything of the start before this one, nor has since `idle_since_us`, if that is
+    /// known.
+    pub(super) fn begin(&mut self, idle_since_us: Option<Micros>) {
+        self.has_begun = true;
+        self.idle_since_us = idle_since_us;
+    }
+
+    /// Returns whether shares are leased.
+    pub(super) fn has_begun(&self) -> bool {
+        self.has_begun
+    }
+
+    /// Returns whether all leases of the start before this one have ended, in a group of `instances`.
+    pub(super) fn are_earlier_over(&self, now_us: Micros, instances: u32) -> bool {
+        now_us >= self.started_us + lease_us(instances)
+    }
+
+    /// Notes a server's stamp.
+    pub(super) fn note_stamp(&mut self, server: Incarnation, stamp_us: Micros) {
+        let newest_us = self.stamps.entry(server).or_default();
+        *newest_us = stamp_us.max(*newest_us);
+    }
+
+    /// Leases to `server` what of `wanted` is leased to nobody else. Without a stamp of the server nothing is
+    /// leased: its answer brings one.
+    pub(super) fn lease(
+        &mut self,
+        now_us: Micros,
+        server: Incarnation,
+        wanted: PartitionSet,
+        count: InstanceCount,
+    ) -> Lease {
+        self.seq += 1;
+        let stamp_us = self.stamps.get(&server).copied().unwrap_or(0);
+        let mut partitions = PartitionSet::default();
+        if stamp_us > 0 && self.has_begun {
+            partitions = wanted
+                .iter()
+                .filter(|p| self.is_free_for(now_us, *p, server))
+                .collect();
+        }
+        let lasts_us = lease_us(count.instances);
+        let mut idle = PartitionSet::default();
+        for partition in partitions.iter() {
+            self.leased[partition.index()] = Some(Leased {
+                to: server,
+                seq: self.seq,
+                until_us: now_us + lasts_us,
+            });
+            if !self.ever_leased.contains(partition) {
+                self.ever_leased.insert(partition);
+                idle.insert(partition);
+            }
+        }
+        let idle_us = self.idle_since_us.map_or(0, |since_us| now_us - since_us);
+        Lease {
+            to: server,
+            address: self.address,
+            seq: self.seq,
+            stamp_us,
+            lasts_us,
+            partitions,
+            idle,
+            idle_us,
+            count,
+        }
+    }
+
+    /// Returns what is leased to others than those who serve it now, by lessee.
+    pub(super) fn misplaced(
+        &self,
+        now_us: Micros,
+        serves: impl Fn(Partition) -> Incarnation,
+    ) -> HashMap<Incarnation, PartitionSet> {
+        let mut misplaced: HashMap<Incarnation, PartitionSet> = HashMap::new();
+        for partition in Partition::all() {
+            let Some(leased) = self.leased[partition.index()] else {
+                continue;
+            };
+            if leased.until_us > now_us && leased.to != serves(partition) {
+                misplaced.entry(leased.to).or_default().insert(partition);
+            }
+        }
+        misplaced
+    }
+
+    /// Returns the number of a question to release leases.
+    pub(super) fn next_seq(&mut self) -> u64 {
+        self.seq += 1;
+        self.seq
+    }
+
+    /// Notes that leases are over, which were asked back by the question `seq`.
+    pub(super) fn released(&mut self, from: Incarnation, seq: u64, partitions: PartitionSet) {
+        for partition in partitions.iter() {
+            let leased = &mut self.leased[partition.index()];
+            leased.take_if(|l| l.to == from && l.seq < seq);
+        }
+    }
+
+    fn is_free_for(&self, now_us: Micros, partition: Partition, server: Incarnation) -> bool {
+        let leased = self.leased[partition.index()];
+        leased.is_none_or(|l| l.to == server || l.until_us <= now_us)
+    }
+}
--- /dev/null
+++ b/src/limits/quota/server.rs
@@ -0,0 +1,268 @@
+//! Grants quota from the shares that instances lease.
+
+use std::collections::HashMap;
+
+use crate::{
+    gateway::config::UseLimit,
+    limits::quota::{
+        account::{Account, Tolerance},
+        message::{Lease, Verdict},
+        partition::{COPIES, PARTITIONS, Partition, PartitionSet, organisation_hash},
+        shares::Shares,
+    },
+    prelude::{Incarnation, Micros, Name, Rank},
+};
+
+/// A lessor that was silent for this long is forgotten.
+const LESSOR_KEPT_US: Micros = 60_000_000;
+
+/// The state of an account, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AccountState {
+    /// The organisation.
+    pub organisation: Name,
+    /// Which of its accounts.
+    pub copy: u8,
+    /// The limit in force here.
+    pub limit: UseLimit,
+    /// Units left; below nothing what is owed.
+    pub level: i64,
+    /// The share of the limit that is leased to this server: 1 is all of it.
+    pub share: f64,
+    /// How many instances lease theirs.
+    pub lessors: usize,
+    /// Units granted since the account was opened.
+    pub granted: u64,
+    /// Requests denied since the state was shown last.
+    pub denied: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lessor {
+    seq: u64,
+    seen_us: Micros,
+}
+
+/// Who runs at an address, and who does no more.
+#[derive(Debug, Default)]
+struct Starts {
+    by_address: HashMap<u32, Incarnation>,
+    /// The start before.
+    ended_at: HashMap<u32, Incarnation>,
+    ended_us: HashMap<Incarnation, Micros>,
+}
+
+#[derive(Debug)]
+pub(super) struct QuotaServer {
+    tolerance: Tolerance,
+    shares: Vec<Shares>,
+    lessors: HashMap<Incarnation, Lessor>,
+    starts: Starts,
+    names: HashMap<u32, Name>,
+    accounts: HashMap<(u32, u8), Account>,
+}
+
+impl QuotaServer {
+    pub(super) fn new(tolerance: Tolerance) -> Self {
+        Self {
+            tolerance,
+            shares: (0..PARTITIONS).map(|_| Shares::default()).collect(),
+            lessors: HashMap::new(),
+            starts: Starts::default(),
+            names: HashMap::new(),
+            accounts: HashMap::new(),
+        }
+    }
+
+    /// Replaces the tolerance; it counts from the next configuration on.
+    pub(super) fn set_tolerance(&mut self, tolerance: Tolerance) {
+        self.tolerance = tolerance;
+    }
+
+    /// Takes the limits of a configuration.
+    pub(super) fn configure(&mut self, now_us: Micros, limits: &[(Name, UseLimit)]) {
+        self.names.clear();
+        for (name, limit) in limits {
+            let organisation = organisation_hash(name);
+            self.names.insert(organisation, name.clone());
+            for copy in 0..COPIES {
+                self.set_limit(now_us, organisation, copy, *limit);
+            }
+        }
+        let names = &self.names;
+        self.accounts.retain(|(o, _), _| names.contains_key(o));
+    }
+
+    fn set_limit(&mut self, now_us: Micros, organisation: u32, copy: u8, limit: UseLimit) {
+        let partition = Partition::of(organisation, copy);
+        self.advance(now_us, partition);
+        let shares = &self.shares[partition.index()];
+        let tolerance = &self.tolerance;
+        self.accounts
+            .entry((organisation, copy))
+            .and_modify(|account| account.change(limit, tolerance, shares))
+            .or_insert_with(|| Account::open(limit, tolerance, shares));
+    }
+
+    /// Returns whether an earlier start than `lessor` was met at an address.
+    pub(super) fn met_earlier(&self, address: u32, lessor: Incarnation) -> bool {
+        let ended = self.starts.ended_at.get(&address);
+        ended.is_some_and(|ended| *ended != lessor)
+    }
+
+    /// Notes who runs at an address; what an earlier start at it leased ends. False if `lessor` is such a one: its
+    /// message is late.
+    pub(super) fn meet(&mut self, now_us: Micros, address: u32, lessor: Incarnation) -> bool {
+        if self.starts.ended_us.contains_key(&lessor) {
+            return false;
+        }
+        let before = self.starts.by_address.insert(address, lessor);
+        let Some(ended) = before.filter(|b| *b != lessor) else {
+            return true;
+        };
+        self.starts.ended_us.insert(ended, now_us);
+        self.starts.ended_at.insert(address, ended);
+        for partition in Partition::all() {
+            self.advance(now_us, partition);
+            if self.shares[partition.index()].release(ended) {
+                self.clip(partition);
+            }
+        }
+        true
+    }
+
+    /// Takes a lease of `lessor`, which runs from the moment at which this server's stamp was made.
+    pub(super) fn lease(&mut self, now_us: Micros, lessor: Incarnation, lease: &Lease) {
+        if !self.is_newest(now_us, lessor, lease.seq) || lease.stamp_us == 0 {
+            return;
+        }
+        let until_us = lease.stamp_us.saturating_add(lease.lasts_us);
+        let share = 1.0 / f64::from(lease.count.instances.max(1));
+        for partition in lease.partitions.iter() {
+            self.advance(now_us, partition);
+            let shares = &mut self.shares[partition.index()];
+            let fell = shares.lease(lessor, share, until_us);
+            if lease.idle.contains(partition) {
+                shares.add_idle(share, lease.idle_us);
+            }
+            if fell {
+                self.clip(partition);
+            }
+        }
+    }
+
+    /// Ends leases before their time; false if a newer lease has overtaken the question.
+    pub(super) fn release(
+        &mut self,
+        now_us: Micros,
+        lessor: Incarnation,
+        seq: u64,
+        partitions: PartitionSet,
+    ) -> bool {
+        if !self.is_newest(now_us, lessor, seq) {
+            return false;
+        }
+        for partition in partitions.iter() {
+            self.advance(now_us, partition);
+            if self.shares[partition.index()].release(lessor) {
+                self.clip(partition);
+            }
+        }
+        true
+    }
+
+    pub(super) fn grant(
+        &mut self,
+        now_us: Micros,
+        organisation: u32,
+        copy: u8,
+        units: u32,
+        rank: Rank,
+    ) -> Verdict {
+        let partition = Partition::of(organisation, copy);
+        self.advance(now_us, partition);
+        let shares = &self.shares[partition.index()];
+        let account = self.accounts.get_mut(&(organisation, copy));
+        account.map_or(Verdict::Unknown, |a| a.grant(units, rank, shares))
+    }
+
+    pub(super) fn give_back(&mut self, organisation: u32, copy: u8, units: u32) {
+        let partition = Partition::of(organisation, copy);
+        let shares = &self.shares[partition.index()];
+        if let Some(account) = self.accounts.get_mut(&(organisation, copy)) {
+            account.give_back(units, shares);
+        }
+    }
+
+    /// Forgets lessors that are long silent.
+    pub(super) fn expire(&mut self, now_us: Micros) {
+        let is_kept = |l: &Lessor| now_us.saturating_sub(l.seen_us) < LESSOR_KEPT_US;
+        self.lessors.retain(|_, lessor| is_kept(lessor));
+        let is_recent = |us: &Micros| now_us.saturating_sub(*us) < LESSOR_KEPT_US;
+        self.starts.ended_us.retain(|_, us| is_recent(us));
+        let ended_us = &self.starts.ended_us;
+        let is_known = |ended: &Incarnation| ended_us.contains_key(ended);
+        self.starts.ended_at.retain(|_, ended| is_known(ended));
+    }
+
+    /// Returns the state of the accounts that denied requests or are half empty, `most` at most.
+    pub(super) fn take_states(&mut self, now_us: Micros, most: usize) -> Vec<AccountState> {
+        let keys: Vec<(u32, u8)> = self.accounts.keys().copied().collect();
+        let mut states: Vec<AccountState> = keys
+            .into_iter()
+            .filter_map(|key| self.take_state(now_us, key))
+            .collect();
+        states.sort_by_key(|s| std::cmp::Reverse(s.denied));
+        states.truncate(most);
+        states
+    }
+
+    fn take_state(&mut self, now_us: Micros, key: (u32, u8)) -> Option<AccountState> {
+        let (organisation, copy) = key;
+        let partition = Partition::of(organisation, copy);
+        self.advance(now_us, partition);
+        let shares = &self.shares[partition.index()];
+        let account = self.accounts.get_mut(&key)?;
+        account.fill(shares);
+        let half = account.bounds.depth * shares.total() / f64::from(COPIES) / 2.0;
+        let is_scarce = account.denied > 0 || (shares.total() > 0.0 && account.level < half);
+        let organisation = self.names.get(&organisation).filter(|_| is_scarce)?;
+        Some(AccountState {
+            organisation: organisation.clone(),
+            copy,
+            limit: account.limit,
+            level: account.level as i64,
+            share: shares.total(),
+            lessors: shares.lessors(),
+            granted: account.granted,
+            denied: std::mem::take(&mut account.denied),
+        })
+    }
+
+    fn is_newest(&mut self, now_us: Micros, lessor: Incarnation, seq: u64) -> bool {
+        let known = self.lessors.entry(lessor).or_insert(Lessor {
+            seq: 0,
+            seen_us: now_us,
+        });
+        known.seen_us = now_us;
+        let is_newest = seq > known.seq;
+        known.seq = known.seq.max(seq);
+        is_newest
+    }
+
+    fn advance(&mut self, now_us: Micros, partition: Partition) {
+        if self.shares[partition.index()].advance(now_us) {
+            self.clip(partition);
+        }
+    }
+
+    /// Cuts the accounts of a partition to the shares that are left.
+    fn clip(&mut self, partition: Partition) {
+        let shares = &self.shares[partition.index()];
+        let accounts = self.accounts.iter_mut();
+        let own = accounts.filter(|((o, copy), _)| Partition::of(*o, *copy) == partition);
+        for (_, account) in own {
+            account.fill(shares);
+        }
+    }
+}
--- /dev/null
+++ b/src/limits/quota/shares.rs
@@ -0,0 +1,97 @@
+//! The shares of one partition that are leased to a quota server.
+
+use std::collections::HashMap;
+
+use crate::prelude::{Incarnation, Micros};
+
+#[derive(Clone, Copy, Debug)]
+struct Leased {
+    share: f64,
+    until_us: Micros,
+}
+
+/// Who leases what, and how much has come of it.
+#[derive(Debug, Default)]
+pub(super) struct Shares {
+    by_lessor: HashMap<Incarnation, Leased>,
+    total: f64,
+    /// The total over time, in seconds of a whole limit.
+    accrued_s: f64,
+    at_us: Micros,
+    /// No lease ends before this.
+    ends_us: Micros,
+}
+
+impl Shares {
+    /// Returns the share of a limit that is leased: 1 if all instances lease theirs.
+    pub(super) fn total(&self) -> f64 {
+        self.total
+    }
+
+    /// Returns the total over time since the start, in seconds of a whole limit.
+    pub(super) fn accrued_s(&self) -> f64 {
+        self.accrued_s
+    }
+
+    /// Returns how many lease their share.
+    pub(super) fn lessors(&self) -> usize {
+        self.by_lessor.len()
+    }
+
+    /// Goes on to `now_us`; true if leases ended.
+    pub(super) fn advance(&mut self, now_us: Micros) -> bool {
+        let mut has_ended = false;
+        while self.ends_us <= now_us && !self.by_lessor.is_empty() {
+            self.accrue(self.ends_us);
+            let before = self.by_lessor.len();
+            let at_us = self.at_us;
+            self.by_lessor.retain(|_, leased| leased.until_us > at_us);
+            has_ended |= self.by_lessor.len() < before;
+            self.sum_up();
+        }
+        self.accrue(now_us);
+        has_ended
+    }
+
+    /// Takes a lease; call [`Self::advance`] before. True if the total fell.
+    pub(super) fn lease(&mut self, lessor: Incarnation, share: f64, until_us: Micros) -> bool {
+        if until_us <= self.at_us {
+            return false;
+        }
+        let before = self.total;
+        let leased = Leased { share, until_us };
+        let replaced = self.by_lessor.insert(lessor, leased);
+        match replaced {
+            Some(old) if old.share == share => self.ends_us = self.ends_us.min(until_us),
+            _ => self.sum_up(),
+        }
+        self.total < before
+    }
+
+    /// Adds what came of a share while nobody used it.
+    pub(super) fn add_idle(&mut self, share: f64, idle_us: Micros) {
+        self.accrued_s += share * idle_us as f64 / 1e6;
+    }
+
+    /// Ends a lease before its time; true if there was one.
+    pub(super) fn release(&mut self, lessor: Incarnation) -> bool {
+        let had = self.by_lessor.remove(&lessor).is_some();
+        if had {
+            self.sum_up();
+        }
+        had
+    }
+
+    fn accrue(&mut self, now_us: Micros) {
+        let since_us = now_us.saturating_sub(self.at_us);
+        self.accrued_s += self.total * since_us as f64 / 1e6;
+        self.at_us = self.at_us.max(now_us);
+    }
+
+    fn sum_up(&mut self) {
+        let sum: f64 = self.by_lessor.values().map(|l| l.share).sum();
+        self.total = sum.min(1.0);
+        let ends = self.by_lessor.values().map(|l| l.until_us);
+        self.ends_us = ends.min().unwrap_or(Micros::MAX);
+    }
+}
--- a/src/peers/view.rs
+++ b/src/peers/view.rs
@@ -1,6 +1,6 @@
 //! Who is there, as one instance sees it, and who does what.
 
-use std::net::SocketAddr;
+use std::{collections::HashSet, net::SocketAddr};
 
 use serde::{Deserialize, Serialize};
 
@@ -87,6 +87,16 @@
         self.present().filter(|m| m.info.incarnation != self.me)
     }
 
+    /// Returns how many instances there are, by address: those that left by their own word are none any more, those
+    /// that are silent may be cut off.
+    pub fn instances(&self) -> usize {
+        let members = self.members.iter();
+        let members = members.filter(|m| m.liveness != Liveness::Left);
+        let members = members.map(|m| m.info.peer_addr);
+        let addrs: HashSet<SocketAddr> = members.chain(self.unmet.iter().copied()).collect();
+        addrs.len()
+    }
+
     /// Returns the member of that start.
     pub fn member(&self, incarnation: Incarnation) -> Option<&Member> {
         let mut members = self.members.iter();
--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -17,12 +17,12 @@
         block_list, copies,
         exchange::{Exchange, ExchangePlace},
         front::{self, FrontStop},
-        limit_log, probes, reservations,
+        instance_count, limit_log, probes, reservations,
         staleness::StalenessBound,
         state::{Gateway, GatewayBounds},
         stop,
     },
-    limits::{organisation::Tolerance, retries::RetryBounds},
+    limits::{quota::Tolerance, retries::RetryBounds},
     peers::{datagram::MemberInfo, gossip::Gossip, membership::Membership, rpc::SealedCodec},
     platform::{
         follow,
@@ -135,6 +135,11 @@
         list,
         settings.is_first_start,
     ));
+    tokio::spawn(instance_count::keep(
+        gateway.clone(),
+        PlatformStore::new(store),
+        settings.is_first_start,
+    ));
     meet_peers(&gateway, &settings).await?;
     tokio::spawn(sweep(gateway.clone()));
     tokio::spawn(log_limits(gateway.clone()));
--- a/tests/edge/group.rs
+++ b/tests/edge/group.rs
@@ -17,7 +17,7 @@
         staleness::StalenessBound,
         state::{Gateway, GatewayBounds},
     },
-    limits::{organisation::Tolerance, retries::RetryBounds},
+    limits::{quota::Tolerance, retries::RetryBounds},
     peers::{datagram::MemberInfo, gossip::Gossip, membership::Membership, rpc::SealedCodec},
     platform::{follow, headers::PlatformProtocol, objects::ObjectClient, store::PlatformStore},
     prelude::{Incarnation, Micros, Name},
--- a/tests/gateway/freshness.rs
+++ b/tests/gateway/freshness.rs
@@ -7,7 +7,7 @@
         staleness::StalenessBound,
         state::{Gateway, GatewayBounds},
     },
-    limits::{organisation::Tolerance, retries::RetryBounds},
+    limits::{quota::Tolerance, retries::RetryBounds},
     platform::headers::PlatformProtocol,
 };
 
--- a/tests/gateway/quota.rs
+++ b/tests/gateway/quota.rs
@@ -1,13 +1,13 @@
 //! What an organisation uses over all instances stays within its limit, whatever the delay between them and whatever
 //! becomes of them.
 
+use proptest::prelude::*;
+
 use crate::{
-    quota_fleet::Reporting,
+    quota_fleet::Leasing,
     quota_model::{Came, Case, Trouble, play},
 };
 
-type Modelled = Reporting;
-
 fn case(instances: usize, delay_ms: u64) -> Case {
     Case {
         instances,
@@ -20,7 +20,7 @@
 }
 
 fn check(case: &Case) -> Came {
-    let came = play::<Modelled>(case);
+    let came = play::<Leasing>(case);
     let Came {
         most,
         given,
@@ -37,12 +37,23 @@
 
 #[test]
 fn a_limit_is_kept_and_given_out_while_all_hear_each_other() {
-    for instances in [1, 7, 18, 78] {
+    for instances in [1, 7, 18, 78, 295] {
         let came = check(&case(instances, 2));
         assert!(came.given >= 1.0, "{:.2} given: {instances}", came.given);
     }
 }
 
+#[test]
+fn an_organisation_within_its_limit_is_refused_nothing_while_all_is_calm() {
+    for instances in [1, 7, 78] {
+        let came = check(&Case {
+            offered: 0.7,
+            ..case(instances, 2)
+        });
+        assert_eq!(came.refused, 0.0, "{instances}");
+    }
+}
+
 #[test]
 fn a_limit_is_kept_while_datagrams_are_late() {
     for delay_ms in [60, 300, 1_200, 3_000] {
@@ -81,6 +92,34 @@
     }
 }
 
+#[test]
+fn a_limit_is_kept_by_instances_that_start_while_they_are_cut_off() {
+    check(&Case {
+        seconds: 50,
+        troubles: vec![
+            Trouble::Cut {
+                parts: 3,
+                from_s: 5.0,
+                for_s: 40.0,
+            },
+            Trouble::LossOfAll { at_s: 9.0 },
+            Trouble::LossOfSome { at_s: 20.0 },
+        ],
+        ..case(78, 60)
+    });
+}
+
+#[test]
+fn a_limit_is_kept_over_pauses_of_all_instances() {
+    let pauses = [6.0, 9.0, 10.0, 20.0].map(|from_s| Trouble::Pause { from_s, for_s: 1.7 });
+    for delay_ms in [2, 300] {
+        check(&Case {
+            troubles: pauses.to_vec(),
+            ..case(78, delay_ms)
+        });
+    }
+}
+
 #[test]
 fn a_limit_is_kept_while_it_changes() {
     let limit = |at_s, times| Trouble::Limit { at_s, times };
@@ -93,3 +132,37 @@
         });
     }
 }
+
+fn trouble() -> impl Strategy<Value = Trouble> {
+    let at_s = 0.0..20.0;
+    let for_s = 0.1..12.0;
+    prop_oneof![
+        (2..5_usize, at_s.clone(), for_s).prop_map(|(parts, from_s, for_s)| Trouble::Cut {
+            parts,
+            from_s,
+            for_s
+        }),
+        (at_s.clone(), 0.1..2.5).prop_map(|(from_s, for_s)| Trouble::Pause { from_s, for_s }),
+        at_s.clone().prop_map(|at_s| Trouble::LossOfAll { at_s }),
+        at_s.clone().prop_map(|at_s| Trouble::LossOfSome { at_s }),
+        (at_s, prop_oneof![Just(0.0), 0.2..2.0])
+            .prop_map(|(at_s, times)| Trouble::Limit { at_s, times }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
+    #[test]
+    fn a_limit_is_kept_among_any_troubles_in_series(
+        instances in 1..24_usize,
+        delay_ms in prop_oneof![1..100_u64, 100..3_000_u64],
+        offered in 0.5..12.0,
+        troubles in prop::collection::vec(trouble(), 0..8),
+        seed in any::<u64>(),
+    ) {
+        let case = Case { instances, delay_ms, offered, seconds: 24, troubles, seed };
+        let came = play::<Leasing>(&case);
+        prop_assert!(came.most <= 1.0, "{:.3} of what is allowed: {:?}", came.most, case);
+    }
+}
--- a/tests/gateway/quota_fleet.rs
+++ b/tests/gateway/quota_fleet.rs
@@ -1,19 +1,24 @@
 //! The instances of a modelled group.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 use ryevalve::{
-    gateway::heard::{HEARD_US, SHARER_US},
-    limits::organisation::{OrganisationLimits, Sharers, Teller, ToldUse},
+    limits::quota::{Begun, Decision, Message, Node, Recipient},
     prelude::Incarnation,
 };
 
 use crate::{
     quota_model::{Case, RATE, TOLERANCE, is_paused, part_of},
-    support::{MS, config, limited},
+    support::{MS, SECOND, config, limited},
 };
 
-const REPORT_US: u64 = 100 * MS;
+const TICK_US: u64 = 100 * MS;
+const HEDGE_US: u64 = 20 * MS;
+const GIVE_UP_US: u64 = 1_000 * MS;
+/// Views of the membership are as old as this.
+const VIEW_US: u64 = 2 * SECOND;
+/// A process that has just started knows the seeds only.
+const SEEDS: usize = 3;
 
 /// What a model drives.
 pub trait Fleet {
@@ -31,113 +36,192 @@
     fn take_granted(&mut self) -> Vec<u32>;
 }
 
-struct Report {
+struct InFlight {
     at_us: u64,
     from: usize,
-    teller: Incarnation,
-    started_us: u64,
-    used: Vec<ToldUse>,
+    sender: Incarnation,
+    /// A datagram reaches whoever has the address when it comes.
+    to: usize,
+    message: Message,
+}
+
+struct Asked {
+    number: u64,
+    tokens: u32,
+    asked_us: u64,
+    is_hedged: bool,
 }
 
 struct Instance {
-    limits: OrganisationLimits,
+    node: Node,
     incarnation: Incarnation,
     started_us: u64,
-    /// By address.
-    heard_us: HashMap<usize, (u64, Incarnation)>,
+    asked: Vec<Asked>,
+    /// Those that it ever saw.
+    seen: HashSet<usize>,
 }
 
-/// Instances that report their use to each other.
-pub struct Reporting {
+/// Instances that lease their shares to quota servers among them.
+pub struct Leasing {
     instances: Vec<Instance>,
-    in_flight: VecDeque<Report>,
+    by_start: HashMap<Incarnation, usize>,
+    in_flight: VecDeque<InFlight>,
     times: f64,
     version: u64,
     granted: Vec<u32>,
-    reported_us: u64,
-    starts: u64,
+    ticked_us: u64,
 }
 
-impl Reporting {
-    fn instance(&mut self, started_us: u64, is_first: bool) -> Instance {
-        self.starts += 1;
-        let mut limits = OrganisationLimits::new(started_us, TOLERANCE, is_first);
-        configure(&mut limits, started_us, self.version, self.times);
+impl Leasing {
+    fn instance(&mut self, started_us: u64, place: usize) -> Instance {
+        // Spread, as drawn starts are.
+        let start = (self.by_start.len() as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let incarnation = Incarnation(start);
+        self.by_start.insert(incarnation, place);
+        let mut node = Node::new(started_us, incarnation, TOLERANCE);
+        node.join(incarnation, place as u32);
+        configure(&mut node, started_us, self.version, self.times);
         Instance {
-            limits,
-            incarnation: Incarnation(self.starts),
+            node,
+            incarnation,
             started_us,
-            heard_us: HashMap::new(),
+            asked: Vec::new(),
+            seen: HashSet::new(),
         }
     }
 
-    fn sharers(&self, now_us: u64, instance: usize) -> Sharers {
-        let heard = &self.instances[instance].heard_us;
-        let within = |span: u64| {
-            let recent = heard.values().filter(|(at, _)| now_us - at < span);
-            recent.count() + 1
-        };
-        Sharers {
-            all: within(SHARER_US),
-            heard: within(HEARD_US),
+    fn tick(&mut self, case: &Case, now_us: u64) {
+        let seen_us = now_us.saturating_sub(VIEW_US);
+        let parts: Vec<usize> = (0..case.instances)
+            .map(|i| part_of(case, seen_us, i))
+            .collect();
+        let members: Vec<(Incarnation, u64)> = self
+            .instances
+            .iter()
+            .map(|i| (i.incarnation, i.started_us))
+            .collect();
+        for (place, instance) in self.instances.iter_mut().enumerate() {
+            if instance.started_us > now_us {
+                continue;
+            }
+            let has_met = now_us > instance.started_us + SECOND;
+            let seen = members
+                .iter()
+                .enumerate()
+                .filter(|(other, (_, started_us))| {
+                    let is_near = parts[*other] == parts[place] && *started_us <= now_us;
+                    *other == place || (is_near && (has_met || *other < SEEDS))
+                });
+            let seen: Vec<(usize, Incarnation)> = seen.map(|(n, (i, _))| (n, *i)).collect();
+            instance.seen.extend(seen.iter().map(|(n, _)| *n));
+            let mut members: Vec<Incarnation> = seen.into_iter().map(|(_, i)| i).collect();
+            // Any order that all agree on.
+            members.sort_unstable();
+            instance.node.set_members(now_us, &members);
+            let met = instance.seen.iter().map(|n| *n as u32);
+            instance.node.set_addresses(met);
+            instance.node.set_instances(instance.seen.len());
+            if has_met && !instance.node.knows_instances() {
+                // From the store.
+                instance
+                    .node
+                    .remember_instances(now_us, case.instances as u32);
+            }
+            instance.node.tick(now_us);
         }
     }
 
-    fn deliver(&mut self, case: &Case, now_us: u64, report: &Report, sharers: &[Sharers]) {
-        for to in 0..self.instances.len() {
-            let is_cut = part_of(case, now_us, to) != part_of(case, now_us, report.from);
-            let has_started = self.instances[to].started_us <= now_us;
-            if to == report.from || is_cut || !has_started {
-                continue;
+    /// Puts on its way what instances send, and notes what was decided.
+    fn collect(&mut self, case: &Case, now_us: u64) {
+        let at_us = now_us + case.delay_ms * MS;
+        for (from, instance) in self.instances.iter_mut().enumerate() {
+            for outgoing in instance.node.take_outgoing() {
+                let to = match outgoing.to {
+                    Recipient::Start(start) => self.by_start[&start],
+                    Recipient::Address(address) => address as usize,
+                };
+                self.in_flight.push_back(InFlight {
+                    at_us,
+                    from,
+                    sender: instance.incarnation,
+                    to,
+                    message: outgoing.message,
+                });
             }
-            let heard = (now_us, report.teller);
-            self.instances[to].heard_us.insert(report.from, heard);
-            let teller = Teller {
-                incarnation: report.teller,
-                uptime_us: now_us - report.started_us,
+            let decided: HashMap<u64, Decision> =
+                instance.node.take_decided().into_iter().collect();
+            let granted = &mut self.granted;
+            instance
+                .asked
+                .retain(|asked| match decided.get(&asked.number) {
+                    Some(Decision::Granted(_)) => {
+                        granted.push(asked.tokens);
+                        false
+                    }
+                    Some(Decision::Denied(_)) => false,
+                    None => true,
+                });
+        }
+    }
+
+    fn deliver(&mut self, case: &Case, now_us: u64) {
+        while self.in_flight.front().is_some_and(|m| m.at_us <= now_us) {
+            let Some(message) = self.in_flight.pop_front() else {
+                return;
             };
-            for told in &report.used {
-                self.instances[to]
-                    .limits
-                    .told(now_us, teller, *told, sharers[to]);
+            let (from, to) = (message.from, message.to);
+            let is_cut = part_of(case, now_us, to) != part_of(case, now_us, from);
+            let instance = &mut self.instances[to];
+            if !is_cut && instance.started_us <= now_us {
+                let sender = message.sender;
+                instance
+                    .node
+                    .receive(now_us, sender, from as u32, message.message);
             }
         }
     }
 
-    fn forget_silent(&mut self, now_us: u64) {
+    fn wait(&mut self, now_us: u64) {
         for instance in &mut self.instances {
-            for (at_us, incarnation) in instance.heard_us.values() {
-                let age_us = now_us - at_us;
-                if (HEARD_US..HEARD_US + REPORT_US).contains(&age_us) {
-                    instance.limits.forget(now_us, *incarnation);
+            let node = &mut instance.node;
+            instance.asked.retain_mut(|asked| {
+                let age_us = now_us - asked.asked_us;
+                if age_us >= HEDGE_US && !asked.is_hedged {
+                    asked.is_hedged = true;
+                    node.hedge(now_us, asked.number);
                 }
-            }
+                if age_us >= GIVE_UP_US {
+                    node.give_up(asked.number);
+                }
+                age_us < GIVE_UP_US
+            });
         }
     }
 }
 
-fn configure(limits: &mut OrganisationLimits, now_us: u64, version: u64, times: f64) {
+fn configure(node: &mut Node, now_us: u64, version: u64, times: f64) {
     let rate = RATE * times;
     let organisations = match times > 0.0 {
         true => vec![limited("org", rate, rate)],
         false => Vec::new(),
     };
-    limits.configure(now_us, &config(version, vec![], organisations));
+    node.configure(now_us, &config(version, vec![], organisations));
 }
 
-impl Fleet for Reporting {
+impl Fleet for Leasing {
     fn start(case: &Case) -> Self {
         let mut fleet = Self {
             instances: Vec::new(),
+            by_start: HashMap::new(),
             in_flight: VecDeque::new(),
             times: 1.0,
             version: 1,
             granted: Vec::new(),
-            reported_us: 0,
-            starts: 0,
+            ticked_us: 0,
         };
-        for _ in 0..case.instances {
-            let instance = fleet.instance(0, true);
+        for place in 0..case.instances {
+            let mut instance = fleet.instance(0, place);
+            instance.node.first_start();
             fleet.instances.push(instance);
         }
         fleet
@@ -147,60 +231,41 @@
         if is_paused(case, now_us) {
             return;
         }
-        let is_due = |r: &Report| r.at_us <= now_us;
-        let sharers: Vec<Sharers> = match self.in_flight.front().is_some_and(is_due) {
-            true => (0..self.instances.len())
-                .map(|i| self.sharers(now_us, i))
-                .collect(),
-            false => Vec::new(),
-        };
-        while self.in_flight.front().is_some_and(is_due) {
-            if let Some(report) = self.in_flight.pop_front() {
-                self.deliver(case, now_us, &report, &sharers);
-            }
-        }
-        if now_us < self.reported_us + REPORT_US {
-            return;
-        }
-        self.reported_us = now_us;
-        self.forget_silent(now_us);
-        let running = self.instances.iter().enumerate();
-        let running = running.filter(|(_, i)| i.started_us <= now_us);
-        for (from, instance) in running {
-            self.in_flight.push_back(Report {
-                at_us: now_us + case.delay_ms * MS,
-                from,
-                teller: instance.incarnation,
-                started_us: instance.started_us,
-                used: instance.limits.used(),
-            });
+        self.deliver(case, now_us);
+        self.wait(now_us);
+        if now_us >= self.ticked_us + TICK_US {
+            self.ticked_us = now_us;
+            self.tick(case, now_us);
         }
+        self.collect(case, now_us);
     }
 
     fn request(&mut self, now_us: u64, instance: usize, tokens: u32) {
-        let sharers = self.sharers(now_us, instance);
         let instance = &mut self.instances[instance];
         if instance.started_us > now_us {
             return;
         }
-        let taken = instance
-            .limits
-            .take(now_us, "org", Some(tokens), 0, sharers);
-        if taken.is_ok() {
-            instance.limits.spend("org", Some(tokens));
-            self.granted.push(tokens);
+        match instance.node.begin(now_us, "org", tokens, 0) {
+            Begun::Unlimited | Begun::Decided(Decision::Granted(_)) => self.granted.push(tokens),
+            Begun::Decided(Decision::Denied(_)) => {}
+            Begun::Asked(number) => instance.asked.push(Asked {
+                number,
+                tokens,
+                asked_us: now_us,
+                is_hedged: false,
+            }),
         }
     }
 
     fn kill(&mut self, now_us: u64, instance: usize, down_us: u64) {
-        self.instances[instance] = self.instance(now_us + down_us, false);
+        self.instances[instance] = self.instance(now_us + down_us, instance);
     }
 
     fn set_limit(&mut self, now_us: u64, times: f64) {
         self.times = times;
         self.version += 1;
         for instance in &mut self.instances {
-            configure(&mut instance.limits, now_us, self.version, times);
+            configure(&mut instance.node, now_us, self.version, times);
         }
     }
 
--- a/tests/gateway/quota_model.rs
+++ b/tests/gateway/quota_model.rs
@@ -3,7 +3,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use ryevalve::limits::organisation::Tolerance;
+use ryevalve::limits::quota::Tolerance;
 
 use crate::{
     quota_fleet::Fleet,
