Reports of organisations' use are gone: nothing asks them any more

Cause: with limits granted from leased shares, the buckets of each instance, what instances reported of organisations' use, and the sums that aggregators made of it decide nothing. Tests of what is gone go with it: sums of use by hall and far halls, turns of use, the old buckets. In their place tests/gateway/limits states the same promises of the new accounts (no more than a window allows and no less than the limit, the last for the urgent, a time to come back that holds, given back what did not run, changes add nothing) and those of leases: shares are leased once, a lease runs from the stamp sent back, a start's leases end with its successor. Found by it: at the time that a refusal names an account held exactly what was asked for, and denied it; the wait is for one unit more now.

--- a/src/balance/load.rs
+++ b/src/balance/load.rs
@@ -5,10 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{
-    limits::organisation::short_hash,
-    prelude::{Incarnation, Micros},
-};
+use crate::prelude::{Incarnation, Micros, short_hash};
 
 /// What another instance, or another hall, told counts for this long: some messages may be lost.
 const TOLD_US: Micros = 2_500_000;
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -128,3 +128,12 @@
         }
     }
 }
+
+/// Shortens a name to what instances call it among themselves.
+pub fn short_hash(name: &str) -> u32 {
+    let mut hash = 0x811c_9dc5_u32;
+    for byte in name.bytes() {
+        hash = (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193);
+    }
+    hash
+}
--- a/src/gateway/aggregators.rs
+++ b/src/gateway/aggregators.rs
@@ -13,9 +13,8 @@
 use std::{collections::HashMap, sync::Arc};
 
 use crate::{
-    limits::organisation::short_hash,
     peers::view::{Member, View},
-    prelude::{Incarnation, Micros, Name},
+    prelude::{Incarnation, Micros, Name, short_hash},
 };
 
 /// Aggregators of a hall: one may be lost, and the other's sums still come.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -32,9 +32,8 @@
         protocol::Protocol,
         quota,
         state::Gateway,
-        use_turns::UseTurns,
     },
-    limits::organisation::{Sharers, ToldUse},
+    limits::sharers::Sharers,
     peers::{
         datagram::{Authenticator, MemberInfo},
         gossip::Gossip,
@@ -70,7 +69,6 @@
     pub(super) seq: u64,
     pub(super) at_us: Micros,
     pub(super) loads: Arc<Vec<(EndpointKey, InFlight)>>,
-    pub(super) used: Arc<Vec<ToldUse>>,
 }
 
 #[derive(Debug, Default)]
@@ -84,12 +82,6 @@
     pub(super) aggregators: Aggregators,
     /// By its view this instance is one of those that watch the store for all.
     pub(super) is_watcher: bool,
-    /// Which organisations' use went into reports, summaries, summaries for other halls, and those of
-    /// other halls.
-    pub(super) report_turns: UseTurns,
-    pub(super) summary_turns: UseTurns,
-    pub(super) peer_turns: UseTurns,
-    pub(super) far_turns: UseTurns,
     pub(super) told_at_us: Micros,
     pub(super) summary_at_us: Micros,
     /// How long the last summary was.
@@ -339,7 +331,6 @@
         self.gateway.quota.set_instances(instances);
         self.gateway.quota.set_addresses(addresses.into_iter());
         for teller in silent {
-            self.gateway.limits().forget(now_us, teller);
             if group == Group::Large {
                 let whose = self.whose(teller);
                 log::warn!(
--- a/src/gateway/far_book.rs
+++ b/src/gateway/far_book.rs
@@ -13,7 +13,6 @@
         speed::ToldSpeed,
     },
     gateway::halls::Halls,
-    limits::organisation::ToldUse,
     peers::update::HallSummary,
     prelude::Micros,
 };
@@ -29,21 +28,17 @@
 pub struct FarBook {
     halls: Halls,
     loads: HashMap<u32, BTreeMap<EndpointKey, InFlight>>,
-    used: HashMap<u32, BTreeMap<u32, u64>>,
     reports: BTreeMap<EndpointKey, i8>,
     speeds: BTreeMap<EndpointKey, ToldSpeed>,
 }
 
 impl FarBook {
-    /// Takes a summary of another hall; false if a newer one was taken. `uptime_ms` says for how long
-    /// this instance has run.
-    pub fn note(&mut self, now_us: Micros, uptime_ms: u32, summary: &HallSummary) -> bool {
-        let taken = self.halls.note(now_us, uptime_ms, summary, &HashMap::new());
+    /// Takes a summary of another hall; false if a newer one was taken.
+    pub fn note(&mut self, now_us: Micros, summary: &HallSummary) -> bool {
+        let taken = self.halls.note(now_us, summary);
         let Some(taken) = taken else {
             return false;
         };
-        let used = self.used.entry(summary.hall).or_default();
-        used.extend(taken.used.iter().map(|told| (told.organisation, told.used)));
         if taken.takes_loads {
             let loads = self.loads.entry(summary.hall).or_default();
             loads.retain(|key, _| !summary.span.contains(*key));
@@ -66,25 +61,7 @@
 
     /// Returns whether anything of another hall is known.
     pub fn is_empty(&self) -> bool {
-        self.used.is_empty()
-    }
-
-    /// Returns what organisations used at the other halls, with the levels of `own` buckets.
-    pub fn used(&self, own: &[ToldUse]) -> Vec<ToldUse> {
-        let mut sums: BTreeMap<u32, u64> = BTreeMap::new();
-        for (organisation, used) in self.used.values().flatten() {
-            *sums.entry(*organisation).or_default() += used;
-        }
-        let levels: HashMap<u32, u8> = own
-            .iter()
-            .map(|told| (told.organisation, told.level_percent))
-            .collect();
-        let told = sums.into_iter().map(|(organisation, used)| ToldUse {
-            organisation,
-            used,
-            level_percent: levels.get(&organisation).copied().unwrap_or(0),
-        });
-        told.collect()
+        self.halls.is_empty()
     }
 
     /// Returns the requests of all other halls at endpoints, sorted by endpoint.
--- a/src/gateway/hall_book.rs
+++ b/src/gateway/hall_book.rs
@@ -14,7 +14,6 @@
         speed::Evidence,
     },
     gateway::heard::{HEARD_US, SHARER_US},
-    limits::organisation::{SAME_START_MS, ToldUse},
     peers::update::{HallSummary, Update, address_key},
     prelude::{Incarnation, Micros},
 };
@@ -47,7 +46,6 @@
     seq: u64,
     heard_us: Micros,
     loads: Vec<(EndpointKey, InFlight)>,
-    used: HashMap<u32, u64>,
 }
 
 /// How many instances a hall has, as its aggregator sees it; itself included.
@@ -63,8 +61,6 @@
 #[derive(Debug, Default)]
 pub struct HallBook {
     members: HashMap<IpAddr, Member>,
-    /// What organisations used through them since this process started.
-    used: BTreeMap<u32, u64>,
     news: News,
     seen: BTreeMap<EndpointKey, Evidence>,
     /// What endpoints said and other halls were not told.
@@ -73,31 +69,18 @@
 }
 
 impl HallBook {
-    /// Takes a report. What a process used before this one started does not count: it may be long past.
-    /// Those that started together count whole: after the loss of all, half of what 295 instances used
-    /// of a limit was not counted, and it was passed by 11 in 100.
-    pub fn note(&mut self, now_us: Micros, addr: IpAddr, my_uptime_ms: u32, report: &Update) {
+    /// Takes a report.
+    pub fn note(&mut self, now_us: Micros, addr: IpAddr, report: &Update) {
         let member = self.members.entry(addr).or_insert_with(|| Member {
             from: Incarnation(0),
             seq: 0,
             heard_us: now_us,
             loads: Vec::new(),
-            used: HashMap::new(),
         });
-        let is_older = report.uptime_ms > my_uptime_ms.saturating_add(SAME_START_MS);
-        if member.from != report.from {
-            member.from = report.from;
-            member.used.clear();
-        }
+        member.from = report.from;
         member.seq = report.seq;
         member.heard_us = now_us;
         member.loads.clone_from(&report.loads);
-        for told in &report.used {
-            let unknown = if is_older { told.used } else { 0 };
-            let before = member.used.insert(told.organisation, told.used);
-            let gained = told.used.saturating_sub(before.unwrap_or(unknown));
-            *self.used.entry(told.organisation).or_default() += gained;
-        }
         self.note_news(&report.reports, &report.read, &report.seen, &report.dead);
     }
 
@@ -211,22 +194,6 @@
         sums.into_iter().collect()
     }
 
-    /// Returns what organisations used through all that report and in `own`, which says how full the
-    /// buckets are as well.
-    pub fn used(&self, own: &[ToldUse]) -> Vec<ToldUse> {
-        let mut sums: BTreeMap<u32, ToldUse> =
-            own.iter().map(|told| (told.organisation, *told)).collect();
-        for (organisation, used) in &self.used {
-            let sum = sums.entry(*organisation).or_insert(ToldUse {
-                organisation: *organisation,
-                used: 0,
-                level_percent: 0,
-            });
-            sum.used += used;
-        }
-        sums.into_values().collect()
-    }
-
     fn heard(&self, now_us: Micros) -> impl Iterator<Item = (&IpAddr, &Member)> {
         let is_heard = move |m: &Member| now_us.saturating_sub(m.heard_us) < HEARD_US;
         self.members.iter().filter(move |(_, m)| is_heard(m))
--- a/src/gateway/halls.rs
+++ b/src/gateway/halls.rs
@@ -1,19 +1,13 @@
 //! What this instance knows of the halls of a large group, its own included, from the summaries of
 //! their aggregators.
 //!
-//! Two aggregators of a hall count the same requests from starts of their own. What both say of an
-//! organisation's use is laid on one count: each is taken from where the count stood at its first word,
-//! and the higher one holds, so that nothing counts twice and the loss of either costs nothing. Those
-//! that started together with this instance counted from nothing, as it did: after the loss of all,
-//! what one has heard of more than another is use too.
-//!
 //! Free of clock and socket, so that tests drive it step by step.
 
 use std::collections::{BTreeMap, HashMap};
 
 use crate::{
     gateway::heard::{HEARD_US, SHARER_US},
-    limits::organisation::{SAME_START_MS, Sharers, ToldUse},
+    limits::sharers::Sharers,
     peers::update::HallSummary,
     prelude::{Incarnation, Micros},
 };
@@ -36,15 +30,11 @@
     at_us: Micros,
     instances: u32,
     heard: u32,
-    /// By organisation: its count less the hall's.
-    offsets: HashMap<u32, i64>,
 }
 
 #[derive(Debug, Default)]
 struct Hall {
     sources: HashMap<Incarnation, Source>,
-    /// Units used by organisation, as counted here.
-    used: HashMap<u32, i64>,
     is_forgotten: bool,
 }
 
@@ -59,32 +49,11 @@
             fresh.map(|s| s.heard).max().unwrap_or(0),
         )
     }
-
-    /// Counts what an aggregator said of an organisation; `own` is this instance's part of it.
-    fn count(&mut self, by: Incarnation, is_same_start: bool, told: &ToldUse, own: u64) -> u64 {
-        let is_first_source = self.sources.len() == 1;
-        let known = self.used.get(&told.organisation).copied();
-        let Some(source) = self.sources.get_mut(&by) else {
-            return 0;
-        };
-        let said = told.used as i64 - own as i64;
-        let offset = match known {
-            _ if is_same_start => 0,
-            None if is_first_source => 0,
-            known => said - known.unwrap_or(0),
-        };
-        let offset = source.offsets.entry(told.organisation).or_insert(offset);
-        let used = self.used.entry(told.organisation).or_default();
-        *used = (*used).max(said - *offset);
-        *used as u64
-    }
 }
 
 /// What a summary changed.
 #[derive(Debug, PartialEq)]
 pub struct Taken {
-    /// Units used at the hall by organisation, this instance's own left out.
-    pub used: Vec<ToldUse>,
     /// The summary's loads stand for the hall.
     pub takes_loads: bool,
     /// The hall had fallen silent.
@@ -98,22 +67,14 @@
 }
 
 impl Halls {
-    /// Takes a summary; none if a newer one of its aggregator was taken. `own` is what of it this
-    /// instance used itself, and `uptime_ms` for how long this instance has run.
-    pub fn note(
-        &mut self,
-        now_us: Micros,
-        uptime_ms: u32,
-        summary: &HallSummary,
-        own: &HashMap<u32, u64>,
-    ) -> Option<Taken> {
+    /// Takes a summary; none if a newer one of its aggregator was taken.
+    pub fn note(&mut self, now_us: Micros, summary: &HallSummary) -> Option<Taken> {
         let hall = self.by_key.entry(summary.hall).or_default();
         let source = hall.sources.entry(summary.by).or_insert_with(|| Source {
             seq: 0,
             at_us: now_us,
             instances: 0,
             heard: 0,
-            offsets: HashMap::new(),
         });
         if source.seq > summary.seq {
             return None;
@@ -123,22 +84,10 @@
         source.instances = summary.instances;
         source.heard = summary.heard;
         let is_regained = std::mem::take(&mut hall.is_forgotten);
-        let is_same_start = summary.uptime_ms.abs_diff(uptime_ms) <= SAME_START_MS;
-        let used = summary.used.iter().map(|told| ToldUse {
-            used: hall.count(
-                summary.by,
-                is_same_start,
-                told,
-                own.get(&told.organisation).copied().unwrap_or(0),
-            ),
-            ..*told
-        });
-        let used = used.collect();
         let compared = hall.sources.values();
         let compared = compared.filter(|s| now_us.saturating_sub(s.at_us) < COMPARED_US);
         let most = compared.map(|s| s.heard).max().unwrap_or(0);
         Some(Taken {
-            used,
             takes_loads: f64::from(summary.heard) >= f64::from(most) * COMPARED_SHARE,
             is_regained,
         })
@@ -166,6 +115,11 @@
         Some(now_us.saturating_sub(newest_us))
     }
 
+    /// Returns whether nothing of any hall is known.
+    pub fn is_empty(&self) -> bool {
+        self.by_key.is_empty()
+    }
+
     /// Counts the instances of all halls, and those of them that are heard.
     pub fn sharers(&self, now_us: Micros) -> Sharers {
         let counts = self.by_key.values().map(|h| h.headcount(now_us));
--- a/src/gateway/heard.rs
+++ b/src/gateway/heard.rs
@@ -5,7 +5,7 @@
 use std::{collections::HashMap, net::IpAddr};
 
 use crate::{
-    limits::organisation::Sharers,
+    limits::sharers::Sharers,
     peers::update::Update,
     prelude::{Incarnation, Micros},
 };
--- a/src/gateway/hearing.rs
+++ b/src/gateway/hearing.rs
@@ -15,7 +15,6 @@
         endpoint_words, exchange::Exchange, far_book::FAR_HALLS, halls::teller_of_hall,
         protocol::Protocol,
     },
-    limits::organisation::{Teller, ToldUse},
     peers::update::{self, HallSummary, Purpose, Update, address_key},
     prelude::Micros,
 };
@@ -54,11 +53,6 @@
 
     /// Takes an update of another instance of a small group.
     fn take_direct(&self, now_us: Micros, update: &Update) {
-        let teller = Teller {
-            incarnation: update.from,
-            uptime_us: u64::from(update.uptime_ms) * 1_000,
-        };
-        self.take_used(now_us, teller, &update.used);
         self.take_news(now_us, update);
         let mut balancer = self.gateway.balancer();
         balancer.told(now_us, update.from, &update.loads, &[], &[]);
@@ -70,8 +64,7 @@
             return;
         }
         self.take_news(now_us, &update);
-        let uptime_ms = self.uptime_ms(now_us);
-        self.lock().book.note(now_us, from, uptime_ms, &update);
+        self.lock().book.note(now_us, from, &update);
         let mut balancer = self.gateway.balancer();
         if balancer.picture().is_ledger() {
             balancer.reported(now_us, update.from, &update.loads, update.settled);
@@ -103,9 +96,8 @@
         if summary.hall == self.my_hall || summary.hall == FAR_HALLS {
             return;
         }
-        let uptime_ms = self.uptime_ms(now_us);
         let mut state = self.lock();
-        if !state.far_book.note(now_us, uptime_ms, &summary) {
+        if !state.far_book.note(now_us, &summary) {
             return;
         }
         if !state.book.is_aggregator(now_us) {
@@ -116,7 +108,6 @@
     /// Takes a summary; `echo` is the newest round of this instance that is in it.
     pub(super) fn take_summary(&self, now_us: Micros, summary: &HallSummary, echo: u64) {
         let is_own = summary.hall == self.my_hall;
-        let uptime_ms = self.uptime_ms(now_us);
         let taken = {
             let mut state = self.lock();
             let sent = state.sent(echo).cloned();
@@ -125,31 +116,22 @@
                 return;
             }
             let sent = sent.filter(|_| is_own).unwrap_or_default();
-            let own: HashMap<u32, u64> = sent
-                .used
-                .iter()
-                .map(|told| (told.organisation, told.used))
-                .collect();
-            let taken = state.halls.note(now_us, uptime_ms, summary, &own);
+            let taken = state.halls.note(now_us, summary);
             taken.map(|taken| (taken, sent))
         };
         let Some((taken, sent)) = taken else { return };
-        let teller = Teller {
-            incarnation: teller_of_hall(summary.hall),
-            uptime_us: u64::from(summary.uptime_ms) * 1_000,
-        };
+        let teller = teller_of_hall(summary.hall);
         if taken.is_regained {
-            let whose = self.whose(teller.incarnation);
+            let whose = self.whose(teller);
             log::info!(target: "ryevalve::process", whose; "summaries_regained");
         }
-        self.take_used(now_us, teller, &taken.used);
         let mut balancer = self.gateway.balancer();
         let is_known_singly = is_own && balancer.picture().is_ledger();
         if taken.takes_loads && !is_known_singly {
             let loads = without(&summary.loads, &sent.loads);
             balancer
                 .picture_mut()
-                .told_loads(now_us, teller.incarnation, summary.span, &loads);
+                .told_loads(now_us, teller, summary.span, &loads);
         }
         balancer
             .picture_mut()
@@ -164,14 +146,6 @@
         balancer.picture_mut().told_reports(now_us, &update.reports);
     }
 
-    fn take_used(&self, now_us: Micros, teller: Teller, used: &[ToldUse]) {
-        let sharers = self.gateway.sharers();
-        let mut limits = self.gateway.limits();
-        for used in used {
-            limits.told(now_us, teller, *used, sharers);
-        }
-    }
-
     /// Takes what the sender knows of the store. What it told is no older than the sending of the
     /// number that it echoes.
     fn take_freshness(self: &Arc<Self>, update: &Update, echo: u64, from: SocketAddr) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,4 +43,3 @@
 pub mod state;
 pub mod stop;
 pub mod stream;
-pub mod use_turns;
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -16,10 +16,10 @@
     gateway::{config::GatewayConfig, protocol::Protocol, reserver::Word, state::Gateway},
     limits::quota::{
         AccountState, Begun, Decision, Denied, Grant, LimitChange, Message, Node, Outgoing,
-        Recipient, Tolerance, organisation_hash,
+        Recipient, Tolerance,
     },
     peers::view::{Member, View},
-    prelude::{Incarnation, Micros, Rank},
+    prelude::{Incarnation, Micros, Rank, short_hash},
 };
 
 /// The other server of an organisation is asked, too, if the first has not answered in this time.
@@ -313,7 +313,7 @@
 fn address_hash(address: IpAddr) -> u32 {
     match address {
         IpAddr::V4(v4) => v4.to_bits(),
-        IpAddr::V6(v6) => organisation_hash(&v6.to_string()),
+        IpAddr::V6(v6) => short_hash(&v6.to_string()),
     }
 }
 
--- a/src/gateway/rounds.rs
+++ b/src/gateway/rounds.rs
@@ -68,8 +68,6 @@
 
     /// Tells every instance of a small group, and those met that the membership has not admitted.
     pub(super) async fn tell_all(&self, now_us: Micros, view: &View, is_due: bool) {
-        let sharers = self.gateway.sharers();
-        let is_due = self.gateway.limits().take_news(sharers) || is_due;
         let targets = self.targets(now_us, view, is_due);
         if targets.is_empty() {
             return;
@@ -189,36 +187,26 @@
 
     /// Returns the sums of the own hall, of all endpoints together.
     fn own_summaries(&self, now_us: Micros, update: &mut Update) -> Vec<HallSummary> {
-        let own_used = self.gateway.limits().used();
-        let mut state = self.lock();
+        let state = self.lock();
         let headcount = state.book.headcount(now_us);
         let loads = state.book.loads(now_us, &update.loads);
-        let used = state.book.used(&own_used);
-        let used = state.summary_turns.select(now_us, &used);
         update.loads = Vec::new();
-        update.used = Vec::new();
         let parts = split_loads(&loads, LOADS_TOLD).into_iter();
         let summaries = parts.map(|(span, loads)| HallSummary {
             hall: self.my_hall,
             by: self.place.me.incarnation,
             seq: update.seq,
-            uptime_ms: update.uptime_ms,
             instances: headcount.instances,
             heard: headcount.heard,
             span,
             loads,
             ..HallSummary::default()
         });
-        let mut summaries: Vec<HallSummary> = summaries.collect();
-        if let Some(first) = summaries.first_mut() {
-            first.used = used;
-        }
-        summaries
+        summaries.collect()
     }
 
     /// Returns the sums of all other halls, of all endpoints together, now and then.
     fn far_summaries(&self, now_us: Micros, update: &Update) -> Vec<HallSummary> {
-        let own_used = self.gateway.limits().used();
         let mut state = self.lock();
         let is_due = now_us.saturating_sub(state.far_told_at_us) >= FAR_SUMMARY_US;
         if !is_due || state.far_book.is_empty() {
@@ -226,13 +214,10 @@
         }
         state.far_told_at_us = now_us;
         let loads = state.far_book.loads();
-        let used = state.far_book.used(&own_used);
-        let used = state.far_turns.select(now_us, &used);
         let mut whole = HallSummary {
             hall: FAR_HALLS,
             by: self.place.me.incarnation,
             seq: update.seq,
-            uptime_ms: update.uptime_ms,
             ..HallSummary::default()
         };
         state.far_book.complete(now_us, &mut whole);
@@ -247,9 +232,6 @@
             part.reports = Vec::new();
             part.speeds = Vec::new();
         }
-        if let Some(first) = parts.first_mut() {
-            first.used = used;
-        }
         parts
     }
 
@@ -318,10 +300,7 @@
             is_due
         };
         if is_due && let Some(first) = summaries.first_mut() {
-            let own_used = self.gateway.limits().used();
             let mut state = self.lock();
-            let used = state.book.used(&own_used);
-            first.used = state.peer_turns.select(now_us, &used);
             first.reports = state.book.take_far_reports();
             let turn = state.turn;
             drop(state);
@@ -353,7 +332,6 @@
         };
         let mut update = self.next_update(now_us, Purpose::Summary);
         update.loads = Vec::new();
-        update.used = Vec::new();
         for member in &aggregators {
             self.send(self.addr_of(member), &mut update).await;
         }
@@ -379,11 +357,6 @@
         }
     }
 
-    pub(super) fn uptime_ms(&self, now_us: Micros) -> u32 {
-        let uptime_us = self.gateway.limits().uptime_us(now_us);
-        u32::try_from(uptime_us / 1_000).unwrap_or(u32::MAX)
-    }
-
     fn next_seq(&self) -> u64 {
         let mut state = self.lock();
         state.seq += 1;
@@ -397,33 +370,22 @@
         // Before the loads are read: those that are settled are in them.
         let settled = self.gateway.reserver.settled();
         let loads = self.gateway.balancer().picture().own_loads();
-        let used = self.gateway.limits().used();
-        let told_used = {
-            let mut state = self.lock();
-            state.remember(Sent {
-                seq,
-                at_us: now_us,
-                loads: Arc::new(loads.clone()),
-                used: Arc::new(used.clone()),
-            });
-            match purpose {
-                Purpose::Direct | Purpose::Report => state.report_turns.select(now_us, &used),
-                Purpose::Summary => Vec::new(),
-            }
-        };
+        self.lock().remember(Sent {
+            seq,
+            at_us: now_us,
+            loads: Arc::new(loads.clone()),
+        });
         Update {
             from: self.place.me.incarnation,
             hall: self.my_hall,
             seq,
             purpose,
-            uptime_ms: self.uptime_ms(now_us),
             config_version: self.gateway.config.version(),
             config_age_ms: told_age_ms(self.gateway.config_age_us()),
             endpoints_revision: self.gateway.balancer().endpoints_revision(),
             endpoints_age_ms: told_age_ms(self.gateway.endpoints_age_us()),
             settled,
             loads,
-            used: told_used,
             ..Update::default()
         }
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -34,9 +34,9 @@
     },
     limits::{
         fingerprint::Fingerprint,
-        organisation::{self, OrganisationLimits, Sharers},
         quota::Tolerance,
         retries::{RetryBounds, RetryBudget},
+        sharers::Sharers,
         suspects::SuspectBook,
     },
     prelude::{Micros, Name},
@@ -96,7 +96,6 @@
     bounds: Mutex<GatewayBounds>,
     balancer: Mutex<Balancer>,
     pub(super) waiters: Mutex<HashMap<WaitKey, oneshot::Sender<Placement>>>,
-    limits: Mutex<OrganisationLimits>,
     retries: Mutex<RetryBudget>,
     patience: Mutex<UsualPatience>,
     suspects: Mutex<SuspectBook>,
@@ -144,12 +143,11 @@
         is_first_start: bool,
         clock: Clock,
     ) -> Self {
-        let tolerance = organisation::Tolerance {
-            window_s: bounds.tolerance.window_s,
-            overage: bounds.tolerance.overage,
-            slack: bounds.tolerance.slack,
-        };
-        let limits = OrganisationLimits::new(clock.now_us(), tolerance, is_first_start);
+        let started_us = clock.now_us();
+        let quota = Quota::new(started_us, bounds.tolerance);
+        if is_first_start {
+            quota.first_start();
+        }
         Self {
             protocol,
             clock,
@@ -159,7 +157,6 @@
             bounds: Mutex::new(bounds),
             balancer: Mutex::new(Balancer::new(hall)),
             waiters: Mutex::default(),
-            limits: Mutex::new(limits),
             retries: Mutex::new(RetryBudget::new(bounds.retries)),
             patience: Mutex::default(),
             suspects: Mutex::default(),
@@ -172,7 +169,7 @@
             waits_for_others: AtomicBool::new(false),
             reserver: Reserver::default(),
             permits: Permits::default(),
-            quota: Quota::new(clock.now_us(), bounds.tolerance),
+            quota,
             endings: Endings::default(),
             unread_headers: UnreadHeaders::default(),
             endpoints: Staleness::default(),
@@ -197,11 +194,6 @@
         lock(&self.balancer)
     }
 
-    /// Returns the organisations' limits; not to be held across a wait.
-    pub fn limits(&self) -> MutexGuard<'_, OrganisationLimits> {
-        lock(&self.limits)
-    }
-
     /// Returns what is known of requests that end endpoints; not to be held across a wait.
     pub fn suspects(&self) -> MutexGuard<'_, SuspectBook> {
         lock(&self.suspects)
--- a/src/limits/quota/account.rs
+++ b/src/limits/quota/account.rs
@@ -135,7 +135,8 @@
             return Verdict::Granted;
         }
         self.denied += 1;
-        let missing = reserve.max(needed) - self.level;
+        // One more than is there at the moment when it is due.
+        let missing = reserve.max(needed) - self.level + 1.0;
         Verdict::Denied {
             wait_us: self.wait_us(missing, units, part),
             level: self.level as i64,
--- a/src/limits/quota/message.rs
+++ b/src/limits/quota/message.rs
@@ -80,7 +80,7 @@
         lease: Lease,
         /// Names the question in its answer.
         number: u64,
-        /// The organisation, by [`crate::limits::quota::organisation_hash`].
+        /// The organisation, by [`crate::prelude::short_hash`].
         organisation: u32,
         /// Which of its accounts is asked.
         copy: u8,
--- a/src/limits/quota/mod.rs
+++ b/src/limits/quota/mod.rs
@@ -22,6 +22,6 @@
     client::{Decision, Denied, Grant},
     message::{InstanceCount, Lease, Message, Outgoing, Recipient, Verdict},
     node::{Begun, LimitChange, Node},
-    partition::{COPIES, Partition, PartitionSet, organisation_hash},
+    partition::{COPIES, Partition, PartitionSet},
     server::AccountState,
 };
--- a/src/limits/quota/node.rs
+++ b/src/limits/quota/node.rs
@@ -10,10 +10,10 @@
         delegation::{Delegation, renewal_us},
         directory::Directory,
         message::{InstanceCount, Lease, Message, Outgoing, Recipient, Verdict},
-        partition::{COPIES, Partition, PartitionSet, organisation_hash},
+        partition::{COPIES, Partition, PartitionSet},
         server::{AccountState, QuotaServer},
     },
-    prelude::{Incarnation, Micros, Name, Rank},
+    prelude::{Incarnation, Micros, Name, Rank, short_hash},
 };
 
 /// A server that is passed over is asked this often whether it answers again.
@@ -157,7 +157,7 @@
                 limit,
                 credit_us,
             };
-            (organisation_hash(&name), limited)
+            (short_hash(&name), limited)
         });
         let before = std::mem::replace(&mut self.limits, limited.collect());
         let limits = &self.limits;
@@ -308,13 +308,13 @@
 
     /// Returns for how long a caller may wait for an answer: a grant that comes later is not for it.
     pub fn patience_us(&self, organisation: &str) -> Micros {
-        let limited = self.limits.get(&organisation_hash(organisation));
+        let limited = self.limits.get(&short_hash(organisation));
         limited.map_or(0, |l| l.credit_us)
     }
 
     /// Begins to ask for what a request uses.
     pub fn begin(&mut self, now_us: Micros, organisation: &str, units: u32, rank: Rank) -> Begun {
-        let organisation = organisation_hash(organisation);
+        let organisation = short_hash(organisation);
         if !self.limits.contains_key(&organisation) {
             return Begun::Unlimited;
         }
--- a/src/limits/quota/partition.rs
+++ b/src/limits/quota/partition.rs
@@ -74,12 +74,3 @@
         set
     }
 }
-
-/// Shortens an organisation's name to what instances call it among themselves.
-pub fn organisation_hash(name: &str) -> u32 {
-    let mut hash = 0x811c_9dc5_u32;
-    for byte in name.bytes() {
-        hash = (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193);
-    }
-    hash
-}
--- a/src/limits/quota/server.rs
+++ b/src/limits/quota/server.rs
@@ -7,10 +7,10 @@
     limits::quota::{
         account::{Account, Tolerance},
         message::{Lease, Verdict},
-        partition::{COPIES, PARTITIONS, Partition, PartitionSet, organisation_hash},
+        partition::{COPIES, PARTITIONS, Partition, PartitionSet},
         shares::Shares,
     },
-    prelude::{Incarnation, Micros, Name, Rank},
+    prelude::{Incarnation, Micros, Name, Rank, short_hash},
 };
 
 /// A lessor that was silent for this long is forgotten.
@@ -83,7 +83,7 @@
     pub(super) fn configure(&mut self, now_us: Micros, limits: &[(Name, UseLimit)]) {
         self.names.clear();
         for (name, limit) in limits {
-            let organisation = organisation_hash(name);
+            let organisation = short_hash(name);
             self.names.insert(organisation, name.clone());
             for copy in 0..COPIES {
                 self.set_limit(now_us, organisation, copy, *limit);
--- a/src/peers/update.rs
+++ b/src/peers/update.rs
@@ -11,7 +11,7 @@
         prefixes::ChainKey,
         speed::{Evidence, ToldSpeed},
     },
-    limits::{organisation::ToldUse, standings::ToldStanding, suspects::ToldSuspect},
+    limits::{standings::ToldStanding, suspects::ToldSuspect},
     peers::datagram::{Authenticator, DatagramError, UnreadableSnafu},
     prelude::Incarnation,
 };
@@ -38,8 +38,6 @@
     pub by: Incarnation,
     /// The aggregator's round; an older one is dropped.
     pub seq: u64,
-    /// For how long the aggregator has run, in milliseconds.
-    pub uptime_ms: u32,
     /// Instances of the hall that ran of late, heard or not.
     pub instances: u32,
     /// Those of them that it hears, itself included.
@@ -52,9 +50,6 @@
     pub reports: Vec<(EndpointKey, i8)>,
     /// How fast it believes some of its endpoints to be.
     pub speeds: Vec<(EndpointKey, ToldSpeed)>,
-    /// What organisations used at the hall since the aggregator's start: those with news, the others
-    /// in turn.
-    pub used: Vec<ToldUse>,
 }
 
 /// One datagram.
@@ -74,8 +69,6 @@
     /// The same for each instance of the hall, in a summary that all of them get; by
     /// [`address_key`].
     pub echoes: Vec<(u16, u64)>,
-    /// For how long the sender has run, in milliseconds.
-    pub uptime_ms: u32,
     /// The configuration in force.
     pub config_version: u64,
     /// For how long it has not been known to be the newest, in milliseconds, rounded up; none if
@@ -101,8 +94,6 @@
     pub suspects: Vec<ToldSuspect>,
     /// What endpoints said of themselves that all instances are to know.
     pub standings: Vec<ToldStanding>,
-    /// What organisations used since the sender's start, through the sender alone.
-    pub used: Vec<ToldUse>,
     /// Summaries of halls.
     pub halls: Vec<HallSummary>,
 }
--- a/src/prelude.rs
+++ b/src/prelude.rs
@@ -1,5 +1,5 @@
 //! The types that most modules use.
 
 pub use crate::core::types::{
-    Incarnation, Micros, Name, Rank, Registration, RequestId, RequestMeta, ShedReason,
+    Incarnation, Micros, Name, Rank, Registration, RequestId, RequestMeta, ShedReason, short_hash,
 };
