Soak: organisations' limits are checked among all faults

Cause: the soak checked no organisation's limit, one reason why nothing was seen. Change: two organisations send far above their limits while these change in series, one stays below; endpoints' arrivals by organisation are held against the rule's own formula over every window of 8 s, and the one below its limit is refused nothing in the calm part. Draws are apart from those of the faults, so seeds' faults stay what they are.

--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -78,12 +78,39 @@
     pub outcome: Option<Outcome>,
 }
 
+/// Who calls.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    /// Tells its requests from those of others.
+    pub number: usize,
+    /// The key that it shows; any in force if there is none.
+    pub key: Option<&'static str>,
+    /// Between two of its requests, in milliseconds.
+    pub pause_ms: std::ops::Range<u64>,
+}
+
+impl Caller {
+    /// Returns one that shows any key in force.
+    pub fn of_any_key(number: usize) -> Self {
+        Self {
+            number,
+            key: None,
+            pause_ms: PAUSE_MS,
+        }
+    }
+}
+
 /// Calls until aborted.
-pub async fn run(world: Arc<World>, number: usize, seed: u64) {
+pub async fn run(world: Arc<World>, caller: Caller, seed: u64) {
+    let Caller {
+        number,
+        key: own_key,
+        pause_ms,
+    } = caller;
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut kept: Option<(usize, SendRequest<Full<Bytes>>)> = None;
     for count in 0.. {
-        time::sleep(Duration::from_millis(rng.random_range(PAUSE_MS))).await;
+        time::sleep(Duration::from_millis(rng.random_range(pause_ms.clone()))).await;
         let (index, mut sender) = match kept.take() {
             Some(kept) => kept,
             None => {
@@ -102,7 +129,10 @@
             continue;
         }
         let path = [Path::Once, Path::Again, Path::Resume][rng.random_range(0..3)];
-        let key = pick_key(&world, &mut rng);
+        let key = match own_key {
+            Some(key) => key.to_owned(),
+            None => pick_key(&world, &mut rng),
+        };
         let id = format!("{number}-{count}");
         let sent = Sent {
             path,
--- a/standins/src/soak/checks.rs
+++ b/standins/src/soak/checks.rs
@@ -9,7 +9,7 @@
     soak::{
         IN_FORCE, Promised, REVOKED, Report, SLACK, World,
         callers::{Outcome, Path, Sent},
-        limits, words,
+        limits, organisations, words,
     },
 };
 
@@ -54,6 +54,7 @@
     }
     check_calm(&sent, &promised, &mut report);
     limits::check(world, &promised, &mut report);
+    organisations::check(world, &sent, &promised, &mut report);
     words::check(world, &sent, &promised, &mut report);
     report
 }
@@ -127,7 +128,8 @@
     let revoked: Vec<&String> = promised.revoked.iter().map(|(key, _)| key).collect();
     let owed = sent
         .iter()
-        .filter(|(_, s)| s.at > from && !revoked.contains(&&s.key));
+        .filter(|(_, s)| s.at > from && !revoked.contains(&&s.key))
+        .filter(|(_, s)| !organisations::is_limited(&s.key));
     // Those still under way at the end are left out.
     let owed: Vec<_> = owed.filter(|(_, s)| s.outcome.is_some()).collect();
     let served = owed.iter().filter(|(_, s)| {
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -8,6 +8,7 @@
 mod checks;
 mod faults;
 mod limits;
+mod organisations;
 mod process;
 mod words;
 
@@ -31,7 +32,7 @@
     proxy::Proxy,
     runner::Runner,
     soak::{
-        callers::Sent,
+        callers::{Caller, Sent},
         process::{Instance, Place},
     },
 };
@@ -96,6 +97,8 @@
 #[derive(Debug, Default)]
 struct Promised {
     version: u64,
+    /// How much of their limits is in force of organisations above them.
+    limit_times: f64,
     /// Keys in force.
     keys: Vec<String>,
     /// Keys taken away, and when.
@@ -139,15 +142,20 @@
     world.until_ready().await;
     let mut callers = tokio::task::JoinSet::new();
     for number in 0..plan.callers {
-        callers.spawn(callers::run(world.clone(), number, rng.random()));
+        let caller = Caller::of_any_key(number);
+        callers.spawn(callers::run(world.clone(), caller, rng.random()));
     }
+    organisations::call(&world, plan, plan.callers, &mut callers);
     let watching = tokio::spawn(process::keep_running(world.clone()));
     let naming = tokio::spawn(limits::name_in_series(world.clone(), plan.clone()));
     let saying = tokio::spawn(words::say_in_series(world.clone(), plan.clone()));
+    let limiting = organisations::change_in_series(world.clone(), plan.clone());
+    let limiting = tokio::spawn(limiting);
     let faults = faults::bring(&world, plan, &mut rng).await;
     // It ends with the faults, and fails only if a part of the run panics.
     let _ = naming.await;
     let _ = saying.await;
+    let _ = limiting.await;
     time::sleep(RECOVERY).await;
     world.calm_part(&mut rng).await;
     callers.abort_all();
@@ -188,7 +196,10 @@
             starts: (0..plan.endpoints).map(|_| AtomicUsize::new(0)).collect(),
             instances: Mutex::new(instances),
             sent: Mutex::default(),
-            state: Mutex::default(),
+            state: Mutex::new(Promised {
+                limit_times: 1.0,
+                ..Promised::default()
+            }),
         };
         for index in 0..plan.endpoints {
             world.endpoint(index, "ready");
@@ -210,7 +221,7 @@
         let key = format!("key-{}", promised.version);
         promised.keys.push(key);
         change(&mut promised);
-        let config = config(promised.version, &promised.keys);
+        let config = config(&promised);
         self.platform.set("config", "main", config);
     }
 
@@ -265,7 +276,12 @@
 }
 
 /// The routes `/once/`, `/again/` and `/resume/`, keyed.
-fn config(version: u64, keys: &[String]) -> Value {
+fn config(promised: &Promised) -> Value {
+    let mut tenants = organisations::tenants(promised.limit_times);
+    tenants.push(
+        json!({"name": "org", "apiKeys": promised.keys, "unit": "token_count",
+        "uncachedTokens": 200, "ratePerS": 0, "burst": 0}),
+    );
     let route = |name: &str, kind: &str, attempts: u32, resume: bool| {
         json!({
             "name": name, "hostname": "h.example", "pathPrefix": format!("/{name}/"),
@@ -275,7 +291,7 @@
         })
     };
     json!({
-        "version": version,
+        "version": promised.version,
         "routes": [
             route("once", "non_idempotent", 1, false),
             route("again", "idempotent", 2, false),
@@ -284,7 +300,6 @@
         "backends": [{"name": "svc", "healthCheck": "/healthz", "maxConnections": 1_000}],
         "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 100_000,
             "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000},
-        "tenants": [{"name": "org", "apiKeys": keys, "unit": "token_count",
-            "uncachedTokens": 200, "ratePerS": 0, "burst": 0}],
+        "tenants": tenants,
     })
 }
