The part of a group that is cut off keeps its share of retries

What could be seen: endpoints get more retries than the budget allows while a group is cut in parts for more than 20 s. Cause: the slack was divided by the instances that the exchange had not forgotten, so each part of a cut had the whole; the same cause as the organisations' limits. Why the fix holds: it divides by the most instances that anybody saw within ten minutes, as limits do. Ruled out: dividing by the own view alone, which restarts forget.

--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -224,8 +224,9 @@
 
     /// Takes a retry for a service; false if none is left.
     pub fn take_retry(&self, service: &Name) -> bool {
-        let sharers = self.sharers();
-        let taken = lock(&self.retries).take(self.clock.now_us(), service, sharers.all);
+        let now_us = self.clock.now_us();
+        let instances = self.instances_sharing(now_us);
+        let taken = lock(&self.retries).take(now_us, service, instances);
         if !taken {
             self.metrics.retries_denied.inc();
         }
@@ -234,8 +235,15 @@
 
     /// Returns the retries left for a service.
     pub fn retries_left(&self, service: &Name) -> f64 {
-        let sharers = self.sharers();
-        lock(&self.retries).left(self.clock.now_us(), service, sharers.all)
+        let now_us = self.clock.now_us();
+        let instances = self.instances_sharing(now_us);
+        lock(&self.retries).left(now_us, service, instances)
+    }
+
+    /// Returns how many instances share a bound, those that are cut off included.
+    fn instances_sharing(&self, now_us: Micros) -> usize {
+        let divisor = self.quota.divisor(now_us) as usize;
+        divisor.max(self.sharers().all)
     }
 
     /// Learns how long a caller of a route waits from now; returns for how long it has waited already.
--- a/tests/gateway/retries.rs
+++ b/tests/gateway/retries.rs
@@ -1,9 +1,19 @@
 //! Retries of all instances together stay within the budget, whatever they know of each other.
 
 use proptest::prelude::*;
-use ryevalve::limits::retries::{RetryBounds, RetryBudget};
+use ryevalve::{
+    gateway::state::Gateway,
+    limits::{
+        retries::{RetryBounds, RetryBudget},
+        sharers::Sharers,
+    },
+    platform::headers::PlatformProtocol,
+};
 
-use crate::support::{MS, SECOND};
+use crate::{
+    freshness::bounds,
+    support::{MS, SECOND},
+};
 
 const BOUNDS: RetryBounds = RetryBounds {
     ratio: 0.2,
@@ -64,3 +74,21 @@
         }
     }
 }
+
+#[test]
+fn the_part_of_a_group_that_is_cut_off_keeps_its_share_of_retries() {
+    let gateway = Gateway::new(PlatformProtocol, "hall".into(), bounds(true), true);
+    let sees = |instances| {
+        gateway.set_sharers(Sharers {
+            all: instances,
+            heard: instances,
+        });
+    };
+    let service = "model".into();
+    gateway.quota.set_instances(6);
+    sees(6);
+    let share = gateway.retries_left(&service);
+    // The others were silent for so long that the exchange forgot them.
+    sees(3);
+    assert_eq!(gateway.retries_left(&service), share);
+}
