Grants may be kept for up to a second, so that slow round trips do not refuse a limit

What callers would have seen: with datagrams .3 s late one way, an organisation got .16 of its limit: grants that came after .5 s were of no use. Change: a second at most, two fifths of what a window leaves beyond the rate; three tenths of an account may be owed, so that a long request still finds room beside short ones where that leaves less. Ruled out: more than two fifths, which leaves less than before for bursts.

--- a/src/limits/quota/account.rs
+++ b/src/limits/quota/account.rs
@@ -9,12 +9,12 @@
 /// What is granted reaches an endpoint within this time, in seconds.
 const ARRIVAL_S: f64 = 0.25;
 /// The longest that a grant may be kept for a later request, in seconds.
-const MAX_CREDIT_S: f64 = 0.5;
+const MAX_CREDIT_S: f64 = 1.0;
 /// The part of what a window allows beyond the rate that grants kept for later requests may take.
-const CREDIT_PART: f64 = 0.2;
+const CREDIT_PART: f64 = 0.4;
 /// The part of an account that is debt: a request is let in while anything is left and its debt is within it, so that
 /// long requests find room beside short ones.
-const DEBT_PART: f64 = 0.2;
+const DEBT_PART: f64 = 0.3;
 /// The part of an account that is left to the more urgent, a rank.
 const RANK_RESERVE: f64 = 0.05;
 /// The least urgent rank that is told apart.
