--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -158,7 +158,7 @@
         gateway.quota.join(place.me.incarnation, my_addr.ip());
         let is_seed = place.seeds.is_empty() || place.seeds.contains(&my_addr);
         place.seeds.retain(|seed| *seed != my_addr);
-        // The seeds are taken to share limits until they had time to be heard.
+        // The seeds are taken for instances until they had time to be heard.
         for seed in place.seeds.iter().filter(|s| s.ip() != my_addr.ip()) {
             state.heard.meet(now_us, seed.ip());
         }
@@ -302,7 +302,7 @@
         self.gateway.set_watches_store(watches);
     }
 
-    /// Counts those who may use a part of a limit, and forgets the rates of the silent.
+    /// Counts the sharers, and notes who fell silent.
     fn count_sharers(&self, now_us: Micros, view: &View) -> Group {
         let (group, silent, sharers, known_sharers) = {
             let mut state = self.lock();
--- a/src/gateway/heard.rs
+++ b/src/gateway/heard.rs
@@ -12,7 +12,7 @@
 
 /// An instance whose last word is older may use its share of a limit without being heard.
 pub const HEARD_US: Micros = 2_200_000;
-/// A limit's window and some more: what an instance used before it fell silent counts that long.
+/// One that is silent for longer is no sharer any more.
 pub const SHARER_US: Micros = 20_000_000;
 
 /// What is known of an instance from its words.
@@ -110,7 +110,7 @@
         forgotten.collect()
     }
 
-    /// Counts those who may use a part of a limit, and those of them that are heard, this instance
+    /// Counts the sharers, and those of them that are heard, this instance
     /// included.
     pub fn sharers(&self, now_us: Micros) -> Sharers {
         let is_heard = |h: &&Heard| now_us.saturating_sub(h.at_us) < HEARD_US;
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -123,7 +123,7 @@
     pub updates_unsent: Counter,
     /// Updates taken from other instances.
     pub updates_received: Counter,
-    /// Instances that share limits, heard or not, this one included.
+    /// Instances, heard or not, this one included.
     pub instances: Gauge,
     /// Instances that report to this one.
     pub reporters: Gauge,
@@ -361,7 +361,7 @@
         registry.register("updates_unsent", unsent, self.updates_unsent.clone());
         let received = "Datagrams taken from other instances";
         registry.register("updates_received", received, self.updates_received.clone());
-        let instances = "Instances that share limits, heard or not";
+        let instances = "Instances, heard or not";
         registry.register("instances", instances, self.instances.clone());
         let reporters = "Instances that report to this one";
         registry.register("reporters", reporters, self.reporters.clone());
