Stand-in of the store: comes back from a copy, with an era header

A store may be away for a moment and come back from a copy: what was written since is lost, revisions fall and are given out again, a watch from a revision that it does not have gets 410, and Store-Era rises by one in all answers. The stand-in had neither copies nor the header.

--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -9,7 +9,7 @@
 };
 
 use bytes::Bytes;
-use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, header::HeaderValue};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use tokio::sync::watch;
@@ -26,6 +26,8 @@
 const OWN_KIND: &str = "ryevalve";
 /// Kind of the entries of the instance list.
 const INSTANCE_KIND: &str = "ryevalve-instances";
+/// Header of every answer: how often the store came back from a copy, counted from 1.
+const ERA_HEADER: &str = "store-era";
 
 /// Entry of the instance list.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -57,6 +59,8 @@
     pub lose_write_answers: u32,
     /// Delay before those writes are applied.
     pub lost_write_delay: Duration,
+    /// Sends this era header instead of the current one; an empty text omits it.
+    pub era_header: Option<String>,
 }
 
 /// Number of calls so far, including refused ones; a watch counts as one read.
@@ -114,7 +118,19 @@
     deleted: bool,
 }
 
+/// What a copy of the store preserves.
+#[derive(Clone)]
+struct Copied {
+    revision: u64,
+    objects: BTreeMap<(String, String), Stored>,
+    history: VecDeque<Change>,
+    compacted_revision: u64,
+}
+
 struct State {
+    /// Rises by one each time the store comes back from a copy.
+    era: u64,
+    copy: Option<Copied>,
     revision: u64,
     objects: BTreeMap<(String, String), Stored>,
     history: VecDeque<Change>,
@@ -129,6 +145,8 @@
 impl State {
     fn new() -> Self {
         Self {
+            era: 1,
+            copy: None,
             revision: 0,
             objects: BTreeMap::new(),
             history: VecDeque::new(),
@@ -192,9 +210,9 @@
         }
     }
 
-    /// Returns the changes of a kind since a revision, or `None` if the history does not go back that far.
+    /// Returns the changes of a kind since a revision, or `None` if the history does not contain that revision.
     fn since(&self, kind: &str, revision: u64) -> Option<Vec<Value>> {
-        if revision < self.compacted_revision {
+        if revision < self.compacted_revision || revision > self.revision {
             return None;
         }
         let changes = self.history.iter();
@@ -249,7 +267,12 @@
         let (changed, _) = watch::channel(0);
         let (shared, wake) = (state.clone(), changed.clone());
         let server = http::serve(addr, move |request| {
-            handle(shared.clone(), wake.clone(), request)
+            let (shared, wake) = (shared.clone(), wake.clone());
+            async move {
+                let mut response = handle(shared.clone(), wake, request).await?;
+                set_era(&shared, &mut response);
+                Ok(response)
+            }
         })
         .await;
         Self {
@@ -279,6 +302,33 @@
         self.wake();
     }
 
+    /// Copies the current state.
+    pub fn take_copy(&self) {
+        let mut state = self.lock();
+        state.copy = Some(Copied {
+            revision: state.revision,
+            objects: state.objects.clone(),
+            history: state.history.clone(),
+            compacted_revision: state.compacted_revision,
+        });
+    }
+
+    /// Comes back from the last copy: what was written since is lost, and its revisions are assigned again.
+    ///
+    /// # Panics
+    /// Panics if no copy was taken.
+    pub fn return_to_copy(&self) {
+        let mut state = self.lock();
+        let copy = state.copy.clone().expect("a copy was taken");
+        state.era += 1;
+        state.revision = copy.revision;
+        state.objects = copy.objects;
+        state.history = copy.history;
+        state.compacted_revision = copy.compacted_revision;
+        drop(state);
+        self.wake();
+    }
+
     /// Returns the number of calls so far.
     pub fn counts(&self) -> Counts {
         self.lock().counts
@@ -383,6 +433,20 @@
     Ok(response_with_faults(&faults, &page))
 }
 
+/// Adds the era header to a response.
+fn set_era(state: &Mutex<State>, response: &mut Response<Body>) {
+    let state = lock(state);
+    let value = match &state.faults.era_header {
+        Some(text) => text.clone(),
+        None => state.era.to_string(),
+    };
+    if value.is_empty() {
+        return;
+    }
+    let value = HeaderValue::from_str(&value).expect("a header value");
+    response.headers_mut().insert(ERA_HEADER, value);
+}
+
 /// Returns a JSON response, corrupted if [`Faults::corrupts`] is set.
 fn response_with_faults(faults: &Faults, value: &Value) -> Response<Body> {
     let Some(corrupts) = &faults.corrupts else {
