Log the store's era, revisions that fall and changes dropped as older

Cause: the logs of the incident cannot tell whether the store came back from an older state, whether an instance dropped a change as older than what it knew, or whether its watch never brought the change. Change: the header Store-Era is read from every answer and logged when it rises; revisions that fall and changes that are dropped as outdated have a line each; gauge store_era, counter store_eras_unreadable. One tracker is shared by all clients of the store in a process. Nothing is decided by it.

--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -255,6 +255,11 @@
         self.discovery.revision()
     }
 
+    /// Returns the store revision at which the state of an endpoint was learned, also of one that was removed.
+    pub fn endpoint_revision(&self, id: &str) -> Option<Revision> {
+        self.discovery.revision_of(id)
+    }
+
     /// Returns the changes of the endpoints after `revision`.
     pub fn endpoints_delta_since(&self, revision: Revision) -> EndpointsDelta {
         self.discovery.delta_since(revision)
--- a/src/balance/discovery.rs
+++ b/src/balance/discovery.rs
@@ -320,6 +320,15 @@
         self.by_id.get(id).map(|e| &e.entry)
     }
 
+    /// Returns the store revision at which the state of an endpoint was learned, also of one that was removed.
+    pub fn revision_of(&self, id: &str) -> Option<Revision> {
+        let known = self.by_id.get(id).map(|e| e.revision);
+        known.or_else(|| {
+            let removal = self.removals.iter().rev().find(|r| &*r.id == id)?;
+            Some(removal.at)
+        })
+    }
+
     /// Returns the number of known endpoints.
     pub fn len(&self) -> usize {
         self.by_id.len()
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -103,6 +103,10 @@
     pub answer_headers_unread: Counter,
     /// Failed calls to the store.
     pub store_failures: Counter,
+    /// The newest era of the store that was seen: it rises when the store comes back from a copy.
+    pub store_era: Gauge,
+    /// Answers of the store whose era could not be parsed.
+    pub store_eras_unreadable: Counter,
     /// Endpoint entries in the store that could not be parsed, as another program wrote them.
     pub entries_unused: Counter,
     /// Datagrams from other instances that were dropped.
@@ -168,6 +172,8 @@
             rest_words_unreadable: Counter::default(),
             answer_headers_unread: Counter::default(),
             store_failures: Counter::default(),
+            store_era: Gauge::default(),
+            store_eras_unreadable: Counter::default(),
             entries_unused: Counter::default(),
             datagrams_dropped: Counter::default(),
             told_bytes: Counter::default(),
@@ -246,6 +252,11 @@
         registry.register("requests_blocked", blocked, self.requests_blocked.clone());
         let failures = "Calls to the store that brought nothing";
         registry.register("store_failures", failures, self.store_failures.clone());
+        let era = "Era of the store, which rises when the store comes back from a copy";
+        registry.register("store_era", era, self.store_era.clone());
+        let unreadable = "Answers of the store whose era could not be read";
+        let counter = self.store_eras_unreadable.clone();
+        registry.register("store_eras_unreadable", unreadable, counter);
         let unused = "Entries of endpoints that could not be read";
         registry.register("entries_unused", unused, self.entries_unused.clone());
         let dropped = "Datagrams from instances that were dropped";
--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -30,6 +30,7 @@
         objects::ObjectClient,
         settings::{Bounds, PlatformSettings, SettingsError},
         store::PlatformStore,
+        store_era::{EraMetrics, StoreEra},
         store_watch,
     },
     prelude::{Incarnation, Micros},
@@ -134,30 +135,7 @@
             gateway.set_waits_for_peers();
         }
     }
-    let store = settings.store.address;
-    tokio::spawn(store_watch::configuration(
-        gateway.clone(),
-        ObjectClient::new(store),
-    ));
-    tokio::spawn(store_watch::endpoints(
-        gateway.clone(),
-        ObjectClient::new(store),
-    ));
-    if settings.bounds.evacuate_ms.is_some() {
-        let client = ObjectClient::new(store);
-        tokio::spawn(store_watch::evacuations(gateway.clone(), client));
-    }
-    let block_list_store = PlatformStore::new(store);
-    tokio::spawn(block_list::run(
-        gateway.clone(),
-        block_list_store,
-        settings.is_first_start,
-    ));
-    tokio::spawn(instance_count::run(
-        gateway.clone(),
-        PlatformStore::new(store),
-        settings.is_first_start,
-    ));
+    follow_store(&gateway, &settings);
     join_peers(&gateway, &settings).await?;
     tokio::spawn(sweep(gateway.clone()));
     tokio::spawn(log_limits(gateway.clone()));
@@ -176,6 +154,32 @@
     Ok(stop::stop(&gateway, stop, serving, grace).await)
 }
 
+/// Starts to follow the store, and to keep in it what must outlive the processes.
+fn follow_store(gateway: &Arc<Gateway<PlatformProtocol>>, settings: &PlatformSettings) {
+    let addr = settings.store.address;
+    let era = StoreEra::new(EraMetrics {
+        era: gateway.metrics.store_era.clone(),
+        unreadable: gateway.metrics.store_eras_unreadable.clone(),
+    });
+    let client = || ObjectClient::with_era(addr, era.clone());
+    let store = PlatformStore::with_era(addr, era.clone());
+    tokio::spawn(store_watch::configuration(gateway.clone(), client()));
+    tokio::spawn(store_watch::endpoints(gateway.clone(), client()));
+    if settings.bounds.evacuate_ms.is_some() {
+        tokio::spawn(store_watch::evacuations(gateway.clone(), client()));
+    }
+    tokio::spawn(block_list::run(
+        gateway.clone(),
+        store.clone(),
+        settings.is_first_start,
+    ));
+    tokio::spawn(instance_count::run(
+        gateway.clone(),
+        store,
+        settings.is_first_start,
+    ));
+}
+
 /// Joins the cluster: starts membership, the exchange and reservations over UDP, and the transfer of copies over TCP.
 async fn join_peers(
     gateway: &Arc<Gateway<PlatformProtocol>>,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -11,4 +11,5 @@
 pub mod objects;
 pub mod settings;
 pub mod store;
+pub mod store_era;
 pub mod store_watch;
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
-    Method, Request, StatusCode,
+    HeaderMap, Method, Request, StatusCode,
     client::conn::http1::{self, SendRequest},
     header::{CONTENT_TYPE, HOST},
 };
@@ -26,6 +26,8 @@
 use tokio::{net::TcpStream, time};
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::platform::store_era::StoreEra;
+
 /// A connection that takes longer will not be established; a call takes some milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Timeout of a call; even a slow store answers within it.
@@ -273,9 +275,17 @@
 /// A client of the store with one persistent connection, which makes one call at a time.
 pub struct ObjectClient {
     addr: SocketAddr,
+    era: StoreEra,
     connection: Option<Connection>,
 }
 
+/// An answer of the store.
+struct Answer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     _driver: AbortOnDropHandle<()>,
@@ -284,8 +294,14 @@
 impl ObjectClient {
     /// Creates a client of the store at `addr`.
     pub fn new(addr: SocketAddr) -> Self {
+        Self::with_era(addr, StoreEra::default())
+    }
+
+    /// Creates a client that shares the newest era with other clients of the same store.
+    pub fn with_era(addr: SocketAddr, era: StoreEra) -> Self {
         Self {
             addr,
+            era,
             connection: None,
         }
     }
@@ -404,8 +420,8 @@
     pub async fn remove(&mut self, kind: &str, name: &str) -> Result<(), CallError> {
         let path = format!("/objects/{kind}/{name}");
         let request = build_request(Method::DELETE, &path, Bytes::new());
-        let (status, _) = self.call(request, CALL_TIMEOUT).await?;
-        match check_status(status) {
+        let answer = self.call(request, CALL_TIMEOUT).await?;
+        match check_status(answer.status) {
             Err(CallError::Refused { status }) if status == StatusCode::NOT_FOUND => Ok(()),
             checked => checked,
         }
@@ -417,10 +433,10 @@
         timeout: Duration,
     ) -> Result<T, CallError> {
         let request = build_request(Method::GET, path, Bytes::new());
-        let (status, body) = self.call(request, timeout).await?;
-        check_status(status)?;
+        let answer = self.call(request, timeout).await?;
+        check_status(answer.status)?;
         // Invalid UTF-8 in one object must not make the others unreadable.
-        serde_json::from_str(&String::from_utf8_lossy(&body)).context(UnreadableSnafu)
+        serde_json::from_str(&String::from_utf8_lossy(&answer.body)).context(UnreadableSnafu)
     }
 
     async fn write<T: Serialize>(
@@ -431,10 +447,10 @@
     ) -> Result<u64, CallError> {
         let body = serde_json::to_vec(object).context(UnreadableSnafu)?;
         let request = build_request(method, path, body.into());
-        let (status, body) = self.call(request, CALL_TIMEOUT).await?;
-        check_status(status)?;
+        let answer = self.call(request, CALL_TIMEOUT).await?;
+        check_status(answer.status)?;
         let written: Object<serde_json::Value> =
-            serde_json::from_slice(&body).context(UnreadableSnafu)?;
+            serde_json::from_slice(&answer.body).context(UnreadableSnafu)?;
         Ok(written.metadata.revision)
     }
 
@@ -448,7 +464,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
         timeout: Duration,
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    ) -> Result<Answer, CallError> {
         let mut connection = match self.connection.take().filter(|c| c.sender.is_ready()) {
             Some(connection) => connection,
             None => self.connect().await?,
@@ -457,6 +473,7 @@
         match answer {
             Ok(Ok(answer)) => {
                 self.connection = Some(connection);
+                self.era.observe(&answer.headers);
                 Ok(answer)
             }
             Ok(Err(reason)) => NoAnswerSnafu { reason }.fail(),
@@ -502,13 +519,15 @@
 async fn exchange(
     sender: &mut SendRequest<Full<Bytes>>,
     request: Request<Full<Bytes>>,
-) -> Result<(StatusCode, Bytes), String> {
+) -> Result<Answer, String> {
     let response = sender.send_request(request).await;
-    let response = response.map_err(|e| e.to_string())?;
-    let status = response.status();
-    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
-    let body = body.collect().await.map_err(|e| e.to_string())?;
-    Ok((status, body.to_bytes()))
+    let (head, body) = response.map_err(|e| e.to_string())?.into_parts();
+    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+    Ok(Answer {
+        status: head.status,
+        headers: head.headers,
+        body: body.map_err(|e| e.to_string())?.to_bytes(),
+    })
 }
 
 fn check_status(status: StatusCode) -> Result<(), CallError> {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -8,7 +8,10 @@
 use tokio::time::{self, Instant};
 
 use crate::{
-    platform::objects::{CallError, Event, Metadata, Object, ObjectClient},
+    platform::{
+        objects::{CallError, Event, Metadata, Object, ObjectClient},
+        store_era::StoreEra,
+    },
     store::{self, ListedInstance, ReadError, Store, WriteError, back_off_delay},
 };
 
@@ -51,16 +54,22 @@
 #[derive(Clone, Debug)]
 pub struct PlatformStore {
     addr: SocketAddr,
+    era: StoreEra,
 }
 
 impl PlatformStore {
     /// Creates a client of the store at `addr`.
     pub fn new(addr: SocketAddr) -> Self {
-        Self { addr }
+        Self::with_era(addr, StoreEra::default())
+    }
+
+    /// Creates a client that shares the newest era with other clients of the same store.
+    pub fn with_era(addr: SocketAddr, era: StoreEra) -> Self {
+        Self { addr, era }
     }
 
     fn client(&self) -> ObjectClient {
-        ObjectClient::new(self.addr)
+        ObjectClient::with_era(self.addr, self.era.clone())
     }
 }
 
--- a/src/platform/store_watch.rs
+++ b/src/platform/store_watch.rs
@@ -137,6 +137,7 @@
     let mut had_changes = true;
     let mut was_suspended = false;
     let mut has_history = true;
+    let mut last_answer = 0;
     loop {
         let is_watcher = gateway.watches_store();
         if !is_watcher || revision.is_none() {
@@ -177,6 +178,8 @@
         match result {
             Ok(answer) => {
                 handler.staleness().query_answered();
+                log_fall(H::KIND, last_answer, answer.revision);
+                last_answer = answer.revision;
                 revision = Some(answer.revision);
                 has_history = true;
                 had_changes = answer.has_changes;
@@ -210,6 +213,13 @@
     }
 }
 
+/// Logs that an answer of the store has a lower revision than the answer before.
+fn log_fall(kind: &'static str, before: u64, revision: u64) {
+    if revision < before {
+        log::warn!(target: "ryevalve::process", kind, before, revision; "store_revision_fell");
+    }
+}
+
 /// Logs a call to the store by an instance that is no watcher.
 fn log_call(kind: &'static str, age_us: Micros, revision: Option<u64>) {
     let age_ms = (age_us < Micros::MAX).then_some(age_us / 1_000);
@@ -443,22 +453,38 @@
         self.logged_unused.remove(&metadata.name);
         let entry = spec.into_entry(&metadata.name);
         let id = entry.id.clone();
+        let draining = entry.draining;
         let upserted = self
             .gateway
             .balancer()
             .upsert_endpoint(entry, metadata.revision);
-        if let Some(change) = upserted {
-            self.gateway.handle_endpoint_change(&id, change, "store");
+        match upserted {
+            Some(change) => self.gateway.handle_endpoint_change(&id, change, "store"),
+            None => self.log_if_outdated(&id, metadata.revision, draining),
         }
     }
 
+    /// Logs a change that had no effect because a newer state of the endpoint is known.
+    fn log_if_outdated(&self, id: &str, revision: u64, draining: bool) {
+        let known_revision = self.gateway.balancer().endpoint_revision(id);
+        let Some(known_revision) = known_revision.filter(|known| *known > revision) else {
+            return;
+        };
+        log::info!(
+            target: "ryevalve::endpoint",
+            endpoint = id, revision, known_revision, draining;
+            "endpoint_change_outdated"
+        );
+    }
+
     fn remove(&self, name: &str, revision: u64) {
         let now_us = self.gateway.clock.now_us();
         let mut balancer = self.gateway.balancer();
         let change = balancer.remove_endpoint(now_us, name, revision);
         drop(balancer);
-        if let Some(change) = change {
-            self.gateway.handle_endpoint_change(name, change, "store");
+        match change {
+            Some(change) => self.gateway.handle_endpoint_change(name, change, "store"),
+            None => self.log_if_outdated(name, revision, true),
         }
     }
 
