A missing entry is kept apart from what the entry says, and no longer at each hop

Cause: an instance that marked an endpoint as lapsed stamped the entry with the position of the absence, so that a stale entry looked newer than a departure that another instance knew; and each instance that took a lapse from another gave it the whole grace period again. Found by a property over random changes, returns of the store, restarts and deltas: after two returns an instance used a start again that it knew to drain. Change: a lapse has its own position and passes on its remaining time. A lapse in progress is not ended by a second list. A removal taken from another instance keeps what was known here of the start and its drain.

--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -265,8 +265,8 @@
     }
 
     /// Returns the changes of the endpoints after a position.
-    pub fn endpoints_delta_since(&self, since: StorePosition) -> EndpointsDelta {
-        self.discovery.delta_since(since)
+    pub fn endpoints_delta_since(&self, now_us: Micros, since: StorePosition) -> EndpointsDelta {
+        self.discovery.delta_since(now_us, since)
     }
 
     /// Applies another instance's endpoints if they are newer; returns what changed.
--- a/src/balance/discovery.rs
+++ b/src/balance/discovery.rs
@@ -58,23 +58,37 @@
 pub struct TrackedEndpoint {
     /// Its latest entry.
     pub entry: Arc<EndpointEntry>,
+    /// The position at which the entry was learned.
+    position: StorePosition,
     /// Set while the entry is missing although the endpoint may be alive.
-    lapsed_until_us: Option<Micros>,
-    /// The position at which this was learned.
+    lapse: Option<Lapse>,
+}
+
+/// The absence of an endpoint's entry.
+#[derive(Clone, Copy, Debug)]
+struct Lapse {
+    /// How long the endpoint is kept.
+    until_us: Micros,
+    /// The position at which the entry was missing.
     position: StorePosition,
 }
 
 impl TrackedEndpoint {
-    /// Returns whether the state shown at `position` is older than the known one, or may be. That an endpoint drains
+    /// Returns whether the entry shown at `position` is older than the known one, or may be. That an endpoint drains
     /// also holds against an older state that the store shows after it came back from a copy.
-    fn is_newer_than(&self, position: StorePosition) -> bool {
-        if self.entry.draining {
+    fn is_newer_than(&self, shown: &EndpointEntry, position: StorePosition) -> bool {
+        if self.entry.draining && !shown.draining {
             position.may_precede(self.position)
         } else {
             position < self.position
         }
     }
 
+    /// Returns whether the entry was missing after `position`.
+    fn is_lapsed_after(&self, position: StorePosition) -> bool {
+        self.lapse.is_some_and(|lapse| lapse.position > position)
+    }
+
     /// Marks the endpoint as draining since an earlier era of the store, if it may be shown as ready only because the
     /// store came back from a copy; returns whether it was marked.
     fn mark_draining_since(&mut self, position: StorePosition) -> bool {
@@ -92,9 +106,18 @@
 pub struct DeltaEntry {
     /// Its latest entry.
     pub entry: EndpointEntry,
-    /// Whether the entry is missing although the endpoint may be alive.
-    pub has_lapsed: bool,
-    /// The position at which this was learned.
+    /// The position at which the entry was learned.
+    pub position: StorePosition,
+    /// Set if the entry is missing although the endpoint may be alive.
+    pub lapse: Option<DeltaLapse>,
+}
+
+/// The absence of an endpoint's entry, in a delta.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DeltaLapse {
+    /// Remaining time for which the endpoint is kept, in microseconds.
+    pub left_us: Micros,
+    /// The position at which the entry was missing.
     pub position: StorePosition,
 }
 
@@ -209,10 +232,10 @@
         if self.removals.iter().any(|r| r.supersedes(&entry, position)) {
             return None;
         }
-        let live = TrackedEndpoint {
+        let mut live = TrackedEndpoint {
             entry: Arc::new(entry),
-            lapsed_until_us: None,
             position,
+            lapse: None,
         };
         let Some(known) = self.by_id.get_mut(&id) else {
             self.by_id.insert(id, live);
@@ -226,11 +249,13 @@
         if known_born_ms > live.entry.born_ms {
             return None;
         }
-        if known.is_newer_than(position) {
+        if known.is_newer_than(&live.entry, position) {
             let is_marked = live.entry.draining && known.mark_draining_since(position);
             return is_marked.then_some(Change::Updated);
         }
-        let changed = known.entry != live.entry || known.lapsed_until_us.is_some();
+        live.lapse = known.lapse.filter(|lapse| lapse.position > position);
+        let is_back = known.lapse.is_some() && live.lapse.is_none();
+        let changed = known.entry != live.entry || is_back;
         *known = live;
         changed.then_some(Change::Updated)
     }
@@ -239,10 +264,12 @@
     pub fn mark_removed(&mut self, now_us: Micros, id: &str, at: StorePosition) -> Option<Change> {
         let Some(known) = self.by_id.get_mut(id) else {
             // Instances behind may still have it.
+            let earlier = self.removals.iter().filter(|r| &*r.id == id);
+            let born_ms = earlier.map(|r| r.born_ms).max().unwrap_or(0);
             self.record_removal(Removal {
                 position: at,
                 id: id.into(),
-                born_ms: 0,
+                born_ms,
                 has_left: true,
             });
             return None;
@@ -250,15 +277,17 @@
         if known.position > at {
             return None;
         }
+        if known.lapse.is_some() && !known.entry.draining {
+            return None;
+        }
         if now_us >= self.grace_until_us || known.entry.draining {
             self.drop_entry(id, at, true);
             return Some(Change::Gone);
         }
-        if known.lapsed_until_us.is_some() {
-            return None;
-        }
-        known.lapsed_until_us = Some(self.grace_until_us);
-        known.position = at;
+        known.lapse = Some(Lapse {
+            until_us: self.grace_until_us,
+            position: at,
+        });
         Some(Change::Lapsed)
     }
 
@@ -286,16 +315,20 @@
     }
 
     /// Returns the changes after a position.
-    pub fn delta_since(&self, since: StorePosition) -> EndpointsDelta {
+    pub fn delta_since(&self, now_us: Micros, since: StorePosition) -> EndpointsDelta {
         let is_whole = since < self.removals_complete_from
             || since == StorePosition::START
             || since.era() != self.position.era();
         let entries = self.by_id.values();
-        let entries = entries.filter(|e| is_whole || e.position > since);
+        let has_changed = |e: &&TrackedEndpoint| e.position > since || e.is_lapsed_after(since);
+        let entries = entries.filter(|e| is_whole || has_changed(e));
         let entries = entries.map(|e| DeltaEntry {
             entry: (*e.entry).clone(),
-            has_lapsed: e.lapsed_until_us.is_some(),
             position: e.position,
+            lapse: e.lapse.map(|lapse| DeltaLapse {
+                left_us: lapse.until_us.saturating_sub(now_us),
+                position: lapse.position,
+            }),
         });
         let is_sent = |r: &&Removal| match is_whole {
             true => r.has_left && r.position.era() < self.position.era(),
@@ -325,11 +358,15 @@
             let id = changed.entry.id.clone();
             let change = self.upsert(changed.entry, changed.position);
             changes.extend(change.map(|c| (id.clone(), c)));
-            if changed.has_lapsed
+            if let Some(lapse) = changed.lapse
                 && let Some(known) = self.by_id.get_mut(&id)
-                && known.position <= changed.position
+                && known.position <= lapse.position
+                && !known.is_lapsed_after(lapse.position)
             {
-                known.lapsed_until_us = Some(now_us + LAPSE_GRACE_US);
+                known.lapse = Some(Lapse {
+                    until_us: now_us + lapse.left_us,
+                    position: lapse.position,
+                });
             }
         }
         for mut removal in delta.removed {
@@ -363,17 +400,19 @@
     }
 
     /// Applies another instance's removal; returns the id if the endpoint was known and is gone now.
-    fn apply_removal(&mut self, removal: Removal) -> Option<Name> {
+    fn apply_removal(&mut self, mut removal: Removal) -> Option<Name> {
         let id = removal.id.clone();
-        let is_known = self.by_id.contains_key(&id);
         let known = self.by_id.get(&id);
-        let is_newer = known.is_some_and(|e| !removal.supersedes(&e.entry, e.position));
-        if is_newer {
+        if known.is_some_and(|e| !removal.supersedes(&e.entry, e.position)) {
             return None;
         }
-        self.by_id.remove(&id);
+        let dropped = self.by_id.remove(&id);
+        if let Some(known) = &dropped {
+            removal.has_left |= known.entry.draining;
+            removal.born_ms = removal.born_ms.max(known.entry.born_ms);
+        }
         self.record_removal(removal);
-        is_known.then_some(id)
+        dropped.map(|_| id)
     }
 
     /// Handles all entries that are missing from a full listing at a position; returns their ids
@@ -401,7 +440,7 @@
     /// Removes endpoints whose grace period is over; returns their ids.
     pub fn expire(&mut self, now_us: Micros) -> Vec<Name> {
         let has_expired =
-            |e: &TrackedEndpoint| e.lapsed_until_us.is_some_and(|until| until <= now_us);
+            |e: &TrackedEndpoint| e.lapse.is_some_and(|lapse| lapse.until_us <= now_us);
         let expired = self.by_id.iter().filter(|(_, e)| has_expired(e));
         let expired: Vec<Name> = expired.map(|(id, _)| id.clone()).collect();
         for id in &expired {
--- a/src/gateway/copies.rs
+++ b/src/gateway/copies.rs
@@ -225,7 +225,9 @@
     }
 
     fn pack(&self, since: StorePosition) -> io::Result<PackedEndpoints> {
-        let copy = self.source.gateway.balancer().endpoints_delta_since(since);
+        let gateway = &self.source.gateway;
+        let now_us = gateway.clock.now_us();
+        let copy = gateway.balancer().endpoints_delta_since(now_us, since);
         let packed = PackedEndpoints {
             since,
             position: copy.position,
--- a/tests/edge/store_lists.rs
+++ b/tests/edge/store_lists.rs
@@ -100,7 +100,7 @@
 fn delta_entry(number: usize) -> DeltaEntry {
     DeltaEntry {
         entry: endpoint(&id(number)),
-        has_lapsed: false,
+        lapse: None,
         position: at(1),
     }
 }
--- a/tests/gateway/discovery.rs
+++ b/tests/gateway/discovery.rs
@@ -81,7 +81,7 @@
     behind.advance_to(at(3));
     assert!(
         ahead
-            .apply_delta(SECOND, behind.delta_since(StorePosition::START))
+            .apply_delta(SECOND, behind.delta_since(SECOND, StorePosition::START))
             .is_empty()
     );
     assert!(ahead.get("b").is_none());
@@ -114,7 +114,7 @@
             }
             watcher.advance_to(at(revision));
             if applies_delta {
-                let delta = watcher.delta_since(follower.position());
+                let delta = watcher.delta_since(SECOND, follower.position());
                 follower.apply_delta(SECOND, delta);
                 for index in 0..12 {
                     let id = format!("e{index}");
@@ -193,7 +193,7 @@
                     sets[one].advance_to(at(newest));
                 }
                 _ => {
-                    let delta = sets[other].delta_since(sets[one].position());
+                    let delta = sets[other].delta_since(SECOND, sets[one].position());
                     sets[one].apply_delta(SECOND, delta);
                 }
             }
--- a/tests/gateway/growth.rs
+++ b/tests/gateway/growth.rs
@@ -69,7 +69,7 @@
         source.advance_to(at(count as u64 + 1));
         let mut target = Discovery::default();
         target.upsert(entry("i-gone", "a", 8), at(1));
-        target.apply_delta(0, source.delta_since(StorePosition::START));
+        target.apply_delta(0, source.delta_since(0, StorePosition::START));
         assert!(target.get("i-gone").is_none());
         target.len()
     });
--- a/tests/gateway/leaving.rs
+++ b/tests/gateway/leaving.rs
@@ -178,7 +178,7 @@
                 7 => { balancer.record_limit(now_us, key, 0, &LimitHeader::Absent); }
                 // The endpoints of the other instance are copied, and its updates are received.
                 8 => {
-                    let copy = both[1 - index].endpoints_delta_since(both[index].endpoints_position());
+                    let copy = both[1 - index].endpoints_delta_since(now_us, both[index].endpoints_position());
                     both[index].apply_endpoints_delta(now_us, copy);
                 }
                 _ => {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -35,6 +35,7 @@
 mod routes;
 mod settings;
 mod staleness;
+mod store_returns;
 mod summary;
 mod support;
 mod surge;
--- a/tests/gateway/restarts.rs
+++ b/tests/gateway/restarts.rs
@@ -208,7 +208,7 @@
                     sets[one].advance_to(at(watched[one]));
                 }
                 Step::ApplyDelta(one, other) => {
-                    let delta = sets[other].delta_since(sets[one].position());
+                    let delta = sets[other].delta_since(SECOND, sets[one].position());
                     sets[one].apply_delta(SECOND, delta);
                 }
             }
