Own objects: what the store lost by a return from a copy is written again

Cause: the list of blocked requests and the number of instances were remembered as stored, whatever happened to the store since. After it came back from a copy without them, an instance that starts without peers would find nothing, and nothing wrote them again. Change: both remember the era in which they were read or written, and are read again, and written if out of date, once a newer era is seen. A call during which the era changed counts as one of the earlier era.

--- a/src/gateway/block_list.rs
+++ b/src/gateway/block_list.rs
@@ -14,7 +14,7 @@
     gateway::{protocol::Protocol, state::Gateway},
     limits::suspects::SuspectUpdate,
     prelude::Micros,
-    store::{Store, WriteError},
+    store::{ObjectEra, Store, WriteError},
 };
 
 /// The store key of the list.
@@ -37,6 +37,7 @@
 /// The store's list as last read or written.
 #[derive(Debug, Default)]
 struct Stored {
+    era: ObjectEra,
     version: u64,
     suspects: Vec<SuspectUpdate>,
 }
@@ -93,6 +94,7 @@
         if !self.gateway.watches_store() || now_us < self.next_call_us {
             return;
         }
+        self.forget_if_lost();
         let Some(stored) = &self.stored else {
             return self.read().await;
         };
@@ -113,13 +115,34 @@
         }
     }
 
+    /// Forgets what the store has after it came back from a copy, so that the list is read again.
+    fn forget_if_lost(&mut self) {
+        let era = self.store.era();
+        if self
+            .stored
+            .take_if(|stored| stored.era.may_be_lost(era))
+            .is_some()
+        {
+            log::info!(target: "ryevalve::process", era; "block_list_may_be_lost");
+        }
+    }
+
     async fn read(&mut self) {
-        match self.store.read(KEY).await {
-            Ok(None) => self.stored = Some(Stored::default()),
+        let era_before = self.store.era();
+        let read = self.store.read(KEY).await;
+        let era = ObjectEra::of_call(era_before, self.store.era());
+        match read {
+            Ok(None) => {
+                self.stored = Some(Stored {
+                    era,
+                    ..Stored::default()
+                });
+            }
             Ok(Some(object)) => {
                 let list = decode(&object.value);
                 self.merge(&list);
                 self.stored = Some(Stored {
+                    era,
                     version: object.version,
                     suspects: list.suspects,
                 });
@@ -151,12 +174,16 @@
         // Plain data like this always serialises to postcard.
         let bytes = postcard::to_stdvec(&list).unwrap_or_default();
         self.pending = PendingWrite::Nothing;
+        let era_before = self.store.era();
         match self.store.write(KEY, bytes.into(), version).await {
             Ok(version) => {
                 let requests = list.suspects.len();
                 log::info!(target: "ryevalve::process", requests; "block_list_written");
-                let suspects = list.suspects;
-                self.stored = Some(Stored { version, suspects });
+                self.stored = Some(Stored {
+                    era: ObjectEra::of_call(era_before, self.store.era()),
+                    version,
+                    suspects: list.suspects,
+                });
             }
             // Another instance has written the list, or an earlier write of this one succeeded after all.
             Err(WriteError::Conflict) => self.stored = None,
--- a/src/gateway/instance_count.rs
+++ b/src/gateway/instance_count.rs
@@ -10,7 +10,7 @@
 use crate::{
     gateway::{protocol::Protocol, state::Gateway},
     prelude::Micros,
-    store::{Store, WriteError},
+    store::{ObjectEra, Store, WriteError},
 };
 
 /// The store key of the number.
@@ -29,6 +29,7 @@
 /// The number in the store; 0 if there is none.
 #[derive(Clone, Copy, Debug, Default)]
 struct Stored {
+    era: ObjectEra,
     version: u64,
     instances: u32,
 }
@@ -68,6 +69,9 @@
         }
         let is_known = self.gateway.quota.knows_instance_count();
         let is_writer = self.gateway.quota.is_first_server();
+        if is_writer {
+            self.forget_if_lost();
+        }
         if self.stored.is_none() && (!is_known || is_writer) {
             return self.read().await;
         }
@@ -76,14 +80,29 @@
         }
     }
 
+    /// Forgets the stored number after the store came back from a copy, so that it is read again.
+    fn forget_if_lost(&mut self) {
+        let era = self.store.era();
+        if self
+            .stored
+            .take_if(|stored| stored.era.may_be_lost(era))
+            .is_some()
+        {
+            log::info!(target: "ryevalve::process", era; "instance_count_may_be_lost");
+        }
+    }
+
     async fn read(&mut self) {
+        let era_before = self.store.era();
         match self.store.read(KEY).await {
             Ok(object) => {
-                let stored = object.map_or(Stored::default(), |object| Stored {
-                    version: object.version,
-                    instances: decode(&object.value),
-                });
-                let Stored { instances, .. } = stored;
+                let (version, instances) =
+                    object.map_or((0, 0), |object| (object.version, decode(&object.value)));
+                let stored = Stored {
+                    era: ObjectEra::of_call(era_before, self.store.era()),
+                    version,
+                    instances,
+                };
                 log::info!(target: "ryevalve::process", instances; "instance_count_read");
                 let now_us = self.gateway.clock.now_us();
                 self.gateway.quota.restore_instance_count(now_us, instances);
@@ -112,10 +131,15 @@
             return;
         }
         let value = instances.to_string();
+        let era_before = self.store.era();
         match self.store.write(KEY, value.into(), stored.version).await {
             Ok(version) => {
                 log::info!(target: "ryevalve::process", instances; "instance_count_written");
-                self.stored = Some(Stored { version, instances });
+                self.stored = Some(Stored {
+                    era: ObjectEra::of_call(era_before, self.store.era()),
+                    version,
+                    instances,
+                });
             }
             // Written by another instance, or by an earlier call of this one whose answer was lost.
             Err(WriteError::Conflict) => self.stored = None,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -138,6 +138,10 @@
         }
     }
 
+    fn era(&self) -> u64 {
+        self.era.newest()
+    }
+
     async fn instances(&self) -> Result<Vec<ListedInstance>, ReadError> {
         let listing = self.client().list(INSTANCE_KIND).await;
         let listing = listing.map_err(|error| unavailable(&error))?;
--- a/src/store.rs
+++ b/src/store.rs
@@ -91,6 +91,10 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Option<Object>, ReadError>> + Send;
 
+    /// Returns the newest era of the store that an answer has shown; 0 before the first one, or if the store has no
+    /// eras. What was read or written in an earlier era may be lost, because the store came back from a copy.
+    fn era(&self) -> u64;
+
     /// Reads the instance list.
     ///
     /// # Errors
@@ -98,6 +102,27 @@
     fn instances(&self) -> impl Future<Output = Result<Vec<ListedInstance>, ReadError>> + Send;
 }
 
+/// The era of the store in which an object was read or written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ObjectEra(u64);
+
+impl ObjectEra {
+    /// Returns the era of an object whose call was made while `before` was the newest era and answered while `after`
+    /// was. If it changed meanwhile, the object may be of either, so the earlier one counts.
+    pub fn of_call(before: u64, after: u64) -> Self {
+        match before {
+            0 => Self(after),
+            _ => Self(before),
+        }
+    }
+
+    /// Returns whether the store may have lost the object, now that `newest` is the newest era. An object that was not
+    /// read from the store has no era, and cannot be lost.
+    pub fn may_be_lost(self, newest: u64) -> bool {
+        self.0 != 0 && self.0 != newest
+    }
+}
+
 const RETRY_BASE_MS: u64 = 40;
 
 /// Returns the randomised, exponentially growing delay before retry number `attempt`.
--- a/tests/edge/cluster.rs
+++ b/tests/edge/cluster.rs
@@ -24,7 +24,8 @@
     limits::{permits::ColdTolerance, quota::Tolerance, retries::RetryBounds},
     peers::{datagram::MemberInfo, gossip::Gossip, membership::Membership, rpc::SealedCodec},
     platform::{
-        edge, headers::PlatformProtocol, objects::ObjectClient, store::PlatformStore, store_watch,
+        edge, headers::PlatformProtocol, objects::ObjectClient, store::PlatformStore,
+        store_era::StoreEra, store_watch,
     },
     prelude::{Incarnation, Micros, Name},
 };
@@ -80,6 +81,7 @@
     pub gossip: Arc<Gossip>,
     pub codec: SealedCodec,
     exchange: Arc<Exchange<PlatformProtocol>>,
+    store_era: StoreEra,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -150,6 +152,7 @@
             gossip,
             codec,
             exchange,
+            store_era: StoreEra::default(),
             tasks,
         }
     }
@@ -183,7 +186,7 @@
 
     /// Syncs the block list with the store at `addr`, as an instance that is not the first to start.
     pub fn sync_block_list(&mut self, addr: SocketAddr) {
-        let list = PlatformStore::new(addr);
+        let list = PlatformStore::with_era(addr, self.store_era.clone());
         let syncing = block_list::run(self.gateway.clone(), list, false);
         self.tasks.push(tokio::spawn(syncing));
     }
@@ -191,14 +194,11 @@
     /// Follows the endpoints and the configuration in the store at `addr`.
     pub fn follow(&mut self, addr: SocketAddr) {
         let gateway = self.gateway.clone();
-        let client = ObjectClient::new(addr);
-        self.tasks.push(tokio::spawn(store_watch::endpoints(
-            gateway.clone(),
-            client,
-        )));
-        let client = ObjectClient::new(addr);
-        self.tasks
-            .push(tokio::spawn(store_watch::configuration(gateway, client)));
+        let client = || ObjectClient::with_era(addr, self.store_era.clone());
+        let endpoints = store_watch::endpoints(gateway.clone(), client());
+        let configuration = store_watch::configuration(gateway, client());
+        self.tasks.push(tokio::spawn(endpoints));
+        self.tasks.push(tokio::spawn(configuration));
     }
 
     /// Follows the store's evacuations, which must take effect within `bound`.
@@ -209,7 +209,7 @@
             evacuate: Some(StalenessBound(bound_us)),
             ..gateway.bounds()
         });
-        let client = ObjectClient::new(addr);
+        let client = ObjectClient::with_era(addr, self.store_era.clone());
         self.tasks
             .push(tokio::spawn(store_watch::evacuations(gateway, client)));
     }
--- a/tests/edge/poison_requests.rs
+++ b/tests/edge/poison_requests.rs
@@ -263,6 +263,24 @@
     );
 }
 
+/// The list in the store is written again, once, after the store came back from a copy without it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_block_list_that_the_store_lost_is_written_again() {
+    let site = start(116, 3).await;
+    let is_stored = || site.platform.get("blocked-requests").is_some();
+    site.platform.take_copy();
+    let body = format!("written {POISON}");
+    site.send_attempts("/again/w", &body).await;
+    until("the list to be written", is_stored).await;
+    time::sleep(2 * SYNC_TIME).await;
+    site.platform.return_to_copy();
+    assert!(!is_stored(), "the list is lost");
+    let before = site.platform.counts().writes;
+    until("the list to be written again", is_stored).await;
+    time::sleep(SYNC_TIME).await;
+    assert_eq!(site.platform.counts().writes - before, 1);
+}
+
 /// The log lines of one instance show an operator why a request is blocked: the endpoints that it crashed before.
 #[tokio::test]
 async fn log_lines_link_a_refusal_to_the_crashed_endpoints() {
