Evacuations that the store lost hold until they are written again

Cause: after a return from a copy without an evacuation that the store had acknowledged, the list of the new era ended it at all instances until the operator wrote it again. Change: what was in force before the return and is missing after it stays in force for up to 60 s, until it is written again or withdrawn; a line evacuation_kept names each.

--- a/src/platform/store_watch.rs
+++ b/src/platform/store_watch.rs
@@ -605,15 +605,51 @@
     watch_kind(&gateway, store, handler).await;
 }
 
+/// Evacuations that the store lost by coming back from a copy stay in force for this long, unless they are written again
+/// or withdrawn before. Without a limit, one that nobody writes again could not be withdrawn.
+const LOST_EVACUATION_GRACE_US: Micros = 60_000_000;
+
 struct EvacuationHandler<P: Protocol> {
     gateway: Arc<Gateway<P>>,
     /// The evacuated data centres according to the store.
     evacuated: BTreeSet<Name>,
+    /// The era of the store's last answer; 0 before the first.
+    era: u64,
+    /// Evacuations that the store lost, and how long they stay in force.
+    lost: BTreeSet<Name>,
+    lost_until_us: Micros,
 }
 
 impl<P: Protocol> EvacuationHandler<P> {
-    fn publish(&self, position: StorePosition, sent_us: Micros) {
-        let (set, left_out) = EvacuationSet::new(position, self.evacuated.iter().cloned());
+    /// Keeps the evacuations in force that the store does not show any more if it came back from a copy.
+    fn keep_lost(&mut self, position: StorePosition) {
+        let known = self.gateway.evacuations.known();
+        let is_first_answer = self.era == 0;
+        let known_era = match is_first_answer {
+            true => known.position.era(),
+            false => self.era,
+        };
+        if known_era < position.era() {
+            let lost = known.data_centres.into_iter();
+            self.lost = lost.filter(|name| !self.evacuated.contains(name)).collect();
+            self.lost_until_us = self.gateway.clock.now_us() + LOST_EVACUATION_GRACE_US;
+            for data_centre in &self.lost {
+                log::warn!(
+                    target: "ryevalve::process",
+                    data_centre = &**data_centre, era = position.era(), era_before = known_era;
+                    "evacuation_kept"
+                );
+            }
+        }
+        self.era = position.era();
+    }
+
+    fn publish(&mut self, position: StorePosition, sent_us: Micros) {
+        if self.gateway.clock.now_us() >= self.lost_until_us {
+            self.lost.clear();
+        }
+        let evacuated = self.evacuated.union(&self.lost).cloned();
+        let (set, left_out) = EvacuationSet::new(position, evacuated);
         if left_out > 0 {
             log::error!(target: "ryevalve::process", left_out; "evacuations_left_out");
         }
@@ -650,6 +686,7 @@
         for skipped in listing.unreadable {
             self.insert_unreadable(skipped);
         }
+        self.keep_lost(listing.position);
         self.publish(listing.position, sent_us);
     }
 
@@ -661,6 +698,7 @@
                 }
                 Event::Deleted(name) => {
                     self.evacuated.remove(name.as_str());
+                    self.lost.remove(name.as_str());
                 }
                 Event::Unreadable(skipped) => self.insert_unreadable(skipped),
             }
@@ -674,6 +712,9 @@
     let handler = EvacuationHandler {
         gateway: gateway.clone(),
         evacuated: BTreeSet::new(),
+        era: 0,
+        lost: BTreeSet::new(),
+        lost_until_us: 0,
     };
     watch_kind(&gateway, store, handler).await;
 }
--- a/tests/edge/store_returns.rs
+++ b/tests/edge/store_returns.rs
@@ -201,6 +201,25 @@
     assert_evacuated(&site, false).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_evacuation_that_a_return_lost_holds_until_it_is_written_again_and_withdrawn() {
+    let site = start(117, 7).await;
+    site.platform.take_copy();
+    site.platform.set("evacuations", "b", Value::Null);
+    assert_evacuated(&site, true).await;
+    return_to_copy(&site, |_| ()).await;
+    let returned = Instant::now();
+    while returned.elapsed() < 2 * EVACUATE {
+        let mut instances = site.instances.iter();
+        assert!(instances.all(|i| i.gateway.evacuations.contains("b")));
+        time::sleep(Duration::from_millis(20)).await;
+    }
+    site.platform.set("evacuations", "b", Value::Null);
+    time::sleep(RECOVERY).await;
+    site.platform.remove("evacuations", "b");
+    assert_evacuated(&site, false).await;
+}
+
 /// The copy shows two endpoints as ready of which one was draining and one was gone, and they write it again later.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_endpoint_that_left_before_a_return_gets_no_requests_because_the_copy_shows_it() {
