Soak: the store comes back from a copy, in series and among other faults

The store is copied, goes on for .3 to 3 s, is away for 200 ms and comes back from the copy; after half a second the operator's and endpoints' lost writes are repeated, except to objects written since.

--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -127,6 +127,39 @@
     compacted_revision: u64,
 }
 
+/// A write that was lost when the store came back from a copy.
+#[derive(Clone, Debug)]
+pub struct LostWrite {
+    key: (String, String),
+    /// The object's revision in the copy, if it is there.
+    copied_revision: Option<u64>,
+    /// What was written; none for a deletion.
+    spec: Option<Value>,
+}
+
+/// Returns the writes of other writers than ryevalve since a copy.
+fn lost_writes(copy: &Copied, objects: &BTreeMap<(String, String), Stored>) -> Vec<LostWrite> {
+    let copied_revision = |key: &(String, String)| copy.objects.get(key).map(|o| o.revision);
+    let written = objects
+        .iter()
+        .filter(|(key, object)| copied_revision(key) != Some(object.revision));
+    let written = written.map(|(key, object)| (key, Some(object.spec.clone())));
+    let deleted = copy
+        .objects
+        .keys()
+        .filter(|key| !objects.contains_key(*key));
+    let deleted = deleted.map(|key| (key, None));
+    let others = written
+        .chain(deleted)
+        .filter(|((kind, _), _)| kind != OWN_KIND);
+    let lost = others.map(|(key, spec)| LostWrite {
+        key: key.clone(),
+        copied_revision: copied_revision(key),
+        spec,
+    });
+    lost.collect()
+}
+
 struct State {
     /// Rises by one each time the store comes back from a copy.
     era: u64,
@@ -313,13 +346,15 @@
         });
     }
 
-    /// Comes back from the last copy: what was written since is lost, and its revisions are assigned again.
+    /// Comes back from the last copy: what was written since is lost, and its revisions are assigned again. Returns the
+    /// latest of the lost writes to each object that is not ryevalve's own.
     ///
     /// # Panics
     /// Panics if no copy was taken.
-    pub fn return_to_copy(&self) {
+    pub fn return_to_copy(&self) -> Vec<LostWrite> {
         let mut state = self.lock();
         let copy = state.copy.clone().expect("a copy was taken");
+        let lost = lost_writes(&copy, &state.objects);
         state.era += 1;
         state.revision = copy.revision;
         state.objects = copy.objects;
@@ -327,6 +362,27 @@
         state.compacted_revision = copy.compacted_revision;
         drop(state);
         self.wake();
+        lost
+    }
+
+    /// Repeats lost writes, as their writers do, except to objects that were written since the return.
+    pub fn write_again(&self, lost: Vec<LostWrite>) {
+        let mut state = self.lock();
+        for write in lost {
+            let (kind, name) = &write.key;
+            let is_copied = state.revision_of(kind, name) == write.copied_revision;
+            match write.spec {
+                Some(spec) if is_copied => {
+                    state.set(kind, name, spec);
+                }
+                None if is_copied => {
+                    state.remove(kind, name);
+                }
+                _ => {}
+            }
+        }
+        drop(state);
+        self.wake();
     }
 
     /// Returns the number of calls so far.
--- a/standins/src/soak/faults.rs
+++ b/standins/src/soak/faults.rs
@@ -20,6 +20,11 @@
 /// Duration of a fault, in milliseconds.
 const DURATION_MS: std::ops::Range<u64> = 300..3_000;
 
+/// How long the store is away before it comes back from a copy.
+const STORE_AWAY: Duration = Duration::from_millis(200);
+/// Time after which writers repeat what the store lost.
+const WRITE_AGAIN_DELAY: Duration = Duration::from_millis(500);
+
 #[derive(Clone, Copy, Debug)]
 enum SoakFault {
     Kill,
@@ -33,6 +38,7 @@
     EndpointPath(Mode),
     RevokeKey,
     Drain,
+    StoreReturn,
 }
 
 fn draw(rng: &mut ChaCha8Rng) -> SoakFault {
@@ -50,7 +56,7 @@
         Fault::Unframed,
         Fault::Unsigned,
     ];
-    match rng.random_range(0..17) {
+    match rng.random_range(0..19) {
         0 | 1 => SoakFault::Kill,
         2 => SoakFault::Freeze,
         3 => SoakFault::Stop,
@@ -61,7 +67,8 @@
         9..=13 => SoakFault::Endpoint(faults[rng.random_range(0..faults.len())]),
         14 => SoakFault::EndpointPath(mode),
         15 => SoakFault::RevokeKey,
-        _ => SoakFault::Drain,
+        16 => SoakFault::Drain,
+        _ => SoakFault::StoreReturn,
     }
 }
 
@@ -137,9 +144,23 @@
             time::sleep(duration).await;
             world.register_endpoint(endpoint, "ready");
         }
+        SoakFault::StoreReturn => return_store_to_copy(&world, duration).await,
     }
 }
 
+/// Lets the store come back from a copy that is `age` old after it was away for a moment. The writers then repeat what
+/// was lost.
+async fn return_store_to_copy(world: &World, age: Duration) {
+    world.platform.take_copy();
+    time::sleep(age).await;
+    world.platform.fault(|f| f.down = true);
+    time::sleep(STORE_AWAY).await;
+    let lost = world.platform.return_to_copy();
+    world.platform.fault(|f| f.down = false);
+    time::sleep(WRITE_AGAIN_DELAY).await;
+    world.platform.write_again(lost);
+}
+
 /// Clears all faults, including those that overlapping faults left in place.
 fn clear_all(world: &World) {
     for proxy in world.store_proxies.iter().chain(&world.runner_proxies) {
