After a return from a copy, a list of many pages does not stop at the first

Cause: an instance that may get a long list from its peers waits for them after the first page, until what it knows is fresh. Right after the store came back from a copy its own state of before is still fresh, so it took that for the peers' and went on from a position that the store does not have, again and again until its state had aged: 1.66 s until a drain was known (400 endpoints, eight pages), where 2 s are allowed in all. Change: the state has to be of the era of the first page. Two more tests: pages and watches of two eras are not combined, and an answer of an era that has ended, or without a readable era.

--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -153,6 +153,11 @@
 }
 
 impl<T> PartialListing<T> {
+    /// Returns the era of the pages; 0 before the first.
+    pub fn era(&self) -> u64 {
+        self.listing.position.era()
+    }
+
     /// Returns whether no page has been read yet.
     pub fn is_empty(&self) -> bool {
         self.after.is_none()
@@ -169,7 +174,7 @@
 
     /// Returns whether an answer is of another era than the pages read so far.
     fn is_of_other_era(&self, era: u64) -> bool {
-        !self.is_empty() && self.listing.position.era() != era
+        !self.is_empty() && self.era() != era
     }
 
     /// Adds a page; returns whether it was the last.
--- a/src/platform/store_watch.rs
+++ b/src/platform/store_watch.rs
@@ -314,7 +314,7 @@
     let mut listing = store.list_page(H::KIND, &mut progress.pages).await?;
     if listing.is_none()
         && !is_resumed
-        && let Some(position) = fetched_from_peers(gateway, handler).await
+        && let Some(position) = fetched_from_peers(gateway, handler, progress.pages.era()).await
     {
         progress.pages = PartialListing::default();
         return Ok(Answer {
@@ -336,11 +336,12 @@
     })
 }
 
-/// Waits until peers have supplied the missing state, so that the rest of the list need not be read; returns the
-/// position of that state, or none after a timeout.
+/// Waits until peers have supplied the missing state of `era` or a later one, so that the rest of the list need not be
+/// read; returns the position of that state, or none after a timeout.
 async fn fetched_from_peers<P: Protocol, H: KindHandler>(
     gateway: &Gateway<P>,
     handler: &H,
+    era: u64,
 ) -> Option<StorePosition> {
     if !gateway.fetches_at_start() {
         return None;
@@ -353,7 +354,8 @@
     loop {
         let now_us = gateway.clock.now_us();
         let is_fresh = handler.staleness().age_us(now_us) < handler.bound().store_query_age_us(0);
-        if is_fresh && let Some(position) = handler.known_position() {
+        let known = handler.known_position();
+        if is_fresh && let Some(position) = known.filter(|known| known.era() >= era) {
             return Some(position);
         }
         if now_us >= until_us {
--- a/tests/edge/store_lists.rs
+++ b/tests/edge/store_lists.rs
@@ -5,14 +5,18 @@
 //! instances, the processes list at once and the store refuses calls; some restarts then took 30 s to serve again and
 //! others 9 s, but these tests do not show that this was the cause.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use ryevalve::balance::discovery::{DeltaEntry, EndpointsDelta};
+use assert_matches::assert_matches;
+use ryevalve::{
+    balance::discovery::{DeltaEntry, EndpointsDelta},
+    platform::objects::{CallError, ObjectClient, PartialListing},
+};
 use serde_json::{Value, json};
 use standins::platform::Platform;
 
 use crate::{
-    cluster::{Instance, InstanceSpec, endpoint, free_port, until},
+    cluster::{DRAIN, Instance, InstanceSpec, endpoint, free_port, until},
     support::{at, config},
 };
 
@@ -131,6 +135,71 @@
     assert!(calls <= 4, "{calls} calls, while a list alone takes eight");
 }
 
+/// Guards against an instance that takes its own state of before for one that peers supplied since the store came back
+/// from a copy: after the first page it then goes on from a position that the store does not have.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_with_fresh_endpoints_lists_all_pages_after_a_return_from_a_copy() {
+    let platform = start_store().await;
+    let mut instance = start_instance(64).await;
+    instance.gateway.set_fetches_at_start();
+    instance.follow(platform.addr());
+    until("all endpoints to be known", || {
+        instance.gateway.balancer().endpoint_count() == ENDPOINTS
+    })
+    .await;
+    platform.take_copy();
+    platform.set("servers", &id(0), entry("draining"));
+    until("the endpoint to be draining", || is_draining(&instance, 0)).await;
+    platform.return_to_copy();
+    platform.set("servers", &id(1), entry("draining"));
+    let written = Instant::now();
+    let before = platform.counts().reads;
+    until("the endpoint to be draining", || is_draining(&instance, 1)).await;
+    eprintln!(
+        "{:?} {}",
+        written.elapsed(),
+        platform.counts().reads - before
+    );
+    assert!(written.elapsed() < DRAIN, "{:?}", written.elapsed());
+}
+
+#[tokio::test]
+async fn pages_and_watches_of_another_era_are_not_combined() {
+    let platform = start_store().await;
+    let mut client = ObjectClient::new(platform.addr());
+    platform.take_copy();
+    let mut pages = PartialListing::<Value>::default();
+    let page = client.list_page("servers", &mut pages).await;
+    assert!(page.expect("a page").is_none());
+    platform.return_to_copy();
+    let page = client.list_page("servers", &mut pages).await;
+    assert_matches!(page, Err(CallError::EraChanged));
+    let listing = client.complete_list("servers", &mut pages).await;
+    let listing = listing.expect("a list");
+    assert_eq!(listing.items.len(), ENDPOINTS);
+    platform.return_to_copy();
+    platform.set("servers", &id(0), entry("draining"));
+    let changes = client.watch::<Value>("servers", listing.position, Duration::ZERO);
+    assert_matches!(changes.await, Err(CallError::EraChanged));
+}
+
+#[tokio::test]
+async fn an_answer_of_an_era_that_has_ended_counts_as_none() {
+    let platform = start_store().await;
+    let mut client = ObjectClient::new(platform.addr());
+    platform.take_copy();
+    platform.return_to_copy();
+    client.list::<Value>("servers").await.expect("a list");
+    platform.fault(|f| f.era_header = Some("1".into()));
+    let late = client.list::<Value>("servers").await;
+    assert_matches!(late, Err(CallError::NoAnswer { .. }));
+    for unreadable in ["", "soon", "-1"] {
+        platform.fault(|f| f.era_header = Some(unreadable.into()));
+        let listing = client.list::<Value>("servers").await.expect("a list");
+        assert_eq!(listing.position.era(), 2, "as the newest");
+    }
+}
+
 /// Guards against an instance that waits for peers forever once the store no longer has the history of changes.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_instance_lists_again_if_the_history_is_gone_and_no_peer_helps() {
