--- a/tests/edge/store_lists.rs
+++ b/tests/edge/store_lists.rs
@@ -153,14 +153,9 @@
     platform.return_to_copy();
     platform.set("servers", &id(1), entry("draining"));
     let written = Instant::now();
-    let before = platform.counts().reads;
     until("the endpoint to be draining", || is_draining(&instance, 1)).await;
-    eprintln!(
-        "{:?} {}",
-        written.elapsed(),
-        platform.counts().reads - before
-    );
-    assert!(written.elapsed() < DRAIN, "{:?}", written.elapsed());
+    // The rest of the time is for the other instances.
+    assert!(written.elapsed() < DRAIN / 2, "{:?}", written.elapsed());
 }
 
 #[tokio::test]
