--- a/tests/gateway/store_returns.rs
+++ b/tests/gateway/store_returns.rs
@@ -72,9 +72,9 @@
     let delta = knows.delta_since(SECOND, StorePosition::START);
     let changes = started_later.apply_delta(SECOND, delta);
     assert_eq!(changes, vec![("a".into(), Change::Gone)]);
-    let shown_again = started_later.upsert(start_of("a", 1, false), position(2, 5));
+    let shown_again = started_later.upsert(start_of("a", 1, false), position(3, 5));
     assert_eq!(shown_again, None);
-    let next_start = started_later.upsert(start_of("a", 2, false), position(2, 8));
+    let next_start = started_later.upsert(start_of("a", 2, false), position(3, 8));
     assert_eq!(next_start, Some(Change::Appeared));
 }
 
