--- a/src/balance/discovery.rs
+++ b/src/balance/discovery.rs
@@ -67,7 +67,7 @@
 /// The absence of an endpoint's entry.
 #[derive(Clone, Copy, Debug)]
 struct Lapse {
-    /// How long the endpoint is kept.
+    /// Time until which the endpoint is kept.
     until_us: Micros,
     /// The position at which the entry was missing.
     position: StorePosition,
--- a/tests/edge/store_lists.rs
+++ b/tests/edge/store_lists.rs
@@ -135,8 +135,7 @@
     assert!(calls <= 4, "{calls} calls, while a list alone takes eight");
 }
 
-/// Guards against an instance that takes its own state of before for one that peers supplied since the store came back
-/// from a copy: after the first page it then goes on from a position that the store does not have.
+/// Guards against an instance that stops after the first page because its own state from before the return is fresh.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_instance_with_fresh_endpoints_lists_all_pages_after_a_return_from_a_copy() {
     let platform = start_store().await;
