--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod pool;
 pub mod prelude;
 pub mod replay;
+pub mod rollouts;
 pub mod settings;
 pub mod store;
 pub mod store_position;
--- /dev/null
+++ b/src/rollouts/mod.rs
@@ -0,0 +1,58 @@
+//! Roll-outs of a service's version: which share of the requests endpoints of the target version get, whether that
+//! version is good, and when the roll-out is completed or rolled back.
+//!
+//! Without a clock or socket of its own, so that tests can drive it step by step.
+
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::{Micros, Name};
+
+/// Identifies an order: a hash of the object's creation, its service and its target version. An order that was deleted
+/// and created again is another order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct OrderId(pub u64);
+
+/// An operator's order to move a service to a version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutOrder {
+    /// Identifies the order.
+    pub id: OrderId,
+    /// The service.
+    pub service: Name,
+    /// The version that its requests are to move to.
+    pub target_version: Name,
+    /// Time within which the roll-out is to be completed or rolled back.
+    pub duration_us: Micros,
+}
+
+/// The endpoints of a service during a roll-out, by their version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum VersionGroup {
+    /// Endpoints of the target version.
+    Target,
+    /// Endpoints of any other version.
+    Others,
+}
+
+/// Which endpoints of its service a request may be sent to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum VersionChoice {
+    /// All endpoints; the service has no roll-out.
+    #[default]
+    Any,
+    /// Endpoints of the group only.
+    Only(VersionGroup),
+    /// Endpoints of the target version as long as one of them has a free slot, else the others.
+    PreferTarget,
+}
+
+/// What an endpoint's answer says about its version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AnswerQuality {
+    /// A whole answer in about the time expected.
+    Good,
+    /// A failure that the endpoint is answerable for, or no usable answer.
+    Failed,
+    /// A whole answer that took several times the time expected.
+    Slow,
+}
