Shares of a service's room among organisations

Change: src/shares/ (demand, level, picture, room, return order, admission) decides before a place is sought; the demand travels with the load reports, only in a shortage. Limited organisations leave half of the queues to others.

--- a/benches/placing.rs
+++ b/benches/placing.rs
@@ -11,6 +11,7 @@
         regions::AllowedRegions,
     },
     prelude::{Incarnation, StorePosition},
+    shares::admission::Standing,
 };
 
 /// Endpoints, in three halls.
@@ -62,6 +63,7 @@
         deadline_us: now_us + 15_000_000,
         rank: 0,
         other_hall_cost: 0.05,
+        standing: Standing::Within,
         allowed_regions: AllowedRegions::default(),
         draw: number,
     }
--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -24,6 +24,7 @@
     },
     limits::{announcements::EndpointAnnouncements, back_off::BackOffs},
     prelude::{Incarnation, Micros, Name, Rank, StorePosition},
+    shares::admission::Standing,
 };
 
 /// Maximum time that a request waits for a slot before it is refused, as a share of its target. In
@@ -48,6 +49,9 @@
 const STREAM_QUEUE_SHARE: [f64; 4] = [0.6, 0.35, 0.2, 0.1];
 /// The same share for unary (non-streaming) requests.
 const UNARY_QUEUE_SHARE: f64 = 0.7;
+/// Factor of these shares for requests of organisations that ask for more than their share of the room: they leave the
+/// last places to those that ask for less, whose requests find room when the endpoints fill up for a moment.
+const LIMITED_QUEUE_FACTOR: f64 = 0.5;
 /// The least urgent rank with a share of its own; higher rank numbers are treated like it.
 const LEAST_URGENT_RANK: Rank = 2;
 /// In a large cluster, shorter chains are not shared with peers: a prompt of 60 tokens is processed
@@ -102,10 +106,11 @@
 /// Refusal reason: every eligible endpoint has a request rate limit and no permit is available.
 pub const ENDPOINT_LIMITS: &str = "endpoint_limits";
 
-/// Key of a waiting request; orders by urgency, then by age.
+/// Key of a waiting request; orders by urgency, then by the standing of its organisation, then by age.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct WaitKey {
     rank: Rank,
+    standing: Standing,
     number: u64,
 }
 
@@ -123,11 +128,15 @@
 
 /// Returns the share of its target for which a request may queue at an endpoint.
 fn queue_share(request: &PlacementRequest) -> f64 {
+    let factor = match request.standing {
+        Standing::Within => 1.0,
+        Standing::Limited => LIMITED_QUEUE_FACTOR,
+    };
     if !request.is_stream {
-        return UNARY_QUEUE_SHARE;
+        return UNARY_QUEUE_SHARE * factor;
     }
     let rank = usize::from(request.rank.min(LEAST_URGENT_RANK)) + usize::from(request.is_late());
-    STREAM_QUEUE_SHARE[rank]
+    STREAM_QUEUE_SHARE[rank] * factor
 }
 
 /// Returns a refusal for lack of capacity, with the delay after which the caller may retry.
@@ -508,6 +517,7 @@
     pub fn enqueue(&mut self, request: PlacementRequest) -> WaitKey {
         let key = WaitKey {
             rank: request.rank,
+            standing: request.standing,
             number: self.next_number,
         };
         self.next_number += 1;
--- a/src/balance/cost.rs
+++ b/src/balance/cost.rs
@@ -6,6 +6,7 @@
 use crate::{
     balance::{load::LoadEstimate, prefixes::ChainKey, regions::AllowedRegions, speed::Speed},
     prelude::{Micros, Name, Rank},
+    shares::admission::Standing,
 };
 
 /// Weight of the time to the first event, in addition to the risk of lateness: keeps queues short.
@@ -52,6 +53,8 @@
     pub rank: Rank,
     /// Cost of sending the request to another hall, as a share of its value.
     pub other_hall_cost: f64,
+    /// The standing of the caller's organisation while the service is short of room.
+    pub standing: Standing,
     /// The regions in which the request may be served.
     pub allowed_regions: AllowedRegions,
     /// A random number; determines which endpoints are considered.
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -3,6 +3,7 @@
 //! share by gossip.
 
 pub mod balancer;
+pub mod capacity;
 pub mod cold;
 pub mod cost;
 mod delegation;
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -23,6 +23,7 @@
     },
     limits::quota::Grant,
     prelude::{Micros, Name, Rank},
+    shares::admission::Standing,
 };
 
 /// The final response is sent at least this long before the caller times out.
@@ -192,6 +193,7 @@
         deadline_us: times.deadline_us,
         rank: route.priority,
         other_hall_cost: OTHER_HALL_COST,
+        standing: Standing::default(),
         allowed_regions,
         draw: rand::rng().random(),
     }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -33,6 +33,7 @@
         protocol::Protocol,
         quota,
         report_intervals::ReportIntervals,
+        shares,
         state::Gateway,
     },
     limits::instance_counts::InstanceCounts,
@@ -43,6 +44,7 @@
         view::{Member, View},
     },
     prelude::{Incarnation, Micros, Name, StorePosition},
+    shares::picture::ServiceReport,
 };
 
 /// Minimum time between two rounds; under load, several requests share a datagram.
@@ -69,6 +71,7 @@
     pub(super) seq: u64,
     pub(super) at_us: Micros,
     pub(super) loads: Arc<Vec<(EndpointKey, InFlight)>>,
+    pub(super) demand: Vec<ServiceReport>,
 }
 
 /// The mutable state of an exchange.
@@ -245,6 +248,7 @@
         let view = self.gossip.view();
         self.apply_view(&view);
         quota::tick(&self.gateway).await;
+        shares::refresh(&self.gateway);
         let cluster_size = self.update_instance_counts(now_us, &view);
         let has_state_change = self.take_state_changed();
         let suspects_changed = self.gateway.suspects().take_has_changes();
--- a/src/gateway/hall_aggregate.rs
+++ b/src/gateway/hall_aggregate.rs
@@ -16,6 +16,7 @@
     gateway::peer_table::{PEER_EXPIRY_US, PEER_SILENT_US},
     peers::update::{HallSummary, Update, address_key},
     prelude::{Incarnation, Micros},
+    shares::picture::{ServiceReport, sum_reports},
 };
 
 /// Maximum number of prompt chains in a summary, at about 14 bytes each.
@@ -47,6 +48,7 @@
     seq: u64,
     last_seen_us: Micros,
     loads: Vec<(EndpointKey, InFlight)>,
+    demand: Vec<ServiceReport>,
 }
 
 /// The number of instances of a hall as its aggregator sees it, including itself.
@@ -77,11 +79,13 @@
             seq: 0,
             last_seen_us: now_us,
             loads: Vec::new(),
+            demand: Vec::new(),
         });
         member.from = report.from;
         member.seq = report.seq;
         member.last_seen_us = now_us;
         member.loads.clone_from(&report.loads);
+        member.demand.clone_from(&report.demand);
         self.note_observations(&report.reports, &report.read, &report.seen, &report.dead);
     }
 
@@ -195,6 +199,12 @@
         sums.into_iter().collect()
     }
 
+    /// Returns what the callers of all reporting instances and of this one ask of services that are short of room.
+    pub fn demand(&self, now_us: Micros, own: &[ServiceReport]) -> Vec<ServiceReport> {
+        let members = self.reporting(now_us).flat_map(|(_, m)| &m.demand);
+        sum_reports(members.chain(own))
+    }
+
     /// Returns the members whose last report is recent.
     fn reporting(&self, now_us: Micros) -> impl Iterator<Item = (&IpAddr, &Member)> {
         let is_reporting = move |m: &Member| now_us.saturating_sub(m.last_seen_us) < PEER_SILENT_US;
--- a/src/gateway/other_halls.rs
+++ b/src/gateway/other_halls.rs
@@ -9,12 +9,13 @@
 
 use crate::{
     balance::{
-        load::{EndpointKey, InFlight},
+        load::{EndpointKey, InFlight, KeyRange},
         speed::SpeedSummary,
     },
     gateway::halls::Halls,
     peers::update::HallSummary,
     prelude::Micros,
+    shares::picture::{ServiceReport, sum_reports},
 };
 
 /// The hall key of the sum of all other halls. In practice no hall's name hashes to it; a hall whose name did would be
@@ -28,6 +29,7 @@
 pub struct OtherHalls {
     halls: Halls,
     loads: HashMap<u32, BTreeMap<EndpointKey, InFlight>>,
+    demand: HashMap<u32, Vec<ServiceReport>>,
     reports: BTreeMap<EndpointKey, i8>,
     speeds: BTreeMap<EndpointKey, SpeedSummary>,
 }
@@ -43,6 +45,9 @@
             let loads = self.loads.entry(summary.hall).or_default();
             loads.retain(|key, _| !summary.span.contains(*key));
             loads.extend(summary.loads.iter().copied());
+            if summary.span.first == KeyRange::ALL.first {
+                self.demand.insert(summary.hall, summary.demand.clone());
+            }
         }
         self.reports.extend(summary.reports.iter().copied());
         self.speeds.extend(summary.speeds.iter().copied());
@@ -56,6 +61,7 @@
     pub fn expire(&mut self, now_us: Micros) {
         for hall in self.halls.expire(now_us) {
             self.loads.remove(&hall);
+            self.demand.remove(&hall);
         }
     }
 
@@ -82,6 +88,7 @@
         summary.instances = counts.all as u32;
         summary.heard = counts.heard as u32;
         summary.reports = std::mem::take(&mut self.reports).into_iter().collect();
+        summary.demand = sum_reports(self.demand.values().flatten());
         summary.speeds = std::mem::take(&mut self.speeds).into_iter().collect();
     }
 }
--- a/src/gateway/receiving.rs
+++ b/src/gateway/receiving.rs
@@ -8,12 +8,12 @@
 
 use crate::{
     balance::{
-        load::{EndpointKey, InFlight},
+        load::{EndpointKey, InFlight, KeyRange},
         load_view::ClusterSize,
     },
     gateway::{
         endpoint_announcements, exchange::Exchange, fetching::Wanted, halls::hall_incarnation,
-        other_halls::OTHER_HALLS, protocol::Protocol,
+        other_halls::OTHER_HALLS, protocol::Protocol, state::lock,
     },
     peers::update::{self, HallSummary, Purpose, Update, address_key},
     prelude::{Micros, StorePosition},
@@ -60,6 +60,7 @@
     /// Applies an update from another instance of a small cluster.
     fn apply_direct(&self, now_us: Micros, update: &Update) {
         self.apply_observations(now_us, update);
+        lock(&self.gateway.shares).apply_reports(now_us, update.from, &update.demand, &[]);
         let mut balancer = self.gateway.balancer();
         balancer.apply_peer_update(now_us, update.from, &update.loads, &[], &[]);
     }
@@ -131,6 +132,10 @@
             let whose = self.summary_scope(source);
             log::info!(target: "ryevalve::process", whose; "summaries_regained");
         }
+        if effect.replaces_loads && summary.span.first == KeyRange::ALL.first {
+            let mut shares = lock(&self.gateway.shares);
+            shares.apply_reports(now_us, source, &summary.demand, &sent.demand);
+        }
         let mut balancer = self.gateway.balancer();
         let has_own_reports = is_own && balancer.load_view().is_hall_aggregator();
         if effect.replaces_loads && !has_own_reports {
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -16,6 +16,7 @@
     },
     limits::{fingerprint::Fingerprint, quota::Denied},
     prelude::{Micros, Name},
+    shares::admission::ShareRefusal,
 };
 
 /// What happened to a request, for its log line.
@@ -31,6 +32,10 @@
     pub organisation: Option<Name>,
     /// The denial by the organisation's usage limit, if any.
     pub denied: Option<Denied>,
+    /// The refusal by the organisation's share of the service's room, if any.
+    pub share: Option<ShareRefusal>,
+    /// Whether its Retry-After is a place in the order in which refused callers return.
+    pub has_return_place: bool,
     /// The id of the endpoint that it was sent to last.
     pub endpoint: Option<Name>,
     /// Number of endpoints that it was placed at.
@@ -105,6 +110,10 @@
         organisation = trace.organisation.as_deref().unwrap_or("-"),
         limit_level:serde = trace.denied.and_then(|d| d.level),
         limit_wait_ms:serde = trace.denied.map(|d| d.wait_us / 1_000),
+        share_asked_slots:serde = trace.share.map(|s| to_tenths(s.asked_slots)),
+        share_slots:serde = trace.share.map(|s| to_tenths(s.share_slots)),
+        share_of_slots:serde = trace.share.map(|s| to_tenths(s.room_slots)),
+        share_late:serde = trace.share.map(|s| s.is_late),
         limit_asked = trace.denied.is_some_and(|d| !d.is_cached),
         instances = counts.all,
         instances_heard = counts.heard;
@@ -112,6 +121,10 @@
     );
 }
 
+fn to_tenths(slots: f64) -> f64 {
+    (slots * 10.0).round() / 10.0
+}
+
 /// One in this many answers that met their targets at the first attempt is logged; all others are logged.
 pub const SAMPLE_INTERVAL: u32 = 16;
 
--- a/src/gateway/reservation_client.rs
+++ b/src/gateway/reservation_client.rs
@@ -35,6 +35,7 @@
     limits::quota::Message,
     peers::datagram::Authenticator,
     prelude::{Incarnation, Micros, Name, Rank},
+    shares::admission::Standing,
 };
 
 /// How long to wait for a first answer, which may just say that the request is queued. A datagram takes .2 ms within a
@@ -72,6 +73,8 @@
     pub other_hall_cost: f32,
     /// As in [`PlacementRequest::draw`].
     pub draw: u64,
+    /// As in [`PlacementRequest::standing`].
+    pub standing: Standing,
     /// Endpoints that must not be chosen.
     pub tried: Vec<EndpointKey>,
 }
@@ -90,6 +93,7 @@
             rank: request.rank,
             other_hall_cost: request.other_hall_cost as f32,
             draw: request.draw,
+            standing: request.standing,
             tried: tried.to_vec(),
         }
     }
@@ -108,6 +112,7 @@
             deadline_us: now_us + self.left_us,
             rank: self.rank,
             other_hall_cost: f64::from(self.other_hall_cost),
+            standing: self.standing,
             allowed_regions: AllowedRegions::default(),
             draw: self.draw,
         };
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     balance::{
-        balancer::{Choice, Placement},
+        balancer::{BUSY, Choice, Placement},
         cost::PlacementRequest,
         load::EndpointKey,
         regions::AllowedRegions,
@@ -36,10 +36,11 @@
         quota, refuse,
         report::{Trace, log_answer, note_refusal},
         send_check::{ENDPOINT_EVACUATED, ENDPOINT_LEFT, ENDPOINT_RESTS},
+        shares,
         state::Gateway,
         stream::Relay,
     },
-    limits::fingerprint::Fingerprint,
+    limits::{fingerprint::Fingerprint, quota::Grant},
     prelude::{Micros, Rank},
 };
 
@@ -77,7 +78,11 @@
         Err(refusal) => {
             trace.reason = trace.reason.or(Some(refusal.reason));
             note_refusal(&gateway, &trace, &refusal, request_id.as_ref(), arrived_us);
-            let refusal = add_jitter(refusal);
+            // A return place is spread over the callers already.
+            let refusal = match trace.share.is_some() || trace.has_return_place {
+                true => refusal,
+                false => add_jitter(refusal),
+            };
             refuse::response(&gateway.protocol, &refusal, request_id.as_ref())
         }
     };
@@ -154,19 +159,30 @@
     ]);
     let mut headers = parts.headers;
     attempt::strip_connection_headers(&mut headers);
+    let mut placement_request = placement_request(
+        &route,
+        &head,
+        service,
+        tokens_per_event,
+        RequestTimes {
+            arrived_us,
+            deadline_us: until_us,
+            waited_us,
+        },
+        allowed_regions,
+    );
+    let admitted = shares::admit(
+        gateway,
+        organisation_name.as_deref(),
+        &mut placement_request,
+    );
+    if let Err(refusal) = admitted {
+        trace.share = Some(refusal);
+        release_quota(gateway, grant).await;
+        return Err(refuse::not_run(BUSY, refusal.retry_after_ms));
+    }
     let job = Job {
-        placement_request: placement_request(
-            &route,
-            &head,
-            service,
-            tokens_per_event,
-            RequestTimes {
-                arrived_us,
-                deadline_us: until_us,
-                waited_us,
-            },
-            allowed_regions,
-        ),
+        placement_request,
         route,
         head,
         method: parts.method,
@@ -177,17 +193,28 @@
         until_us,
         fingerprint,
     };
-    let result = Run::new(gateway.clone(), job).run_to_answer(trace).await;
+    let run = Run::new(gateway.clone(), job);
+    let job = run.job.clone();
+    let mut result = run.run_to_answer(trace).await;
+    let refusal = result.as_mut().err();
+    shares::note_result(gateway, &job, refusal, trace);
     let may_have_run = result
         .as_ref()
         .err()
         .is_none_or(|r| r.retry_after_ms.is_none());
-    if let Some(grant) = grant.filter(|_| !may_have_run) {
-        quota::release(gateway, grant).await;
+    if !may_have_run {
+        release_quota(gateway, grant).await;
     }
     result
 }
 
+/// Returns the quota of a request that did not run.
+async fn release_quota<P: Protocol>(gateway: &Arc<Gateway<P>>, grant: Option<Grant>) {
+    if let Some(grant) = grant {
+        quota::release(gateway, grant).await;
+    }
+}
+
 /// Refuses a request that is blocked because endpoints crashed while running it.
 fn refuse_blocked<P: Protocol>(
     gateway: &Gateway<P>,
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -17,6 +17,7 @@
         other_halls::OTHER_HALLS,
         protocol::Protocol,
         report_intervals::ReportIntervals,
+        state::lock,
     },
     limits::dissemination::Audience,
     peers::{
@@ -219,6 +220,8 @@
         let counts = state.hall_reports.instance_counts(now_us);
         let loads = state.hall_reports.loads(now_us, &update.loads);
         update.loads = Vec::new();
+        let demand = state.hall_reports.demand(now_us, &update.demand);
+        update.demand = Vec::new();
         let parts = split_loads(&loads, LOADS_PER_SUMMARY).into_iter();
         let summaries = parts.map(|(span, loads)| HallSummary {
             hall: self.my_hall,
@@ -230,7 +233,11 @@
             loads,
             ..HallSummary::default()
         });
-        summaries.collect()
+        let mut summaries: Vec<HallSummary> = summaries.collect();
+        if let Some(first) = summaries.first_mut() {
+            first.demand = demand;
+        }
+        summaries
     }
 
     /// Returns the summaries of all other halls, which together cover all endpoints; none before they are due.
@@ -259,6 +266,7 @@
         for part in parts.iter_mut().skip(1) {
             part.reports = Vec::new();
             part.speeds = Vec::new();
+            part.demand = Vec::new();
         }
         parts
     }
@@ -368,6 +376,7 @@
         };
         let mut update = self.next_update(now_us, Purpose::Summary);
         update.loads = Vec::new();
+        update.demand = Vec::new();
         for member in &aggregators {
             self.send(self.addr_of(member), &mut update).await;
         }
@@ -405,10 +414,12 @@
         // Read before the loads, so that the loads include all settled reservations.
         let settled = self.gateway.reservation_client.settled();
         let loads = self.gateway.balancer().load_view().own_loads();
+        let demand = lock(&self.gateway.shares).reports(now_us);
         self.lock().record_sent(SentUpdate {
             seq,
             at_us: now_us,
             loads: Arc::new(loads.clone()),
+            demand: demand.clone(),
         });
         Update {
             from: self.settings.me.incarnation,
@@ -423,6 +434,7 @@
             evacuations_age_ms: sent_age_ms(self.gateway.evacuations_age_us()),
             settled,
             loads,
+            demand,
             ..Update::default()
         }
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -33,6 +33,7 @@
         protocol::Protocol,
         quota::Quota,
         reservation_client::ReservationClient,
+        shares,
         staleness::{Staleness, StalenessBound},
     },
     limits::{
@@ -44,6 +45,7 @@
         suspects::SuspectTable,
     },
     prelude::{Micros, Name},
+    shares::admission::Shares,
 };
 
 /// Margin by which the use of a revoked key ends before the time that operators allow: a watch may receive nothing for
@@ -138,6 +140,8 @@
     pub permits: Permits,
     /// Usage limits of organisations.
     pub quota: Quota,
+    /// The organisations' shares of services that are short of room.
+    pub(super) shares: Mutex<Shares>,
     /// Checks whether endpoints crashed when their connections break.
     pub crash_checks: CrashChecks,
     /// Headers of endpoints that the gateway does not interpret.
@@ -193,6 +197,7 @@
             reservation_client: ReservationClient::default(),
             permits: Permits::default(),
             quota,
+            shares: Mutex::default(),
             crash_checks: CrashChecks::default(),
             unread_headers: UnreadHeaders::default(),
             endpoints_staleness: Staleness::default(),
@@ -332,6 +337,7 @@
             let now_us = self.clock.now_us();
             let changes = self.quota.configure(now_us, table.config());
             limit_log::log_changes(version, &changes);
+            shares::configure(self, table.config());
             self.set_cold_rates();
         }
         log::info!(
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod replay;
 pub mod rollouts;
 pub mod settings;
+pub mod shares;
 pub mod store;
 pub mod store_position;
 pub mod summary;
--- a/src/peers/update.rs
+++ b/src/peers/update.rs
@@ -14,6 +14,7 @@
     limits::{announcements::AnnouncementUpdate, suspects::SuspectUpdate},
     peers::datagram::{Authenticator, DatagramError, UnreadableSnafu},
     prelude::{Incarnation, StorePosition},
+    shares::picture::ServiceReport,
 };
 
 /// The purpose of an update, which determines how the recipient applies its lists.
@@ -52,6 +53,8 @@
     pub reports: Vec<(EndpointKey, i8)>,
     /// The aggregator's speed estimates for some of its endpoints.
     pub speeds: Vec<(EndpointKey, SpeedSummary)>,
+    /// What the hall's callers ask of services that are short of room; only in the summary with the lowest keys.
+    pub demand: Vec<ServiceReport>,
 }
 
 /// One datagram of the exchange between gateways.
@@ -99,6 +102,8 @@
     pub suspects: Vec<SuspectUpdate>,
     /// Announcements of endpoints for all instances.
     pub standings: Vec<AnnouncementUpdate>,
+    /// What the sender's callers ask of services that are short of room; replaces the previous list.
+    pub demand: Vec<ServiceReport>,
     /// The hall summaries of an aggregator.
     pub halls: Vec<HallSummary>,
 }
--- a/tests/edge/cluster.rs
+++ b/tests/edge/cluster.rs
@@ -28,6 +28,7 @@
         store_era::StoreEra, store_watch,
     },
     prelude::{Incarnation, Micros, Name},
+    shares::admission::Standing,
 };
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -254,6 +255,7 @@
         deadline_us: now_us + 10_000_000,
         rank: 0,
         other_hall_cost: 0.0,
+        standing: Standing::Within,
         allowed_regions: AllowedRegions::default(),
         draw: 7,
     }
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -13,6 +13,7 @@
         GatewayConfig, Organisation, Route, RouteKind, Service, Target, UsageLimit, UsageUnit,
     },
     prelude::StorePosition,
+    shares::admission::Standing,
 };
 
 pub const MS: u64 = 1_000;
@@ -120,6 +121,7 @@
         deadline_us: arrived_us + 15 * SECOND,
         rank,
         other_hall_cost: 0.05,
+        standing: Standing::Within,
         allowed_regions: AllowedRegions::default(),
         draw: subject,
     }
