Shares hold with real processes: free slots raise the room, who is within its share goes ahead in the queue

Cause: with real processes small organisations were refused behind waiting requests of the large one, and the room was underestimated while the machine was slow. Change: the wait queue and its check order by standing; the time of a unary request is learned from answers of free slots; free slots raise the room. The endpoint stand-in has slots (Runner::set_slots, busy).

--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -462,7 +462,7 @@
         let fits = queue_us <= request.target_us as f64 * queue_share(request);
         // A request that is late in any case must not overtake waiting ones.
         let may_overtake = best.expected.has_room && !request.is_late();
-        if fits && (may_overtake || !self.has_waiting_ahead(request.rank)) {
+        if fits && (may_overtake || !self.has_waiting_ahead(request)) {
             return self.dispatch(now_us, request, best);
         }
         if now_us.saturating_sub(request.arrived_us) < max_wait_us(request) {
@@ -471,8 +471,10 @@
         refuse_for_capacity(now_us, request, BUSY)
     }
 
-    fn has_waiting_ahead(&self, rank: Rank) -> bool {
-        self.waiting.keys().next().is_some_and(|k| k.rank <= rank)
+    fn has_waiting_ahead(&self, request: &PlacementRequest) -> bool {
+        let place = (request.rank, request.standing);
+        let first = self.waiting.keys().next();
+        first.is_some_and(|first| (first.rank, first.standing) <= place)
     }
 
     /// Returns the choice of an endpoint, if it is known.
--- a/src/balance/capacity.rs
+++ b/src/balance/capacity.rs
@@ -1,4 +1,4 @@
-//! The capacity of a service, and the engine time that a request is expected to take.
+//! The capacity of a service, and the engine time that a stream is expected to take.
 
 use crate::{
     balance::{
@@ -6,36 +6,31 @@
         speed::Speed,
     },
     prelude::Micros,
-    shares::admission::Capacity,
+    shares::room::Slots,
 };
 
 impl Balancer {
-    /// Returns what the usable endpoints of a service can do.
-    pub fn capacity(&self, now_us: Micros, service: &str) -> Capacity {
+    /// Returns the slots of a service's usable endpoints.
+    pub fn slots(&self, now_us: Micros, service: &str) -> Slots {
         let is_usable = |key: &EndpointKey| {
             let readiness = self.readiness(now_us, *key);
             matches!(readiness, Readiness::Ready | Readiness::NeedsPermit)
         };
-        let keys = self.keys_of(service).iter().filter(|key| is_usable(key));
-        let endpoints = keys.filter_map(|key| self.endpoints.get(key));
-        let (mut count, mut slots, mut unary_ms) = (0.0_f64, 0.0, 0.0);
-        for endpoint in endpoints {
-            count += 1.0;
-            slots += f64::from(endpoint.entry.slots);
-            unary_ms += endpoint.speed.unary_ms();
-        }
-        let unary_ms = match count > 0.0 {
-            true => unary_ms / count,
-            false => Speed::default().unary_ms(),
-        };
-        Capacity {
-            slots,
-            unary_us: unary_ms * 1e3,
+        let mut sum = Slots::default();
+        for key in self.keys_of(service).iter().filter(|key| is_usable(key)) {
+            let Some(endpoint) = self.endpoints.get(key) else {
+                continue;
+            };
+            let slots = f64::from(endpoint.entry.slots);
+            let requests = self.load_estimate(now_us, *key, endpoint).requests;
+            sum.all += slots;
+            sum.free += (slots - requests).max(0.0);
         }
+        sum
     }
 
     /// Returns the engine time that a stream is expected to take, in microseconds, by the service's mean speed; `None`
-    /// for a unary request, which takes [`Capacity::unary_us`].
+    /// for a unary request.
     pub fn stream_engine_us(&self, request: &PlacementRequest) -> Option<f64> {
         if !request.is_stream {
             return None;
--- a/src/balance/selection.rs
+++ b/src/balance/selection.rs
@@ -173,7 +173,12 @@
         }
     }
 
-    fn load_estimate(&self, now_us: Micros, key: EndpointKey, endpoint: &Endpoint) -> LoadEstimate {
+    pub(super) fn load_estimate(
+        &self,
+        now_us: Micros,
+        key: EndpointKey,
+        endpoint: &Endpoint,
+    ) -> LoadEstimate {
         self.load_view.estimate(
             now_us,
             key,
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -164,7 +164,7 @@
 }
 
 /// The fields to print with each event: the inputs of the decision.
-const INPUTS: [&str; 17] = [
+const INPUTS: [&str; 21] = [
     "route",
     "organisation",
     "attempts",
@@ -178,6 +178,10 @@
     "uncached_tokens",
     "prompt_tokens",
     "retries_left",
+    "share_asked_slots",
+    "share_slots",
+    "share_of_slots",
+    "share_late",
     "retry_after_ms",
     "config_version",
     "config_age_ms",
--- a/src/gateway/shares.rs
+++ b/src/gateway/shares.rs
@@ -35,7 +35,7 @@
 pub(super) fn refresh<P: Protocol>(gateway: &Gateway<P>) {
     let now_us = gateway.clock.now_us();
     let balancer = gateway.balancer();
-    lock(&gateway.shares).refresh(now_us, |service| balancer.capacity(now_us, service));
+    lock(&gateway.shares).refresh(now_us, |service| balancer.slots(now_us, service));
 }
 
 /// Lets a request through with the standing of its organisation, or refuses it.
@@ -83,7 +83,11 @@
             }
         }
         Some(_) => {}
-        None => shares.note_placed(now_us, &ask),
+        None => {
+            let had_room = trace.attempts == 1 && trace.expected.is_some_and(|e| e.has_room);
+            let ran_us = had_room.then(|| now_us.saturating_sub(request.arrived_us));
+            shares.note_placed(now_us, &ask, ran_us);
+        }
     }
 }
 
--- a/src/shares/admission.rs
+++ b/src/shares/admission.rs
@@ -10,14 +10,14 @@
         level::{Claim, divide},
         picture::{Picture, ServiceDemand, ServiceReport, largest_services},
         return_order::{MIN_RETURN_US, ReturnOrder},
-        room::Room,
+        room::{Room, Slots},
     },
 };
 
 /// A service is short of room for this long after a request was refused for want of it.
 const SHORTAGE_US: Micros = 1_000_000;
-/// How long the capacity of a service without a shortage is used.
-const CAPACITY_TTL_US: Micros = 1_000_000;
+/// How long the number of slots of a service without a shortage is used.
+const SLOTS_TTL_US: Micros = 1_000_000;
 /// Fewer organisations than this have nothing to share.
 const MIN_ORGANISATIONS: usize = 2;
 /// The part of its target by which a caller must be back, so that the rest is left for its answer.
@@ -26,18 +26,13 @@
 const MAX_RETURN_SHARE: f64 = 1.0 / 3.0;
 /// How far beyond its time limit a caller is told to come back that cannot be served before.
 const BEYOND_LIMIT_MS: u32 = 1_000;
+/// Time of a unary request before any was answered, in microseconds.
+const PRIOR_UNARY_US: f64 = 40_000.0;
+/// Gain of one answer in the time of a unary request; about ten of them replace the previous estimate.
+const UNARY_GAIN: f64 = 0.2;
 /// A part from here on counts as the whole.
 const WHOLE: f64 = 0.999;
 
-/// What a service's endpoints can do.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Capacity {
-    /// Requests that its usable endpoints run at a time.
-    pub slots: f64,
-    /// The mean time of a unary request, in microseconds.
-    pub unary_us: f64,
-}
-
 /// A request that asks for room.
 #[derive(Clone, Copy, Debug)]
 pub struct Ask<'a> {
@@ -119,8 +114,10 @@
     unplaced: Rate,
     /// When a request was last refused here for want of room.
     refused_us: Option<Micros>,
-    capacity: Capacity,
-    capacity_at_us: Option<Micros>,
+    /// The time of a unary request at an endpoint with a free slot.
+    unary_us: Option<f64>,
+    slots: Slots,
+    slots_at_us: Option<Micros>,
     /// The corrected room; only in a shortage.
     room: Option<Room>,
     room_us: f64,
@@ -132,6 +129,11 @@
 }
 
 impl Service {
+    fn engine_us(&self, ask: &Ask<'_>) -> f64 {
+        let unary_us = self.unary_us.unwrap_or(PRIOR_UNARY_US);
+        ask.engine_us.unwrap_or(unary_us).max(1.0)
+    }
+
     fn refused_recently(&self, now_us: Micros) -> bool {
         self.refused_us
             .is_some_and(|at_us| now_us.saturating_sub(at_us) < SHORTAGE_US)
@@ -166,8 +168,7 @@
     /// Works out the level from the demand of all instances.
     fn set_level(&mut self, now_us: Micros, total: &ServiceDemand, priorities: &Priorities) {
         let room = self.room.get_or_insert_with(|| Room::new(now_us));
-        let slots = self.capacity.slots;
-        self.room_us = room.update(now_us, slots, total.placed, total.unplaced);
+        self.room_us = room.update(now_us, self.slots, total.placed, total.unplaced);
         let mut claims: Vec<Claim> = total
             .organisations
             .iter()
@@ -312,7 +313,7 @@
         }
         let key = OrganisationKey::of(ask.organisation);
         let service = self.services.entry(ask.service.clone()).or_default();
-        let engine_us = ask.engine_us.unwrap_or(service.capacity.unary_us).max(1.0);
+        let engine_us = service.engine_us(ask);
         let is_late = ask.waited_us >= ask.target_us;
         if is_late {
             service.late.add(now_us, engine_us);
@@ -346,10 +347,15 @@
         })
     }
 
-    /// Notes that a request that was let through found a place at an endpoint.
-    pub fn note_placed(&mut self, now_us: Micros, ask: &Ask<'_>) {
+    /// Notes that a request that was let through found a place at an endpoint. `ran_us` is how long it ran, if it was
+    /// sent to a free slot.
+    pub fn note_placed(&mut self, now_us: Micros, ask: &Ask<'_>, ran_us: Option<Micros>) {
         if let Some(service) = self.services.get_mut(ask.service) {
-            let engine_us = ask.engine_us.unwrap_or(service.capacity.unary_us);
+            if let (None, Some(ran_us)) = (ask.engine_us, ran_us) {
+                let unary_us = service.unary_us.get_or_insert(ran_us as f64);
+                *unary_us += (ran_us as f64 - *unary_us) * UNARY_GAIN;
+            }
+            let engine_us = service.engine_us(ask);
             service.placed.add(now_us, engine_us);
         }
     }
@@ -358,7 +364,7 @@
     /// in milliseconds, if that is known better than from the caller's time alone.
     pub fn note_unplaced(&mut self, now_us: Micros, ask: &Ask<'_>) -> Option<u32> {
         let service = self.services.get_mut(ask.service)?;
-        let engine_us = ask.engine_us.unwrap_or(service.capacity.unary_us);
+        let engine_us = service.engine_us(ask);
         service.refused_us = Some(now_us);
         if service.room?.is_settled(now_us) {
             service.unplaced.add(now_us, engine_us);
@@ -367,17 +373,17 @@
     }
 
     /// Works out the levels of the services that are short of room. Called some times a second.
-    pub fn refresh(&mut self, now_us: Micros, capacity: impl Fn(&str) -> Capacity) {
+    pub fn refresh(&mut self, now_us: Micros, slots: impl Fn(&str) -> Slots) {
         self.picture.expire(now_us);
         for (name, service) in &mut self.services {
             let told: Vec<&ServiceDemand> = self.picture.of_service(short_hash(name)).collect();
             let is_short = service.refused_recently(now_us) || told.iter().any(|d| d.is_short);
             let age_us = service
-                .capacity_at_us
+                .slots_at_us
                 .map(|at_us| now_us.saturating_sub(at_us));
-            if is_short || age_us.is_none_or(|age_us| age_us >= CAPACITY_TTL_US) {
-                service.capacity = capacity(name);
-                service.capacity_at_us = Some(now_us);
+            if is_short || age_us.is_none_or(|age_us| age_us >= SLOTS_TTL_US) {
+                service.slots = slots(name);
+                service.slots_at_us = Some(now_us);
                 service.demand.expire(now_us);
             }
             if !is_short {
--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -14,6 +14,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::Semaphore,
     time,
 };
 use tokio_util::sync::CancellationToken;
@@ -88,6 +89,13 @@
     limit: Option<String>,
     /// Value of `Server-Leaving` in its responses.
     leaving: Option<String>,
+    /// If set, non-stream responses are run this many at a time, and as many again wait; more are refused.
+    slots: Option<Arc<Semaphore>>,
+    /// Requests that run or wait under `slots`, and their maximum.
+    held: usize,
+    max_held: usize,
+    /// Time for which slots were taken, as a sum.
+    busy: Duration,
     /// If set, it refuses all requests with this value of `Retry-After`.
     retry_after: Option<String>,
     /// Lifetime of the current start; cancelled when the endpoint ends.
@@ -181,6 +189,18 @@
         self.lock().pace = pace;
     }
 
+    /// Runs at most this many non-stream requests at a time; as many again wait, and more are refused without being run.
+    pub fn set_slots(&self, slots: usize) {
+        let mut state = self.lock();
+        state.slots = Some(Arc::new(Semaphore::new(slots)));
+        state.max_held = 2 * slots;
+    }
+
+    /// Returns for how long its slots were taken so far, as a sum.
+    pub fn busy(&self) -> Duration {
+        self.lock().busy
+    }
+
     /// Sets `Server-Limit` in responses: the total rate that it accepts, in requests per second. `None` removes it.
     pub fn announce_limit(&self, limit: Option<&str>) {
         self.lock().limit = limit.map(str::to_owned);
@@ -287,7 +307,13 @@
             refuse(stream, "503 Service Unavailable", &request_id, &lines).await?;
             continue;
         }
-        if fault == Fault::Full {
+        let is_full = {
+            let mut state = state.lock().expect("no holder panics");
+            let is_full = state.slots.is_some() && state.held >= state.max_held;
+            state.held += usize::from(state.slots.is_some() && !is_full);
+            is_full
+        };
+        if is_full || fault == Fault::Full {
             refuse(
                 stream,
                 "503 Service Unavailable",
@@ -326,7 +352,7 @@
                 return Ok(End::Closed);
             }
         } else {
-            time::sleep(pace).await;
+            run_in_slot(&state, pace).await;
             let response = ResponseParams {
                 request_id: &request_id,
                 fault,
@@ -341,6 +367,21 @@
     Ok(End::Closed)
 }
 
+/// Waits for a free slot, if slots are limited, and holds it for `pace`.
+async fn run_in_slot(state: &Mutex<State>, pace: Duration) {
+    let slots = state.lock().expect("no holder panics").slots.clone();
+    let slot = match slots {
+        Some(slots) => slots.acquire_owned().await.ok(),
+        None => None,
+    };
+    let began = Instant::now();
+    time::sleep(pace).await;
+    drop(slot);
+    let mut state = state.lock().expect("no holder panics");
+    state.busy += began.elapsed();
+    state.held = state.held.saturating_sub(1);
+}
+
 /// Returns the lifetime token to cancel if a request with this body crashes the endpoint.
 fn crash_token(state: &Mutex<State>, body: &[u8]) -> Option<CancellationToken> {
     let state = state.lock().expect("no holder panics");
--- a/tests/gateway/shares.rs
+++ b/tests/gateway/shares.rs
@@ -11,11 +11,12 @@
 use ryevalve::{
     prelude::{Incarnation, Name},
     shares::{
-        admission::{Ask, Capacity, Shares, Standing},
+        admission::{Ask, Shares, Standing},
         demand::{DemandTable, Kind, MAX_ORGANISATIONS, OrganisationKey},
         level::{Claim, divide},
         picture::{MAX_NAMED, PackedRate, ServiceDemand, ServiceReport, sum_reports},
         return_order::{MIN_RETURN_US, ReturnOrder},
+        room::Slots,
     },
 };
 
@@ -205,12 +206,13 @@
             let instance = (now_us / every_us) as usize % self.scenario.instances;
             self.shares[instance] = configured(&self.scenario.organisations);
         }
-        let capacity = Capacity {
-            slots: self.scenario.slots,
-            unary_us: RUN_US as f64,
+        let free = self.slots_free_us.iter().filter(|at_us| **at_us <= now_us);
+        let slots = Slots {
+            all: self.scenario.slots,
+            free: free.count() as f64,
         };
         for shares in &mut self.shares {
-            shares.refresh(now_us, |_| capacity);
+            shares.refresh(now_us, |_| slots);
         }
         if now_us % 200_000 == 0 {
             let told = self.shares.iter().enumerate();
@@ -290,7 +292,7 @@
                     if now_us >= noticed_us {
                         self.used_us += RUN_US;
                     }
-                    shares.note_placed(now_us, &ask);
+                    shares.note_placed(now_us, &ask, (wait_us == 0).then_some(RUN_US));
                     let is_in_aim = waited_us + wait_us + RUN_US <= TARGET_US;
                     outcome.in_aim += f64::from(u8::from(is_counted && is_in_aim));
                     outcome.late += f64::from(u8::from(is_counted && !is_in_aim));
