--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -62,6 +62,25 @@
     pub outcome: &'static str,
 }
 
+/// Labels of metrics by service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServiceLabels {
+    /// The service's name.
+    pub service: String,
+}
+
+/// Labels of metrics by service and organisation.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ShareLabels {
+    /// The service's name.
+    pub service: String,
+    /// The organisation's name.
+    pub organisation: String,
+}
+
+/// A gauge of slots.
+pub type SlotsGauge = Gauge<f64, std::sync::atomic::AtomicU64>;
+
 /// All metrics of a gateway. Fields have the names of their metrics.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -75,6 +94,14 @@
     pub retries_denied: Counter,
     /// Requests refused because endpoints crashed while running them.
     pub requests_blocked: Counter,
+    /// Requests refused because their organisation has its share of a service that is short of room.
+    pub requests_over_share: Counter,
+    /// Room of the services that are short of it, in slots.
+    pub share_room_slots: Family<ServiceLabels, SlotsGauge>,
+    /// Engine time that the organisations ask for that ask for most of such a service, in slots.
+    pub share_asked_slots: Family<ShareLabels, SlotsGauge>,
+    /// Their shares, in slots.
+    pub share_slots: Family<ShareLabels, SlotsGauge>,
     /// Requests sent to endpoints that announced a rate limit.
     pub sent_to_limited: Counter,
     /// Permits for such endpoints that this instance requested.
@@ -158,6 +185,10 @@
             connections_opened: Counter::default(),
             retries_denied: Counter::default(),
             requests_blocked: Counter::default(),
+            requests_over_share: Counter::default(),
+            share_room_slots: Family::default(),
+            share_asked_slots: Family::default(),
+            share_slots: Family::default(),
             sent_to_limited: Counter::default(),
             permits_asked: Counter::default(),
             permits_given: Counter::default(),
@@ -250,6 +281,15 @@
         registry.register("retries_denied", denied, self.retries_denied.clone());
         let blocked = "Requests refused because endpoints ended under them";
         registry.register("requests_blocked", blocked, self.requests_blocked.clone());
+        let over = "Requests refused because their organisation has its share";
+        let counter = self.requests_over_share.clone();
+        registry.register("requests_over_share", over, counter);
+        let room = "Room of the services that are short of it, in slots";
+        registry.register("share_room_slots", room, self.share_room_slots.clone());
+        let asked = "Engine time that an organisation asks for, in slots";
+        registry.register("share_asked_slots", asked, self.share_asked_slots.clone());
+        let share = "Engine time that an organisation may use, in slots";
+        registry.register("share_slots", share, self.share_slots.clone());
         let failures = "Calls to the store that brought nothing";
         registry.register("store_failures", failures, self.store_failures.clone());
         let era = "Era of the store, which rises when the store comes back from a copy";
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,7 +43,7 @@
 pub mod run;
 pub mod send_check;
 mod sending;
-mod shares;
+pub mod shares;
 pub mod staleness;
 pub mod state;
 pub mod stop;
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -121,7 +121,8 @@
     );
 }
 
-fn to_tenths(slots: f64) -> f64 {
+/// Rounds to tenths, for log lines.
+pub(super) fn to_tenths(slots: f64) -> f64 {
     (slots * 10.0).round() / 10.0
 }
 
--- a/src/gateway/shares.rs
+++ b/src/gateway/shares.rs
@@ -1,19 +1,29 @@
 //! Applies the organisations' shares of room to requests, before a place is sought for them.
 
+use std::collections::HashMap;
+
 use crate::{
     balance::{balancer::BUSY, cost::PlacementRequest},
     entry::refusal::Refusal,
     gateway::{
         attempt::Job,
         config::GatewayConfig,
+        metrics::{ServiceLabels, ShareLabels},
         protocol::Protocol,
-        report::Trace,
+        report::{Trace, to_tenths},
         state::{Gateway, lock},
     },
     prelude::{Micros, Rank},
-    shares::admission::{Ask, ShareRefusal},
+    shares::{
+        admission::{Ask, ServiceState, ShareRefusal, ShareState},
+        demand::OrganisationKey,
+    },
 };
 
+/// The most organisations of a service that are logged each second.
+const MAX_ORGANISATIONS_LOGGED: usize = 8;
+/// The most services that are logged each second.
+const MAX_SERVICES_LOGGED: usize = 4;
 /// Refusal reason of an endpoint without a free slot.
 const ENDPOINT_FULL: &str = "endpoint_full";
 
@@ -38,6 +48,64 @@
     lock(&gateway.shares).refresh(now_us, |service| balancer.slots(now_us, service));
 }
 
+/// Logs the services that are short of room, with the organisations that ask for most, and sets the gauges. Called once
+/// a second.
+pub fn log_states<P: Protocol>(gateway: &Gateway<P>) {
+    let states = lock(&gateway.shares).take_states(MAX_ORGANISATIONS_LOGGED);
+    let metrics = &gateway.metrics;
+    metrics.share_room_slots.clear();
+    metrics.share_asked_slots.clear();
+    metrics.share_slots.clear();
+    let Some(table) = gateway.config.table().filter(|_| !states.is_empty()) else {
+        return;
+    };
+    let organisations = table.config().organisations.iter();
+    let names = organisations.map(|o| (OrganisationKey::of(Some(&o.name)), &*o.name));
+    let names: HashMap<OrganisationKey, &str> = names.collect();
+    for state in states.iter().take(MAX_SERVICES_LOGGED) {
+        let service = ServiceLabels {
+            service: state.service.to_string(),
+        };
+        metrics
+            .share_room_slots
+            .get_or_create(&service)
+            .set(state.room_slots);
+        for share in &state.organisations {
+            let organisation = names.get(&share.organisation).copied().unwrap_or("-");
+            let labels = ShareLabels {
+                service: state.service.to_string(),
+                organisation: organisation.to_owned(),
+            };
+            metrics
+                .share_asked_slots
+                .get_or_create(&labels)
+                .set(share.asked_slots);
+            metrics
+                .share_slots
+                .get_or_create(&labels)
+                .set(share.share_slots);
+            log_share(state, share, organisation);
+        }
+    }
+}
+
+fn log_share(state: &ServiceState, share: &ShareState, organisation: &str) {
+    let tally = share.tally;
+    log::info!(
+        target: "ryevalve::limit",
+        service = &*state.service,
+        room_slots = to_tenths(state.room_slots),
+        all_asked_slots = to_tenths(state.asked_slots),
+        organisation,
+        asked_slots = to_tenths(share.asked_slots),
+        share_slots = to_tenths(share.share_slots),
+        served = tally.served,
+        refused = tally.refused,
+        mean_return_ms = tally.return_ms / u64::from(tally.refused.max(1));
+        "share_state"
+    );
+}
+
 /// Lets a request through with the standing of its organisation, or refuses it.
 ///
 /// Requests that may be served in some regions only are let through: the room of those regions is not known.
@@ -56,6 +124,9 @@
     let engine_us = gateway.balancer().stream_engine_us(request);
     let ask = ask(now_us, organisation, request, engine_us);
     let admitted = lock(&gateway.shares).admit(now_us, &ask);
+    if admitted.is_err() {
+        gateway.metrics.requests_over_share.inc();
+    }
     request.standing = admitted?;
     Ok(())
 }
--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -18,7 +18,7 @@
         caller_listener::{self, ListenerStop},
         copies,
         exchange::{Exchange, ExchangeSettings},
-        instance_count, limit_log, probes, reservation_server,
+        instance_count, limit_log, probes, reservation_server, shares,
         staleness::StalenessBound,
         state::{Gateway, GatewayBounds},
         stop,
@@ -328,6 +328,7 @@
     loop {
         interval.tick().await;
         limit_log::log_states(&gateway);
+        shares::log_states(&gateway);
     }
 }
 
--- a/src/shares/admission.rs
+++ b/src/shares/admission.rs
@@ -1,6 +1,6 @@
 //! Lets a request through to the endpoints, or refuses it because its organisation has its share.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 
 use crate::{
     balance::balancer::retry_delay_ms,
@@ -126,6 +126,8 @@
     late_through: f64,
     late_credit_us: f64,
     returns: HashMap<OrganisationKey, ReturnOrder>,
+    /// Only of organisations that are counted one by one, and only in a shortage.
+    tallies: HashMap<OrganisationKey, Tally>,
 }
 
 impl Service {
@@ -162,6 +164,7 @@
         self.room = None;
         self.shares.clear();
         self.returns.clear();
+        self.tallies.clear();
         self.demand.set_through(now_us, |_| 1.0);
     }
 
@@ -221,6 +224,23 @@
         is_through
     }
 
+    fn tally(&mut self, key: OrganisationKey) -> Option<&mut Tally> {
+        let is_counted = self.room.is_some() && self.shares.contains_key(&key);
+        is_counted.then(|| self.tallies.entry(key).or_default())
+    }
+
+    /// Counts a refusal, and returns when its caller may come back.
+    fn refuse(&mut self, now_us: Micros, ask: &Ask<'_>) -> u32 {
+        self.refused_us = Some(now_us);
+        let engine_us = self.engine_us(ask);
+        let retry_after_ms = self.retry_after_ms(now_us, ask, engine_us);
+        if let Some(tally) = self.tally(OrganisationKey::of(ask.organisation)) {
+            tally.refused += 1;
+            tally.return_ms += u64::from(retry_after_ms);
+        }
+        retry_after_ms
+    }
+
     /// Returns when a refused caller may come back.
     fn retry_after_ms(&mut self, now_us: Micros, ask: &Ask<'_>, engine_us: f64) -> u32 {
         let key = OrganisationKey::of(ask.organisation);
@@ -228,10 +248,14 @@
         let patience_us = (ask.left_us as f64 * MAX_RETURN_SHARE) as Micros;
         let latest_us = in_time_us.saturating_sub(ask.waited_us).min(patience_us);
         let part = self.share_of(key).part();
-        let own_share = self.demand.known(key).asked(now_us) * part;
-        let returns = self.returns.entry(key).or_default();
-        if let Some(delay_us) = returns.take(now_us, engine_us, own_share, latest_us) {
-            return (delay_us / 1_000) as u32;
+        let demand = self.demand.known(key);
+        let own_share = demand.left_for_rank(now_us, demand.asked(now_us) * part, ask.rank);
+        // A caller that was refused again though it went before others finds no room in time.
+        if ask.waited_us < MIN_RETURN_US {
+            let returns = self.returns.entry(key).or_default();
+            if let Some(delay_us) = returns.take(now_us, engine_us, own_share, latest_us) {
+                return (delay_us / 1_000) as u32;
+            }
         }
         if self.late_through > 0.0 {
             return retry_delay_ms(ask.left_us);
@@ -255,7 +279,18 @@
     }
 }
 
-/// What is known of an organisation's share, for operators.
+/// What became of one organisation's requests at this instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Tally {
+    /// Requests that found a place at an endpoint.
+    pub served: u32,
+    /// Requests refused because the organisation has its share, or for want of room.
+    pub refused: u32,
+    /// The sum of the delays after which refused callers were told to come back, in milliseconds.
+    pub return_ms: u64,
+}
+
+/// An organisation's share of a service, for operators.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ShareState {
     /// The organisation.
@@ -264,6 +299,21 @@
     pub asked_slots: f64,
     /// Its share, in slots.
     pub share_slots: f64,
+    /// What became of its requests here since the last state.
+    pub tally: Tally,
+}
+
+/// A service that is short of room, for operators.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceState {
+    /// The service.
+    pub service: Name,
+    /// Its room, in slots.
+    pub room_slots: f64,
+    /// The engine time that all organisations ask for in all instances, in slots.
+    pub asked_slots: f64,
+    /// The organisations that ask for most, in that order.
+    pub organisations: Vec<ShareState>,
 }
 
 /// The shares of all services.
@@ -336,14 +386,13 @@
                 });
             }
         }
-        service.refused_us = Some(now_us);
         let share = service.share_of(key);
         Err(ShareRefusal {
             asked_slots: share.asked / 1e6,
             share_slots: share.given / 1e6,
             room_slots: service.room_us / 1e6,
             is_late,
-            retry_after_ms: service.retry_after_ms(now_us, ask, engine_us),
+            retry_after_ms: service.refuse(now_us, ask),
         })
     }
 
@@ -357,6 +406,9 @@
             }
             let engine_us = service.engine_us(ask);
             service.placed.add(now_us, engine_us);
+            if let Some(tally) = service.tally(OrganisationKey::of(ask.organisation)) {
+                tally.served += 1;
+            }
         }
     }
 
@@ -365,11 +417,14 @@
     pub fn note_unplaced(&mut self, now_us: Micros, ask: &Ask<'_>) -> Option<u32> {
         let service = self.services.get_mut(ask.service)?;
         let engine_us = service.engine_us(ask);
-        service.refused_us = Some(now_us);
-        if service.room?.is_settled(now_us) {
+        let Some(room) = service.room else {
+            service.refused_us = Some(now_us);
+            return None;
+        };
+        if room.is_settled(now_us) {
             service.unplaced.add(now_us, engine_us);
         }
-        Some(service.retry_after_ms(now_us, ask, engine_us))
+        Some(service.refuse(now_us, ask))
     }
 
     /// Works out the levels of the services that are short of room. Called some times a second.
@@ -423,19 +478,29 @@
         }
     }
 
-    /// Returns the organisations' shares of the services that are short of room.
-    pub fn states(&self) -> BTreeMap<Name, Vec<ShareState>> {
-        let short = self
-            .services
-            .iter()
-            .filter(|(_, service)| service.room.is_some());
+    /// Returns the services that are short of room, each with the `most` organisations that ask for most, and begins
+    /// to count anew.
+    pub fn take_states(&mut self, most: usize) -> Vec<ServiceState> {
+        let services = self.services.iter_mut();
+        let short = services.filter(|(_, service)| service.room.is_some());
         let states = short.map(|(name, service)| {
+            let tallies = std::mem::take(&mut service.tallies);
             let shares = service.shares.iter().map(|(key, share)| ShareState {
                 organisation: *key,
                 asked_slots: share.asked / 1e6,
                 share_slots: share.given / 1e6,
+                tally: tallies.get(key).copied().unwrap_or_default(),
             });
-            (name.clone(), shares.collect())
+            let mut organisations: Vec<ShareState> = shares.collect();
+            organisations.sort_by(|a, b| b.asked_slots.total_cmp(&a.asked_slots));
+            let asked_slots = organisations.iter().map(|o| o.asked_slots).sum();
+            organisations.truncate(most);
+            ServiceState {
+                service: name.clone(),
+                room_slots: service.room_us / 1e6,
+                asked_slots,
+                organisations,
+            }
         });
         states.collect()
     }
--- a/src/shares/demand.rs
+++ b/src/shares/demand.rs
@@ -88,6 +88,13 @@
         self.asked.iter().map(|rate| rate.get(now_us)).sum()
     }
 
+    /// Returns the part of `share` that is left for a rank after the demand of more urgent ones.
+    pub fn left_for_rank(&self, now_us: Micros, share: f64, rank: Rank) -> f64 {
+        let more_urgent = &self.asked[..2 * usize::from(rank.min(LEAST_URGENT_RANK))];
+        let asked: f64 = more_urgent.iter().map(|rate| rate.get(now_us)).sum();
+        (share - asked).max(0.0)
+    }
+
     /// Counts a request.
     pub fn note_asked(&mut self, now_us: Micros, kind: Kind, engine_us: f64) {
         self.asked[kind.0].add(now_us, engine_us);
--- a/tests/edge/shares.rs
+++ b/tests/edge/shares.rs
@@ -135,6 +135,10 @@
     }
     assert!(used >= TARGET_SHARE, "{used}");
     let lines = edge.lines();
+    let states = lines.iter().filter(|line| line["event"] == "share_state");
+    let of_large = states.filter(|line| line["organisation"] == "large");
+    let refused: u64 = of_large.filter_map(|line| line["refused"].as_u64()).sum();
+    assert!(refused > 1_000, "{refused} refusals in share_state");
     let refused = lines.iter().find(|line| !line["share_slots"].is_null());
     let id = refused.expect("a refusal by a share")["request_id"].as_str();
     let text = std::fs::read_to_string(&edge.log).expect("a log");
