--- a/benches/shares.rs
+++ b/benches/shares.rs
@@ -58,7 +58,7 @@
             if shares.admit(now_us, &ask).is_ok() {
                 shares.note_unplaced(now_us, &ask);
             }
-            if number % 40 == 0 {
+            if number.is_multiple_of(40) {
                 shares.refresh(now_us, |_| slots);
             }
         }
--- a/src/shares/admission.rs
+++ b/src/shares/admission.rs
@@ -20,8 +20,9 @@
 const SLOTS_TTL_US: Micros = 1_000_000;
 /// Fewer organisations than this have nothing to share.
 const MIN_ORGANISATIONS: usize = 2;
-/// The part of its target by which a caller must be back, so that the rest is left for its answer.
-const RETURN_BY_SHARE: f64 = 0.5;
+/// The part of its target by which a caller must be back: a later one queues behind others for up to a third of its
+/// target, so its answer would be late, in place of one in time for a new caller.
+const RETURN_BY_SHARE: f64 = 0.25;
 /// The longest part of its remaining time that a caller waits before it comes back.
 const MAX_RETURN_SHARE: f64 = 1.0 / 3.0;
 /// How far beyond its time limit a caller is told to come back that cannot be served before.
--- a/tests/gateway/shares.rs
+++ b/tests/gateway/shares.rs
@@ -121,10 +121,13 @@
     number: u32,
 }
 
+/// The reports of instances, by number.
+type Told = Vec<(usize, Vec<ServiceReport>)>;
+
 struct Group {
     scenario: Scenario,
     shares: Vec<Shares>,
-    in_flight: VecDeque<(u64, Vec<(usize, Vec<ServiceReport>)>)>,
+    in_flight: VecDeque<(u64, Told)>,
     /// When each slot's work ends.
     slots_free_us: Vec<u64>,
     outcomes: Vec<Outcome>,
@@ -201,7 +204,7 @@
     fn round(&mut self, now_us: u64) {
         if let Some(every_us) = self.scenario.restart_every_us
             && now_us > 0
-            && now_us % every_us == 0
+            && now_us.is_multiple_of(every_us)
         {
             let instance = (now_us / every_us) as usize % self.scenario.instances;
             self.shares[instance] = configured(&self.scenario.organisations);
@@ -214,7 +217,7 @@
         for shares in &mut self.shares {
             shares.refresh(now_us, |_| slots);
         }
-        if now_us % 200_000 == 0 {
+        if now_us.is_multiple_of(200_000) {
             let told = self.shares.iter().enumerate();
             let told = told.map(|(index, s)| (index, s.reports(now_us))).collect();
             self.in_flight
@@ -512,6 +515,7 @@
         again(&ordered),
         again(&today)
     );
+    assert!(ordered[0].in_aim >= today[0].in_aim);
     assert!(used >= TARGET_SHARE, "{used}");
     for small in &ordered[1..] {
         assert!(small.share() >= TARGET_SHARE, "{small:?}");
