--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -257,12 +257,13 @@
          {CALLER_KEY}' -H 'idempotency-key: tag-1' -d 'tag for seat 12A'   # a second time: 409\n",
         one.callers
     );
-    println!(
-        "The program itself is built by `cargo build --release`, as target/release/ryevalve:\n"
-    );
+    // With arguments this example acts as the program itself, which `cargo run --example` does not build.
+    let program = std::env::current_exe().expect("the path of this example");
+    let program = program.display();
+    println!("The program itself, here as the example that was just built:\n");
     let command = |addrs: &ListenAddrs, text: &str| {
         println!(
-            "ryevalve command '{text}' --at {} --key {OPERATOR_KEY}",
+            "{program} command '{text}' --at {} --key {OPERATOR_KEY}",
             addrs.operators
         );
     };
@@ -273,7 +274,7 @@
     command(one, "set endpoint {name = \"agent-3\", slots = 6}");
     command(two, "show history");
     command(one, "report event morning-bank");
-    println!("ryevalve dump --at {} --key {OPERATOR_KEY}", one.operators);
+    println!("{program} dump --at {} --key {OPERATOR_KEY}", one.operators);
     println!(
         "curl -s http://{}/metrics\n\nCtrl-C stops everything.",
         one.operators
