--- a/benches/placing.rs
+++ b/benches/placing.rs
@@ -63,6 +63,7 @@
         rank: 0,
         other_hall_cost: 0.05,
         allowed_regions: AllowedRegions::default(),
+        connected: Vec::new(),
         draw: number,
     }
 }
--- a/src/balance/cost.rs
+++ b/src/balance/cost.rs
@@ -4,7 +4,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    balance::{load::LoadEstimate, prefixes::ChainKey, regions::AllowedRegions, speed::Speed},
+    balance::{
+        load::{EndpointKey, LoadEstimate},
+        prefixes::ChainKey,
+        regions::AllowedRegions,
+        speed::Speed,
+    },
     prelude::{Micros, Name, Rank},
 };
 
@@ -24,6 +29,9 @@
 const UNFINISHED_LOSS: f64 = 1.0;
 /// Cost of processing a thousand uncached prompt tokens; other requests wait for it.
 const UNCACHED_COST_PER_1K: f64 = 0.006;
+/// Cost of a new connection: it holds a slot of the endpoint for a moment, and endpoints bound how many they accept. Far
+/// below that of one request more in the queue, so that it decides between endpoints that are about equal.
+const NEW_CONNECTION_COST: f64 = 0.01;
 /// Share of its value that a request loses at an endpoint that always fails.
 const FAILING_LOSS: f64 = 1.5;
 
@@ -54,6 +62,8 @@
     pub other_hall_cost: f64,
     /// The regions in which the request may be served.
     pub allowed_regions: AllowedRegions,
+    /// Endpoints to which an idle connection is open that the request may use.
+    pub connected: Vec<EndpointKey>,
     /// A random number; determines which endpoints are considered.
     pub draw: u64,
 }
@@ -103,6 +113,8 @@
     pub same_hall: bool,
     /// Tokens of the request's prompt that it has cached.
     pub cached_tokens: u32,
+    /// Whether the request needs a new connection to it.
+    pub needs_connection: bool,
 }
 
 /// Returns the expected cost and timing of a request at an endpoint.
@@ -141,6 +153,10 @@
         request.other_hall_cost
     };
     let uncached_cost = f64::from(uncached_tokens) / 1e3 * UNCACHED_COST_PER_1K;
+    let connection_cost = match state.needs_connection {
+        true => NEW_CONNECTION_COST,
+        false => 0.0,
+    };
     let failure_cost = state.failure_share * FAILING_LOSS;
     Expected {
         cost: late * LATE_LOSS
@@ -148,6 +164,7 @@
             + first_ms / target_ms * TIME_WEIGHT
             + hall_cost
             + uncached_cost
+            + connection_cost
             + failure_cost,
         first_ms,
         queue_ms,
--- a/src/endpoint/connection_pool.rs
+++ b/src/endpoint/connection_pool.rs
@@ -1,7 +1,8 @@
 //! A pool of idle connections to endpoints.
 //!
-//! Only repeatable requests are sent over reused connections: if one breaks while a request is written, it is unknown
-//! whether the endpoint read it. If a new connection cannot be opened, provably nothing was sent.
+//! If a reused connection breaks while a request is written, it is unknown whether the endpoint read it; if a new one
+//! cannot be opened, provably nothing was sent. A request that may run once only is therefore sent over a reused
+//! connection only shortly after its last answer.
 
 use std::{
     collections::HashMap,
@@ -18,7 +19,7 @@
 use tokio::{net::TcpStream, time};
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::prelude::Micros;
+use crate::{balance::load::EndpointKey, prelude::Micros};
 
 /// Connecting usually takes a few milliseconds; an unreachable endpoint never responds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -41,6 +42,8 @@
 
 struct IdleConnection {
     connection: EndpointConnection,
+    endpoint: EndpointKey,
+    idle_since_us: Micros,
     expires_us: Micros,
 }
 
@@ -51,11 +54,19 @@
 }
 
 impl ConnectionPool {
-    /// Removes and returns an idle connection, the most recently used one first.
-    pub fn take_idle(&self, now_us: Micros, addr: SocketAddr) -> Option<EndpointConnection> {
+    /// Removes and returns the idle connection that was used last, unless it has been idle for more than `max_idle_us`.
+    pub fn take_idle(
+        &self,
+        now_us: Micros,
+        addr: SocketAddr,
+        max_idle_us: Micros,
+    ) -> Option<EndpointConnection> {
         let mut idle = self.lock();
         let to_addr = idle.get_mut(&addr)?;
-        while let Some(last) = to_addr.pop() {
+        while let Some(last) = to_addr.pop_if(|last| {
+            let is_usable = last.expires_us > now_us && last.connection.sender.is_ready();
+            !is_usable || now_us.saturating_sub(last.idle_since_us) <= max_idle_us
+        }) {
             if last.expires_us > now_us && last.connection.sender.is_ready() {
                 return Some(last.connection);
             }
@@ -63,12 +74,28 @@
         None
     }
 
+    /// Returns the endpoints to which an idle connection is open that a request may use, those used last first, `max` of
+    /// them at most.
+    pub fn connected(&self, now_us: Micros, max_idle_us: Micros, max: usize) -> Vec<EndpointKey> {
+        let idle = self.lock();
+        let last = idle.values().filter_map(|to_addr| to_addr.last());
+        let mut usable: Vec<&IdleConnection> = last
+            .filter(|last| {
+                let is_recent = now_us.saturating_sub(last.idle_since_us) <= max_idle_us;
+                is_recent && last.expires_us > now_us && last.connection.sender.is_ready()
+            })
+            .collect();
+        usable.sort_unstable_by_key(|last| std::cmp::Reverse(last.idle_since_us));
+        usable.iter().take(max).map(|last| last.endpoint).collect()
+    }
+
     /// Returns a connection to the pool after its response was read completely. `idle_timeout` is the one that the
     /// endpoint announced. If the pool is full or the timeout too short, the connection is closed.
     pub fn return_idle(
         &self,
         now_us: Micros,
         addr: SocketAddr,
+        endpoint: EndpointKey,
         mut connection: EndpointConnection,
         idle_timeout: Option<Duration>,
     ) {
@@ -81,6 +108,8 @@
         if idle_us > 0 && to_addr.len() < MAX_IDLE_PER_ENDPOINT {
             to_addr.push(IdleConnection {
                 connection,
+                endpoint,
+                idle_since_us: now_us,
                 expires_us: now_us + idle_us,
             });
         }
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -193,6 +193,7 @@
         rank: route.priority,
         other_hall_cost: OTHER_HALL_COST,
         allowed_regions,
+        connected: Vec::new(),
         draw: rand::rng().random(),
     }
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -33,6 +33,10 @@
 const MAX_BUFFERED_BYTES: usize = 16 << 20;
 /// Longer than any request is held: the attempt may then last until the deadline of the request.
 const NO_ATTEMPT_TIMEOUT: Duration = Duration::from_secs(86_400);
+/// Longest idle time of a pooled connection over which a request is sent that may run once only: if the endpoint closes
+/// the connection at that moment, it is unknown whether the request ran. Endpoints keep idle connections for a second
+/// and more.
+const MAX_IDLE_ONCE_US: Micros = 500_000;
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// An admitted request with all that is needed to forward it.
@@ -65,6 +69,14 @@
         self.route.kind.is_repeatable()
     }
 
+    /// Returns for how long a connection may have been idle over which the request is sent.
+    pub fn max_idle_us(&self) -> Micros {
+        match self.is_repeatable() {
+            true => Micros::MAX,
+            false => MAX_IDLE_ONCE_US,
+        }
+    }
+
     /// Returns the fingerprint by which retries of this request are recognised. It is computed on first use, as most
     /// requests never need it.
     pub fn fingerprint(&self) -> Fingerprint {
@@ -299,17 +311,16 @@
     })
 }
 
-/// Returns a connection to the endpoint. Only a request that may be retried gets a pooled one, which the endpoint may
-/// be closing.
+/// Returns a connection to the endpoint, a pooled one if the request may use it.
 async fn connect<P: Protocol>(
     gateway: &Gateway<P>,
     job: &Job,
     in_flight: &InFlightRequest<P>,
 ) -> Result<EndpointConnection, AttemptError> {
     let addr = in_flight.choice.addr;
-    if job.is_repeatable()
-        && let Some(kept) = gateway.connections.take_idle(gateway.clock.now_us(), addr)
-    {
+    let now_us = gateway.clock.now_us();
+    let max_idle_us = job.max_idle_us();
+    if let Some(kept) = gateway.connections.take_idle(now_us, addr, max_idle_us) {
         return Ok(kept);
     }
     gateway.metrics.connections_opened.inc();
@@ -409,9 +420,13 @@
     let now_us = gateway.clock.now_us();
     let addr = in_flight.choice.addr;
     if connection.is_open() {
-        gateway
-            .connections
-            .return_idle(now_us, addr, connection, idle_timeout);
+        gateway.connections.return_idle(
+            now_us,
+            addr,
+            in_flight.choice.key,
+            connection,
+            idle_timeout,
+        );
     }
 }
 
--- a/tests/edge/cluster.rs
+++ b/tests/edge/cluster.rs
@@ -255,6 +255,7 @@
         rank: 0,
         other_hall_cost: 0.0,
         allowed_regions: AllowedRegions::default(),
+        connected: Vec::new(),
         draw: 7,
     }
 }
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -121,6 +121,7 @@
         rank,
         other_hall_cost: 0.05,
         allowed_regions: AllowedRegions::default(),
+        connected: Vec::new(),
         draw: subject,
     }
 }
