Connections are reused where the configuration bounds them; idle for a second at most if a request runs once

Cause: a bound of half a second left kept connections unused, and the reuse was on for every service.

--- a/src/balance/cost.rs
+++ b/src/balance/cost.rs
@@ -153,7 +153,7 @@
         request.other_hall_cost
     };
     let uncached_cost = f64::from(uncached_tokens) / 1e3 * UNCACHED_COST_PER_1K;
-    let connection_cost = match state.needs_connection {
+    let connection_cost = match state.needs_connection && !request.connected.is_empty() {
         true => NEW_CONNECTION_COST,
         false => 0.0,
     };
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -34,9 +34,9 @@
 /// Longer than any request is held: the attempt may then last until the deadline of the request.
 const NO_ATTEMPT_TIMEOUT: Duration = Duration::from_secs(86_400);
 /// Longest idle time of a pooled connection over which a request is sent that may run once only: if the endpoint closes
-/// the connection at that moment, it is unknown whether the request ran. Endpoints keep idle connections for a second
-/// and more.
-const MAX_IDLE_ONCE_US: Micros = 500_000;
+/// the connection at that moment, it is unknown whether the request ran. Endpoints keep idle connections for longer than
+/// a second.
+const MAX_IDLE_ONCE_US: Micros = 1_000_000;
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// An admitted request with all that is needed to forward it.
@@ -57,6 +57,8 @@
     pub organisation: Option<Name>,
     /// The request as the balancer places it.
     pub placement_request: PlacementRequest,
+    /// Whether the configuration bounds the connections to the service's endpoints, so that they are reused where possible.
+    pub saves_connections: bool,
     /// When the time budget of the request ends, shortly before its caller or route times out.
     pub until_us: Micros,
     /// Identifies retries of the same request; computed on first use.
@@ -69,11 +71,12 @@
         self.route.kind.is_repeatable()
     }
 
-    /// Returns for how long a connection may have been idle over which the request is sent.
-    pub fn max_idle_us(&self) -> Micros {
+    /// Returns for how long a pooled connection may have been idle over which the request is sent; `None` if it needs a
+    /// new one.
+    pub fn max_idle_us(&self) -> Option<Micros> {
         match self.is_repeatable() {
-            true => Micros::MAX,
-            false => MAX_IDLE_ONCE_US,
+            true => Some(Micros::MAX),
+            false => self.saves_connections.then_some(MAX_IDLE_ONCE_US),
         }
     }
 
@@ -319,8 +322,9 @@
 ) -> Result<EndpointConnection, AttemptError> {
     let addr = in_flight.choice.addr;
     let now_us = gateway.clock.now_us();
-    let max_idle_us = job.max_idle_us();
-    if let Some(kept) = gateway.connections.take_idle(now_us, addr, max_idle_us) {
+    if let Some(max_idle_us) = job.max_idle_us()
+        && let Some(kept) = gateway.connections.take_idle(now_us, addr, max_idle_us)
+    {
         return Ok(kept);
     }
     gateway.metrics.connections_opened.inc();
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -143,7 +143,9 @@
         return Err(refuse::not_run("no_service", 1_000));
     };
     gateway.count_request(&service);
-    let engine = table.service(&service).and_then(|s| s.engine);
+    let configured_service = table.service(&service);
+    let engine = configured_service.and_then(|s| s.engine);
+    let saves_connections = configured_service.is_some_and(|s| s.max_connections < u32::MAX);
     let tokens_per_event = engine.map_or(1, |e| e.tokens_per_event);
     let until_us = arrived_us + time_budget_us;
     let timeout_us = head.deadline_ms.map(|ms| ms.saturating_mul(1_000));
@@ -177,6 +179,7 @@
         headers,
         body,
         organisation: organisation_name.clone(),
+        saves_connections,
         until_us,
         fingerprint,
     };
@@ -271,11 +274,7 @@
                 // Under load, retries at the original rank would delay the first attempts of other requests.
                 self.attempt_request.rank = self.attempt_request.rank.max(RETRY_RANK);
             }
-            self.attempt_request.connected = self.gateway.connections.connected(
-                self.gateway.clock.now_us(),
-                self.job.max_idle_us(),
-                MAX_CONNECTED,
-            );
+            self.attempt_request.connected = self.connected_endpoints();
             let choice = self.place().await?;
             trace.endpoint = Some(choice.id.clone());
             trace.attempts += 1;
@@ -311,6 +310,21 @@
         }
     }
 
+    /// Returns the endpoints to which an idle connection is open that the request may use.
+    fn connected_endpoints(&self) -> Vec<EndpointKey> {
+        let Some(max_idle_us) = self
+            .job
+            .max_idle_us()
+            .filter(|_| self.job.saves_connections)
+        else {
+            return Vec::new();
+        };
+        let now_us = self.gateway.clock.now_us();
+        self.gateway
+            .connections
+            .connected(now_us, max_idle_us, MAX_CONNECTED)
+    }
+
     /// Waits for a place at an endpoint; refuses once the request's time budget is spent.
     async fn place(&self) -> Result<Choice, Refusal> {
         let placing = self.gateway.place(&self.attempt_request, &self.tried);
--- a/tests/edge/answers.rs
+++ b/tests/edge/answers.rs
@@ -1,8 +1,12 @@
 //! Responses to callers when endpoints misbehave: complete and their own, or an error that is true.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use hyper::StatusCode;
+use ryevalve::platform::edge::METRICS_PORT;
 use standins::runner::{EVENTS, Fault, event, whole_body};
 use tokio::time;
 
@@ -76,6 +80,27 @@
     }
 }
 
+/// Requests that may run once only opened a connection each, three quarters of all.
+#[tokio::test]
+async fn requests_that_run_once_share_a_connection_while_it_is_in_use() {
+    let edge = Edge::start(1).await;
+    for number in 0..10 {
+        let id = format!("r-{number}");
+        let got = edge.call("/once/", &id).await;
+        assert_eq!((got.status, got.text()), (StatusCode::OK, whole_body(&id)));
+    }
+    let addr = SocketAddr::new(edge.ready.ip(), METRICS_PORT);
+    let metrics = exchange(addr, request("/metrics", "m-1", &[])).await;
+    let metrics = metrics.expect("the metrics").text().to_owned();
+    let opened = metrics
+        .lines()
+        .find(|line| line.contains("connections_opened_total "));
+    assert!(
+        opened.is_some_and(|line| line.ends_with(" 1")),
+        "{opened:?}"
+    );
+}
+
 #[tokio::test]
 async fn an_idempotent_request_is_retried_at_another_endpoint() {
     let edge = Edge::start(2).await;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod caller_timeouts;
 mod clock;
 mod cold;
+mod connections;
 mod copies;
 mod current_config;
 mod discovery;
