Limits: refunds add no more than the account's depth leaves since the grant

Callers saw an organisation above its limit when slow datagrams became quick.

Cause: a grant that arrives too late is returned, and the account added it to its level whatever had happened since. With round trips just above the age at which a grant may be used, all grants came back and were made again beside what had accrued meanwhile, so that the units on their way grew without bound, to be used at once when the delay fell.

Change: a refund carries the time of its grant and adds at most the least headroom (depth less level) that the account had since then, as if the grant had not been made. A refund of a grant older than 8 s or made before the account was opened is lost. The field is the last of its message: an older process ignores it, and a newer one drops the refunds of older ones.

--- a/src/limits/quota/account.rs
+++ b/src/limits/quota/account.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     gateway::config::UsageLimit,
-    limits::quota::{message::Verdict, partition::COPIES, shares::Shares},
+    limits::quota::{message::Verdict, partition::COPIES, refunds::RefundLimit, shares::Shares},
     prelude::{Micros, Rank},
 };
 
@@ -84,6 +84,7 @@
     pub(super) level: f64,
     /// [`Shares::accrued_s`] when the account was last filled.
     filled_s: f64,
+    refund_limit: RefundLimit,
     /// Number of requests denied since the last grant.
     denied_since_grant: f64,
     /// Units granted since the account was opened.
@@ -94,12 +95,18 @@
 
 impl Account {
     /// Opens an empty account: earlier use is not known.
-    pub(super) fn open(limit: UsageLimit, tolerance: &Tolerance, shares: &Shares) -> Self {
+    pub(super) fn open(
+        now_us: Micros,
+        limit: UsageLimit,
+        tolerance: &Tolerance,
+        shares: &Shares,
+    ) -> Self {
         Self {
             bounds: Bounds::new(&limit, tolerance),
             limit,
             level: 0.0,
             filled_s: shares.accrued_s(),
+            refund_limit: RefundLimit::new(now_us),
             denied_since_grant: 0.0,
             granted: 0,
             denied: 0,
@@ -109,14 +116,15 @@
     /// Applies another limit and keeps the level, clipped to the new depth.
     pub(super) fn update_limit(
         &mut self,
+        now_us: Micros,
         limit: UsageLimit,
         tolerance: &Tolerance,
         shares: &Shares,
     ) {
-        self.fill(shares);
+        self.clip(now_us, shares);
         self.limit = limit;
         self.bounds = Bounds::new(&limit, tolerance);
-        self.clip(shares);
+        self.clip(now_us, shares);
     }
 
     /// Adds what the leased shares accrued since the account was last filled.
@@ -124,16 +132,24 @@
         let gained_s = shares.accrued_s() - self.filled_s;
         self.filled_s = shares.accrued_s();
         self.level += self.bounds.rate_per_s * gained_s / f64::from(COPIES);
-        self.clip(shares);
-    }
-
-    /// Clips the level to the depth that the currently leased shares cover.
-    pub(super) fn clip(&mut self, shares: &Shares) {
+        // Only the depth that the currently leased shares cover is kept.
         self.level = self.level.min(self.bounds.depth * account_share(shares));
     }
 
-    pub(super) fn grant(&mut self, units: u32, rank: Rank, shares: &Shares) -> Verdict {
+    /// Fills the account before or after its depth changes.
+    pub(super) fn clip(&mut self, now_us: Micros, shares: &Shares) {
         self.fill(shares);
+        self.refund_limit.observe(now_us, self.headroom(shares));
+    }
+
+    pub(super) fn grant(
+        &mut self,
+        now_us: Micros,
+        units: u32,
+        rank: Rank,
+        shares: &Shares,
+    ) -> Verdict {
+        self.clip(now_us, shares);
         let account_share = account_share(shares);
         if account_share <= 0.0 {
             return Verdict::Unleased;
@@ -156,11 +172,25 @@
         }
     }
 
-    /// Returns unused units to the account.
-    pub(super) fn refund(&mut self, units: u32, shares: &Shares) {
-        self.level += f64::from(units);
+    /// Returns unused units of a grant made at `granted_us` to the account.
+    pub(super) fn refund(
+        &mut self,
+        now_us: Micros,
+        units: u32,
+        granted_us: Micros,
+        shares: &Shares,
+    ) {
+        self.fill(shares);
         self.granted = self.granted.saturating_sub(u64::from(units));
-        self.clip(shares);
+        let headroom = self.headroom(shares);
+        self.level += self
+            .refund_limit
+            .take(now_us, granted_us, f64::from(units), headroom);
+    }
+
+    /// Returns the units that are missing to a full account.
+    fn headroom(&self, shares: &Shares) -> f64 {
+        self.bounds.depth * account_share(shares) - self.level
     }
 
     fn wait_us(&mut self, missing: f64, units: u32, account_share: f64) -> Micros {
--- a/src/limits/quota/client.rs
+++ b/src/limits/quota/client.rs
@@ -14,8 +14,19 @@
     pub organisation: u32,
     /// Units granted.
     pub units: u32,
-    /// The server and account index that granted it; none if it is made up of several grants.
-    pub from: Option<(Incarnation, u8)>,
+    /// The account that granted it; none if it is made up of several grants.
+    pub from: Option<GrantSource>,
+}
+
+/// The account that made a grant, and when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GrantSource {
+    /// The quota server.
+    pub server: Incarnation,
+    /// Index of the account among those of the organisation.
+    pub copy: u8,
+    /// Time of the grant on the server's clock.
+    pub granted_us: Micros,
 }
 
 /// The reason why a request got no quota.
@@ -45,8 +56,7 @@
 pub(super) struct LateGrant {
     pub(super) units: u32,
     pub(super) until_us: Micros,
-    /// The server and account index that granted it.
-    pub(super) from: (Incarnation, u8),
+    pub(super) from: GrantSource,
 }
 
 /// Until a time, requests of a size and above are denied without a query.
--- a/src/limits/quota/message.rs
+++ b/src/limits/quota/message.rs
@@ -139,6 +139,8 @@
         copy: u8,
         /// Units refunded.
         units: u32,
+        /// Timestamp of the grant on the server's clock.
+        granted_us: Micros,
     },
 }
 
--- a/src/limits/quota/mod.rs
+++ b/src/limits/quota/mod.rs
@@ -15,12 +15,13 @@
 mod message;
 mod node;
 mod partition;
+mod refunds;
 mod server;
 mod shares;
 
 pub use self::{
     account::{Bounds, Tolerance},
-    client::{Decision, Denied, Grant},
+    client::{Decision, Denied, Grant, GrantSource},
     message::{InstanceCount, Lease, Message, Outgoing, Recipient, Verdict},
     node::{Acquisition, LimitChange, Node},
     partition::{COPIES, Partition, PartitionSet},
--- a/src/limits/quota/node.rs
+++ b/src/limits/quota/node.rs
@@ -6,7 +6,7 @@
     gateway::config::{GatewayConfig, UsageLimit},
     limits::quota::{
         account::{Bounds, Tolerance},
-        client::{Client, Decision, Denied, Grant, LateGrant},
+        client::{Client, Decision, Denied, Grant, GrantSource, LateGrant},
         delegation::{Delegation, renewal_interval_us},
         directory::Directory,
         message::{InstanceCount, Lease, Message, Outgoing, Recipient, Verdict},
@@ -442,21 +442,26 @@
             units,
             from,
         } = grant;
-        match from {
-            Some((server, copy)) if server == self.me => {
-                self.server.refund(organisation, copy, units);
-            }
-            Some((to, copy)) => self.send(
-                to,
-                Message::Unused {
-                    organisation,
-                    copy,
-                    units,
-                },
-            ),
-            // It is made up of several grants, whose accounts are not known any more.
-            None => {}
+        // A grant that is made up of several ones is lost, as their accounts are not known any more.
+        let Some(from) = from else { return };
+        let GrantSource {
+            server,
+            copy,
+            granted_us,
+        } = from;
+        if server == self.me {
+            let now_us = self.now_us;
+            self.server
+                .refund(now_us, organisation, copy, units, granted_us);
+            return;
         }
+        let unused = Message::Unused {
+            organisation,
+            copy,
+            units,
+            granted_us,
+        };
+        self.send(server, unused);
     }
 
     /// Handles a message from the process `from` at the address with the hash `from_address`.
@@ -507,7 +512,7 @@
                 let sent_us = query.filter(|q| !q.is_resent).map(|q| q.sent_us);
                 self.directory.record_answer(now_us, from, sent_us);
                 self.handle_stamp(now_us, from, stamp_us, count);
-                self.handle_verdict(now_us, from, (number, copy), verdict);
+                self.handle_verdict(now_us, from, (number, copy), verdict, stamp_us);
             }
             Message::Started { address } => {
                 let status = self.server.record_start(now_us, address, from);
@@ -564,7 +569,10 @@
                 organisation,
                 copy,
                 units,
-            } => self.server.refund(organisation, copy, units),
+                granted_us,
+            } => self
+                .server
+                .refund(now_us, organisation, copy, units, granted_us),
         }
     }
 
@@ -683,6 +691,7 @@
         from: Incarnation,
         key: (u64, u8),
         verdict: Verdict,
+        answered_us: Micros,
     ) {
         let Some(query) = self.queries.remove(&key) else {
             return;
@@ -692,7 +701,11 @@
             let grant = Grant {
                 organisation: query.organisation,
                 units: query.units,
-                from: Some((from, copy)),
+                from: Some(GrantSource {
+                    server: from,
+                    copy,
+                    granted_us: answered_us,
+                }),
             };
             match query.is_redundant {
                 true => self.refund(grant),
@@ -816,7 +829,7 @@
         if server == self.me {
             self.renew(now_us, server);
             let verdict = self.server.grant(now_us, organisation, copy, units, rank);
-            self.handle_verdict(now_us, server, (number, copy), verdict);
+            self.handle_verdict(now_us, server, (number, copy), verdict, now_us);
             return;
         }
         let lease = self.lease_to(now_us, server);
--- a/src/limits/quota/server.rs
+++ b/src/limits/quota/server.rs
@@ -119,8 +119,8 @@
         let tolerance = &self.tolerance;
         self.accounts
             .entry((organisation, copy))
-            .and_modify(|account| account.update_limit(limit, tolerance, shares))
-            .or_insert_with(|| Account::open(limit, tolerance, shares));
+            .and_modify(|account| account.update_limit(now_us, limit, tolerance, shares))
+            .or_insert_with(|| Account::open(now_us, limit, tolerance, shares));
     }
 
     /// Returns whether an earlier incarnation than `lessor` is known at an address.
@@ -148,7 +148,7 @@
         for partition in Partition::all() {
             self.advance(now_us, partition);
             if self.shares[partition.index()].release(ended) {
-                self.clip_accounts(partition);
+                self.clip_accounts(now_us, partition);
             }
         }
         StartStatus::Replaces(ended)
@@ -163,13 +163,16 @@
         let share = 1.0 / f64::from(lease.count.instances.max(1));
         for partition in lease.partitions.iter() {
             self.advance(now_us, partition);
+            if share > self.shares[partition.index()].share_of(lessor) {
+                self.clip_accounts(now_us, partition);
+            }
             let shares = &mut self.shares[partition.index()];
             let total_fell = shares.lease(lessor, share, until_us);
             if lease.idle.contains(partition) {
                 shares.add_idle(share, lease.idle_us);
             }
             if total_fell {
-                self.clip_accounts(partition);
+                self.clip_accounts(now_us, partition);
             }
         }
     }
@@ -188,7 +191,7 @@
         for partition in partitions.iter() {
             self.advance(now_us, partition);
             if self.shares[partition.index()].release(lessor) {
-                self.clip_accounts(partition);
+                self.clip_accounts(now_us, partition);
             }
         }
         true
@@ -206,14 +209,23 @@
         self.advance(now_us, partition);
         let shares = &self.shares[partition.index()];
         let account = self.accounts.get_mut(&(organisation, copy));
-        account.map_or(Verdict::Unknown, |a| a.grant(units, rank, shares))
+        account.map_or(Verdict::Unknown, |a| a.grant(now_us, units, rank, shares))
     }
 
-    pub(super) fn refund(&mut self, organisation: u32, copy: u8, units: u32) {
+    /// Takes back units of a grant made at `granted_us`.
+    pub(super) fn refund(
+        &mut self,
+        now_us: Micros,
+        organisation: u32,
+        copy: u8,
+        units: u32,
+        granted_us: Micros,
+    ) {
         let partition = Partition::of(organisation, copy);
+        self.advance(now_us, partition);
         let shares = &self.shares[partition.index()];
         if let Some(account) = self.accounts.get_mut(&(organisation, copy)) {
-            account.refund(units, shares);
+            account.refund(now_us, units, granted_us, shares);
         }
     }
 
@@ -278,16 +290,16 @@
 
     fn advance(&mut self, now_us: Micros, partition: Partition) {
         if self.shares[partition.index()].advance(now_us) {
-            self.clip_accounts(partition);
+            self.clip_accounts(now_us, partition);
         }
     }
 
-    /// Fills the accounts of a partition and clips them to the shares that are left.
-    fn clip_accounts(&mut self, partition: Partition) {
+    /// Fills the accounts of a partition and clips them to the current shares.
+    fn clip_accounts(&mut self, now_us: Micros, partition: Partition) {
         let shares = &self.shares[partition.index()];
         for key in &self.accounts_by_partition[partition.index()] {
             if let Some(account) = self.accounts.get_mut(key) {
-                account.fill(shares);
+                account.clip(now_us, shares);
             }
         }
     }
--- a/src/limits/quota/shares.rs
+++ b/src/limits/quota/shares.rs
@@ -35,6 +35,11 @@
         self.accrued_s
     }
 
+    /// Returns the share that an instance leases; 0 if it leases none.
+    pub(super) fn share_of(&self, lessor: Incarnation) -> f64 {
+        self.by_lessor.get(&lessor).map_or(0.0, |l| l.share)
+    }
+
     /// Returns the number of instances that lease their shares.
     pub(super) fn lessors(&self) -> usize {
         self.by_lessor.len()
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -149,6 +149,30 @@
     assert!(acquire(&mut node, later_us, 2_500, 0).is_ok());
 }
 
+/// Guards against grants that come back late and unused piling up, to be used all at once when they come back sooner.
+#[test]
+fn late_refunds_do_not_raise_what_is_outstanding() {
+    const HELD_S: f64 = 3.0;
+    let allowed = ALLOWED - RATE * (8.0 - HELD_S);
+    let mut node = single_instance(RATE, BURST);
+    let mut outstanding: Vec<(u64, Grant)> = Vec::new();
+    for step in 0..3_000 {
+        let now_us = WARMED_UP_US + step * 10 * MS;
+        let held_us = (HELD_S * 1e6) as u64;
+        for (_, grant) in outstanding.extract_if(.., |(at_us, _)| now_us - *at_us >= held_us) {
+            node.refund(grant);
+        }
+        while let Ok(Some(grant)) = acquire(&mut node, now_us, 500, 0) {
+            outstanding.push((now_us, grant));
+        }
+        let units: u32 = outstanding.iter().map(|(_, grant)| grant.units).sum();
+        assert!(
+            f64::from(units) <= allowed,
+            "{units} of {allowed} at step {step}"
+        );
+    }
+}
+
 #[test]
 fn limit_changes_grant_nothing_and_lower_limits_apply_at_once() {
     let mut node = single_instance(RATE, BURST);
--- a/tests/gateway/quota.rs
+++ b/tests/gateway/quota.rs
@@ -153,6 +153,21 @@
     }
 }
 
+/// Guards against grants that came too late to be used and were granted anew all arriving at once.
+#[test]
+fn limit_is_kept_when_network_delay_falls() {
+    check(&Scenario {
+        demand: 11.243118325547465,
+        seconds: 24,
+        faults: vec![Fault::Delay {
+            at_s: 18.44783375124139,
+            delay_ms: 1,
+        }],
+        seed: 8204469870655749332,
+        ..scenario(6, 1_291)
+    });
+}
+
 #[test]
 fn limit_is_kept_over_network_partitions() {
     for (parts, for_s) in [(2, 4.0), (3, 4.0), (2, 37.0), (3, 37.0)] {
