After the loss of all, instances meet and lease at once

After the loss of all instances requests with a limit were refused for about a second, as leases begin once every instance has acknowledged the start. Most of that time nobody waited for anybody: an address learned between two announcements was announced to at the next one, whose interval doubles; a seed that did not run yet was not asked again before 150 ms; and leases to a server whose clock was not known were empty until the next renewal.

Change: a new address gets the announcement at the next round; a seed that does not answer is followed by the next one after 30 ms; two seeds are queried at once, so that one of any two instances learns of the other (as many queries as before); a server's first timestamp is answered by a lease; the stored number is read 50 ms after the start, not at the check after that. What a lease requires stays as it was, so nothing is given out without one.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -59,9 +59,15 @@
 const MAX_DATAGRAM: usize = 65_536;
 /// Number of sent updates that are kept for matching echoes: more than a second of rounds.
 const SENT_UPDATES_KEPT: usize = 64;
-/// Times after the start at which a seed, each in turn, is queried for the addresses of the other instances. The list
-/// of 295 instances takes 6 KB; sending it to all of them every 250 ms filled the links of three seeds.
-const DISCOVERY_DELAYS_MS: [u64; 6] = [0, 150, 400, 800, 1_500, 3_000];
+/// Times after the first answer of a seed at which further seeds, each in turn, are queried for the addresses of the
+/// other instances; the last one ends the retries of the last query. With two of three seeds queried at once, one of
+/// any two instances learns of the other. The list of 295 instances takes 6 KB; sending it to all of them every 250 ms
+/// filled the links of three seeds.
+const DISCOVERY_DELAYS_MS: [u64; 6] = [0, 250, 800, 1_500, 3_000, 3_500];
+/// How long a first answer is waited for.
+const DISCOVERY_TIMEOUT: Duration = Duration::from_secs(3);
+/// Delay after which the next seed is queried if one does not answer: when all instances start, seeds may be later.
+const DISCOVERY_RETRY: Duration = Duration::from_millis(30);
 
 /// The loads of this instance alone, as sent in one update.
 #[derive(Clone, Debug, Default)]
@@ -210,16 +216,36 @@
     /// Fetches the addresses of other instances from the seeds during the first seconds. When a whole large cluster
     /// starts at once, this is quicker than learning of each instance by probes.
     pub async fn discover_peers(self: Arc<Self>) {
-        let started = time::Instant::now();
         let first = rand::rng().random_range(0..self.settings.seeds.len().max(1));
-        let seeds = self.settings.seeds.iter().cycle().skip(first);
-        for (after_ms, seed) in DISCOVERY_DELAYS_MS.into_iter().zip(seeds) {
-            time::sleep_until(started + Duration::from_millis(after_ms)).await;
+        let mut seeds = self.settings.seeds.iter().cycle().skip(first);
+        let started = time::Instant::now();
+        self.query_seeds(&mut seeds, started + DISCOVERY_TIMEOUT)
+            .await;
+        let answered = time::Instant::now();
+        let start_of = |after_ms: u64| answered + Duration::from_millis(after_ms);
+        for delays in DISCOVERY_DELAYS_MS.windows(2) {
+            time::sleep_until(start_of(delays[0])).await;
+            self.query_seeds(&mut seeds, start_of(delays[1])).await;
+        }
+    }
+
+    /// Queries one seed after the other until one answers or the time `until` has come.
+    async fn query_seeds<'s>(
+        &self,
+        seeds: &mut impl Iterator<Item = &'s SocketAddr>,
+        until: time::Instant,
+    ) {
+        for seed in seeds {
             let response =
                 copies::exchange_addresses(*seed, self.codec.clone(), self.settings.me.peer_addr);
-            // A seed may no longer run; the next one is queried regardless.
-            let known = response.await.unwrap_or_default();
-            self.add_peers(&known);
+            if let Ok(known) = response.await {
+                return self.add_peers(&known);
+            }
+            let retry_at = time::Instant::now() + DISCOVERY_RETRY;
+            if retry_at >= until {
+                return;
+            }
+            time::sleep_until(retry_at).await;
         }
     }
 
@@ -244,8 +270,8 @@
         let now_us = self.gateway.clock.now_us();
         let view = self.gossip.view();
         self.apply_view(&view);
-        quota::tick(&self.gateway).await;
         let cluster_size = self.update_instance_counts(now_us, &view);
+        quota::tick(&self.gateway).await;
         let has_state_change = self.take_state_changed();
         let suspects_changed = self.gateway.suspects().take_has_changes();
         let announcements_changed = self.gateway.balancer().take_announcements_changed();
--- a/src/gateway/instance_count.rs
+++ b/src/gateway/instance_count.rs
@@ -20,7 +20,7 @@
 /// Delay before a failed call is retried.
 const RETRY_US: Micros = 1_000_000;
 /// Delay after the start before the store is read: peers usually report the number before that.
-const PEERS_WAIT_US: Micros = 50_000;
+const PEERS_WAIT: Duration = Duration::from_millis(50);
 /// A higher number is written after it has been stable for this long.
 const INCREASE_STABLE_US: Micros = 2_000_000;
 /// A lower number is written after it has been stable for this long.
@@ -45,13 +45,14 @@
 
 /// Keeps the stored number up to date until dropped. Nothing is read on the first start of the deployment.
 pub async fn run<P: Protocol, S: Store>(gateway: Arc<Gateway<P>>, store: S, is_first_start: bool) {
-    let started_us = gateway.clock.now_us();
+    // Earlier calls would be made in vain, and the next check would be late.
+    time::sleep(PEERS_WAIT).await;
     let mut sync = InstanceCountSync {
         gateway,
         store,
         stored: is_first_start.then(Stored::default),
         pending: None,
-        next_call_us: started_us + PEERS_WAIT_US,
+        next_call_us: 0,
     };
     let mut interval = time::interval(CHECK_INTERVAL);
     interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/src/limits/quota/node.rs
+++ b/src/limits/quota/node.rs
@@ -121,6 +121,8 @@
     addresses: HashSet<u32>,
     /// Addresses that acknowledged this incarnation's start: no lease of an earlier one is held there.
     acknowledged_by: HashSet<u32>,
+    /// Addresses to which this incarnation's start has been announced.
+    announced_to: HashSet<u32>,
     announced_us: Option<Micros>,
     announce_interval_us: Micros,
     /// Since when none of the instances in `acknowledged_by` has used such a lease; none if one of them may have until
@@ -154,6 +156,7 @@
             now_us,
             addresses: HashSet::new(),
             acknowledged_by: HashSet::new(),
+            announced_to: HashSet::new(),
             announced_us: None,
             announce_interval_us: ANNOUNCE_INTERVAL_US,
             idle_since_us: Some(now_us),
@@ -300,26 +303,33 @@
     }
 
     /// Announces this instance's start to those that have not acknowledged it, so that they end its predecessor's
-    /// leases.
+    /// leases: at once to those that are new to it, at intervals to the others.
     fn announce_start(&mut self, now_us: Micros) {
-        let last_us = self.announced_us;
-        if let Some(last_us) = last_us {
+        let is_repeated = self.is_announcement_due(now_us);
+        let unacknowledged = self.addresses.difference(&self.acknowledged_by);
+        let is_due = |address: &&u32| is_repeated || !self.announced_to.contains(*address);
+        let due: Vec<u32> = unacknowledged.filter(is_due).copied().collect();
+        for address in due {
+            self.announce_start_to(address);
+        }
+    }
+
+    /// Returns whether the start is to be announced again, and doubles the interval if it is.
+    fn is_announcement_due(&mut self, now_us: Micros) -> bool {
+        if let Some(last_us) = self.announced_us {
             if now_us.saturating_sub(last_us) < self.announce_interval_us {
-                return;
+                return false;
             }
             self.announce_interval_us =
                 (2 * self.announce_interval_us).min(MAX_ANNOUNCE_INTERVAL_US);
         }
         self.announced_us = Some(now_us);
-        let unacknowledged = self.addresses.difference(&self.acknowledged_by);
-        let unacknowledged: Vec<u32> = unacknowledged.copied().collect();
-        for address in unacknowledged {
-            self.announce_start_to(address);
-        }
+        true
     }
 
     fn announce_start_to(&mut self, to: u32) {
         let address = self.delegation.address;
+        self.announced_to.insert(to);
         if to != address {
             self.outgoing.push(Outgoing {
                 to: Recipient::Address(to),
@@ -646,8 +656,12 @@
         stamp_us: Micros,
         count: InstanceCount,
     ) {
-        self.delegation.record_stamp(from, stamp_us);
+        let is_first = self.delegation.record_stamp(from, stamp_us);
         self.record_count(now_us, count);
+        // Until now, leases to this server were empty.
+        if is_first && self.delegation.is_leasing() {
+            self.renew(now_us, from);
+        }
     }
 
     fn record_count(&mut self, now_us: Micros, count: InstanceCount) {
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -12,6 +12,7 @@
 mod large_copies;
 mod leaving_endpoints;
 mod load_generator;
+mod loss_of_all;
 mod other_writers;
 mod poison_requests;
 mod reservations;
