Tests: limits over series of restarts, with quick discovery and lossy links

Instances that start now lease after some hundred milliseconds, so a series of restarts gives out new leases more often. The model gets restarts of all or some in series, the time of discovery and lost datagrams; the existing cases keep their values.

--- a/tests/gateway/quota.rs
+++ b/tests/gateway/quota.rs
@@ -8,6 +8,10 @@
     quota_model::{Fault, Outcome, Scenario, simulate},
 };
 
+const DISCOVERY_MS: u64 = 1_000;
+/// The same where seeds answer at once.
+const QUICK_DISCOVERY_MS: u64 = 100;
+
 fn scenario(instances: usize, delay_ms: u64) -> Scenario {
     Scenario {
         instances,
@@ -15,6 +19,8 @@
         demand: 8.0,
         seconds: 30,
         faults: Vec::new(),
+        discovery_ms: DISCOVERY_MS,
+        loss: 0.0,
         seed: 1,
     }
 }
@@ -199,6 +205,38 @@
     }
 }
 
+/// Guards against each restart giving out anew what was given before it.
+#[test]
+fn limit_is_kept_over_series_of_restarts() {
+    let series = |step, times, every_s, down_s| Fault::RestartSeries {
+        step,
+        from_s: 9.0,
+        times,
+        every_s,
+        down_s,
+    };
+    let all = [
+        series(1, 1, 1.0, 0.1),
+        series(1, 2, 2.0, 0.1),
+        series(1, 2, 4.0, 1.5),
+        series(1, 12, 0.5, 0.1),
+        series(1, 12, 0.8, 0.1),
+        series(1, 12, 1.5, 0.5),
+    ];
+    let some = [series(3, 12, 0.5, 0.1), series(3, 12, 1.0, 0.1)];
+    for fault in all.into_iter().chain(some) {
+        for (instances, delay_ms, loss) in [(6, 2, 0.0), (24, 2, 0.0), (24, 60, 0.2), (6, 300, 0.1)]
+        {
+            check(&Scenario {
+                faults: vec![fault],
+                discovery_ms: QUICK_DISCOVERY_MS,
+                loss,
+                ..scenario(instances, delay_ms)
+            });
+        }
+    }
+}
+
 #[test]
 fn limit_is_kept_by_instances_that_restart_during_a_partition() {
     check(&Scenario {
@@ -265,6 +303,19 @@
     ]
 }
 
+fn restart_series() -> impl Strategy<Value = Fault> {
+    let step = prop_oneof![Just(1), 1..4_usize];
+    (step, 0.0..16.0, 1..16_usize, 0.3..4.0, 0.05..2.0).prop_map(
+        |(step, from_s, times, every_s, down_s)| Fault::RestartSeries {
+            step,
+            from_s,
+            times,
+            every_s,
+            down_s,
+        },
+    )
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(24))]
 
@@ -276,7 +327,40 @@
         faults in prop::collection::vec(fault(), 0..8),
         seed in any::<u64>(),
     ) {
-        let scenario = Scenario { instances, delay_ms, demand, seconds: 24, faults, seed };
+        let scenario = Scenario {
+            instances,
+            delay_ms,
+            demand,
+            seconds: 24,
+            faults,
+            discovery_ms: DISCOVERY_MS,
+            loss: 0.0,
+            seed,
+        };
+        let outcome = simulate::<LeasingFleet>(&scenario);
+        prop_assert!(outcome.peak <= 1.0, "{:.3} of what is allowed: {:?}", outcome.peak, scenario);
+    }
+
+    #[test]
+    fn limit_is_kept_over_random_series_of_restarts(
+        instances in 1..24_usize,
+        delay_ms in prop_oneof![1..100_u64, 100..1_500_u64],
+        demand in 0.5..12.0,
+        series in prop::collection::vec(restart_series(), 1..4),
+        discovery_ms in 40..1_000_u64,
+        loss in prop_oneof![Just(0.0), 0.0..0.3],
+        seed in any::<u64>(),
+    ) {
+        let scenario = Scenario {
+            instances,
+            delay_ms,
+            demand,
+            seconds: 24,
+            faults: series,
+            discovery_ms,
+            loss,
+            seed,
+        };
         let outcome = simulate::<LeasingFleet>(&scenario);
         prop_assert!(outcome.peak <= 1.0, "{:.3} of what is allowed: {:?}", outcome.peak, scenario);
     }
--- a/tests/gateway/quota_fleet.rs
+++ b/tests/gateway/quota_fleet.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use ryevalve::{
     limits::quota::{Acquisition, Decision, Message, Node, Recipient},
     prelude::Incarnation,
@@ -64,6 +66,8 @@
     /// Keyed by arrival time and a sequence number.
     in_flight: BTreeMap<(u64, u64), InFlight>,
     sent: u64,
+    /// Draws the datagrams that are lost.
+    rng: ChaCha8Rng,
     factor: f64,
     version: u64,
     granted: Vec<u32>,
@@ -102,7 +106,7 @@
             .map(|i| (i.incarnation, i.started_us))
             .collect();
         let states = parts.iter().zip(&members).map(|(part, (_, started_us))| {
-            let knows_all = now_us > started_us + SECOND;
+            let knows_all = now_us > started_us + scenario.discovery_ms * MS;
             (*part, *started_us <= now_us, knows_all)
         });
         let views: Vec<(usize, bool, bool)> = states.collect();
@@ -116,7 +120,7 @@
             if instance.started_us > now_us {
                 continue;
             }
-            let knows_all = now_us > instance.started_us + SECOND;
+            let knows_all = now_us > instance.started_us + scenario.discovery_ms * MS;
             let seen = members
                 .iter()
                 .enumerate()
@@ -153,6 +157,9 @@
                     Recipient::Address(address) => address as usize,
                 };
                 self.sent += 1;
+                if self.rng.random_bool(scenario.loss) {
+                    continue;
+                }
                 let in_flight = InFlight {
                     from,
                     sender: instance.incarnation,
@@ -228,6 +235,7 @@
             by_incarnation: HashMap::new(),
             in_flight: BTreeMap::new(),
             sent: 0,
+            rng: ChaCha8Rng::seed_from_u64(scenario.seed),
             factor: 1.0,
             version: 1,
             granted: Vec::new(),
--- a/tests/gateway/quota_model.rs
+++ b/tests/gateway/quota_model.rs
@@ -36,6 +36,14 @@
     RestartOfAll { at_s: f64 },
     /// A third of the instances is killed and restarted after half a second.
     RestartOfSome { at_s: f64 },
+    /// Every `step`-th instance is killed `times` times, `every_s` apart, and restarted after `down_s` each time.
+    RestartSeries {
+        step: usize,
+        from_s: f64,
+        times: usize,
+        every_s: f64,
+        down_s: f64,
+    },
     /// The limit becomes `factor` times the initial one; 0 removes it.
     LimitChange { at_s: f64, factor: f64 },
     /// The one-way delay of datagrams changes.
@@ -52,6 +60,10 @@
     pub demand: f64,
     pub seconds: u64,
     pub faults: Vec<Fault>,
+    /// Time after its start at which an instance knows the others and their number.
+    pub discovery_ms: u64,
+    /// Fraction of datagrams that are lost.
+    pub loss: f64,
     pub seed: u64,
 }
 
@@ -161,6 +173,20 @@
             let some = (0..instances).step_by(3);
             some.for_each(|i| fleet.kill(now_us, i, 500 * MS));
         }
+        Fault::RestartSeries {
+            step,
+            from_s,
+            times,
+            every_s,
+            down_s,
+        } => {
+            let mut restarts = (0..*times).map(|n| from_s + n as f64 * every_s);
+            if restarts.any(is_due) {
+                let downtime_us = (down_s * 1e6) as u64;
+                let some = (0..instances).step_by(*step);
+                some.for_each(|i| fleet.kill(now_us, i, downtime_us));
+            }
+        }
         Fault::LimitChange { at_s, factor } if is_due(*at_s) => {
             limits.push((now_us, *factor));
             fleet.set_limit(now_us, *factor);
