After a start, waiting callers are let in as endpoints have room

Callers that arrive before the first lease were all woken at one moment: more than their endpoints run or queue, so that most were refused as busy.

Change: limits::release, without clock or socket, keeps them by service, the more urgent first and organisations by turns. Each round an instance lets in its part of the estimated free slots, less the requests that queue at it; after 400 ms all that are left. Nobody waits longer than for quota before. quota_leases_begun tells how many waited, the metric quota_held counts them.

--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -405,6 +405,29 @@
         self.endpoints.len()
     }
 
+    /// Returns the free slots of a service's endpoints, as estimated.
+    pub fn free_slots(&self, now_us: Micros, service: &Name) -> f64 {
+        let keys = self.keys_of(service).iter();
+        let entries = keys.filter_map(|key| Some((*key, self.entry(*key)?)));
+        let usable = entries.filter(|(_, entry)| !entry.draining);
+        let free = usable.map(|(key, entry)| {
+            let is_same_hall = entry.hall == self.hall;
+            let load = self
+                .load_view
+                .estimate(now_us, key, service, &entry.hall, is_same_hall);
+            (f64::from(entry.slots) - load.requests).max(0.0)
+        });
+        free.sum()
+    }
+
+    /// Returns the number of waiting requests of a service.
+    pub fn waiting_for(&self, service: &Name) -> usize {
+        let waiting = self.waiting.values();
+        waiting
+            .filter(|request| request.service == *service)
+            .count()
+    }
+
     /// Returns the key of an endpoint's current incarnation.
     pub fn key_of(&self, id: &str) -> Option<EndpointKey> {
         self.keys.get(id).copied()
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -22,7 +22,7 @@
         state::Gateway,
     },
     limits::quota::Grant,
-    prelude::{Micros, Name, Rank},
+    prelude::{Micros, Name},
 };
 
 /// The final response is sent at least this long before the caller times out.
@@ -125,7 +125,7 @@
     gateway: &Gateway<P>,
     organisation: Option<&Organisation>,
     tokens: Option<u32>,
-    rank: Rank,
+    route: &Route,
     time_budget_us: Micros,
     trace: &mut Trace,
 ) -> Result<Option<Grant>, Refusal> {
@@ -136,8 +136,10 @@
     let units = limit.units(tokens);
     // A request without token counts uses next to nothing, so it gets the most urgent rank and need not leave the rest of
     // a nearly used limit to others.
-    let rank = if tokens.is_some() { rank } else { 0 };
-    let acquired = quota::acquire(gateway, name, units, rank, time_budget_us).await;
+    let rank = if tokens.is_some() { route.priority } else { 0 };
+    let until = quota::wait_until(gateway, name, time_budget_us);
+    quota::wait_for_leases(gateway, name, route, until).await;
+    let acquired = quota::acquire(gateway, name, units, rank, until).await;
     acquired.map_err(|denied| {
         trace.denied = Some(denied);
         let retry_after_ms = u32::try_from(denied.wait_us / 1_000).unwrap_or(u32::MAX);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -93,6 +93,8 @@
     pub quota_unanswered: Counter,
     /// Requests that did not use their quota.
     pub quota_unused: Counter,
+    /// Requests that waited for the start of leases.
+    pub quota_held: Counter,
     /// Rate limits of endpoints whose header could not be parsed.
     pub limit_words_unreadable: Counter,
     /// Back-off requests of endpoints to this instance.
@@ -167,6 +169,7 @@
             quota_hedged: Counter::default(),
             quota_unanswered: Counter::default(),
             quota_unused: Counter::default(),
+            quota_held: Counter::default(),
             limit_words_unreadable: Counter::default(),
             rests_asked: Counter::default(),
             rest_words_unreadable: Counter::default(),
@@ -303,6 +306,8 @@
         );
         let unused = "Requests that gave their quota back";
         registry.register("quota_unused", unused, self.quota_unused.clone());
+        let held = "Requests that waited for the start of leases";
+        registry.register("quota_held", held, self.quota_held.clone());
     }
 
     fn register_endpoint_limits(&mut self) {
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -7,22 +7,22 @@
     time::Duration,
 };
 
-use tokio::{
-    sync::{Notify, oneshot},
-    time,
-};
+use tokio::{sync::oneshot, time};
 
 use crate::{
     gateway::{
-        config::GatewayConfig, protocol::Protocol, reservation_client::DirectMessage,
+        config::{GatewayConfig, Route},
+        protocol::Protocol,
+        reservation_client::DirectMessage,
         state::Gateway,
     },
     limits::quota::{
         AccountState, Acquisition, Decision, Denied, Grant, LimitChange, Message, Node, Outgoing,
         Recipient, Tolerance,
     },
+    limits::release::{MAX_RELEASE_MS, Release, Ticket, room},
     peers::view::{Member, View},
-    prelude::{Incarnation, Micros, Rank, short_hash},
+    prelude::{Incarnation, Micros, Name, Rank, short_hash},
 };
 
 /// How long to wait for a decision before a hedged request may go to another server of the organisation. The delay
@@ -39,8 +39,11 @@
 
 struct State {
     node: Node,
-    /// Whether the start of leasing was logged and announced to waiting callers.
-    is_leasing: bool,
+    /// When this instance started to lease its share; none before.
+    leasing_since_us: Option<Micros>,
+    /// The callers that wait for the start of leases, by service.
+    releases: HashMap<Name, Release>,
+    released: HashMap<(Name, Ticket), oneshot::Sender<()>>,
     view: Arc<View>,
     /// Current and former addresses of instances, by their hash.
     addresses: HashMap<u32, IpAddr>,
@@ -53,8 +56,26 @@
 /// The state for acquiring and granting quota.
 pub struct Quota {
     state: Mutex<State>,
-    /// Notified when this instance starts to lease its share.
-    leasing_started: Notify,
+}
+
+/// A caller that waits for the start of leases. Dropping it gives up its place.
+struct WaitingForLeases<'q> {
+    quota: &'q Quota,
+    service: Name,
+    ticket: Ticket,
+    released: oneshot::Receiver<()>,
+}
+
+impl Drop for WaitingForLeases<'_> {
+    fn drop(&mut self) {
+        let mut state = self.quota.lock();
+        let service = self.service.clone();
+        if state.released.remove(&(service, self.ticket)).is_some()
+            && let Some(release) = state.releases.get_mut(&self.service)
+        {
+            release.leave(self.ticket);
+        }
+    }
 }
 
 /// A quota request whose caller waits. Dropping it cancels the request.
@@ -81,13 +102,14 @@
         Self {
             state: Mutex::new(State {
                 node,
-                is_leasing: false,
+                leasing_since_us: None,
+                releases: HashMap::new(),
+                released: HashMap::new(),
                 view: Arc::default(),
                 addresses: HashMap::new(),
                 unknown_senders: HashMap::new(),
                 waiting: HashMap::new(),
             }),
-            leasing_started: Notify::new(),
         }
     }
 
@@ -212,15 +234,68 @@
         addressed.collect()
     }
 
-    /// Wakes the callers that wait until this instance leases its share, once it does.
-    fn notify_if_leasing(&self, now_us: Micros) {
+    /// Records the start of leases.
+    fn note_leasing(&self, now_us: Micros) {
         let mut state = self.lock();
-        if state.is_leasing || !state.node.is_leasing() {
+        if state.leasing_since_us.is_some() || !state.node.is_leasing() {
             return;
         }
-        state.is_leasing = true;
-        log::info!(target: "ryevalve::process", after_ms = now_us / 1_000; "quota_leases_begun");
-        self.leasing_started.notify_waiters();
+        state.leasing_since_us = Some(now_us);
+        let waiting = state.released.len();
+        log::info!(
+            target: "ryevalve::process", after_ms = now_us / 1_000, waiting;
+            "quota_leases_begun"
+        );
+    }
+
+    /// Adds a caller to those that wait for the start of leases; none if it need not wait.
+    fn wait_for_leases(
+        &self,
+        service: &Name,
+        organisation: &Name,
+        rank: Rank,
+    ) -> Option<WaitingForLeases<'_>> {
+        let mut state = self.lock();
+        let is_first = state.releases.get(service).is_none_or(Release::is_empty);
+        if state.leasing_since_us.is_some() && is_first {
+            return None;
+        }
+        let release = state.releases.entry(service.clone()).or_default();
+        let ticket = release.enter(organisation, rank);
+        let (sender, released) = oneshot::channel();
+        state.released.insert((service.clone(), ticket), sender);
+        Some(WaitingForLeases {
+            quota: self,
+            service: service.clone(),
+            ticket,
+            released,
+        })
+    }
+
+    /// Returns the services for which callers wait to be let in, once leases have started, and whether they have waited
+    /// long enough.
+    fn services_to_release(&self, now_us: Micros) -> (Vec<Name>, bool) {
+        let mut state = self.lock();
+        let Some(since_us) = state.leasing_since_us else {
+            return (Vec::new(), false);
+        };
+        state.releases.retain(|_, release| !release.is_empty());
+        let is_over = now_us.saturating_sub(since_us) >= MAX_RELEASE_MS * 1_000;
+        (state.releases.keys().cloned().collect(), is_over)
+    }
+
+    fn let_in(&self, service: &Name, room: usize) {
+        let mut state = self.lock();
+        let tickets = match state.releases.get_mut(service) {
+            Some(release) => release.take(room),
+            None => return,
+        };
+        for ticket in tickets {
+            if let Some(sender) = state.released.remove(&(service.clone(), ticket)) {
+                // A caller that has just left needs no place.
+                let _ = sender.send(());
+            }
+        }
     }
 
     fn try_acquire(
@@ -246,8 +321,56 @@
     }
 }
 
+/// Returns until when a caller may wait for quota, by a share of `allowed_us`, its remaining time.
+pub(super) fn wait_until<P: Protocol>(
+    gateway: &Gateway<P>,
+    organisation: &str,
+    allowed_us: Micros,
+) -> time::Instant {
+    let max_wait_us = gateway.quota.lock().node.max_wait_us(organisation);
+    time::Instant::now() + Duration::from_micros(max_wait_us.min(allowed_us / WAIT_DIVISOR))
+}
+
+/// Waits until this instance leases its share, and then for its turn: when all instances have just started, no quota is
+/// leased yet, but it will be shortly, and the endpoints cannot run all who waited at once.
+pub(super) async fn wait_for_leases<P: Protocol>(
+    gateway: &Gateway<P>,
+    organisation: &str,
+    route: &Route,
+    until: time::Instant,
+) {
+    let Some(target) = route.targets.iter().max_by_key(|target| target.weight) else {
+        return;
+    };
+    let organisation = Name::from(organisation);
+    let quota = &gateway.quota;
+    let waiting = quota.wait_for_leases(&target.service, &organisation, route.priority);
+    if let Some(mut waiting) = waiting {
+        gateway.metrics.quota_held.inc();
+        // On a timeout the attempt to acquire quota reports the outcome.
+        let _ = time::timeout_at(until, &mut waiting.released).await;
+    }
+}
+
+/// Lets in callers that waited for the start of leases, as far as the endpoints have room for them.
+fn let_in<P: Protocol>(gateway: &Gateway<P>, now_us: Micros) {
+    let (services, is_over) = gateway.quota.services_to_release(now_us);
+    for service in services {
+        let room = match is_over {
+            true => usize::MAX,
+            false => {
+                let balancer = gateway.balancer();
+                let free_slots = balancer.free_slots(now_us, &service);
+                let instances = gateway.instance_counts().all;
+                room(free_slots, instances, balancer.waiting_for(&service))
+            }
+        };
+        gateway.quota.let_in(&service, room);
+    }
+}
+
 /// Acquires `units` of an organisation's limit for a request of priority `rank`. Returns `None` if the organisation has
-/// no limit. The wait is bounded by a share of `allowed_us`, the caller's remaining time.
+/// no limit. The wait ends at `until`.
 ///
 /// # Errors
 /// Fails if no quota is left or no server answers in time.
@@ -256,17 +379,8 @@
     organisation: &str,
     units: u32,
     rank: Rank,
-    allowed_us: Micros,
+    until: time::Instant,
 ) -> Result<Option<Grant>, Denied> {
-    let max_wait_us = gateway.quota.lock().node.max_wait_us(organisation);
-    let max_wait = Duration::from_micros(max_wait_us.min(allowed_us / WAIT_DIVISOR));
-    let until = time::Instant::now() + max_wait;
-    if !gateway.quota.lock().node.is_leasing() {
-        // When all instances have just started, no quota is leased yet, but it will be shortly.
-        let leasing = gateway.quota.leasing_started.notified();
-        // On a timeout the request below reports the outcome.
-        let _ = time::timeout_at(until, leasing).await;
-    }
     let started = time::Instant::now();
     loop {
         let result = acquire_once(gateway, organisation, units, rank, until).await;
@@ -371,7 +485,7 @@
         }
         state.node.receive(now_us, from, address, message);
     }
-    gateway.quota.notify_if_leasing(now_us);
+    gateway.quota.note_leasing(now_us);
     flush(gateway).await;
 }
 
@@ -379,7 +493,8 @@
 pub(super) async fn tick<P: Protocol>(gateway: &Gateway<P>) {
     let now_us = gateway.clock.now_us();
     gateway.quota.lock().node.tick(now_us);
-    gateway.quota.notify_if_leasing(now_us);
+    gateway.quota.note_leasing(now_us);
+    let_in(gateway, now_us);
     flush(gateway).await;
 }
 
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -130,7 +130,7 @@
         gateway,
         limited_organisation,
         tokens,
-        route.priority,
+        &route,
         time_budget_us,
         trace,
     )
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -8,5 +8,6 @@
 pub mod permits;
 pub mod quota;
 pub mod rate;
+pub mod release;
 pub mod retries;
 pub mod suspects;
--- a/src/limits/quota/refunds.rs
+++ b/src/limits/quota/refunds.rs
@@ -39,11 +39,15 @@
     /// Records the headroom at a time at which it is about to change other than by filling the account.
     pub(super) fn observe(&mut self, now_us: Micros, units: f64) {
         let oldest_us = now_us.saturating_sub(MAX_REFUND_AGE_US);
-        let is_old = |headroom: &mut Headroom| headroom.until_us < oldest_us;
-        while self.headrooms.pop_front_if(is_old).is_some() {}
+        let is_old = |headroom: &Headroom| headroom.until_us < oldest_us;
+        while self.headrooms.front().is_some_and(is_old) {
+            self.headrooms.pop_front();
+        }
         // Earlier ones that are no smaller never decide.
-        let is_larger = |headroom: &mut Headroom| headroom.units >= units;
-        while self.headrooms.pop_back_if(is_larger).is_some() {}
+        let is_larger = |headroom: &Headroom| headroom.units >= units;
+        while self.headrooms.back().is_some_and(is_larger) {
+            self.headrooms.pop_back();
+        }
         let newest = self.headrooms.back_mut();
         match newest.filter(|newest| now_us.saturating_sub(newest.from_us) < MERGED_US) {
             Some(newest) => newest.until_us = now_us,
--- a/tests/edge/loss_of_all.rs
+++ b/tests/edge/loss_of_all.rs
@@ -238,6 +238,20 @@
         since_last_list(leases_ms[0]),
         since_last_list(leases_ms[INSTANCES - 1]),
     );
+    for instance in 0..INSTANCES {
+        let lines = group.lines_of(instance);
+        let at = |event: &str| {
+            let line = lines.iter().find(|l| l["event"] == event);
+            line.and_then(|l| l["at"].as_u64()).map(since_last_list)
+        };
+        let events = [
+            "started",
+            "endpoint_changed",
+            "instance_count_read",
+            "quota_leases_begun",
+        ];
+        println!("instance {instance}: {:?}", events.map(at));
+    }
     assert!(since_last_list(first_answer_ms) <= MAX_FIRST_ANSWER_MS);
     assert!(since_last_list(leases_ms[INSTANCES - 1]) <= MAX_FIRST_ANSWER_MS);
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -30,6 +30,7 @@
 mod quota;
 mod quota_fleet;
 mod quota_model;
+mod release;
 mod restarts;
 mod retries;
 mod routes;
