Limits: messages are kept until there is a socket for them

A started process takes its first messages of limits from the node before the task that serves their socket has run, and dropped them; announcements of the start among them are repeated .12 s later. Found by reading after tests/edge/loss_of_all failed once (last lease 238 ms after the last list, 200 allowed); whether it was the cause is not shown.

--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -206,8 +206,8 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Delivers decisions to the waiting callers, and returns the outgoing messages with their addresses.
-    fn take_outgoing(&self) -> Vec<(IpAddr, Message)> {
+    /// Delivers decisions to the waiting callers.
+    fn deliver_decisions(&self) {
         let mut state = self.lock();
         for (number, decision) in state.node.take_decided() {
             let waiting = state.waiting.remove(&number);
@@ -217,6 +217,11 @@
                 state.node.refund(grant);
             }
         }
+    }
+
+    /// Returns the outgoing messages with their addresses.
+    fn take_outgoing(&self) -> Vec<(IpAddr, Message)> {
+        let mut state = self.lock();
         let outgoing = state.node.take_outgoing();
         let view = state.view.clone();
         let unknown_senders = &state.unknown_senders;
@@ -499,11 +504,12 @@
 }
 
 async fn flush<P: Protocol>(gateway: &Gateway<P>) {
-    let outgoing = gateway.quota.take_outgoing();
+    gateway.quota.deliver_decisions();
+    // Messages are kept until there is a channel: announcements lost at the start are repeated much later.
     let Some(channel) = gateway.reservation_client.channel() else {
         return;
     };
-    for (to, message) in outgoing {
+    for (to, message) in gateway.quota.take_outgoing() {
         channel.send(to, 0, DirectMessage::Quota(message)).await;
     }
 }
