--- a/src/limits/quota/node.rs
+++ b/src/limits/quota/node.rs
@@ -6,7 +6,7 @@
     gateway::config::{GatewayConfig, UsageLimit},
     limits::quota::{
         account::{Bounds, Tolerance},
-        client::{Client, Decision, Denied, Grant, LateGrant},
+        client::{Client, Decision, Denied, Grant, GrantSource, LateGrant},
         delegation::{Delegation, renewal_interval_us},
         directory::Directory,
         message::{InstanceCount, Lease, Message, Outgoing, Recipient, Verdict},
@@ -121,6 +121,8 @@
     addresses: HashSet<u32>,
     /// Addresses that acknowledged this incarnation's start: no lease of an earlier one is held there.
     acknowledged_by: HashSet<u32>,
+    /// Addresses to which this incarnation's start has been announced.
+    announced_to: HashSet<u32>,
     announced_us: Option<Micros>,
     announce_interval_us: Micros,
     /// Since when none of the instances in `acknowledged_by` has used such a lease; none if one of them may have until
@@ -154,6 +156,7 @@
             now_us,
             addresses: HashSet::new(),
             acknowledged_by: HashSet::new(),
+            announced_to: HashSet::new(),
             announced_us: None,
             announce_interval_us: ANNOUNCE_INTERVAL_US,
             idle_since_us: Some(now_us),
@@ -300,26 +303,33 @@
     }
 
     /// Announces this instance's start to those that have not acknowledged it, so that they end its predecessor's
-    /// leases.
+    /// leases: at once to those that are new to it, at intervals to the others.
     fn announce_start(&mut self, now_us: Micros) {
-        let last_us = self.announced_us;
-        if let Some(last_us) = last_us {
+        let is_repeated = self.is_announcement_due(now_us);
+        let unacknowledged = self.addresses.difference(&self.acknowledged_by);
+        let is_due = |address: &&u32| is_repeated || !self.announced_to.contains(*address);
+        let due: Vec<u32> = unacknowledged.filter(is_due).copied().collect();
+        for address in due {
+            self.announce_start_to(address);
+        }
+    }
+
+    /// Returns whether the start is to be announced again, and doubles the interval if it is.
+    fn is_announcement_due(&mut self, now_us: Micros) -> bool {
+        if let Some(last_us) = self.announced_us {
             if now_us.saturating_sub(last_us) < self.announce_interval_us {
-                return;
+                return false;
             }
             self.announce_interval_us =
                 (2 * self.announce_interval_us).min(MAX_ANNOUNCE_INTERVAL_US);
         }
         self.announced_us = Some(now_us);
-        let unacknowledged = self.addresses.difference(&self.acknowledged_by);
-        let unacknowledged: Vec<u32> = unacknowledged.copied().collect();
-        for address in unacknowledged {
-            self.announce_start_to(address);
-        }
+        true
     }
 
     fn announce_start_to(&mut self, to: u32) {
         let address = self.delegation.address;
+        self.announced_to.insert(to);
         if to != address {
             self.outgoing.push(Outgoing {
                 to: Recipient::Address(to),
@@ -442,21 +452,26 @@
             units,
             from,
         } = grant;
-        match from {
-            Some((server, copy)) if server == self.me => {
-                self.server.refund(organisation, copy, units);
-            }
-            Some((to, copy)) => self.send(
-                to,
-                Message::Unused {
-                    organisation,
-                    copy,
-                    units,
-                },
-            ),
-            // It is made up of several grants, whose accounts are not known any more.
-            None => {}
+        // A grant that is made up of several ones is lost, as their accounts are not known any more.
+        let Some(from) = from else { return };
+        let GrantSource {
+            server,
+            copy,
+            granted_us,
+        } = from;
+        if server == self.me {
+            let now_us = self.now_us;
+            self.server
+                .refund(now_us, organisation, copy, units, granted_us);
+            return;
         }
+        let unused = Message::Unused {
+            organisation,
+            copy,
+            units,
+            granted_us,
+        };
+        self.send(server, unused);
     }
 
     /// Handles a message from the process `from` at the address with the hash `from_address`.
@@ -507,7 +522,7 @@
                 let sent_us = query.filter(|q| !q.is_resent).map(|q| q.sent_us);
                 self.directory.record_answer(now_us, from, sent_us);
                 self.handle_stamp(now_us, from, stamp_us, count);
-                self.handle_verdict(now_us, from, (number, copy), verdict);
+                self.handle_verdict(now_us, from, (number, copy), verdict, stamp_us);
             }
             Message::Started { address } => {
                 let status = self.server.record_start(now_us, address, from);
@@ -564,7 +579,10 @@
                 organisation,
                 copy,
                 units,
-            } => self.server.refund(organisation, copy, units),
+                granted_us,
+            } => self
+                .server
+                .refund(now_us, organisation, copy, units, granted_us),
         }
     }
 
@@ -683,6 +701,7 @@
         from: Incarnation,
         key: (u64, u8),
         verdict: Verdict,
+        answered_us: Micros,
     ) {
         let Some(query) = self.queries.remove(&key) else {
             return;
@@ -692,7 +711,11 @@
             let grant = Grant {
                 organisation: query.organisation,
                 units: query.units,
-                from: Some((from, copy)),
+                from: Some(GrantSource {
+                    server: from,
+                    copy,
+                    granted_us: answered_us,
+                }),
             };
             match query.is_redundant {
                 true => self.refund(grant),
@@ -816,7 +839,7 @@
         if server == self.me {
             self.renew(now_us, server);
             let verdict = self.server.grant(now_us, organisation, copy, units, rank);
-            self.handle_verdict(now_us, server, (number, copy), verdict);
+            self.handle_verdict(now_us, server, (number, copy), verdict, now_us);
             return;
         }
         let lease = self.lease_to(now_us, server);
