Read streams from endpoints independently of their callers, with bounds on what is held

The relay was polled by the caller's connection, so a caller that read slowly counted as a slow endpoint, held its slot, and made it cut the answer, which counted as its failure and was run again. Nothing bounded what an instance held.

A task now reads the endpoint into a buffer. limits::held_bytes decides: a caller's own bound brings back pressure for its stream; where the total (a quarter of limits.memoryMb) is used up, whoever has made no progress for longest is cut. limits::read_pauses decides whether a break or a pause after back pressure is the endpoint's. Whole answers and bodies of requests count in the same total; a body that does not arrive within the time of its request is refused with 408.

--- a/benches/relay.rs
+++ b/benches/relay.rs
@@ -22,7 +22,9 @@
         state::{Gateway, GatewayBounds},
     },
     instance,
-    limits::{permits::ColdTolerance, quota::Tolerance, retries::RetryBounds},
+    limits::{
+        held_bytes::HeldLimits, permits::ColdTolerance, quota::Tolerance, retries::RetryBounds,
+    },
     platform::{
         headers::PlatformProtocol, objects::ObjectClient, store::PlatformStore,
         store_era::StoreEra, store_watch,
@@ -179,6 +181,7 @@
             overage: 1.0,
             slack: 0.0,
         },
+        held: HeldLimits::of_memory(110 << 20),
     }
 }
 
--- a/src/endpoint/connection_pool.rs
+++ b/src/endpoint/connection_pool.rs
@@ -27,6 +27,8 @@
 /// An idle connection is closed this long before the idle timeout that the endpoint announced, so that no request is sent
 /// while the endpoint closes it.
 const IDLE_MARGIN_US: Micros = 1_000_000;
+/// What is read ahead of an answer whose caller does not read; also the longest head of an answer.
+const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
 /// Most idle connections to one endpoint: about as many as it runs requests.
 const MAX_IDLE_PER_ENDPOINT: usize = 8;
 
@@ -121,7 +123,10 @@
         // Disables Nagle's algorithm, which delays small messages until an acknowledgement arrives. A failure only costs
         // latency.
         let _ = stream.set_nodelay(true);
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let driver = AbortOnDropHandle::new(tokio::spawn(async move {
             // Errors also reach the reader of the response.
--- a/src/endpoint/events.rs
+++ b/src/endpoint/events.rs
@@ -48,6 +48,11 @@
         !self.buffer.is_empty()
     }
 
+    /// Returns the number of bytes in the buffer.
+    pub fn partial_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Removes and returns the complete events, without those whose id is not above `last_seen`.
     ///
     /// # Errors
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -3,8 +3,8 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::{HeaderMap, StatusCode, body::Incoming};
 use rand::RngExt;
 
@@ -14,6 +14,7 @@
     },
     entry::refusal::Refusal,
     gateway::{
+        caller_buffer::HeldAccount,
         config::{Organisation, Route},
         protocol::{CallHead, Protocol},
         quota, refuse,
@@ -88,14 +89,18 @@
     }
 }
 
-/// Reads a request's body.
+/// Time after which a request that there is no memory for may come back.
+const NO_MEMORY_RETRY_AFTER_MS: u32 = 1_000;
+
+/// Reads a request's body, whose bytes are held in `account`. A caller that sends slowly can be cut until it has sent all.
 ///
 /// # Errors
-/// The body is longer than `max_bytes`, or the caller broke it off.
+/// The body is longer than `max_bytes`, the caller broke it off, or there is no memory for it.
 pub async fn read_body(
     headers: &HeaderMap,
-    body: Incoming,
+    mut body: Incoming,
     max_bytes: usize,
+    account: &HeldAccount,
 ) -> Result<Bytes, Refusal> {
     let too_large = || {
         let message = format!("the body is longer than {max_bytes} bytes");
@@ -106,14 +111,24 @@
     if declared_bytes.is_some_and(|p| p > max_bytes as u64) {
         return Err(too_large());
     }
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(too_large()),
-        Err(_) => {
-            let message = "the body broke off";
-            Err(Refusal::bad(StatusCode::BAD_REQUEST, "body_cut", message))
+    let mut received = BytesMut::new();
+    account.wait_for_caller(true);
+    while let Some(frame) = body.frame().await {
+        let cut = |_| Refusal::bad(StatusCode::BAD_REQUEST, "body_cut", "the body broke off");
+        let Ok(chunk) = frame.map_err(cut)?.into_data() else {
+            continue;
+        };
+        if received.len() + chunk.len() > max_bytes {
+            return Err(too_large());
         }
+        account
+            .hold(chunk.len())
+            .map_err(|_| refuse::not_run(refuse::NO_MEMORY, NO_MEMORY_RETRY_AFTER_MS))?;
+        account.note_progress();
+        received.extend_from_slice(&chunk);
     }
+    account.wait_for_caller(false);
+    Ok(received.freeze())
 }
 
 /// Acquires quota for a request from its organisation's limit; none if the organisation has no limit. The details of a
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, Uri,
     body::Incoming,
@@ -19,6 +19,7 @@
     clock::Clock,
     endpoint::connection_pool::EndpointConnection,
     gateway::{
+        caller_buffer::{CallerConnection, CallerHandle, HeldAccount, HeldAnswer},
         config::Route,
         endpoint_announcements,
         protocol::{CallHead, Forward, Protocol},
@@ -49,6 +50,10 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// Counts the bytes of the body.
+    pub body_account: HeldAccount,
+    /// The connection of its caller.
+    pub caller: CallerConnection,
     /// The caller's organisation.
     pub organisation: Option<Name>,
     /// The request as the balancer places it.
@@ -81,6 +86,15 @@
         }
     }
 
+    /// Returns what names the request and cuts its caller.
+    pub fn caller_handle(&self) -> CallerHandle {
+        CallerHandle {
+            connection: self.caller.clone(),
+            request_id: self.head.request_id.clone(),
+            route: self.route.name.clone(),
+        }
+    }
+
     /// Returns the request id that the caller sent, or `-`, for logs.
     pub fn request_id(&self) -> &str {
         let id = self.head.request_id.as_ref();
@@ -143,6 +157,8 @@
     ConnectionLost(&'static str),
     /// The endpoint may have run the request.
     Unknown(&'static str),
+    /// The endpoint ran the request, and there is no room to hold its answer.
+    NoRoom,
 }
 
 /// A request in flight at an endpoint. It counts in the load of the endpoint until it is finished or dropped.
@@ -186,9 +202,10 @@
             .record_first_event(&self.choice, took_ms);
     }
 
-    /// Records that the response is complete; its duration enters the estimate of how long slots are held.
-    pub fn note_complete(&mut self) {
-        self.records_hold_time = true;
+    /// Records that the response is complete. If `records_hold_time`, its duration enters the estimate of how long slots
+    /// are held.
+    pub fn note_complete(&mut self, records_hold_time: bool) {
+        self.records_hold_time = records_hold_time;
         let now_us = self.gateway.clock.now_us();
         let mut balancer = self.gateway.balancer();
         balancer.update_speed(self.choice.key, |s| s.record_outcome(now_us, false));
@@ -351,15 +368,16 @@
     /// Its headers, without hop-by-hop headers.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: HeldAnswer,
 }
 
 /// Reads the body of a response until `deadline`, then returns the connection to the pool if it can be reused.
 ///
 /// # Errors
-/// The body broke off, is too long or was not complete in time; the endpoint may have run the request.
+/// The body broke off, is too long, was not complete in time or could not be held; the endpoint may have run the request.
 pub async fn buffer_response<P: Protocol>(
     gateway: &Gateway<P>,
+    job: &Job,
     received: EndpointResponse<P>,
     deadline: AttemptDeadline,
 ) -> Result<BufferedResponse, AttemptError> {
@@ -371,21 +389,20 @@
     } = received;
     let (parts, body) = response.into_parts();
     let reuse = connection_reuse(&parts.headers, parts.status);
-    let body = Limited::new(body, MAX_BUFFERED_BYTES).collect();
-    let collected = match deadline.wait(gateway.clock, body).await {
-        Some(Ok(collected)) => collected,
-        Some(Err(_)) => {
-            in_flight.note_failure();
-            return Err(AttemptError::ConnectionLost("answer_broke_off"));
-        }
-        None => {
-            in_flight.note_failure();
-            return Err(AttemptError::Unknown("answer_broke_off"));
-        }
-    };
+    let answer = HeldAnswer::new(HeldAccount::open(&gateway.held_memory, job.caller_handle()));
+    let collecting = collect_body(body, answer);
+    let collected = deadline.wait(gateway.clock, collecting).await;
+    let collected = collected.unwrap_or(Err(AttemptError::Unknown("answer_broke_off")));
+    if collected
+        .as_ref()
+        .is_err_and(|e| *e != AttemptError::NoRoom)
+    {
+        in_flight.note_failure();
+    }
+    let body = collected?;
     if parts.status.is_success() {
         in_flight.note_first_event();
-        in_flight.note_complete();
+        in_flight.note_complete(true);
     }
     if let Some(idle_timeout) = reuse {
         keep_connection(gateway, &in_flight, connection, idle_timeout);
@@ -395,10 +412,27 @@
     Ok(BufferedResponse {
         status: parts.status,
         headers,
-        body: collected.to_bytes(),
+        body,
     })
 }
 
+async fn collect_body(
+    mut body: Incoming,
+    mut answer: HeldAnswer,
+) -> Result<HeldAnswer, AttemptError> {
+    while let Some(frame) = body.frame().await {
+        let broke_off = AttemptError::ConnectionLost("answer_broke_off");
+        let Ok(chunk) = frame.map_err(|_| broke_off)?.into_data() else {
+            continue;
+        };
+        if answer.len() + chunk.len() > MAX_BUFFERED_BYTES {
+            return Err(broke_off);
+        }
+        answer.push(chunk).map_err(|_| AttemptError::NoRoom)?;
+    }
+    Ok(answer)
+}
+
 /// Returns a connection to the pool after its response was read to the end.
 pub fn keep_connection<P: Protocol>(
     gateway: &Gateway<P>,
--- a/src/gateway/caller_listener.rs
+++ b/src/gateway/caller_listener.rs
@@ -4,15 +4,22 @@
 
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    gateway::{config::CallerLimits, protocol::Protocol, run, state::Gateway},
+    gateway::{
+        caller_buffer::CallerConnection, config::CallerLimits, protocol::Protocol, run,
+        state::Gateway,
+    },
     listener,
 };
 
 const MAX_HEADERS: usize = 100;
+/// Unsent bytes that the kernel takes for a caller. It would take some megabytes for one that does not read, which no
+/// limit of this process counts.
+const MAX_UNSENT_BYTES: u32 = 64 << 10;
 /// The smallest read buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 /// Idle connections stay open this much longer than the configured idle timeout, so that the caller is the side that
@@ -50,13 +57,17 @@
 ) {
     // Nagle's algorithm would hold back small events until earlier ones are acknowledged; a failure only delays them.
     let _ = stream.set_nodelay(true);
+    // A failure only lets the kernel take more.
+    let _ = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
     let limits = gateway
         .config
         .table()
         .map_or_else(CallerLimits::default, |t| t.config().caller_limits);
+    let caller = CallerConnection::default();
+    let cut = caller.cut.clone();
     let service = service_fn(move |request| {
-        let gateway = gateway.clone();
-        async move { Ok::<_, Infallible>(run::answer(gateway, request).await) }
+        let (gateway, caller) = (gateway.clone(), caller.clone());
+        async move { Ok::<_, Infallible>(run::answer(gateway, request, caller).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -66,10 +77,14 @@
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        () = stop.cancelled() => connection.as_mut().graceful_shutdown(),
-    }
-    // An error means that the caller disconnected or that a body was cut on purpose.
-    let _ = connection.await;
+    let serving = async {
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            () = stop.cancelled() => connection.as_mut().graceful_shutdown(),
+        }
+        // An error means that the caller disconnected or that a body was cut on purpose.
+        let _ = connection.await;
+    };
+    // A caller that does not read keeps its connection busy writing, so only dropping the connection cuts it.
+    cut.run_until_cancelled(serving).await;
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -71,6 +71,11 @@
     pub first_seconds: Histogram,
     /// Connections opened to endpoints.
     pub connections_opened: Counter,
+    /// Callers cut because the memory for slow callers was used up.
+    pub callers_cut: Counter,
+    /// Times that an answer was not read further because its caller was behind.
+    pub reads_paused: Counter,
+    held_bytes: Gauge,
     /// Retries denied by the retry budget.
     pub retries_denied: Counter,
     /// Requests refused because endpoints crashed while running them.
@@ -156,6 +161,9 @@
             requests: Family::default(),
             first_seconds: Histogram::new(exponential_buckets(0.005, 2.0, 12)),
             connections_opened: Counter::default(),
+            callers_cut: Counter::default(),
+            reads_paused: Counter::default(),
+            held_bytes: Gauge::default(),
             retries_denied: Counter::default(),
             requests_blocked: Counter::default(),
             sent_to_limited: Counter::default(),
@@ -228,6 +236,8 @@
     pub instances_heard: usize,
     /// Number of idle connections to endpoints.
     pub resting_connections: usize,
+    /// Bytes held of requests and answers.
+    pub held_bytes: usize,
 }
 
 impl GatewayMetrics {
@@ -261,6 +271,7 @@
         registry.register("entries_unused", unused, self.entries_unused.clone());
         let dropped = "Datagrams from instances that were dropped";
         registry.register("datagrams_dropped", dropped, self.datagrams_dropped.clone());
+        self.register_slow_callers();
         self.register_exchange();
         self.register_endpoint_limits();
         self.register_quota();
@@ -289,6 +300,16 @@
         );
     }
 
+    fn register_slow_callers(&mut self) {
+        let registry = &mut self.registry;
+        let held = "Bytes held of requests and of answers that callers have not read";
+        registry.register("held_bytes", held, self.held_bytes.clone());
+        let cut = "Callers cut because the memory for slow callers was used up";
+        registry.register("callers_cut", cut, self.callers_cut.clone());
+        let paused = "Times that an answer was not read further because its caller was behind";
+        registry.register("reads_paused", paused, self.reads_paused.clone());
+    }
+
     fn register_quota(&mut self) {
         let registry = &mut self.registry;
         let asked = "Requests for whose quota another instance was asked";
@@ -414,6 +435,7 @@
         self.instances_heard.set(readings.instances_heard as i64);
         let resting = readings.resting_connections;
         self.resting_connections.set(resting as i64);
+        self.held_bytes.set(readings.held_bytes as i64);
         let mut text = String::new();
         // Writing into a string cannot fail.
         let _ = encode(&mut text, &self.registry);
--- a/src/gateway/refuse.rs
+++ b/src/gateway/refuse.rs
@@ -14,6 +14,9 @@
 /// Reason for refusing a request that crashed the endpoints that ran it.
 pub const ENDS_ENDPOINTS: &str = "ends_endpoints";
 
+/// Reason for refusing a request that there is no memory for.
+pub const NO_MEMORY: &str = "no_memory";
+
 /// Builds the response of a refusal. `Retry-After` is written in seconds with fractions.
 pub fn response<P: Protocol>(
     protocol: &P,
@@ -54,6 +57,12 @@
     Refusal::not_run(ENDS_ENDPOINTS, message, blocked_ms)
 }
 
+/// The caller did not send the body within the time of its request.
+pub fn body_too_slow() -> Refusal {
+    let message = "the body did not arrive in time";
+    Refusal::bad(StatusCode::REQUEST_TIMEOUT, "body_too_slow", message)
+}
+
 /// The request did not run and is not tried again.
 pub fn not_run(reason: &'static str, retry_after_ms: u32) -> Refusal {
     let message = "the request did not run";
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -20,16 +20,14 @@
         load::EndpointKey,
         regions::AllowedRegions,
     },
-    entry::{
-        answer::{Body, full},
-        refusal::Refusal,
-    },
+    entry::{answer::Body, refusal::Refusal},
     gateway::{
         admission::{
             ANSWER_MARGIN_US, RequestTimes, acquire_quota, find_organisation, find_route,
             placement_request, read_body, time_budget_us,
         },
         attempt::{self, AttemptDeadline, AttemptError, BufferedResponse, EndpointResponse, Job},
+        caller_buffer::{CallerConnection, CallerHandle, HeldAccount},
         crash_check,
         metrics::Outcome,
         protocol::{CallHead, Protocol},
@@ -63,6 +61,7 @@
 pub async fn answer<P: Protocol>(
     gateway: Arc<Gateway<P>>,
     request: Request<Incoming>,
+    caller: CallerConnection,
 ) -> Response<Body> {
     let arrived_us = gateway.clock.now_us();
     let head = gateway.protocol.read_call(request.headers());
@@ -71,7 +70,7 @@
         deadline_ms: head.deadline_ms,
         ..Trace::default()
     };
-    let result = handle(&gateway, request, head, arrived_us, &mut trace).await;
+    let result = handle(&gateway, request, head, arrived_us, caller, &mut trace).await;
     let mut response = match result {
         Ok(response) => response,
         Err(refusal) => {
@@ -103,6 +102,7 @@
     request: Request<Incoming>,
     head: CallHead,
     arrived_us: Micros,
+    caller: CallerConnection,
     trace: &mut Trace,
 ) -> Result<Response<Body>, Refusal> {
     gateway.wait_for_fresh_config().await;
@@ -114,10 +114,21 @@
     trace.route = Some(route.name.clone());
     let organisation = find_organisation(gateway, &table, &route, &head)?;
     let limits = table.config().caller_limits;
-    let body = read_body(&parts.headers, body, limits.max_body_bytes).await?;
+    let time_budget_us = time_budget_us(&route, &head);
+    let handle = CallerHandle {
+        connection: caller.clone(),
+        request_id: head.request_id.clone(),
+        route: route.name.clone(),
+    };
+    let account = HeldAccount::open(&gateway.held_memory, handle);
+    let reading = read_body(&parts.headers, body, limits.max_body_bytes, &account);
+    let read = gateway
+        .clock
+        .timeout_at(arrived_us + time_budget_us, reading)
+        .await;
+    let body = read.unwrap_or_else(|| Err(refuse::body_too_slow()))?;
     let tokens = head.tokens.map(|t| t.total());
     let organisation_name = organisation.as_ref().map(|o| o.name.clone());
-    let time_budget_us = time_budget_us(&route, &head);
     trace.organisation.clone_from(&organisation_name);
     let fingerprint = OnceLock::new();
     refuse_blocked(gateway, trace, || {
@@ -173,6 +184,8 @@
         uri: parts.uri,
         headers,
         body,
+        body_account: account,
+        caller,
         organisation: organisation_name.clone(),
         until_us,
         fingerprint,
@@ -215,6 +228,8 @@
     Failed { refusal: Box<Refusal> },
     /// The endpoint ran it and answered with a server error.
     Error(BufferedResponse),
+    /// The endpoint ran it, and running it again would not help.
+    GivenUp { refusal: Box<Refusal> },
 }
 
 /// A request in flight.
@@ -291,6 +306,10 @@
                         return Err(*refusal);
                     }
                 }
+                AttemptOutcome::GivenUp { refusal } => {
+                    trace.reason = Some(refusal.reason);
+                    return Err(*refusal);
+                }
                 AttemptOutcome::Error(response) => {
                     trace.reason = Some("endpoint_error");
                     self.runs += 1;
@@ -384,7 +403,8 @@
         if status.is_success() && self.job.route.kind.is_stream() {
             return self.start_stream(endpoint_response, trace).await;
         }
-        match attempt::buffer_response(&self.gateway, endpoint_response, deadline).await {
+        match attempt::buffer_response(&self.gateway, &self.job, endpoint_response, deadline).await
+        {
             Ok(buffered) if buffered.status.is_server_error() => AttemptOutcome::Error(buffered),
             Ok(buffered) => {
                 if buffered.status.is_success() {
@@ -434,6 +454,9 @@
                 was_sent: false,
                 reason,
             },
+            AttemptError::NoRoom => AttemptOutcome::GivenUp {
+                refusal: Box::new(refuse::unknown(refuse::NO_MEMORY)),
+            },
             AttemptError::ConnectionLost(reason) | AttemptError::Unknown(reason) => {
                 let is_timed_out = self.gateway.clock.now_us() >= self.job.until_us;
                 let refusal = if is_timed_out {
@@ -511,7 +534,7 @@
         let took_us = gateway.clock.now_us() - self.job.placement_request.arrived_us;
         gateway.metrics.first_seconds.observe(took_us as f64 / 1e6);
         log_answer(gateway, &self.job, outcome, buffered.status, took_us, trace);
-        let mut response = Response::new(full(buffered.body));
+        let mut response = Response::new(buffered.body.into_body());
         *response.status_mut() = buffered.status;
         *response.headers_mut() = buffered.headers;
         response
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{
-        Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
 };
@@ -20,6 +20,7 @@
     clock::Clock,
     endpoint::connection_pool::ConnectionPool,
     gateway::{
+        caller_buffer::HeldMemory,
         caller_timeouts::TypicalTimeouts,
         config::GatewayConfig,
         crash_check::CrashChecks,
@@ -37,6 +38,7 @@
     },
     limits::{
         fingerprint::Fingerprint,
+        held_bytes::HeldLimits,
         instance_counts::InstanceCounts,
         permits::ColdTolerance,
         quota::Tolerance,
@@ -77,6 +79,8 @@
     pub evacuate: Option<StalenessBound>,
     /// How far the request rate of a cold endpoint may exceed its limit.
     pub cold: ColdTolerance,
+    /// Limits on the bytes held for slow callers.
+    pub held: HeldLimits,
 }
 
 impl GatewayBounds {
@@ -104,6 +108,8 @@
     pub connections: ConnectionPool,
     /// The metrics.
     pub metrics: GatewayMetrics,
+    /// The bytes held for callers.
+    pub held_memory: Arc<HeldMemory>,
     bounds: Mutex<GatewayBounds>,
     balancer: Mutex<Balancer>,
     /// Channels to the tasks of queued requests, on which they receive their placement.
@@ -169,12 +175,15 @@
         if is_first_start {
             quota.mark_first_start();
         }
+        let metrics = GatewayMetrics::default();
+        let held_memory = HeldMemory::new(clock, bounds.held, metrics.callers_cut.clone());
         Self {
             protocol,
             clock,
             config: CurrentConfig::default(),
             connections: ConnectionPool::default(),
-            metrics: GatewayMetrics::default(),
+            held_memory: Arc::new(held_memory),
+            metrics,
             bounds: Mutex::new(bounds),
             balancer: Mutex::new(Balancer::new(hall)),
             waiters: Mutex::default(),
@@ -212,6 +221,7 @@
         *lock(&self.bounds) = bounds;
         self.quota.set_tolerance(bounds.tolerance);
         lock(&self.retries).set_bounds(bounds.retries);
+        self.held_memory.set_limits(bounds.held);
         self.set_cold_rates();
     }
 
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -1,19 +1,15 @@
 //! Relays an event stream to the caller, and resumes it at another endpoint if it breaks or stalls.
 //!
-//! Only whole events are relayed, so that another endpoint can continue after the last one. A stream that cannot be
-//! completed fails visibly: the connection to the caller is closed without the end mark of the chunked body.
+//! A task reads the events from the endpoint into a buffer, from which the caller takes them at its own speed. Only whole
+//! events are relayed, so that another endpoint can continue after the last one. A stream that cannot be completed fails visibly: the connection to the caller is closed without the end mark of the chunked body.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use futures::stream;
-use http_body_util::{BodyExt, StreamBody};
-use hyper::{
-    Response, StatusCode,
-    body::{Frame, Incoming},
-    header::HeaderMap,
-};
-use tokio::time::{self, Instant};
+use http_body_util::BodyExt;
+use hyper::{Response, StatusCode, body::Incoming, header::HeaderMap};
+use tokio::time::Instant;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::{
     balance::{
@@ -24,12 +20,14 @@
     entry::answer::Body,
     gateway::{
         attempt::{self, AttemptDeadline, AttemptError, EndpointResponse, InFlightRequest, Job},
+        caller_buffer::{HeldAccount, NoRoom, StreamWriter, stream_buffer},
         crash_check,
         metrics::Outcome,
         protocol::Protocol,
         report::{Trace, log_answer},
         state::Gateway,
     },
+    limits::read_pauses::ReadPauses,
     prelude::Micros,
 };
 
@@ -41,8 +39,8 @@
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Reason for resuming a stalled stream.
 const STALLED: &str = "stream_silent";
-/// Time for the last events to reach the caller before its connection is closed.
-const FLUSH_DELAY: Duration = Duration::from_millis(30);
+/// Reason for giving up a stream that its caller does not read, or reads too slowly.
+const CALLER_BEHIND: &str = "caller_behind";
 
 /// The head of the first endpoint's response, and the first events.
 pub struct StreamHead {
@@ -62,6 +60,7 @@
     cutter: EventSplitter,
     events_seen: u32,
     last_event_us: Micros,
+    pauses: ReadPauses,
 }
 
 /// A stream that is being relayed to a caller.
@@ -74,8 +73,10 @@
     tried: Vec<EndpointKey>,
     runs: u32,
     first_us: Micros,
-    is_over: bool,
     trace: Trace,
+    account: Arc<HeldAccount>,
+    /// Bytes of an incomplete event that are counted in the account.
+    partial_bytes: usize,
 }
 
 /// Why an endpoint brings no more events.
@@ -86,6 +87,8 @@
     Broken(&'static str),
     /// There was no event for so long that another endpoint should continue.
     Stalled,
+    /// What it sends cannot be held.
+    NoRoom,
 }
 
 impl<P: Protocol> Upstream<P> {
@@ -103,6 +106,7 @@
             cutter: EventSplitter::default(),
             events_seen: 0,
             last_event_us: now_us,
+            pauses: ReadPauses::default(),
         };
         (upstream, headers)
     }
@@ -119,7 +123,10 @@
         trace: Trace,
     ) -> Self {
         let (upstream, headers) = Upstream::new(received, gateway.clock.now_us());
+        let account = HeldAccount::open(&gateway.held_memory, job.caller_handle());
         Self {
+            account: Arc::new(account),
+            partial_bytes: 0,
             last_id: job.head.resume_after,
             gateway,
             job,
@@ -128,7 +135,6 @@
             tried,
             runs: runs + 1,
             first_us: 0,
-            is_over: false,
             trace,
         }
     }
@@ -155,6 +161,7 @@
                 self.upstream.in_flight.note_failure();
                 return Err(AttemptError::ConnectionLost(reason));
             }
+            Some(Err(StreamEnd::NoRoom)) => return Err(AttemptError::NoRoom),
             Some(Err(StreamEnd::Stalled)) | None => {
                 self.upstream.in_flight.note_failure();
                 return Err(AttemptError::Unknown("no_first_event"));
@@ -171,40 +178,73 @@
         })
     }
 
-    /// Returns the response to the caller, whose body relays the events.
+    /// Returns the response to the caller. Its body takes the events that a task reads from the endpoint; the task ends
+    /// with the body.
     pub fn into_response(self, head: StreamHead) -> Response<Body> {
-        let first = (!head.events.is_empty()).then_some(head.events);
-        let parts = stream::unfold((first, Some(self)), |(first, relay)| async move {
-            if let Some(events) = first {
-                return Some((Ok(Frame::data(events)), (None, relay)));
-            }
-            let mut relay = relay?;
-            match relay.next().await {
-                Some(Ok(events)) => Some((Ok(Frame::data(events)), (None, Some(relay)))),
-                Some(Err(error)) => Some((Err(error), (None, None))),
-                None => None,
-            }
-        });
-        let mut response = Response::new(StreamBody::new(parts).boxed_unsync());
+        let (writer, reader) = stream_buffer(self.account.clone());
+        let relay = AbortOnDropHandle::new(tokio::spawn(self.run(writer, head.events)));
+        let mut response = Response::new(reader.into_body(relay));
         *response.status_mut() = head.status;
         *response.headers_mut() = head.headers;
         response
     }
 
-    /// Returns the next events, `None` after a complete stream, or an error if the stream is lost for good.
-    async fn next(&mut self) -> Option<io::Result<Bytes>> {
-        loop {
-            if self.is_over {
-                return None;
+    /// Reads the events into the buffer until the stream ends. Without its end mark the buffer fails visibly.
+    async fn run(mut self, writer: StreamWriter, first: Bytes) {
+        let mut events = Some(first);
+        while let Some(bytes) = events {
+            let is_held = bytes.is_empty() || writer.push(bytes).is_ok();
+            if !is_held || !self.wait_for_room(&writer).await {
+                self.trace.reason = Some(CALLER_BEHIND);
+                return self.record_outcome(Outcome::Broken);
             }
-            let (reason, alternative) = match self.next_events().await {
-                Ok(events) => return Some(Ok(events)),
-                Err(StreamEnd::Complete) => {
-                    self.record_outcome(Outcome::Served);
-                    return None;
+            events = match self.next().await {
+                Ok(events) => events,
+                Err(reason) => {
+                    self.trace.reason = Some(reason);
+                    return self.record_outcome(Outcome::Broken);
                 }
-                Err(StreamEnd::Broken(reason)) => (reason, None),
-                Err(StreamEnd::Stalled) => match self.choose_other_endpoint().await {
+            };
+        }
+        self.record_outcome(Outcome::Served);
+        writer.end();
+    }
+
+    /// Waits while the caller is so far behind that nothing more is read for it; returns false if the time of its request
+    /// ends meanwhile.
+    async fn wait_for_room(&mut self, writer: &StreamWriter) -> bool {
+        if !writer.is_full() {
+            return true;
+        }
+        self.gateway.metrics.reads_paused.inc();
+        let clock = self.gateway.clock;
+        let since_us = clock.now_us();
+        let room = clock
+            .timeout_at(self.job.until_us, writer.wait_for_room())
+            .await;
+        self.upstream.pauses.record(since_us, clock.now_us());
+        room.is_some()
+    }
+
+    /// Returns the next events, or `None` after a complete stream.
+    ///
+    /// # Errors
+    /// The stream is lost for good, for the returned reason.
+    async fn next(&mut self) -> Result<Option<Bytes>, &'static str> {
+        loop {
+            let end = match self.next_events().await {
+                Ok(events) => return Ok(Some(events)),
+                Err(end) => end,
+            };
+            let now_us = self.gateway.clock.now_us();
+            let is_callers_doing = self.upstream.pauses.explain_break(now_us);
+            let (reason, alternative) = match end {
+                StreamEnd::Complete => return Ok(None),
+                StreamEnd::NoRoom => return Err(CALLER_BEHIND),
+                StreamEnd::Broken(_) if is_callers_doing => return Err(CALLER_BEHIND),
+                StreamEnd::Broken(reason) => (reason, None),
+                StreamEnd::Stalled if is_callers_doing => continue,
+                StreamEnd::Stalled => match self.choose_other_endpoint().await {
                     Some(other) => (STALLED, Some(other)),
                     None => continue,
                 },
@@ -218,10 +258,7 @@
             }
             self.trace.reason = Some(reason);
             if !self.resume(reason, alternative).await {
-                self.record_outcome(Outcome::Broken);
-                // hyper discards unwritten data when a body fails, so it gets time to write first.
-                time::sleep(FLUSH_DELAY).await;
-                return Some(Err(io::Error::other(reason)));
+                return Err(reason);
             }
         }
     }
@@ -233,8 +270,7 @@
         crash_check::on_connection_lost(&self.gateway, &self.job, choice, lost_before).await;
     }
 
-    fn record_outcome(&mut self, outcome: Outcome) {
-        self.is_over = true;
+    fn record_outcome(&self, outcome: Outcome) {
         self.gateway
             .metrics
             .record_outcome(&self.job.route.name, outcome);
@@ -252,6 +288,7 @@
     async fn next_events(&mut self) -> Result<Bytes, StreamEnd> {
         loop {
             let complete_events = self.upstream.cutter.take_complete(self.last_id);
+            self.count_partial_event().map_err(|_| StreamEnd::NoRoom)?;
             match complete_events {
                 Ok(Some(events)) => {
                     self.last_id = events.last_id.or(self.last_id);
@@ -280,8 +317,23 @@
         }
     }
 
+    /// Counts the bytes of the incomplete event in the account.
+    fn count_partial_event(&mut self) -> Result<(), NoRoom> {
+        let bytes = self.upstream.cutter.partial_bytes();
+        let before = std::mem::replace(&mut self.partial_bytes, bytes);
+        if bytes < before {
+            self.account.release(before - bytes);
+        }
+        match bytes.saturating_sub(before) {
+            0 => Ok(()),
+            more => self.account.hold(more),
+        }
+    }
+
     fn complete(&mut self) -> StreamEnd {
-        self.upstream.in_flight.note_complete();
+        // A caller that was behind held the slot for longer than the run took.
+        let held_by_caller = self.upstream.pauses.any();
+        self.upstream.in_flight.note_complete(!held_by_caller);
         self.gateway
             .note_request_completed(|| self.job.fingerprint());
         if let (Some(idle_timeout), Some(connection)) =
@@ -302,7 +354,7 @@
         let upstream = &mut self.upstream;
         if upstream.events_seen == 0 {
             upstream.in_flight.note_first_event();
-        } else {
+        } else if upstream.pauses.show_speed(now_us) {
             let gap_us = now_us.saturating_sub(upstream.last_event_us);
             self.trace.longest_gap_us = self.trace.longest_gap_us.max(gap_us);
             let gap_ms = gap_us as f64 / 1e3;
@@ -395,7 +447,7 @@
                     self.runs += 1;
                     self.on_connection_lost(attempted).await;
                 }
-                Err(AttemptError::Unknown(_)) => self.runs += 1,
+                Err(AttemptError::Unknown(_) | AttemptError::NoRoom) => self.runs += 1,
             }
         }
         if let Some(unused) = chosen {
--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -23,12 +23,14 @@
         state::{Gateway, GatewayBounds},
         stop,
     },
-    limits::{permits::ColdTolerance, quota::Tolerance, retries::RetryBounds},
+    limits::{
+        held_bytes::HeldLimits, permits::ColdTolerance, quota::Tolerance, retries::RetryBounds,
+    },
     peers::{datagram::MemberInfo, gossip::Gossip, membership::Membership, rpc::SealedCodec},
     platform::{
         headers::PlatformProtocol,
         objects::ObjectClient,
-        settings::{Bounds, PlatformSettings, SettingsError},
+        settings::{PlatformSettings, SettingsError},
         store::PlatformStore,
         store_era::{EraMetrics, StoreEra},
         store_watch,
@@ -44,6 +46,7 @@
 /// File descriptors reserved for endpoints, peers, the store and files; callers get the others.
 const RESERVED_DESCRIPTORS: usize = 900;
 const BYTES_PER_MBIT: f64 = 125_000.0;
+const BYTES_PER_MB: u64 = 1 << 20;
 /// Interval at which expired state is removed: idle connections, suspects, permits, lapsed endpoints and the loads of
 /// silent peers.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
@@ -98,7 +101,7 @@
     let readiness = bind("readiness", settings.listen.ready).await?;
     let metrics_addr = SocketAddr::new(settings.listen.ready.ip(), METRICS_PORT);
     let metrics = bind("metrics", metrics_addr).await?;
-    let bounds = gateway_bounds(&settings.bounds);
+    let bounds = gateway_bounds(&settings);
     let hall = settings.hall.as_str().into();
     let gateway = Arc::new(Gateway::new(
         PlatformProtocol,
@@ -260,7 +263,8 @@
         .context(BindSnafu { purpose, addr })
 }
 
-fn gateway_bounds(bounds: &Bounds) -> GatewayBounds {
+fn gateway_bounds(settings: &PlatformSettings) -> GatewayBounds {
+    let bounds = &settings.bounds;
     GatewayBounds {
         revoke_us: bounds.revoke_ms * 1_000,
         drain: StalenessBound(bounds.drain_ms * 1_000),
@@ -281,6 +285,7 @@
             overage: bounds.warmup_overage,
             slack: bounds.warmup_slack,
         },
+        held: HeldLimits::of_memory(settings.machine.memory_mb * BYTES_PER_MB),
     }
 }
 
@@ -294,7 +299,7 @@
             }
         }
         Ok(settings) => {
-            gateway.set_bounds(gateway_bounds(&settings.bounds));
+            gateway.set_bounds(gateway_bounds(&settings));
             *current = settings;
             log::info!(target: "ryevalve::process", changed = true; "settings_reloaded");
         }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -205,6 +205,10 @@
                     self.peer_ports
                 ),
             ),
+            (
+                self.machine.memory_mb > 0,
+                "limits.memoryMb = 0: expected more than 0".into(),
+            ),
             (
                 self.machine.max_descriptors >= 300,
                 format!(
--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -6,6 +6,7 @@
 
 use std::{
     collections::HashMap,
+    io::ErrorKind,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::{Duration, Instant},
@@ -73,6 +74,29 @@
     pub has_run: bool,
     /// Whether the connection was still open at the end of the response.
     pub finished: bool,
+    /// Whether the response was cut off because it was left unread.
+    pub was_unread: bool,
+}
+
+/// Shape of a response.
+#[derive(Clone, Copy, Debug)]
+struct Shape {
+    /// Number of events of a stream.
+    events: u64,
+    /// Bytes added to each event, or to a non-stream body.
+    padding: usize,
+    /// A response of which nothing can be sent for this long is cut off.
+    unread_timeout: Duration,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self {
+            events: EVENTS,
+            padding: 0,
+            unread_timeout: Duration::from_secs(3_600),
+        }
+    }
 }
 
 #[derive(Default)]
@@ -81,6 +105,7 @@
     fault: Fault,
     /// Time before each event, or before a non-stream response.
     pace: Duration,
+    shape: Shape,
     seen: Vec<Seen>,
     /// A request whose body contains these bytes crashes the endpoint.
     crash_on: Option<Vec<u8>>,
@@ -181,6 +206,18 @@
         self.lock().pace = pace;
     }
 
+    /// Sets the number of events of a stream, and the bytes added to each event and to a non-stream body.
+    pub fn long_responses(&self, events: u64, padding: usize) {
+        let mut state = self.lock();
+        state.shape.events = events;
+        state.shape.padding = padding;
+    }
+
+    /// Cuts off a response of which nothing can be sent for this long.
+    pub fn cut_unread_after(&self, timeout: Duration) {
+        self.lock().shape.unread_timeout = timeout;
+    }
+
     /// Sets `Server-Limit` in responses: the total rate that it accepts, in requests per second. `None` removes it.
     pub fn announce_limit(&self, limit: Option<&str>) {
         self.lock().limit = limit.map(str::to_owned);
@@ -233,6 +270,12 @@
     format!("id: {number}\ndata: {request_id} {number}\n\n")
 }
 
+/// Returns an event with `padding` more bytes, as sent.
+pub fn padded_event(request_id: &str, number: u64, padding: usize) -> String {
+    let padding = "x".repeat(padding);
+    format!("id: {number}\ndata: {request_id} {number}{padding}\n\n")
+}
+
 /// How a connection ends.
 enum End {
     Closed,
@@ -254,12 +297,13 @@
 async fn serve(stream: &mut TcpStream, state: Arc<Mutex<State>>) -> std::io::Result<End> {
     while let Some(seen) = read(stream).await? {
         let request_id = seen.headers.get("request-id").cloned().unwrap_or_default();
-        let (fault, pace, id, index) = {
+        let (fault, pace, shape, id, index) = {
             let mut state = state.lock().expect("no holder panics");
             state.seen.push(seen.clone());
             (
                 state.fault,
                 state.pace,
+                state.shape,
                 state.id.clone(),
                 state.seen.len() - 1,
             )
@@ -320,16 +364,24 @@
             let response = ResponseParams {
                 request_id: &request_id,
                 fault,
+                shape,
                 announcements: &announcements(),
             };
-            if !send_events(stream, response, from, pace).await? {
-                return Ok(End::Closed);
+            match send_events(stream, response, from, pace).await {
+                Err(error) if error.kind() == ErrorKind::TimedOut => {
+                    update_seen(|s| s.was_unread = true);
+                    return Ok(End::Reset);
+                }
+                Err(error) => return Err(error),
+                Ok(false) => return Ok(End::Closed),
+                Ok(true) => {}
             }
         } else {
             time::sleep(pace).await;
             let response = ResponseParams {
                 request_id: &request_id,
                 fault,
+                shape,
                 announcements: &announcements(),
             };
             if !send_response(stream, response).await? {
@@ -363,6 +415,7 @@
 struct ResponseParams<'a> {
     request_id: &'a str,
     fault: Fault,
+    shape: Shape,
     /// Header lines with the announcements of the endpoint.
     announcements: &'a str,
 }
@@ -393,6 +446,7 @@
         request_id,
         fault,
         announcements,
+        ..
     } = response;
     let signature = if fault == Fault::Unsigned {
         ""
@@ -413,7 +467,7 @@
     response: ResponseParams<'_>,
 ) -> std::io::Result<bool> {
     let fault = response.fault;
-    let body = whole_body(response.request_id);
+    let body = whole_body(response.request_id) + &"x".repeat(response.shape.padding);
     if fault == Fault::Unframed {
         let text = head(response, "Connection: close") + &body[..body.len() / 2];
         stream.write_all(text.as_bytes()).await?;
@@ -437,16 +491,19 @@
     pace: Duration,
 ) -> std::io::Result<bool> {
     let ResponseParams {
-        request_id, fault, ..
+        request_id,
+        fault,
+        shape,
+        ..
     } = response;
     let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked";
     stream.write_all(head(response, kind).as_bytes()).await?;
-    for number in from + 1..=EVENTS {
+    for number in from + 1..=shape.events {
         time::sleep(pace).await;
         if fault == Fault::Pause && number == 4 {
             time::sleep(PAUSE).await;
         }
-        let event = event(request_id, number);
+        let event = padded_event(request_id, number, shape.padding);
         let is_cut = fault == Fault::CutStream || (fault == Fault::CutNewStream && from == 0);
         if is_cut && number == 4 {
             let half = &event[..event.len() / 2];
@@ -455,7 +512,8 @@
             return Ok(false);
         }
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-        stream.write_all(chunk.as_bytes()).await?;
+        let writing = stream.write_all(chunk.as_bytes());
+        time::timeout(shape.unread_timeout, writing).await??;
     }
     stream.write_all(b"0\r\n\r\n").await?;
     Ok(true)
@@ -482,6 +540,7 @@
         was_backed_off: false,
         has_run: false,
         finished: false,
+        was_unread: false,
     };
     for line in lines {
         if let Some((name, value)) = line.split_once(':') {
--- a/tests/edge/cluster.rs
+++ b/tests/edge/cluster.rs
@@ -21,7 +21,9 @@
         staleness::StalenessBound,
         state::{Gateway, GatewayBounds},
     },
-    limits::{permits::ColdTolerance, quota::Tolerance, retries::RetryBounds},
+    limits::{
+        held_bytes::HeldLimits, permits::ColdTolerance, quota::Tolerance, retries::RetryBounds,
+    },
     peers::{datagram::MemberInfo, gossip::Gossip, membership::Membership, rpc::SealedCodec},
     platform::{
         edge, headers::PlatformProtocol, objects::ObjectClient, store::PlatformStore,
@@ -62,6 +64,10 @@
         overage: 1.5,
         slack: 5.0,
     },
+    held: HeldLimits {
+        per_caller_bytes: 256 << 10,
+        total_bytes: 16 << 20,
+    },
 };
 
 /// Identity and addresses of an instance.
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -17,6 +17,7 @@
 mod reservations;
 mod resting_endpoints;
 mod site;
+mod slow_callers;
 mod store_lists;
 mod store_returns;
 mod support;
--- a/tests/edge/support.rs
+++ b/tests/edge/support.rs
@@ -189,6 +189,13 @@
         assert!(status.unwrap().success());
     }
 
+    /// Returns the most memory that the process has had resident so far, in kilobytes.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|l| l.starts_with("VmHWM:")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+
     pub async fn exit_code(&mut self) -> Option<i32> {
         let waiting = async {
             loop {
--- a/tests/gateway/current_config.rs
+++ b/tests/gateway/current_config.rs
@@ -7,7 +7,9 @@
         staleness::StalenessBound,
         state::{Gateway, GatewayBounds},
     },
-    limits::{permits::ColdTolerance, quota::Tolerance, retries::RetryBounds},
+    limits::{
+        held_bytes::HeldLimits, permits::ColdTolerance, quota::Tolerance, retries::RetryBounds,
+    },
     platform::headers::PlatformProtocol,
 };
 
@@ -71,6 +73,7 @@
             overage: 1.5,
             slack: 5.0,
         },
+        held: HeldLimits::of_memory(100 << 20),
     }
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -34,6 +34,7 @@
 mod retries;
 mod routes;
 mod settings;
+mod slow_callers;
 mod staleness;
 mod store_returns;
 mod summary;
