--- a/tests/edge/slow_callers.rs
+++ b/tests/edge/slow_callers.rs
@@ -6,9 +6,11 @@
     time::{Duration, Instant},
 };
 
-use hyper::StatusCode;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
 use ryevalve::{
     balance::load::EndpointKey, gateway::state::GatewayBounds, limits::held_bytes::HeldLimits,
+    platform::edge::METRICS_PORT,
 };
 use serde_json::json;
 use standins::{
@@ -360,10 +362,27 @@
     let mut whole = SlowCaller::send(edge.callers, "/resume/stream", "reads").await;
     assert!(whole.read_to_end().await, "a caller that reads is not cut");
     assert_eq!(whole.events("reads"), 200);
+    let held_bytes = metric(&edge, "ryevalve_gateway_held_bytes").await;
+    assert!(
+        held_bytes > 10e6,
+        "{held_bytes} held for callers that stopped"
+    );
     let peak_kb = edge.peak_memory_kb();
     assert!(peak_kb < 110 << 10, "{peak_kb} KB");
 }
 
+/// Returns a metric of an instance.
+async fn metric(edge: &Edge, name: &str) -> f64 {
+    let addr = SocketAddr::new(edge.ready.ip(), METRICS_PORT);
+    let get = Request::get("/metrics").header("host", "x");
+    let got = exchange(addr, get.body(Full::default()).expect("a request")).await;
+    let text = got.expect("metrics").text();
+    let value = text
+        .lines()
+        .find_map(|l| l.strip_prefix(name)?.strip_prefix(' '));
+    value.expect("the metric").parse().expect("a number")
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn where_memory_is_used_up_those_are_cut_who_stopped_reading() {
     let relay = Relay::start(94, 2).await;
