Soak: callers that read long streams slowly, and a check that endpoints do not wait for them

Four seeded callers with small receive buffers pause five times in streams of 128 KB. In the calm phase each of their runs must end at the endpoint within a second.

--- a/benches/relay.rs
+++ b/benches/relay.rs
@@ -39,7 +39,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    runtime::Runtime,
+    runtime::{self, Runtime},
     task::JoinSet,
     time,
 };
@@ -152,14 +152,24 @@
     tokio::spawn(store_watch::endpoints(gateway.clone(), client()));
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
     let addr = listener.local_addr().expect("an address");
-    let stop = ListenerStop::default();
-    tokio::spawn(caller_listener::serve(gateway, listener, 10_000, stop));
+    let listener = listener.into_std().expect("a socket");
+    std::thread::spawn(move || serve_callers(gateway, listener));
     while stream(addr).await.is_none() {
         time::sleep(Duration::from_millis(10)).await;
     }
     (platform, endpoint, addr)
 }
 
+/// Serves callers on a thread of its own, as `edge` does.
+fn serve_callers(gateway: Arc<Gateway<PlatformProtocol>>, listener: std::net::TcpListener) {
+    let runtime = runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("a runtime").block_on(async {
+        let listener = TcpListener::from_std(listener).expect("a socket");
+        let stop = ListenerStop::default();
+        caller_listener::serve(gateway, listener, 10_000, stop).await;
+    });
+}
+
 fn gateway_bounds() -> GatewayBounds {
     GatewayBounds {
         revoke_us: 5_000_000,
--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -1,7 +1,7 @@
 //! Stand-in for an endpoint, on a raw socket so that it can send malformed or partial responses.
 //!
-//! It responds to `POST` and `GET` on any path: with server-sent events if the path ends in `/stream`, else with a
-//! fixed body. Every response echoes `Request-Id` and has `Instance-Signature`, except under [`Fault::Unsigned`] and in
+//! It responds to `POST` and `GET` on any path: with server-sent events if the path ends in `/stream`, of
+//! [`LONG_PADDING`] more bytes each if it ends in `/long/stream`, else with a fixed body. Every response echoes `Request-Id` and has `Instance-Signature`, except under [`Fault::Unsigned`] and in
 //! refusals.
 
 use std::{
@@ -26,6 +26,9 @@
 /// Number of events in a complete stream.
 pub const EVENTS: u64 = 8;
 
+/// Bytes added to each event of a stream whose path ends in `/long/stream`.
+pub const LONG_PADDING: usize = 16 << 10;
+
 /// Length of the gap in a stream under [`Fault::Pause`].
 pub const PAUSE: Duration = Duration::from_millis(1_300);
 
@@ -74,6 +77,8 @@
     pub has_run: bool,
     /// Whether the connection was still open at the end of the response.
     pub finished: bool,
+    /// When that was.
+    pub finished_at: Option<Instant>,
     /// Whether the response was cut off because it was left unread.
     pub was_unread: bool,
 }
@@ -297,7 +302,7 @@
 async fn serve(stream: &mut TcpStream, state: Arc<Mutex<State>>) -> std::io::Result<End> {
     while let Some(seen) = read(stream).await? {
         let request_id = seen.headers.get("request-id").cloned().unwrap_or_default();
-        let (fault, pace, shape, id, index) = {
+        let (fault, pace, mut shape, id, index) = {
             let mut state = state.lock().expect("no holder panics");
             state.seen.push(seen.clone());
             (
@@ -359,6 +364,9 @@
             .nth(1)
             .is_some_and(|p| p.ends_with("/stream"))
         {
+            if seen.line.contains("/long/stream ") {
+                shape.padding = LONG_PADDING;
+            }
             let from = seen.headers.get("last-event-id");
             let from: u64 = from.and_then(|f| f.parse().ok()).unwrap_or(0);
             let response = ResponseParams {
@@ -388,7 +396,10 @@
                 return Ok(End::Reset);
             }
         }
-        update_seen(|s| s.finished = true);
+        update_seen(|s| {
+            s.finished = true;
+            s.finished_at = Some(Instant::now());
+        });
     }
     Ok(End::Closed)
 }
@@ -540,6 +551,7 @@
         was_backed_off: false,
         has_run: false,
         finished: false,
+        finished_at: None,
         was_unread: false,
     };
     for line in lines {
--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -15,9 +15,9 @@
 use hyper_util::rt::TokioIo;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use tokio::{net::TcpStream, time};
+use tokio::{net::TcpSocket, time};
 
-use crate::soak::World;
+use crate::soak::{World, slow_callers};
 
 /// Timeout of a request; the routes' own timeout is 3 s.
 const TIMEOUT: Duration = Duration::from_secs(5);
@@ -33,6 +33,8 @@
     Again,
     /// Streaming: another endpoint may resume it.
     Resume,
+    /// As `Resume`, with long events.
+    Long,
 }
 
 impl Path {
@@ -41,6 +43,7 @@
             Self::Once => "/once/x",
             Self::Again => "/again/x",
             Self::Resume => "/resume/stream",
+            Self::Long => "/resume/long/stream",
         }
     }
 }
@@ -87,6 +90,8 @@
     pub key: Option<&'static str>,
     /// Pause between two of its requests, in milliseconds.
     pub pause_ms: std::ops::Range<u64>,
+    /// Whether it requests long streams and reads them slowly.
+    pub reads_slowly: bool,
 }
 
 impl Caller {
@@ -96,6 +101,7 @@
             number,
             key: None,
             pause_ms: PAUSE_MS,
+            reads_slowly: false,
         }
     }
 }
@@ -106,6 +112,7 @@
         number,
         key: own_key,
         pause_ms,
+        reads_slowly,
     } = caller;
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut idle_connection: Option<(usize, SendRequest<Full<Bytes>>)> = None;
@@ -116,7 +123,7 @@
             None => {
                 let index = rng.random_range(0..world.store_proxies.len());
                 let addr = world.instances.lock().expect("no holder panics")[index].callers();
-                let Some(sender) = connect(addr).await else {
+                let Some(sender) = connect(addr, reads_slowly).await else {
                     continue;
                 };
                 (index, sender)
@@ -128,7 +135,10 @@
         {
             continue;
         }
-        let path = [Path::Once, Path::Again, Path::Resume][rng.random_range(0..3)];
+        let path = match reads_slowly {
+            true => Path::Long,
+            false => [Path::Once, Path::Again, Path::Resume][rng.random_range(0..3)],
+        };
         let key = match own_key {
             Some(key) => key.to_owned(),
             None => pick_key(&world, &mut rng),
@@ -149,7 +159,9 @@
                 .insert(id.clone(), sent);
         };
         record(sent.clone());
-        let exchange = exchange(&mut sender, path, &id, &key);
+        let read_pause = reads_slowly
+            .then(|| Duration::from_millis(rng.random_range(slow_callers::READ_PAUSE_MS)));
+        let exchange = exchange(&mut sender, path, &id, &key, read_pause);
         let result = time::timeout(TIMEOUT, exchange).await;
         let outcome = result.unwrap_or(Outcome::Lost);
         let is_reusable = matches!(outcome, Outcome::Answered { is_whole: true, .. });
@@ -173,8 +185,14 @@
     run_state.keys[rng.random_range(0..run_state.keys.len())].clone()
 }
 
-async fn connect(addr: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
-    let connecting = TcpStream::connect(addr);
+async fn connect(addr: SocketAddr, reads_slowly: bool) -> Option<SendRequest<Full<Bytes>>> {
+    let connecting = async {
+        let socket = TcpSocket::new_v4()?;
+        if reads_slowly {
+            socket.set_recv_buffer_size(slow_callers::RECEIVE_BUFFER_BYTES)?;
+        }
+        socket.connect(addr).await
+    };
     let stream = time::timeout(Duration::from_secs(1), connecting)
         .await
         .ok()?
@@ -190,6 +208,7 @@
     path: Path,
     id: &str,
     key: &str,
+    read_pause: Option<Duration>,
 ) -> Outcome {
     let request = Request::post(path.as_str())
         .header("host", "h.example")
@@ -203,7 +222,12 @@
     };
     let (parts, mut incoming) = response.into_parts();
     let mut body = Vec::new();
+    let mut pauses_left = slow_callers::READ_PAUSES;
     let is_whole = loop {
+        if let Some(pause) = read_pause.filter(|_| pauses_left > 0) {
+            pauses_left -= 1;
+            time::sleep(pause).await;
+        }
         match incoming.frame().await {
             None => break true,
             Some(Ok(frame)) => body.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new())),
--- a/standins/src/soak/checks.rs
+++ b/standins/src/soak/checks.rs
@@ -5,11 +5,11 @@
 use hyper::StatusCode;
 
 use crate::{
-    runner::{EVENTS, event, whole_body},
+    runner::{EVENTS, LONG_PADDING, event, padded_event, whole_body},
     soak::{
         CONFIG_PROPAGATION, KEY_REVOCATION, RACE_MARGIN, Report, RunState, World, announcements,
         callers::{Outcome, Path, Sent},
-        data_centres, limits, organisations,
+        data_centres, limits, organisations, slow_callers,
     },
 };
 
@@ -58,6 +58,7 @@
     organisations::check(world, &sent, &run_state, &mut report);
     announcements::check(world, &sent, &run_state, &mut report);
     data_centres::check(world, run_state.data_centres, &mut report);
+    slow_callers::check(world, &sent, &run_state, &mut report);
     report
 }
 
@@ -111,6 +112,9 @@
     }
     let expected = match sent.path {
         Path::Resume => (1..=EVENTS).map(|n| event(id, n)).collect(),
+        Path::Long => (1..=EVENTS)
+            .map(|n| padded_event(id, n, LONG_PADDING))
+            .collect(),
         _ => whole_body(id),
     };
     if !is_signed {
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -12,6 +12,7 @@
 mod limits;
 mod organisations;
 mod process;
+mod slow_callers;
 
 use std::{
     collections::HashMap,
@@ -51,6 +52,9 @@
 /// Time from the start of the calm phase to its planned changes.
 const BEFORE_CHANGES: Duration = Duration::from_secs(2);
 
+/// Number of the first slow caller, above those of all others.
+const SLOW_CALLERS_FROM: usize = 1_000;
+
 /// Parameters of a soak run.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -149,6 +153,7 @@
         callers.spawn(callers::run(world.clone(), caller, rng.random()));
     }
     organisations::spawn_callers(&world, plan, plan.callers, &mut callers);
+    slow_callers::spawn_callers(&world, plan, plan.callers + SLOW_CALLERS_FROM, &mut callers);
     let supervisor = tokio::spawn(process::keep_running(world.clone()));
     let limit_task = tokio::spawn(limits::announce_at_random(world.clone(), plan.clone()));
     let announcement_task = tokio::spawn(announcements::announce_at_random(
--- a/standins/src/soak/organisations.rs
+++ b/standins/src/soak/organisations.rs
@@ -72,6 +72,7 @@
             number: first + number,
             key: Some(key),
             pause_ms,
+            reads_slowly: false,
         };
         tasks.spawn(callers::run(world.clone(), caller, rng.random()));
     }
