--- a/src/explain.rs
+++ b/src/explain.rs
@@ -72,12 +72,16 @@
             number_of(line, "after_event"),
             reason(text_of(line, "reason")),
         ),
+        "caller_cut" => format!(
+            "its caller was cut: it had read or sent nothing for {} ms, and memory for others was needed",
+            number_of(line, "idle_ms"),
+        ),
         other => other.to_owned(),
     }
 }
 
 /// Readable descriptions of the values of `reason` in log lines.
-const REASONS: [(&str, &str); 27] = [
+const REASONS: [(&str, &str); 30] = [
     (
         "answer_broke_off",
         "the endpoint's answer broke off, so it may have run",
@@ -86,7 +90,15 @@
         "another_endpoint_there",
         "another endpoint has the address, and ran nothing",
     ),
+    (
+        "body_too_slow",
+        "its caller did not send the body in the time of the request",
+    ),
     ("busy", "all endpoints would have kept it waiting too long"),
+    (
+        "caller_behind",
+        "its caller read too slowly for the rest of the stream",
+    ),
     (
         "closed_before",
         "the connection closed before anything was sent",
@@ -138,6 +150,10 @@
         "the service had no endpoint that could be used",
     ),
     ("no_first_event", "no first event came in time"),
+    (
+        "no_memory",
+        "the memory for requests and unread answers was used up",
+    ),
     ("no_other_endpoint", "no other endpoint was left to try"),
     ("no_route", "no route fits its host and path"),
     (
@@ -164,7 +180,7 @@
 }
 
 /// The fields to print with each event: the inputs of the decision.
-const INPUTS: [&str; 17] = [
+const INPUTS: [&str; 20] = [
     "route",
     "organisation",
     "attempts",
@@ -179,6 +195,9 @@
     "prompt_tokens",
     "retries_left",
     "retry_after_ms",
+    "held_bytes",
+    "held_in_all_bytes",
+    "limit_bytes",
     "config_version",
     "config_age_ms",
     "endpoints_age_ms",
--- a/tests/edge/slow_callers.rs
+++ b/tests/edge/slow_callers.rs
@@ -9,8 +9,8 @@
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use ryevalve::{
-    balance::load::EndpointKey, gateway::state::GatewayBounds, limits::held_bytes::HeldLimits,
-    platform::edge::METRICS_PORT,
+    balance::load::EndpointKey, explain::explain, gateway::state::GatewayBounds,
+    limits::held_bytes::HeldLimits, platform::edge::METRICS_PORT,
 };
 use serde_json::json;
 use standins::{
@@ -323,9 +323,8 @@
     assert_eq!(runs, 1, "run again for a caller that does not read");
 }
 
-// Each is held up to 256 KB; the process may use 110 MB.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_hundred_callers_stop_reading_while_others_are_served_within_the_memory() {
+/// Starts an instance with two endpoints whose streams are far longer than what is held for a caller.
+async fn start_with_long_streams() -> Edge {
     let edge = Edge::start(2).await;
     set_config(&edge.platform);
     for (index, runner) in edge.runners.iter().enumerate() {
@@ -334,19 +333,34 @@
         runner.long_responses(200, EVENT_BYTES);
     }
     let has_config = || async {
-        edge.lines()
+        let lines = edge.lines();
+        let mut offered = lines
             .iter()
-            .any(|l| l["event"] == "configuration_offered" && l["version"] == 5)
+            .filter(|l| l["event"] == "configuration_offered");
+        offered.any(|l| l["version"] == 5)
     };
     edge.until(has_config).await;
+    edge
+}
+
+/// Sends requests `s-0` to `s-(count - 1)` whose callers read nothing.
+async fn stop_reading(edge: &Edge, count: usize) -> Vec<SlowCaller> {
     let mut stopped = Vec::new();
-    for number in 0..100 {
+    for number in 0..count {
         let id = format!("s-{number}");
         stopped.push(SlowCaller::send(edge.callers, "/resume/stream", &id).await);
         if number % 10 == 0 {
             time::sleep(Duration::from_millis(50)).await;
         }
     }
+    stopped
+}
+
+// Each is held up to 256 KB; the process may use 110 MB.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_hundred_callers_stop_reading_while_others_are_served_within_the_memory() {
+    let edge = start_with_long_streams().await;
+    let _stopped = stop_reading(&edge, 100).await;
     time::sleep(Duration::from_secs(2)).await;
     let mut calls = JoinSet::new();
     for number in 0..50 {
@@ -383,6 +397,27 @@
     value.expect("the metric").parse().expect("a number")
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_log_explains_who_was_cut_and_the_process_stays_within_its_memory() {
+    let edge = start_with_long_streams().await;
+    let _stopped = stop_reading(&edge, 160).await;
+    edge.until(|| async { edge.has_logged("caller_cut") }).await;
+    time::sleep(Duration::from_secs(2)).await;
+    let lines = edge.lines();
+    let cut: Vec<_> = lines
+        .iter()
+        .filter(|l| l["event"] == "caller_cut")
+        .collect();
+    let cut_in_all = metric(&edge, "ryevalve_gateway_callers_cut_total").await;
+    assert_eq!(cut.len() as f64, cut_in_all);
+    let id = cut[0]["request_id"].as_str().expect("an id");
+    let text = std::fs::read_to_string(&edge.log).expect("the log");
+    let explained = explain(&text, id).expect("lines of the request");
+    assert!(explained.contains("its caller was cut"), "{explained}");
+    let peak_kb = edge.peak_memory_kb();
+    assert!(peak_kb < 110 << 10, "{peak_kb} KB");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn where_memory_is_used_up_those_are_cut_who_stopped_reading() {
     let relay = Relay::start(94, 2).await;
