--- a/src/gateway/caller_buffer.rs
+++ b/src/gateway/caller_buffer.rs
@@ -182,14 +182,14 @@
 }
 
 struct Shared {
-    account: Arc<HeldAccount>,
+    account: HeldAccount,
     /// Bytes that the caller can take.
     queued_bytes: AtomicUsize,
     has_taken: Notify,
 }
 
 /// Creates the buffer of a stream.
-pub fn stream_buffer(account: Arc<HeldAccount>) -> (StreamWriter, StreamReader) {
+pub fn stream_buffer(account: HeldAccount) -> (StreamWriter, StreamReader) {
     account.wait_for_caller(true);
     let shared = Arc::new(Shared {
         account,
@@ -212,17 +212,16 @@
 }
 
 impl StreamWriter {
-    /// Adds events.
-    ///
-    /// # Errors
-    /// There is no room for them.
-    pub fn push(&self, events: Bytes) -> Result<(), NoRoom> {
+    /// Adds events. They are always held, because the caller itself can be cut.
+    pub fn push(&self, events: Bytes) {
+        if events.is_empty() {
+            return;
+        }
         let bytes = events.len() + PART_OVERHEAD_BYTES;
-        self.shared.account.hold(bytes)?;
         self.shared.queued_bytes.fetch_add(bytes, Ordering::Relaxed);
+        let _ = self.shared.account.hold(bytes);
         // An error means that the caller has left.
         let _ = self.sender.send(Part::Events(events));
-        Ok(())
     }
 
     /// Marks the stream as complete.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -24,6 +24,7 @@
         crash_check,
         metrics::Outcome,
         protocol::Protocol,
+        refuse,
         report::{Trace, log_answer},
         state::Gateway,
     },
@@ -74,8 +75,8 @@
     runs: u32,
     first_us: Micros,
     trace: Trace,
-    account: Arc<HeldAccount>,
-    /// Bytes of an incomplete event that are counted in the account.
+    /// Counts the bytes of an incomplete event, which the caller cannot take yet.
+    partial_account: HeldAccount,
     partial_bytes: usize,
 }
 
@@ -123,9 +124,9 @@
         trace: Trace,
     ) -> Self {
         let (upstream, headers) = Upstream::new(received, gateway.clock.now_us());
-        let account = HeldAccount::open(&gateway.held_memory, job.caller_handle());
+        let partial_account = HeldAccount::open(&gateway.held_memory, job.caller_handle());
         Self {
-            account: Arc::new(account),
+            partial_account,
             partial_bytes: 0,
             last_id: job.head.resume_after,
             gateway,
@@ -181,8 +182,11 @@
     /// Returns the response to the caller. Its body takes the events that a task reads from the endpoint; the task ends
     /// with the body.
     pub fn into_response(self, head: StreamHead) -> Response<Body> {
-        let (writer, reader) = stream_buffer(self.account.clone());
-        let relay = AbortOnDropHandle::new(tokio::spawn(self.run(writer, head.events)));
+        let account = HeldAccount::open(&self.gateway.held_memory, self.job.caller_handle());
+        let (writer, reader) = stream_buffer(account);
+        // Buffered before the task runs, so that they are written together with the head.
+        writer.push(head.events);
+        let relay = AbortOnDropHandle::new(tokio::spawn(self.run(writer)));
         let mut response = Response::new(reader.into_body(relay));
         *response.status_mut() = head.status;
         *response.headers_mut() = head.headers;
@@ -190,24 +194,31 @@
     }
 
     /// Reads the events into the buffer until the stream ends. Without its end mark the buffer fails visibly.
-    async fn run(mut self, writer: StreamWriter, first: Bytes) {
-        let mut events = Some(first);
-        while let Some(bytes) = events {
-            let is_held = bytes.is_empty() || writer.push(bytes).is_ok();
-            if !is_held || !self.wait_for_room(&writer).await {
-                self.trace.reason = Some(CALLER_BEHIND);
-                return self.record_outcome(Outcome::Broken);
+    async fn run(mut self, writer: StreamWriter) {
+        match self.fill(&writer).await {
+            Ok(()) => {
+                self.record_outcome(Outcome::Served);
+                writer.end();
+            }
+            Err(reason) => {
+                self.trace.reason = Some(reason);
+                self.record_outcome(Outcome::Broken);
+            }
+        }
+    }
+
+    /// Reads all events into the buffer, as far as there is room.
+    ///
+    /// # Errors
+    /// The stream is lost for good, for the returned reason.
+    async fn fill(&mut self, writer: &StreamWriter) -> Result<(), &'static str> {
+        while let Some(events) = self.next().await? {
+            writer.push(events);
+            if !self.wait_for_room(writer).await {
+                return Err(CALLER_BEHIND);
             }
-            events = match self.next().await {
-                Ok(events) => events,
-                Err(reason) => {
-                    self.trace.reason = Some(reason);
-                    return self.record_outcome(Outcome::Broken);
-                }
-            };
         }
-        self.record_outcome(Outcome::Served);
-        writer.end();
+        Ok(())
     }
 
     /// Waits while the caller is so far behind that nothing more is read for it; returns false if the time of its request
@@ -240,7 +251,7 @@
             let is_callers_doing = self.upstream.pauses.explain_break(now_us);
             let (reason, alternative) = match end {
                 StreamEnd::Complete => return Ok(None),
-                StreamEnd::NoRoom => return Err(CALLER_BEHIND),
+                StreamEnd::NoRoom => return Err(refuse::NO_MEMORY),
                 StreamEnd::Broken(_) if is_callers_doing => return Err(CALLER_BEHIND),
                 StreamEnd::Broken(reason) => (reason, None),
                 StreamEnd::Stalled if is_callers_doing => continue,
@@ -317,16 +328,16 @@
         }
     }
 
-    /// Counts the bytes of the incomplete event in the account.
+    /// Updates the account of the incomplete event.
     fn count_partial_event(&mut self) -> Result<(), NoRoom> {
         let bytes = self.upstream.cutter.partial_bytes();
         let before = std::mem::replace(&mut self.partial_bytes, bytes);
         if bytes < before {
-            self.account.release(before - bytes);
+            self.partial_account.release(before - bytes);
         }
         match bytes.saturating_sub(before) {
             0 => Ok(()),
-            more => self.account.hold(more),
+            more => self.partial_account.hold(more),
         }
     }
 
