Roll-outs: exposure, evidence, judgement and stages

Change: src/rollouts has the parts of the decision without a clock or socket: credit of an instance, its evidence and report, the watchers' sum, sequential tests against the other versions, stages.

--- /dev/null
+++ b/src/rollouts/judge.rs
@@ -0,0 +1,238 @@
+//! Whether the target version of a roll-out is good: sequential tests of its answers against those that the other
+//! versions gave at the same time.
+//!
+//! For each route, and for all of them together, failures and slow answers are tested separately. A test sums the log
+//! likelihood ratio of "bad in [`BAD_EXCESS`] more answers than the others" to "as bad as the others" over the buckets
+//! of the evidence. At [`BAD_THRESHOLD`] the version is bad; at [`GOOD_THRESHOLD`] the test says good and the sum falls
+//! no further, so that a version that turns bad later is found as soon as one that was bad at once.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::evidence::{Answers, Bucket, EvidenceSum, RouteAnswers};
+use crate::balance::load::EndpointKey;
+
+/// A version that is bad in this share more of its answers than the others is to be found.
+const BAD_EXCESS: f64 = 0.15;
+/// Chance per test that a good version is called bad. A roll-out has two tests for each of up to 17 routes, and they go on
+/// until it is completed: 0.0001 each keeps the whole roll-out below one in a hundred.
+const FALSE_ALARM_CHANCE: f64 = 0.0001;
+/// Chance per test that a version with an excess of [`BAD_EXCESS`] is called good.
+const MISS_CHANCE: f64 = 0.01;
+/// Answers that the belief about the others' share counts for in a bucket with few answers of the others.
+const PRIOR_ANSWERS: f64 = 8.0;
+/// The least share of bad answers assumed of the others, so that one or two stray failures do not decide.
+const MIN_BAD_SHARE: f64 = 0.01;
+/// Share of slow answers assumed of the others in a bucket in which they gave none: a surge that nobody else could
+/// show makes many answers slow.
+const ALONE_SLOW_SHARE: f64 = 0.3;
+/// Answers of the others in a bucket below which they are no comparison for slow answers.
+const MIN_COMPARED_ANSWERS: u32 = 5;
+/// With fewer endpoints of the target version the trouble of one cannot be told from the version's.
+const MIN_ENDPOINTS_TO_LEAVE_OUT: u32 = 3;
+/// A route with less than this share of the service's answers is rare: good needs no evidence on it.
+const RARE_ROUTE_SHARE: f64 = 0.05;
+
+/// Why a version is bad.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum BadReason {
+    /// More answers fail than at the other versions.
+    Failures,
+    /// More answers are slow than at the other versions.
+    Slowness,
+    /// The time was over before there was enough evidence.
+    TooLittleEvidence,
+    /// It had no ready endpoint.
+    NoEndpoint,
+}
+
+/// What the evidence says about the target version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Not enough evidence.
+    Undecided,
+    /// As good as the others on all routes that are not rare.
+    Good,
+    /// Worse than the others.
+    Bad(BadReason),
+}
+
+/// Judges the target version by the evidence so far.
+pub fn judge(sum: &EvidenceSum) -> Verdict {
+    let tests = run_tests(sum);
+    if tests.all_routes.failed >= bad_threshold() || tests.any(|t| t.failed >= bad_threshold()) {
+        return Verdict::Bad(BadReason::Failures);
+    }
+    if tests.all_routes.slow >= bad_threshold() || tests.any(|t| t.slow >= bad_threshold()) {
+        return Verdict::Bad(BadReason::Slowness);
+    }
+    let total = tests.answers as f64;
+    let is_awaited = |t: &RouteTests| t.answers as f64 >= RARE_ROUTE_SHARE * total;
+    let is_good = |t: &RouteTests| t.is_at_most(good_threshold());
+    if is_good(&tests.all_routes) && !tests.any(|t| is_awaited(t) && !is_good(t)) {
+        return Verdict::Good;
+    }
+    Verdict::Undecided
+}
+
+/// Returns whether all routes together say good and no single one leans to bad: enough when there is no time to wait for
+/// the rarer routes.
+pub(super) fn is_good_over_all(sum: &EvidenceSum) -> bool {
+    let tests = run_tests(sum);
+    tests.all_routes.is_at_most(good_threshold()) && !tests.any(|t| !t.is_at_most(0.0))
+}
+
+fn bad_threshold() -> f64 {
+    ((1.0 - MISS_CHANCE) / FALSE_ALARM_CHANCE).ln()
+}
+
+fn good_threshold() -> f64 {
+    (MISS_CHANCE / (1.0 - FALSE_ALARM_CHANCE)).ln()
+}
+
+/// The log likelihood ratios of the two tests of a route.
+#[derive(Clone, Copy, Debug, Default)]
+struct RouteTests {
+    failed: f64,
+    slow: f64,
+    answers: u64,
+}
+
+impl RouteTests {
+    fn is_at_most(&self, threshold: f64) -> bool {
+        self.failed <= threshold && self.slow <= threshold
+    }
+
+    fn add(&mut self, increment: Self) {
+        self.failed = (self.failed + increment.failed).max(good_threshold());
+        self.slow = (self.slow + increment.slow).max(good_threshold());
+        self.answers += increment.answers;
+    }
+}
+
+#[derive(Debug, Default)]
+struct Tests {
+    all_routes: RouteTests,
+    by_route: BTreeMap<u32, RouteTests>,
+    answers: u64,
+}
+
+impl Tests {
+    fn any(&self, predicate: impl Fn(&RouteTests) -> bool) -> bool {
+        self.by_route.values().any(predicate)
+    }
+}
+
+fn run_tests(sum: &EvidenceSum) -> Tests {
+    let left_out = LeftOut::of(sum);
+    let mut before: BTreeMap<u32, Answers> = BTreeMap::new();
+    let mut tests = Tests::default();
+    for bucket in sum.buckets() {
+        let mut all = RouteTests::default();
+        for (&route, answers) in &bucket.routes {
+            let others_before = before.entry(route).or_default();
+            let target = left_out.remaining(bucket, route, answers.target);
+            let increment = test_bucket(target, answers, *others_before);
+            tests.by_route.entry(route).or_default().add(increment);
+            all.failed += increment.failed;
+            all.slow += increment.slow;
+            all.answers += increment.answers;
+            others_before.total = others_before.total.saturating_add(answers.others.total);
+            others_before.failed = others_before.failed.saturating_add(answers.others.failed);
+            others_before.slow = others_before.slow.saturating_add(answers.others.slow);
+        }
+        tests.all_routes.add(all);
+    }
+    tests.answers = tests.all_routes.answers;
+    tests
+}
+
+/// Numbers of the target version's answers without those of the endpoint that is left out.
+#[derive(Clone, Copy, Debug)]
+struct Remaining {
+    total: f64,
+    failed: f64,
+    slow: f64,
+}
+
+/// The endpoint of the target version with the most bad answers: its own trouble is not the version's fault.
+struct LeftOut {
+    endpoint: Option<EndpointKey>,
+    /// Part of the version's answers that the other endpoints gave, if all give equally many.
+    rest: f64,
+}
+
+impl LeftOut {
+    fn of(sum: &EvidenceSum) -> Self {
+        let endpoints = sum.target_endpoints();
+        if endpoints < MIN_ENDPOINTS_TO_LEAVE_OUT {
+            return Self {
+                endpoint: None,
+                rest: 1.0,
+            };
+        }
+        let mut bad: BTreeMap<EndpointKey, u64> = BTreeMap::new();
+        for (&(endpoint, _), answers) in sum.buckets().flat_map(|b| &b.bad_by_endpoint) {
+            *bad.entry(endpoint).or_default() += u64::from(answers.bad());
+        }
+        Self {
+            endpoint: bad.into_iter().max_by_key(|&(_, bad)| bad).map(|(e, _)| e),
+            rest: 1.0 - 1.0 / f64::from(endpoints),
+        }
+    }
+
+    fn remaining(&self, bucket: &Bucket, route: u32, target: Answers) -> Remaining {
+        let (total, failed, slow) = (
+            f64::from(target.total),
+            f64::from(target.failed),
+            f64::from(target.slow),
+        );
+        let Some(endpoint) = self.endpoint else {
+            return Remaining {
+                total,
+                failed,
+                slow,
+            };
+        };
+        let own = bucket.bad_by_endpoint.get(&(endpoint, route));
+        let own = own.copied().unwrap_or_default();
+        let failed = (failed - f64::from(own.failed)).max(0.0);
+        let slow = (slow - f64::from(own.slow)).max(0.0);
+        Remaining {
+            total: (total * self.rest).max(failed + slow),
+            failed,
+            slow,
+        }
+    }
+}
+
+/// Returns the increments of a route's tests by a bucket.
+fn test_bucket(target: Remaining, answers: &RouteAnswers, before: Answers) -> RouteTests {
+    let others = answers.others;
+    let prior = |bad: u32| f64::from(bad) / f64::from(before.total.max(1));
+    let mut slow_prior = prior(before.slow);
+    if others.total < MIN_COMPARED_ANSWERS {
+        slow_prior = slow_prior.max(ALONE_SLOW_SHARE);
+    }
+    let failed_share = others_share(others.failed, others.total, prior(before.failed));
+    let slow_share = others_share(others.slow, others.total, slow_prior);
+    RouteTests {
+        failed: log_likelihood_ratio(target.failed, target.total, failed_share),
+        slow: log_likelihood_ratio(target.slow, target.total, slow_share),
+        answers: u64::from(answers.target.total) + u64::from(others.total),
+    }
+}
+
+fn others_share(bad: u32, total: u32, prior: f64) -> f64 {
+    let share = (f64::from(bad) + prior * PRIOR_ANSWERS) / (f64::from(total) + PRIOR_ANSWERS);
+    // At a share near 1 the two hypotheses are the same, and the version is not found bad.
+    share.clamp(MIN_BAD_SHARE, 0.99)
+}
+
+/// Returns the log likelihood ratio of an excess of [`BAD_EXCESS`] to none, for `bad` of `total` answers where the
+/// others have a share of `expected`.
+fn log_likelihood_ratio(bad: f64, total: f64, expected: f64) -> f64 {
+    let excessive = expected + (1.0 - expected) * BAD_EXCESS;
+    bad * (excessive / expected).ln() + (total - bad) * ((1.0 - excessive) / (1.0 - expected)).ln()
+}
--- a/src/rollouts/mod.rs
+++ b/src/rollouts/mod.rs
@@ -3,27 +3,24 @@
 //!
 //! Without a clock or socket of its own, so that tests can drive it step by step.
 
-use serde::{Deserialize, Serialize};
-
-use crate::prelude::{Micros, Name};
+mod evidence;
+mod exposure;
+mod judge;
+mod order;
+mod stages;
 
-/// Identifies an order: a hash of the object's creation, its service and its target version. An order that was deleted
-/// and created again is another order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct OrderId(pub u64);
+use serde::{Deserialize, Serialize};
 
-/// An operator's order to move a service to a version.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RolloutOrder {
-    /// Identifies the order.
-    pub id: OrderId,
-    /// The service.
-    pub service: Name,
-    /// The version that its requests are to move to.
-    pub target_version: Name,
-    /// Time within which the roll-out is to be completed or rolled back.
-    pub duration_us: Micros,
-}
+pub use self::{
+    evidence::{
+        Answers, EndpointAnswers, Evidence, EvidenceReport, EvidenceSum, RouteAnswers,
+        report_interval_us,
+    },
+    exposure::ExposureCredit,
+    judge::{BadReason, Verdict, judge},
+    order::{OrderId, RolloutOrder},
+    stages::{GroupFacts, RolloutDecider, Stage, followed_stage, version_choice},
+};
 
 /// The endpoints of a service during a roll-out, by their version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
--- /dev/null
+++ b/src/rollouts/stages.rs
@@ -0,0 +1,319 @@
+//! The stages of a roll-out: how a watcher decides on them, and what they mean for a request.
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    BadReason, EvidenceReport, EvidenceSum, ExposureCredit, RolloutOrder, Verdict, VersionChoice,
+    VersionGroup,
+    judge::{is_good_over_all, judge},
+};
+use crate::prelude::{Incarnation, Micros};
+
+/// Shares of the requests that the target version gets in the steps of [`Stage::Shifting`]. Each is less than twice the
+/// one before, so that a version that fails under load fails at a small part of it first.
+const SHIFT_SHARES: [f64; 3] = [0.2, 0.35, 0.6];
+/// The longest that a request runs at an endpoint: streams take up to 15 s.
+const MAX_DRAIN_US: Micros = 15_000_000;
+/// Part of the duration that is left for requests at the old versions to end.
+const DRAIN_PART: f64 = 0.35;
+/// The least time for that when evidence comes late.
+const MIN_DRAIN_US: Micros = 1_000_000;
+/// A step lasts this long if the duration allows it: reports come each second in large groups, and the stage takes some
+/// hundred milliseconds to all instances.
+const MAX_STEP_US: Micros = 1_500_000;
+/// Part of the duration for each step.
+const STEP_PART: f64 = 0.05;
+/// Time for the status to be recorded before the duration ends, with one repeated call.
+const MAX_RESERVE_US: Micros = 1_000_000;
+const RESERVE_PART: f64 = 0.1;
+/// Time for which the endpoints of a group are to be missing before that counts: an update may be on its way.
+const MISSING_US: Micros = 2_000_000;
+
+/// The stage of a roll-out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Stage {
+    /// The target version gets the share that limits exposure.
+    #[default]
+    Canary,
+    /// Judged good: the target version gets a share that rises by steps, from 0.
+    Shifting(u8),
+    /// The target version gets all new requests; requests at the other versions end.
+    Draining,
+    /// The other versions can stop.
+    Completed,
+    /// The target version gets no more requests.
+    RolledBack,
+}
+
+impl Stage {
+    /// Returns the share of requests that the target version gets, for a share in [`Stage::Canary`].
+    pub fn target_share(self, canary_share: f64) -> f64 {
+        match self {
+            Self::Canary => canary_share,
+            Self::Shifting(step) => {
+                let share = SHIFT_SHARES.get(usize::from(step)).copied();
+                share.unwrap_or(1.0).max(canary_share)
+            }
+            Self::Draining | Self::Completed => 1.0,
+            Self::RolledBack => 0.0,
+        }
+    }
+
+    /// Returns whether no further stage follows.
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::RolledBack)
+    }
+
+    fn rank(self) -> u16 {
+        match self {
+            Self::Canary => 0,
+            Self::Shifting(step) => 1 + u16::from(step),
+            Self::Draining => 300,
+            Self::Completed => 301,
+            Self::RolledBack => 302,
+        }
+    }
+}
+
+/// Returns the stage that a process follows after it was told another one of the same order: it never goes back,
+/// except to [`Stage::RolledBack`], which is final. Updates may so come in any order, and from several watchers.
+pub fn followed_stage(known: Stage, told: Stage) -> Stage {
+    if told.rank() > known.rank() {
+        told
+    } else {
+        known
+    }
+}
+
+/// Returns which endpoints the next request may be sent to. `is_fresh` says whether the instance's knowledge of the
+/// orders is young enough for the target version to be used.
+pub fn version_choice(stage: Stage, credit: &ExposureCredit, is_fresh: bool) -> VersionChoice {
+    match stage {
+        // The other endpoints stop or have stopped.
+        Stage::Completed => VersionChoice::PreferTarget,
+        Stage::RolledBack => VersionChoice::Only(VersionGroup::Others),
+        _ if !is_fresh => VersionChoice::Only(VersionGroup::Others),
+        Stage::Draining => VersionChoice::Only(VersionGroup::Target),
+        Stage::Canary | Stage::Shifting(_) if credit.allows_target() => VersionChoice::PreferTarget,
+        Stage::Canary | Stage::Shifting(_) => VersionChoice::Only(VersionGroup::Others),
+    }
+}
+
+/// What a watcher knows of the group and of the service's endpoints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GroupFacts {
+    /// Ready endpoints of the target version.
+    pub target_ready: u32,
+    /// Known endpoints of other versions, in any state.
+    pub others_known: u32,
+    /// Instances in the group.
+    pub instances_known: usize,
+    /// The store answers, so that a status can be recorded.
+    pub is_store_answering: bool,
+}
+
+/// When the stages begin, as times since the start of the order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Schedule {
+    /// The shift begins then if the version was judged good. Not sooner: until then a version that turns bad has had
+    /// no more than the canary's share.
+    shift_us: Micros,
+    /// The shift begins at the latest then; for streams to end there is [`MIN_DRAIN_US`].
+    latest_shift_us: Micros,
+    step_us: Micros,
+    /// The status is recorded at the latest then.
+    last_us: Micros,
+}
+
+impl Schedule {
+    fn new(duration_us: Micros) -> Self {
+        let part = |part: f64| (duration_us as f64 * part) as Micros;
+        let reserve_us = part(RESERVE_PART).min(MAX_RESERVE_US);
+        let drain_us = part(DRAIN_PART).min(MAX_DRAIN_US);
+        let step_us = part(STEP_PART).min(MAX_STEP_US);
+        let last_us = duration_us.saturating_sub(reserve_us);
+        let shifted_us = step_us * SHIFT_SHARES.len() as u64;
+        Self {
+            shift_us: last_us.saturating_sub(drain_us + shifted_us),
+            latest_shift_us: last_us.saturating_sub(drain_us.min(MIN_DRAIN_US) + shifted_us),
+            step_us,
+            last_us,
+        }
+    }
+}
+
+/// Decides on the stages of one order, at a watcher.
+///
+/// The shift begins as late as the duration allows, because a version that turns bad after it has had more than the
+/// share that limits exposure. Requests at the other versions have 35% of the duration to end: with durations of 43 s
+/// and more that is the 15 s of the longest streams; with 20 s streams that run for more than 7 s are cut, with
+/// 12 s those of more than 4 s.
+#[derive(Clone, Debug)]
+pub struct RolloutDecider {
+    order: RolloutOrder,
+    schedule: Schedule,
+    started_us: Micros,
+    stage: Stage,
+    stage_since_us: Micros,
+    reason: Option<BadReason>,
+    sum: EvidenceSum,
+    target_seen_us: Micros,
+    others_seen_us: Micros,
+}
+
+impl RolloutDecider {
+    /// Begins with an order at [`Stage::Canary`].
+    pub fn new(order: RolloutOrder, now_us: Micros) -> Self {
+        Self {
+            schedule: Schedule::new(order.duration_us),
+            order,
+            started_us: now_us,
+            stage: Stage::Canary,
+            stage_since_us: now_us,
+            reason: None,
+            sum: EvidenceSum::default(),
+            target_seen_us: now_us,
+            others_seen_us: now_us,
+        }
+    }
+
+    /// Returns the order.
+    pub fn order(&self) -> &RolloutOrder {
+        &self.order
+    }
+
+    /// Returns the stage as of the last step.
+    pub fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// Returns why the version was rolled back.
+    pub fn reason(&self) -> Option<BadReason> {
+        self.reason
+    }
+
+    /// Returns the evidence so far.
+    pub fn evidence(&self) -> &EvidenceSum {
+        &self.sum
+    }
+
+    /// Takes in a report of an instance.
+    pub fn apply(&mut self, now_us: Micros, from: Incarnation, report: EvidenceReport) {
+        self.sum.apply(now_us, from, report);
+    }
+
+    /// Takes in the stage that another watcher told, so that the stages of a watcher that begins later go on from there.
+    pub fn follow(&mut self, now_us: Micros, told: Stage) {
+        let stage = followed_stage(self.stage, told);
+        self.enter(now_us, stage);
+    }
+
+    /// Decides on the stage. To be called some times a second.
+    pub fn step(&mut self, now_us: Micros, facts: GroupFacts) -> Stage {
+        self.sum.note_target_endpoints(facts.target_ready);
+        if facts.target_ready > 0 {
+            self.target_seen_us = now_us;
+        }
+        if facts.others_known > 0 {
+            self.others_seen_us = now_us;
+        }
+        if !self.stage.is_final() {
+            let stage = self.next_stage(now_us, facts);
+            self.enter(now_us, stage);
+        }
+        self.stage
+    }
+
+    fn enter(&mut self, now_us: Micros, stage: Stage) {
+        if stage != self.stage {
+            self.stage = stage;
+            self.stage_since_us = now_us;
+        }
+    }
+
+    fn next_stage(&mut self, now_us: Micros, facts: GroupFacts) -> Stage {
+        let verdict = judge(&self.sum);
+        if let Verdict::Bad(reason) = verdict {
+            return self.roll_back(reason);
+        }
+        if self.are_others_gone(now_us, facts) {
+            return self.complete(facts);
+        }
+        match self.stage {
+            Stage::Canary => self.after_canary(now_us, verdict),
+            _ if now_us.saturating_sub(self.target_seen_us) >= MISSING_US => {
+                self.roll_back(BadReason::NoEndpoint)
+            }
+            Stage::Shifting(step) => self.after_shift_step(now_us, step),
+            _ => self.after_draining(now_us, facts),
+        }
+    }
+
+    fn roll_back(&mut self, reason: BadReason) -> Stage {
+        self.reason = Some(reason);
+        Stage::RolledBack
+    }
+
+    /// Completed is for the record: without the store the stage stays as it is.
+    fn complete(&self, facts: GroupFacts) -> Stage {
+        if facts.is_store_answering {
+            Stage::Completed
+        } else {
+            self.stage
+        }
+    }
+
+    /// All endpoints have the target version already.
+    fn are_others_gone(&self, now_us: Micros, facts: GroupFacts) -> bool {
+        facts.target_ready > 0 && now_us.saturating_sub(self.others_seen_us) >= MISSING_US
+    }
+
+    fn after_canary(&mut self, now_us: Micros, verdict: Verdict) -> Stage {
+        let elapsed_us = now_us.saturating_sub(self.started_us);
+        if elapsed_us < self.schedule.shift_us {
+            return Stage::Canary;
+        }
+        let is_target_ready = self.target_seen_us == now_us;
+        if is_target_ready && verdict == Verdict::Good {
+            return Stage::Shifting(0);
+        }
+        if elapsed_us < self.schedule.latest_shift_us {
+            return Stage::Canary;
+        }
+        let answers = self.sum.answers();
+        let is_idle = answers.target.total == 0 && answers.others.total == 0;
+        if is_target_ready && (is_idle || is_good_over_all(&self.sum)) {
+            return Stage::Shifting(0);
+        }
+        if elapsed_us < self.schedule.last_us {
+            return Stage::Canary;
+        }
+        self.roll_back(match is_target_ready {
+            true => BadReason::TooLittleEvidence,
+            false => BadReason::NoEndpoint,
+        })
+    }
+
+    fn after_shift_step(&self, now_us: Micros, step: u8) -> Stage {
+        if now_us.saturating_sub(self.stage_since_us) < self.schedule.step_us {
+            return self.stage;
+        }
+        let next = step.saturating_add(1);
+        if usize::from(next) < SHIFT_SHARES.len() {
+            Stage::Shifting(next)
+        } else {
+            Stage::Draining
+        }
+    }
+
+    fn after_draining(&self, now_us: Micros, facts: GroupFacts) -> Stage {
+        let drained = self.sum.drained_instances(now_us);
+        let are_all_drained = facts.instances_known > 0 && drained >= facts.instances_known;
+        let is_last = now_us.saturating_sub(self.started_us) >= self.schedule.last_us;
+        if are_all_drained || is_last {
+            self.complete(facts)
+        } else {
+            self.stage
+        }
+    }
+}
