Roll-outs: orders, request path and recording of their state

Cause: rollouts objects were not read, and the version of endpoints was ignored. Change: settings exposureShare and rollbackMs turn on a watch of the kind, orders and stages travel with updates, requests heed the version that the roll-out allows, evidence goes to the instances that watch the store, and these record the status. Result: builds and lints clean; no test of it was run yet.

--- a/benches/placing.rs
+++ b/benches/placing.rs
@@ -22,6 +22,7 @@
 fn entry(number: usize) -> EndpointEntry {
     EndpointEntry {
         id: format!("i-{number}").into(),
+        version: "v1".into(),
         born_ms: 0,
         service: "model".into(),
         addr: ([10, 0, 0, 1], 80).into(),
@@ -63,6 +64,7 @@
         rank: 0,
         other_hall_cost: 0.05,
         allowed_regions: AllowedRegions::default(),
+        versions: None,
         draw: number,
     }
 }
--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -415,6 +415,45 @@
         self.endpoints.get(&key).map(|e| &*e.entry)
     }
 
+    /// Returns whether a service has an endpoint of another version than `version` that is not leaving.
+    pub fn has_other_version(&self, service: &str, version: &str) -> bool {
+        let mut keys = self.keys_of(service).iter();
+        keys.any(|key| {
+            let entry = self.entry(*key);
+            entry.is_some_and(|entry| *entry.version != *version) && !self.is_leaving(*key)
+        })
+    }
+
+    /// Returns whether an endpoint is leaving or unknown.
+    pub fn is_leaving(&self, key: EndpointKey) -> bool {
+        let entry = self.entry(key);
+        entry.is_none_or(|entry| entry.draining) || self.announcements.leaves(key)
+    }
+
+    /// Counts a service's endpoints during a roll-out: those of the target version that are not leaving, and all of
+    /// other versions.
+    pub fn count_versions(&self, service: &str, target_version: &str) -> (u32, u32) {
+        let (mut target, mut others) = (0, 0);
+        for key in self.keys_of(service) {
+            let is_target = self
+                .entry(*key)
+                .is_some_and(|entry| *entry.version == *target_version);
+            target += u32::from(is_target && !self.is_leaving(*key));
+            others += u32::from(!is_target);
+        }
+        (target, others)
+    }
+
+    /// Counts this instance's requests in flight at a service's endpoints of other versions than `version`.
+    pub fn in_flight_at_others(&self, service: &str, version: &str) -> u32 {
+        let loads = self.load_view.own_loads().into_iter();
+        let at_others = loads.filter(|(key, _)| {
+            let entry = self.entry(*key);
+            entry.is_some_and(|e| *e.service == *service && *e.version != *version)
+        });
+        at_others.map(|(_, load)| load.requests).sum()
+    }
+
     /// Returns the keys of a service's endpoints.
     pub(super) fn keys_of(&self, service: &str) -> &[EndpointKey] {
         self.index.of_service(service)
--- a/src/balance/cost.rs
+++ b/src/balance/cost.rs
@@ -4,7 +4,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    balance::{load::LoadEstimate, prefixes::ChainKey, regions::AllowedRegions, speed::Speed},
+    balance::{
+        load::LoadEstimate, prefixes::ChainKey, regions::AllowedRegions, speed::Speed,
+        versions::VersionRule,
+    },
     prelude::{Micros, Name, Rank},
 };
 
@@ -54,6 +57,8 @@
     pub other_hall_cost: f64,
     /// The regions in which the request may be served.
     pub allowed_regions: AllowedRegions,
+    /// The versions of endpoints that may be chosen during a roll-out; all if there is none.
+    pub versions: Option<VersionRule>,
     /// A random number; determines which endpoints are considered.
     pub draw: u64,
 }
--- a/src/balance/delegation.rs
+++ b/src/balance/delegation.rs
@@ -52,7 +52,8 @@
     }
 
     /// Sends a request to the endpoint that another instance chose for it; `None` if the endpoint
-    /// is not known here, is leaving, is evacuated, or asked this instance to back off.
+    /// is not known here, is leaving, is evacuated, asked this instance to back off, or is of a version that the request
+    /// may not use.
     pub fn place_granted(
         &mut self,
         now_us: Micros,
@@ -64,6 +65,11 @@
             Readiness::Leaving | Readiness::Evacuated | Readiness::BackOffUntil(_) => return None,
             Readiness::Ready | Readiness::NeedsPermit => {}
         }
+        let version = &self.entry(key)?.version;
+        let rule = request.versions.as_ref();
+        if rule.is_some_and(|rule| !rule.allows(version)) {
+            return None;
+        }
         let choice = self.choice(key, expected)?;
         // The instance that granted the request has used a permit if one was needed.
         Some(self.dispatch(now_us, request, choice))
--- a/src/balance/discovery.rs
+++ b/src/balance/discovery.rs
@@ -33,6 +33,8 @@
     pub born_ms: u64,
     /// The service it belongs to.
     pub service: Name,
+    /// Version of the software that it runs.
+    pub version: Name,
     /// The address it listens on.
     pub addr: SocketAddr,
     /// The hall it runs in.
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -17,3 +17,4 @@
 mod selection;
 pub mod speed;
 mod sync;
+pub mod versions;
--- a/src/balance/selection.rs
+++ b/src/balance/selection.rs
@@ -7,8 +7,10 @@
         load::{EndpointKey, LoadEstimate},
         load_view::ClusterSize,
         readiness::{ENDPOINTS_BACKING_OFF, Readiness, retry_delay_until_ms},
+        versions::VersionRule,
     },
     prelude::Micros,
+    rollouts::{VersionChoice, VersionGroup},
 };
 
 /// Endpoints in other halls that are considered for one request. Their load is known with a delay
@@ -99,6 +101,27 @@
         request: &PlacementRequest,
         tried: &[EndpointKey],
         permit: Option<EndpointKey>,
+    ) -> Selection {
+        let rule = request.versions.as_ref();
+        if let Some(rule) = rule.filter(|rule| rule.choice == VersionChoice::PreferTarget) {
+            let target = rule.only(VersionGroup::Target);
+            let selection = self.select_among(now_us, request, tried, permit, Some(&target));
+            let has_room = |choice: &Choice| choice.expected.has_room;
+            if selection.best.as_ref().is_some_and(has_room) {
+                return selection;
+            }
+        }
+        self.select_among(now_us, request, tried, permit, rule)
+    }
+
+    /// Finds the cheapest endpoint among those that `rule` allows.
+    fn select_among(
+        &self,
+        now_us: Micros,
+        request: &PlacementRequest,
+        tried: &[EndpointKey],
+        permit: Option<EndpointKey>,
+        rule: Option<&VersionRule>,
     ) -> Selection {
         let mut best: Option<(EndpointKey, Expected)> = None;
         let mut limited: Option<(EndpointKey, Expected)> = None;
@@ -119,6 +142,9 @@
             let Some(endpoint) = self.endpoints.get(&key) else {
                 continue;
             };
+            if rule.is_some_and(|rule| !rule.allows(&endpoint.entry.version)) {
+                continue;
+            }
             if !self.is_in_allowed_region(&request.allowed_regions, endpoint) {
                 has_outside_regions = true;
                 continue;
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -193,6 +193,7 @@
         rank: route.priority,
         other_hall_cost: OTHER_HALL_COST,
         allowed_regions,
+        versions: None,
         draw: rand::rng().random(),
     }
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -23,6 +23,7 @@
         endpoint_announcements,
         protocol::{CallHead, Forward, Protocol},
         refuse,
+        rollout_requests::RolloutRequest,
         state::Gateway,
     },
     limits::fingerprint::Fingerprint,
@@ -147,17 +148,19 @@
 
 /// A request in flight at an endpoint. It counts in the load of the endpoint until it is finished or dropped.
 pub struct InFlightRequest<P: Protocol> {
-    gateway: Arc<Gateway<P>>,
+    pub(super) gateway: Arc<Gateway<P>>,
     /// The endpoint.
     pub choice: Choice,
     /// When it was sent, in microseconds of the gateway's clock.
     pub at_us: Micros,
     /// Version of the endpoint's limit when the request was sent; an answer cannot replace a newer limit.
     pub(super) limit_version: u32,
-    has_response_head: bool,
-    has_first_event: bool,
+    pub(super) has_response_head: bool,
+    pub(super) has_first_event: bool,
     records_hold_time: bool,
     is_finished: bool,
+    /// Set if it was sent during a roll-out of its service.
+    pub(super) rollout: Option<RolloutRequest>,
 }
 
 impl<P: Protocol> InFlightRequest<P> {
@@ -171,6 +174,7 @@
             has_first_event: false,
             records_hold_time: false,
             is_finished: false,
+            rollout: None,
         }
     }
 
@@ -184,6 +188,7 @@
         self.gateway
             .balancer()
             .record_first_event(&self.choice, took_ms);
+        self.note_rollout_time(took_ms);
     }
 
     /// Records that the response is complete; its duration enters the estimate of how long slots are held.
@@ -199,6 +204,8 @@
         let now_us = self.gateway.clock.now_us();
         let mut balancer = self.gateway.balancer();
         balancer.update_speed(self.choice.key, |s| s.record_outcome(now_us, true));
+        drop(balancer);
+        self.note_rollout_failure();
     }
 
     /// Removes it from the load of the endpoint and gives waiting requests a chance; later calls do nothing.
@@ -218,6 +225,7 @@
             balancer.record_unanswered(self.choice.key, self.at_us);
         }
         drop(balancer);
+        self.note_rollout_end();
         self.gateway.reconsider();
     }
 
@@ -254,6 +262,9 @@
         // Endpoints crashed while running this request since it was checked on arrival.
         return Err(AttemptError::NotSent(refuse::ENDS_ENDPOINTS));
     }
+    in_flight.rollout = gateway
+        .admit_version(&in_flight.choice, &job.route)
+        .map_err(AttemptError::NotSent)?;
     in_flight.at_us = gateway.clock.now_us();
     in_flight.limit_version =
         endpoint_announcements::record_sent(gateway, in_flight.choice.key, in_flight.at_us);
@@ -386,6 +397,8 @@
     if parts.status.is_success() {
         in_flight.note_first_event();
         in_flight.note_complete();
+    } else if parts.status.is_server_error() {
+        in_flight.note_rollout_failure();
     }
     if let Some(idle_timeout) = reuse {
         keep_connection(gateway, &in_flight, connection, idle_timeout);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -33,6 +33,7 @@
         protocol::Protocol,
         quota,
         report_intervals::ReportIntervals,
+        rollouts::SentRollout,
         state::Gateway,
     },
     limits::instance_counts::InstanceCounts,
@@ -102,9 +103,9 @@
     /// When the summary of the other halls was last sent to this hall.
     pub(super) remote_summary_at_us: Micros,
     pub(super) round_number: usize,
-    /// The configuration version, endpoints position and evacuated data centres of the last round; a change is
-    /// sent at once.
-    pub(super) last_sent_state: (ConfigVersion, StorePosition, Vec<Name>),
+    /// The configuration version, endpoints position, evacuated data centres and roll-outs of the last round; a change
+    /// is sent at once.
+    pub(super) last_sent_state: (ConfigVersion, StorePosition, Vec<Name>, Vec<SentRollout>),
 }
 
 impl State {
@@ -331,6 +332,8 @@
             let position = by_rank.iter().position(|m| m.info.incarnation == me);
             state.is_watcher = position.is_some_and(|p| p < WATCHERS);
             state.watchers = self.watchers(&by_rank);
+            let watchers = state.watchers.iter().map(SocketAddr::ip).collect();
+            self.gateway.rollouts.set_watchers(me, watchers);
             self.gateway
                 .set_watch_position(position.unwrap_or(by_rank.len()));
         }
--- a/src/gateway/freshness_checks.rs
+++ b/src/gateway/freshness_checks.rs
@@ -30,6 +30,28 @@
         self.evacuations.staleness.age_us(self.clock.now_us())
     }
 
+    /// Returns the time since the roll-outs were last known to match the store.
+    pub fn rollouts_age_us(&self) -> Micros {
+        self.rollouts.staleness.age_us(self.clock.now_us())
+    }
+
+    /// Returns how stale the roll-outs may become before the store is queried. While there is one, that is the age up to
+    /// which requests may be sent to its target version.
+    pub fn rollouts_bound(&self) -> StalenessBound {
+        let bounds = self.bounds();
+        match bounds.rollouts {
+            Some(rollouts) if self.rollouts.is_empty() => rollouts.rollback,
+            Some(rollouts) => StalenessBound(rollouts.max_age_us()),
+            None => bounds.config_apply,
+        }
+    }
+
+    /// Returns whether the roll-outs are known well enough for requests to be sent to target versions.
+    pub fn are_rollouts_fresh(&self) -> bool {
+        let bounds = self.bounds().rollouts;
+        bounds.is_some_and(|bounds| self.rollouts_age_us() < bounds.max_age_us())
+    }
+
     /// Returns the configuration's age in milliseconds, for logs; `None` if it was never confirmed.
     pub fn config_age_ms(&self) -> Option<u64> {
         known_ms(self.config_age_us())
@@ -121,7 +143,9 @@
     pub fn is_ready(&self) -> bool {
         let serves = self.is_config_fresh() && self.balancer().endpoint_count() > 0;
         let knows_evacuations = self.evacuations_freshness() != Freshness::Unknown;
-        serves && knows_evacuations && !self.is_stopping()
+        let knows_rollouts =
+            self.bounds().rollouts.is_none() || self.rollouts_age_us() < Micros::MAX;
+        serves && knows_evacuations && knows_rollouts && !self.is_stopping()
     }
 }
 
--- a/src/gateway/freshness_queries.rs
+++ b/src/gateway/freshness_queries.rs
@@ -67,6 +67,9 @@
             || bounds
                 .evacuate
                 .is_some_and(|bound| is_stale(gateway.evacuations_age_us(), bound))
+            || bounds
+                .rollouts
+                .is_some_and(|_| is_stale(gateway.rollouts_age_us(), gateway.rollouts_bound()))
     }
 
     fn query_target(&self, now_us: Micros, is_aggregator: bool) -> Option<SocketAddr> {
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -33,6 +33,14 @@
     pub async fn place(&self, request: &PlacementRequest, tried: &[EndpointKey]) -> Placement {
         self.wait_for_fresh_endpoints().await;
         self.wait_for_fresh_evacuations().await;
+        let with_rule = self.version_rule(&request.service).map(|rule| {
+            let versions = Some(rule);
+            PlacementRequest {
+                versions,
+                ..request.clone()
+            }
+        });
+        let request = with_rule.as_ref().unwrap_or(request);
         let now_us = self.clock.now_us();
         let refusal = self.balancer().refuse_while_backing_off(now_us, request);
         if let Some(refusal) = refusal {
--- a/src/gateway/receiving.rs
+++ b/src/gateway/receiving.rs
@@ -170,6 +170,11 @@
         let evacuations = update.evacuations.clone();
         self.gateway
             .apply_evacuations(evacuations, evacuations_as_of_us, "peer");
+        if let Some(rollouts) = &update.rollouts {
+            let rollouts_as_of_us = rollouts.age_ms.and_then(as_of_us);
+            self.gateway
+                .apply_rollouts(&rollouts.set, rollouts_as_of_us, "peer");
+        }
         let config_as_of_us = update.config_age_ms.and_then(as_of_us);
         if let (Some(as_of_us), true) = (config_as_of_us, update.config_version == version) {
             self.gateway.config.confirm(version, as_of_us);
--- a/src/gateway/reservation_client.rs
+++ b/src/gateway/reservation_client.rs
@@ -29,9 +29,10 @@
         load::EndpointKey,
         prefixes::ChainKey,
         regions::AllowedRegions,
+        versions::VersionRule,
     },
     clock::Clock,
-    gateway::permits::PermitMessage,
+    gateway::{permits::PermitMessage, rollouts::RolloutMessage},
     limits::quota::Message,
     peers::datagram::Authenticator,
     prelude::{Incarnation, Micros, Name, Rank},
@@ -72,6 +73,8 @@
     pub other_hall_cost: f32,
     /// As in [`PlacementRequest::draw`].
     pub draw: u64,
+    /// As in [`PlacementRequest::versions`].
+    pub versions: Option<VersionRule>,
     /// Endpoints that must not be chosen.
     pub tried: Vec<EndpointKey>,
 }
@@ -90,6 +93,7 @@
             rank: request.rank,
             other_hall_cost: request.other_hall_cost as f32,
             draw: request.draw,
+            versions: request.versions.clone(),
             tried: tried.to_vec(),
         }
     }
@@ -109,6 +113,7 @@
             rank: self.rank,
             other_hall_cost: f64::from(self.other_hall_cost),
             allowed_regions: AllowedRegions::default(),
+            versions: self.versions,
             draw: self.draw,
         };
         (request, self.tried)
@@ -133,7 +138,7 @@
     OverEndpointLimits,
 }
 
-/// The content of a direct message between two instances: about reservations, permits or quota.
+/// The content of a direct message between two instances: about reservations, permits, quota or roll-outs.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum DirectMessage {
     /// Requests a reservation.
@@ -148,6 +153,8 @@
     Permits(PermitMessage),
     /// A message about organisations' quota.
     Quota(Message),
+    /// Evidence on a roll-out.
+    Rollouts(Box<RolloutMessage>),
 }
 
 /// A datagram that carries a direct message.
@@ -271,7 +278,10 @@
                 Ok(Some(DirectMessage::Decided(answer))) => return Some(answer),
                 Ok(Some(DirectMessage::Waits)) => until = Instant::now() + hold + DECISION_MARGIN,
                 Ok(Some(
-                    DirectMessage::Ask(_) | DirectMessage::Permits(_) | DirectMessage::Quota(_),
+                    DirectMessage::Ask(_)
+                    | DirectMessage::Permits(_)
+                    | DirectMessage::Quota(_)
+                    | DirectMessage::Rollouts(_),
                 )) => {}
                 Ok(Some(DirectMessage::Unable) | None) | Err(_) => {
                     self.skip(clock.now_us(), issuer);
--- a/src/gateway/reservation_server.rs
+++ b/src/gateway/reservation_server.rs
@@ -1,5 +1,5 @@
 //! Receives the direct messages of other instances: issues reservations at the hall's endpoints to the hall's
-//! instances, and dispatches messages about permits and quota and the answers to this instance's own requests.
+//! instances, and dispatches messages about permits, quota and roll-outs, and the answers to this instance's own requests.
 
 use std::{net::IpAddr, sync::Arc};
 
@@ -80,6 +80,10 @@
         DirectMessage::Quota(message) => {
             quota::receive(gateway, datagram.from, from, message).await
         }
+        DirectMessage::Rollouts(message) => {
+            let now_us = gateway.clock.now_us();
+            gateway.rollouts.receive(now_us, datagram.from, *message);
+        }
         message => gateway.reservation_client.deliver(datagram.number, message),
     }
 }
--- /dev/null
+++ b/src/gateway/rollout_requests.rs
@@ -0,0 +1,145 @@
+//! What a roll-out means for one request: which versions it may use, and what its answer says about them.
+
+use std::sync::Arc;
+
+use crate::{
+    balance::{balancer::Choice, versions::VersionRule},
+    gateway::{
+        attempt::InFlightRequest, config::Route, protocol::Protocol, rollouts::SentInRollout,
+        state::Gateway,
+    },
+    prelude::{Name, short_hash},
+    rollouts::{AnswerQuality, AnswerTime, TimeSpan, VersionChoice, VersionGroup},
+};
+
+/// A request that was sent during a roll-out of its service.
+#[derive(Clone, Copy, Debug)]
+pub struct RolloutRequest {
+    sent: SentInRollout,
+    /// The hash of its route.
+    route: u32,
+    is_stream: bool,
+}
+
+impl<P: Protocol> Gateway<P> {
+    /// Returns the rule by which an endpoint is chosen for a request of a service during a roll-out.
+    pub(super) fn version_rule(&self, service: &Name) -> Option<VersionRule> {
+        if self.rollouts.is_empty() {
+            return None;
+        }
+        let rule = self.rollouts.rule(service, self.are_rollouts_fresh())?;
+        let needs_others = rule.choice == VersionChoice::Only(VersionGroup::Others);
+        let has_others = self
+            .balancer()
+            .has_other_version(service, &rule.target_version);
+        // Without an endpoint of another version the request could only be refused. After a roll-back it is.
+        match needs_others && !has_others && !self.rollouts.is_rolled_back(service) {
+            true => None,
+            false => Some(rule),
+        }
+    }
+
+    /// Checks that a request may be sent to an endpoint of the version of the chosen one, and counts it if its service
+    /// has a roll-out.
+    ///
+    /// # Errors
+    /// The version may not be used now.
+    pub(super) fn admit_version(
+        &self,
+        choice: &Choice,
+        route: &Arc<Route>,
+    ) -> Result<Option<RolloutRequest>, &'static str> {
+        if self.rollouts.is_empty() {
+            return Ok(None);
+        }
+        let (service, version, has_others) = {
+            let balancer = self.balancer();
+            let Some(entry) = balancer.entry(choice.key) else {
+                return Ok(None);
+            };
+            let target = self.rollouts.target(&entry.service);
+            let has_others =
+                target.is_some_and(|target| balancer.has_other_version(&entry.service, &target));
+            (entry.service.clone(), entry.version.clone(), has_others)
+        };
+        let is_fresh = self.are_rollouts_fresh();
+        let sent = self
+            .rollouts
+            .admit(&service, &version, is_fresh, has_others)?;
+        Ok(sent.map(|sent| RolloutRequest {
+            sent,
+            route: short_hash(&route.name),
+            is_stream: route.kind.is_stream(),
+        }))
+    }
+}
+
+impl<P: Protocol> InFlightRequest<P> {
+    /// Notes the time to the first event, or to the whole answer where it is not a stream.
+    pub(super) fn note_rollout_time(&self, took_ms: f64) {
+        if let Some(request) = self.rollout {
+            let span = match request.is_stream {
+                true => TimeSpan::FirstEvent,
+                false => TimeSpan::WholeAnswer,
+            };
+            let quality = match self.is_slow(request, span, took_ms) {
+                Some(true) => AnswerQuality::Slow,
+                Some(false) => AnswerQuality::Good,
+                None => return,
+            };
+            self.note_quality(request, quality);
+        }
+    }
+
+    /// Notes the mean time between the events of a complete stream. A stream whose events came in the usual time was
+    /// noted with its first event.
+    pub(super) fn note_rollout_gap(&self, gap_ms: f64) {
+        if let Some(request) = self.rollout
+            && self.is_slow(request, TimeSpan::EventGap, gap_ms) == Some(true)
+        {
+            self.note_quality(request, AnswerQuality::Slow);
+        }
+    }
+
+    /// Notes that the endpoint failed the request.
+    pub(super) fn note_rollout_failure(&self) {
+        if let Some(request) = self.rollout {
+            self.note_quality(request, AnswerQuality::Failed);
+        }
+    }
+
+    /// Notes a request whose caller left before the first event, if it had waited for longer than is usual.
+    pub(super) fn note_rollout_end(&self) {
+        if let Some(request) = self.rollout.filter(|_| !self.has_first_event) {
+            let span = match request.is_stream {
+                true => TimeSpan::FirstEvent,
+                false => TimeSpan::WholeAnswer,
+            };
+            if self.is_slow(request, span, self.age_ms()) == Some(true) {
+                self.note_quality(request, AnswerQuality::Slow);
+            }
+        }
+    }
+
+    fn is_slow(&self, request: RolloutRequest, span: TimeSpan, took_ms: f64) -> Option<bool> {
+        let expected = &self.choice.expected;
+        let time = AnswerTime {
+            route: request.route,
+            span,
+            took_ms,
+            tokens: expected.tokens_ahead + f64::from(expected.uncached_tokens),
+        };
+        self.gateway.rollouts.is_slow(request.sent, time)
+    }
+
+    /// Notes the quality of an answer, unless its endpoint has announced that it leaves.
+    fn note_quality(&self, request: RolloutRequest, quality: AnswerQuality) {
+        let endpoint = self.choice.key;
+        if self.gateway.balancer().is_leaving(endpoint) {
+            return;
+        }
+        self.gateway
+            .rollouts
+            .note_answer(request.sent, request.route, endpoint, quality);
+    }
+}
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -35,7 +35,7 @@
         protocol::{CallHead, Protocol},
         quota, refuse,
         report::{Trace, log_answer, note_refusal},
-        send_check::{ENDPOINT_EVACUATED, ENDPOINT_LEFT, ENDPOINT_RESTS},
+        send_check::NOT_SENT_REASONS,
         state::Gateway,
         stream::Relay,
     },
@@ -278,8 +278,7 @@
                 AttemptOutcome::NotRun { was_sent, reason } => {
                     trace.reason = Some(reason);
                     // A request stopped by the send check was not sent, and each endpoint stops it only once.
-                    let is_stopped =
-                        [ENDPOINT_EVACUATED, ENDPOINT_LEFT, ENDPOINT_RESTS].contains(&reason);
+                    let is_stopped = NOT_SENT_REASONS.contains(&reason);
                     self.not_run += usize::from(!is_stopped);
                     self.check_resend(was_sent, reason)?;
                 }
--- a/src/gateway/send_check.rs
+++ b/src/gateway/send_check.rs
@@ -5,7 +5,10 @@
 
 use crate::{
     balance::{load::EndpointKey, readiness::Readiness},
-    gateway::{protocol::Protocol, staleness::Freshness as Staleness, state::Gateway},
+    gateway::{
+        protocol::Protocol, rollouts::VERSION_WITHHELD, staleness::Freshness as Staleness,
+        state::Gateway,
+    },
 };
 
 /// Reason for not sending a request: its endpoint is leaving or has left.
@@ -14,6 +17,13 @@
 pub const ENDPOINT_EVACUATED: &str = "endpoint_evacuated";
 /// Reason for not sending a request: its endpoint asked this instance to back off after the choice.
 pub const ENDPOINT_RESTS: &str = "endpoint_rests";
+/// The reasons for which the check stops a request. Each endpoint stops it at most once.
+pub const NOT_SENT_REASONS: [&str; 4] = [
+    ENDPOINT_LEFT,
+    ENDPOINT_EVACUATED,
+    ENDPOINT_RESTS,
+    VERSION_WITHHELD,
+];
 
 impl<P: Protocol> Gateway<P> {
     /// Checks that a request may still be sent to the endpoint chosen for it.
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -17,6 +17,7 @@
         other_halls::OTHER_HALLS,
         protocol::Protocol,
         report_intervals::ReportIntervals,
+        rollouts::RolloutUpdate,
     },
     limits::dissemination::Audience,
     peers::{
@@ -58,11 +59,18 @@
 }
 
 impl<P: Protocol> Exchange<P> {
-    /// Returns whether the configuration, the endpoints or the evacuations have changed since the last call.
+    /// Returns whether the configuration, the endpoints, the evacuations or the roll-outs have changed since the last
+    /// call.
     pub(super) fn take_state_changed(&self) -> bool {
         let endpoints = self.gateway.balancer().endpoints_position();
         let evacuated = self.gateway.evacuations.known().data_centres;
-        let current = (self.gateway.config.version(), endpoints, evacuated);
+        let rollouts = self.gateway.rollouts.known().rollouts;
+        let current = (
+            self.gateway.config.version(),
+            endpoints,
+            evacuated,
+            rollouts,
+        );
         let mut state = self.lock();
         let has_changed = state.last_sent_state != current;
         state.last_sent_state = current;
@@ -421,12 +429,21 @@
             endpoints_age_ms: sent_age_ms(self.gateway.endpoints_age_us()),
             evacuations: self.gateway.evacuations.known(),
             evacuations_age_ms: sent_age_ms(self.gateway.evacuations_age_us()),
+            rollouts: self.rollout_update(),
             settled,
             loads,
             ..Update::default()
         }
     }
 
+    fn rollout_update(&self) -> Option<RolloutUpdate> {
+        self.gateway.bounds().rollouts?;
+        Some(RolloutUpdate {
+            set: self.gateway.rollouts.known(),
+            age_ms: sent_age_ms(self.gateway.rollouts_age_us()),
+        })
+    }
+
     /// Returns this instance's observations since the last call.
     fn take_own_observations(&self) -> Observations {
         let round_number = self.lock().round_number;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -33,6 +33,7 @@
         protocol::Protocol,
         quota::Quota,
         reservation_client::ReservationClient,
+        rollouts::{RolloutBounds, Rollouts},
         staleness::{Staleness, StalenessBound},
     },
     limits::{
@@ -75,6 +76,8 @@
     /// How long endpoints of a data centre may be sent requests after its evacuation; `None` where evacuations are not
     /// supported.
     pub evacuate: Option<StalenessBound>,
+    /// Limits of roll-outs; `None` where they are not supported.
+    pub rollouts: Option<RolloutBounds>,
     /// How far the request rate of a cold endpoint may exceed its limit.
     pub cold: ColdTolerance,
 }
@@ -132,6 +135,8 @@
     pub endpoints_staleness: Staleness,
     /// Data centres whose endpoints are sent no requests.
     pub evacuations: Evacuations,
+    /// Roll-outs of services' versions.
+    pub rollouts: Rollouts,
     /// Requests reservations at endpoints from other instances.
     pub reservation_client: ReservationClient,
     /// Requests and grants permits to send to endpoints that limit their request rate.
@@ -197,6 +202,7 @@
             unread_headers: UnreadHeaders::default(),
             endpoints_staleness: Staleness::default(),
             evacuations: Evacuations::default(),
+            rollouts: Rollouts::default(),
             endpoint_lines: Mutex::default(),
             stopping: AtomicBool::new(false),
         }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -61,6 +61,7 @@
     reuse: Option<Option<Duration>>,
     cutter: EventSplitter,
     events_seen: u32,
+    first_event_us: Micros,
     last_event_us: Micros,
 }
 
@@ -102,12 +103,24 @@
             reuse,
             cutter: EventSplitter::default(),
             events_seen: 0,
+            first_event_us: now_us,
             last_event_us: now_us,
         };
         (upstream, headers)
     }
 }
 
+impl<P: Protocol> Upstream<P> {
+    /// Notes the mean time between the events of a complete stream, which a slow version stretches.
+    fn note_mean_gap(&self) {
+        if self.events_seen > 1 {
+            let took_us = self.last_event_us.saturating_sub(self.first_event_us);
+            let gaps = f64::from(self.events_seen - 1);
+            self.in_flight.note_rollout_gap(took_us as f64 / 1e3 / gaps);
+        }
+    }
+}
+
 impl<P: Protocol> Relay<P> {
     /// Starts with a response whose head has been received; `runs` counts the earlier attempts that may have run.
     pub fn new(
@@ -282,6 +295,7 @@
 
     fn complete(&mut self) -> StreamEnd {
         self.upstream.in_flight.note_complete();
+        self.upstream.note_mean_gap();
         self.gateway
             .note_request_completed(|| self.job.fingerprint());
         if let (Some(idle_timeout), Some(connection)) =
@@ -302,6 +316,7 @@
         let upstream = &mut self.upstream;
         if upstream.events_seen == 0 {
             upstream.in_flight.note_first_event();
+            upstream.first_event_us = now_us;
         } else {
             let gap_us = now_us.saturating_sub(upstream.last_event_us);
             self.trace.longest_gap_us = self.trace.longest_gap_us.max(gap_us);
--- a/src/peers/update.rs
+++ b/src/peers/update.rs
@@ -10,7 +10,7 @@
         prefixes::ChainKey,
         speed::{SpeedSamples, SpeedSummary},
     },
-    gateway::evacuations::EvacuationSet,
+    gateway::{evacuations::EvacuationSet, rollouts::RolloutUpdate},
     limits::{announcements::AnnouncementUpdate, suspects::SuspectUpdate},
     peers::datagram::{Authenticator, DatagramError, UnreadableSnafu},
     prelude::{Incarnation, StorePosition},
@@ -83,6 +83,8 @@
     pub evacuations: EvacuationSet,
     /// Staleness of the evacuations, as for the configuration.
     pub evacuations_age_ms: Option<u32>,
+    /// The roll-outs; none where they are not supported.
+    pub rollouts: Option<RolloutUpdate>,
     /// All reservations of the sender up to this number are counted in `loads`, or will not be used.
     pub settled: u64,
     /// In-flight requests of the sender alone by endpoint; replaces the previous list.
--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -18,7 +18,8 @@
         caller_listener::{self, ListenerStop},
         copies,
         exchange::{Exchange, ExchangeSettings},
-        instance_count, limit_log, probes, reservation_server,
+        instance_count, limit_log, probes, reservation_server, rollout_loop,
+        rollouts::RolloutBounds,
         staleness::StalenessBound,
         state::{Gateway, GatewayBounds},
         stop,
@@ -28,6 +29,7 @@
     platform::{
         headers::PlatformProtocol,
         objects::ObjectClient,
+        rollouts::{self, RolloutStatuses},
         settings::{Bounds, PlatformSettings, SettingsError},
         store::PlatformStore,
         store_era::{EraMetrics, StoreEra},
@@ -168,6 +170,12 @@
     if settings.bounds.evacuate_ms.is_some() {
         tokio::spawn(store_watch::evacuations(gateway.clone(), client()));
     }
+    if gateway.bounds().rollouts.is_some() {
+        tokio::spawn(rollouts::watch(gateway.clone(), client()));
+        let statuses = RolloutStatuses(store.clone());
+        tokio::spawn(rollout_loop::record(gateway.clone(), statuses));
+        tokio::spawn(rollout_loop::run(gateway.clone()));
+    }
     tokio::spawn(block_list::run(
         gateway.clone(),
         store.clone(),
@@ -276,6 +284,7 @@
             overage: bounds.quota_overage,
             slack: bounds.quota_slack,
         },
+        rollouts: rollout_bounds(bounds),
         evacuate: bounds.evacuate_ms.map(|ms| StalenessBound(ms * 1_000)),
         cold: ColdTolerance {
             overage: bounds.warmup_overage,
@@ -284,6 +293,14 @@
     }
 }
 
+/// Returns the limits of roll-outs; both have to be stated for roll-outs to be supported.
+fn rollout_bounds(bounds: &Bounds) -> Option<RolloutBounds> {
+    Some(RolloutBounds {
+        exposure_share: bounds.exposure_share?,
+        rollback: StalenessBound(bounds.rollback_ms? * 1_000),
+    })
+}
+
 /// Rereads the settings and applies changed bounds; changed addresses are ignored. `is_requested`: by SIGHUP, so
 /// that the outcome is logged even if nothing has changed.
 fn reload(gateway: &Gateway<PlatformProtocol>, current: &mut PlatformSettings, is_requested: bool) {
--- a/src/platform/endpoints.rs
+++ b/src/platform/endpoints.rs
@@ -20,9 +20,8 @@
     backend: Name,
     address: SocketAddr,
     zone: Name,
-    /// Version of the endpoint's software; required in an entry, but not used.
-    #[serde(rename = "version")]
-    _version: Name,
+    /// Version of the endpoint's software.
+    version: Name,
     capacity: NonZeroU32,
     state: State,
     warmup_left_ms: f64,
@@ -49,6 +48,7 @@
         EndpointEntry {
             id: id.into(),
             service: self.backend,
+            version: self.version,
             addr: self.address,
             hall: self.zone,
             born_ms: self.born,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -9,6 +9,7 @@
 pub mod evacuations;
 pub mod headers;
 pub mod objects;
+pub mod rollouts;
 pub mod settings;
 pub mod store;
 pub mod store_era;
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -8,6 +8,7 @@
 //! | `GET /objects/KIND?watch=REVISION&waitMs=MS` | the changes since, as soon as there are any |
 //! | `POST /objects/KIND` | creates an object; 409 if it exists |
 //! | `PUT /objects/KIND/NAME` | replaces an object; 409 if it is at another revision |
+//! | `PUT /objects/KIND/NAME/status` | replaces its status; 409 if it is at another revision |
 //! | `DELETE /objects/KIND/NAME?revision=REVISION` | deletes an object |
 
 use std::{io, net::SocketAddr, time::Duration};
@@ -81,6 +82,9 @@
     /// Revision of the store at the last change of the object; the condition of a write. 0 in a request: any revision.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub revision: u64,
+    /// Revision of the store at which the object was created; 0 if the store does not say, and in a request.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub created: u64,
 }
 
 impl Metadata {
@@ -102,6 +106,9 @@
     /// Content; absent in the event of a deletion.
     #[serde(default = "none")]
     pub spec: Option<T>,
+    /// What this program recorded about the object, for the kinds of which it writes the status only.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub status: Option<serde_json::Value>,
 }
 
 fn none<T>() -> Option<T> {
@@ -446,6 +453,19 @@
         self.write(Method::PUT, &path, object).await
     }
 
+    /// Replaces the status of an object if it is at the revision in its metadata; returns the new revision.
+    ///
+    /// # Errors
+    /// The object is at another revision, or the call failed; see [`CallError`].
+    pub async fn replace_status<T: Serialize>(
+        &mut self,
+        kind: &str,
+        object: &Object<T>,
+    ) -> Result<u64, CallError> {
+        let path = format!("/objects/{kind}/{}/status", object.metadata.name);
+        self.write(Method::PUT, &path, object).await
+    }
+
     /// Deletes an object; one that does not exist is no error.
     ///
     /// # Errors
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -138,6 +138,14 @@
     /// How long after an evacuation the endpoints of the data centre may still be sent requests, in milliseconds; none
     /// if the platform has no evacuations.
     pub evacuate_ms: Option<u64>,
+    /// Maximum share of a service's requests that endpoints of a bad version may get during its roll-out; none if the
+    /// platform has no roll-outs.
+    pub exposure_share: Option<f64>,
+    /// Requests that those endpoints may get on top of the share.
+    pub exposure_slack: f64,
+    /// How long after the 50th bad answer of a bad version an instance may send requests to its endpoints, in
+    /// milliseconds; none if the platform has no roll-outs.
+    pub rollback_ms: Option<u64>,
     /// Permitted requests a second to an endpoint that warms up, as a multiple of its warm-up rate.
     pub warmup_overage: f64,
     /// Permitted requests on top of that.
@@ -160,6 +168,9 @@
             quota_overage: 0.1,
             quota_slack: 0.0,
             evacuate_ms: None,
+            exposure_share: None,
+            exposure_slack: 0.0,
+            rollback_ms: None,
             warmup_overage: 1.0,
             warmup_slack: 0.0,
         }
@@ -231,6 +242,26 @@
                 bounds.evacuate_ms != Some(0),
                 "bounds.evacuateMs = 0: expected more than 0".into(),
             ),
+            (
+                bounds
+                    .exposure_share
+                    .is_none_or(|share| share > 0.0 && share < 1.0),
+                format!(
+                    "bounds.exposureShare = {}: expected more than 0 and less than 1",
+                    bounds.exposure_share.unwrap_or_default()
+                ),
+            ),
+            (
+                bounds.exposure_slack >= 0.0,
+                format!(
+                    "bounds.exposureSlack = {}: expected 0 or more",
+                    bounds.exposure_slack
+                ),
+            ),
+            (
+                bounds.rollback_ms != Some(0),
+                "bounds.rollbackMs = 0: expected more than 0".into(),
+            ),
             (
                 bounds.config_apply_ms > 0,
                 format!(
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -69,7 +69,7 @@
         Self { addr, era }
     }
 
-    fn client(&self) -> ObjectClient {
+    pub(super) fn client(&self) -> ObjectClient {
         ObjectClient::with_era(self.addr, self.era.clone())
     }
 }
@@ -94,8 +94,10 @@
             metadata: Metadata {
                 name: key.to_owned(),
                 revision: expected,
+                ..Metadata::default()
             },
             spec: Some(Content::of(&value)),
+            status: None,
         };
         let mut client = self.client();
         let written = match expected {
--- a/src/platform/store_watch.rs
+++ b/src/platform/store_watch.rs
@@ -1,4 +1,4 @@
-//! Synchronises an instance with the store: configuration, endpoints and evacuations.
+//! Synchronises an instance with the store: configuration, endpoints, evacuations and roll-outs.
 //!
 //! A few instances watch the store for all others and pass on what has changed. The others call the
 //! store only before their state becomes too old to act on.
@@ -63,7 +63,7 @@
 const MAX_RETRY_SHARE: f64 = 0.75;
 
 /// Applies the objects of one kind to the state of the gateway.
-trait KindHandler {
+pub(super) trait KindHandler {
     type Spec: serde::de::DeserializeOwned;
     const KIND: &'static str;
 
@@ -126,7 +126,7 @@
 
 /// Keeps the state of one kind up to date until dropped. A watcher watches the store; any other instance gets the
 /// changes from the watchers, and calls the store itself before its state becomes too old to act on.
-async fn watch_kind<P: Protocol, H: KindHandler>(
+pub(super) async fn watch_kind<P: Protocol, H: KindHandler>(
     gateway: &Gateway<P>,
     mut store: ObjectClient,
     mut handler: H,
@@ -442,7 +442,7 @@
 const MAX_LOGGED_UNUSED: usize = 64;
 
 /// Logs an object that is skipped.
-fn log_unused(kind: &'static str, name: Option<&str>, reason: &str) {
+pub(super) fn log_unused(kind: &'static str, name: Option<&str>, reason: &str) {
     let name = name.unwrap_or("-");
     log::warn!(target: "ryevalve::process", kind, name, reason; "entry_unused");
 }
--- a/src/rollouts/mod.rs
+++ b/src/rollouts/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! Without a clock or socket of its own, so that tests can drive it step by step.
 
+mod answer_times;
 mod evidence;
 mod exposure;
 mod judge;
@@ -12,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::{
+    answer_times::{AnswerTime, AnswerTimes, TimeSpan},
     evidence::{
         Answers, EndpointAnswers, Evidence, EvidenceReport, EvidenceSum, RouteAnswers,
         report_interval_us,
@@ -32,7 +34,7 @@
 }
 
 /// Which endpoints of its service a request may be sent to.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum VersionChoice {
     /// All endpoints; the service has no roll-out.
     #[default]
--- a/tests/edge/cluster.rs
+++ b/tests/edge/cluster.rs
@@ -58,6 +58,7 @@
         slack: 1_000.0,
     },
     evacuate: None,
+    rollouts: None,
     cold: ColdTolerance {
         overage: 1.5,
         slack: 5.0,
@@ -255,6 +256,7 @@
         rank: 0,
         other_hall_cost: 0.0,
         allowed_regions: AllowedRegions::default(),
+        versions: None,
         draw: 7,
     }
 }
@@ -272,6 +274,7 @@
         id: id.into(),
         born_ms: 0,
         service: "plain".into(),
+        version: "v1".into(),
         addr: ([10, 0, 0, 1], 80).into(),
         hall: "a".into(),
         slots: 100,
--- a/tests/gateway/current_config.rs
+++ b/tests/gateway/current_config.rs
@@ -67,6 +67,7 @@
             slack: 0.0,
         },
         evacuate: None,
+        rollouts: None,
         cold: ColdTolerance {
             overage: 1.5,
             slack: 5.0,
--- a/tests/gateway/restarts.rs
+++ b/tests/gateway/restarts.rs
@@ -130,8 +130,10 @@
             metadata: Metadata {
                 name: name.into(),
                 revision,
+                ..Metadata::default()
             },
             spec: None,
+            status: None,
         })
     };
     let changes = Changes {
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -89,6 +89,7 @@
         id: id.into(),
         born_ms: 0,
         service: "model".into(),
+        version: "v1".into(),
         addr: ([10, 0, 0, last], 80).into(),
         hall: hall.into(),
         slots,
@@ -121,6 +122,7 @@
         rank,
         other_hall_cost: 0.05,
         allowed_regions: AllowedRegions::default(),
+        versions: None,
         draw: subject,
     }
 }
