Roll-outs: stand-ins and tests with several instances

Cause: nothing showed that the roll-outs work over real sockets. Change: the store stand-in keeps a status, endpoints can run bad versions, tests/edge/rollouts.rs drives instances through good and bad versions, outages and kills.

--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -108,6 +108,7 @@
     revision: u64,
     created: u64,
     spec: Value,
+    status: Value,
 }
 
 #[derive(Clone)]
@@ -210,10 +211,12 @@
         }
         self.revision += 1;
         let created = known.map_or(self.revision, |o| o.created);
+        let status = known.map_or(Value::Null, |o| o.status.clone());
         let stored = Stored {
             revision: self.revision,
             created,
             spec,
+            status,
         };
         let object = object_json(name, &stored);
         self.objects.insert(key, stored);
@@ -221,6 +224,19 @@
         self.revision
     }
 
+    /// Sets an object's status; an unchanged one raises no revision.
+    fn set_status(&mut self, kind: &str, name: &str, status: Value) {
+        let key = (kind.to_owned(), name.to_owned());
+        let Some(known) = self.objects.get_mut(&key).filter(|o| o.status != status) else {
+            return;
+        };
+        self.revision += 1;
+        known.revision = self.revision;
+        known.status = status;
+        let object = object_json(name, known);
+        self.record_change(kind, object, false);
+    }
+
     fn remove(&mut self, kind: &str, name: &str) -> bool {
         let key = (kind.to_owned(), name.to_owned());
         let Some(stored) = self.objects.remove(&key) else {
@@ -277,7 +293,7 @@
             "deletionPending": false,
         },
         "spec": stored.spec,
-        "status": null,
+        "status": stored.status,
     })
 }
 
@@ -426,6 +442,12 @@
         self.lock().object(kind, name).map(|o| o["spec"].clone())
     }
 
+    /// Returns an object's status; null if there is none.
+    pub fn status(&self, kind: &str, name: &str) -> Value {
+        let object = self.lock().object(kind, name);
+        object.map_or(Value::Null, |o| o["status"].clone())
+    }
+
     /// Sets one of ryevalve's objects from JSON, without the HTTP interface; returns its revision.
     pub fn put(&self, key: &str, value: impl Into<Bytes>) -> u64 {
         let value: Value = serde_json::from_slice(&value.into()).expect("a value in JSON");
@@ -474,7 +496,8 @@
     };
     let name = parts.next();
     if is_write {
-        return write(&state, &changed, kind, name, request).await;
+        let is_status = parts.next() == Some("status");
+        return write(&state, &changed, (kind, is_status), name, request).await;
     }
     if let Some(name) = name {
         let found = lock(&state).object(kind, name);
@@ -581,6 +604,11 @@
     metadata: WrittenMetadata,
     #[serde(default)]
     spec: Value,
+    #[serde(default)]
+    status: Value,
+    /// Whether only the status is written.
+    #[serde(skip)]
+    is_status: bool,
 }
 
 #[derive(Deserialize)]
@@ -593,7 +621,7 @@
 async fn write(
     state: &Arc<Mutex<State>>,
     changed: &watch::Sender<u64>,
-    kind: &str,
+    (kind, is_status): (&str, bool),
     name: Option<&str>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, std::io::Error> {
@@ -603,19 +631,22 @@
     if body.len() > MAX_VALUE_BYTES {
         return Ok(http::answer(StatusCode::PAYLOAD_TOO_LARGE, "over 1 MB"));
     }
-    let written = match (&method, name) {
+    let mut written = match (&method, name) {
         (&Method::DELETE, Some(name)) => Written {
             metadata: WrittenMetadata {
                 name: name.to_owned(),
                 revision: condition,
             },
             spec: Value::Null,
+            status: Value::Null,
+            is_status: false,
         },
         _ => match serde_json::from_slice::<Written>(&body) {
             Ok(written) => written,
             Err(error) => return Ok(http::answer(StatusCode::BAD_REQUEST, error.to_string())),
         },
     };
+    written.is_status = is_status;
     let (lose, late) = {
         let mut state = lock(state);
         let lose = state.faults.lose_write_answers > 0;
@@ -646,7 +677,12 @@
     written: Written,
 ) -> Response<Body> {
     let mut state = lock(state);
-    let Written { metadata, spec } = written;
+    let Written {
+        metadata,
+        spec,
+        status,
+        is_status,
+    } = written;
     let name = metadata.name;
     let known = state.revision_of(kind, &name);
     let is_create = *method == Method::POST;
@@ -667,6 +703,9 @@
         let object = state.object(kind, &name);
         state.remove(kind, &name);
         object
+    } else if is_status {
+        state.set_status(kind, &name, status);
+        state.object(kind, &name)
     } else {
         state.set(kind, &name, spec);
         state.object(kind, &name)
--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -56,6 +56,51 @@
     Error,
 }
 
+/// What a bad answer of a version is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BadAnswer {
+    /// Status 500.
+    Fails,
+    /// Late by this time.
+    Slow(Duration),
+}
+
+/// A version of an endpoint's software that gives bad answers.
+#[derive(Clone, Copy, Debug)]
+pub struct BadVersion {
+    /// What a bad answer is.
+    pub answer: BadAnswer,
+    /// One of this many answers is bad.
+    pub every_nth: usize,
+    /// Answers are good until then.
+    pub from: Option<Instant>,
+    /// Answers are good while no more requests than this are running.
+    pub above_running: usize,
+    /// Answers are good on other paths than those that start with this.
+    pub path: &'static str,
+}
+
+impl BadVersion {
+    /// A version of which one of `every_nth` answers is bad, from the start and on any path.
+    pub fn new(answer: BadAnswer, every_nth: usize) -> Self {
+        Self {
+            answer,
+            every_nth,
+            from: None,
+            above_running: 0,
+            path: "",
+        }
+    }
+
+    fn applies(&self, seen: &Seen, number: usize, running: usize) -> bool {
+        let path = seen.line.split(' ').nth(1).unwrap_or_default();
+        number.is_multiple_of(self.every_nth)
+            && self.from.is_none_or(|from| seen.at >= from)
+            && running > self.above_running
+            && path.starts_with(self.path)
+    }
+}
+
 /// A request received by the endpoint.
 #[derive(Clone, Debug)]
 pub struct Seen {
@@ -73,12 +118,17 @@
     pub has_run: bool,
     /// Whether the connection was still open at the end of the response.
     pub finished: bool,
+    /// Whether its answer was bad because of the version.
+    pub was_bad: bool,
 }
 
 #[derive(Default)]
 struct State {
     id: String,
     fault: Fault,
+    bad_version: Option<BadVersion>,
+    /// Number of requests that are running.
+    running: usize,
     /// Time before each event, or before a non-stream response.
     pace: Duration,
     seen: Vec<Seen>,
@@ -176,6 +226,11 @@
         self.lock().fault = fault;
     }
 
+    /// Sets in which way the version of its software is bad; `None` if it is good.
+    pub fn run_version(&self, bad: Option<BadVersion>) {
+        self.lock().bad_version = bad;
+    }
+
     /// Sets the time before each event, or before a non-stream response.
     pub fn pace(&self, pace: Duration) {
         self.lock().pace = pace;
@@ -298,6 +353,15 @@
             continue;
         }
         update_seen(|s| s.has_run = true);
+        let _running = Running::start(&state);
+        let (fault, pace) = match bad_answer(&state, &seen, index) {
+            Some(BadAnswer::Fails) => (Fault::Error, pace),
+            Some(BadAnswer::Slow(late)) => {
+                time::sleep(late).await;
+                (fault, pace)
+            }
+            None => (fault, pace),
+        };
         let lifetime = crash_token(&state, &seen.body);
         if let Some(lifetime) = lifetime {
             time::sleep(pace).await;
@@ -341,6 +405,33 @@
     Ok(End::Closed)
 }
 
+/// Counts a request as running until dropped.
+struct Running<'s>(&'s Mutex<State>);
+
+impl<'s> Running<'s> {
+    fn start(state: &'s Mutex<State>) -> Self {
+        state.lock().expect("no holder panics").running += 1;
+        Self(state)
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.lock().expect("no holder panics").running -= 1;
+    }
+}
+
+/// Returns how the answer to a request is bad because of the version, if it is; `number` counts the requests.
+fn bad_answer(state: &Mutex<State>, seen: &Seen, number: usize) -> Option<BadAnswer> {
+    let mut state = state.lock().expect("no holder panics");
+    let running = state.running;
+    let bad = state
+        .bad_version
+        .filter(|v| v.applies(seen, number, running))?;
+    state.seen[number].was_bad = true;
+    Some(bad.answer)
+}
+
 /// Returns the lifetime token to cancel if a request with this body crashes the endpoint.
 fn crash_token(state: &Mutex<State>, body: &[u8]) -> Option<CancellationToken> {
     let state = state.lock().expect("no holder panics");
@@ -482,6 +573,7 @@
         was_backed_off: false,
         has_run: false,
         finished: false,
+        was_bad: false,
     };
     for line in lines {
         if let Some((name, value)) = line.split_once(':') {
--- a/tests/edge/cluster.rs
+++ b/tests/edge/cluster.rs
@@ -17,21 +17,27 @@
         caller_listener::{self, ListenerStop},
         copies,
         exchange::{Exchange, ExchangeSettings},
-        reservation_server,
+        reservation_server, rollout_loop,
+        rollouts::RolloutBounds,
         staleness::StalenessBound,
         state::{Gateway, GatewayBounds},
     },
     limits::{permits::ColdTolerance, quota::Tolerance, retries::RetryBounds},
     peers::{datagram::MemberInfo, gossip::Gossip, membership::Membership, rpc::SealedCodec},
     platform::{
-        edge, headers::PlatformProtocol, objects::ObjectClient, store::PlatformStore,
-        store_era::StoreEra, store_watch,
+        edge,
+        headers::PlatformProtocol,
+        objects::ObjectClient,
+        rollouts::{self, RolloutStatuses},
+        store::PlatformStore,
+        store_era::StoreEra,
+        store_watch,
     },
     prelude::{Incarnation, Micros, Name},
 };
 use tokio::{
     net::{TcpListener, UdpSocket},
-    task::JoinHandle,
+    task::{AbortHandle, JoinHandle},
     time,
 };
 use tokio_util::sync::CancellationToken;
@@ -84,6 +90,8 @@
     exchange: Arc<Exchange<PlatformProtocol>>,
     store_era: StoreEra,
     tasks: Vec<JoinHandle<()>>,
+    /// The task that serves callers.
+    serving: Option<JoinHandle<()>>,
 }
 
 impl Instance {
@@ -155,6 +163,7 @@
             exchange,
             store_era: StoreEra::default(),
             tasks,
+            serving: None,
         }
     }
 
@@ -182,7 +191,7 @@
             MAX_CONNECTIONS,
             ListenerStop::default(),
         );
-        self.tasks.push(tokio::spawn(serving));
+        self.serving = Some(tokio::spawn(serving));
     }
 
     /// Syncs the block list with the store at `addr`, as an instance that is not the first to start.
@@ -215,9 +224,37 @@
             .push(tokio::spawn(store_watch::evacuations(gateway, client)));
     }
 
+    /// Follows the store's roll-outs with these limits.
+    pub fn follow_rollouts(&mut self, addr: SocketAddr, bounds: RolloutBounds) {
+        let gateway = self.gateway.clone();
+        gateway.set_bounds(GatewayBounds {
+            rollouts: Some(bounds),
+            ..gateway.bounds()
+        });
+        let client = ObjectClient::with_era(addr, self.store_era.clone());
+        let store = PlatformStore::with_era(addr, self.store_era.clone());
+        let watching = rollouts::watch(gateway.clone(), client);
+        let recording = rollout_loop::record(gateway.clone(), RolloutStatuses(store));
+        self.tasks.push(tokio::spawn(watching));
+        self.tasks.push(tokio::spawn(recording));
+        self.tasks.push(tokio::spawn(rollout_loop::run(gateway)));
+    }
+
+    /// Returns the handles that, when all are aborted, cut the instance off from the store and the other instances while
+    /// it goes on to serve callers.
+    pub fn links(&self) -> Vec<AbortHandle> {
+        self.tasks.iter().map(JoinHandle::abort_handle).collect()
+    }
+
+    /// Returns the handles that, when all are aborted, end the instance as if its process were killed.
+    pub fn lifelines(&self) -> Vec<AbortHandle> {
+        let serving = self.serving.iter().map(JoinHandle::abort_handle);
+        self.links().into_iter().chain(serving).collect()
+    }
+
     /// Aborts all tasks, as if the process were killed.
     pub fn stop(&mut self) {
-        for task in self.tasks.drain(..) {
+        for task in self.tasks.drain(..).chain(self.serving.take()) {
             task.abort();
         }
     }
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -16,6 +16,7 @@
 mod poison_requests;
 mod reservations;
 mod resting_endpoints;
+mod rollouts;
 mod site;
 mod store_lists;
 mod store_returns;
