--- a/src/rollouts/stages.rs
+++ b/src/rollouts/stages.rs
@@ -162,7 +162,7 @@
 }
 
 impl RolloutDecider {
-    /// Begins with an order at [`Stage::Canary`].
+    /// Begins at [`Stage::Canary`] with an order whose duration counts from `now_us`.
     pub fn new(order: RolloutOrder, now_us: Micros) -> Self {
         Self {
             schedule: Schedule::new(order.duration_us),
