Roll-outs: nothing is sent to the old endpoints once completed

Cause: a completed roll-out still used the old endpoints when the new ones had no free slot, and these stop at once. Change: only the target version until no other endpoint is left; where a group has no endpoint, requests may use the other one except after a roll-back.

--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -21,6 +21,7 @@
         prefixes::{ChainKey, PrefixHolders},
         readiness::PermitDenial,
         speed::Speed,
+        versions::VersionCounts,
     },
     limits::{announcements::EndpointAnnouncements, back_off::BackOffs},
     prelude::{Incarnation, Micros, Name, Rank, StorePosition},
@@ -415,33 +416,28 @@
         self.endpoints.get(&key).map(|e| &*e.entry)
     }
 
-    /// Returns whether a service has an endpoint of another version than `version` that is not leaving.
-    pub fn has_other_version(&self, service: &str, version: &str) -> bool {
-        let mut keys = self.keys_of(service).iter();
-        keys.any(|key| {
-            let entry = self.entry(*key);
-            entry.is_some_and(|entry| *entry.version != *version) && !self.is_leaving(*key)
-        })
-    }
-
     /// Returns whether an endpoint is leaving or unknown.
     pub fn is_leaving(&self, key: EndpointKey) -> bool {
         let entry = self.entry(key);
         entry.is_none_or(|entry| entry.draining) || self.announcements.leaves(key)
     }
 
-    /// Counts a service's endpoints during a roll-out: those of the target version that are not leaving, and all of
-    /// other versions.
-    pub fn count_versions(&self, service: &str, target_version: &str) -> (u32, u32) {
-        let (mut target, mut others) = (0, 0);
+    /// Counts a service's endpoints during a roll-out to a version.
+    pub fn count_versions(&self, service: &str, target_version: &str) -> VersionCounts {
+        let mut counts = VersionCounts::default();
         for key in self.keys_of(service) {
-            let is_target = self
-                .entry(*key)
-                .is_some_and(|entry| *entry.version == *target_version);
-            target += u32::from(is_target && !self.is_leaving(*key));
-            others += u32::from(!is_target);
+            let Some(entry) = self.entry(*key) else {
+                continue;
+            };
+            let is_ready = u32::from(!self.is_leaving(*key));
+            if *entry.version == *target_version {
+                counts.target_ready += is_ready;
+            } else {
+                counts.others_ready += is_ready;
+                counts.others_known += 1;
+            }
         }
-        (target, others)
+        counts
     }
 
     /// Counts this instance's requests in flight at a service's endpoints of other versions than `version`.
--- a/src/balance/versions.rs
+++ b/src/balance/versions.rs
@@ -7,6 +7,27 @@
     rollouts::{VersionChoice, VersionGroup},
 };
 
+/// Numbers of a service's endpoints during a roll-out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct VersionCounts {
+    /// Those of the target version that are not leaving.
+    pub target_ready: u32,
+    /// Those of other versions that are not leaving.
+    pub others_ready: u32,
+    /// All those of other versions.
+    pub others_known: u32,
+}
+
+impl VersionCounts {
+    /// Returns the number of endpoints of a group that are not leaving.
+    pub fn ready(self, group: VersionGroup) -> u32 {
+        match group {
+            VersionGroup::Target => self.target_ready,
+            VersionGroup::Others => self.others_ready,
+        }
+    }
+}
+
 /// Which endpoints of a service that has a roll-out may be chosen for a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VersionRule {
--- a/src/gateway/rollout_loop.rs
+++ b/src/gateway/rollout_loop.rs
@@ -97,12 +97,12 @@
     }
 
     fn group_facts(&self, order: &RolloutOrder) -> GroupFacts {
-        let (target_ready, others_known) = self
+        let counts = self
             .balancer()
             .count_versions(&order.service, &order.target_version);
         GroupFacts {
-            target_ready,
-            others_known,
+            target_ready: counts.target_ready,
+            others_known: counts.others_known,
             instances_known: self.instance_counts().all,
             is_store_answering: self.are_rollouts_fresh(),
         }
@@ -129,8 +129,11 @@
             if is_due {
                 report(&gateway, now_us, &order).await;
             }
+            let facts = gateway.group_facts(&order);
+            if facts.others_known == 0 {
+                gateway.rollouts.note_others_gone(order.id);
+            }
             if gateway.watches_store() {
-                let facts = gateway.group_facts(&order);
                 let changes = gateway.rollouts.decide(now_us, order.id, facts);
                 gateway.log_rollouts(&changes, "decided");
             }
--- a/src/gateway/rollout_requests.rs
+++ b/src/gateway/rollout_requests.rs
@@ -3,13 +3,16 @@
 use std::sync::Arc;
 
 use crate::{
-    balance::{balancer::Choice, versions::VersionRule},
+    balance::{
+        balancer::Choice,
+        versions::{VersionCounts, VersionRule},
+    },
     gateway::{
         attempt::InFlightRequest, config::Route, protocol::Protocol, rollouts::SentInRollout,
         state::Gateway,
     },
     prelude::{Name, short_hash},
-    rollouts::{AnswerQuality, AnswerTime, TimeSpan, VersionChoice, VersionGroup},
+    rollouts::{AnswerQuality, AnswerTime, TimeSpan},
 };
 
 /// A request that was sent during a roll-out of its service.
@@ -27,16 +30,14 @@
         if self.rollouts.is_empty() {
             return None;
         }
-        let rule = self.rollouts.rule(service, self.are_rollouts_fresh())?;
-        let needs_others = rule.choice == VersionChoice::Only(VersionGroup::Others);
-        let has_others = self
-            .balancer()
-            .has_other_version(service, &rule.target_version);
-        // Without an endpoint of another version the request could only be refused. After a roll-back it is.
-        match needs_others && !has_others && !self.rollouts.is_rolled_back(service) {
-            true => None,
-            false => Some(rule),
-        }
+        let counts = self.version_counts(service)?;
+        self.rollouts
+            .rule(service, self.are_rollouts_fresh(), counts)
+    }
+
+    fn version_counts(&self, service: &Name) -> Option<VersionCounts> {
+        let target = self.rollouts.target(service)?;
+        Some(self.balancer().count_versions(service, &target))
     }
 
     /// Checks that a request may be sent to an endpoint of the version of the chosen one, and counts it if its service
@@ -52,20 +53,17 @@
         if self.rollouts.is_empty() {
             return Ok(None);
         }
-        let (service, version, has_others) = {
-            let balancer = self.balancer();
-            let Some(entry) = balancer.entry(choice.key) else {
-                return Ok(None);
-            };
-            let target = self.rollouts.target(&entry.service);
-            let has_others =
-                target.is_some_and(|target| balancer.has_other_version(&entry.service, &target));
-            (entry.service.clone(), entry.version.clone(), has_others)
+        let entry = self.balancer().entry(choice.key).cloned();
+        let Some(entry) = entry else {
+            return Ok(None);
+        };
+        let Some(counts) = self.version_counts(&entry.service) else {
+            return Ok(None);
         };
         let is_fresh = self.are_rollouts_fresh();
         let sent = self
             .rollouts
-            .admit(&service, &version, is_fresh, has_others)?;
+            .admit(&entry.service, &entry.version, is_fresh, counts)?;
         Ok(sent.map(|sent| RolloutRequest {
             sent,
             route: short_hash(&route.name),
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -13,7 +13,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    balance::{load::EndpointKey, versions::VersionRule},
+    balance::{
+        load::EndpointKey,
+        versions::{VersionCounts, VersionRule},
+    },
     gateway::staleness::{Staleness, StalenessBound},
     prelude::{Incarnation, Micros, Name, StorePosition},
     rollouts::{
@@ -181,6 +184,8 @@
     decider: RolloutDecider,
     sent_to_target: u64,
     bad_answers: u64,
+    /// Completed, and no endpoint of another version is left.
+    is_over: bool,
 }
 
 impl ActiveRollout {
@@ -194,6 +199,7 @@
             known,
             sent_to_target: 0,
             bad_answers: 0,
+            is_over: false,
         }
     }
 
@@ -220,6 +226,25 @@
         })
     }
 
+    /// Returns which endpoints a request may be sent to; `counts` are those of the service.
+    fn choice(&self, is_fresh: bool, counts: VersionCounts) -> VersionChoice {
+        let choice = match self.stage {
+            Stage::Completed if self.is_over => VersionChoice::Any,
+            // The other endpoints stop without waiting for their requests.
+            Stage::Completed => VersionChoice::Only(VersionGroup::Target),
+            stage => version_choice(stage, &self.credit, is_fresh),
+        };
+        match choice {
+            // The request could only be refused; after a roll-back it is.
+            VersionChoice::Only(group)
+                if counts.ready(group) == 0 && self.stage != Stage::RolledBack =>
+            {
+                VersionChoice::Any
+            }
+            choice => choice,
+        }
+    }
+
     fn is_shifted(&self) -> bool {
         matches!(self.stage, Stage::Draining | Stage::Completed)
     }
@@ -338,13 +363,6 @@
         Some(active.known.order.target_version.clone())
     }
 
-    /// Returns whether the roll-out of a service was rolled back.
-    pub fn is_rolled_back(&self, service: &str) -> bool {
-        let state = self.lock();
-        let active = state.by_service(service);
-        active.is_some_and(|active| active.stage == Stage::RolledBack)
-    }
-
     /// Applies a set: its orders unless they are older than those known, and the stages of orders that are known.
     /// Returns what has changed.
     ///
@@ -393,19 +411,23 @@
         is_changed.then(|| active.change()).into_iter().collect()
     }
 
-    /// Returns the rule by which an endpoint is chosen for a request of a service.
-    pub fn rule(&self, service: &str, is_fresh: bool) -> Option<VersionRule> {
+    /// Returns the rule by which an endpoint is chosen for a request of a service, which has endpoints of these numbers.
+    pub fn rule(
+        &self,
+        service: &str,
+        is_fresh: bool,
+        counts: VersionCounts,
+    ) -> Option<VersionRule> {
         let state = self.lock();
         let active = state.by_service(service)?;
-        let choice = version_choice(active.stage, &active.credit, is_fresh);
+        let choice = active.choice(is_fresh, counts);
         (choice != VersionChoice::Any).then(|| VersionRule {
             target_version: active.known.order.target_version.clone(),
             choice,
         })
     }
 
-    /// Checks that a request of a service may be sent to an endpoint of a version, and counts it. `has_others` tells
-    /// whether the service has endpoints of another version.
+    /// Checks that a request of a service may be sent to an endpoint of a version, and counts it.
     ///
     /// # Errors
     /// The version may not be used now.
@@ -414,7 +436,7 @@
         service: &str,
         version: &str,
         is_fresh: bool,
-        has_others: bool,
+        counts: VersionCounts,
     ) -> Result<Option<SentInRollout>, &'static str> {
         let mut state = self.lock();
         let mut active = state.active.iter_mut();
@@ -425,15 +447,8 @@
             true => VersionGroup::Target,
             false => VersionGroup::Others,
         };
-        let choice = version_choice(active.stage, &active.credit, is_fresh);
-        let is_withheld = match group {
-            VersionGroup::Target => {
-                let is_last_resort = !has_others && active.stage != Stage::RolledBack;
-                choice == VersionChoice::Only(VersionGroup::Others) && !is_last_resort
-            }
-            VersionGroup::Others => choice == VersionChoice::Only(VersionGroup::Target),
-        };
-        if is_withheld {
+        let choice = active.choice(is_fresh, counts);
+        if matches!(choice, VersionChoice::Only(only) if only != group) {
             return Err(VERSION_WITHHELD);
         }
         active.credit.note_sent(group);
@@ -442,6 +457,15 @@
         Ok(Some(SentInRollout { order, group }))
     }
 
+    /// Notes that no endpoint of another version than the target version is left. After the roll-out was completed, the
+    /// versions of endpoints do not matter from then on.
+    pub fn note_others_gone(&self, id: OrderId) {
+        let mut state = self.lock();
+        if let Some(active) = state.by_id(id) {
+            active.is_over |= active.stage == Stage::Completed;
+        }
+    }
+
     /// Returns whether an answer was slow; `None` if the usual time is not known yet.
     pub fn is_slow(&self, sent: SentInRollout, time: AnswerTime) -> Option<bool> {
         let mut state = self.lock();
