Roll-outs: a recorded state is not forgotten, and reloads neither begin nor end the part

Cause: an older set at the same position could replace the state that the instance had recorded itself; a reload of the settings that adds the limits left an instance not ready. Change: the later state stays; the part is on from the start of the process or not at all. A test with 18 instances.

--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -51,7 +51,7 @@
 }
 
 /// The state of a roll-out as recorded in the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum RolloutState {
     /// It is neither completed nor rolled back.
     Running,
@@ -313,7 +313,10 @@
             match found {
                 Some(index) => {
                     let mut active = before.swap_remove(index);
-                    active.known = sent.known.clone();
+                    // The set may be older than what this instance has recorded itself.
+                    let recorded = sent.known.recorded.max(active.known.recorded);
+                    active.known.recorded = recorded;
+                    active.known.order = order.clone();
                     self.active.push(active);
                 }
                 None => {
--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -311,7 +311,11 @@
             }
         }
         Ok(settings) => {
-            gateway.set_bounds(gateway_bounds(&settings.bounds));
+            let mut bounds = gateway_bounds(&settings.bounds);
+            // What watches roll-outs runs from the start of the process, or not at all.
+            let rollouts = gateway.bounds().rollouts;
+            bounds.rollouts = rollouts.map(|before| bounds.rollouts.unwrap_or(before));
+            gateway.set_bounds(bounds);
             *current = settings;
             log::info!(target: "ryevalve::process", changed = true; "settings_reloaded");
         }
--- a/tests/edge/rollouts.rs
+++ b/tests/edge/rollouts.rs
@@ -211,9 +211,19 @@
 }
 
 async fn roll_back(net: u8, what: &str, version: BadVersion) {
-    let site = Arc::new(start(net, 3).await);
+    roll_back_with(start(net, 3).await, what, version, UNARY).await;
+}
+
+async fn roll_back_with(
+    site: Site,
+    what: &str,
+    version: BadVersion,
+    paths: &'static [&'static str],
+) {
+    let site = Arc::new(site);
     make_bad(&site, version);
-    let load = send_load(&site, UNARY, EVERY);
+    let every = EVERY * (site.instances.len() / 3) as u32;
+    let load = send_load(&site, paths, every);
     time::sleep(Duration::from_secs(1)).await;
     let ordered = order(&site, DURATION_S);
     until_status(&site, "rolled_back").await;
@@ -235,6 +245,16 @@
     roll_back(91, "fails a third", version).await;
 }
 
+/// In a large cluster reports go to three instances only, the stage comes by summaries, and streams are placed by
+/// reservations of another instance.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_bad_version_is_rolled_back_in_a_large_cluster() {
+    let site = start(99, 18).await;
+    let version = BadVersion::new(BadAnswer::Fails, 2);
+    let paths = &["/again/w", "/fixed/stream"];
+    roll_back_with(site, "18 instances", version, paths).await;
+}
+
 /// A version that is several times slower is rolled back, although its endpoints' learned speed adapts.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_version_that_is_several_times_slower_is_rolled_back() {
