Roll-outs: metrics, explain and summary; the soak draws one

Cause: operators could not see why a version was given up, and no run with random faults played a roll-out. Change: gauges by service and version, explain takes a service's name, summary lists the last step of each roll-out; the soak orders a good, failing or slow version and checks exposure, the time after the 50th bad answer and the state.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -106,9 +106,9 @@
 
 Collects a request's lines from logs of any number of instances (standard input
 without FILE), in the order of their times, and says what happened and what
-decided it.
+decided it. With the name of a service as ID, the same for its roll-outs.
 
-Exit 0: explained. 1: no line is about the request. 2: bad input.
+Exit 0: explained. 1: no line is about it. 2: bad input.
 ";
 
 const LIMITS_HELP: &str = "\
@@ -127,7 +127,8 @@
 
 Sums up logs of any number of instances (standard input without FILE): how many
 requests of each route ended how and why, and how first events of streams were
-expected and came. A line that stands for a sample counts for all of it.
+expected and came. A line that stands for a sample counts for all of it. For each
+roll-out, its last step and the evidence for it.
 ";
 
 const TRACE_HELP: &str = "\
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -10,21 +10,30 @@
     serde_json::from_str(&line[start..]).ok()
 }
 
-/// Returns the log lines of a request, sorted by time.
-pub fn lines_of(text: &str, request_id: &str) -> Vec<Map<String, Value>> {
+/// Returns the log lines of a request, or of the roll-outs of a service, sorted by time.
+pub fn lines_of(text: &str, subject: &str) -> Vec<Map<String, Value>> {
     let objects = text.lines().filter_map(object);
-    let matching =
-        objects.filter(|o| o.get("request_id").and_then(Value::as_str) == Some(request_id));
+    let is_rollout = |o: &Map<String, Value>| {
+        text_of(o, "event").starts_with("rollout_")
+            && [text_of(o, "service"), text_of(o, "name")].contains(&subject)
+    };
+    let matching = objects
+        .filter(|o| o.get("request_id").and_then(Value::as_str) == Some(subject) || is_rollout(o));
     let mut lines: Vec<_> = matching.collect();
     lines.sort_by_key(|o| o.get("at").and_then(Value::as_u64));
     lines
 }
 
-/// Describes what happened to a request. Returns none if no log line belongs to it.
-pub fn explain(text: &str, request_id: &str) -> Option<String> {
-    let lines = lines_of(text, request_id);
-    let first_at = lines.first()?.get("at").and_then(Value::as_u64)?;
-    let mut out = format!("request {request_id}\n");
+/// Describes what happened to a request, or in the roll-outs of a service. Returns none if no log line belongs to it.
+pub fn explain(text: &str, subject: &str) -> Option<String> {
+    let lines = lines_of(text, subject);
+    let first = lines.first()?;
+    let first_at = first.get("at").and_then(Value::as_u64)?;
+    let kind = match first.contains_key("request_id") {
+        true => "request",
+        false => "roll-outs of",
+    };
+    let mut out = format!("{kind} {subject}\n");
     for line in &lines {
         let at = line.get("at").and_then(Value::as_u64).unwrap_or(first_at);
         let event = text_of(line, "event");
@@ -72,12 +81,48 @@
             number_of(line, "after_event"),
             reason(text_of(line, "reason")),
         ),
+        "rollout_started" => format!(
+            "roll-out of version {} was ordered, to be done within {} ms",
+            text_of(line, "version"),
+            number_of(line, "duration_ms"),
+        ),
+        "rollout_stage" | "rollout_rolled_back" | "rollout_completed" => rollout_step(event, line),
+        "rollout_recorded" => format!("recorded in the store: {}", text_of(line, "state")),
+        "rollout_not_recorded" => format!("not recorded: {}", text_of(line, "reason")),
+        "rollout_refused" => format!("the order is not valid: {}", text_of(line, "reason")),
+        "rollout_ended" => "the order was deleted or replaced".to_owned(),
         other => other.to_owned(),
     }
 }
 
+/// Describes a step of a roll-out with the evidence that the instance had.
+pub(crate) fn rollout_step(event: &str, line: &Map<String, Value>) -> String {
+    let version = text_of(line, "version");
+    let step = match event {
+        "rollout_completed" => format!("version {version} takes over"),
+        "rollout_rolled_back" => {
+            let reason = match text_of(line, "reason") {
+                "Failures" => "more of its answers fail",
+                "Slowness" => "more of its answers are slow",
+                "TooLittleEvidence" => "too few answers showed that it is good",
+                "NoEndpoint" => "it had no ready endpoint",
+                _ => "another instance decided so",
+            };
+            format!("version {version} is given up: {reason}")
+        }
+        _ => format!("version {version} is in stage {}", text_of(line, "stage")),
+    };
+    format!(
+        "{step} ({} of {} answers bad, of other versions {} of {})",
+        number_of(line, "bad_answers"),
+        number_of(line, "answers"),
+        number_of(line, "other_bad_answers"),
+        number_of(line, "other_answers"),
+    )
+}
+
 /// Readable descriptions of the values of `reason` in log lines.
-const REASONS: [(&str, &str); 27] = [
+const REASONS: [(&str, &str); 28] = [
     (
         "answer_broke_off",
         "the endpoint's answer broke off, so it may have run",
@@ -156,6 +201,10 @@
         "its key is in no organisation of the configuration",
     ),
     ("unreachable", "no connection to the endpoint came up"),
+    (
+        "version_withheld",
+        "the roll-out of its service did not allow the endpoint's version any more",
+    ),
 ];
 
 fn reason(code: &str) -> &str {
@@ -164,7 +213,7 @@
 }
 
 /// The fields to print with each event: the inputs of the decision.
-const INPUTS: [&str; 17] = [
+const INPUTS: [&str; 20] = [
     "route",
     "organisation",
     "attempts",
@@ -182,6 +231,9 @@
     "config_version",
     "config_age_ms",
     "endpoints_age_ms",
+    "share",
+    "revision",
+    "from",
 ];
 
 fn inputs(line: &Map<String, Value>) -> String {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -11,7 +11,10 @@
     registry::Registry,
 };
 
-use crate::entry::refusal::{Refusal, Verdict};
+use crate::{
+    entry::refusal::{Refusal, Verdict},
+    gateway::rollouts::RolloutFigures,
+};
 
 /// The outcome of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -62,6 +65,15 @@
     pub outcome: &'static str,
 }
 
+/// Labels of metrics by roll-out.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RolloutLabels {
+    /// The service.
+    pub service: String,
+    /// The target version.
+    pub version: String,
+}
+
 /// All metrics of a gateway. Fields have the names of their metrics.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -147,6 +159,9 @@
     waiting: Gauge,
     instances_heard: Gauge,
     resting_connections: Gauge,
+    rollout_share: Family<RolloutLabels, Gauge<f64, std::sync::atomic::AtomicU64>>,
+    rollout_sent: Family<RolloutLabels, Gauge>,
+    rollout_bad_answers: Family<RolloutLabels, Gauge>,
 }
 
 impl Default for GatewayMetrics {
@@ -199,6 +214,9 @@
             waiting: Gauge::default(),
             instances_heard: Gauge::default(),
             resting_connections: Gauge::default(),
+            rollout_share: Family::default(),
+            rollout_sent: Family::default(),
+            rollout_bad_answers: Family::default(),
         };
         metrics.register();
         metrics
@@ -206,7 +224,7 @@
 }
 
 /// Values of gauges that are read from other parts of the gateway when metrics are exported.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct GatewayReadings {
     /// Version of the configuration in force.
     pub config_version: u64,
@@ -228,6 +246,8 @@
     pub instances_heard: usize,
     /// Number of idle connections to endpoints.
     pub resting_connections: usize,
+    /// The roll-outs.
+    pub rollouts: Vec<RolloutFigures>,
 }
 
 impl GatewayMetrics {
@@ -264,6 +284,7 @@
         self.register_exchange();
         self.register_endpoint_limits();
         self.register_quota();
+        self.register_rollouts();
         self.register_endpoint_announcements();
         let registry = &mut self.registry;
         let version = "Version of the configuration in force";
@@ -289,6 +310,36 @@
         );
     }
 
+    fn register_rollouts(&mut self) {
+        let registry = &mut self.registry;
+        let share = "Share of requests that the stage of a roll-out gives the target version";
+        registry.register("rollout_share", share, self.rollout_share.clone());
+        let sent = "Requests that this instance sent to the target version";
+        registry.register("rollout_sent", sent, self.rollout_sent.clone());
+        let bad = "Failed and slow answers of the target version to this instance";
+        let gauge = self.rollout_bad_answers.clone();
+        registry.register("rollout_bad_answers", bad, gauge);
+    }
+
+    /// Sets the metrics of the roll-outs, and removes those of roll-outs that have ended.
+    fn set_rollouts(&self, rollouts: &[RolloutFigures]) {
+        self.rollout_share.clear();
+        self.rollout_sent.clear();
+        self.rollout_bad_answers.clear();
+        for rollout in rollouts {
+            let labels = RolloutLabels {
+                service: rollout.service.to_string(),
+                version: rollout.target_version.to_string(),
+            };
+            let share = self.rollout_share.get_or_create(&labels);
+            share.set(rollout.target_share);
+            let sent = self.rollout_sent.get_or_create(&labels);
+            sent.set(rollout.sent_to_target as i64);
+            let bad = self.rollout_bad_answers.get_or_create(&labels);
+            bad.set(rollout.bad_answers as i64);
+        }
+    }
+
     fn register_quota(&mut self) {
         let registry = &mut self.registry;
         let asked = "Requests for whose quota another instance was asked";
@@ -414,6 +465,7 @@
         self.instances_heard.set(readings.instances_heard as i64);
         let resting = readings.resting_connections;
         self.resting_connections.set(resting as i64);
+        self.set_rollouts(&readings.rollouts);
         let mut text = String::new();
         // Writing into a string cannot fail.
         let _ = encode(&mut text, &self.registry);
--- a/src/gateway/probes.rs
+++ b/src/gateway/probes.rs
@@ -60,5 +60,6 @@
         waiting: balancer.waiting_count(),
         instances_heard: gateway.instance_counts().heard,
         resting_connections: gateway.connections.idle_count(),
+        rollouts: gateway.rollouts.figures(),
     }
 }
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -178,6 +178,7 @@
 struct ActiveRollout {
     known: KnownOrder,
     stage: Stage,
+    canary_share: f64,
     credit: ExposureCredit,
     evidence: Evidence,
     times: AnswerTimes,
@@ -192,6 +193,7 @@
     fn new(now_us: Micros, share: f64, known: KnownOrder) -> Self {
         Self {
             stage: Stage::Canary,
+            canary_share: share,
             credit: ExposureCredit::new(share),
             evidence: Evidence::default(),
             times: AnswerTimes::default(),
@@ -270,8 +272,10 @@
 pub struct RolloutFigures {
     /// The service.
     pub service: Name,
-    /// The stage.
-    pub stage: Stage,
+    /// The target version.
+    pub target_version: Name,
+    /// Share of the requests that the stage gives the target version.
+    pub target_share: f64,
     /// Requests that this instance sent to the target version.
     pub sent_to_target: u64,
     /// Bad answers of the target version that this instance saw.
@@ -566,7 +570,8 @@
         let state = self.lock();
         let figures = state.active.iter().map(|a| RolloutFigures {
             service: a.known.order.service.clone(),
-            stage: a.stage,
+            target_version: a.known.order.target_version.clone(),
+            target_share: a.stage.target_share(a.canary_share),
             sent_to_target: a.sent_to_target,
             bad_answers: a.bad_answers,
         });
--- a/src/summary.rs
+++ b/src/summary.rs
@@ -22,6 +22,8 @@
     pub causes: BTreeMap<(String, String), u64>,
     /// Times to the first event of streams, by source.
     pub first_events: BTreeMap<Source, FirstEvents>,
+    /// The last step of each roll-out by service and version, with its time and description.
+    pub rollouts: BTreeMap<(String, String), (u64, String)>,
 }
 
 /// The kind of endpoint that a first event came from.
@@ -79,6 +81,9 @@
         match explain::text_of(&line, "event") {
             "request_refused" => summary.refused(&line),
             "request_answered" => summary.answered(&line),
+            event @ ("rollout_stage" | "rollout_rolled_back" | "rollout_completed") => {
+                summary.rollout_step(event, &line);
+            }
             _ => {}
         }
     }
@@ -91,6 +96,20 @@
         *self.causes.entry((route, cause)).or_default() += count;
     }
 
+    /// Keeps the latest step; of the instances that log it at about the same time, one that decided on it.
+    fn rollout_step(&mut self, event: &str, line: &Map<String, Value>) {
+        let text = |field: &str| explain::text_of(line, field).to_owned();
+        let at = explain::number_of(line, "at").max(0) as u64;
+        let is_decided = explain::text_of(line, "from") == "decided";
+        let key = (text("service"), text("version"));
+        let known = self.rollouts.get(&key);
+        let is_later = known.is_none_or(|(known_at, _)| at > *known_at);
+        if is_decided && is_later {
+            let step = explain::rollout_step(event, line);
+            self.rollouts.insert(key, (at, step));
+        }
+    }
+
     fn refused(&mut self, line: &Map<String, Value>) {
         let reason = explain::text_of(line, "reason");
         let status = explain::number_of(line, "status");
@@ -163,6 +182,12 @@
             }
             writeln!(f)?;
         }
+        if !self.rollouts.is_empty() {
+            writeln!(f, "\nroll-outs")?;
+        }
+        for ((service, _), (_, step)) in &self.rollouts {
+            writeln!(f, "{service:16} {step}")?;
+        }
         Ok(())
     }
 }
--- a/standins/src/soak/checks.rs
+++ b/standins/src/soak/checks.rs
@@ -9,7 +9,7 @@
     soak::{
         CONFIG_PROPAGATION, KEY_REVOCATION, RACE_MARGIN, Report, RunState, World, announcements,
         callers::{Outcome, Path, Sent},
-        data_centres, limits, organisations,
+        data_centres, limits, organisations, rollouts,
     },
 };
 
@@ -26,7 +26,8 @@
 pub fn check(world: &World) -> Report {
     let sent = world.sent.lock().expect("no holder panics");
     let mut runs: HashMap<String, Vec<Run>> = HashMap::new();
-    for (endpoint, runner) in world.runners.iter().enumerate() {
+    let runners = world.runners.iter().chain(&world.target_runners);
+    for (endpoint, runner) in runners.enumerate() {
         for seen in runner.seen().into_iter().filter(|s| s.has_run) {
             let id = seen.headers.get("request-id").cloned().unwrap_or_default();
             let run = Run {
@@ -58,6 +59,7 @@
     organisations::check(world, &sent, &run_state, &mut report);
     announcements::check(world, &sent, &run_state, &mut report);
     data_centres::check(world, run_state.data_centres, &mut report);
+    rollouts::check(world, run_state.rollout.as_ref(), &mut report);
     report
 }
 
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -12,6 +12,7 @@
 mod limits;
 mod organisations;
 mod process;
+mod rollouts;
 
 use std::{
     collections::HashMap,
@@ -85,6 +86,8 @@
 struct World {
     platform: Platform,
     runners: Vec<Runner>,
+    /// Endpoints of the version that is rolled out.
+    target_runners: Vec<Runner>,
     runner_proxies: Vec<Proxy>,
     store_proxies: Vec<Proxy>,
     /// Number of restarts of each endpoint.
@@ -112,6 +115,8 @@
     limited: Option<(usize, Instant)>,
     /// The evacuation and the cold endpoint of the calm phase.
     data_centres: Option<data_centres::Calm>,
+    /// The roll-out of the fault phase, once its state is final.
+    rollout: Option<rollouts::Rollout>,
     /// Announcements of endpoints, with the period for which each was valid.
     announcements: Vec<announcements::Period>,
     /// Instances that lost their state or were frozen, with the start and end.
@@ -157,12 +162,15 @@
     ));
     let organisation_task = organisations::vary_limits(world.clone(), plan.clone());
     let organisation_task = tokio::spawn(organisation_task);
+    let rollout_task = tokio::spawn(rollouts::order_at_random(world.clone(), plan.clone()));
     let faults = faults::inject(&world, plan, &mut rng).await;
-    // These tasks end with the fault phase; an error here means that one of them panicked.
+    // These tasks end with the fault phase, the roll-out within the recovery; an error here means that one of them
+    // panicked.
     let _ = limit_task.await;
     let _ = announcement_task.await;
     let _ = organisation_task.await;
     time::sleep(RECOVERY).await;
+    let _ = rollout_task.await;
     world.run_calm_phase(&mut rng).await;
     callers.abort_all();
     while callers.join_next().await.is_some() {}
@@ -185,6 +193,12 @@
             runner_proxies.push(Proxy::start(runner.addr).await);
             runners.push(runner);
         }
+        let mut target_runners = Vec::new();
+        for index in 0..rollouts::ENDPOINTS {
+            let runner = Runner::start(&rollouts::target_id(index)).await;
+            runner.pace(Duration::from_millis(15));
+            target_runners.push(runner);
+        }
         let mut store_proxies = Vec::new();
         let mut instances = Vec::new();
         let hosts = Host::all(plan.seed, plan.instances);
@@ -197,6 +211,7 @@
         let world = Self {
             platform,
             runners,
+            target_runners,
             runner_proxies,
             store_proxies,
             starts: (0..plan.endpoints).map(|_| AtomicUsize::new(0)).collect(),
--- a/standins/src/soak/process.rs
+++ b/standins/src/soak/process.rs
@@ -155,6 +155,9 @@
 evacuateMs = 2000
 warmupOverage = 1.5
 warmupSlack = 5
+exposureShare = 0.1
+exposureSlack = 50
+rollbackMs = 5000
 [platform]
 address = "{store}"
 "#,
--- a/tests/gateway/explain.rs
+++ b/tests/gateway/explain.rs
@@ -36,3 +36,26 @@
         "{explanation}"
     );
 }
+
+const ROLLOUT_LOG: &str = r#"
+{"at":1000,"event":"rollout_started","service":"svc","version":"v2","duration_ms":12000,"revision":7,"from":"store"}
+{"at":2500,"event":"rollout_rolled_back","service":"svc","version":"v2","stage":"RolledBack","share":0.0,"reason":"Failures","answers":18,"bad_answers":7,"other_answers":332,"other_bad_answers":1,"from":"decided"}
+{"at":2550,"event":"rollout_rolled_back","service":"svc","version":"v2","stage":"RolledBack","share":0.0,"reason":null,"answers":0,"bad_answers":0,"other_answers":0,"other_bad_answers":0,"from":"peer"}
+{"at":2600,"event":"rollout_started","service":"other","version":"v3","duration_ms":12000,"from":"store"}
+"#;
+
+#[test]
+fn a_service_is_explained_by_its_roll_outs() {
+    let explanation = explain(ROLLOUT_LOG, "svc").unwrap();
+    let step = "version v2 is given up: more of its answers fail (7 of 18 answers bad, of other versions 1 of 332)";
+    assert!(explanation.contains(step), "{explanation}");
+    assert!(explanation.contains("+ 1500 ms"), "{explanation}");
+    assert!(!explanation.contains("v3"), "{explanation}");
+}
+
+#[test]
+fn a_summary_shows_the_last_step_that_was_decided() {
+    let shown = ryevalve::summary::summarize(ROLLOUT_LOG).to_string();
+    assert!(shown.contains("7 of 18 answers bad"), "{shown}");
+    assert!(!shown.contains("0 of 0 answers"), "{shown}");
+}
