Roll-outs: plain names of stages, states and reasons in the log

Cause: reasons were logged as Rust values, which explain did not recognise. Change: names in the log; explain leaves out an empty line of inputs.

--- a/src/explain.rs
+++ b/src/explain.rs
@@ -39,7 +39,10 @@
         let event = text_of(line, "event");
         // Writing into a string cannot fail.
         let _ = writeln!(out, "  +{:>5} ms  {}", at - first_at, sentence(event, line));
-        let _ = writeln!(out, "             {}", inputs(line));
+        let inputs = inputs(line);
+        if !inputs.is_empty() {
+            let _ = writeln!(out, "             {inputs}");
+        }
     }
     Some(out)
 }
@@ -102,10 +105,10 @@
         "rollout_completed" => format!("version {version} takes over"),
         "rollout_rolled_back" => {
             let reason = match text_of(line, "reason") {
-                "Failures" => "more of its answers fail",
-                "Slowness" => "more of its answers are slow",
-                "TooLittleEvidence" => "too few answers showed that it is good",
-                "NoEndpoint" => "it had no ready endpoint",
+                "failures" => "more of its answers fail",
+                "slowness" => "more of its answers are slow",
+                "too_little_evidence" => "too few answers showed that it is good",
+                "no_endpoint" => "it had no ready endpoint",
                 _ => "another instance decided so",
             };
             format!("version {version} is given up: {reason}")
--- a/src/gateway/rollout_loop.rs
+++ b/src/gateway/rollout_loop.rs
@@ -13,7 +13,7 @@
         state::Gateway,
     },
     prelude::Micros,
-    rollouts::{GroupFacts, OrderId, RolloutOrder, Stage, report_interval_us},
+    rollouts::{BadReason, GroupFacts, OrderId, RolloutOrder, Stage, report_interval_us},
 };
 
 /// Interval at which a roll-out is judged.
@@ -88,7 +88,8 @@
         log::info!(
             target: "ryevalve::process",
             service = &*change.order.service, version = &*change.order.target_version,
-            stage:? = change.stage, share, reason:? = change.reason,
+            stage = stage_name(change.stage), share,
+            reason = change.reason.map(reason_name),
             answers = change.answers, bad_answers = change.bad_answers,
             other_answers = change.other_answers, other_bad_answers = change.other_bad_answers,
             era = position.era(), revision = position.revision(), from;
@@ -109,6 +110,34 @@
     }
 }
 
+/// Returns the name of a stage in the log; the share tells the steps of the shift apart.
+fn stage_name(stage: Stage) -> &'static str {
+    match stage {
+        Stage::Canary => "canary",
+        Stage::Shifting(_) => "shifting",
+        Stage::Draining => "draining",
+        Stage::Completed => "completed",
+        Stage::RolledBack => "rolled_back",
+    }
+}
+
+fn reason_name(reason: BadReason) -> &'static str {
+    match reason {
+        BadReason::Failures => "failures",
+        BadReason::Slowness => "slowness",
+        BadReason::TooLittleEvidence => "too_little_evidence",
+        BadReason::NoEndpoint => "no_endpoint",
+    }
+}
+
+fn state_name(state: RolloutState) -> &'static str {
+    match state {
+        RolloutState::Running => "running",
+        RolloutState::Completed => "completed",
+        RolloutState::RolledBack => "rolled_back",
+    }
+}
+
 /// Reports and decides until dropped.
 pub async fn run<P: Protocol>(gateway: Arc<Gateway<P>>) {
     let mut interval = time::interval(TICK);
@@ -208,7 +237,7 @@
         Ok(Some(state)) => {
             log::info!(
                 target: "ryevalve::process",
-                service, version, state:? = state;
+                service, version, state = state_name(state);
                 "rollout_recorded"
             );
             let now_us = gateway.clock.now_us();
--- a/tests/gateway/explain.rs
+++ b/tests/gateway/explain.rs
@@ -39,8 +39,8 @@
 
 const ROLLOUT_LOG: &str = r#"
 {"at":1000,"event":"rollout_started","service":"svc","version":"v2","duration_ms":12000,"revision":7,"from":"store"}
-{"at":2500,"event":"rollout_rolled_back","service":"svc","version":"v2","stage":"RolledBack","share":0.0,"reason":"Failures","answers":18,"bad_answers":7,"other_answers":332,"other_bad_answers":1,"from":"decided"}
-{"at":2550,"event":"rollout_rolled_back","service":"svc","version":"v2","stage":"RolledBack","share":0.0,"reason":null,"answers":0,"bad_answers":0,"other_answers":0,"other_bad_answers":0,"from":"peer"}
+{"at":2500,"event":"rollout_rolled_back","service":"svc","version":"v2","stage":"rolled_back","share":0.0,"reason":"failures","answers":18,"bad_answers":7,"other_answers":332,"other_bad_answers":1,"from":"decided"}
+{"at":2550,"event":"rollout_rolled_back","service":"svc","version":"v2","stage":"rolled_back","share":0.0,"reason":null,"answers":0,"bad_answers":0,"other_answers":0,"other_bad_answers":0,"from":"peer"}
 {"at":2600,"event":"rollout_started","service":"other","version":"v3","duration_ms":12000,"from":"store"}
 "#;
 
