--- a/src/rollouts/evidence.rs
+++ b/src/rollouts/evidence.rs
@@ -75,7 +75,7 @@
         self.add(one);
     }
 
-    fn add(&mut self, other: Self) {
+    pub(super) fn add(&mut self, other: Self) {
         self.total = self.total.saturating_add(other.total);
         self.failed = self.failed.saturating_add(other.failed);
         self.slow = self.slow.saturating_add(other.slow);
--- a/src/rollouts/stages.rs
+++ b/src/rollouts/stages.rs
@@ -5,7 +5,7 @@
 use super::{
     BadReason, EvidenceReport, EvidenceSum, ExposureCredit, RolloutOrder, Verdict, VersionChoice,
     VersionGroup,
-    judge::{is_good_over_all, judge},
+    judge::{is_doubtful, is_good_over_all, judge, leans_to_bad},
 };
 use crate::prelude::{Incarnation, Micros};
 
@@ -15,14 +15,14 @@
 /// The longest that a request runs at an endpoint: streams take up to 15 s.
 const MAX_DRAIN_US: Micros = 15_000_000;
 /// Part of the duration that is left for requests at the old versions to end.
-const DRAIN_PART: f64 = 0.35;
+const DRAIN_PART: f64 = 0.3;
 /// The least time for that when evidence comes late.
 const MIN_DRAIN_US: Micros = 1_000_000;
 /// A step lasts this long if the duration allows it: reports come each second in large groups, and the stage takes some
 /// hundred milliseconds to all instances.
 const MAX_STEP_US: Micros = 1_500_000;
-/// Part of the duration for each step.
-const STEP_PART: f64 = 0.05;
+/// Part of the duration for each step: with 12 s, the time from a bad answer to the stage at all instances.
+const STEP_PART: f64 = 1.0 / 15.0;
 /// Time for the status to be recorded before the duration ends, with one repeated call.
 const MAX_RESERVE_US: Micros = 1_000_000;
 const RESERVE_PART: f64 = 0.1;
@@ -145,9 +145,9 @@
 /// Decides on the stages of one order, at a watcher.
 ///
 /// The shift begins as late as the duration allows, because a version that turns bad after it has had more than the
-/// share that limits exposure. Requests at the other versions have 35% of the duration to end: with durations of 43 s
-/// and more that is the 15 s of the longest streams; with 20 s streams that run for more than 7 s are cut, with
-/// 12 s those of more than 4 s.
+/// share that limits exposure. Requests at the other versions have 30% of the duration to end: with durations of 50 s
+/// and more that is the 15 s of the longest streams; with 40 s streams that run for more than 12 s can be cut, with
+/// 20 s those of more than 6 s, with 12 s those of more than 3.6 s.
 #[derive(Clone, Debug)]
 pub struct RolloutDecider {
     order: RolloutOrder,
@@ -244,6 +244,9 @@
             _ if now_us.saturating_sub(self.target_seen_us) >= MISSING_US => {
                 self.roll_back(BadReason::NoEndpoint)
             }
+            _ if now_us.saturating_sub(self.started_us) >= self.schedule.last_us => {
+                self.at_end(facts)
+            }
             Stage::Shifting(step) => self.after_shift_step(now_us, step),
             _ => self.after_draining(now_us, facts),
         }
@@ -274,15 +277,7 @@
             return Stage::Canary;
         }
         let is_target_ready = self.target_seen_us == now_us;
-        if is_target_ready && verdict == Verdict::Good {
-            return Stage::Shifting(0);
-        }
-        if elapsed_us < self.schedule.latest_shift_us {
-            return Stage::Canary;
-        }
-        let answers = self.sum.answers();
-        let is_idle = answers.target.total == 0 && answers.others.total == 0;
-        if is_target_ready && (is_idle || is_good_over_all(&self.sum)) {
+        if is_target_ready && self.may_shift(elapsed_us, verdict) {
             return Stage::Shifting(0);
         }
         if elapsed_us < self.schedule.last_us {
@@ -294,8 +289,27 @@
         })
     }
 
+    /// Waits one step for rare routes, and longer only for the service as a whole.
+    fn may_shift(&self, elapsed_us: Micros, verdict: Verdict) -> bool {
+        if verdict == Verdict::Good {
+            return true;
+        }
+        if elapsed_us < self.schedule.shift_us.saturating_add(self.schedule.step_us) {
+            return false;
+        }
+        let answers = self.sum.answers();
+        let is_idle = answers.target.total == 0 && answers.others.total == 0;
+        let is_late = elapsed_us >= self.schedule.latest_shift_us;
+        is_good_over_all(&self.sum) || (is_idle && is_late)
+    }
+
+    /// Goes on to the next step, but not while a test leans to bad and there is time.
     fn after_shift_step(&self, now_us: Micros, step: u8) -> Stage {
-        if now_us.saturating_sub(self.stage_since_us) < self.schedule.step_us {
+        let step_us = self.schedule.step_us;
+        let elapsed_us = now_us.saturating_sub(self.started_us);
+        let latest_us = self.schedule.latest_shift_us;
+        let is_over = now_us.saturating_sub(self.stage_since_us) >= step_us;
+        if !is_over || (elapsed_us < latest_us && leans_to_bad(&self.sum)) {
             return self.stage;
         }
         let next = step.saturating_add(1);
@@ -309,11 +323,19 @@
     fn after_draining(&self, now_us: Micros, facts: GroupFacts) -> Stage {
         let drained = self.sum.drained_instances(now_us);
         let are_all_drained = facts.instances_known > 0 && drained >= facts.instances_known;
-        let is_last = now_us.saturating_sub(self.started_us) >= self.schedule.last_us;
-        if are_all_drained || is_last {
+        if are_all_drained && !leans_to_bad(&self.sum) {
             self.complete(facts)
         } else {
             self.stage
         }
     }
+
+    /// The time is over for a version that was judged good.
+    fn at_end(&mut self, facts: GroupFacts) -> Stage {
+        if is_doubtful(&self.sum) {
+            self.roll_back(BadReason::TooLittleEvidence)
+        } else {
+            self.complete(facts)
+        }
+    }
 }
