--- a/src/rollouts/evidence.rs
+++ b/src/rollouts/evidence.rs
@@ -20,8 +20,11 @@
 const OTHER_ROUTES: u32 = 0;
 /// Endpoints whose bad answers are counted, per route; a version with more bad endpoints than that is bad.
 const MAX_ENDPOINT_ENTRIES: usize = 64;
-/// Endpoints with the most bad answers that a report holds, about 8 bytes each.
-const MAX_REPORTED_ENDPOINTS: usize = 8;
+/// Endpoints and routes with the most bad answers that a report holds, about 12 bytes each: four endpoints on three
+/// routes.
+const MAX_REPORTED_ENDPOINTS: usize = 12;
+/// Slow answers that weigh as much as a failure in the choice of these: a surge makes many answers of all slow.
+const SLOW_PER_FAILURE: u32 = 4;
 /// Instances whose reports are kept; several times the largest group, with restarts.
 const MAX_INSTANCES: usize = 4_096;
 /// Time within which answers of both groups are taken as given at the same time: twice the usual report interval.
@@ -215,7 +218,7 @@
                 bad,
             })
             .collect();
-        worst.sort_unstable_by_key(|e| (std::cmp::Reverse(e.bad.bad()), e.endpoint, e.route));
+        worst.sort_unstable_by_key(|e| (std::cmp::Reverse(weight(e.bad)), e.endpoint, e.route));
         worst.truncate(MAX_REPORTED_ENDPOINTS);
         EvidenceReport {
             routes: self
@@ -230,6 +233,12 @@
     }
 }
 
+fn weight(bad: Answers) -> u32 {
+    bad.failed
+        .saturating_mul(SLOW_PER_FAILURE)
+        .saturating_add(bad.slow)
+}
+
 /// What instances saw within a short time.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Bucket {
