Roll-outs: the credit is spent on all routes alike before the version is judged

Change: version_choice and note_sent take the route; a route that is ahead of others waits until the credit is full.

--- a/src/rollouts/exposure.rs
+++ b/src/rollouts/exposure.rs
@@ -13,10 +13,19 @@
 /// while does not send many of them at once.
 const MAX_CREDIT_REQUESTS: f64 = 2.0;
 
+/// Routes whose requests to the target version are counted.
+const MAX_ROUTES: usize = 16;
+
 /// The credit of one instance for requests to the target version of one order.
-#[derive(Clone, Copy, Debug, PartialEq)]
+///
+/// In [`Stage::Canary`] it is spent on all routes alike, as far as they have requests: a version may be bad on one route
+/// only, and a rare one would get too few requests to show that.
+#[derive(Clone, Debug, PartialEq)]
 pub struct ExposureCredit {
     canary_share: f64,
+    is_canary: bool,
+    /// Requests to the target version by hash of the route.
+    by_route: Vec<(u32, u32)>,
     /// Credit for a request to the other versions.
     earned: f64,
     requests: f64,
@@ -32,6 +41,8 @@
         };
         Self {
             canary_share,
+            is_canary: true,
+            by_route: Vec::new(),
             earned: earned_per_request(canary_share),
             requests: 0.0,
         }
@@ -39,22 +50,42 @@
 
     /// Uses the share of a stage from now on. To be called when the stage changes.
     pub fn follow(&mut self, stage: Stage) {
+        self.is_canary = stage == Stage::Canary;
         self.earned = earned_per_request(stage.target_share(self.canary_share));
     }
 
-    /// Records that a request of the service was sent to an endpoint of a group, also when that is a second attempt.
-    pub fn note_sent(&mut self, group: VersionGroup) {
-        match group {
+    /// Records that a request on a route, given by its hash, was sent to an endpoint of a group, also when that is a
+    /// second attempt.
+    pub fn note_sent(&mut self, group: VersionGroup, route: u32) {
+        let to_target = match group {
             VersionGroup::Others => {
                 self.requests = (self.requests + self.earned).min(MAX_CREDIT_REQUESTS);
+                0
+            }
+            VersionGroup::Target => {
+                self.requests -= 1.0;
+                1
             }
-            VersionGroup::Target => self.requests -= 1.0,
+        };
+        let known = self.by_route.iter_mut().find(|(known, _)| *known == route);
+        if let Some((_, sent)) = known {
+            *sent = sent.saturating_add(to_target);
+        } else if self.by_route.len() < MAX_ROUTES {
+            self.by_route.push((route, to_target));
         }
     }
 
-    /// Returns whether the next request may be sent to the target version.
-    pub fn allows_target(&self) -> bool {
-        self.requests >= 1.0
+    /// Returns whether the next request may be sent to the target version if it is one on this route. A route that is
+    /// ahead of others waits until the credit is full.
+    pub fn allows_target(&self, route: u32) -> bool {
+        let is_full = self.requests >= MAX_CREDIT_REQUESTS;
+        is_full || (self.requests >= 1.0 && !(self.is_canary && self.is_ahead(route)))
+    }
+
+    fn is_ahead(&self, route: u32) -> bool {
+        let own = self.by_route.iter().find(|(known, _)| *known == route);
+        let own = own.map_or(0, |(_, sent)| *sent);
+        self.by_route.iter().any(|(_, sent)| *sent < own)
     }
 }
 
--- a/src/rollouts/stages.rs
+++ b/src/rollouts/stages.rs
@@ -85,16 +85,23 @@
     }
 }
 
-/// Returns which endpoints the next request may be sent to. `is_fresh` says whether the instance's knowledge of the
-/// orders is young enough for the target version to be used.
-pub fn version_choice(stage: Stage, credit: &ExposureCredit, is_fresh: bool) -> VersionChoice {
+/// Returns which endpoints the next request may be sent to if it is one on a route, given by its hash. `is_fresh` says
+/// whether the instance's knowledge of the orders is young enough for the target version to be used.
+pub fn version_choice(
+    stage: Stage,
+    credit: &ExposureCredit,
+    route: u32,
+    is_fresh: bool,
+) -> VersionChoice {
     match stage {
         // The other endpoints stop or have stopped.
         Stage::Completed => VersionChoice::PreferTarget,
         Stage::RolledBack => VersionChoice::Only(VersionGroup::Others),
         _ if !is_fresh => VersionChoice::Only(VersionGroup::Others),
         Stage::Draining => VersionChoice::Only(VersionGroup::Target),
-        Stage::Canary | Stage::Shifting(_) if credit.allows_target() => VersionChoice::PreferTarget,
+        Stage::Canary | Stage::Shifting(_) if credit.allows_target(route) => {
+            VersionChoice::PreferTarget
+        }
         Stage::Canary | Stage::Shifting(_) => VersionChoice::Only(VersionGroup::Others),
     }
 }
--- a/tests/rollouts/exposure.rs
+++ b/tests/rollouts/exposure.rs
@@ -21,13 +21,13 @@
     ]
 }
 
-fn send(credit: &mut ExposureCredit, is_free: bool) -> VersionGroup {
-    let choice = version_choice(Stage::Canary, credit, true);
+fn send(credit: &mut ExposureCredit, route: u32, is_free: bool) -> VersionGroup {
+    let choice = version_choice(Stage::Canary, credit, route, true);
     let group = match choice {
         VersionChoice::PreferTarget if is_free => VersionGroup::Target,
         _ => VersionGroup::Others,
     };
-    credit.note_sent(group);
+    credit.note_sent(group, route);
     group
 }
 
@@ -44,8 +44,8 @@
         let (mut sent, mut to_target) = (0_u64, 0_u64);
         for (step, is_free) in steps {
             match step {
-                Step::Requests { instance, number } => for _ in 0..number {
-                    let group = send(&mut credits[instance % instances], is_free);
+                Step::Requests { instance, number } => for number in 0..number {
+                    let group = send(&mut credits[instance % instances], number % 5, is_free);
                     sent += 1;
                     to_target += u64::from(group == VersionGroup::Target);
                     prop_assert!(to_target as f64 <= share * sent as f64);
@@ -68,20 +68,36 @@
 fn most_of_the_share_is_used() {
     let mut credit = ExposureCredit::new(0.1);
     let to_target = (0..10_000)
-        .filter(|_| send(&mut credit, true) == VersionGroup::Target)
+        .filter(|_| send(&mut credit, 1, true) == VersionGroup::Target)
         .count();
     assert!((850..=1_000).contains(&to_target), "{to_target}");
 }
 
+/// Fails if a rare route gets no more than its part of the requests to the target version, so that a version that is bad
+/// there is not found; or if the credit is left unused for it.
+#[test]
+fn rare_routes_are_tried_as_often_as_others() {
+    let mut credit = ExposureCredit::new(0.1);
+    let mut by_route = [0_u32; 2];
+    for number in 0..10_000_u32 {
+        let route = u32::from(number % 20 == 0);
+        if send(&mut credit, route, true) == VersionGroup::Target {
+            by_route[route as usize] += 1;
+        }
+    }
+    assert!(by_route[1] >= 400, "{by_route:?}");
+    assert!(by_route[0] + by_route[1] >= 850, "{by_route:?}");
+}
+
 /// Fails if an instance that could not use its credit for long sends many requests to the target version at once.
 #[test]
 fn unused_credit_does_not_become_a_burst() {
     let mut credit = ExposureCredit::new(0.1);
     for _ in 0..10_000 {
-        send(&mut credit, false);
+        send(&mut credit, 1, false);
     }
     let burst = (0..10)
-        .filter(|_| send(&mut credit, true) == VersionGroup::Target)
+        .filter(|_| send(&mut credit, 1, true) == VersionGroup::Target)
         .count();
     assert!(burst <= 3, "{burst}");
 }
@@ -91,7 +107,7 @@
 fn share_that_is_no_share_allows_nothing_more() {
     for share in [0.0, -1.0, f64::NAN, f64::NEG_INFINITY] {
         let mut credit = ExposureCredit::new(share);
-        let is_used = (0..1_000).any(|_| send(&mut credit, true) == VersionGroup::Target);
+        let is_used = (0..1_000).any(|_| send(&mut credit, 1, true) == VersionGroup::Target);
         assert!(!is_used, "{share}");
     }
 }
--- a/tests/rollouts/play.rs
+++ b/tests/rollouts/play.rs
@@ -279,19 +279,20 @@
     fn request(&mut self) {
         self.outcome.requests += 1;
         let number = self.rng.random_range(0..self.instances.len());
+        let route = self.route();
         let instance = &mut self.instances[number];
         if instance.is_lost {
             return;
         }
         let is_fresh = instance.is_fresh(self.now_us);
-        let choice = version_choice(instance.stage, &instance.credit, is_fresh);
+        let choice = version_choice(instance.stage, &instance.credit, route as u32 + 1, is_fresh);
         let group = match choice {
             VersionChoice::PreferTarget | VersionChoice::Only(VersionGroup::Target) => {
                 VersionGroup::Target
             }
             _ => VersionGroup::Others,
         };
-        instance.credit.note_sent(group);
+        instance.credit.note_sent(group, route as u32 + 1);
         let incarnation = instance.incarnation;
         match group {
             VersionGroup::Others => instance.in_flight_others += 1,
@@ -301,7 +302,6 @@
                 *self.to_target_of_last_second.last_mut().expect("a second") += 1;
             }
         }
-        let route = self.route();
         let endpoint = self.endpoint(group);
         let quality = self.quality(route, group, endpoint);
         let mut took_us = self.usual_time_us();
--- a/tests/rollouts/stages.rs
+++ b/tests/rollouts/stages.rs
@@ -84,10 +84,10 @@
     #[test]
     fn target_version_is_not_used_on_old_knowledge(stage in stage(), sent in 0..100_u32) {
         let mut credit = ExposureCredit::new(0.5);
-        (0..sent).for_each(|_| credit.note_sent(VersionGroup::Others));
+        (0..sent).for_each(|_| credit.note_sent(VersionGroup::Others, 1));
         let only_others = VersionChoice::Only(VersionGroup::Others);
-        prop_assert_eq!(version_choice(stage, &credit, false) == only_others, stage != Stage::Completed);
-        prop_assert_eq!(version_choice(Stage::RolledBack, &credit, true), only_others);
+        prop_assert_eq!(version_choice(stage, &credit, 1, false) == only_others, stage != Stage::Completed);
+        prop_assert_eq!(version_choice(Stage::RolledBack, &credit, 1, true), only_others);
     }
 }
 
