--- a/tests/rollouts/evidence.rs
+++ b/tests/rollouts/evidence.rs
@@ -4,7 +4,10 @@
 use ryevalve::{
     balance::load::EndpointKey,
     prelude::Incarnation,
-    rollouts::{AnswerQuality, Evidence, EvidenceReport, EvidenceSum, VersionGroup},
+    rollouts::{
+        AnswerQuality, BadReason, Evidence, EvidenceReport, EvidenceSum, Verdict, VersionGroup,
+        judge,
+    },
 };
 
 const SECOND_US: u64 = 1_000_000;
@@ -89,3 +92,35 @@
     assert_eq!(sum.drained_instances(SECOND_US), 1);
     assert_eq!(sum.drained_instances(10 * SECOND_US), 0);
 }
+
+/// Returns the verdict on 240 answers of each of four endpoints, where the first `bad` endpoints of the target version
+/// give a bad answer to each second request.
+fn verdict_with_bad_endpoints(bad: u32, quality: AnswerQuality) -> Verdict {
+    let mut evidence = Evidence::default();
+    let mut sum = EvidenceSum::default();
+    sum.note_target_endpoints(4);
+    for number in 0..960_u32 {
+        let endpoint = EndpointKey(number % 4);
+        let is_bad = endpoint.0 < bad && number / 4 % 2 == 0;
+        let given = if is_bad { quality } else { AnswerQuality::Good };
+        evidence.note_answer(1, VersionGroup::Target, endpoint, given);
+        evidence.note_answer(1, VersionGroup::Others, endpoint, AnswerQuality::Good);
+        let now_us = u64::from(number) * SECOND_US / 100;
+        sum.apply(now_us, Incarnation(1), evidence.report(0, false));
+    }
+    judge(&sum)
+}
+
+/// Fails if the trouble of one endpoint counts as the version's, or that of all endpoints does not.
+#[test]
+fn one_bad_endpoint_is_not_the_versions_fault() {
+    for (quality, reason) in [
+        (AnswerQuality::Failed, BadReason::Failures),
+        (AnswerQuality::Slow, BadReason::Slowness),
+    ] {
+        assert_eq!(verdict_with_bad_endpoints(0, quality), Verdict::Good);
+        assert_eq!(verdict_with_bad_endpoints(1, quality), Verdict::Good);
+        let bad = Verdict::Bad(reason);
+        assert_eq!(verdict_with_bad_endpoints(4, quality), bad);
+    }
+}
