--- a/benches/placing.rs
+++ b/benches/placing.rs
@@ -53,6 +53,7 @@
 fn placement_request(number: u64, now_us: u64) -> PlacementRequest {
     PlacementRequest {
         service: "model".into(),
+        route: 0,
         is_stream: true,
         prompt_tokens: 600,
         chains: Vec::new(),
--- a/src/balance/cost.rs
+++ b/src/balance/cost.rs
@@ -35,6 +35,8 @@
 pub struct PlacementRequest {
     /// The requested service.
     pub service: Name,
+    /// The hash of the route's name.
+    pub route: u32,
     /// Whether the answer is a stream of events.
     pub is_stream: bool,
     /// Length of the whole prompt.
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -22,7 +22,7 @@
         state::Gateway,
     },
     limits::quota::Grant,
-    prelude::{Micros, Name, Rank},
+    prelude::{Micros, Name, Rank, short_hash},
 };
 
 /// The final response is sent at least this long before the caller times out.
@@ -182,6 +182,7 @@
         .min(max_output_tokens);
     PlacementRequest {
         service,
+        route: short_hash(&route.name),
         is_stream: route.kind.is_stream(),
         prompt_tokens,
         chains: prefixes::chains(&head.parts).collect(),
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -33,7 +33,7 @@
     pub async fn place(&self, request: &PlacementRequest, tried: &[EndpointKey]) -> Placement {
         self.wait_for_fresh_endpoints().await;
         self.wait_for_fresh_evacuations().await;
-        let with_rule = self.version_rule(&request.service).map(|rule| {
+        let with_rule = self.version_rule(request).map(|rule| {
             let versions = Some(rule);
             PlacementRequest {
                 versions,
--- a/src/gateway/reservation_client.rs
+++ b/src/gateway/reservation_client.rs
@@ -102,6 +102,7 @@
     pub fn into_placement_request(self, now_us: Micros) -> (PlacementRequest, Vec<EndpointKey>) {
         let request = PlacementRequest {
             service: self.service,
+            route: 0,
             is_stream: true,
             prompt_tokens: self.prompt_tokens,
             chains: self.chains,
--- a/src/gateway/rollout_requests.rs
+++ b/src/gateway/rollout_requests.rs
@@ -5,6 +5,7 @@
 use crate::{
     balance::{
         balancer::Choice,
+        cost::PlacementRequest,
         versions::{VersionCounts, VersionRule},
     },
     gateway::{
@@ -25,14 +26,15 @@
 }
 
 impl<P: Protocol> Gateway<P> {
-    /// Returns the rule by which an endpoint is chosen for a request of a service during a roll-out.
-    pub(super) fn version_rule(&self, service: &Name) -> Option<VersionRule> {
+    /// Returns the rule by which an endpoint is chosen for a request during a roll-out of its service.
+    pub(super) fn version_rule(&self, request: &PlacementRequest) -> Option<VersionRule> {
         if self.rollouts.is_empty() {
             return None;
         }
-        let counts = self.version_counts(service)?;
+        let counts = self.version_counts(&request.service)?;
+        let is_fresh = self.are_rollouts_fresh();
         self.rollouts
-            .rule(service, self.are_rollouts_fresh(), counts)
+            .rule(&request.service, request.route, is_fresh, counts)
     }
 
     fn version_counts(&self, service: &Name) -> Option<VersionCounts> {
@@ -60,13 +62,14 @@
         let Some(counts) = self.version_counts(&entry.service) else {
             return Ok(None);
         };
+        let route_hash = short_hash(&route.name);
         let is_fresh = self.are_rollouts_fresh();
-        let sent = self
-            .rollouts
-            .admit(&entry.service, &entry.version, is_fresh, counts)?;
+        let sent =
+            self.rollouts
+                .admit(&entry.service, &entry.version, route_hash, is_fresh, counts)?;
         Ok(sent.map(|sent| RolloutRequest {
             sent,
-            route: short_hash(&route.name),
+            route: route_hash,
             is_stream: route.kind.is_stream(),
         }))
     }
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -228,13 +228,13 @@
         })
     }
 
-    /// Returns which endpoints a request may be sent to; `counts` are those of the service.
-    fn choice(&self, is_fresh: bool, counts: VersionCounts) -> VersionChoice {
+    /// Returns which endpoints a request on a route may be sent to; `counts` are those of the service.
+    fn choice(&self, route: u32, is_fresh: bool, counts: VersionCounts) -> VersionChoice {
         let choice = match self.stage {
             Stage::Completed if self.is_over => VersionChoice::Any,
             // The other endpoints stop without waiting for their requests.
             Stage::Completed => VersionChoice::Only(VersionGroup::Target),
-            stage => version_choice(stage, &self.credit, is_fresh),
+            stage => version_choice(stage, &self.credit, route, is_fresh),
         };
         match choice {
             // The request could only be refused; after a roll-back it is.
@@ -418,23 +418,26 @@
         is_changed.then(|| active.change()).into_iter().collect()
     }
 
-    /// Returns the rule by which an endpoint is chosen for a request of a service, which has endpoints of these numbers.
+    /// Returns the rule by which an endpoint is chosen for a request of a service, which has endpoints of these numbers;
+    /// `route` is the hash of its route.
     pub fn rule(
         &self,
         service: &str,
+        route: u32,
         is_fresh: bool,
         counts: VersionCounts,
     ) -> Option<VersionRule> {
         let state = self.lock();
         let active = state.by_service(service)?;
-        let choice = active.choice(is_fresh, counts);
+        let choice = active.choice(route, is_fresh, counts);
         (choice != VersionChoice::Any).then(|| VersionRule {
             target_version: active.known.order.target_version.clone(),
             choice,
         })
     }
 
-    /// Checks that a request of a service may be sent to an endpoint of a version, and counts it.
+    /// Checks that a request of a service may be sent to an endpoint of a version, and counts it; `route` is the hash of
+    /// its route.
     ///
     /// # Errors
     /// The version may not be used now.
@@ -442,6 +445,7 @@
         &self,
         service: &str,
         version: &str,
+        route: u32,
         is_fresh: bool,
         counts: VersionCounts,
     ) -> Result<Option<SentInRollout>, &'static str> {
@@ -454,11 +458,11 @@
             true => VersionGroup::Target,
             false => VersionGroup::Others,
         };
-        let choice = active.choice(is_fresh, counts);
+        let choice = active.choice(route, is_fresh, counts);
         if matches!(choice, VersionChoice::Only(only) if only != group) {
             return Err(VERSION_WITHHELD);
         }
-        active.credit.note_sent(group);
+        active.credit.note_sent(group, route);
         active.sent_to_target += u64::from(group == VersionGroup::Target);
         let order = active.known.order.id;
         Ok(Some(SentInRollout { order, group }))
--- a/tests/edge/cluster.rs
+++ b/tests/edge/cluster.rs
@@ -288,6 +288,7 @@
 pub fn placement_request(now_us: Micros) -> PlacementRequest {
     PlacementRequest {
         service: "plain".into(),
+        route: 0,
         is_stream: false,
         prompt_tokens: 0,
         chains: Vec::new(),
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -111,6 +111,7 @@
     }];
     PlacementRequest {
         service: "model".into(),
+        route: 0,
         is_stream: true,
         prompt_tokens,
         chains: chains(&parts).collect(),
