--- a/benches/relay.rs
+++ b/benches/relay.rs
@@ -186,6 +186,7 @@
             overage: 0.1,
             slack: 1_000.0,
         },
+        rollouts: None,
         evacuate: None,
         cold: ColdTolerance {
             overage: 1.0,
--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -21,6 +21,7 @@
         prefixes::{ChainKey, PrefixHolders},
         readiness::PermitDenial,
         speed::Speed,
+        versions::VersionCounts,
     },
     limits::{announcements::EndpointAnnouncements, back_off::BackOffs},
     prelude::{Incarnation, Micros, Name, Rank, StorePosition},
@@ -438,6 +439,40 @@
         self.endpoints.get(&key).map(|e| &*e.entry)
     }
 
+    /// Returns whether an endpoint is leaving or unknown.
+    pub fn is_leaving(&self, key: EndpointKey) -> bool {
+        let entry = self.entry(key);
+        entry.is_none_or(|entry| entry.draining) || self.announcements.leaves(key)
+    }
+
+    /// Counts a service's endpoints during a roll-out to a version.
+    pub fn count_versions(&self, service: &str, target_version: &str) -> VersionCounts {
+        let mut counts = VersionCounts::default();
+        for key in self.keys_of(service) {
+            let Some(entry) = self.entry(*key) else {
+                continue;
+            };
+            let is_ready = u32::from(!self.is_leaving(*key));
+            if *entry.version == *target_version {
+                counts.target_ready += is_ready;
+            } else {
+                counts.others_ready += is_ready;
+                counts.others_known += 1;
+            }
+        }
+        counts
+    }
+
+    /// Counts this instance's requests in flight at a service's endpoints of other versions than `version`.
+    pub fn in_flight_at_others(&self, service: &str, version: &str) -> u32 {
+        let loads = self.load_view.own_loads().into_iter();
+        let at_others = loads.filter(|(key, _)| {
+            let entry = self.entry(*key);
+            entry.is_some_and(|e| *e.service == *service && *e.version != *version)
+        });
+        at_others.map(|(_, load)| load.requests).sum()
+    }
+
     /// Returns the keys of a service's endpoints.
     pub(super) fn keys_of(&self, service: &str) -> &[EndpointKey] {
         self.index.of_service(service)
--- a/src/balance/cost.rs
+++ b/src/balance/cost.rs
@@ -9,6 +9,7 @@
         prefixes::ChainKey,
         regions::AllowedRegions,
         speed::Speed,
+        versions::VersionRule,
     },
     prelude::{Micros, Name, Rank},
 };
@@ -40,6 +41,8 @@
 pub struct PlacementRequest {
     /// The requested service.
     pub service: Name,
+    /// The hash of the route's name.
+    pub route: u32,
     /// Whether the answer is a stream of events.
     pub is_stream: bool,
     /// Length of the whole prompt.
@@ -64,6 +67,8 @@
     pub allowed_regions: AllowedRegions,
     /// Endpoints to which an idle connection is open that the request may use.
     pub connected: Vec<EndpointKey>,
+    /// The versions of endpoints that may be chosen during a roll-out; all if there is none.
+    pub versions: Option<VersionRule>,
     /// A random number; determines which endpoints are considered.
     pub draw: u64,
 }
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -23,7 +23,7 @@
         state::Gateway,
     },
     limits::quota::Grant,
-    prelude::{Micros, Name},
+    prelude::{Micros, Name, short_hash},
 };
 
 /// The final response is sent at least this long before the caller times out.
@@ -199,6 +199,7 @@
         .min(max_output_tokens);
     PlacementRequest {
         service,
+        route: short_hash(&route.name),
         is_stream: route.kind.is_stream(),
         prompt_tokens,
         chains: prefixes::chains(&head.parts).collect(),
@@ -211,6 +212,7 @@
         other_hall_cost: OTHER_HALL_COST,
         allowed_regions,
         connected: Vec::new(),
+        versions: None,
         draw: rand::rng().random(),
     }
 }
--- a/src/gateway/reservation_client.rs
+++ b/src/gateway/reservation_client.rs
@@ -29,9 +29,10 @@
         load::EndpointKey,
         prefixes::ChainKey,
         regions::AllowedRegions,
+        versions::VersionRule,
     },
     clock::Clock,
-    gateway::permits::PermitMessage,
+    gateway::{permits::PermitMessage, rollouts::RolloutMessage},
     limits::quota::Message,
     peers::datagram::Authenticator,
     prelude::{Incarnation, Micros, Name, Rank},
@@ -74,6 +75,8 @@
     pub connected: Vec<EndpointKey>,
     /// As in [`PlacementRequest::draw`].
     pub draw: u64,
+    /// As in [`PlacementRequest::versions`].
+    pub versions: Option<VersionRule>,
     /// Endpoints that must not be chosen.
     pub tried: Vec<EndpointKey>,
 }
@@ -93,6 +96,7 @@
             other_hall_cost: request.other_hall_cost as f32,
             connected: request.connected.clone(),
             draw: request.draw,
+            versions: request.versions.clone(),
             tried: tried.to_vec(),
         }
     }
@@ -101,6 +105,7 @@
     pub fn into_placement_request(self, now_us: Micros) -> (PlacementRequest, Vec<EndpointKey>) {
         let request = PlacementRequest {
             service: self.service,
+            route: 0,
             is_stream: true,
             prompt_tokens: self.prompt_tokens,
             chains: self.chains,
@@ -113,6 +118,7 @@
             other_hall_cost: f64::from(self.other_hall_cost),
             allowed_regions: AllowedRegions::default(),
             connected: self.connected,
+            versions: self.versions,
             draw: self.draw,
         };
         (request, self.tried)
@@ -137,7 +143,7 @@
     OverEndpointLimits,
 }
 
-/// The content of a direct message between two instances: about reservations, permits or quota.
+/// The content of a direct message between two instances: about reservations, permits, quota or roll-outs.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum DirectMessage {
     /// Requests a reservation.
@@ -152,6 +158,8 @@
     Permits(PermitMessage),
     /// A message about organisations' quota.
     Quota(Message),
+    /// Evidence on a roll-out.
+    Rollouts(Box<RolloutMessage>),
 }
 
 /// A datagram that carries a direct message.
@@ -275,7 +283,10 @@
                 Ok(Some(DirectMessage::Decided(answer))) => return Some(answer),
                 Ok(Some(DirectMessage::Waits)) => until = Instant::now() + hold + DECISION_MARGIN,
                 Ok(Some(
-                    DirectMessage::Ask(_) | DirectMessage::Permits(_) | DirectMessage::Quota(_),
+                    DirectMessage::Ask(_)
+                    | DirectMessage::Permits(_)
+                    | DirectMessage::Quota(_)
+                    | DirectMessage::Rollouts(_),
                 )) => {}
                 Ok(Some(DirectMessage::Unable) | None) | Err(_) => {
                     self.skip(clock.now_us(), issuer);
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -17,6 +17,7 @@
 mod poison_requests;
 mod reservations;
 mod resting_endpoints;
+mod rollouts;
 mod site;
 mod slow_callers;
 mod store_lists;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -34,6 +34,7 @@
 mod release;
 mod restarts;
 mod retries;
+mod rollouts;
 mod routes;
 mod settings;
 mod slow_callers;
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -89,6 +89,7 @@
         id: id.into(),
         born_ms: 0,
         service: "model".into(),
+        version: "v1".into(),
         addr: ([10, 0, 0, last], 80).into(),
         hall: hall.into(),
         slots,
@@ -110,6 +111,7 @@
     }];
     PlacementRequest {
         service: "model".into(),
+        route: 0,
         is_stream: true,
         prompt_tokens,
         chains: chains(&parts).collect(),
@@ -122,6 +124,7 @@
         other_hall_cost: 0.05,
         allowed_regions: AllowedRegions::default(),
         connected: Vec::new(),
+        versions: None,
         draw: subject,
     }
 }
