--- a/benches/placing.rs
+++ b/benches/placing.rs
@@ -23,6 +23,7 @@
 fn entry(number: usize) -> EndpointEntry {
     EndpointEntry {
         id: format!("i-{number}").into(),
+        version: "v1".into(),
         born_ms: 0,
         service: "model".into(),
         addr: ([10, 0, 0, 1], 80).into(),
@@ -53,6 +54,7 @@
 fn placement_request(number: u64, now_us: u64) -> PlacementRequest {
     PlacementRequest {
         service: "model".into(),
+        route: 0,
         is_stream: true,
         prompt_tokens: 600,
         chains: Vec::new(),
@@ -65,6 +67,8 @@
         other_hall_cost: 0.05,
         standing: Standing::Within,
         allowed_regions: AllowedRegions::default(),
+        connected: Vec::new(),
+        versions: None,
         draw: number,
     }
 }
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -18,3 +18,4 @@
 mod selection;
 pub mod speed;
 mod sync;
+pub mod versions;
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -3,8 +3,8 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::{HeaderMap, StatusCode, body::Incoming};
 use rand::RngExt;
 
@@ -14,6 +14,7 @@
     },
     entry::refusal::Refusal,
     gateway::{
+        caller_buffer::HeldAccount,
         config::{Organisation, Route},
         protocol::{CallHead, Protocol},
         quota, refuse,
@@ -22,7 +23,7 @@
         state::Gateway,
     },
     limits::quota::Grant,
-    prelude::{Micros, Name, Rank},
+    prelude::{Micros, Name, short_hash},
     shares::admission::Standing,
 };
 
@@ -89,14 +90,18 @@
     }
 }
 
-/// Reads a request's body.
+/// Time after which a request that there is no memory for may come back.
+const NO_MEMORY_RETRY_AFTER_MS: u32 = 1_000;
+
+/// Reads a request's body, whose bytes are held in `account`. A caller that sends slowly can be cut until it has sent all.
 ///
 /// # Errors
-/// The body is longer than `max_bytes`, or the caller broke it off.
+/// The body is longer than `max_bytes`, the caller broke it off, or there is no memory for it.
 pub async fn read_body(
     headers: &HeaderMap,
-    body: Incoming,
+    mut body: Incoming,
     max_bytes: usize,
+    account: &HeldAccount,
 ) -> Result<Bytes, Refusal> {
     let too_large = || {
         let message = format!("the body is longer than {max_bytes} bytes");
@@ -107,14 +112,24 @@
     if declared_bytes.is_some_and(|p| p > max_bytes as u64) {
         return Err(too_large());
     }
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(too_large()),
-        Err(_) => {
-            let message = "the body broke off";
-            Err(Refusal::bad(StatusCode::BAD_REQUEST, "body_cut", message))
+    let mut received = BytesMut::new();
+    account.wait_for_caller(true);
+    while let Some(frame) = body.frame().await {
+        let cut = |_| Refusal::bad(StatusCode::BAD_REQUEST, "body_cut", "the body broke off");
+        let Ok(chunk) = frame.map_err(cut)?.into_data() else {
+            continue;
+        };
+        if received.len() + chunk.len() > max_bytes {
+            return Err(too_large());
         }
+        account
+            .hold(chunk.len())
+            .map_err(|_| refuse::not_run(refuse::NO_MEMORY, NO_MEMORY_RETRY_AFTER_MS))?;
+        account.note_progress();
+        received.extend_from_slice(&chunk);
     }
+    account.wait_for_caller(false);
+    Ok(received.freeze())
 }
 
 /// Acquires quota for a request from its organisation's limit; none if the organisation has no limit. The details of a
@@ -126,7 +141,7 @@
     gateway: &Gateway<P>,
     organisation: Option<&Organisation>,
     tokens: Option<u32>,
-    rank: Rank,
+    route: &Route,
     time_budget_us: Micros,
     trace: &mut Trace,
 ) -> Result<Option<Grant>, Refusal> {
@@ -137,8 +152,10 @@
     let units = limit.units(tokens);
     // A request without token counts uses next to nothing, so it gets the most urgent rank and need not leave the rest of
     // a nearly used limit to others.
-    let rank = if tokens.is_some() { rank } else { 0 };
-    let acquired = quota::acquire(gateway, name, units, rank, time_budget_us).await;
+    let rank = if tokens.is_some() { route.priority } else { 0 };
+    let until = quota::wait_until(gateway, name, time_budget_us);
+    quota::wait_for_leases(gateway, name, route, until).await;
+    let acquired = quota::acquire(gateway, name, units, rank, until).await;
     acquired.map_err(|denied| {
         trace.denied = Some(denied);
         let retry_after_ms = u32::try_from(denied.wait_us / 1_000).unwrap_or(u32::MAX);
@@ -183,6 +200,7 @@
         .min(max_output_tokens);
     PlacementRequest {
         service,
+        route: short_hash(&route.name),
         is_stream: route.kind.is_stream(),
         prompt_tokens,
         chains: prefixes::chains(&head.parts).collect(),
@@ -195,6 +213,8 @@
         other_hall_cost: OTHER_HALL_COST,
         standing: Standing::default(),
         allowed_regions,
+        connected: Vec::new(),
+        versions: None,
         draw: rand::rng().random(),
     }
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, Uri,
     body::Incoming,
@@ -19,10 +19,12 @@
     clock::Clock,
     endpoint::connection_pool::EndpointConnection,
     gateway::{
+        caller_buffer::{CallerConnection, CallerHandle, HeldAccount, HeldAnswer},
         config::Route,
         endpoint_announcements,
         protocol::{CallHead, Forward, Protocol},
         refuse,
+        rollout_requests::RolloutRequest,
         state::Gateway,
     },
     limits::fingerprint::Fingerprint,
@@ -33,6 +35,10 @@
 const MAX_BUFFERED_BYTES: usize = 16 << 20;
 /// Longer than any request is held: the attempt may then last until the deadline of the request.
 const NO_ATTEMPT_TIMEOUT: Duration = Duration::from_secs(86_400);
+/// Longest idle time of a pooled connection over which a request is sent that may run once only: if the endpoint closes
+/// the connection at that moment, it is unknown whether the request ran. Endpoints keep idle connections for longer than
+/// a second.
+const MAX_IDLE_ONCE_US: Micros = 1_000_000;
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// An admitted request with all that is needed to forward it.
@@ -49,10 +55,16 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// Counts the bytes of the body.
+    pub body_account: HeldAccount,
+    /// The connection of its caller.
+    pub caller: CallerConnection,
     /// The caller's organisation.
     pub organisation: Option<Name>,
     /// The request as the balancer places it.
     pub placement_request: PlacementRequest,
+    /// Whether the configuration bounds the connections to the service's endpoints, so that they are reused where possible.
+    pub saves_connections: bool,
     /// When the time budget of the request ends, shortly before its caller or route times out.
     pub until_us: Micros,
     /// Identifies retries of the same request; computed on first use.
@@ -65,6 +77,15 @@
         self.route.kind.is_repeatable()
     }
 
+    /// Returns for how long a pooled connection may have been idle over which the request is sent; `None` if it needs a
+    /// new one.
+    pub fn max_idle_us(&self) -> Option<Micros> {
+        match self.is_repeatable() {
+            true => Some(Micros::MAX),
+            false => self.saves_connections.then_some(MAX_IDLE_ONCE_US),
+        }
+    }
+
     /// Returns the fingerprint by which retries of this request are recognised. It is computed on first use, as most
     /// requests never need it.
     pub fn fingerprint(&self) -> Fingerprint {
@@ -81,6 +102,15 @@
         }
     }
 
+    /// Returns what names the request and cuts its caller.
+    pub fn caller_handle(&self) -> CallerHandle {
+        CallerHandle {
+            connection: self.caller.clone(),
+            request_id: self.head.request_id.clone(),
+            route: self.route.name.clone(),
+        }
+    }
+
     /// Returns the request id that the caller sent, or `-`, for logs.
     pub fn request_id(&self) -> &str {
         let id = self.head.request_id.as_ref();
@@ -143,21 +173,25 @@
     ConnectionLost(&'static str),
     /// The endpoint may have run the request.
     Unknown(&'static str),
+    /// The endpoint ran the request, and there is no room to hold its answer.
+    NoRoom,
 }
 
 /// A request in flight at an endpoint. It counts in the load of the endpoint until it is finished or dropped.
 pub struct InFlightRequest<P: Protocol> {
-    gateway: Arc<Gateway<P>>,
+    pub(super) gateway: Arc<Gateway<P>>,
     /// The endpoint.
     pub choice: Choice,
     /// When it was sent, in microseconds of the gateway's clock.
     pub at_us: Micros,
     /// Version of the endpoint's limit when the request was sent; an answer cannot replace a newer limit.
     pub(super) limit_version: u32,
-    has_response_head: bool,
-    has_first_event: bool,
+    pub(super) has_response_head: bool,
+    pub(super) has_first_event: bool,
     records_hold_time: bool,
     is_finished: bool,
+    /// Set if it was sent during a roll-out of its service.
+    pub(super) rollout: Option<RolloutRequest>,
 }
 
 impl<P: Protocol> InFlightRequest<P> {
@@ -171,6 +205,7 @@
             has_first_event: false,
             records_hold_time: false,
             is_finished: false,
+            rollout: None,
         }
     }
 
@@ -184,11 +219,13 @@
         self.gateway
             .balancer()
             .record_first_event(&self.choice, took_ms);
+        self.note_rollout_time(took_ms);
     }
 
-    /// Records that the response is complete; its duration enters the estimate of how long slots are held.
-    pub fn note_complete(&mut self) {
-        self.records_hold_time = true;
+    /// Records that the response is complete. If `records_hold_time`, its duration enters the estimate of how long slots
+    /// are held.
+    pub fn note_complete(&mut self, records_hold_time: bool) {
+        self.records_hold_time = records_hold_time;
         let now_us = self.gateway.clock.now_us();
         let mut balancer = self.gateway.balancer();
         balancer.update_speed(self.choice.key, |s| s.record_outcome(now_us, false));
@@ -199,6 +236,8 @@
         let now_us = self.gateway.clock.now_us();
         let mut balancer = self.gateway.balancer();
         balancer.update_speed(self.choice.key, |s| s.record_outcome(now_us, true));
+        drop(balancer);
+        self.note_rollout_failure();
     }
 
     /// Removes it from the load of the endpoint and gives waiting requests a chance; later calls do nothing.
@@ -218,6 +257,7 @@
             balancer.record_unanswered(self.choice.key, self.at_us);
         }
         drop(balancer);
+        self.note_rollout_end();
         self.gateway.reconsider();
     }
 
@@ -254,6 +294,9 @@
         // Endpoints crashed while running this request since it was checked on arrival.
         return Err(AttemptError::NotSent(refuse::ENDS_ENDPOINTS));
     }
+    in_flight.rollout = gateway
+        .admit_version(&in_flight.choice, &job.route)
+        .map_err(AttemptError::NotSent)?;
     in_flight.at_us = gateway.clock.now_us();
     in_flight.limit_version =
         endpoint_announcements::record_sent(gateway, in_flight.choice.key, in_flight.at_us);
@@ -299,16 +342,16 @@
     })
 }
 
-/// Returns a connection to the endpoint. Only a request that may be retried gets a pooled one, which the endpoint may
-/// be closing.
+/// Returns a connection to the endpoint, a pooled one if the request may use it.
 async fn connect<P: Protocol>(
     gateway: &Gateway<P>,
     job: &Job,
     in_flight: &InFlightRequest<P>,
 ) -> Result<EndpointConnection, AttemptError> {
     let addr = in_flight.choice.addr;
-    if job.is_repeatable()
-        && let Some(kept) = gateway.connections.take_idle(gateway.clock.now_us(), addr)
+    let now_us = gateway.clock.now_us();
+    if let Some(max_idle_us) = job.max_idle_us()
+        && let Some(kept) = gateway.connections.take_idle(now_us, addr, max_idle_us)
     {
         return Ok(kept);
     }
@@ -351,15 +394,16 @@
     /// Its headers, without hop-by-hop headers.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: HeldAnswer,
 }
 
 /// Reads the body of a response until `deadline`, then returns the connection to the pool if it can be reused.
 ///
 /// # Errors
-/// The body broke off, is too long or was not complete in time; the endpoint may have run the request.
+/// The body broke off, is too long, was not complete in time or could not be held; the endpoint may have run the request.
 pub async fn buffer_response<P: Protocol>(
     gateway: &Gateway<P>,
+    job: &Job,
     received: EndpointResponse<P>,
     deadline: AttemptDeadline,
 ) -> Result<BufferedResponse, AttemptError> {
@@ -371,21 +415,22 @@
     } = received;
     let (parts, body) = response.into_parts();
     let reuse = connection_reuse(&parts.headers, parts.status);
-    let body = Limited::new(body, MAX_BUFFERED_BYTES).collect();
-    let collected = match deadline.wait(gateway.clock, body).await {
-        Some(Ok(collected)) => collected,
-        Some(Err(_)) => {
-            in_flight.note_failure();
-            return Err(AttemptError::ConnectionLost("answer_broke_off"));
-        }
-        None => {
-            in_flight.note_failure();
-            return Err(AttemptError::Unknown("answer_broke_off"));
-        }
-    };
+    let answer = HeldAnswer::new(HeldAccount::open(&gateway.held_memory, job.caller_handle()));
+    let collecting = collect_body(body, answer);
+    let collected = deadline.wait(gateway.clock, collecting).await;
+    let collected = collected.unwrap_or(Err(AttemptError::Unknown("answer_broke_off")));
+    if collected
+        .as_ref()
+        .is_err_and(|e| *e != AttemptError::NoRoom)
+    {
+        in_flight.note_failure();
+    }
+    let body = collected?;
     if parts.status.is_success() {
         in_flight.note_first_event();
-        in_flight.note_complete();
+        in_flight.note_complete(true);
+    } else if parts.status.is_server_error() {
+        in_flight.note_rollout_failure();
     }
     if let Some(idle_timeout) = reuse {
         keep_connection(gateway, &in_flight, connection, idle_timeout);
@@ -395,10 +440,27 @@
     Ok(BufferedResponse {
         status: parts.status,
         headers,
-        body: collected.to_bytes(),
+        body,
     })
 }
 
+async fn collect_body(
+    mut body: Incoming,
+    mut answer: HeldAnswer,
+) -> Result<HeldAnswer, AttemptError> {
+    while let Some(frame) = body.frame().await {
+        let broke_off = AttemptError::ConnectionLost("answer_broke_off");
+        let Ok(chunk) = frame.map_err(|_| broke_off)?.into_data() else {
+            continue;
+        };
+        if answer.len() + chunk.len() > MAX_BUFFERED_BYTES {
+            return Err(broke_off);
+        }
+        answer.push(chunk).map_err(|_| AttemptError::NoRoom)?;
+    }
+    Ok(answer)
+}
+
 /// Returns a connection to the pool after its response was read to the end.
 pub fn keep_connection<P: Protocol>(
     gateway: &Gateway<P>,
@@ -409,9 +471,13 @@
     let now_us = gateway.clock.now_us();
     let addr = in_flight.choice.addr;
     if connection.is_open() {
-        gateway
-            .connections
-            .return_idle(now_us, addr, connection, idle_timeout);
+        gateway.connections.return_idle(
+            now_us,
+            addr,
+            in_flight.choice.key,
+            connection,
+            idle_timeout,
+        );
     }
 }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -33,6 +33,7 @@
         protocol::Protocol,
         quota,
         report_intervals::ReportIntervals,
+        rollouts::SentRollout,
         shares,
         state::Gateway,
     },
@@ -61,9 +62,15 @@
 const MAX_DATAGRAM: usize = 65_536;
 /// Number of sent updates that are kept for matching echoes: more than a second of rounds.
 const SENT_UPDATES_KEPT: usize = 64;
-/// Times after the start at which a seed, each in turn, is queried for the addresses of the other instances. The list
-/// of 295 instances takes 6 KB; sending it to all of them every 250 ms filled the links of three seeds.
-const DISCOVERY_DELAYS_MS: [u64; 6] = [0, 150, 400, 800, 1_500, 3_000];
+/// Times after the first answer of a seed at which further seeds, each in turn, are queried for the addresses of the
+/// other instances; the last one ends the retries of the last query. With two of three seeds queried at once, one of
+/// any two instances learns of the other. The list of 295 instances takes 6 KB; sending it to all of them every 250 ms
+/// filled the links of three seeds.
+const DISCOVERY_DELAYS_MS: [u64; 6] = [0, 250, 800, 1_500, 3_000, 3_500];
+/// How long a first answer is waited for.
+const DISCOVERY_TIMEOUT: Duration = Duration::from_secs(3);
+/// Delay after which the next seed is queried if one does not answer: when all instances start, seeds may be later.
+const DISCOVERY_RETRY: Duration = Duration::from_millis(30);
 
 /// The loads of this instance alone, as sent in one update.
 #[derive(Clone, Debug, Default)]
@@ -105,9 +112,9 @@
     /// When the summary of the other halls was last sent to this hall.
     pub(super) remote_summary_at_us: Micros,
     pub(super) round_number: usize,
-    /// The configuration version, endpoints position and evacuated data centres of the last round; a change is
-    /// sent at once.
-    pub(super) last_sent_state: (ConfigVersion, StorePosition, Vec<Name>),
+    /// The configuration version, endpoints position, evacuated data centres and roll-outs of the last round; a change
+    /// is sent at once.
+    pub(super) last_sent_state: (ConfigVersion, StorePosition, Vec<Name>, Vec<SentRollout>),
 }
 
 impl State {
@@ -213,16 +220,36 @@
     /// Fetches the addresses of other instances from the seeds during the first seconds. When a whole large cluster
     /// starts at once, this is quicker than learning of each instance by probes.
     pub async fn discover_peers(self: Arc<Self>) {
-        let started = time::Instant::now();
         let first = rand::rng().random_range(0..self.settings.seeds.len().max(1));
-        let seeds = self.settings.seeds.iter().cycle().skip(first);
-        for (after_ms, seed) in DISCOVERY_DELAYS_MS.into_iter().zip(seeds) {
-            time::sleep_until(started + Duration::from_millis(after_ms)).await;
+        let mut seeds = self.settings.seeds.iter().cycle().skip(first);
+        let started = time::Instant::now();
+        self.query_seeds(&mut seeds, started + DISCOVERY_TIMEOUT)
+            .await;
+        let answered = time::Instant::now();
+        let start_of = |after_ms: u64| answered + Duration::from_millis(after_ms);
+        for delays in DISCOVERY_DELAYS_MS.windows(2) {
+            time::sleep_until(start_of(delays[0])).await;
+            self.query_seeds(&mut seeds, start_of(delays[1])).await;
+        }
+    }
+
+    /// Queries one seed after the other until one answers or the time `until` has come.
+    async fn query_seeds<'s>(
+        &self,
+        seeds: &mut impl Iterator<Item = &'s SocketAddr>,
+        until: time::Instant,
+    ) {
+        for seed in seeds {
             let response =
                 copies::exchange_addresses(*seed, self.codec.clone(), self.settings.me.peer_addr);
-            // A seed may no longer run; the next one is queried regardless.
-            let known = response.await.unwrap_or_default();
-            self.add_peers(&known);
+            if let Ok(known) = response.await {
+                return self.add_peers(&known);
+            }
+            let retry_at = time::Instant::now() + DISCOVERY_RETRY;
+            if retry_at >= until {
+                return;
+            }
+            time::sleep_until(retry_at).await;
         }
     }
 
@@ -247,9 +274,9 @@
         let now_us = self.gateway.clock.now_us();
         let view = self.gossip.view();
         self.apply_view(&view);
+        let cluster_size = self.update_instance_counts(now_us, &view);
         quota::tick(&self.gateway).await;
         shares::refresh(&self.gateway);
-        let cluster_size = self.update_instance_counts(now_us, &view);
         let has_state_change = self.take_state_changed();
         let suspects_changed = self.gateway.suspects().take_has_changes();
         let announcements_changed = self.gateway.balancer().take_announcements_changed();
@@ -335,6 +362,8 @@
             let position = by_rank.iter().position(|m| m.info.incarnation == me);
             state.is_watcher = position.is_some_and(|p| p < WATCHERS);
             state.watchers = self.watchers(&by_rank);
+            let watchers = state.watchers.iter().map(SocketAddr::ip).collect();
+            self.gateway.rollouts.set_watchers(me, watchers);
             self.gateway
                 .set_watch_position(position.unwrap_or(by_rank.len()));
         }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -11,7 +11,10 @@
     registry::Registry,
 };
 
-use crate::entry::refusal::{Refusal, Verdict};
+use crate::{
+    entry::refusal::{Refusal, Verdict},
+    gateway::rollouts::RolloutFigures,
+};
 
 /// The outcome of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -81,6 +84,15 @@
 /// A gauge of slots.
 pub type SlotsGauge = Gauge<f64, std::sync::atomic::AtomicU64>;
 
+/// Labels of metrics by roll-out.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RolloutLabels {
+    /// The service.
+    pub service: String,
+    /// The target version.
+    pub version: String,
+}
+
 /// All metrics of a gateway. Fields have the names of their metrics.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -90,6 +102,11 @@
     pub first_seconds: Histogram,
     /// Connections opened to endpoints.
     pub connections_opened: Counter,
+    /// Callers cut because the memory for slow callers was used up.
+    pub callers_cut: Counter,
+    /// Times that an answer was not read further because its caller was behind.
+    pub reads_paused: Counter,
+    held_bytes: Gauge,
     /// Retries denied by the retry budget.
     pub retries_denied: Counter,
     /// Requests refused because endpoints crashed while running them.
@@ -120,6 +137,8 @@
     pub quota_unanswered: Counter,
     /// Requests that did not use their quota.
     pub quota_unused: Counter,
+    /// Requests that waited for the start of leases.
+    pub quota_held: Counter,
     /// Rate limits of endpoints whose header could not be parsed.
     pub limit_words_unreadable: Counter,
     /// Back-off requests of endpoints to this instance.
@@ -174,6 +193,9 @@
     waiting: Gauge,
     instances_heard: Gauge,
     resting_connections: Gauge,
+    rollout_share: Family<RolloutLabels, Gauge<f64, std::sync::atomic::AtomicU64>>,
+    rollout_sent: Family<RolloutLabels, Gauge>,
+    rollout_bad_answers: Family<RolloutLabels, Gauge>,
 }
 
 impl Default for GatewayMetrics {
@@ -183,6 +205,9 @@
             requests: Family::default(),
             first_seconds: Histogram::new(exponential_buckets(0.005, 2.0, 12)),
             connections_opened: Counter::default(),
+            callers_cut: Counter::default(),
+            reads_paused: Counter::default(),
+            held_bytes: Gauge::default(),
             retries_denied: Counter::default(),
             requests_blocked: Counter::default(),
             requests_over_share: Counter::default(),
@@ -198,6 +223,7 @@
             quota_hedged: Counter::default(),
             quota_unanswered: Counter::default(),
             quota_unused: Counter::default(),
+            quota_held: Counter::default(),
             limit_words_unreadable: Counter::default(),
             rests_asked: Counter::default(),
             rest_words_unreadable: Counter::default(),
@@ -230,6 +256,9 @@
             waiting: Gauge::default(),
             instances_heard: Gauge::default(),
             resting_connections: Gauge::default(),
+            rollout_share: Family::default(),
+            rollout_sent: Family::default(),
+            rollout_bad_answers: Family::default(),
         };
         metrics.register();
         metrics
@@ -237,7 +266,7 @@
 }
 
 /// Values of gauges that are read from other parts of the gateway when metrics are exported.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct GatewayReadings {
     /// Version of the configuration in force.
     pub config_version: u64,
@@ -259,6 +288,10 @@
     pub instances_heard: usize,
     /// Number of idle connections to endpoints.
     pub resting_connections: usize,
+    /// Bytes held of requests and answers.
+    pub held_bytes: usize,
+    /// The roll-outs.
+    pub rollouts: Vec<RolloutFigures>,
 }
 
 impl GatewayMetrics {
@@ -301,9 +334,11 @@
         registry.register("entries_unused", unused, self.entries_unused.clone());
         let dropped = "Datagrams from instances that were dropped";
         registry.register("datagrams_dropped", dropped, self.datagrams_dropped.clone());
+        self.register_slow_callers();
         self.register_exchange();
         self.register_endpoint_limits();
         self.register_quota();
+        self.register_rollouts();
         self.register_endpoint_announcements();
         let registry = &mut self.registry;
         let version = "Version of the configuration in force";
@@ -329,6 +364,46 @@
         );
     }
 
+    fn register_slow_callers(&mut self) {
+        let registry = &mut self.registry;
+        let held = "Bytes held of requests and of answers that callers have not read";
+        registry.register("held_bytes", held, self.held_bytes.clone());
+        let cut = "Callers cut because the memory for slow callers was used up";
+        registry.register("callers_cut", cut, self.callers_cut.clone());
+        let paused = "Times that an answer was not read further because its caller was behind";
+        registry.register("reads_paused", paused, self.reads_paused.clone());
+    }
+
+    fn register_rollouts(&mut self) {
+        let registry = &mut self.registry;
+        let share = "Share of requests that the stage of a roll-out gives the target version";
+        registry.register("rollout_share", share, self.rollout_share.clone());
+        let sent = "Requests that this instance sent to the target version";
+        registry.register("rollout_sent", sent, self.rollout_sent.clone());
+        let bad = "Failed and slow answers of the target version to this instance";
+        let gauge = self.rollout_bad_answers.clone();
+        registry.register("rollout_bad_answers", bad, gauge);
+    }
+
+    /// Sets the metrics of the roll-outs, and removes those of roll-outs that have ended.
+    fn set_rollouts(&self, rollouts: &[RolloutFigures]) {
+        self.rollout_share.clear();
+        self.rollout_sent.clear();
+        self.rollout_bad_answers.clear();
+        for rollout in rollouts {
+            let labels = RolloutLabels {
+                service: rollout.service.to_string(),
+                version: rollout.target_version.to_string(),
+            };
+            let share = self.rollout_share.get_or_create(&labels);
+            share.set(rollout.target_share);
+            let sent = self.rollout_sent.get_or_create(&labels);
+            sent.set(rollout.sent_to_target as i64);
+            let bad = self.rollout_bad_answers.get_or_create(&labels);
+            bad.set(rollout.bad_answers as i64);
+        }
+    }
+
     fn register_quota(&mut self) {
         let registry = &mut self.registry;
         let asked = "Requests for whose quota another instance was asked";
@@ -343,6 +418,8 @@
         );
         let unused = "Requests that gave their quota back";
         registry.register("quota_unused", unused, self.quota_unused.clone());
+        let held = "Requests that waited for the start of leases";
+        registry.register("quota_held", held, self.quota_held.clone());
     }
 
     fn register_endpoint_limits(&mut self) {
@@ -454,6 +531,8 @@
         self.instances_heard.set(readings.instances_heard as i64);
         let resting = readings.resting_connections;
         self.resting_connections.set(resting as i64);
+        self.held_bytes.set(readings.held_bytes as i64);
+        self.set_rollouts(&readings.rollouts);
         let mut text = String::new();
         // Writing into a string cannot fail.
         let _ = encode(&mut text, &self.registry);
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -20,22 +20,20 @@
         load::EndpointKey,
         regions::AllowedRegions,
     },
-    entry::{
-        answer::{Body, full},
-        refusal::Refusal,
-    },
+    entry::{answer::Body, refusal::Refusal},
     gateway::{
         admission::{
             ANSWER_MARGIN_US, RequestTimes, acquire_quota, find_organisation, find_route,
             placement_request, read_body, time_budget_us,
         },
         attempt::{self, AttemptDeadline, AttemptError, BufferedResponse, EndpointResponse, Job},
+        caller_buffer::{CallerConnection, CallerHandle, HeldAccount},
         crash_check,
         metrics::Outcome,
         protocol::{CallHead, Protocol},
         quota, refuse,
         report::{Trace, log_answer, note_refusal},
-        send_check::{ENDPOINT_EVACUATED, ENDPOINT_LEFT, ENDPOINT_RESTS},
+        send_check::NOT_SENT_REASONS,
         shares,
         state::Gateway,
         stream::Relay,
@@ -57,6 +55,9 @@
 const MIN_ATTEMPT_TIMEOUT_MS: f64 = 250.0;
 /// How often a request is sent elsewhere after an endpoint refused it without running it.
 const MAX_NOT_RUN: usize = 3;
+/// Most endpoints with an idle connection that the choice of an endpoint considers, at 5 bytes each in the request for a
+/// reservation.
+const MAX_CONNECTED: usize = 16;
 /// Random jitter of Retry-After, as a share of it, so that refused callers do not return all at once.
 const RETRY_AFTER_JITTER: f64 = 0.5;
 
@@ -64,6 +65,7 @@
 pub async fn answer<P: Protocol>(
     gateway: Arc<Gateway<P>>,
     request: Request<Incoming>,
+    caller: CallerConnection,
 ) -> Response<Body> {
     let arrived_us = gateway.clock.now_us();
     let head = gateway.protocol.read_call(request.headers());
@@ -72,7 +74,7 @@
         deadline_ms: head.deadline_ms,
         ..Trace::default()
     };
-    let result = handle(&gateway, request, head, arrived_us, &mut trace).await;
+    let result = handle(&gateway, request, head, arrived_us, caller, &mut trace).await;
     let mut response = match result {
         Ok(response) => response,
         Err(refusal) => {
@@ -108,6 +110,7 @@
     request: Request<Incoming>,
     head: CallHead,
     arrived_us: Micros,
+    caller: CallerConnection,
     trace: &mut Trace,
 ) -> Result<Response<Body>, Refusal> {
     gateway.wait_for_fresh_config().await;
@@ -119,10 +122,21 @@
     trace.route = Some(route.name.clone());
     let organisation = find_organisation(gateway, &table, &route, &head)?;
     let limits = table.config().caller_limits;
-    let body = read_body(&parts.headers, body, limits.max_body_bytes).await?;
+    let time_budget_us = time_budget_us(&route, &head);
+    let handle = CallerHandle {
+        connection: caller.clone(),
+        request_id: head.request_id.clone(),
+        route: route.name.clone(),
+    };
+    let account = HeldAccount::open(&gateway.held_memory, handle);
+    let reading = read_body(&parts.headers, body, limits.max_body_bytes, &account);
+    let read = gateway
+        .clock
+        .timeout_at(arrived_us + time_budget_us, reading)
+        .await;
+    let body = read.unwrap_or_else(|| Err(refuse::body_too_slow()))?;
     let tokens = head.tokens.map(|t| t.total());
     let organisation_name = organisation.as_ref().map(|o| o.name.clone());
-    let time_budget_us = time_budget_us(&route, &head);
     trace.organisation.clone_from(&organisation_name);
     let fingerprint = OnceLock::new();
     refuse_blocked(gateway, trace, || {
@@ -135,7 +149,7 @@
         gateway,
         limited_organisation,
         tokens,
-        route.priority,
+        &route,
         time_budget_us,
         trace,
     )
@@ -145,7 +159,9 @@
         return Err(refuse::not_run("no_service", 1_000));
     };
     gateway.count_request(&service);
-    let engine = table.service(&service).and_then(|s| s.engine);
+    let configured_service = table.service(&service);
+    let engine = configured_service.and_then(|s| s.engine);
+    let saves_connections = configured_service.is_some_and(|s| s.max_connections < u32::MAX);
     let tokens_per_event = engine.map_or(1, |e| e.tokens_per_event);
     let until_us = arrived_us + time_budget_us;
     let timeout_us = head.deadline_ms.map(|ms| ms.saturating_mul(1_000));
@@ -189,7 +205,10 @@
         uri: parts.uri,
         headers,
         body,
+        body_account: account,
+        caller,
         organisation: organisation_name.clone(),
+        saves_connections,
         until_us,
         fingerprint,
     };
@@ -242,6 +261,8 @@
     Failed { refusal: Box<Refusal> },
     /// The endpoint ran it and answered with a server error.
     Error(BufferedResponse),
+    /// The endpoint ran it, and running it again would not help.
+    GivenUp { refusal: Box<Refusal> },
 }
 
 /// A request in flight.
@@ -295,6 +316,7 @@
                 // Under load, retries at the original rank would delay the first attempts of other requests.
                 self.attempt_request.rank = self.attempt_request.rank.max(RETRY_RANK);
             }
+            self.attempt_request.connected = self.connected_endpoints();
             let choice = self.place().await?;
             trace.endpoint = Some(choice.id.clone());
             trace.attempts += 1;
@@ -305,8 +327,7 @@
                 AttemptOutcome::NotRun { was_sent, reason } => {
                     trace.reason = Some(reason);
                     // A request stopped by the send check was not sent, and each endpoint stops it only once.
-                    let is_stopped =
-                        [ENDPOINT_EVACUATED, ENDPOINT_LEFT, ENDPOINT_RESTS].contains(&reason);
+                    let is_stopped = NOT_SENT_REASONS.contains(&reason);
                     self.not_run += usize::from(!is_stopped);
                     self.check_resend(was_sent, reason)?;
                 }
@@ -318,6 +339,10 @@
                         return Err(*refusal);
                     }
                 }
+                AttemptOutcome::GivenUp { refusal } => {
+                    trace.reason = Some(refusal.reason);
+                    return Err(*refusal);
+                }
                 AttemptOutcome::Error(response) => {
                     trace.reason = Some("endpoint_error");
                     self.runs += 1;
@@ -330,6 +355,21 @@
         }
     }
 
+    /// Returns the endpoints to which an idle connection is open that the request may use.
+    fn connected_endpoints(&self) -> Vec<EndpointKey> {
+        let Some(max_idle_us) = self
+            .job
+            .max_idle_us()
+            .filter(|_| self.job.saves_connections)
+        else {
+            return Vec::new();
+        };
+        let now_us = self.gateway.clock.now_us();
+        self.gateway
+            .connections
+            .connected(now_us, max_idle_us, MAX_CONNECTED)
+    }
+
     /// Waits for a place at an endpoint; refuses once the request's time budget is spent.
     async fn place(&self) -> Result<Choice, Refusal> {
         let placing = self.gateway.place(&self.attempt_request, &self.tried);
@@ -411,7 +451,8 @@
         if status.is_success() && self.job.route.kind.is_stream() {
             return self.start_stream(endpoint_response, trace).await;
         }
-        match attempt::buffer_response(&self.gateway, endpoint_response, deadline).await {
+        match attempt::buffer_response(&self.gateway, &self.job, endpoint_response, deadline).await
+        {
             Ok(buffered) if buffered.status.is_server_error() => AttemptOutcome::Error(buffered),
             Ok(buffered) => {
                 if buffered.status.is_success() {
@@ -461,6 +502,9 @@
                 was_sent: false,
                 reason,
             },
+            AttemptError::NoRoom => AttemptOutcome::GivenUp {
+                refusal: Box::new(refuse::unknown(refuse::NO_MEMORY)),
+            },
             AttemptError::ConnectionLost(reason) | AttemptError::Unknown(reason) => {
                 let is_timed_out = self.gateway.clock.now_us() >= self.job.until_us;
                 let refusal = if is_timed_out {
@@ -538,7 +582,7 @@
         let took_us = gateway.clock.now_us() - self.job.placement_request.arrived_us;
         gateway.metrics.first_seconds.observe(took_us as f64 / 1e6);
         log_answer(gateway, &self.job, outcome, buffered.status, took_us, trace);
-        let mut response = Response::new(full(buffered.body));
+        let mut response = Response::new(buffered.body.into_body());
         *response.status_mut() = buffered.status;
         *response.headers_mut() = buffered.headers;
         response
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{
-        Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
 };
@@ -20,6 +20,7 @@
     clock::Clock,
     endpoint::connection_pool::ConnectionPool,
     gateway::{
+        caller_buffer::HeldMemory,
         caller_timeouts::TypicalTimeouts,
         config::GatewayConfig,
         crash_check::CrashChecks,
@@ -33,11 +34,13 @@
         protocol::Protocol,
         quota::Quota,
         reservation_client::ReservationClient,
+        rollouts::{RolloutBounds, Rollouts},
         shares,
         staleness::{Staleness, StalenessBound},
     },
     limits::{
         fingerprint::Fingerprint,
+        held_bytes::HeldLimits,
         instance_counts::InstanceCounts,
         permits::ColdTolerance,
         quota::Tolerance,
@@ -77,8 +80,12 @@
     /// How long endpoints of a data centre may be sent requests after its evacuation; `None` where evacuations are not
     /// supported.
     pub evacuate: Option<StalenessBound>,
+    /// Limits of roll-outs; `None` where they are not supported.
+    pub rollouts: Option<RolloutBounds>,
     /// How far the request rate of a cold endpoint may exceed its limit.
     pub cold: ColdTolerance,
+    /// Limits on the bytes held for slow callers.
+    pub held: HeldLimits,
 }
 
 impl GatewayBounds {
@@ -106,6 +113,8 @@
     pub connections: ConnectionPool,
     /// The metrics.
     pub metrics: GatewayMetrics,
+    /// The bytes held for callers.
+    pub held_memory: Arc<HeldMemory>,
     bounds: Mutex<GatewayBounds>,
     balancer: Mutex<Balancer>,
     /// Channels to the tasks of queued requests, on which they receive their placement.
@@ -134,6 +143,8 @@
     pub endpoints_staleness: Staleness,
     /// Data centres whose endpoints are sent no requests.
     pub evacuations: Evacuations,
+    /// Roll-outs of services' versions.
+    pub rollouts: Rollouts,
     /// Requests reservations at endpoints from other instances.
     pub reservation_client: ReservationClient,
     /// Requests and grants permits to send to endpoints that limit their request rate.
@@ -173,12 +184,15 @@
         if is_first_start {
             quota.mark_first_start();
         }
+        let metrics = GatewayMetrics::default();
+        let held_memory = HeldMemory::new(clock, bounds.held, metrics.callers_cut.clone());
         Self {
             protocol,
             clock,
             config: CurrentConfig::default(),
             connections: ConnectionPool::default(),
-            metrics: GatewayMetrics::default(),
+            held_memory: Arc::new(held_memory),
+            metrics,
             bounds: Mutex::new(bounds),
             balancer: Mutex::new(Balancer::new(hall)),
             waiters: Mutex::default(),
@@ -202,6 +216,7 @@
             unread_headers: UnreadHeaders::default(),
             endpoints_staleness: Staleness::default(),
             evacuations: Evacuations::default(),
+            rollouts: Rollouts::default(),
             endpoint_lines: Mutex::default(),
             stopping: AtomicBool::new(false),
         }
@@ -217,6 +232,7 @@
         *lock(&self.bounds) = bounds;
         self.quota.set_tolerance(bounds.tolerance);
         lock(&self.retries).set_bounds(bounds.retries);
+        self.held_memory.set_limits(bounds.held);
         self.set_cold_rates();
     }
 
--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -18,16 +18,21 @@
         caller_listener::{self, ListenerStop},
         copies,
         exchange::{Exchange, ExchangeSettings},
-        instance_count, limit_log, probes, reservation_server, shares,
+        instance_count, limit_log, probes, reservation_server, rollout_loop,
+        rollouts::RolloutBounds,
+        shares,
         staleness::StalenessBound,
         state::{Gateway, GatewayBounds},
         stop,
     },
-    limits::{permits::ColdTolerance, quota::Tolerance, retries::RetryBounds},
+    limits::{
+        held_bytes::HeldLimits, permits::ColdTolerance, quota::Tolerance, retries::RetryBounds,
+    },
     peers::{datagram::MemberInfo, gossip::Gossip, membership::Membership, rpc::SealedCodec},
     platform::{
         headers::PlatformProtocol,
         objects::ObjectClient,
+        rollouts::{self, RolloutStatuses},
         settings::{Bounds, PlatformSettings, SettingsError},
         store::PlatformStore,
         store_era::{EraMetrics, StoreEra},
@@ -44,6 +49,7 @@
 /// File descriptors reserved for endpoints, peers, the store and files; callers get the others.
 const RESERVED_DESCRIPTORS: usize = 900;
 const BYTES_PER_MBIT: f64 = 125_000.0;
+const BYTES_PER_MB: u64 = 1 << 20;
 /// Interval at which expired state is removed: idle connections, suspects, permits, lapsed endpoints and the loads of
 /// silent peers.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
@@ -98,7 +104,7 @@
     let readiness = bind("readiness", settings.listen.ready).await?;
     let metrics_addr = SocketAddr::new(settings.listen.ready.ip(), METRICS_PORT);
     let metrics = bind("metrics", metrics_addr).await?;
-    let bounds = gateway_bounds(&settings.bounds);
+    let bounds = gateway_bounds(&settings);
     let hall = settings.hall.as_str().into();
     let gateway = Arc::new(Gateway::new(
         PlatformProtocol,
@@ -168,6 +174,12 @@
     if settings.bounds.evacuate_ms.is_some() {
         tokio::spawn(store_watch::evacuations(gateway.clone(), client()));
     }
+    if gateway.bounds().rollouts.is_some() {
+        tokio::spawn(rollouts::watch(gateway.clone(), client()));
+        let statuses = RolloutStatuses(store.clone());
+        tokio::spawn(rollout_loop::record(gateway.clone(), statuses));
+        tokio::spawn(rollout_loop::run(gateway.clone()));
+    }
     tokio::spawn(block_list::run(
         gateway.clone(),
         store.clone(),
@@ -260,7 +272,8 @@
         .context(BindSnafu { purpose, addr })
 }
 
-fn gateway_bounds(bounds: &Bounds) -> GatewayBounds {
+fn gateway_bounds(settings: &PlatformSettings) -> GatewayBounds {
+    let bounds = &settings.bounds;
     GatewayBounds {
         revoke_us: bounds.revoke_ms * 1_000,
         drain: StalenessBound(bounds.drain_ms * 1_000),
@@ -276,14 +289,24 @@
             overage: bounds.quota_overage,
             slack: bounds.quota_slack,
         },
+        rollouts: rollout_bounds(bounds),
         evacuate: bounds.evacuate_ms.map(|ms| StalenessBound(ms * 1_000)),
         cold: ColdTolerance {
             overage: bounds.warmup_overage,
             slack: bounds.warmup_slack,
         },
+        held: HeldLimits::of_memory(settings.machine.memory_mb * BYTES_PER_MB),
     }
 }
 
+/// Returns the limits of roll-outs; both have to be stated for roll-outs to be supported.
+fn rollout_bounds(bounds: &Bounds) -> Option<RolloutBounds> {
+    Some(RolloutBounds {
+        exposure_share: bounds.exposure_share?,
+        rollback: StalenessBound(bounds.rollback_ms? * 1_000),
+    })
+}
+
 /// Rereads the settings and applies changed bounds; changed addresses are ignored. `is_requested`: by SIGHUP, so
 /// that the outcome is logged even if nothing has changed.
 fn reload(gateway: &Gateway<PlatformProtocol>, current: &mut PlatformSettings, is_requested: bool) {
@@ -294,7 +317,11 @@
             }
         }
         Ok(settings) => {
-            gateway.set_bounds(gateway_bounds(&settings.bounds));
+            let mut bounds = gateway_bounds(&settings);
+            // What watches roll-outs runs from the start of the process, or not at all.
+            let rollouts = gateway.bounds().rollouts;
+            bounds.rollouts = rollouts.map(|before| bounds.rollouts.unwrap_or(before));
+            gateway.set_bounds(bounds);
             *current = settings;
             log::info!(target: "ryevalve::process", changed = true; "settings_reloaded");
         }
--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -1,11 +1,12 @@
 //! Stand-in for an endpoint, on a raw socket so that it can send malformed or partial responses.
 //!
-//! It responds to `POST` and `GET` on any path: with server-sent events if the path ends in `/stream`, else with a
-//! fixed body. Every response echoes `Request-Id` and has `Instance-Signature`, except under [`Fault::Unsigned`] and in
+//! It responds to `POST` and `GET` on any path: with server-sent events if the path ends in `/stream`, of
+//! [`LONG_PADDING`] more bytes each if it ends in `/long/stream`, else with a fixed body. Every response echoes `Request-Id` and has `Instance-Signature`, except under [`Fault::Unsigned`] and in
 //! refusals.
 
 use std::{
     collections::HashMap,
+    io::ErrorKind,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::{Duration, Instant},
@@ -26,6 +27,9 @@
 /// Number of events in a complete stream.
 pub const EVENTS: u64 = 8;
 
+/// Bytes added to each event of a stream whose path ends in `/long/stream`.
+pub const LONG_PADDING: usize = 16 << 10;
+
 /// Length of the gap in a stream under [`Fault::Pause`].
 pub const PAUSE: Duration = Duration::from_millis(1_300);
 
@@ -57,6 +61,51 @@
     Error,
 }
 
+/// What a bad answer of a version is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BadAnswer {
+    /// Status 500.
+    Fails,
+    /// Late by this time.
+    Slow(Duration),
+}
+
+/// A version of an endpoint's software that gives bad answers.
+#[derive(Clone, Copy, Debug)]
+pub struct BadVersion {
+    /// What a bad answer is.
+    pub answer: BadAnswer,
+    /// One of this many answers is bad.
+    pub every_nth: usize,
+    /// Answers are good until then.
+    pub from: Option<Instant>,
+    /// Answers are good while no more requests than this are running.
+    pub above_running: usize,
+    /// Answers are good on other paths than those that start with this.
+    pub path: &'static str,
+}
+
+impl BadVersion {
+    /// A version of which one of `every_nth` answers is bad, from the start and on any path.
+    pub fn new(answer: BadAnswer, every_nth: usize) -> Self {
+        Self {
+            answer,
+            every_nth,
+            from: None,
+            above_running: 0,
+            path: "",
+        }
+    }
+
+    fn applies(&self, seen: &Seen, number: usize, running: usize) -> bool {
+        let path = seen.line.split(' ').nth(1).unwrap_or_default();
+        number.is_multiple_of(self.every_nth)
+            && self.from.is_none_or(|from| seen.at >= from)
+            && running > self.above_running
+            && path.starts_with(self.path)
+    }
+}
+
 /// A request received by the endpoint.
 #[derive(Clone, Debug)]
 pub struct Seen {
@@ -74,14 +123,45 @@
     pub has_run: bool,
     /// Whether the connection was still open at the end of the response.
     pub finished: bool,
+    /// When that was.
+    pub finished_at: Option<Instant>,
+    /// Whether the response was cut off because it was left unread.
+    pub was_unread: bool,
+    /// Whether its answer was bad because of the version.
+    pub was_bad: bool,
+}
+
+/// Shape of a response.
+#[derive(Clone, Copy, Debug)]
+struct Shape {
+    /// Number of events of a stream.
+    events: u64,
+    /// Bytes added to each event, or to a non-stream body.
+    padding: usize,
+    /// A response of which nothing can be sent for this long is cut off.
+    unread_timeout: Duration,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self {
+            events: EVENTS,
+            padding: 0,
+            unread_timeout: Duration::from_secs(3_600),
+        }
+    }
 }
 
 #[derive(Default)]
 struct State {
     id: String,
     fault: Fault,
+    bad_version: Option<BadVersion>,
+    /// Number of requests that are running.
+    running: usize,
     /// Time before each event, or before a non-stream response.
     pace: Duration,
+    shape: Shape,
     seen: Vec<Seen>,
     /// A request whose body contains these bytes crashes the endpoint.
     crash_on: Option<Vec<u8>>,
@@ -184,6 +264,11 @@
         self.lock().fault = fault;
     }
 
+    /// Sets in which way the version of its software is bad; `None` if it is good.
+    pub fn run_version(&self, bad: Option<BadVersion>) {
+        self.lock().bad_version = bad;
+    }
+
     /// Sets the time before each event, or before a non-stream response.
     pub fn pace(&self, pace: Duration) {
         self.lock().pace = pace;
@@ -201,6 +286,18 @@
         self.lock().busy
     }
 
+    /// Sets the number of events of a stream, and the bytes added to each event and to a non-stream body.
+    pub fn long_responses(&self, events: u64, padding: usize) {
+        let mut state = self.lock();
+        state.shape.events = events;
+        state.shape.padding = padding;
+    }
+
+    /// Cuts off a response of which nothing can be sent for this long.
+    pub fn cut_unread_after(&self, timeout: Duration) {
+        self.lock().shape.unread_timeout = timeout;
+    }
+
     /// Sets `Server-Limit` in responses: the total rate that it accepts, in requests per second. `None` removes it.
     pub fn announce_limit(&self, limit: Option<&str>) {
         self.lock().limit = limit.map(str::to_owned);
@@ -253,6 +350,12 @@
     format!("id: {number}\ndata: {request_id} {number}\n\n")
 }
 
+/// Returns an event with `padding` more bytes, as sent.
+pub fn padded_event(request_id: &str, number: u64, padding: usize) -> String {
+    let padding = "x".repeat(padding);
+    format!("id: {number}\ndata: {request_id} {number}{padding}\n\n")
+}
+
 /// How a connection ends.
 enum End {
     Closed,
@@ -274,12 +377,13 @@
 async fn serve(stream: &mut TcpStream, state: Arc<Mutex<State>>) -> std::io::Result<End> {
     while let Some(seen) = read(stream).await? {
         let request_id = seen.headers.get("request-id").cloned().unwrap_or_default();
-        let (fault, pace, id, index) = {
+        let (fault, pace, mut shape, id, index) = {
             let mut state = state.lock().expect("no holder panics");
             state.seen.push(seen.clone());
             (
                 state.fault,
                 state.pace,
+                state.shape,
                 state.id.clone(),
                 state.seen.len() - 1,
             )
@@ -324,6 +428,15 @@
             continue;
         }
         update_seen(|s| s.has_run = true);
+        let _running = Running::start(&state);
+        let (fault, pace) = match bad_answer(&state, &seen, index) {
+            Some(BadAnswer::Fails) => (Fault::Error, pace),
+            Some(BadAnswer::Slow(late)) => {
+                time::sleep(late).await;
+                (fault, pace)
+            }
+            None => (fault, pace),
+        };
         let lifetime = crash_token(&state, &seen.body);
         if let Some(lifetime) = lifetime {
             time::sleep(pace).await;
@@ -341,28 +454,42 @@
             .nth(1)
             .is_some_and(|p| p.ends_with("/stream"))
         {
+            if seen.line.contains("/long/stream ") {
+                shape.padding = LONG_PADDING;
+            }
             let from = seen.headers.get("last-event-id");
             let from: u64 = from.and_then(|f| f.parse().ok()).unwrap_or(0);
             let response = ResponseParams {
                 request_id: &request_id,
                 fault,
+                shape,
                 announcements: &announcements(),
             };
-            if !send_events(stream, response, from, pace).await? {
-                return Ok(End::Closed);
+            match send_events(stream, response, from, pace).await {
+                Err(error) if error.kind() == ErrorKind::TimedOut => {
+                    update_seen(|s| s.was_unread = true);
+                    return Ok(End::Reset);
+                }
+                Err(error) => return Err(error),
+                Ok(false) => return Ok(End::Closed),
+                Ok(true) => {}
             }
         } else {
             run_in_slot(&state, pace).await;
             let response = ResponseParams {
                 request_id: &request_id,
                 fault,
+                shape,
                 announcements: &announcements(),
             };
             if !send_response(stream, response).await? {
                 return Ok(End::Reset);
             }
         }
-        update_seen(|s| s.finished = true);
+        update_seen(|s| {
+            s.finished = true;
+            s.finished_at = Some(Instant::now());
+        });
     }
     Ok(End::Closed)
 }
@@ -382,6 +509,33 @@
     state.held = state.held.saturating_sub(1);
 }
 
+/// Counts a request as running until dropped.
+struct Running<'s>(&'s Mutex<State>);
+
+impl<'s> Running<'s> {
+    fn start(state: &'s Mutex<State>) -> Self {
+        state.lock().expect("no holder panics").running += 1;
+        Self(state)
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.lock().expect("no holder panics").running -= 1;
+    }
+}
+
+/// Returns how the answer to a request is bad because of the version, if it is; `number` counts the requests.
+fn bad_answer(state: &Mutex<State>, seen: &Seen, number: usize) -> Option<BadAnswer> {
+    let mut state = state.lock().expect("no holder panics");
+    let running = state.running;
+    let bad = state
+        .bad_version
+        .filter(|v| v.applies(seen, number, running))?;
+    state.seen[number].was_bad = true;
+    Some(bad.answer)
+}
+
 /// Returns the lifetime token to cancel if a request with this body crashes the endpoint.
 fn crash_token(state: &Mutex<State>, body: &[u8]) -> Option<CancellationToken> {
     let state = state.lock().expect("no holder panics");
@@ -404,6 +558,7 @@
 struct ResponseParams<'a> {
     request_id: &'a str,
     fault: Fault,
+    shape: Shape,
     /// Header lines with the announcements of the endpoint.
     announcements: &'a str,
 }
@@ -434,6 +589,7 @@
         request_id,
         fault,
         announcements,
+        ..
     } = response;
     let signature = if fault == Fault::Unsigned {
         ""
@@ -454,7 +610,7 @@
     response: ResponseParams<'_>,
 ) -> std::io::Result<bool> {
     let fault = response.fault;
-    let body = whole_body(response.request_id);
+    let body = whole_body(response.request_id) + &"x".repeat(response.shape.padding);
     if fault == Fault::Unframed {
         let text = head(response, "Connection: close") + &body[..body.len() / 2];
         stream.write_all(text.as_bytes()).await?;
@@ -478,16 +634,19 @@
     pace: Duration,
 ) -> std::io::Result<bool> {
     let ResponseParams {
-        request_id, fault, ..
+        request_id,
+        fault,
+        shape,
+        ..
     } = response;
     let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked";
     stream.write_all(head(response, kind).as_bytes()).await?;
-    for number in from + 1..=EVENTS {
+    for number in from + 1..=shape.events {
         time::sleep(pace).await;
         if fault == Fault::Pause && number == 4 {
             time::sleep(PAUSE).await;
         }
-        let event = event(request_id, number);
+        let event = padded_event(request_id, number, shape.padding);
         let is_cut = fault == Fault::CutStream || (fault == Fault::CutNewStream && from == 0);
         if is_cut && number == 4 {
             let half = &event[..event.len() / 2];
@@ -496,7 +655,8 @@
             return Ok(false);
         }
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-        stream.write_all(chunk.as_bytes()).await?;
+        let writing = stream.write_all(chunk.as_bytes());
+        time::timeout(shape.unread_timeout, writing).await??;
     }
     stream.write_all(b"0\r\n\r\n").await?;
     Ok(true)
@@ -523,6 +683,9 @@
         was_backed_off: false,
         has_run: false,
         finished: false,
+        finished_at: None,
+        was_unread: false,
+        was_bad: false,
     };
     for line in lines {
         if let Some((name, value)) = line.split_once(':') {
--- a/standins/src/soak/checks.rs
+++ b/standins/src/soak/checks.rs
@@ -5,11 +5,11 @@
 use hyper::StatusCode;
 
 use crate::{
-    runner::{EVENTS, event, whole_body},
+    runner::{EVENTS, LONG_PADDING, event, padded_event, whole_body},
     soak::{
         CONFIG_PROPAGATION, KEY_REVOCATION, RACE_MARGIN, Report, RunState, World, announcements,
         callers::{Outcome, Path, Sent},
-        data_centres, limits, organisations,
+        data_centres, limits, organisations, rollouts, slow_callers,
     },
 };
 
@@ -26,7 +26,8 @@
 pub fn check(world: &World) -> Report {
     let sent = world.sent.lock().expect("no holder panics");
     let mut runs: HashMap<String, Vec<Run>> = HashMap::new();
-    for (endpoint, runner) in world.runners.iter().enumerate() {
+    let runners = world.runners.iter().chain(&world.target_runners);
+    for (endpoint, runner) in runners.enumerate() {
         for seen in runner.seen().into_iter().filter(|s| s.has_run) {
             let id = seen.headers.get("request-id").cloned().unwrap_or_default();
             let run = Run {
@@ -58,6 +59,8 @@
     organisations::check(world, &sent, &run_state, &mut report);
     announcements::check(world, &sent, &run_state, &mut report);
     data_centres::check(world, run_state.data_centres, &mut report);
+    slow_callers::check(world, &sent, &run_state, &mut report);
+    rollouts::check(world, run_state.rollout.as_ref(), &mut report);
     report
 }
 
@@ -111,6 +114,9 @@
     }
     let expected = match sent.path {
         Path::Resume => (1..=EVENTS).map(|n| event(id, n)).collect(),
+        Path::Long => (1..=EVENTS)
+            .map(|n| padded_event(id, n, LONG_PADDING))
+            .collect(),
         _ => whole_body(id),
     };
     if !is_signed {
--- a/tests/edge/cluster.rs
+++ b/tests/edge/cluster.rs
@@ -17,22 +17,30 @@
         caller_listener::{self, ListenerStop},
         copies,
         exchange::{Exchange, ExchangeSettings},
-        reservation_server,
+        reservation_server, rollout_loop,
+        rollouts::RolloutBounds,
         staleness::StalenessBound,
         state::{Gateway, GatewayBounds},
     },
-    limits::{permits::ColdTolerance, quota::Tolerance, retries::RetryBounds},
+    limits::{
+        held_bytes::HeldLimits, permits::ColdTolerance, quota::Tolerance, retries::RetryBounds,
+    },
     peers::{datagram::MemberInfo, gossip::Gossip, membership::Membership, rpc::SealedCodec},
     platform::{
-        edge, headers::PlatformProtocol, objects::ObjectClient, store::PlatformStore,
-        store_era::StoreEra, store_watch,
+        edge,
+        headers::PlatformProtocol,
+        objects::ObjectClient,
+        rollouts::{self, RolloutStatuses},
+        store::PlatformStore,
+        store_era::StoreEra,
+        store_watch,
     },
     prelude::{Incarnation, Micros, Name},
     shares::admission::Standing,
 };
 use tokio::{
     net::{TcpListener, UdpSocket},
-    task::JoinHandle,
+    task::{AbortHandle, JoinHandle},
     time,
 };
 use tokio_util::sync::CancellationToken;
@@ -59,10 +67,15 @@
         slack: 1_000.0,
     },
     evacuate: None,
+    rollouts: None,
     cold: ColdTolerance {
         overage: 1.5,
         slack: 5.0,
     },
+    held: HeldLimits {
+        per_caller_bytes: 256 << 10,
+        total_bytes: 16 << 20,
+    },
 };
 
 /// Identity and addresses of an instance.
@@ -84,6 +97,10 @@
     exchange: Arc<Exchange<PlatformProtocol>>,
     store_era: StoreEra,
     tasks: Vec<JoinHandle<()>>,
+    /// The tasks that exchange messages with other instances.
+    peer_tasks: Vec<JoinHandle<()>>,
+    /// The task that serves callers.
+    serving: Option<JoinHandle<()>>,
 }
 
 impl Instance {
@@ -136,10 +153,12 @@
         let probing_gossip = gossip.clone();
         let reservation_gateway = gateway.clone();
         let tasks = vec![
-            tokio::spawn(async move { probing_gossip.run(CancellationToken::new()).await }),
-            tokio::spawn(exchange.clone().run()),
             tokio::spawn(clock.watch_for_suspensions()),
             tokio::spawn(edge::sweep(gateway.clone())),
+        ];
+        let peer_tasks = vec![
+            tokio::spawn(async move { probing_gossip.run(CancellationToken::new()).await }),
+            tokio::spawn(exchange.clone().run()),
             tokio::spawn(async move {
                 // Serves reservations until the test ends.
                 let _ =
@@ -155,6 +174,8 @@
             exchange,
             store_era: StoreEra::default(),
             tasks,
+            peer_tasks,
+            serving: None,
         }
     }
 
@@ -182,7 +203,7 @@
             MAX_CONNECTIONS,
             ListenerStop::default(),
         );
-        self.tasks.push(tokio::spawn(serving));
+        self.serving = Some(tokio::spawn(serving));
     }
 
     /// Syncs the block list with the store at `addr`, as an instance that is not the first to start.
@@ -215,9 +236,38 @@
             .push(tokio::spawn(store_watch::evacuations(gateway, client)));
     }
 
+    /// Follows the store's roll-outs with these limits.
+    pub fn follow_rollouts(&mut self, addr: SocketAddr, bounds: RolloutBounds) {
+        let gateway = self.gateway.clone();
+        gateway.set_bounds(GatewayBounds {
+            rollouts: Some(bounds),
+            ..gateway.bounds()
+        });
+        let client = ObjectClient::with_era(addr, self.store_era.clone());
+        let store = PlatformStore::with_era(addr, self.store_era.clone());
+        let watching = rollouts::watch(gateway.clone(), client);
+        let recording = rollout_loop::record(gateway.clone(), RolloutStatuses(store));
+        self.tasks.push(tokio::spawn(watching));
+        self.tasks.push(tokio::spawn(recording));
+        self.tasks.push(tokio::spawn(rollout_loop::run(gateway)));
+    }
+
+    /// Returns the handles that, when all are aborted, cut the instance off from the other instances.
+    pub fn links(&self) -> Vec<AbortHandle> {
+        let tasks = self.peer_tasks.iter();
+        tasks.map(JoinHandle::abort_handle).collect()
+    }
+
+    /// Returns the handles that, when all are aborted, end the instance as if its process were killed.
+    pub fn lifelines(&self) -> Vec<AbortHandle> {
+        let tasks = self.tasks.iter().chain(&self.serving);
+        let tasks = tasks.map(JoinHandle::abort_handle);
+        tasks.chain(self.links()).collect()
+    }
+
     /// Aborts all tasks, as if the process were killed.
     pub fn stop(&mut self) {
-        for task in self.tasks.drain(..) {
+        for task in self.lifelines() {
             task.abort();
         }
     }
@@ -245,6 +295,7 @@
 pub fn placement_request(now_us: Micros) -> PlacementRequest {
     PlacementRequest {
         service: "plain".into(),
+        route: 0,
         is_stream: false,
         prompt_tokens: 0,
         chains: Vec::new(),
@@ -257,6 +308,8 @@
         other_hall_cost: 0.0,
         standing: Standing::Within,
         allowed_regions: AllowedRegions::default(),
+        connected: Vec::new(),
+        versions: None,
         draw: 7,
     }
 }
@@ -274,6 +327,7 @@
         id: id.into(),
         born_ms: 0,
         service: "plain".into(),
+        version: "v1".into(),
         addr: ([10, 0, 0, 1], 80).into(),
         hall: "a".into(),
         slots: 100,
--- a/tests/gateway/current_config.rs
+++ b/tests/gateway/current_config.rs
@@ -7,7 +7,9 @@
         staleness::StalenessBound,
         state::{Gateway, GatewayBounds},
     },
-    limits::{permits::ColdTolerance, quota::Tolerance, retries::RetryBounds},
+    limits::{
+        held_bytes::HeldLimits, permits::ColdTolerance, quota::Tolerance, retries::RetryBounds,
+    },
     platform::headers::PlatformProtocol,
 };
 
@@ -67,10 +69,12 @@
             slack: 0.0,
         },
         evacuate: None,
+        rollouts: None,
         cold: ColdTolerance {
             overage: 1.5,
             slack: 5.0,
         },
+        held: HeldLimits::of_memory(100 << 20),
     }
 }
 
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -90,6 +90,7 @@
         id: id.into(),
         born_ms: 0,
         service: "model".into(),
+        version: "v1".into(),
         addr: ([10, 0, 0, last], 80).into(),
         hall: hall.into(),
         slots,
@@ -111,6 +112,7 @@
     }];
     PlacementRequest {
         service: "model".into(),
+        route: 0,
         is_stream: true,
         prompt_tokens,
         chains: chains(&parts).collect(),
@@ -123,6 +125,8 @@
         other_hall_cost: 0.05,
         standing: Standing::Within,
         allowed_regions: AllowedRegions::default(),
+        connected: Vec::new(),
+        versions: None,
         draw: subject,
     }
 }
