Roll-outs: the first step of the shift shows load and is held until it is judged

Cause: three steps of equal length below and above the load that shows a fault used the share up before the answers of the load arrived; while the target version takes most requests, the few late answers of the others said nothing about a surge, and good versions were called slow.

--- a/src/rollouts/stages.rs
+++ b/src/rollouts/stages.rs
@@ -9,20 +9,35 @@
 };
 use crate::prelude::{Incarnation, Micros};
 
-/// Shares of the requests that the target version gets in the steps of [`Stage::Shifting`]. Each is less than twice the
-/// one before, so that a version that fails under load fails at a small part of it first.
-const SHIFT_SHARES: [f64; 3] = [0.2, 0.35, 0.6];
+/// A step of [`Stage::Shifting`].
+struct ShiftStep {
+    /// Share of the requests that the target version gets.
+    share: f64,
+    /// How long it lasts, as a part of the duration.
+    duration_part: f64,
+    /// It lasts no longer unless a test leans to bad.
+    max_us: Micros,
+}
+
+/// The first step shows the version under load, also when a sixth of the requests comes through instances that are cut
+/// off, and lasts until its answers have been judged: a load builds up within a second, answers take up to a second,
+/// and reports and stages another one. A version that fails under load then gets the requests of this step alone. The
+/// others let the endpoints' load rise gradually.
+const SHIFT_STEPS: [ShiftStep; 3] = [
+    ShiftStep { share: 0.33, duration_part: 0.2, max_us: 3_000_000 },
+    ShiftStep { share: 0.55, duration_part: 0.025, max_us: 1_000_000 },
+    ShiftStep { share: 0.75, duration_part: 0.025, max_us: 1_000_000 },
+];
 /// The longest that a request runs at an endpoint: streams take up to 15 s.
 const MAX_DRAIN_US: Micros = 15_000_000;
 /// Part of the duration that is left for requests at the old versions to end.
 const DRAIN_PART: f64 = 0.3;
 /// The least time for that when evidence comes late.
 const MIN_DRAIN_US: Micros = 1_000_000;
-/// A step lasts this long if the duration allows it: reports come each second in large groups, and the stage takes some
-/// hundred milliseconds to all instances.
-const MAX_STEP_US: Micros = 1_500_000;
-/// Part of the duration for each step: with 12 s, the time from a bad answer to the stage at all instances.
-const STEP_PART: f64 = 1.0 / 15.0;
+/// The longest that the shift waits for evidence on the rarer routes.
+const MAX_RARE_WAIT_US: Micros = 1_500_000;
+/// Part of the duration for that.
+const RARE_WAIT_PART: f64 = 1.0 / 30.0;
 /// Time for the status to be recorded before the duration ends, with one repeated call.
 const MAX_RESERVE_US: Micros = 1_000_000;
 const RESERVE_PART: f64 = 0.1;
@@ -51,8 +66,8 @@
         match self {
             Self::Canary => canary_share,
             Self::Shifting(step) => {
-                let share = SHIFT_SHARES.get(usize::from(step)).copied();
-                share.unwrap_or(1.0).max(canary_share)
+                let step = SHIFT_STEPS.get(usize::from(step));
+                step.map_or(1.0, |step| step.share).max(canary_share)
             }
             Self::Draining | Self::Completed => 1.0,
             Self::RolledBack => 0.0,
@@ -127,7 +142,11 @@
     shift_us: Micros,
     /// The shift begins at the latest then; for streams to end there is [`MIN_DRAIN_US`].
     latest_shift_us: Micros,
-    step_us: Micros,
+    rare_wait_us: Micros,
+    /// A step of the shift is held until then while a test leans to bad.
+    latest_hold_us: Micros,
+    /// How long each step of the shift lasts.
+    steps_us: [Micros; SHIFT_STEPS.len()],
     /// The status is recorded at the latest then.
     last_us: Micros,
 }
@@ -137,13 +156,16 @@
         let part = |part: f64| (duration_us as f64 * part) as Micros;
         let reserve_us = part(RESERVE_PART).min(MAX_RESERVE_US);
         let drain_us = part(DRAIN_PART).min(MAX_DRAIN_US);
-        let step_us = part(STEP_PART).min(MAX_STEP_US);
+        let rare_wait_us = part(RARE_WAIT_PART).min(MAX_RARE_WAIT_US);
+        let steps_us = SHIFT_STEPS.map(|step| part(step.duration_part).min(step.max_us));
         let last_us = duration_us.saturating_sub(reserve_us);
-        let shifted_us = step_us * SHIFT_SHARES.len() as u64;
+        let shifted_us = steps_us.iter().sum::<Micros>();
         Self {
             shift_us: last_us.saturating_sub(drain_us + shifted_us),
             latest_shift_us: last_us.saturating_sub(drain_us.min(MIN_DRAIN_US) + shifted_us),
-            step_us,
+            rare_wait_us,
+            latest_hold_us: last_us.saturating_sub(drain_us.min(MIN_DRAIN_US)),
+            steps_us,
             last_us,
         }
     }
@@ -301,7 +323,7 @@
         if verdict == Verdict::Good {
             return true;
         }
-        if elapsed_us < self.schedule.shift_us.saturating_add(self.schedule.step_us) {
+        if elapsed_us < self.schedule.shift_us.saturating_add(self.schedule.rare_wait_us) {
             return false;
         }
         let answers = self.sum.answers();
@@ -312,15 +334,15 @@
 
     /// Goes on to the next step, but not while a test leans to bad and there is time.
     fn after_shift_step(&self, now_us: Micros, step: u8) -> Stage {
-        let step_us = self.schedule.step_us;
+        let step_us = self.schedule.steps_us.get(usize::from(step));
         let elapsed_us = now_us.saturating_sub(self.started_us);
-        let latest_us = self.schedule.latest_shift_us;
-        let is_over = now_us.saturating_sub(self.stage_since_us) >= step_us;
+        let latest_us = self.schedule.latest_hold_us;
+        let is_over = now_us.saturating_sub(self.stage_since_us) >= step_us.copied().unwrap_or(0);
         if !is_over || (elapsed_us < latest_us && leans_to_bad(&self.sum)) {
             return self.stage;
         }
         let next = step.saturating_add(1);
-        if usize::from(next) < SHIFT_SHARES.len() {
+        if usize::from(next) < SHIFT_STEPS.len() {
             Stage::Shifting(next)
         } else {
             Stage::Draining
