--- a/src/rollouts/judge.rs
+++ b/src/rollouts/judge.rs
@@ -152,7 +152,11 @@
         }
         let target_total: u32 = bucket.routes.values().map(|a| a.target.total).sum();
         let prior = Shares::of_others(beside, before);
-        let least_slow = if beside.total < MIN_COMPARED_ANSWERS.max(target_total) { ALONE_SLOW_SHARE } else { 0.0 };
+        let least_slow = if beside.total < MIN_COMPARED_ANSWERS.max(target_total) {
+            ALONE_SLOW_SHARE
+        } else {
+            0.0
+        };
         let mut all = RouteTests::default();
         for (&route, answers) in &bucket.routes {
             let target = left_out.remaining(bucket, route, answers.target);
@@ -249,7 +253,12 @@
 }
 
 /// Returns the increments of a route's tests by a bucket.
-fn test_bucket(target: Remaining, answers: &RouteAnswers, prior: Shares, least_slow: f64) -> RouteTests {
+fn test_bucket(
+    target: Remaining,
+    answers: &RouteAnswers,
+    prior: Shares,
+    least_slow: f64,
+) -> RouteTests {
     let others = answers.others;
     let failed_share = assumed_share(others.failed, others.total, prior.failed);
     let slow_share = assumed_share(others.slow, others.total, prior.slow).max(least_slow);
--- a/src/rollouts/stages.rs
+++ b/src/rollouts/stages.rs
@@ -24,9 +24,21 @@
 /// and reports and stages another one. A version that fails under load then gets the requests of this step alone. The
 /// others let the endpoints' load rise gradually.
 const SHIFT_STEPS: [ShiftStep; 3] = [
-    ShiftStep { share: 0.33, duration_part: 0.2, max_us: 3_000_000 },
-    ShiftStep { share: 0.55, duration_part: 0.025, max_us: 1_000_000 },
-    ShiftStep { share: 0.75, duration_part: 0.025, max_us: 1_000_000 },
+    ShiftStep {
+        share: 0.33,
+        duration_part: 0.2,
+        max_us: 3_000_000,
+    },
+    ShiftStep {
+        share: 0.55,
+        duration_part: 0.025,
+        max_us: 1_000_000,
+    },
+    ShiftStep {
+        share: 0.75,
+        duration_part: 0.025,
+        max_us: 1_000_000,
+    },
 ];
 /// The longest that a request runs at an endpoint: streams take up to 15 s.
 const MAX_DRAIN_US: Micros = 15_000_000;
@@ -91,7 +103,8 @@
 }
 
 /// Returns the stage that a process follows after it was told another one of the same order: it never goes back,
-/// except to [`Stage::RolledBack`], which is final. Updates may so come in any order, and from several watchers.
+/// except to [`Stage::RolledBack`], which is final. Updates may so come in any order, and from several watchers. For a
+/// process that knows no final status of the store: that one stands above what is told.
 pub fn followed_stage(known: Stage, told: Stage) -> Stage {
     if told.rank() > known.rank() {
         told
@@ -184,6 +197,8 @@
     started_us: Micros,
     stage: Stage,
     stage_since_us: Micros,
+    /// The stage is final and in the store.
+    is_recorded: bool,
     reason: Option<BadReason>,
     sum: EvidenceSum,
     target_seen_us: Micros,
@@ -199,6 +214,7 @@
             started_us: now_us,
             stage: Stage::Canary,
             stage_since_us: now_us,
+            is_recorded: false,
             reason: None,
             sum: EvidenceSum::default(),
             target_seen_us: now_us,
@@ -231,8 +247,20 @@
         self.sum.apply(now_us, from, report);
     }
 
+    /// Takes in the status that the store has: it stands above what any watcher tells, because the other versions'
+    /// endpoints stop once the roll-out is recorded as completed.
+    pub fn note_recorded(&mut self, now_us: Micros, recorded: Stage) {
+        if recorded.is_final() {
+            self.is_recorded = true;
+            self.enter(now_us, recorded);
+        }
+    }
+
     /// Takes in the stage that another watcher told, so that the stages of a watcher that begins later go on from there.
     pub fn follow(&mut self, now_us: Micros, told: Stage) {
+        if self.is_recorded {
+            return;
+        }
         let stage = followed_stage(self.stage, told);
         self.enter(now_us, stage);
     }
@@ -323,7 +351,12 @@
         if verdict == Verdict::Good {
             return true;
         }
-        if elapsed_us < self.schedule.shift_us.saturating_add(self.schedule.rare_wait_us) {
+        if elapsed_us
+            < self
+                .schedule
+                .shift_us
+                .saturating_add(self.schedule.rare_wait_us)
+        {
             return false;
         }
         let answers = self.sum.answers();
--- a/tests/rollouts/stages.rs
+++ b/tests/rollouts/stages.rs
@@ -208,6 +208,23 @@
     assert!(stages[1].0 < 3 * SECOND_US);
 }
 
+/// Fails if a watcher's late roll-back stands above a recorded status, or a watcher that rolled back before doesn't take
+/// that over: the endpoints of the other versions have stopped by then.
+#[test]
+fn recorded_status_stands_above_a_later_roll_back() {
+    for known in [Stage::Canary, Stage::Completed, Stage::RolledBack] {
+        let mut decider = decider(20 * SECOND_US);
+        decider.follow(0, known);
+        decider.note_recorded(SECOND_US, Stage::Completed);
+        decider.follow(2 * SECOND_US, Stage::RolledBack);
+        assert_eq!(decider.step(3 * SECOND_US, FACTS), Stage::Completed);
+    }
+    let mut running = decider(20 * SECOND_US);
+    running.note_recorded(0, Stage::Canary);
+    running.follow(0, Stage::RolledBack);
+    assert_eq!(running.step(SECOND_US, FACTS), Stage::RolledBack);
+}
+
 /// Fails if a duration of any length breaks the schedule.
 #[test]
 fn any_duration_ends() {
