--- a/src/rollouts/evidence.rs
+++ b/src/rollouts/evidence.rs
@@ -37,7 +37,7 @@
 const MIN_REPORT_INTERVAL_US: Micros = 250_000;
 const MAX_REPORT_INTERVAL_US: Micros = 1_000_000;
 /// Instances that report at the shortest interval; larger groups report more rarely, so that a watcher receives
-/// about 80 reports a second, and in the largest groups as many as there are instances.
+/// about 160 reports a second, and in the largest groups as many as there are instances.
 const MIN_INTERVAL_INSTANCES: u64 = 40;
 
 /// Returns the interval between the reports of an instance in a group of `instances`.
--- a/src/rollouts/judge.rs
+++ b/src/rollouts/judge.rs
@@ -24,10 +24,11 @@
 const PRIOR_ANSWERS: f64 = 8.0;
 /// The least share of bad answers assumed of the others, so that one or two stray failures do not decide.
 const MIN_BAD_SHARE: f64 = 0.01;
-/// Share of slow answers assumed of the others in a bucket in which they gave next to none: a surge that they cannot
-/// show can make half of the answers slow.
+/// Share of slow answers assumed of the others at least, in a bucket in which they gave few: those are answers to
+/// requests sent earlier, and a surge that they cannot show can make half of the answers slow.
 const ALONE_SLOW_SHARE: f64 = 0.6;
-/// Answers of the others in a bucket below which they are no comparison for slow answers.
+/// Answers of the others in a bucket below which they are no comparison for slow answers. Neither are they if they gave
+/// fewer than the target version.
 const MIN_COMPARED_ANSWERS: u32 = 10;
 /// With fewer endpoints of the target version the trouble of one cannot be told from the version's.
 const MIN_ENDPOINTS_TO_LEAVE_OUT: u32 = 3;
