Roll-outs: an endpoint is left out only if it stands out from the others

Cause: the worst of three or four endpoints of a bad version was left out as if its trouble were its own, a third of the evidence and more; a version that failed .3 of its answers was found seconds late at 6 instances. Change: the endpoint with the most bad answers is left out if it has more than twice the mean of the others and 1.5.

--- a/src/rollouts/judge.rs
+++ b/src/rollouts/judge.rs
@@ -32,6 +32,11 @@
 const MIN_COMPARED_ANSWERS: u32 = 10;
 /// With fewer endpoints of the target version the trouble of one cannot be told from the version's.
 const MIN_ENDPOINTS_TO_LEAVE_OUT: u32 = 3;
+/// An endpoint is left out if it has more bad answers than this many times the mean of the other endpoints, and
+/// [`OUTLIER_ANSWERS`]. The worst endpoint of a bad version rarely has; leaving it out would hide what the version does.
+const OUTLIER_FACTOR: f64 = 2.0;
+/// Bad answers that may be chance; fewer than a test needs for bad.
+const OUTLIER_ANSWERS: f64 = 1.5;
 /// A route with less than this share of the service's answers is rare: good needs no evidence on it.
 const RARE_ROUTE_SHARE: f64 = 0.05;
 
@@ -176,7 +181,10 @@
 /// Numbers of the target version's answers without those of the endpoints that are left out.
 #[derive(Clone, Copy, Debug)]
 struct Remaining {
-    total: f64,
+    /// Answers of which `failed` failed.
+    failed_total: f64,
+    /// Answers of which `slow` were slow.
+    slow_total: f64,
     failed: f64,
     slow: f64,
 }
@@ -204,13 +212,19 @@
         for (&(endpoint, _), answers) in sum.buckets().flat_map(|b| &b.bad_by_endpoint) {
             bad.entry(endpoint).or_default().add(*answers);
         }
-        let worst = |count: fn(&Answers) -> u32| {
-            let worst = bad.iter().max_by_key(|(_, answers)| count(answers));
-            worst.map(|(endpoint, _)| *endpoint)
+        let outlier = |count: fn(&Answers) -> u32| {
+            let (endpoint, own) = bad
+                .iter()
+                .map(|(e, a)| (*e, count(a)))
+                .max_by_key(|e| e.1)?;
+            let all: u32 = bad.values().map(count).sum();
+            let mean_of_rest = f64::from(all - own) / f64::from(endpoints - 1);
+            let is_outlier = f64::from(own) > OUTLIER_FACTOR * mean_of_rest + OUTLIER_ANSWERS;
+            is_outlier.then_some(endpoint)
         };
         Self {
-            failing: worst(|answers| answers.failed),
-            slow: worst(|answers| answers.slow),
+            failing: outlier(|answers| answers.failed),
+            slow: outlier(|answers| answers.slow),
             rest: 1.0 - 1.0 / f64::from(endpoints),
         }
     }
@@ -220,10 +234,14 @@
             let own = endpoint.and_then(|e| bucket.bad_by_endpoint.get(&(e, route)));
             own.copied().unwrap_or_default()
         };
+        let total = |left_out: Option<EndpointKey>| {
+            f64::from(target.total) * left_out.map_or(1.0, |_| self.rest)
+        };
         let failed = f64::from(target.failed.saturating_sub(own(self.failing).failed));
         let slow = f64::from(target.slow.saturating_sub(own(self.slow).slow));
         Remaining {
-            total: (f64::from(target.total) * self.rest).max(failed + slow),
+            failed_total: total(self.failing).max(failed),
+            slow_total: total(self.slow).max(slow),
             failed,
             slow,
         }
@@ -264,8 +282,8 @@
     let failed_share = assumed_share(others.failed, others.total, prior.failed);
     let slow_share = assumed_share(others.slow, others.total, prior.slow).max(least_slow);
     RouteTests {
-        failed: log_likelihood_ratio(target.failed, target.total, failed_share),
-        slow: log_likelihood_ratio(target.slow, target.total, slow_share),
+        failed: log_likelihood_ratio(target.failed, target.failed_total, failed_share),
+        slow: log_likelihood_ratio(target.slow, target.slow_total, slow_share),
         answers: u64::from(answers.target.total) + u64::from(others.total),
     }
 }
