--- a/src/rollouts/exposure.rs
+++ b/src/rollouts/exposure.rs
@@ -9,7 +9,7 @@
 /// Part of the share that is used. The rest is for requests that were sent to the other versions and never reached an
 /// endpoint, because they count for the credit and not for the service's total.
 /// It also keeps a surge's canary below the load of the first step of the shift.
-const USED_SHARE: f64 = 0.86;
+const USED_SHARE: f64 = 0.87;
 /// Credit kept at most, in requests, so that an instance whose requests to the target version had no free slot for a
 /// while does not send many of them at once.
 const MAX_CREDIT_REQUESTS: f64 = 2.0;
