--- a/src/balance/cost.rs
+++ b/src/balance/cost.rs
@@ -33,7 +33,7 @@
 const UNCACHED_COST_PER_1K: f64 = 0.006;
 /// Cost of a new connection: it holds a slot of the endpoint for a moment, and endpoints bound how many they accept. Far
 /// below that of one request more in the queue, so that it decides between endpoints that are about equal.
-const NEW_CONNECTION_COST: f64 = 0.01;
+const NEW_CONNECTION_COST: f64 = 0.005;
 /// Share of its value that a request loses at an endpoint that always fails.
 const FAILING_LOSS: f64 = 1.5;
 
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -211,7 +211,10 @@
         // What is recorded is final: the endpoints of the other versions are stopped once the roll-out is completed.
         let stage = recorded.unwrap_or_else(|| followed_stage(self.stage, told));
         self.credit.follow(stage);
-        self.decider.follow(now_us, stage);
+        match recorded {
+            Some(recorded) => self.decider.note_recorded(now_us, recorded),
+            None => self.decider.follow(now_us, stage),
+        }
         std::mem::replace(&mut self.stage, stage) != stage
     }
 
