--- a/benches/relay.rs
+++ b/benches/relay.rs
@@ -186,6 +186,7 @@
             overage: 0.1,
             slack: 1_000.0,
         },
+        shares_room: false,
         rollouts: None,
         evacuate: None,
         cold: ColdTolerance {
--- a/src/gateway/shares.rs
+++ b/src/gateway/shares.rs
@@ -27,13 +27,14 @@
 /// Refusal reason of an endpoint without a free slot.
 const ENDPOINT_FULL: &str = "endpoint_full";
 
-/// Takes over the organisations of a configuration.
+/// Takes over the organisations of a configuration; none unless the settings have them share room.
 pub(super) fn configure<P: Protocol>(gateway: &Gateway<P>, config: &GatewayConfig) {
     let mut priorities: Vec<Rank> = config.routes.iter().map(|r| r.priority).collect();
     priorities.sort_unstable();
     // An organisation without a priority of its own has those of its routes.
     let default = priorities.get(priorities.len() / 2).copied();
-    let organisations = config.organisations.iter();
+    let shares_room = gateway.bounds().shares_room;
+    let organisations = config.organisations.iter().filter(|_| shares_room);
     lock(&gateway.shares).configure(
         organisations.map(|o| (&*o.name, o.priority)),
         |service| config.services.contains_key(service),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -77,6 +77,8 @@
     pub retries: RetryBounds,
     /// How far an organisation may exceed its usage limit.
     pub tolerance: Tolerance,
+    /// Whether the organisations of the configuration share the room of a service that is short of it.
+    pub shares_room: bool,
     /// How long endpoints of a data centre may be sent requests after its evacuation; `None` where evacuations are not
     /// supported.
     pub evacuate: Option<StalenessBound>,
@@ -234,6 +236,9 @@
         lock(&self.retries).set_bounds(bounds.retries);
         self.held_memory.set_limits(bounds.held);
         self.set_cold_rates();
+        if let Some(table) = self.config.table() {
+            shares::configure(self, table.config());
+        }
     }
 
     /// Derives the request rate limits of cold endpoints from the configuration and the parameters.
--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -290,6 +290,7 @@
             slack: bounds.quota_slack,
         },
         rollouts: rollout_bounds(bounds),
+        shares_room: bounds.share_room,
         evacuate: bounds.evacuate_ms.map(|ms| StalenessBound(ms * 1_000)),
         cold: ColdTolerance {
             overage: bounds.warmup_overage,
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -146,6 +146,8 @@
     /// How long after the 50th bad answer of a bad version an instance may send requests to its endpoints, in
     /// milliseconds; none if the platform has no roll-outs.
     pub rollback_ms: Option<u64>,
+    /// Whether the organisations of the configuration share the room of a service that is short of it.
+    pub share_room: bool,
     /// Permitted requests a second to an endpoint that warms up, as a multiple of its warm-up rate.
     pub warmup_overage: f64,
     /// Permitted requests on top of that.
@@ -167,6 +169,7 @@
             quota_window_s: 8.0,
             quota_overage: 0.1,
             quota_slack: 0.0,
+            share_room: false,
             evacuate_ms: None,
             exposure_share: None,
             exposure_slack: 0.0,
--- a/tests/edge/cluster.rs
+++ b/tests/edge/cluster.rs
@@ -67,6 +67,7 @@
         slack: 1_000.0,
     },
     evacuate: None,
+    shares_room: false,
     rollouts: None,
     cold: ColdTolerance {
         overage: 1.5,
--- a/tests/edge/shares.rs
+++ b/tests/edge/shares.rs
@@ -56,7 +56,7 @@
 }
 
 async fn start(organisations: &[(&str, Option<u8>)]) -> Arc<Edge> {
-    let edge = Edge::start(2).await;
+    let edge = Edge::start_with(2, "shareRoom = true").await;
     for runner in &edge.runners {
         runner.set_slots(SLOTS);
         runner.pace(PACE);
--- a/tests/gateway/current_config.rs
+++ b/tests/gateway/current_config.rs
@@ -69,6 +69,7 @@
             slack: 0.0,
         },
         evacuate: None,
+        shares_room: false,
         rollouts: None,
         cold: ColdTolerance {
             overage: 1.5,
