Connections: no preference for endpoints with an idle connection

Change: the cost of a new connection and the list of connected endpoints are taken back; requests that run once still reuse connections.

--- a/benches/placing.rs
+++ b/benches/placing.rs
@@ -65,7 +65,6 @@
         rank: 0,
         other_hall_cost: 0.05,
         allowed_regions: AllowedRegions::default(),
-        connected: Vec::new(),
         versions: None,
         draw: number,
     }
--- a/src/balance/cost.rs
+++ b/src/balance/cost.rs
@@ -5,10 +5,7 @@
 
 use crate::{
     balance::{
-        load::{EndpointKey, LoadEstimate},
-        prefixes::ChainKey,
-        regions::AllowedRegions,
-        speed::Speed,
+        load::LoadEstimate, prefixes::ChainKey, regions::AllowedRegions, speed::Speed,
         versions::VersionRule,
     },
     prelude::{Micros, Name, Rank},
@@ -30,9 +27,6 @@
 const UNFINISHED_LOSS: f64 = 1.0;
 /// Cost of processing a thousand uncached prompt tokens; other requests wait for it.
 const UNCACHED_COST_PER_1K: f64 = 0.006;
-/// Cost of a new connection: it holds a slot of the endpoint for a moment, and endpoints bound how many they accept. Far
-/// below that of one request more in the queue, so that it decides between endpoints that are about equal.
-const NEW_CONNECTION_COST: f64 = 0.005;
 /// Share of its value that a request loses at an endpoint that always fails.
 const FAILING_LOSS: f64 = 1.5;
 
@@ -65,8 +59,6 @@
     pub other_hall_cost: f64,
     /// The regions in which the request may be served.
     pub allowed_regions: AllowedRegions,
-    /// Endpoints to which an idle connection is open that the request may use.
-    pub connected: Vec<EndpointKey>,
     /// The versions of endpoints that may be chosen during a roll-out; all if there is none.
     pub versions: Option<VersionRule>,
     /// A random number; determines which endpoints are considered.
@@ -118,8 +110,6 @@
     pub same_hall: bool,
     /// Tokens of the request's prompt that it has cached.
     pub cached_tokens: u32,
-    /// Whether the request needs a new connection to it.
-    pub needs_connection: bool,
 }
 
 /// Returns the expected cost and timing of a request at an endpoint.
@@ -158,10 +148,6 @@
         request.other_hall_cost
     };
     let uncached_cost = f64::from(uncached_tokens) / 1e3 * UNCACHED_COST_PER_1K;
-    let connection_cost = match state.needs_connection && !request.connected.is_empty() {
-        true => NEW_CONNECTION_COST,
-        false => 0.0,
-    };
     let failure_cost = state.failure_share * FAILING_LOSS;
     Expected {
         cost: late * LATE_LOSS
@@ -169,7 +155,6 @@
             + first_ms / target_ms * TIME_WEIGHT
             + hall_cost
             + uncached_cost
-            + connection_cost
             + failure_cost,
         first_ms,
         queue_ms,
--- a/src/balance/selection.rs
+++ b/src/balance/selection.rs
@@ -250,7 +250,6 @@
             slots: endpoint.entry.slots,
             same_hall: endpoint.same_hall,
             cached_tokens: cached,
-            needs_connection: !request.connected.contains(&key),
         };
         estimate_cost(now_us, request, state)
     }
--- a/src/endpoint/connection_pool.rs
+++ b/src/endpoint/connection_pool.rs
@@ -19,7 +19,7 @@
 use tokio::{net::TcpStream, time};
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::{balance::load::EndpointKey, prelude::Micros};
+use crate::prelude::Micros;
 
 /// Connecting usually takes a few milliseconds; an unreachable endpoint never responds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -44,7 +44,6 @@
 
 struct IdleConnection {
     connection: EndpointConnection,
-    endpoint: EndpointKey,
     idle_since_us: Micros,
     expires_us: Micros,
 }
@@ -76,28 +75,12 @@
         None
     }
 
-    /// Returns the endpoints to which an idle connection is open that a request may use, those used last first, `max` of
-    /// them at most.
-    pub fn connected(&self, now_us: Micros, max_idle_us: Micros, max: usize) -> Vec<EndpointKey> {
-        let idle = self.lock();
-        let last = idle.values().filter_map(|to_addr| to_addr.last());
-        let mut usable: Vec<&IdleConnection> = last
-            .filter(|last| {
-                let is_recent = now_us.saturating_sub(last.idle_since_us) <= max_idle_us;
-                is_recent && last.expires_us > now_us && last.connection.sender.is_ready()
-            })
-            .collect();
-        usable.sort_unstable_by_key(|last| std::cmp::Reverse(last.idle_since_us));
-        usable.iter().take(max).map(|last| last.endpoint).collect()
-    }
-
     /// Returns a connection to the pool after its response was read completely. `idle_timeout` is the one that the
     /// endpoint announced. If the pool is full or the timeout too short, the connection is closed.
     pub fn return_idle(
         &self,
         now_us: Micros,
         addr: SocketAddr,
-        endpoint: EndpointKey,
         mut connection: EndpointConnection,
         idle_timeout: Option<Duration>,
     ) {
@@ -110,7 +93,6 @@
         if idle_us > 0 && to_addr.len() < MAX_IDLE_PER_ENDPOINT {
             to_addr.push(IdleConnection {
                 connection,
-                endpoint,
                 idle_since_us: now_us,
                 expires_us: now_us + idle_us,
             });
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -211,7 +211,6 @@
         rank: route.priority,
         other_hall_cost: OTHER_HALL_COST,
         allowed_regions,
-        connected: Vec::new(),
         versions: None,
         draw: rand::rng().random(),
     }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -471,13 +471,9 @@
     let now_us = gateway.clock.now_us();
     let addr = in_flight.choice.addr;
     if connection.is_open() {
-        gateway.connections.return_idle(
-            now_us,
-            addr,
-            in_flight.choice.key,
-            connection,
-            idle_timeout,
-        );
+        gateway
+            .connections
+            .return_idle(now_us, addr, connection, idle_timeout);
     }
 }
 
--- a/src/gateway/reservation_client.rs
+++ b/src/gateway/reservation_client.rs
@@ -71,8 +71,6 @@
     pub rank: Rank,
     /// As in [`PlacementRequest::other_hall_cost`].
     pub other_hall_cost: f32,
-    /// As in [`PlacementRequest::connected`].
-    pub connected: Vec<EndpointKey>,
     /// As in [`PlacementRequest::draw`].
     pub draw: u64,
     /// As in [`PlacementRequest::versions`].
@@ -94,7 +92,6 @@
             left_us: request.deadline_us.saturating_sub(now_us),
             rank: request.rank,
             other_hall_cost: request.other_hall_cost as f32,
-            connected: request.connected.clone(),
             draw: request.draw,
             versions: request.versions.clone(),
             tried: tried.to_vec(),
@@ -117,7 +114,6 @@
             rank: self.rank,
             other_hall_cost: f64::from(self.other_hall_cost),
             allowed_regions: AllowedRegions::default(),
-            connected: self.connected,
             versions: self.versions,
             draw: self.draw,
         };
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -54,9 +54,6 @@
 const MIN_ATTEMPT_TIMEOUT_MS: f64 = 250.0;
 /// How often a request is sent elsewhere after an endpoint refused it without running it.
 const MAX_NOT_RUN: usize = 3;
-/// Most endpoints with an idle connection that the choice of an endpoint considers, at 5 bytes each in the request for a
-/// reservation.
-const MAX_CONNECTED: usize = 16;
 /// Random jitter of Retry-After, as a share of it, so that refused callers do not return all at once.
 const RETRY_AFTER_JITTER: f64 = 0.5;
 
@@ -289,7 +286,6 @@
                 // Under load, retries at the original rank would delay the first attempts of other requests.
                 self.attempt_request.rank = self.attempt_request.rank.max(RETRY_RANK);
             }
-            self.attempt_request.connected = self.connected_endpoints();
             let choice = self.place().await?;
             trace.endpoint = Some(choice.id.clone());
             trace.attempts += 1;
@@ -328,21 +324,6 @@
         }
     }
 
-    /// Returns the endpoints to which an idle connection is open that the request may use.
-    fn connected_endpoints(&self) -> Vec<EndpointKey> {
-        let Some(max_idle_us) = self
-            .job
-            .max_idle_us()
-            .filter(|_| self.job.saves_connections)
-        else {
-            return Vec::new();
-        };
-        let now_us = self.gateway.clock.now_us();
-        self.gateway
-            .connections
-            .connected(now_us, max_idle_us, MAX_CONNECTED)
-    }
-
     /// Waits for a place at an endpoint; refuses once the request's time budget is spent.
     async fn place(&self) -> Result<Choice, Refusal> {
         let placing = self.gateway.place(&self.attempt_request, &self.tried);
--- a/tests/edge/cluster.rs
+++ b/tests/edge/cluster.rs
@@ -306,7 +306,6 @@
         rank: 0,
         other_hall_cost: 0.0,
         allowed_regions: AllowedRegions::default(),
-        connected: Vec::new(),
         versions: None,
         draw: 7,
     }
--- a/tests/edge/rollouts.rs
+++ b/tests/edge/rollouts.rs
@@ -11,7 +11,7 @@
     rollouts::Stage,
 };
 use serde_json::{Value, json};
-use standins::runner::{BadAnswer, BadVersion, Fault, Runner, Seen};
+use standins::runner::{BadAnswer, BadVersion, Runner, Seen};
 use tokio::{
     task::{JoinHandle, JoinSet},
     time,
@@ -400,15 +400,8 @@
     until("the order to be known", || known(1)).await;
     site.platform.remove(KIND, "svc");
     until("the order to be gone", || known(0)).await;
-    // At a low load requests stay with the endpoints that they have connections to.
-    for runner in &site.runners[..OLD] {
-        runner.fault(Fault::Full);
-    }
     let deleted = Instant::now();
     time::sleep(Duration::from_secs(1)).await;
-    for runner in &site.runners[..OLD] {
-        runner.fault(Fault::None);
-    }
     let new = seen(&site.runners[OLD..]);
     let new = new.iter().filter(|s| s.at > deleted).count();
     let old = seen(&site.runners[..OLD]);
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -123,7 +123,6 @@
         rank,
         other_hall_cost: 0.05,
         allowed_regions: AllowedRegions::default(),
-        connected: Vec::new(),
         versions: None,
         draw: subject,
     }
