--- a/benches/placing.rs
+++ b/benches/placing.rs
@@ -67,7 +67,6 @@
         other_hall_cost: 0.05,
         standing: Standing::Within,
         allowed_regions: AllowedRegions::default(),
-        connected: Vec::new(),
         versions: None,
         draw: number,
     }
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -213,7 +213,6 @@
         other_hall_cost: OTHER_HALL_COST,
         standing: Standing::default(),
         allowed_regions,
-        connected: Vec::new(),
         versions: None,
         draw: rand::rng().random(),
     }
--- a/src/gateway/reservation_client.rs
+++ b/src/gateway/reservation_client.rs
@@ -72,8 +72,6 @@
     pub rank: Rank,
     /// As in [`PlacementRequest::other_hall_cost`].
     pub other_hall_cost: f32,
-    /// As in [`PlacementRequest::connected`].
-    pub connected: Vec<EndpointKey>,
     /// As in [`PlacementRequest::draw`].
     pub draw: u64,
     /// As in [`PlacementRequest::standing`].
@@ -97,7 +95,6 @@
             left_us: request.deadline_us.saturating_sub(now_us),
             rank: request.rank,
             other_hall_cost: request.other_hall_cost as f32,
-            connected: request.connected.clone(),
             draw: request.draw,
             standing: request.standing,
             versions: request.versions.clone(),
@@ -122,7 +119,6 @@
             other_hall_cost: f64::from(self.other_hall_cost),
             standing: self.standing,
             allowed_regions: AllowedRegions::default(),
-            connected: self.connected,
             versions: self.versions,
             draw: self.draw,
         };
--- a/tests/edge/cluster.rs
+++ b/tests/edge/cluster.rs
@@ -309,7 +309,6 @@
         other_hall_cost: 0.0,
         standing: Standing::Within,
         allowed_regions: AllowedRegions::default(),
-        connected: Vec::new(),
         versions: None,
         draw: 7,
     }
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -125,7 +125,6 @@
         other_hall_cost: 0.05,
         standing: Standing::Within,
         allowed_regions: AllowedRegions::default(),
-        connected: Vec::new(),
         versions: None,
         draw: subject,
     }
