--- a/src/explain.rs
+++ b/src/explain.rs
@@ -232,7 +232,7 @@
 }
 
 /// The fields to print with each event: the inputs of the decision.
-const INPUTS: [&str; 23] = [
+const INPUTS: [&str; 27] = [
     "route",
     "organisation",
     "attempts",
@@ -246,6 +246,10 @@
     "uncached_tokens",
     "prompt_tokens",
     "retries_left",
+    "share_asked_slots",
+    "share_slots",
+    "share_of_slots",
+    "share_late",
     "retry_after_ms",
     "held_bytes",
     "held_in_all_bytes",
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -24,6 +24,7 @@
     },
     limits::quota::Grant,
     prelude::{Micros, Name, short_hash},
+    shares::admission::Standing,
 };
 
 /// The final response is sent at least this long before the caller times out.
@@ -210,6 +211,7 @@
         deadline_us: times.deadline_us,
         rank: route.priority,
         other_hall_cost: OTHER_HALL_COST,
+        standing: Standing::default(),
         allowed_regions,
         versions: None,
         draw: rand::rng().random(),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -34,6 +34,7 @@
         quota,
         report_intervals::ReportIntervals,
         rollouts::SentRollout,
+        shares,
         state::Gateway,
     },
     limits::instance_counts::InstanceCounts,
@@ -44,6 +45,7 @@
         view::{Member, View},
     },
     prelude::{Incarnation, Micros, Name, StorePosition},
+    shares::picture::ServiceReport,
 };
 
 /// Minimum time between two rounds; under load, several requests share a datagram.
@@ -76,6 +78,7 @@
     pub(super) seq: u64,
     pub(super) at_us: Micros,
     pub(super) loads: Arc<Vec<(EndpointKey, InFlight)>>,
+    pub(super) demand: Vec<ServiceReport>,
 }
 
 /// The mutable state of an exchange.
@@ -273,6 +276,7 @@
         self.apply_view(&view);
         let cluster_size = self.update_instance_counts(now_us, &view);
         quota::tick(&self.gateway).await;
+        shares::refresh(&self.gateway);
         let has_state_change = self.take_state_changed();
         let suspects_changed = self.gateway.suspects().take_has_changes();
         let announcements_changed = self.gateway.balancer().take_announcements_changed();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -47,6 +47,7 @@
 pub mod run;
 pub mod send_check;
 mod sending;
+pub mod shares;
 pub mod staleness;
 pub mod state;
 pub mod stop;
--- a/src/gateway/reservation_client.rs
+++ b/src/gateway/reservation_client.rs
@@ -36,6 +36,7 @@
     limits::quota::Message,
     peers::datagram::Authenticator,
     prelude::{Incarnation, Micros, Name, Rank},
+    shares::admission::Standing,
 };
 
 /// How long to wait for a first answer, which may just say that the request is queued. A datagram takes .2 ms within a
@@ -73,6 +74,8 @@
     pub other_hall_cost: f32,
     /// As in [`PlacementRequest::draw`].
     pub draw: u64,
+    /// As in [`PlacementRequest::standing`].
+    pub standing: Standing,
     /// As in [`PlacementRequest::versions`].
     pub versions: Option<VersionRule>,
     /// Endpoints that must not be chosen.
@@ -93,6 +96,7 @@
             rank: request.rank,
             other_hall_cost: request.other_hall_cost as f32,
             draw: request.draw,
+            standing: request.standing,
             versions: request.versions.clone(),
             tried: tried.to_vec(),
         }
@@ -113,6 +117,7 @@
             deadline_us: now_us + self.left_us,
             rank: self.rank,
             other_hall_cost: f64::from(self.other_hall_cost),
+            standing: self.standing,
             allowed_regions: AllowedRegions::default(),
             versions: self.versions,
             draw: self.draw,
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -18,6 +18,7 @@
         protocol::Protocol,
         report_intervals::ReportIntervals,
         rollouts::RolloutUpdate,
+        state::lock,
     },
     limits::dissemination::Audience,
     peers::{
@@ -227,6 +228,8 @@
         let counts = state.hall_reports.instance_counts(now_us);
         let loads = state.hall_reports.loads(now_us, &update.loads);
         update.loads = Vec::new();
+        let demand = state.hall_reports.demand(now_us, &update.demand);
+        update.demand = Vec::new();
         let parts = split_loads(&loads, LOADS_PER_SUMMARY).into_iter();
         let summaries = parts.map(|(span, loads)| HallSummary {
             hall: self.my_hall,
@@ -238,7 +241,11 @@
             loads,
             ..HallSummary::default()
         });
-        summaries.collect()
+        let mut summaries: Vec<HallSummary> = summaries.collect();
+        if let Some(first) = summaries.first_mut() {
+            first.demand = demand;
+        }
+        summaries
     }
 
     /// Returns the summaries of all other halls, which together cover all endpoints; none before they are due.
@@ -267,6 +274,7 @@
         for part in parts.iter_mut().skip(1) {
             part.reports = Vec::new();
             part.speeds = Vec::new();
+            part.demand = Vec::new();
         }
         parts
     }
@@ -376,6 +384,7 @@
         };
         let mut update = self.next_update(now_us, Purpose::Summary);
         update.loads = Vec::new();
+        update.demand = Vec::new();
         for member in &aggregators {
             self.send(self.addr_of(member), &mut update).await;
         }
@@ -413,10 +422,12 @@
         // Read before the loads, so that the loads include all settled reservations.
         let settled = self.gateway.reservation_client.settled();
         let loads = self.gateway.balancer().load_view().own_loads();
+        let demand = lock(&self.gateway.shares).reports(now_us);
         self.lock().record_sent(SentUpdate {
             seq,
             at_us: now_us,
             loads: Arc::new(loads.clone()),
+            demand: demand.clone(),
         });
         Update {
             from: self.settings.me.incarnation,
@@ -432,6 +443,7 @@
             rollouts: self.rollout_update(),
             settled,
             loads,
+            demand,
             ..Update::default()
         }
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -35,6 +35,7 @@
         quota::Quota,
         reservation_client::ReservationClient,
         rollouts::{RolloutBounds, Rollouts},
+        shares,
         staleness::{Staleness, StalenessBound},
     },
     limits::{
@@ -47,6 +48,7 @@
         suspects::SuspectTable,
     },
     prelude::{Micros, Name},
+    shares::admission::Shares,
 };
 
 /// Margin by which the use of a revoked key ends before the time that operators allow: a watch may receive nothing for
@@ -75,6 +77,8 @@
     pub retries: RetryBounds,
     /// How far an organisation may exceed its usage limit.
     pub tolerance: Tolerance,
+    /// Whether the organisations of the configuration share the room of a service that is short of it.
+    pub shares_room: bool,
     /// How long endpoints of a data centre may be sent requests after its evacuation; `None` where evacuations are not
     /// supported.
     pub evacuate: Option<StalenessBound>,
@@ -149,6 +153,8 @@
     pub permits: Permits,
     /// Usage limits of organisations.
     pub quota: Quota,
+    /// The organisations' shares of services that are short of room.
+    pub(super) shares: Mutex<Shares>,
     /// Checks whether endpoints crashed when their connections break.
     pub crash_checks: CrashChecks,
     /// Headers of endpoints that the gateway does not interpret.
@@ -207,6 +213,7 @@
             reservation_client: ReservationClient::default(),
             permits: Permits::default(),
             quota,
+            shares: Mutex::default(),
             crash_checks: CrashChecks::default(),
             unread_headers: UnreadHeaders::default(),
             endpoints_staleness: Staleness::default(),
@@ -229,6 +236,9 @@
         lock(&self.retries).set_bounds(bounds.retries);
         self.held_memory.set_limits(bounds.held);
         self.set_cold_rates();
+        if let Some(table) = self.config.table() {
+            shares::configure(self, table.config());
+        }
     }
 
     /// Derives the request rate limits of cold endpoints from the configuration and the parameters.
@@ -348,6 +358,7 @@
             let now_us = self.clock.now_us();
             let changes = self.quota.configure(now_us, table.config());
             limit_log::log_changes(version, &changes);
+            shares::configure(self, table.config());
             self.set_cold_rates();
         }
         log::info!(
--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -20,6 +20,7 @@
         exchange::{Exchange, ExchangeSettings},
         instance_count, limit_log, probes, reservation_server, rollout_loop,
         rollouts::RolloutBounds,
+        shares,
         staleness::StalenessBound,
         state::{Gateway, GatewayBounds},
         stop,
@@ -289,6 +290,7 @@
             slack: bounds.quota_slack,
         },
         rollouts: rollout_bounds(bounds),
+        shares_room: bounds.share_room,
         evacuate: bounds.evacuate_ms.map(|ms| StalenessBound(ms * 1_000)),
         cold: ColdTolerance {
             overage: bounds.warmup_overage,
@@ -354,6 +356,7 @@
     loop {
         interval.tick().await;
         limit_log::log_states(&gateway);
+        shares::log_states(&gateway);
     }
 }
 
--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -15,6 +15,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::Semaphore,
     time,
 };
 use tokio_util::sync::CancellationToken;
@@ -168,6 +169,13 @@
     limit: Option<String>,
     /// Value of `Server-Leaving` in its responses.
     leaving: Option<String>,
+    /// If set, non-stream responses are run this many at a time, and as many again wait; more are refused.
+    slots: Option<Arc<Semaphore>>,
+    /// Requests that run or wait under `slots`, and their maximum.
+    held: usize,
+    max_held: usize,
+    /// Time for which slots were taken, as a sum.
+    busy: Duration,
     /// If set, it refuses all requests with this value of `Retry-After`.
     retry_after: Option<String>,
     /// Lifetime of the current start; cancelled when the endpoint ends.
@@ -266,6 +274,18 @@
         self.lock().pace = pace;
     }
 
+    /// Runs at most this many non-stream requests at a time; as many again wait, and more are refused without being run.
+    pub fn set_slots(&self, slots: usize) {
+        let mut state = self.lock();
+        state.slots = Some(Arc::new(Semaphore::new(slots)));
+        state.max_held = 2 * slots;
+    }
+
+    /// Returns for how long its slots were taken so far, as a sum.
+    pub fn busy(&self) -> Duration {
+        self.lock().busy
+    }
+
     /// Sets the number of events of a stream, and the bytes added to each event and to a non-stream body.
     pub fn long_responses(&self, events: u64, padding: usize) {
         let mut state = self.lock();
@@ -391,7 +411,13 @@
             refuse(stream, "503 Service Unavailable", &request_id, &lines).await?;
             continue;
         }
-        if fault == Fault::Full {
+        let is_full = {
+            let mut state = state.lock().expect("no holder panics");
+            let is_full = state.slots.is_some() && state.held >= state.max_held;
+            state.held += usize::from(state.slots.is_some() && !is_full);
+            is_full
+        };
+        if is_full || fault == Fault::Full {
             refuse(
                 stream,
                 "503 Service Unavailable",
@@ -449,7 +475,7 @@
                 Ok(true) => {}
             }
         } else {
-            time::sleep(pace).await;
+            run_in_slot(&state, pace).await;
             let response = ResponseParams {
                 request_id: &request_id,
                 fault,
@@ -468,6 +494,21 @@
     Ok(End::Closed)
 }
 
+/// Waits for a free slot, if slots are limited, and holds it for `pace`.
+async fn run_in_slot(state: &Mutex<State>, pace: Duration) {
+    let slots = state.lock().expect("no holder panics").slots.clone();
+    let slot = match slots {
+        Some(slots) => slots.acquire_owned().await.ok(),
+        None => None,
+    };
+    let began = Instant::now();
+    time::sleep(pace).await;
+    drop(slot);
+    let mut state = state.lock().expect("no holder panics");
+    state.busy += began.elapsed();
+    state.held = state.held.saturating_sub(1);
+}
+
 /// Counts a request as running until dropped.
 struct Running<'s>(&'s Mutex<State>);
 
--- a/tests/edge/cluster.rs
+++ b/tests/edge/cluster.rs
@@ -36,6 +36,7 @@
         store_watch,
     },
     prelude::{Incarnation, Micros, Name},
+    shares::admission::Standing,
 };
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -66,6 +67,7 @@
         slack: 1_000.0,
     },
     evacuate: None,
+    shares_room: false,
     rollouts: None,
     cold: ColdTolerance {
         overage: 1.5,
@@ -305,6 +307,7 @@
         deadline_us: now_us + 10_000_000,
         rank: 0,
         other_hall_cost: 0.0,
+        standing: Standing::Within,
         allowed_regions: AllowedRegions::default(),
         versions: None,
         draw: 7,
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -18,6 +18,7 @@
 mod reservations;
 mod resting_endpoints;
 mod rollouts;
+mod shares;
 mod site;
 mod slow_callers;
 mod store_lists;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -37,6 +37,7 @@
 mod rollouts;
 mod routes;
 mod settings;
+mod shares;
 mod slow_callers;
 mod staleness;
 mod store_returns;
