Lines and counters of resumed streams name the versions of the endpoints' software

Cause: no line says which version began a stream and which one goes on, and a stream that a caller takes up has no line of its own, so the hypotheses of the incident cannot be told apart.

Change: stream_resumed has version and began_version; stream_taken_up names the attempt that began the stream (Resumes), the endpoint and its version; three counters; explain shows a stream from either id. No decision changes.

Result: the tests of explain pass.

--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -82,6 +82,8 @@
     pub addr: SocketAddr,
     /// The hall it runs in.
     pub hall: Name,
+    /// The version of the software that it runs.
+    pub version: Name,
     /// The expected cost and timing of the request there.
     pub expected: Expected,
 }
@@ -582,6 +584,7 @@
             key,
             addr: entry.addr,
             hall: entry.hall.clone(),
+            version: entry.version.clone(),
             expected,
         })
     }
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -17,8 +17,13 @@
         text_of(o, "event").starts_with("rollout_")
             && [text_of(o, "service"), text_of(o, "name")].contains(&subject)
     };
-    let matching = objects
-        .filter(|o| o.get("request_id").and_then(Value::as_str) == Some(subject) || is_rollout(o));
+    // A stream is shown from the ids of both the attempt that began it and the one that took it up.
+    let is_request = |o: &Map<String, Value>| {
+        ["request_id", "resumes"]
+            .iter()
+            .any(|field| o.get(*field).and_then(Value::as_str) == Some(subject))
+    };
+    let matching = objects.filter(|o| is_request(o) || is_rollout(o));
     let mut lines: Vec<_> = matching.collect();
     lines.sort_by_key(|o| o.get("at").and_then(Value::as_u64));
     lines
@@ -79,11 +84,21 @@
             text_of(line, "endpoint"),
         ),
         "stream_resumed" => format!(
-            "taken up at {} after event {}: {}",
+            "taken up at {} after event {} (version {}, begun by version {}): {}",
             text_of(line, "endpoint"),
             number_of(line, "after_event"),
+            text_of(line, "version"),
+            text_of(line, "began_version"),
             reason(text_of(line, "reason")),
         ),
+        "stream_taken_up" => format!(
+            "{} takes up the stream of {} after event {} at {} of version {}",
+            text_of(line, "request_id"),
+            text_of(line, "resumes"),
+            number_of(line, "after_event"),
+            text_of(line, "endpoint"),
+            text_of(line, "version"),
+        ),
         "caller_cut" => format!(
             "its caller was cut: it had read or sent nothing for {} ms, and memory for others was needed",
             number_of(line, "idle_ms"),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -86,6 +86,12 @@
         self.route.kind.is_repeatable()
     }
 
+    /// Returns the event after which the caller takes up a stream that an earlier attempt began, if it does.
+    pub fn resumes_after(&self) -> Option<u64> {
+        let is_resumable = self.route.kind.is_stream() && self.is_repeatable();
+        self.head.resume_after.filter(|_| is_resumable)
+    }
+
     /// Returns for how long a pooled connection may have been idle over which the request is sent; `None` if it needs a
     /// new one.
     pub fn max_idle_us(&self) -> Option<Micros> {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -128,6 +128,12 @@
     held_bytes: Gauge,
     /// Retries denied by the retry budget.
     pub retries_denied: Counter,
+    /// Streams resumed at another endpoint within their answer.
+    pub streams_resumed: Counter,
+    /// Of these, streams resumed at another version of the endpoints' software than the one that began them.
+    pub streams_resumed_mixed: Counter,
+    /// Streams that callers took up again and that were sent to an endpoint.
+    pub streams_taken_up: Counter,
     /// Requests refused because endpoints crashed while running them.
     pub requests_blocked: Counter,
     /// Requests refused because their organisation has its share of a service that is short of room.
@@ -235,6 +241,9 @@
             reads_paused: Counter::default(),
             held_bytes: Gauge::default(),
             retries_denied: Counter::default(),
+            streams_resumed: Counter::default(),
+            streams_resumed_mixed: Counter::default(),
+            streams_taken_up: Counter::default(),
             requests_blocked: Counter::default(),
             requests_over_share: Counter::default(),
             share_room_slots: Family::default(),
@@ -373,6 +382,7 @@
         registry.register("entries_unused", unused, self.entries_unused.clone());
         let dropped = "Datagrams from instances that were dropped";
         registry.register("datagrams_dropped", dropped, self.datagrams_dropped.clone());
+        self.register_resumptions();
         self.register_slow_callers();
         self.register_exchange();
         self.register_endpoint_limits();
@@ -560,6 +570,25 @@
         registry.register("far_summary_age_seconds", age, gauge);
     }
 
+    fn register_resumptions(&mut self) {
+        let registry = &mut self.registry;
+        let resumed = "Streams resumed at another endpoint within their answer";
+        registry.register("streams_resumed", resumed, self.streams_resumed.clone());
+        let mixed = "Streams resumed at another version than the one that began them";
+        let counter = self.streams_resumed_mixed.clone();
+        registry.register("streams_resumed_mixed", mixed, counter);
+        let taken_up = "Streams that callers took up again";
+        registry.register("streams_taken_up", taken_up, self.streams_taken_up.clone());
+    }
+
+    /// Counts a stream that is resumed within its answer.
+    pub fn count_resumption(&self, began_version: Option<&str>, version: &str) {
+        self.streams_resumed.inc();
+        if began_version.is_some_and(|began| began != version) {
+            self.streams_resumed_mixed.inc();
+        }
+    }
+
     /// Counts a request by route and outcome.
     pub fn record_outcome(&self, route: &str, outcome: Outcome) {
         let labels = RouteLabels {
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -22,6 +22,8 @@
     pub key: Option<Name>,
     /// The id of the event after which a stream is to resume.
     pub resume_after: Option<u64>,
+    /// The id of the caller's attempt that brought the first event of the stream to resume.
+    pub resumes: Option<HeaderValue>,
     /// The token counts of prompt and answer.
     pub tokens: Option<TokenCounts>,
     /// The parts of the prompt, in order.
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -319,6 +319,7 @@
             trace.attempts += 1;
             trace.expected = Some(choice.expected);
             self.tried.push(choice.key);
+            self.log_resumption(&choice);
             match self.try_endpoint(choice, trace).await {
                 AttemptOutcome::Answer(response) => return Ok(response),
                 AttemptOutcome::NotRun { was_sent, reason } => {
@@ -352,6 +353,23 @@
         }
     }
 
+    /// Logs that a stream which an earlier attempt of the caller began is sent on to an endpoint.
+    fn log_resumption(&self, choice: &Choice) {
+        let Some(after_event) = self.job.resumes_after() else {
+            return;
+        };
+        self.gateway.metrics.streams_taken_up.inc();
+        log::info!(
+            target: "ryevalve::request",
+            request_id = self.job.request_id(),
+            resumes = attempt::header_for_log(self.job.head.resumes.as_ref()),
+            after_event,
+            endpoint = &*choice.id,
+            version = &*choice.version;
+            "stream_taken_up"
+        );
+    }
+
     /// Waits for a place at an endpoint; refuses once the request's time budget is spent.
     async fn place(&self) -> Result<Choice, Refusal> {
         let placing = self.gateway.place(&self.attempt_request, &self.tried);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -29,7 +29,7 @@
         state::Gateway,
     },
     limits::read_pauses::ReadPauses,
-    prelude::Micros,
+    prelude::{Micros, Name},
 };
 
 /// A stream without events for this many times the target gap of its route is resumed at another endpoint, if one has
@@ -75,6 +75,8 @@
     tried: Vec<EndpointKey>,
     runs: u32,
     first_us: Micros,
+    /// The version of the endpoint that brought the first event.
+    began_version: Option<Name>,
     trace: Trace,
     /// Counts the bytes of an incomplete event, which the caller cannot take yet.
     partial_account: HeldAccount,
@@ -149,6 +151,7 @@
             tried,
             runs: runs + 1,
             first_us: 0,
+            began_version: None,
             trace,
         }
     }
@@ -379,6 +382,8 @@
     fn note_events(&mut self, count: u32) {
         let now_us = self.gateway.clock.now_us();
         let upstream = &mut self.upstream;
+        self.began_version
+            .get_or_insert_with(|| upstream.in_flight.choice.version.clone());
         if upstream.events_seen == 0 {
             upstream.in_flight.note_first_event();
             upstream.first_event_us = now_us;
@@ -449,12 +454,18 @@
                 self.gateway.balancer().end(choice.key, tokens, None);
                 return false;
             }
+            let began_version = self.began_version.as_deref().unwrap_or("-");
+            self.gateway
+                .metrics
+                .count_resumption(self.began_version.as_deref(), &choice.version);
             log::info!(
                 target: "ryevalve::request",
                 request_id = self.job.request_id(),
                 reason,
                 after_event = self.last_id.unwrap_or(0),
                 endpoint = &*choice.id,
+                version = &*choice.version,
+                began_version,
                 retries_left = self.gateway.retries_left(&self.job.placement_request.service);
                 "stream_resumed"
             );
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -26,6 +26,8 @@
 const PROMPT_PARTS: HeaderName = HeaderName::from_static("prefix-hash");
 /// The event after which a stream is resumed.
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+/// The id of the attempt that began the stream which is resumed.
+const RESUMES: HeaderName = HeaderName::from_static("resumes");
 /// Proof that an answer comes from the endpoint itself.
 const SIGNATURE: HeaderName = HeaderName::from_static("instance-signature");
 /// The organisation of the caller; only the gateway may set it.
@@ -107,6 +109,7 @@
                 .and_then(|t| t.strip_prefix(AUTHORIZATION_SCHEME))
                 .map(|k| k.trim().into()),
             resume_after: text(headers, LAST_EVENT_ID).and_then(|t| t.parse().ok()),
+            resumes: headers.get(RESUMES).cloned(),
             tokens: text(headers, TOKENS).and_then(token_counts),
             parts: text(headers, PROMPT_PARTS)
                 .map(prompt_parts)
--- a/tests/gateway/explain.rs
+++ b/tests/gateway/explain.rs
@@ -21,6 +21,17 @@
     assert!(!explanation.contains("r-2"));
 }
 
+/// Guards against a stream of which one half cannot be found: a caller takes it up under another id.
+#[test]
+fn stream_that_was_taken_up_is_explained_from_both_ids() {
+    let line = r#"{"at":5,"event":"stream_taken_up","request_id":"r-8","resumes":"r-7","after_event":3,"endpoint":"i-2","version":"v2"}"#;
+    for id in ["r-7", "r-8"] {
+        let explanation = explain(line, id).unwrap();
+        let sentence = "r-8 takes up the stream of r-7 after event 3 at i-2 of version v2";
+        assert!(explanation.contains(sentence), "{explanation}");
+    }
+}
+
 #[test]
 fn a_request_without_log_lines_has_no_explanation() {
     assert_eq!(explain(LOG, "r-3"), None);
