Failing tests: streams go on at another version of the endpoints' software

Cause: a resumption chooses any endpoint of the service, within an answer as well as when a caller takes its stream up.

--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -26,5 +26,6 @@
 mod slow_callers;
 mod store_lists;
 mod store_returns;
+mod stream_versions;
 mod support;
 mod suspension;
--- /dev/null
+++ b/tests/edge/stream_versions.rs
@@ -0,0 +1,290 @@
+//! Streams go on only at the version of the endpoints' software that began them, wherever they are taken up.
+//!
+//! Endpoints of two versions serve side by side. Streams break at their endpoints and go on within the same answer, or
+//! callers leave them and take them up with `Last-Event-Id` and `Resumes` at another instance.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, StatusCode, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use standins::runner::{EVENTS, Fault};
+use tokio::{net::TcpStream, task::JoinSet, time};
+
+use crate::{
+    cluster::until,
+    site::{Site, entry},
+    support::{exchange, request},
+};
+
+const PATH: &str = "/resume/w/stream";
+const TWO_VERSIONS: [&str; 2] = ["v1", "v2"];
+/// Requests that an endpoint runs at a time: all streams have room at either version.
+const SLOTS: usize = 16;
+/// Streams of one test. The retry budget of the smallest group has room for as many.
+const STREAMS: usize = 32;
+/// Attempts of a caller to take up a stream, refusals included.
+const TAKE_UP_ATTEMPTS: usize = 4;
+
+/// How streams went on, counted at the endpoints.
+#[derive(Debug, Default)]
+struct Counts {
+    /// Streams that went on at an endpoint.
+    went_on: usize,
+    /// Of these, streams that went on at another version than the one that began them.
+    mixed: usize,
+    /// Streams that callers got to their end.
+    whole: usize,
+}
+
+impl Counts {
+    /// Checks that no stream was mixed and that half of them went on.
+    fn check(&self, what: &str) {
+        println!("{what}: {self:?} of {STREAMS}");
+        assert_eq!(self.mixed, 0, "{what}: {self:?}");
+        assert!(self.went_on * 2 >= STREAMS, "{what}: {self:?}");
+        assert!(self.whole * 2 >= STREAMS, "{what}: {self:?}");
+    }
+}
+
+/// A caller's streams: the id under which each was begun, and those under which it was taken up.
+type Tries = Vec<(String, Vec<String>)>;
+
+impl Site {
+    /// Gives the endpoints these versions in turn, and waits until all instances know.
+    async fn set_versions(&self, versions: &[&str]) {
+        for (index, runner) in self.runners.iter().enumerate() {
+            let mut spec = entry(runner.addr);
+            spec["version"] = versions[index % versions.len()].into();
+            spec["capacity"] = SLOTS.into();
+            self.platform.set("servers", &format!("e{index}-0"), spec);
+        }
+        let is_known = |index: usize| {
+            let id = format!("e{index}-0");
+            self.instances.iter().all(|instance| {
+                let balancer = instance.gateway.balancer();
+                let key = balancer.key_of(&id);
+                let entry = key.and_then(|key| balancer.entry(key));
+                entry.is_some_and(|e| {
+                    *e.version == *versions[index % versions.len()] && e.slots as usize == SLOTS
+                })
+            })
+        };
+        until("the versions to be known", || {
+            (0..self.runners.len()).all(is_known)
+        })
+        .await;
+    }
+
+    /// Returns the endpoints that ran an attempt, each with whether the attempt went on after an event.
+    fn endpoints_of(&self, id: &str) -> Vec<(usize, bool)> {
+        let mut found = Vec::new();
+        for (index, runner) in self.runners.iter().enumerate() {
+            for seen in runner.seen().iter().filter(|s| s.has_run) {
+                if seen.headers.get("request-id").is_some_and(|i| i == id) {
+                    found.push((index, seen.headers.contains_key("last-event-id")));
+                }
+            }
+        }
+        found
+    }
+
+    /// Returns the version that began a stream, and those at which it went on.
+    fn versions_of<'v>(&self, tries: &[&str], versions: &[&'v str]) -> (&'v str, Vec<&'v str>) {
+        let runs = tries.iter().flat_map(|id| self.endpoints_of(id));
+        let runs: Vec<_> = runs.collect();
+        let version = |index: usize| versions[index % versions.len()];
+        let began = runs.iter().find(|(_, resumed)| !resumed);
+        let (began, _) = began.expect("the stream has begun");
+        let went_on = runs.iter().filter(|(_, resumed)| *resumed);
+        let went_on = went_on.map(|(index, _)| version(*index)).collect();
+        (version(*began), went_on)
+    }
+
+    /// Counts how streams went on at endpoints of these versions.
+    fn count(&self, tries: &Tries, versions: &[&str]) -> Counts {
+        let mut counts = Counts::default();
+        for (first, others) in tries {
+            let ids: Vec<&str> = std::iter::once(&**first)
+                .chain(others.iter().map(|id| &**id))
+                .collect();
+            let (began, went_on) = self.versions_of(&ids, versions);
+            counts.went_on += usize::from(!went_on.is_empty());
+            counts.mixed += usize::from(went_on.iter().any(|version| *version != began));
+        }
+        counts
+    }
+}
+
+/// Reads an answer until it has brought this many events, then disconnects.
+async fn leave_after(callers: std::net::SocketAddr, request: Request<Full<Bytes>>, events: usize) {
+    let stream = TcpStream::connect(callers).await.expect("a connection");
+    let connecting = http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = connecting.expect("a connection");
+    let driver = tokio::spawn(connection);
+    let response = sender.send_request(request).await.expect("an answer");
+    assert_eq!(response.status(), StatusCode::OK);
+    let mut body = response.into_body();
+    let mut bytes = Vec::new();
+    while String::from_utf8_lossy(&bytes).matches("\n\n").count() < events {
+        let frame = body.frame().await.expect("an event").expect("an event");
+        bytes.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()));
+    }
+    driver.abort();
+}
+
+/// Takes up a stream at an instance, again after a refusal; returns the ids of the attempts, and whether one brought the
+/// rest of the stream.
+async fn take_up(
+    callers: std::net::SocketAddr,
+    first: String,
+    after: usize,
+) -> (Vec<String>, bool) {
+    let mut ids = Vec::new();
+    for attempt in 0..TAKE_UP_ATTEMPTS {
+        let id = format!("{first}-{attempt}");
+        let headers = [("last-event-id", &*after.to_string()), ("resumes", &first)];
+        let got = exchange(callers, request(PATH, &id, &headers)).await;
+        let got = got.expect("an answer");
+        ids.push(id);
+        if got.status == StatusCode::SERVICE_UNAVAILABLE {
+            let wait_s = got.retry_after_s().expect("a time to come back");
+            time::sleep(Duration::from_secs_f64(wait_s.min(1.0))).await;
+            continue;
+        }
+        let is_whole = got.is_whole && got.text().contains(&format!("id: {EVENTS}\n"));
+        return (ids, is_whole);
+    }
+    (ids, false)
+}
+
+/// Begins streams at one instance, whose callers leave after two events.
+async fn begin_streams(site: &Site, instance: usize, name: &str) -> Vec<String> {
+    let mut calls = JoinSet::new();
+    for number in 0..STREAMS {
+        let id = format!("{name}-{number}");
+        let callers = site.callers[instance];
+        calls.spawn(async move {
+            leave_after(callers, request(PATH, &id, &[]), 2).await;
+            id
+        });
+    }
+    calls.join_all().await
+}
+
+/// Takes up streams at the instances from `from` on, in turn.
+async fn take_up_streams(site: &Site, from: usize, begun: Vec<String>) -> (Tries, usize) {
+    let mut calls = JoinSet::new();
+    for (number, first) in begun.into_iter().enumerate() {
+        let others = site.callers.len() - from;
+        let callers = site.callers[from + number % others];
+        calls.spawn(async move {
+            let (ids, is_whole) = take_up(callers, first.clone(), 2).await;
+            (first, ids, is_whole)
+        });
+    }
+    let done = calls.join_all().await;
+    let whole = done.iter().filter(|(_, _, is_whole)| *is_whole).count();
+    let tries = done.into_iter().map(|(first, ids, _)| (first, ids));
+    (tries.collect(), whole)
+}
+
+/// Streams that callers leave at the first instance and take up at the others are counted.
+async fn run_take_ups(
+    site: &mut Site,
+    name: &str,
+    versions: &[&str],
+    kills_first: bool,
+    pause: Duration,
+) -> Counts {
+    let begun = begin_streams(site, 0, name).await;
+    if kills_first {
+        site.instances[0].stop();
+    }
+    time::sleep(pause).await;
+    let (tries, whole) = take_up_streams(site, 1, begun).await;
+    Counts {
+        whole,
+        ..site.count(&tries, versions)
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_stream_is_not_resumed_at_another_version() {
+    let site = Arc::new(Site::start(140, 4, 8).await);
+    site.set_versions(&TWO_VERSIONS).await;
+    for runner in site.runners.iter() {
+        runner.fault(Fault::CutNewStream);
+    }
+    let mut calls = JoinSet::new();
+    for number in 0..STREAMS {
+        let site = site.clone();
+        calls.spawn(async move {
+            let id = format!("broken-{number}");
+            let got = site.call(number % 4, PATH, &id, "a prompt").await;
+            (id, got.is_whole)
+        });
+    }
+    let done = calls.join_all().await;
+    let whole = done.iter().filter(|(_, is_whole)| *is_whole).count();
+    let tries = done.into_iter().map(|(id, _)| (id, Vec::new())).collect();
+    let counts = Counts {
+        whole,
+        ..site.count(&tries, &TWO_VERSIONS)
+    };
+    counts.check("broken at their endpoints");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_taken_up_at_another_instance_does_not_change_its_version() {
+    let mut site = Site::start(141, 7, 8).await;
+    site.set_versions(&TWO_VERSIONS).await;
+    let counts = run_take_ups(&mut site, "at-once", &TWO_VERSIONS, false, Duration::ZERO).await;
+    counts.check("taken up at once");
+    let counts = run_take_ups(
+        &mut site,
+        "later",
+        &TWO_VERSIONS,
+        false,
+        Duration::from_secs(1),
+    )
+    .await;
+    counts.check("taken up after a second");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_killed_instance_does_not_change_its_version() {
+    let mut site = Site::start(142, 7, 8).await;
+    site.set_versions(&TWO_VERSIONS).await;
+    let counts = run_take_ups(&mut site, "killed", &TWO_VERSIONS, true, Duration::ZERO).await;
+    counts.check("taken up after a kill");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_in_a_large_group_does_not_change_its_version() {
+    let mut site = Site::start(143, 18, 8).await;
+    site.set_versions(&TWO_VERSIONS).await;
+    let counts = run_take_ups(&mut site, "large", &TWO_VERSIONS, false, Duration::ZERO).await;
+    counts.check("taken up in a large group");
+    let counts = run_take_ups(
+        &mut site,
+        "large-killed",
+        &TWO_VERSIONS,
+        true,
+        Duration::ZERO,
+    )
+    .await;
+    counts.check("taken up in a large group after a kill");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_are_taken_up_while_a_service_has_one_version() {
+    let mut site = Site::start(144, 7, 8).await;
+    let versions = ["v1"];
+    site.set_versions(&versions).await;
+    let counts = run_take_ups(&mut site, "one", &versions, false, Duration::ZERO).await;
+    counts.check("taken up with one version");
+    let counts = run_take_ups(&mut site, "one-killed", &versions, true, Duration::ZERO).await;
+    counts.check("taken up with one version after a kill");
+}
