Streams go on only at the version of the endpoints' software that began them

What callers saw: while endpoints of several versions serve side by side, streams held events of two of them.

Cause: which version began a stream was known to nobody. Within an answer any endpoint was chosen that had not been tried; the attempt that a caller names when it takes a stream up (Resumes) was not read, and what an instance knew of a stream ended with its answer. Class: a run goes on elsewhere by the identity of the request alone, without what the run depends on.

Change: the relay notes the version of the endpoint that brought the first event and resumes there only. While a service has several versions, the origin of a stream (service and version) is written to three instances found by rendezvous hashing, two data centres at least, before the caller has the first event; nothing waits for an answer. A caller's resumption asks six instances, for 100 ms at most, and is bound to the version by the rule that roll-outs use. Such streams go before new ones.

With one version nothing is written.

--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -20,6 +20,7 @@
         load_view::{ClusterSize, LoadView},
         prefixes::{ChainKey, PrefixHolders},
         readiness::{PermitDenial, Readiness},
+        service_versions::ServiceVersions,
         speed::Speed,
         versions::VersionCounts,
     },
@@ -170,6 +171,7 @@
     /// Key of the current incarnation of each endpoint, by endpoint id.
     keys: HashMap<Name, EndpointKey>,
     pub(super) index: EndpointIndex,
+    versions: ServiceVersions,
     /// Speed averaged over all endpoints of a service; used for endpoints without samples of their
     /// own.
     pub(super) service_speeds: HashMap<Name, Speed>,
@@ -204,6 +206,7 @@
             endpoints: HashMap::new(),
             keys: HashMap::new(),
             index: EndpointIndex::default(),
+            versions: ServiceVersions::default(),
             service_speeds: HashMap::new(),
             load_view: LoadView::default(),
             grants: Grants::default(),
@@ -251,8 +254,10 @@
         let known = self.endpoints.remove(&key);
         if let Some(known) = &known {
             self.index.remove(key, &known.entry);
+            self.versions.remove(&known.entry);
         }
         self.index.insert(key, &entry);
+        self.versions.insert(&entry);
         let endpoint = Endpoint {
             entry,
             same_hall,
@@ -381,6 +386,7 @@
                 .release_grant(grant.key, grant.uncached_tokens);
         }
         self.expire_announcements(now_us);
+        self.versions.expire(now_us);
         self.cold.tick(now_us);
         let silent = self.load_view.expire(now_us);
         (expired, silent)
@@ -397,6 +403,7 @@
     fn remove_state(&mut self, key: EndpointKey) {
         if let Some(endpoint) = self.endpoints.remove(&key) {
             self.index.remove(key, &endpoint.entry);
+            self.versions.remove(&endpoint.entry);
         }
         self.holders.evict_endpoint(key);
         // The rate limit is kept: a lapsed entry can return for the same incarnation.
@@ -404,6 +411,11 @@
         self.cold.clear(key);
     }
 
+    /// Returns the versions that services have or had recently.
+    pub fn versions(&self) -> &ServiceVersions {
+        &self.versions
+    }
+
     /// Returns the load view.
     pub fn load_view(&self) -> &LoadView {
         &self.load_view
--- a/src/balance/cost.rs
+++ b/src/balance/cost.rs
@@ -62,7 +62,7 @@
     pub standing: Standing,
     /// The regions in which the request may be served.
     pub allowed_regions: AllowedRegions,
-    /// The versions of endpoints that may be chosen during a roll-out; all if there is none.
+    /// The versions of endpoints that may be chosen; all if there is none.
     pub versions: Option<VersionRule>,
     /// A random number; determines which endpoints are considered.
     pub draw: u64,
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -17,6 +17,7 @@
 pub mod readiness;
 pub mod regions;
 mod selection;
+pub mod service_versions;
 pub mod speed;
 mod sync;
 pub mod versions;
--- a/src/balance/selection.rs
+++ b/src/balance/selection.rs
@@ -34,6 +34,8 @@
 const DATA_CENTRES_EVACUATED: &str = "data_centres_evacuated";
 /// Refusal reason: all endpoints are outside the regions allowed for the request.
 const NO_ENDPOINT_IN_REGIONS: &str = "no_endpoint_at_home";
+/// Refusal reason: the endpoints are of other versions than the one that the request is bound to.
+const NO_ENDPOINT_OF_VERSION: &str = "no_endpoint_of_version";
 /// Retry delay when there is no eligible endpoint at all, in milliseconds.
 const NO_ENDPOINT_RETRY_MS: u32 = 600;
 
@@ -62,6 +64,8 @@
     has_evacuated: bool,
     /// Some endpoints are outside the regions allowed for the request.
     has_outside_regions: bool,
+    /// Some endpoints are of versions that the request may not use.
+    has_other_versions: bool,
     /// Set if all endpoints that are not leaving are backing off: the time at which the first is
     /// available again.
     earliest_available_us: Option<Micros>,
@@ -80,10 +84,14 @@
                 retry_after_ms: retry_delay_until_ms(now_us, available_at_us),
             };
         }
-        let reason = match (self.has_evacuated, self.has_outside_regions) {
-            (true, _) => DATA_CENTRES_EVACUATED,
-            (false, true) => NO_ENDPOINT_IN_REGIONS,
-            (false, false) => NO_ENDPOINT,
+        let reason = if self.has_evacuated {
+            DATA_CENTRES_EVACUATED
+        } else if self.has_outside_regions {
+            NO_ENDPOINT_IN_REGIONS
+        } else if self.has_other_versions {
+            NO_ENDPOINT_OF_VERSION
+        } else {
+            NO_ENDPOINT
         };
         Placement::Refuse {
             reason,
@@ -129,6 +137,7 @@
         let (mut all_backing_off, mut earliest_available_us) = (true, Micros::MAX);
         let mut has_evacuated = false;
         let mut has_outside_regions = false;
+        let mut has_other_versions = false;
         let max_local = match self.load_view.cluster_size() {
             ClusterSize::Large if !self.load_view.is_hall_aggregator() => MAX_LOCAL_CANDIDATES,
             _ => usize::MAX,
@@ -143,6 +152,7 @@
                 continue;
             };
             if rule.is_some_and(|rule| !rule.allows(&endpoint.entry.version)) {
+                has_other_versions = true;
                 continue;
             }
             if !self.is_in_allowed_region(&request.allowed_regions, endpoint) {
@@ -194,6 +204,7 @@
             has_limited,
             has_evacuated,
             has_outside_regions,
+            has_other_versions,
             earliest_available_us: (all_backing_off && earliest_available_us < Micros::MAX)
                 .then_some(earliest_available_us),
         }
--- a/src/balance/versions.rs
+++ b/src/balance/versions.rs
@@ -1,4 +1,4 @@
-//! The versions of endpoints that a request may be sent to during a roll-out.
+//! The versions of endpoints that a request may be sent to, during a roll-out or as the continuation of a stream.
 
 use serde::{Deserialize, Serialize};
 
@@ -28,16 +28,24 @@
     }
 }
 
-/// Which endpoints of a service that has a roll-out may be chosen for a request.
+/// Which endpoints of a service may be chosen for a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VersionRule {
-    /// The version that the service is moved to.
+    /// The version that the service is moved to, or that a request is bound to.
     pub target_version: Name,
     /// The endpoints that may be chosen.
     pub choice: VersionChoice,
 }
 
 impl VersionRule {
+    /// Returns a rule that allows one version only.
+    pub fn exactly(version: &Name) -> Self {
+        Self {
+            target_version: version.clone(),
+            choice: VersionChoice::Only(VersionGroup::Target),
+        }
+    }
+
     /// Returns the group of an endpoint of this version.
     pub fn group_of(&self, version: &str) -> VersionGroup {
         match *self.target_version == *version {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -88,8 +88,7 @@
 
     /// Returns the event after which the caller takes up a stream that an earlier attempt began, if it does.
     pub fn resumes_after(&self) -> Option<u64> {
-        let is_resumable = self.route.kind.is_stream() && self.is_repeatable();
-        self.head.resume_after.filter(|_| is_resumable)
+        self.route.resumed_event(&self.head)
     }
 
     /// Returns for how long a pooled connection may have been idle over which the request is sent; `None` if it needs a
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -353,6 +353,7 @@
     fn apply_view(&self, view: &Arc<View>) {
         let now_us = self.gateway.clock.now_us();
         self.gateway.permits.set_view(view);
+        self.gateway.stream_origins.set_view(view);
         self.gateway.quota.set_view(now_us, view);
         let mut state = self.lock();
         if state.aggregators.set_view(view) {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -134,6 +134,12 @@
     pub streams_resumed_mixed: Counter,
     /// Streams that callers took up again and that were sent to an endpoint.
     pub streams_taken_up: Counter,
+    /// Streams that callers took up again and that were refused, since their origin is not known or not available.
+    pub streams_not_taken_up: Counter,
+    /// Origins of streams written.
+    pub origins_recorded: Counter,
+    /// Origins of streams asked of other instances.
+    pub origins_asked: Counter,
     /// Requests refused because endpoints crashed while running them.
     pub requests_blocked: Counter,
     /// Requests refused because their organisation has its share of a service that is short of room.
@@ -244,6 +250,9 @@
             streams_resumed: Counter::default(),
             streams_resumed_mixed: Counter::default(),
             streams_taken_up: Counter::default(),
+            streams_not_taken_up: Counter::default(),
+            origins_recorded: Counter::default(),
+            origins_asked: Counter::default(),
             requests_blocked: Counter::default(),
             requests_over_share: Counter::default(),
             share_room_slots: Family::default(),
@@ -579,6 +588,13 @@
         registry.register("streams_resumed_mixed", mixed, counter);
         let taken_up = "Streams that callers took up again";
         registry.register("streams_taken_up", taken_up, self.streams_taken_up.clone());
+        let refused = "Streams that callers took up again and whose origin was not known";
+        let counter = self.streams_not_taken_up.clone();
+        registry.register("streams_not_taken_up", refused, counter);
+        let recorded = "Origins of streams written for later attempts of their callers";
+        registry.register("origins_recorded", recorded, self.origins_recorded.clone());
+        let asked = "Origins of streams asked of other instances";
+        registry.register("origins_asked", asked, self.origins_asked.clone());
     }
 
     /// Counts a stream that is resumed within its answer.
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -14,6 +14,7 @@
         permits::{self, HeldPermit},
         protocol::Protocol,
         reservation_client::ReservationReply,
+        rollouts::VERSION_WITHHELD,
         state::{Gateway, lock},
     },
     prelude::Name,
@@ -33,7 +34,18 @@
     pub async fn place(&self, request: &PlacementRequest, tried: &[EndpointKey]) -> Placement {
         self.wait_for_fresh_endpoints().await;
         self.wait_for_fresh_evacuations().await;
-        let with_rule = self.version_rule(request).map(|rule| {
+        let rule = self.version_rule(request);
+        if let (Some(bound), Some(rule)) = (&request.versions, &rule)
+            && !rule.allows(&bound.target_version)
+        {
+            // The roll-out gives the version that began the stream no requests.
+            return Placement::Refuse {
+                reason: VERSION_WITHHELD,
+                retry_after_ms: REJECTED_RETRY_AFTER_MS,
+            };
+        }
+        let rule = rule.filter(|_| request.versions.is_none());
+        let with_rule = rule.map(|rule| {
             let versions = Some(rule);
             PlacementRequest {
                 versions,
--- a/src/gateway/reservation_client.rs
+++ b/src/gateway/reservation_client.rs
@@ -32,7 +32,7 @@
         versions::VersionRule,
     },
     clock::Clock,
-    gateway::{permits::PermitMessage, rollouts::RolloutMessage},
+    gateway::{permits::PermitMessage, rollouts::RolloutMessage, stream_origins::OriginMessage},
     limits::quota::Message,
     peers::datagram::Authenticator,
     prelude::{Incarnation, Micros, Name, Rank},
@@ -146,7 +146,8 @@
     OverEndpointLimits,
 }
 
-/// The content of a direct message between two instances: about reservations, permits, quota or roll-outs.
+/// The content of a direct message between two instances: about reservations, permits, quota, roll-outs or
+/// streams.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum DirectMessage {
     /// Requests a reservation.
@@ -163,6 +164,8 @@
     Quota(Message),
     /// Evidence on a roll-out.
     Rollouts(Box<RolloutMessage>),
+    /// A message about the origin of a stream.
+    Origins(OriginMessage),
 }
 
 /// A datagram that carries a direct message.
@@ -289,7 +292,8 @@
                     DirectMessage::Ask(_)
                     | DirectMessage::Permits(_)
                     | DirectMessage::Quota(_)
-                    | DirectMessage::Rollouts(_),
+                    | DirectMessage::Rollouts(_)
+                    | DirectMessage::Origins(_),
                 )) => {}
                 Ok(Some(DirectMessage::Unable) | None) | Err(_) => {
                     self.skip(clock.now_us(), issuer);
--- a/src/gateway/reservation_server.rs
+++ b/src/gateway/reservation_server.rs
@@ -16,6 +16,7 @@
             Channel, DirectDatagram, DirectMessage, ReservationReply, ReservationRequest,
         },
         state::Gateway,
+        stream_origins,
     },
     peers::datagram::{Authenticator, DatagramError, UnreadableSnafu},
     prelude::Incarnation,
@@ -84,6 +85,9 @@
             let now_us = gateway.clock.now_us();
             gateway.rollouts.receive(now_us, datagram.from, *message);
         }
+        DirectMessage::Origins(message) => {
+            stream_origins::receive(gateway, channel, from, datagram.number, message).await;
+        }
         message => gateway.reservation_client.deliver(datagram.number, message),
     }
 }
--- /dev/null
+++ b/src/gateway/resumption.rs
@@ -0,0 +1,91 @@
+//! Where a stream goes on that a caller takes up: at the service and the version of the endpoints' software that began it.
+
+use crate::{
+    balance::{cost::PlacementRequest, versions::VersionRule},
+    entry::refusal::Refusal,
+    gateway::{
+        attempt::header_for_log,
+        config::Route,
+        protocol::{CallHead, Protocol},
+        refuse,
+        state::Gateway,
+    },
+    prelude::{Name, Rank},
+};
+
+/// Reason for refusing to take up a stream: several versions may have begun it, and no instance that answered knows
+/// which.
+const ORIGIN_UNKNOWN: &str = "stream_origin_unknown";
+/// Reason for refusing to take up a stream: its route does not lead to the service any more that began it.
+const SERVICE_MOVED: &str = "stream_service_moved";
+/// Retry delay of these refusals, in milliseconds: an instance that paused may answer by then.
+const RETRY_AFTER_MS: u32 = 300;
+/// The rank of streams that go on while their service has several versions. Only some endpoints can run them, and what
+/// others ran of them would be lost.
+const RESUMPTION_RANK: Rank = 0;
+
+/// Where a request is to run.
+#[derive(Clone, Debug)]
+pub struct Destination {
+    /// The service.
+    pub service: Name,
+    /// The only version whose endpoints may run it, if it takes up a stream.
+    pub version: Option<Name>,
+}
+
+/// Returns where a request on a route is to run; `draw` (0 to 1) picks among the route's services.
+///
+/// # Errors
+/// The route has no service, or the request takes up a stream and it is not known where that began.
+pub async fn choose_destination<P: Protocol>(
+    gateway: &Gateway<P>,
+    route: &Route,
+    head: &CallHead,
+    organisation: Option<&str>,
+    draw: f64,
+) -> Result<Destination, Refusal> {
+    let Some(service) = route.pick_target(draw).cloned() else {
+        return Err(refuse::not_run("no_service", 1_000));
+    };
+    if route.resumed_event(head).is_none() {
+        let version = None;
+        return Ok(Destination { service, version });
+    }
+    let began_as = head.resumes.as_ref();
+    let origin = gateway
+        .find_origin(organisation, began_as, &service)
+        .await
+        .ok_or(ORIGIN_UNKNOWN)
+        .and_then(|origin| match route.leads_to(&origin.service) {
+            true => Ok(origin),
+            false => Err(SERVICE_MOVED),
+        });
+    match origin {
+        Ok(origin) => Ok(Destination {
+            service: origin.service,
+            version: Some(origin.version),
+        }),
+        Err(reason) => {
+            gateway.metrics.streams_not_taken_up.inc();
+            log::info!(
+                target: "ryevalve::request",
+                request_id = header_for_log(head.request_id.as_ref()),
+                resumes = header_for_log(began_as),
+                service = &*service,
+                reason;
+                "stream_not_taken_up"
+            );
+            Err(refuse::not_run(reason, RETRY_AFTER_MS))
+        }
+    }
+}
+
+impl<P: Protocol> Gateway<P> {
+    /// Lets a request run at one version only, since its stream began there.
+    pub(super) fn bind_to_version(&self, request: &mut PlacementRequest, version: &Name) {
+        request.versions = Some(VersionRule::exactly(version));
+        if self.has_several_versions(&request.service) {
+            request.rank = RESUMPTION_RANK;
+        }
+    }
+}
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -9,6 +9,7 @@
     gateway::{
         config::{GatewayConfig, Organisation, Route, Service},
         packed,
+        protocol::CallHead,
     },
     prelude::Name,
 };
@@ -98,4 +99,17 @@
         let any = self.targets.iter().rev().find(|t| t.weight > 0);
         drawn.or(any).map(|t| &t.service)
     }
+
+    /// Returns whether a service is among the route's targets.
+    pub fn leads_to(&self, service: &str) -> bool {
+        let mut targets = self.targets.iter();
+        targets.any(|t| t.weight > 0 && *t.service == *service)
+    }
+
+    /// Returns the event after which a request goes on with a stream that an earlier attempt of its caller began, if it
+    /// does.
+    pub fn resumed_event(&self, head: &CallHead) -> Option<u64> {
+        let is_resumable = self.kind.is_stream() && self.kind.is_repeatable();
+        head.resume_after.filter(|_| is_resumable)
+    }
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -33,6 +33,7 @@
         protocol::{CallHead, Protocol},
         quota, refuse,
         report::{Trace, log_answer, note_refusal},
+        resumption,
         send_check::NOT_SENT_REASONS,
         shares,
         state::Gateway,
@@ -141,6 +142,11 @@
         let compute = || attempt::fingerprint(&parts.method, &parts.uri, organisation, &body);
         *fingerprint.get_or_init(compute)
     })?;
+    let draw = rand::rng().random_range(0.0..1.0);
+    let destination =
+        resumption::choose_destination(gateway, &route, &head, organisation_name.as_deref(), draw)
+            .await?;
+    let service = destination.service;
     let limited_organisation = organisation.as_deref();
     let grant = acquire_quota(
         gateway,
@@ -151,10 +157,6 @@
         trace,
     )
     .await?;
-    let draw = rand::rng().random_range(0.0..1.0);
-    let Some(service) = route.pick_target(draw).cloned() else {
-        return Err(refuse::not_run("no_service", 1_000));
-    };
     gateway.count_request(&service);
     let configured_service = table.service(&service);
     let engine = configured_service.and_then(|s| s.engine);
@@ -184,6 +186,9 @@
         },
         allowed_regions,
     );
+    if let Some(version) = &destination.version {
+        gateway.bind_to_version(&mut placement_request, version);
+    }
     let admitted = shares::admit(
         gateway,
         organisation_name.as_deref(),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -38,6 +38,7 @@
         rollouts::{RolloutBounds, Rollouts},
         shares,
         staleness::{Staleness, StalenessBound},
+        stream_origins::StreamOrigins,
         tunnel_server::CarriedTunnels,
         tunnels::Tunnels,
     },
@@ -154,6 +155,8 @@
     pub reservation_client: ReservationClient,
     /// Requests and grants permits to send to endpoints that limit their request rate.
     pub permits: Permits,
+    /// The origins of streams that callers may take up.
+    pub stream_origins: StreamOrigins,
     /// Usage limits of organisations.
     pub quota: Quota,
     /// The organisations' shares of services that are short of room.
@@ -221,6 +224,7 @@
             fetches_at_start: AtomicBool::new(false),
             reservation_client: ReservationClient::default(),
             permits: Permits::default(),
+            stream_origins: StreamOrigins::default(),
             quota,
             shares: Mutex::default(),
             endpoint_reach: EndpointReach::default(),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -23,6 +23,7 @@
         caller_buffer::{HeldAccount, NoRoom, StreamWriter, stream_buffer},
         crash_check,
         metrics::Outcome,
+        origin_table::StreamOrigin,
         protocol::Protocol,
         refuse,
         report::{Trace, log_answer},
@@ -77,6 +78,7 @@
     first_us: Micros,
     /// The version of the endpoint that brought the first event.
     began_version: Option<Name>,
+    has_recorded_origin: bool,
     trace: Trace,
     /// Counts the bytes of an incomplete event, which the caller cannot take yet.
     partial_account: HeldAccount,
@@ -152,6 +154,7 @@
             runs: runs + 1,
             first_us: 0,
             began_version: None,
+            has_recorded_origin: false,
             trace,
         }
     }
@@ -184,6 +187,8 @@
                 return Err(AttemptError::Unknown("no_first_event"));
             }
         };
+        // Before the caller has an event, after which it may leave.
+        self.record_origin().await;
         let now_us = self.gateway.clock.now_us();
         self.first_us = now_us.saturating_sub(self.job.placement_request.arrived_us);
         let seconds = self.first_us as f64 / 1e6;
@@ -229,6 +234,8 @@
     /// The stream is lost for good, for the returned reason.
     async fn fill(&mut self, writer: &StreamWriter) -> Result<(), &'static str> {
         while let Some(events) = self.next().await? {
+            // The stream may have begun before its service had several versions.
+            self.record_origin().await;
             writer.push(events);
             if !self.wait_for_room(writer).await {
                 return Err(CALLER_BEHIND);
@@ -237,6 +244,34 @@
         Ok(())
     }
 
+    /// Writes where the stream began, if its caller may take it up and its service has several versions.
+    async fn record_origin(&mut self) {
+        let service = &self.job.placement_request.service;
+        if self.has_recorded_origin
+            || !self.job.is_repeatable()
+            || !self.gateway.has_several_versions(service)
+        {
+            return;
+        }
+        let Some(version) = self.began_version.clone() else {
+            return;
+        };
+        self.has_recorded_origin = true;
+        let origin = StreamOrigin {
+            service: service.clone(),
+            version,
+        };
+        let head = &self.job.head;
+        // The id under which an earlier attempt began the stream is the one that its caller names again.
+        let began_as = head.resumes.iter().filter(|_| head.resume_after.is_some());
+        let organisation = self.job.organisation.as_deref();
+        for id in head.request_id.iter().chain(began_as) {
+            self.gateway
+                .record_origin(organisation, id, origin.clone())
+                .await;
+        }
+    }
+
     /// Waits while the caller is so far behind that nothing more is read for it; returns false if the time of its request
     /// ends meanwhile.
     async fn wait_for_room(&mut self, writer: &StreamWriter) -> bool {
@@ -429,6 +464,9 @@
         // The queueing time of a resumption counts from now: the first event was long ago.
         let mut request = self.job.placement_request.clone();
         request.arrived_us = self.gateway.clock.now_us();
+        if let Some(version) = &self.began_version {
+            self.gateway.bind_to_version(&mut request, version);
+        }
         match self.gateway.place(&request, &self.tried).await {
             Placement::Send(choice) => Some(choice),
             Placement::Wait | Placement::Refuse { .. } => None,
--- /dev/null
+++ b/src/gateway/stream_origins.rs
@@ -0,0 +1,303 @@
+//! Keeps the origins of streams where every instance finds them, so that a stream that its caller takes up goes on at
+//! the version of the endpoints' software that began it.
+//!
+//! The instance that relays a stream writes the origin to three instances, found by rendezvous hashing of the stream's
+//! key, when it delivers the first event. An instance at which a caller takes the stream up asks these. Nothing waits
+//! for a write, and nothing is written while a service has one version only. A stream whose origin is unknown is
+//! refused where several versions could have begun it.
+
+use std::{
+    collections::{HashMap, HashSet},
+    net::IpAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use hyper::header::HeaderValue;
+use serde::{Deserialize, Serialize};
+use tokio::{
+    sync::mpsc,
+    time::{self, Instant},
+};
+
+use crate::{
+    gateway::{
+        origin_table::{OriginTable, StreamKey, StreamOrigin},
+        protocol::Protocol,
+        reservation_client::{Channel, DirectMessage},
+        state::Gateway,
+    },
+    peers::view::{Member, View},
+    prelude::Name,
+};
+
+/// Number of instances that hold the origin of a stream: two of them may be lost with the one that relayed it.
+const HOLDERS: usize = 3;
+/// Number of instances that are asked for an origin: the holders, and those that are holders by a view that differs in
+/// a few members.
+const ASKED: usize = 6;
+/// How long an answer is waited for. Instances that share a busy machine pause for some tens of milliseconds.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time after which an unanswered question is sent again: a datagram may be lost.
+const REPEAT_AFTER: Duration = Duration::from_millis(35);
+
+/// A message between instances about the origin of a stream.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum OriginMessage {
+    /// The origin of a stream, for the receiver to hold.
+    Record {
+        /// The stream.
+        key: StreamKey,
+        /// Its origin.
+        origin: StreamOrigin,
+    },
+    /// Asks for the origin of a stream. The answer has the same datagram number.
+    Ask {
+        /// The stream.
+        key: StreamKey,
+        /// The service at which the caller takes it up.
+        service: Name,
+    },
+    /// The origin that was asked for.
+    Known(StreamOrigin),
+    /// The receiver does not know the origin that was asked for.
+    Unknown {
+        /// Whether it has seen several versions of the service.
+        has_several_versions: bool,
+    },
+}
+
+#[derive(Default)]
+struct State {
+    view: Arc<View>,
+    table: OriginTable,
+    last_number: u64,
+    /// Unanswered questions, by number.
+    pending: HashMap<u64, mpsc::UnboundedSender<(IpAddr, OriginMessage)>>,
+}
+
+/// The origins that this instance holds, and its questions for others.
+#[derive(Default)]
+pub struct StreamOrigins {
+    state: Mutex<State>,
+}
+
+/// A question that waits for answers. Dropping it ends that.
+struct Pending<'o> {
+    origins: &'o StreamOrigins,
+    number: u64,
+    answers: mpsc::UnboundedReceiver<(IpAddr, OriginMessage)>,
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        self.origins.lock().pending.remove(&self.number);
+    }
+}
+
+impl StreamOrigins {
+    /// Sets the membership view.
+    pub fn set_view(&self, view: &Arc<View>) {
+        self.lock().view.clone_from(view);
+    }
+
+    /// Returns the number of origins that this instance holds.
+    pub fn len(&self) -> usize {
+        self.lock().table.len()
+    }
+
+    /// Returns whether this instance holds no origin.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn register(&self) -> Pending<'_> {
+        let (sender, answers) = mpsc::unbounded_channel();
+        let mut state = self.lock();
+        state.last_number += 1;
+        let number = state.last_number;
+        state.pending.insert(number, sender);
+        Pending {
+            origins: self,
+            number,
+            answers,
+        }
+    }
+
+    fn deliver(&self, number: u64, from: IpAddr, message: OriginMessage) {
+        if let Some(sender) = self.lock().pending.get(&number) {
+            // The question may have been answered already.
+            let _ = sender.send((from, message));
+        }
+    }
+
+    /// Returns the `count` instances that hold a stream's origin first, other than this one.
+    fn holders(&self, key: StreamKey, count: usize) -> Vec<IpAddr> {
+        let view = self.lock().view.clone();
+        let holders = rank_holders(&view, key, count);
+        let others = holders.iter().filter(|m| m.info.incarnation != view.me);
+        others.map(|m| m.info.peer_addr.ip()).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        // No critical section can leave the state inconsistent, so a poisoned lock is still usable.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns the `count` instances that hold a stream's origin first. The second is in another data centre than the first
+/// if there is one, so that the loss of a data centre leaves a holder.
+pub fn rank_holders(view: &View, key: StreamKey, count: usize) -> Vec<&Member> {
+    let mut ranked = view.rank_members(&format!("stream {key}"), usize::MAX, Member::can_lead);
+    let first = ranked.first().map(|m| m.info.data_centre.clone());
+    let elsewhere = ranked
+        .iter()
+        .position(|m| Some(&m.info.data_centre) != first.as_ref());
+    if let Some(elsewhere) = elsewhere {
+        ranked[1..=elsewhere].rotate_right(1);
+    }
+    ranked.truncate(count);
+    ranked
+}
+
+impl<P: Protocol> Gateway<P> {
+    /// Returns whether a service has several versions, or had them recently.
+    pub fn has_several_versions(&self, service: &str) -> bool {
+        self.balancer().versions().has_several(service)
+    }
+
+    /// Writes the origin of a stream, here and to the instances that hold it.
+    pub async fn record_origin(
+        &self,
+        organisation: Option<&str>,
+        request_id: &HeaderValue,
+        origin: StreamOrigin,
+    ) {
+        let key = StreamKey::of(organisation, request_id.as_bytes());
+        let now_us = self.clock.now_us();
+        self.stream_origins
+            .lock()
+            .table
+            .write(now_us, key, origin.clone());
+        self.metrics.origins_recorded.inc();
+        let Some(channel) = self.reservation_client.channel() else {
+            return;
+        };
+        for holder in self.stream_origins.holders(key, HOLDERS) {
+            let origin = origin.clone();
+            let message = DirectMessage::Origins(OriginMessage::Record { key, origin });
+            channel.send(holder, 0, message).await;
+        }
+    }
+
+    /// Returns the origin of a stream that a caller takes up at a service: as it was recorded, or else the service and
+    /// its version if no instance that was asked has seen another one.
+    pub async fn find_origin(
+        &self,
+        organisation: Option<&str>,
+        began_as: Option<&HeaderValue>,
+        service: &Name,
+    ) -> Option<StreamOrigin> {
+        let sole_version = self.balancer().versions().sole_version(service).cloned();
+        let sole_origin = sole_version.map(|version| StreamOrigin {
+            service: service.clone(),
+            version,
+        });
+        let Some(began_as) = began_as else {
+            return sole_origin;
+        };
+        let key = StreamKey::of(organisation, began_as.as_bytes());
+        let now_us = self.clock.now_us();
+        let held = self.stream_origins.lock().table.get(now_us, key).cloned();
+        if held.is_some() {
+            return held;
+        }
+        match self.ask_for_origin(key, service).await {
+            OriginMessage::Known(origin) => Some(origin),
+            OriginMessage::Unknown {
+                has_several_versions: true,
+            } => None,
+            _ => sole_origin,
+        }
+    }
+
+    /// Asks other instances for an origin until one knows it, all have answered or the time for answers is over.
+    async fn ask_for_origin(&self, key: StreamKey, service: &Name) -> OriginMessage {
+        let mut unknown = OriginMessage::Unknown {
+            has_several_versions: false,
+        };
+        let Some(channel) = self.reservation_client.channel() else {
+            return unknown;
+        };
+        let mut unanswered: HashSet<IpAddr> = self
+            .stream_origins
+            .holders(key, ASKED)
+            .into_iter()
+            .collect();
+        let mut pending = self.stream_origins.register();
+        self.metrics.origins_asked.inc();
+        let timeout = Instant::now() + ANSWER_TIMEOUT;
+        let mut repeat_at = Instant::now();
+        while !unanswered.is_empty() && Instant::now() < timeout {
+            if Instant::now() >= repeat_at {
+                for holder in &unanswered {
+                    let service = service.clone();
+                    let message = DirectMessage::Origins(OriginMessage::Ask { key, service });
+                    channel.send(*holder, pending.number, message).await;
+                }
+                repeat_at = Instant::now() + REPEAT_AFTER;
+            }
+            let until = repeat_at.min(timeout);
+            let Ok(Some((from, answer))) = time::timeout_at(until, pending.answers.recv()).await
+            else {
+                continue;
+            };
+            match answer {
+                OriginMessage::Known(_) => return answer,
+                OriginMessage::Unknown {
+                    has_several_versions: true,
+                } => unknown = answer,
+                _ => {}
+            }
+            unanswered.remove(&from);
+        }
+        unknown
+    }
+}
+
+/// Handles a message from another instance; `number` is that of its datagram.
+pub(super) async fn receive<P: Protocol>(
+    gateway: &Gateway<P>,
+    channel: &Channel,
+    from: IpAddr,
+    number: u64,
+    message: OriginMessage,
+) {
+    let now_us = gateway.clock.now_us();
+    match message {
+        OriginMessage::Record { key, origin } => {
+            let mut state = gateway.stream_origins.lock();
+            state.table.write(now_us, key, origin);
+        }
+        OriginMessage::Ask { key, service } => {
+            let held = gateway
+                .stream_origins
+                .lock()
+                .table
+                .get(now_us, key)
+                .cloned();
+            let answer = match held {
+                Some(origin) => OriginMessage::Known(origin),
+                None => OriginMessage::Unknown {
+                    has_several_versions: gateway.has_several_versions(&service),
+                },
+            };
+            channel
+                .send(from, number, DirectMessage::Origins(answer))
+                .await;
+        }
+        OriginMessage::Known(_) | OriginMessage::Unknown { .. } => {
+            gateway.stream_origins.deliver(number, from, message);
+        }
+    }
+}
--- a/tests/edge/stream_versions.rs
+++ b/tests/edge/stream_versions.rs
@@ -24,6 +24,8 @@
 const SLOTS: usize = 16;
 /// Streams of one test. The retry budget of the smallest group has room for as many.
 const STREAMS: usize = 32;
+/// Events of a stream that lasts for longer than instances take to learn of a new version.
+const LONG_STREAM: u64 = 40;
 /// Attempts of a caller to take up a stream, refusals included.
 const TAKE_UP_ATTEMPTS: usize = 4;
 
@@ -77,6 +79,17 @@
         .await;
     }
 
+    /// Waits until no instance knows these endpoints.
+    async fn until_gone(&self, ids: &[&str]) {
+        until("endpoints to be gone", || {
+            self.instances.iter().all(|instance| {
+                let balancer = instance.gateway.balancer();
+                ids.iter().all(|id| balancer.key_of(id).is_none())
+            })
+        })
+        .await;
+    }
+
     /// Returns the endpoints that ran an attempt, each with whether the attempt went on after an event.
     fn endpoints_of(&self, id: &str) -> Vec<(usize, bool)> {
         let mut found = Vec::new();
@@ -287,4 +300,96 @@
     counts.check("taken up with one version");
     let counts = run_take_ups(&mut site, "one-killed", &versions, true, Duration::ZERO).await;
     counts.check("taken up with one version after a kill");
+    for instance in &site.instances {
+        assert!(
+            instance.gateway.stream_origins.is_empty(),
+            "nothing is written with one version"
+        );
+    }
+}
+
+/// The streams began when nothing had to be written, and their instance is killed once there are two versions.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_begun_before_a_second_version_does_not_change_its_version() {
+    let mut site = Site::start(145, 7, 9).await;
+    let mut versions = ["v1"; 9];
+    site.set_versions(&versions).await;
+    site.platform.remove("servers", "e8-0");
+    site.until_gone(&["e8-0"]).await;
+    for runner in site.runners.iter() {
+        runner.pace(Duration::from_millis(60));
+        runner.long_responses(LONG_STREAM, 0);
+    }
+    let mut begun = JoinSet::new();
+    for number in 0..STREAMS {
+        let (id, callers) = (format!("before-{number}"), site.callers[0]);
+        begun.spawn(async move {
+            leave_after(callers, request(PATH, &id, &[]), LONG_STREAM as usize / 2).await;
+            id
+        });
+    }
+    time::sleep(Duration::from_millis(500)).await;
+    versions[8] = "v2";
+    // The id of another start, since the first one was removed.
+    let mut spec = entry(site.runners[8].addr);
+    spec["version"] = "v2".into();
+    spec["capacity"] = (8 * SLOTS).into();
+    site.runners[8].replace("e8-1");
+    site.platform.set("servers", "e8-1", spec);
+    until("the second version to be known", || {
+        let mut instances = site.instances.iter();
+        instances.all(|i| i.gateway.has_several_versions("svc"))
+    })
+    .await;
+    let begun = begun.join_all().await;
+    site.instances[0].stop();
+    let (tries, _) = take_up_streams(&site, 1, begun).await;
+    let counts = site.count(&tries, &versions);
+    println!("{counts:?} of {STREAMS}");
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+    assert!(counts.went_on * 2 >= STREAMS, "{counts:?}");
+}
+
+/// Takes up a stream at the second instance, once; returns the status and whether an endpoint was reached.
+async fn take_up_once(site: &Site, id: &str, headers: &[(&str, &str)]) -> (StatusCode, bool) {
+    let got = exchange(site.callers[1], request(PATH, id, headers)).await;
+    let got = got.expect("an answer");
+    (got.status, !site.endpoints_of(id).is_empty())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_unknown_origin_is_refused_without_being_run() {
+    let refused = (StatusCode::SERVICE_UNAVAILABLE, false);
+    let site = Site::start(146, 3, 4).await;
+    site.set_versions(&TWO_VERSIONS).await;
+    let unknown = [("last-event-id", "2"), ("resumes", "never-begun")];
+    assert_eq!(take_up_once(&site, "unknown", &unknown).await, refused);
+    let unnamed = [("last-event-id", "2")];
+    assert_eq!(take_up_once(&site, "unnamed", &unnamed).await, refused);
+    let (status, _) = take_up_once(&site, "new", &[]).await;
+    assert_eq!(status, StatusCode::OK, "new streams are not affected");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_whose_version_has_left_is_refused_without_being_run() {
+    let site = Site::start(147, 3, 4).await;
+    site.set_versions(&TWO_VERSIONS).await;
+    let begun = begin_streams(&site, 0, "left").await;
+    for index in [1, 3] {
+        site.platform.remove("servers", &format!("e{index}-0"));
+    }
+    site.until_gone(&["e1-0", "e3-0"]).await;
+    let mut refused = 0;
+    for first in begun {
+        let (began, _) = site.versions_of(&[&first], &TWO_VERSIONS);
+        let headers = [("last-event-id", "2"), ("resumes", &*first)];
+        let taken_up = take_up_once(&site, &format!("{first}-again"), &headers).await;
+        let expected = match began {
+            "v1" => (StatusCode::OK, true),
+            _ => (StatusCode::SERVICE_UNAVAILABLE, false),
+        };
+        assert_eq!(taken_up, expected, "{first} began at {began}");
+        refused += usize::from(began != "v1");
+    }
+    assert!(refused > 0, "some streams began at the version that left");
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -45,6 +45,7 @@
 mod slow_callers;
 mod staleness;
 mod store_returns;
+mod stream_origins;
 mod summary;
 mod support;
 mod surge;
