Soak: callers leave streams and take them up beside two versions of the endpoints' software

Cause: the soak's endpoints had one version beside that of the roll-out, and no caller took a stream up.

Change: a third of the endpoints runs v1.1, three callers leave streams after some events and take them up at any instance. A stream that goes on at another version is a breach, within an answer or over a caller's tries; so is it if less than half go on in the calm phase.

--- a/standins/src/soak/checks.rs
+++ b/standins/src/soak/checks.rs
@@ -10,7 +10,7 @@
         CONFIG_PROPAGATION, KEY_REVOCATION, RACE_MARGIN, Report, RunState, World, announcements,
         brittle,
         callers::{Outcome, Path, Sent},
-        cuts, data_centres, limits, organisations, rollouts, slow_callers,
+        cuts, data_centres, limits, organisations, resumptions, rollouts, slow_callers,
     },
 };
 
@@ -51,7 +51,8 @@
         check_runs(one, runs, &run_state, &mut breach);
         report.served += usize::from(check_answer(id, one, runs, &mut breach));
     }
-    for id in runs.keys().filter(|id| !sent.contains_key(*id)) {
+    let was_sent = |id: &str| sent.contains_key(id) || run_state.stream_ids.contains(id);
+    for id in runs.keys().filter(|id| !was_sent(id)) {
         let unknown = format!("{id}: ran, and nobody sent it");
         report.breaches.push(unknown);
     }
@@ -64,6 +65,9 @@
     cuts::check(&sent, &run_state, &mut report);
     brittle::check(world, &mut report);
     rollouts::check(world, run_state.rollout.as_ref(), &mut report);
+    drop(run_state);
+    drop(sent);
+    resumptions::check(world, &mut report);
     report
 }
 
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -14,11 +14,12 @@
 mod limits;
 mod organisations;
 mod process;
+mod resumptions;
 mod rollouts;
 mod slow_callers;
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     path::PathBuf,
     sync::{
         Arc, Mutex,
@@ -134,6 +135,10 @@
     cuts: Vec<cuts::Cut>,
     /// Endpoints whose network path had a fault, with the start and end.
     impaired: Vec<(usize, Instant, Instant)>,
+    /// Ids of all attempts of callers that leave streams and take them up.
+    stream_ids: HashSet<String>,
+    /// Streams that callers left and took up.
+    taken_up: Vec<resumptions::TakenUp>,
     /// Start of the calm phase.
     calm_since: Option<Instant>,
     breaches: Vec<String>,
@@ -168,6 +173,7 @@
     }
     organisations::spawn_callers(&world, plan, plan.callers, &mut callers);
     slow_callers::spawn_callers(&world, plan, plan.callers + SLOW_CALLERS_FROM, &mut callers);
+    resumptions::spawn_callers(&world, plan, &mut callers);
     let supervisor = tokio::spawn(process::keep_running(world.clone()));
     let limit_task = tokio::spawn(limits::announce_at_random(world.clone(), plan.clone()));
     let announcement_task = tokio::spawn(announcements::announce_at_random(
@@ -272,7 +278,7 @@
 
     fn register_with_warmup(&self, index: usize, state: &str, cold_ms: u64) {
         let spec = json!({"backend": "svc", "address": self.runner_proxies[index].addr,
-            "zone": data_centres::of_endpoint(index), "version": "v1", "capacity": brittle::SLOTS,
+            "zone": data_centres::of_endpoint(index), "version": resumptions::version_of(index), "capacity": brittle::SLOTS,
             "state": state, "warmupLeftMs": cold_ms, "sequence": 1});
         let start = self.starts[index].load(Ordering::Relaxed);
         self.platform.set("servers", &runner_id(index, start), spec);
