Lines of crashes name the parts of the prompt and how long the answer had begun

Cause: the lines of endpoints that crashed do not show which parts the requests there share, nor whether their answers had begun, so a bad part cannot be told from those that break with it.

Change: endpoint_ended has parts and answering_ms. No decision changes.

--- a/src/balance/prefixes.rs
+++ b/src/balance/prefixes.rs
@@ -26,6 +26,11 @@
     pub tokens: u32,
 }
 
+/// Returns the parts that other prompts may share: the last one belongs to the request or its session.
+pub fn shared_parts(parts: &[PromptPart]) -> &[PromptPart] {
+    parts.split_last().map_or(&[], |(_, shared)| shared)
+}
+
 /// Hash of a chain: a part with all parts before it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ChainKey(pub u32);
--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_check.rs
@@ -77,25 +77,36 @@
     }
 }
 
+/// A run of a request that was lost with its connection.
+#[derive(Clone, Debug)]
+pub struct LostRun {
+    /// The endpoint.
+    pub choice: Choice,
+    /// Whether an earlier run of the request was lost.
+    pub lost_before: bool,
+    /// The time since the first event of its answer; `None` if there was none.
+    pub answering_us: Option<Micros>,
+}
+
 /// Checks whether the endpoint to which a request has just lost its connection has crashed, and records the crash
 /// against the request. Only a request that is suspected of crashing endpoints waits for the result; any other may be
 /// retried at once.
 pub async fn on_connection_lost<P: Protocol>(
     gateway: &Arc<Gateway<P>>,
     job: &Arc<Job>,
-    choice: Choice,
-    lost_before: bool,
+    lost: LostRun,
 ) {
-    let is_suspected = lost_before || gateway.suspects().is_suspected(job.fingerprint());
+    let is_suspected = lost.lost_before || gateway.suspects().is_suspected(job.fingerprint());
     // A task of its own, since the caller may disconnect meanwhile.
-    let recording = tokio::spawn(record_crash(gateway.clone(), job.clone(), choice));
+    let recording = tokio::spawn(record_crash(gateway.clone(), job.clone(), lost));
     if is_suspected {
         // This fails only while the process shuts down.
         let _ = recording.await;
     }
 }
 
-async fn record_crash<P: Protocol>(gateway: Arc<Gateway<P>>, job: Arc<Job>, choice: Choice) {
+async fn record_crash<P: Protocol>(gateway: Arc<Gateway<P>>, job: Arc<Job>, lost: LostRun) {
+    let choice = &lost.choice;
     if !has_crashed(&gateway, choice.key, choice.addr).await {
         return;
     }
@@ -106,7 +117,7 @@
         suspects.note_crash(now_us, fingerprint, choice.key);
         suspects.crashes(fingerprint)
     };
-    log_crash(&gateway, &job, &choice.id, crashes);
+    log_crash(&gateway, &job, &lost, crashes);
 }
 
 /// Returns whether the endpoint to which a connection has just been lost has crashed. This takes 40 ms or more, and at
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -5,10 +5,14 @@
 use rand::RngExt;
 
 use crate::{
-    balance::cost::Expected,
+    balance::{
+        cost::Expected,
+        prefixes::{self, PromptPart},
+    },
     entry::refusal::Refusal,
     gateway::{
         attempt::{self, Job},
+        crash_check::LostRun,
         metrics::Outcome,
         protocol::Protocol,
         refuse,
@@ -19,6 +23,9 @@
     shares::admission::ShareRefusal,
 };
 
+/// Most parts of a prompt in a log line; prompts have two or three.
+const MAX_LOGGED_PARTS: usize = 8;
+
 /// What happened to a request, for its log line.
 #[derive(Clone, Debug, Default)]
 pub struct Trace {
@@ -58,7 +65,10 @@
 }
 
 /// Logs that an endpoint crashed while it ran a request; `endings` is the number of crashes under this request so far.
-pub fn log_crash<P: Protocol>(gateway: &Gateway<P>, job: &Job, endpoint: &str, endings: usize) {
+pub fn log_crash<P: Protocol>(gateway: &Gateway<P>, job: &Job, lost: &LostRun, endings: usize) {
+    let endpoint = &*lost.choice.id;
+    let answering_ms = lost.answering_us.map(|us| us / 1_000);
+    let parts = shared_parts_text(&job.head.parts);
     let blocked_us = gateway.blocked_us(|| job.fingerprint());
     let fingerprint = job.fingerprint().to_string();
     log::info!(
@@ -66,13 +76,21 @@
         request_id = job.request_id(),
         route = &*job.route.name,
         organisation = job.organisation.as_deref().unwrap_or("-"),
-        endpoint, fingerprint, endings,
+        endpoint, fingerprint, endings, parts,
+        answering_ms:serde = answering_ms,
         blocked_ms = blocked_us.unwrap_or(0) / 1_000,
         endpoints_age_ms:serde = gateway.endpoints_age_ms();
         "endpoint_ended"
     );
 }
 
+/// Returns the ids of a prompt's parts that other prompts may share, for logs.
+fn shared_parts_text(parts: &[PromptPart]) -> String {
+    let shared = prefixes::shared_parts(parts).iter().take(MAX_LOGGED_PARTS);
+    let ids: Vec<String> = shared.map(|part| format!("{:x}", part.id)).collect();
+    ids.join(",")
+}
+
 /// Counts and logs a refusal.
 pub fn note_refusal<P: Protocol>(
     gateway: &Gateway<P>,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -28,7 +28,7 @@
         },
         attempt::{self, AttemptDeadline, AttemptError, BufferedResponse, EndpointResponse, Job},
         caller_buffer::{CallerConnection, CallerHandle, HeldAccount},
-        crash_check,
+        crash_check::{self, LostRun},
         metrics::Outcome,
         protocol::{CallHead, Protocol},
         quota, refuse,
@@ -499,8 +499,12 @@
     /// Returns the outcome of a failed attempt; a lost connection starts a check of whether the endpoint crashed.
     async fn handle_failure(&self, error: AttemptError, sent_to: Choice) -> AttemptOutcome {
         if matches!(error, AttemptError::ConnectionLost(_)) {
-            let is_retry = self.runs > 0;
-            crash_check::on_connection_lost(&self.gateway, &self.job, sent_to, is_retry).await;
+            let lost = LostRun {
+                choice: sent_to,
+                lost_before: self.runs > 0,
+                answering_us: None,
+            };
+            crash_check::on_connection_lost(&self.gateway, &self.job, lost).await;
         }
         match error {
             AttemptError::NotSent(reason) => AttemptOutcome::NotRun {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -21,7 +21,7 @@
     gateway::{
         attempt::{self, AttemptDeadline, AttemptError, EndpointResponse, InFlightRequest, Job},
         caller_buffer::{HeldAccount, NoRoom, StreamWriter, stream_buffer},
-        crash_check,
+        crash_check::{self, LostRun},
         metrics::Outcome,
         origin_table::StreamOrigin,
         protocol::Protocol,
@@ -120,6 +120,11 @@
 }
 
 impl<P: Protocol> Upstream<P> {
+    /// Returns the time since the first event of this run, if there was one.
+    fn answering_us(&self, now_us: Micros) -> Option<Micros> {
+        (self.events_seen > 0).then(|| now_us.saturating_sub(self.first_event_us))
+    }
+
     /// Notes the mean time between the events of a complete stream, which a slow version stretches.
     fn note_mean_gap(&self) {
         if self.events_seen > 1 {
@@ -316,7 +321,9 @@
             drop(self.upstream.connection.take());
             self.upstream.in_flight.finish();
             if reason != STALLED {
-                self.on_connection_lost(self.choice().clone()).await;
+                let answering_us = self.upstream.answering_us(now_us);
+                self.on_connection_lost(self.choice().clone(), answering_us)
+                    .await;
             }
             self.trace.reason = Some(reason);
             if !self.resume(reason, alternative).await {
@@ -326,10 +333,14 @@
     }
 
     /// Starts the check whether the endpoint has crashed.
-    async fn on_connection_lost(&mut self, choice: Choice) {
+    async fn on_connection_lost(&mut self, choice: Choice, answering_us: Option<Micros>) {
         self.trace.fingerprint = Some(self.job.fingerprint());
-        let lost_before = self.runs > 1;
-        crash_check::on_connection_lost(&self.gateway, &self.job, choice, lost_before).await;
+        let lost = LostRun {
+            choice,
+            lost_before: self.runs > 1,
+            answering_us,
+        };
+        crash_check::on_connection_lost(&self.gateway, &self.job, lost).await;
     }
 
     fn record_outcome(&self, outcome: Outcome) {
@@ -522,7 +533,7 @@
                 Err(AttemptError::NotSent(_)) => {}
                 Err(AttemptError::ConnectionLost(_)) => {
                     self.runs += 1;
-                    self.on_connection_lost(attempted).await;
+                    self.on_connection_lost(attempted, None).await;
                 }
                 Err(AttemptError::Unknown(_) | AttemptError::NoRoom) => self.runs += 1,
             }
