--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -17,6 +17,7 @@
 mod load_generator;
 mod loss_of_all;
 mod other_writers;
+mod poison_parts;
 mod poison_requests;
 mod reservations;
 mod resting_endpoints;
