Parts of prompts that crash the endpoints which answer them are blocked

What callers saw: requests that share one bad part and nothing else crashed endpoint after endpoint, and the others found none that was up.

Cause: suspicion went by the whole request, of which no two were alike: each had one crash, and a block needs two. Class: what is learned of a failure is kept under a name that the next failure of the same cause does not bear.

Change: limits::part_suspects holds crashes against each part of a prompt that others may share, if the answer had not gone on for half a second; an answer that does clears the part everywhere. Three crashes under different requests block a part (six one that was answered in the last minute, which also gets a trial each 5 s). A crash that a part at more crashes explains counts against neither other parts nor whole requests. Sent with the updates and kept in the store after all else and only if there are any, so that datagrams and lists without parts are the same as before.

--- a/src/explain.rs
+++ b/src/explain.rs
@@ -144,7 +144,7 @@
 }
 
 /// Readable descriptions of the values of `reason` in log lines.
-const REASONS: [(&str, &str); 32] = [
+const REASONS: [(&str, &str); 33] = [
     (
         "answer_broke_off",
         "the endpoint's answer broke off, so it may have run",
@@ -243,6 +243,10 @@
         "version_withheld",
         "the roll-out of its service did not allow the endpoint's version any more",
     ),
+    (
+        "part_ends_endpoints",
+        "endpoints ended whenever they began to answer prompts with a part of its own, so it is sent to no other",
+    ),
 ];
 
 fn reason(code: &str) -> &str {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -26,7 +26,6 @@
         endpoint_connect::ConnectError,
         permits,
         protocol::{CallHead, Forward, Protocol},
-        refuse,
         rollout_requests::RolloutRequest,
         state::Gateway,
     },
@@ -76,6 +75,8 @@
     pub until_us: Micros,
     /// The first instance through which it was sent, if this one was cut off from the endpoints.
     pub carrier: OnceLock<Name>,
+    /// Whether it is sent although a part of its prompt is blocked, to show whether that is still needed.
+    pub is_trial: bool,
     /// Identifies retries of the same request; computed on first use.
     pub fingerprint: OnceLock<Fingerprint>,
 }
@@ -338,9 +339,9 @@
     gateway
         .check_before_send(in_flight.choice.key)
         .map_err(AttemptError::NotSent)?;
-    if gateway.blocked_us(|| job.fingerprint()).is_some() {
-        // Endpoints crashed while running this request since it was checked on arrival.
-        return Err(AttemptError::NotSent(refuse::ENDS_ENDPOINTS));
+    if let Some(block) = gateway.block_of(job) {
+        // Endpoints crashed since it was checked on arrival.
+        return Err(AttemptError::NotSent(block.reason()));
     }
     in_flight.rollout = gateway
         .admit_version(&in_flight.choice, &job.route)
--- a/src/gateway/block_list.rs
+++ b/src/gateway/block_list.rs
@@ -12,7 +12,7 @@
 use crate::{
     clock::unix_s,
     gateway::{protocol::Protocol, state::Gateway},
-    limits::suspects::SuspectUpdate,
+    limits::{part_suspects::PartUpdate, suspects::SuspectUpdate},
     prelude::Micros,
     store::{ObjectEra, Store, WriteError},
 };
@@ -32,6 +32,9 @@
 struct BlockList {
     written_unix_s: u64,
     suspects: Vec<SuspectUpdate>,
+    /// Encoded after the rest, and only if there are any, so that lists without parts can be read by all versions.
+    #[serde(skip)]
+    parts: Vec<PartUpdate>,
 }
 
 /// The store's list as last read or written.
@@ -40,14 +43,17 @@
     era: ObjectEra,
     version: u64,
     suspects: Vec<SuspectUpdate>,
+    parts: Vec<PartUpdate>,
 }
 
 impl Stored {
-    fn matches(&self, suspects: &[SuspectUpdate]) -> bool {
-        let same = |(a, b): (&SuspectUpdate, &SuspectUpdate)| {
-            a.fingerprint == b.fingerprint && a.crashes == b.crashes
-        };
-        self.suspects.len() == suspects.len() && self.suspects.iter().zip(suspects).all(same)
+    fn matches(&self, wanted: &BlockList) -> bool {
+        let is_same = |(a, b): (&SuspectUpdate, &SuspectUpdate)| a.has_same_crashes(b);
+        let is_same_part = |(a, b): (&PartUpdate, &PartUpdate)| a.has_same_crashes(b);
+        self.suspects.len() == wanted.suspects.len()
+            && self.parts.len() == wanted.parts.len()
+            && self.suspects.iter().zip(&wanted.suspects).all(is_same)
+            && self.parts.iter().zip(&wanted.parts).all(is_same_part)
     }
 }
 
@@ -98,7 +104,11 @@
         let Some(stored) = &self.stored else {
             return self.read().await;
         };
-        let wanted = self.gateway.suspects().to_persist(now_us);
+        let wanted = BlockList {
+            written_unix_s: unix_s(),
+            suspects: self.gateway.suspects().to_persist(now_us),
+            parts: self.gateway.part_suspects().to_persist(now_us),
+        };
         if stored.matches(&wanted) {
             self.pending = PendingWrite::Nothing;
             return;
@@ -145,6 +155,7 @@
                     era,
                     version: object.version,
                     suspects: list.suspects,
+                    parts: list.parts,
                 });
             }
             Err(error) => self.back_off("block_list_not_read", &error.to_string()),
@@ -154,35 +165,35 @@
     /// Merges the store's list as if a peer had sent it, with ages increased by the time since it was written.
     fn merge(&self, list: &BlockList) {
         let age_s = unix_s().saturating_sub(list.written_unix_s);
-        let aged = |suspect: &SuspectUpdate| SuspectUpdate {
-            age_s: u16::try_from(age_s + u64::from(suspect.age_s)).unwrap_or(u16::MAX),
-            ..suspect.clone()
-        };
-        let suspects: Vec<SuspectUpdate> = list.suspects.iter().map(aged).collect();
+        let suspects = list.suspects.iter().cloned();
+        let suspects: Vec<SuspectUpdate> = suspects.map(|suspect| suspect.aged(age_s)).collect();
         let now_us = self.gateway.clock.now_us();
         self.gateway.suspects().apply_updates(now_us, &suspects);
-        let requests = suspects.len();
-        log::info!(target: "ryevalve::process", requests, age_s; "block_list_read");
+        let parts = list.parts.iter().cloned();
+        let parts: Vec<PartUpdate> = parts.map(|part| part.aged(age_s)).collect();
+        let (requests, parts_read) = (suspects.len(), parts.len());
+        self.gateway.part_suspects().apply_updates(now_us, parts);
+        log::info!(
+            target: "ryevalve::process",
+            requests, parts = parts_read, age_s;
+            "block_list_read"
+        );
     }
 
-    async fn write(&mut self, suspects: Vec<SuspectUpdate>) {
+    async fn write(&mut self, list: BlockList) {
         let version = self.stored.as_ref().map_or(0, |stored| stored.version);
-        let list = BlockList {
-            written_unix_s: unix_s(),
-            suspects,
-        };
-        // Plain data like this always serialises to postcard.
-        let bytes = postcard::to_stdvec(&list).unwrap_or_default();
+        let bytes = encode(&list);
         self.pending = PendingWrite::Nothing;
         let era_before = self.store.era();
         match self.store.write(KEY, bytes.into(), version).await {
             Ok(version) => {
-                let requests = list.suspects.len();
-                log::info!(target: "ryevalve::process", requests; "block_list_written");
+                let (requests, parts) = (list.suspects.len(), list.parts.len());
+                log::info!(target: "ryevalve::process", requests, parts; "block_list_written");
                 self.stored = Some(Stored {
                     era: ObjectEra::of_call(era_before, self.store.era()),
                     version,
                     suspects: list.suspects,
+                    parts: list.parts,
                 });
             }
             // Another instance has written the list, or an earlier write of this one succeeded after all.
@@ -200,12 +211,29 @@
     }
 }
 
+fn encode(list: &BlockList) -> Vec<u8> {
+    // Plain data like this always serialises to postcard.
+    let mut bytes = postcard::to_stdvec(list).unwrap_or_default();
+    if !list.parts.is_empty() {
+        bytes.extend(postcard::to_stdvec(&list.parts).unwrap_or_default());
+    }
+    bytes
+}
+
 /// Decodes the list. One that cannot be decoded was written by another version of the software; it counts as empty and
 /// is replaced.
 fn decode(bytes: &[u8]) -> BlockList {
-    postcard::from_bytes(bytes).unwrap_or_else(|error| {
+    try_decode(bytes).unwrap_or_else(|error| {
         let reason = error.to_string();
         log::warn!(target: "ryevalve::process", reason; "block_list_unreadable");
         BlockList::default()
     })
 }
+
+fn try_decode(bytes: &[u8]) -> Result<BlockList, postcard::Error> {
+    let (mut list, rest): (BlockList, _) = postcard::take_from_bytes(bytes)?;
+    if !rest.is_empty() {
+        list.parts = postcard::from_bytes(rest)?;
+    }
+    Ok(list)
+}
--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_check.rs
@@ -96,7 +96,7 @@
     job: &Arc<Job>,
     lost: LostRun,
 ) {
-    let is_suspected = lost.lost_before || gateway.suspects().is_suspected(job.fingerprint());
+    let is_suspected = lost.lost_before || gateway.is_suspected(job);
     // A task of its own, since the caller may disconnect meanwhile.
     let recording = tokio::spawn(record_crash(gateway.clone(), job.clone(), lost));
     if is_suspected {
@@ -110,13 +110,7 @@
     if !has_crashed(&gateway, choice.key, choice.addr).await {
         return;
     }
-    let now_us = gateway.clock.now_us();
-    let fingerprint = job.fingerprint();
-    let crashes = {
-        let mut suspects = gateway.suspects();
-        suspects.note_crash(now_us, fingerprint, choice.key);
-        suspects.crashes(fingerprint)
-    };
+    let crashes = gateway.note_crash(&job, &lost);
     log_crash(&gateway, &job, &lost, crashes);
 }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -278,7 +278,8 @@
         quota::tick(&self.gateway).await;
         shares::refresh(&self.gateway);
         let has_state_change = self.take_state_changed();
-        let suspects_changed = self.gateway.suspects().take_has_changes();
+        let suspects_changed = self.gateway.suspects().take_has_changes()
+            | self.gateway.part_suspects().take_has_changes();
         let announcements_changed = self.gateway.balancer().take_announcements_changed();
         let changed =
             self.gateway.balancer().take_changed() || suspects_changed || announcements_changed;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub mod aggregators;
 pub mod attempt;
 pub mod block_list;
+pub mod blocks;
 pub mod caller_buffer;
 pub mod caller_listener;
 pub mod caller_timeouts;
--- a/src/gateway/receiving.rs
+++ b/src/gateway/receiving.rs
@@ -47,6 +47,11 @@
         self.gateway
             .suspects()
             .apply_updates(now_us, &update.suspects);
+        if !update.parts.is_empty() {
+            let parts = update.parts.clone();
+            self.gateway.part_suspects().apply_updates(now_us, parts);
+            self.gateway.log_blocked_parts();
+        }
         endpoint_announcements::apply_from_peer(&self.gateway, &update.standings);
         let cluster_size = self.gateway.balancer().load_view().cluster_size();
         match (cluster_size, update.purpose) {
--- a/src/gateway/refuse.rs
+++ b/src/gateway/refuse.rs
@@ -7,13 +7,9 @@
 
 use crate::{
     entry::{answer::Body, refusal::Refusal},
-    gateway::protocol::Protocol,
-    prelude::Micros,
+    gateway::{blocks::Block, protocol::Protocol},
 };
 
-/// Reason for refusing a request that crashed the endpoints that ran it.
-pub const ENDS_ENDPOINTS: &str = "ends_endpoints";
-
 /// Reason for refusing a request that there is no memory for.
 pub const NO_MEMORY: &str = "no_memory";
 
@@ -50,11 +46,17 @@
     }
 }
 
-/// Endpoints crashed whenever they ran the request; it is blocked for `blocked_us` and did not run this time.
-pub fn blocked(blocked_us: Micros) -> Refusal {
-    let message = "endpoints that ran this request ended; it is not sent to another";
-    let blocked_ms = u32::try_from(blocked_us / 1_000).unwrap_or(u32::MAX);
-    Refusal::not_run(ENDS_ENDPOINTS, message, blocked_ms)
+/// Endpoints crashed whenever they ran the request, or began to answer a part of its prompt; it is blocked and did not
+/// run this time.
+pub fn blocked(block: Block) -> Refusal {
+    let message = match block {
+        Block::Request { .. } => "endpoints that ran this request ended; it is not sent to another",
+        Block::Part(_) => {
+            "endpoints that answered a part of this prompt ended; it is not sent to another"
+        }
+    };
+    let blocked_ms = u32::try_from(block.left_us() / 1_000).unwrap_or(u32::MAX);
+    Refusal::not_run(block.reason(), message, blocked_ms)
 }
 
 /// The caller did not send the body within the time of its request.
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -12,13 +12,13 @@
     entry::refusal::Refusal,
     gateway::{
         attempt::{self, Job},
+        blocks::Block,
         crash_check::LostRun,
         metrics::Outcome,
         protocol::Protocol,
-        refuse,
         state::Gateway,
     },
-    limits::{fingerprint::Fingerprint, quota::Denied},
+    limits::{fingerprint::Fingerprint, part_suspects::PartId, quota::Denied},
     prelude::{Micros, Name},
     shares::admission::ShareRefusal,
 };
@@ -51,6 +51,8 @@
     pub reason: Option<&'static str>,
     /// The fingerprint that identifies a repetition of the request, if an endpoint failed while running it.
     pub fingerprint: Option<Fingerprint>,
+    /// The blocked part of its prompt, if it was refused for that.
+    pub part: Option<PartId>,
     /// The expected performance at the last endpoint.
     pub expected: Option<Expected>,
     /// The longest gap between two events of a stream.
@@ -69,7 +71,7 @@
     let endpoint = &*lost.choice.id;
     let answering_ms = lost.answering_us.map(|us| us / 1_000);
     let parts = shared_parts_text(&job.head.parts);
-    let blocked_us = gateway.blocked_us(|| job.fingerprint());
+    let blocked_us = gateway.block_of(job).map(Block::left_us);
     let fingerprint = job.fingerprint().to_string();
     log::info!(
         target: "ryevalve::request",
@@ -102,7 +104,7 @@
     let route = trace.route.as_deref().unwrap_or("-");
     gateway.metrics.record_outcome(route, Outcome::of(refusal));
     // A blocked request is refused whatever the load, so it does not count as a sign of overload.
-    if refusal.retry_after_ms.is_some() && refusal.reason != refuse::ENDS_ENDPOINTS {
+    if refusal.retry_after_ms.is_some() && !Block::is_reason(refusal.reason) {
         gateway.note_refused();
     }
     let held_ms = gateway.clock.now_us().saturating_sub(arrived_us) / 1_000;
@@ -116,6 +118,7 @@
         reason = refusal.reason,
         last_failure = trace.reason.unwrap_or("-"),
         fingerprint = trace.fingerprint_for_log(),
+        blocked_part:serde = trace.part.map(|part| part.to_string()),
         endpoint = trace.endpoint.as_deref().unwrap_or("-"),
         attempts = trace.attempts,
         held_ms,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -18,6 +18,7 @@
         balancer::{BUSY, Choice, Placement},
         cost::PlacementRequest,
         load::EndpointKey,
+        prefixes::PromptPart,
         regions::AllowedRegions,
     },
     entry::{answer::Body, refusal::Refusal},
@@ -27,6 +28,7 @@
             placement_request, read_body, time_budget_us,
         },
         attempt::{self, AttemptDeadline, AttemptError, BufferedResponse, EndpointResponse, Job},
+        blocks::{Arrival, Block},
         caller_buffer::{CallerConnection, CallerHandle, HeldAccount},
         crash_check::{self, LostRun},
         metrics::Outcome,
@@ -137,7 +139,7 @@
     let organisation_name = organisation.as_ref().map(|o| o.name.clone());
     trace.organisation.clone_from(&organisation_name);
     let fingerprint = OnceLock::new();
-    refuse_blocked(gateway, trace, || {
+    let is_trial = refuse_blocked(gateway, trace, &head.parts, || {
         let organisation = organisation_name.as_deref();
         let compute = || attempt::fingerprint(&parts.method, &parts.uri, organisation, &body);
         *fingerprint.get_or_init(compute)
@@ -213,6 +215,7 @@
         saves_connections,
         until_us,
         carrier: OnceLock::new(),
+        is_trial,
         fingerprint,
     };
     let run = Run::new(gateway.clone(), job);
@@ -237,18 +240,24 @@
     }
 }
 
-/// Refuses a request that is blocked because endpoints crashed while running it.
+/// Refuses a request that is blocked because endpoints crashed; returns whether one that is not refused is a trial.
 fn refuse_blocked<P: Protocol>(
     gateway: &Gateway<P>,
     trace: &mut Trace,
+    parts: &[PromptPart],
     fingerprint: impl Fn() -> Fingerprint,
-) -> Result<(), Refusal> {
-    let Some(blocked_us) = gateway.blocked_us(&fingerprint) else {
-        return Ok(());
+) -> Result<bool, Refusal> {
+    let block = match gateway.check_arrival(parts, &fingerprint) {
+        Arrival::Admitted => return Ok(false),
+        Arrival::Trial => return Ok(true),
+        Arrival::Blocked(block) => block,
     };
-    trace.fingerprint = Some(fingerprint());
+    match block {
+        Block::Request { .. } => trace.fingerprint = Some(fingerprint()),
+        Block::Part(blocked) => trace.part = Some(blocked.part),
+    }
     gateway.metrics.requests_blocked.inc();
-    Err(refuse::blocked(blocked_us))
+    Err(refuse::blocked(block))
 }
 
 /// The outcome of an attempt to run a request at one endpoint.
@@ -398,12 +407,13 @@
     fn check_resend(&self, was_sent: bool, reason: &'static str) -> Result<(), Refusal> {
         let may_resend = self.not_run <= MAX_NOT_RUN
             && self.has_time()
-            && reason != refuse::ENDS_ENDPOINTS
+            && !Block::is_reason(reason)
             && (!was_sent || self.gateway.take_retry(&self.job.placement_request.service));
         match may_resend {
             true => Ok(()),
-            false if self.runs == 0 && reason == refuse::ENDS_ENDPOINTS => {
-                Err(refuse::blocked(self.blocked_us().unwrap_or(0)))
+            false if self.runs == 0 && Block::is_reason(reason) => {
+                let block = self.gateway.block_of(&self.job);
+                Err(block.map_or_else(|| refuse::not_run(reason, 0), refuse::blocked))
             }
             false if self.runs == 0 => {
                 let retry_after_ms = self
@@ -420,15 +430,10 @@
         self.job.is_repeatable()
             && self.runs < self.job.route.max_attempts
             && self.has_time()
-            && self.blocked_us().is_none()
+            && self.gateway.block_of(&self.job).is_none()
             && self.gateway.take_retry(&self.job.placement_request.service)
     }
 
-    /// Returns for how much longer the request is blocked because endpoints crashed while running it, if it is.
-    fn blocked_us(&self) -> Option<Micros> {
-        self.gateway.blocked_us(|| self.job.fingerprint())
-    }
-
     fn has_time(&self) -> bool {
         self.gateway.clock.now_us() + ANSWER_MARGIN_US < self.job.until_us
     }
@@ -461,8 +466,7 @@
             Ok(buffered) if buffered.status.is_server_error() => AttemptOutcome::Error(buffered),
             Ok(buffered) => {
                 if buffered.status.is_success() {
-                    self.gateway
-                        .note_request_completed(|| self.job.fingerprint());
+                    self.gateway.note_request_completed(&self.job);
                 }
                 AttemptOutcome::Answer(self.deliver(buffered, trace))
             }
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -297,6 +297,7 @@
         for (index, summary) in summaries.iter().enumerate() {
             if index > 0 {
                 update.suspects = Vec::new();
+                update.parts = Vec::new();
                 update.standings = Vec::new();
                 self.add_observations(&mut update, Observations::default());
                 update.seq = self.next_seq();
@@ -471,6 +472,10 @@
     /// Adds the suspects and endpoint announcements that are due for an audience.
     fn add_due_updates(&self, now_us: Micros, update: &mut Update, audience: Audience) {
         update.suspects = self.gateway.suspects().take_due_updates(now_us, audience);
+        update.parts = self
+            .gateway
+            .part_suspects()
+            .take_due_updates(now_us, audience);
         update.standings = self
             .gateway
             .balancer()
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -43,9 +43,9 @@
         tunnels::Tunnels,
     },
     limits::{
-        fingerprint::Fingerprint,
         held_bytes::HeldLimits,
         instance_counts::InstanceCounts,
+        part_suspects::PartSuspects,
         permits::ColdTolerance,
         quota::Tolerance,
         retries::{RetryBounds, RetryBudget},
@@ -128,6 +128,7 @@
     retries: Mutex<RetryBudget>,
     caller_timeouts: Mutex<TypicalTimeouts>,
     suspects: Mutex<SuspectTable>,
+    pub(super) part_suspects: Mutex<PartSuspects>,
     /// Time of the last refusal with a Retry-After; 0 if there was none.
     refused_us: AtomicU64,
     /// Number of instances that share limits, and of those seen recently; both include this one.
@@ -213,6 +214,7 @@
             retries: Mutex::new(RetryBudget::new(bounds.retries)),
             caller_timeouts: Mutex::default(),
             suspects: Mutex::default(),
+            part_suspects: Mutex::default(),
             refused_us: AtomicU64::new(0),
             instances_known: AtomicUsize::new(1),
             instances_seen: AtomicUsize::new(1),
@@ -285,24 +287,6 @@
         lock(&self.suspects)
     }
 
-    /// Returns for how much longer a request is blocked because endpoints crashed while running it, or `None` if it is
-    /// not blocked. `fingerprint` is called only while some request is suspected.
-    pub fn blocked_us(&self, fingerprint: impl FnOnce() -> Fingerprint) -> Option<Micros> {
-        if self.suspects().is_empty() {
-            return None;
-        }
-        let fingerprint = fingerprint();
-        let endpoints = self.balancer().endpoint_count();
-        let now_us = self.clock.now_us();
-        self.suspects().blocked_us(now_us, fingerprint, endpoints)
-    }
-
-    /// Notes that a request ran to completion.
-    pub fn note_request_completed(&self, fingerprint: impl FnOnce() -> Fingerprint) {
-        let now_us = self.clock.now_us();
-        self.suspects().note_completed(now_us, fingerprint());
-    }
-
     /// Counts a request for a service towards its retry budget.
     pub fn count_request(&self, service: &Name) {
         lock(&self.retries).note_request(self.clock.now_us(), service);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -29,7 +29,7 @@
         report::{Trace, log_answer},
         state::Gateway,
     },
-    limits::read_pauses::ReadPauses,
+    limits::{part_suspects::PROVEN_AFTER_US, read_pauses::ReadPauses},
     prelude::{Micros, Name},
 };
 
@@ -61,6 +61,8 @@
     reuse: Option<Option<Duration>>,
     cutter: EventSplitter,
     events_seen: u32,
+    /// Whether it has gone on for so long that the parts of the prompt do not crash the endpoint.
+    has_proven_parts: bool,
     first_event_us: Micros,
     last_event_us: Micros,
     pauses: ReadPauses,
@@ -111,6 +113,7 @@
             reuse,
             cutter: EventSplitter::default(),
             events_seen: 0,
+            has_proven_parts: false,
             first_event_us: now_us,
             last_event_us: now_us,
             pauses: ReadPauses::default(),
@@ -410,8 +413,7 @@
         if !held_by_caller {
             self.upstream.note_mean_gap();
         }
-        self.gateway
-            .note_request_completed(|| self.job.fingerprint());
+        self.gateway.note_request_completed(&self.job);
         if let (Some(idle_timeout), Some(connection)) =
             (self.upstream.reuse, self.upstream.connection.take())
         {
@@ -443,6 +445,11 @@
         }
         upstream.events_seen += count;
         upstream.last_event_us = now_us;
+        let answering_us = now_us.saturating_sub(upstream.first_event_us);
+        if answering_us >= PROVEN_AFTER_US && !upstream.has_proven_parts {
+            upstream.has_proven_parts = true;
+            self.gateway.note_parts_answered(&self.job);
+        }
     }
 
     /// Returns the deadline of the next event.
@@ -461,7 +468,7 @@
 
     fn may_resume(&self) -> bool {
         self.job.is_repeatable()
-            && self.gateway.blocked_us(|| self.job.fingerprint()).is_none()
+            && self.gateway.block_of(&self.job).is_none()
             && self.runs < self.job.route.max_attempts
             && self.last_id.is_some()
             && self
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -7,6 +7,7 @@
 pub mod fingerprint;
 pub mod held_bytes;
 pub mod instance_counts;
+pub mod part_suspects;
 pub mod permits;
 pub mod quota;
 pub mod rate;
--- a/src/limits/suspects.rs
+++ b/src/limits/suspects.rs
@@ -10,7 +10,7 @@
 //! cleared, so updates between instances may be reordered, delayed or duplicated. Uses no clock or socket, so that
 //! tests can drive it step by step.
 
-use std::{cmp::Reverse, collections::HashMap};
+use std::{cmp::Reverse, collections::HashMap, hash::Hash};
 
 use serde::{Deserialize, Serialize};
 
@@ -54,8 +54,9 @@
 /// The most completed runs that are stored, about 50 bytes each: ten seconds of 400 requests a second. Computing a
 /// fingerprint takes 1.4 µs per kilobyte for a body of 30 KB, about 10 µs for a usual prompt.
 const MAX_COMPLETED: usize = 4_096;
-/// The most crashes that are stored per request; more than are needed to block it.
-const MAX_CRASHES: usize = 6;
+/// The most crashes that are stored per suspect: more than are needed to block it, since those stored for a part of
+/// prompts also explain the crashes under other suspects.
+const MAX_CRASHES: usize = 12;
 /// The most suspects that are stored, about 150 bytes each. A crashing endpoint adds some tens of them; those with
 /// one crash are evicted first.
 const MAX_SUSPECTS: usize = 4_096;
@@ -69,6 +70,11 @@
 /// The most suspects that are persisted for instances that start when no other is left, about 30 bytes each.
 const MAX_PERSISTED: usize = 1_000;
 
+/// What a crash is held against: a request, or a part of prompts.
+pub trait SuspectKey: Copy + Ord + Hash {}
+
+impl SuspectKey for Fingerprint {}
+
 /// A crash of an endpoint while a request ran there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
@@ -76,13 +82,17 @@
     pub endpoint: EndpointKey,
     /// The request completed elsewhere, so it is not the cause.
     pub is_cleared: bool,
+    /// Tells requests apart where the suspect is a part of several. Not sent with this struct.
+    #[serde(skip)]
+    pub request_tag: u32,
 }
 
 /// What is known of a suspect, as instances send it to each other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SuspectUpdate {
-    /// The request.
-    pub fingerprint: Fingerprint,
+pub struct SuspectUpdate<K = Fingerprint> {
+    /// The suspect.
+    #[serde(rename = "fingerprint")]
+    pub key: K,
     /// The time since its set of crashes last changed, in seconds.
     pub age_s: u16,
     /// The crashes under it.
@@ -90,6 +100,19 @@
     pub crashes: Vec<Crash>,
 }
 
+impl<K: PartialEq> SuspectUpdate<K> {
+    /// Returns whether it says the same of the same suspect, whatever its age.
+    pub fn has_same_crashes(&self, other: &Self) -> bool {
+        self.key == other.key && self.crashes == other.crashes
+    }
+
+    /// Returns it with its age increased.
+    pub fn aged(mut self, by_s: u64) -> Self {
+        self.age_s = u16::try_from(by_s + u64::from(self.age_s)).unwrap_or(u16::MAX);
+        self
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct Suspect {
     crashes: Vec<Crash>,
@@ -123,10 +146,10 @@
         true
     }
 
-    fn to_update(&self, now_us: Micros, fingerprint: Fingerprint) -> SuspectUpdate {
+    fn to_update<K>(&self, now_us: Micros, key: K) -> SuspectUpdate<K> {
         let age_us = now_us.saturating_sub(self.changed_us);
         SuspectUpdate {
-            fingerprint,
+            key,
             age_s: u16::try_from(age_us / 1_000_000).unwrap_or(u16::MAX),
             crashes: self.crashes.clone(),
         }
@@ -164,17 +187,28 @@
 }
 
 /// The requests under which endpoints crashed recently.
-#[derive(Debug, Default)]
-pub struct SuspectTable {
-    suspects: HashMap<Fingerprint, Suspect>,
+#[derive(Debug)]
+pub struct SuspectTable<K = Fingerprint> {
+    suspects: HashMap<K, Suspect>,
     /// When endpoints crashed recently, whichever requests ran there.
     crashed: HashMap<EndpointKey, Micros>,
     /// When requests last completed, for those that did recently.
-    completed: HashMap<Fingerprint, Micros>,
+    completed: HashMap<K, Micros>,
     has_changes: bool,
 }
 
-impl SuspectTable {
+impl<K> Default for SuspectTable<K> {
+    fn default() -> Self {
+        Self {
+            suspects: HashMap::new(),
+            crashed: HashMap::new(),
+            completed: HashMap::new(),
+            has_changes: false,
+        }
+    }
+}
+
+impl<K: SuspectKey> SuspectTable<K> {
     /// Returns whether no request is stored.
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty()
@@ -186,33 +220,60 @@
     }
 
     /// Returns whether a request has uncleared crashes.
-    pub fn is_suspected(&self, fingerprint: Fingerprint) -> bool {
-        self.crashes(fingerprint) > 0
+    pub fn is_suspected(&self, key: K) -> bool {
+        self.crashes(key) > 0
     }
 
     /// Returns the number of uncleared crashes of a request.
-    pub fn crashes(&self, fingerprint: Fingerprint) -> usize {
-        let suspect = self.suspects.get(&fingerprint);
+    pub fn crashes(&self, key: K) -> usize {
+        let suspect = self.suspects.get(&key);
         suspect.map_or(0, Suspect::uncleared)
     }
 
     /// Returns for how much longer a request is blocked, in microseconds; `None` if it is not. `endpoints` is the
     /// number of endpoints.
-    pub fn blocked_us(
+    pub fn blocked_us(&self, now_us: Micros, key: K, endpoints: usize) -> Option<Micros> {
+        self.blocked_us_unless(now_us, key, endpoints, |_| false)
+    }
+
+    /// Like [`Self::blocked_us`], without the crashes of endpoints for which `is_explained` holds: they have another
+    /// cause.
+    pub fn blocked_us_unless(
         &self,
         now_us: Micros,
-        fingerprint: Fingerprint,
+        key: K,
         endpoints: usize,
+        is_explained: impl Fn(EndpointKey) -> bool,
     ) -> Option<Micros> {
-        let suspect = self.suspects.get(&fingerprint)?;
-        let left_us = (suspect.changed_us + BLOCKED_US).checked_sub(now_us)?;
-        let crashes = suspect.uncleared();
+        let left_us = self.block_left_us(now_us, key)?;
+        let suspect = self.suspects.get(&key)?;
+        let crashes = suspect.crashes.iter().filter(|c| !c.is_cleared);
+        let crashes = crashes.filter(|c| !is_explained(c.endpoint)).count();
         let few = endpoints as f64 * OTHERS_SHARE;
         let is_blocked = crashes >= CERTAIN_CRASHES
             || (crashes >= LIKELY_CRASHES && (self.other_crashes(now_us, suspect) as f64) < few);
         is_blocked.then_some(left_us)
     }
 
+    /// Returns how long it takes until a suspect is forgotten, if it does not change before.
+    pub fn block_left_us(&self, now_us: Micros, key: K) -> Option<Micros> {
+        let suspect = self.suspects.get(&key)?;
+        (suspect.changed_us + BLOCKED_US).checked_sub(now_us)
+    }
+
+    /// Returns the uncleared crashes of a suspect.
+    pub fn uncleared_crashes(&self, key: K) -> impl Iterator<Item = &Crash> {
+        let suspect = self.suspects.get(&key).into_iter();
+        suspect.flat_map(|s| &s.crashes).filter(|c| !c.is_cleared)
+    }
+
+    /// Returns the suspects that have at least so many uncleared crashes.
+    pub fn with_crashes(&self, at_least: usize) -> impl Iterator<Item = K> {
+        let suspects = self.suspects.iter();
+        let suspects = suspects.filter(move |(_, s)| s.uncleared() >= at_least);
+        suspects.map(|(key, _)| *key)
+    }
+
     /// Returns how many endpoints crashed recently without this request running there.
     fn other_crashes(&self, now_us: Micros, suspect: &Suspect) -> usize {
         let is_recent = |at_us: Micros| now_us.saturating_sub(at_us) < OTHERS_WINDOW_US;
@@ -222,34 +283,46 @@
     }
 
     /// Notes that an endpoint crashed while a request ran there.
-    pub fn note_crash(&mut self, now_us: Micros, fingerprint: Fingerprint, endpoint: EndpointKey) {
+    pub fn note_crash(&mut self, now_us: Micros, key: K, endpoint: EndpointKey) {
+        self.note_crash_of(now_us, key, endpoint, 0);
+    }
+
+    /// Notes that an endpoint crashed while a request ran there of which the suspect is a part.
+    pub fn note_crash_of(
+        &mut self,
+        now_us: Micros,
+        key: K,
+        endpoint: EndpointKey,
+        request_tag: u32,
+    ) {
         let crash = Crash {
             endpoint,
-            is_cleared: self.is_trusted(now_us, fingerprint),
+            is_cleared: self.is_trusted(now_us, key),
+            request_tag,
         };
-        if self.merge(now_us, fingerprint, &[crash]) {
-            self.schedule_update(fingerprint, Audience::Peers);
+        if self.merge(now_us, key, &[crash]) {
+            self.schedule_update(key, Audience::Peers);
         }
     }
 
     /// Notes that a request completed, and clears it of its crashes.
-    pub fn note_completed(&mut self, now_us: Micros, fingerprint: Fingerprint) {
-        if self.completed.len() < MAX_COMPLETED || self.completed.contains_key(&fingerprint) {
-            self.completed.insert(fingerprint, now_us);
+    pub fn note_completed(&mut self, now_us: Micros, key: K) {
+        if self.completed.len() < MAX_COMPLETED || self.completed.contains_key(&key) {
+            self.completed.insert(key, now_us);
         }
-        self.clear(now_us, fingerprint);
+        self.clear(now_us, key);
     }
 
     /// Returns whether a request completed here shortly before `at_us`, or later.
-    fn is_trusted(&self, at_us: Micros, fingerprint: Fingerprint) -> bool {
-        let completed_us = self.completed.get(&fingerprint);
+    fn is_trusted(&self, at_us: Micros, key: K) -> bool {
+        let completed_us = self.completed.get(&key);
         completed_us.is_some_and(|completed_us| {
             at_us.saturating_sub(*completed_us) < TRUST_AFTER_COMPLETION_US
         })
     }
 
-    fn clear(&mut self, now_us: Micros, fingerprint: Fingerprint) {
-        let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
+    fn clear(&mut self, now_us: Micros, key: K) {
+        let Some(suspect) = self.suspects.get_mut(&key) else {
             return;
         };
         if suspect.uncleared() == 0 {
@@ -260,32 +333,32 @@
         }
         suspect.changed_us = now_us;
         suspect.dissemination.mark_changed(Audience::Hall);
-        self.schedule_update(fingerprint, Audience::Peers);
+        self.schedule_update(key, Audience::Peers);
     }
 
     /// Merges updates from another instance. Changes are passed on to the hall; other peers receive them from the
     /// instance that found them. If the sender counts crashes that are cleared here, an update is scheduled for it.
-    pub fn apply_updates(&mut self, now_us: Micros, updates: &[SuspectUpdate]) {
+    pub fn apply_updates(&mut self, now_us: Micros, updates: &[SuspectUpdate<K>]) {
         for update in updates {
             let changed_us = now_us.saturating_sub(Micros::from(update.age_s) * 1_000_000);
-            self.merge(changed_us, update.fingerprint, &update.crashes);
-            if self.is_trusted(changed_us, update.fingerprint) {
-                self.clear(now_us, update.fingerprint);
+            self.merge(changed_us, update.key, &update.crashes);
+            if self.is_trusted(changed_us, update.key) {
+                self.clear(now_us, update.key);
             }
-            let known = self.suspects.get(&update.fingerprint);
+            let known = self.suspects.get(&update.key);
             if known.is_some_and(|known| known.clears_more_than(&update.crashes)) {
-                self.schedule_update(update.fingerprint, Audience::Peers);
-                self.schedule_update(update.fingerprint, Audience::Hall);
+                self.schedule_update(update.key, Audience::Peers);
+                self.schedule_update(update.key, Audience::Hall);
             }
         }
     }
 
     /// Adds crashes to a request; returns whether anything changed.
-    fn merge(&mut self, at_us: Micros, fingerprint: Fingerprint, crashes: &[Crash]) -> bool {
-        if !self.suspects.contains_key(&fingerprint) {
+    fn merge(&mut self, at_us: Micros, key: K, crashes: &[Crash]) -> bool {
+        if !self.suspects.contains_key(&key) {
             self.make_room();
         }
-        let suspect = self.suspects.entry(fingerprint).or_default();
+        let suspect = self.suspects.entry(key).or_default();
         let mut is_new = false;
         for crash in crashes {
             is_new |= suspect.merge(*crash);
@@ -308,8 +381,8 @@
         }
     }
 
-    fn schedule_update(&mut self, fingerprint: Fingerprint, audience: Audience) {
-        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+    fn schedule_update(&mut self, key: K, audience: Audience) {
+        if let Some(suspect) = self.suspects.get_mut(&key) {
             suspect.dissemination.mark_changed(audience);
             self.has_changes = true;
         }
@@ -323,10 +396,10 @@
         }
         let eviction_key = |s: &Suspect| (s.uncleared().min(CERTAIN_CRASHES), s.changed_us);
         let all = self.suspects.iter();
-        let mut all: Vec<_> = all.map(|(f, s)| (eviction_key(s), *f)).collect();
+        let mut all: Vec<_> = all.map(|(k, s)| (eviction_key(s), *k)).collect();
         all.select_nth_unstable(EVICTION_BATCH);
-        for (_, fingerprint) in &all[..EVICTION_BATCH] {
-            self.suspects.remove(fingerprint);
+        for (_, key) in &all[..EVICTION_BATCH] {
+            self.suspects.remove(key);
         }
     }
 
@@ -336,28 +409,36 @@
     }
 
     /// Returns the updates that are due to an audience in this round.
-    pub fn take_due_updates(&mut self, now_us: Micros, audience: Audience) -> Vec<SuspectUpdate> {
+    pub fn take_due_updates(
+        &mut self,
+        now_us: Micros,
+        audience: Audience,
+    ) -> Vec<SuspectUpdate<K>> {
         let due = self.suspects.iter_mut();
         let due = due.filter(|(_, s)| s.is_due(now_us, audience));
         let mut due: Vec<_> = due.collect();
-        due.sort_by_key(|(_, s)| s.dissemination.sort_key(audience));
+        due.sort_by_key(|(_, s)| {
+            let (is_unchanged, sent_us) = s.dissemination.sort_key(audience);
+            // What is nearest to being blocked is not delayed by the many others that ran on the same endpoints.
+            (is_unchanged, Reverse(s.uncleared()), sent_us)
+        });
         let updates = due.into_iter().take(MAX_UPDATES);
-        let updates = updates.map(|(fingerprint, suspect)| {
+        let updates = updates.map(|(key, suspect)| {
             suspect.dissemination.note_sent(now_us, audience);
-            suspect.to_update(now_us, *fingerprint)
+            suspect.to_update(now_us, *key)
         });
         updates.collect()
     }
 
     /// Returns what to persist for instances that start when no other is left: the suspects that are blocked or one
-    /// crash away from it, the latest ones if there are many, sorted by fingerprint.
-    pub fn to_persist(&self, now_us: Micros) -> Vec<SuspectUpdate> {
+    /// crash away from it, the latest ones if there are many, sorted by key.
+    pub fn to_persist(&self, now_us: Micros) -> Vec<SuspectUpdate<K>> {
         let persisted = self.suspects.iter().filter(|(_, s)| s.is_resent(now_us));
         let mut persisted: Vec<_> = persisted.collect();
         persisted.sort_unstable_by_key(|(_, s)| Reverse(s.changed_us));
         persisted.truncate(MAX_PERSISTED);
-        persisted.sort_unstable_by_key(|(fingerprint, _)| **fingerprint);
-        let updates = persisted.into_iter().map(|(f, s)| s.to_update(now_us, *f));
+        persisted.sort_unstable_by_key(|(key, _)| **key);
+        let updates = persisted.into_iter().map(|(k, s)| s.to_update(now_us, *k));
         updates.collect()
     }
 
--- a/src/peers/update.rs
+++ b/src/peers/update.rs
@@ -11,7 +11,9 @@
         speed::{SpeedSamples, SpeedSummary},
     },
     gateway::{evacuations::EvacuationSet, rollouts::RolloutUpdate},
-    limits::{announcements::AnnouncementUpdate, suspects::SuspectUpdate},
+    limits::{
+        announcements::AnnouncementUpdate, part_suspects::PartUpdate, suspects::SuspectUpdate,
+    },
     peers::datagram::{Authenticator, DatagramError, UnreadableSnafu},
     prelude::{Incarnation, StorePosition},
     shares::picture::ServiceReport,
@@ -108,6 +110,10 @@
     pub demand: Vec<ServiceReport>,
     /// The hall summaries of an aggregator.
     pub halls: Vec<HallSummary>,
+    /// Parts of prompts suspected of crashing endpoints. Encoded after the rest, and only if there are any, so that
+    /// instances that do not know them can read the rest.
+    #[serde(skip)]
+    pub parts: Vec<PartUpdate>,
 }
 
 impl Update {
@@ -131,6 +137,9 @@
 pub fn encode(authenticator: &Authenticator, update: &Update) -> Vec<u8> {
     // Encoding plain data into a vector does not fail.
     let mut bytes = postcard::to_stdvec(update).unwrap_or_default();
+    if !update.parts.is_empty() {
+        bytes.extend(postcard::to_stdvec(&update.parts).unwrap_or_default());
+    }
     authenticator.seal(&mut bytes);
     bytes
 }
@@ -141,5 +150,10 @@
 /// The tag is missing or wrong, or the content cannot be decoded.
 pub fn decode(authenticator: &Authenticator, bytes: &[u8]) -> Result<Update, DatagramError> {
     let body = authenticator.open(bytes)?;
-    postcard::from_bytes(body).context(UnreadableSnafu)
+    let (mut update, rest): (Update, _) =
+        postcard::take_from_bytes(body).context(UnreadableSnafu)?;
+    if !rest.is_empty() {
+        update.parts = postcard::from_bytes(rest).context(UnreadableSnafu)?;
+    }
+    Ok(update)
 }
--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -389,6 +389,7 @@
         gateway.connections.remove_expired(now_us);
         gateway.carried.expire(now_us);
         gateway.suspects().expire(now_us);
+        gateway.part_suspects().expire(now_us);
         gateway.permits.expire(now_us);
         gateway
             .permits
