--- a/src/limits/part_suspects.rs
+++ b/src/limits/part_suspects.rs
@@ -127,6 +127,11 @@
         self.table.is_empty()
     }
 
+    /// Returns the number of stored parts, cleared ones included.
+    pub fn len(&self) -> usize {
+        self.table.len()
+    }
+
     /// Returns whether a part of a prompt has uncleared crashes.
     pub fn is_suspected(&self, parts: &[PromptPart]) -> bool {
         !self.is_empty() && candidates(parts).any(|part| self.table.is_suspected(part))
--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -140,6 +140,8 @@
     padding: usize,
     /// A response of which nothing can be sent for this long is cut off.
     unread_timeout: Duration,
+    /// Whether responses have neither a length nor chunks and end with their connection.
+    ends_with_connection: bool,
 }
 
 impl Default for Shape {
@@ -148,6 +150,7 @@
             events: EVENTS,
             padding: 0,
             unread_timeout: Duration::from_secs(3_600),
+            ends_with_connection: false,
         }
     }
 }
@@ -318,6 +321,11 @@
         state.shape.padding = padding;
     }
 
+    /// Sends responses with neither a length nor chunks, which end with their connection.
+    pub fn end_with_connection(&self) {
+        self.lock().shape.ends_with_connection = true;
+    }
+
     /// Cuts off a response of which nothing can be sent for this long.
     pub fn cut_unread_after(&self, timeout: Duration) {
         self.lock().shape.unread_timeout = timeout;
@@ -526,6 +534,9 @@
             s.finished = true;
             s.finished_at = Some(Instant::now());
         });
+        if shape.ends_with_connection {
+            return Ok(End::Closed);
+        }
     }
     Ok(End::Closed)
 }
@@ -703,6 +714,11 @@
         time::sleep(Duration::from_millis(20)).await;
         return Ok(false);
     }
+    if response.shape.ends_with_connection {
+        let text = head(response, "Connection: close") + &body;
+        stream.write_all(text.as_bytes()).await?;
+        return Ok(true);
+    }
     let length = format!("Content-Length: {}", body.len());
     let mut text = head(response, &length) + &body;
     if fault == Fault::Surplus {
@@ -724,7 +740,14 @@
         shape,
         ..
     } = response;
-    let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked";
+    let kind = match shape.ends_with_connection {
+        true => "Content-Type: text/event-stream\r\nConnection: close",
+        false => "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked",
+    };
+    let framed = |text: &str| match shape.ends_with_connection {
+        true => text.to_owned(),
+        false => format!("{:x}\r\n{text}\r\n", text.len()),
+    };
     stream.write_all(head(response, kind).as_bytes()).await?;
     for number in from + 1..=shape.events {
         time::sleep(pace).await;
@@ -734,16 +757,17 @@
         let event = padded_event(request_id, number, shape.padding);
         let is_cut = fault == Fault::CutStream || (fault == Fault::CutNewStream && from == 0);
         if is_cut && number == 4 {
-            let half = &event[..event.len() / 2];
-            let chunk = format!("{:x}\r\n{half}\r\n", half.len());
+            let chunk = framed(&event[..event.len() / 2]);
             stream.write_all(chunk.as_bytes()).await?;
             return Ok(false);
         }
-        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        let chunk = framed(&event);
         let writing = stream.write_all(chunk.as_bytes());
         time::timeout(shape.unread_timeout, writing).await??;
     }
-    stream.write_all(b"0\r\n\r\n").await?;
+    if !shape.ends_with_connection {
+        stream.write_all(b"0\r\n\r\n").await?;
+    }
     Ok(true)
 }
 
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -6,6 +6,7 @@
 mod brittle_endpoints;
 mod change_propagation;
 mod cluster;
+mod connections;
 mod control;
 mod cut_links;
 mod cut_rollouts;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -28,6 +28,8 @@
 mod logs;
 mod other_halls;
 mod packed;
+mod part_strategies;
+mod part_suspects;
 mod peer_table;
 mod prefixes;
 mod quota;
