Soak: requests with a part of their prompts that crashes endpoints

Cause: no endpoint of the soak crashed because of what prompts share.

Change: every .1 to .5 s a request with the bad part comes to any instance, beside all faults; crashed endpoints refuse connections and are back after a second. More than three such requests that reach endpoints in the calm phase are a breach.

--- a/standins/src/soak/checks.rs
+++ b/standins/src/soak/checks.rs
@@ -8,7 +8,7 @@
     runner::{EVENTS, LONG_PADDING, event, padded_event, whole_body},
     soak::{
         CONFIG_PROPAGATION, KEY_REVOCATION, RACE_MARGIN, Report, RunState, World, announcements,
-        brittle,
+        bad_parts, brittle,
         callers::{Outcome, Path, Sent},
         cuts, data_centres, limits, organisations, resumptions, rollouts, slow_callers,
     },
@@ -51,7 +51,7 @@
         check_runs(one, runs, &run_state, &mut breach);
         report.served += usize::from(check_answer(id, one, runs, &mut breach));
     }
-    let was_sent = |id: &str| sent.contains_key(id) || run_state.stream_ids.contains(id);
+    let was_sent = |id: &str| sent.contains_key(id) || run_state.other_ids.contains(id);
     for id in runs.keys().filter(|id| !was_sent(id)) {
         let unknown = format!("{id}: ran, and nobody sent it");
         report.breaches.push(unknown);
@@ -68,6 +68,7 @@
     drop(run_state);
     drop(sent);
     resumptions::check(world, &mut report);
+    bad_parts::check(world, &mut report);
     report
 }
 
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -5,6 +5,7 @@
 //! hold only without faults. The checks use only what callers and endpoints observe.
 
 mod announcements;
+mod bad_parts;
 mod brittle;
 mod callers;
 mod checks;
@@ -135,8 +136,8 @@
     cuts: Vec<cuts::Cut>,
     /// Endpoints whose network path had a fault, with the start and end.
     impaired: Vec<(usize, Instant, Instant)>,
-    /// Ids of all attempts of callers that leave streams and take them up.
-    stream_ids: HashSet<String>,
+    /// Ids of requests that are not among those sent by the usual callers.
+    other_ids: HashSet<String>,
     /// Streams that callers left and took up.
     taken_up: Vec<resumptions::TakenUp>,
     /// Start of the calm phase.
@@ -174,6 +175,7 @@
     organisations::spawn_callers(&world, plan, plan.callers, &mut callers);
     slow_callers::spawn_callers(&world, plan, plan.callers + SLOW_CALLERS_FROM, &mut callers);
     resumptions::spawn_callers(&world, plan, &mut callers);
+    bad_parts::spawn(&world, plan, &mut callers);
     let supervisor = tokio::spawn(process::keep_running(world.clone()));
     let limit_task = tokio::spawn(limits::announce_at_random(world.clone(), plan.clone()));
     let announcement_task = tokio::spawn(announcements::announce_at_random(
--- a/standins/src/soak/resumptions.rs
+++ b/standins/src/soak/resumptions.rs
@@ -71,7 +71,7 @@
     for count in 0.. {
         time::sleep(Duration::from_millis(rng.random_range(PAUSE_MS))).await;
         let first = format!("left-{number}-{count}");
-        world.run_state().stream_ids.insert(first.clone());
+        world.run_state().other_ids.insert(first.clone());
         let events = rng.random_range(1..EVENTS);
         let Some(after) = begin(&world, &mut rng, &first, events).await else {
             continue;
@@ -111,7 +111,7 @@
     };
     for attempt in 0..ATTEMPTS {
         let id = format!("{}-{attempt}", taken_up.first);
-        world.run_state().stream_ids.insert(id.clone());
+        world.run_state().other_ids.insert(id.clone());
         taken_up.others.push(id.clone());
         let last_event = after.to_string();
         let headers = [
