Trials of blocked parts: one instance of a group takes them, two at most

Cause: each instance let a request with a blocked part through each 5 s, if requests with it had been answered in the last minute.

Change: the instance that leads the part by rendezvous hashing takes trials, 5 and 20 s after it first refused; a trial is not sent again. No lock of the two tables of suspects is taken in both orders (two places held one over the other). The soak's endpoints of the roll-out's version crash like the others, so that the part is bad everywhere.

--- a/src/explain.rs
+++ b/src/explain.rs
@@ -245,7 +245,7 @@
     ),
     (
         "part_ends_endpoints",
-        "endpoints ended whenever they began to answer prompts with a part of its own, so it is sent to no other",
+        "endpoints ended whenever they began to answer prompts with one of its parts, so it is sent to none",
     ),
 ];
 
--- a/src/gateway/block_list.rs
+++ b/src/gateway/block_list.rs
@@ -104,10 +104,12 @@
         let Some(stored) = &self.stored else {
             return self.read().await;
         };
+        let suspects = self.gateway.suspects().to_persist(now_us);
+        let parts = self.gateway.part_suspects().to_persist(now_us);
         let wanted = BlockList {
             written_unix_s: unix_s(),
-            suspects: self.gateway.suspects().to_persist(now_us),
-            parts: self.gateway.part_suspects().to_persist(now_us),
+            suspects,
+            parts,
         };
         if stored.matches(&wanted) {
             self.pending = PendingWrite::Nothing;
--- a/src/gateway/blocks.rs
+++ b/src/gateway/blocks.rs
@@ -13,7 +13,7 @@
     },
     limits::{
         fingerprint::Fingerprint,
-        part_suspects::{BlockedPart, PROVEN_AFTER_US, PartSuspects},
+        part_suspects::{BlockedPart, PROVEN_AFTER_US, PartId, PartSuspects},
     },
     prelude::Micros,
 };
@@ -103,11 +103,20 @@
         let mut suspects = self.part_suspects();
         match suspects.blocked(now_us, parts) {
             None => Arrival::Admitted,
-            Some(blocked) if suspects.take_trial(now_us, blocked.part) => Arrival::Trial,
+            Some(blocked)
+                if self.leads_trials(blocked.part) && suspects.take_trial(now_us, blocked.part) =>
+            {
+                Arrival::Trial
+            }
             Some(blocked) => Arrival::Blocked(Block::Part(blocked)),
         }
     }
 
+    /// Returns whether this instance is the one that lets requests with a blocked part through as trials.
+    fn leads_trials(&self, part: PartId) -> bool {
+        self.view().leads(&format!("part {part}"))
+    }
+
     /// Returns why a request is blocked, if it is. A trial is not blocked by the parts of its prompt.
     pub fn block_of(&self, job: &Job) -> Option<Block> {
         if let Some(left_us) = self.blocked_us(|| job.fingerprint()) {
@@ -123,8 +132,9 @@
 
     /// Returns whether a request, or a part of its prompt, is suspected of crashing endpoints.
     pub fn is_suspected(&self, job: &Job) -> bool {
-        self.suspects().is_suspected(job.fingerprint())
-            || self.part_suspects().is_suspected(&job.head.parts)
+        // The two tables are never locked in this order at the same time.
+        let is_suspected = self.suspects().is_suspected(job.fingerprint());
+        is_suspected || self.part_suspects().is_suspected(&job.head.parts)
     }
 
     /// Notes that an endpoint crashed while a request ran there; returns the number of crashes under the request.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -278,11 +278,13 @@
         quota::tick(&self.gateway).await;
         shares::refresh(&self.gateway);
         let has_state_change = self.take_state_changed();
-        let suspects_changed = self.gateway.suspects().take_has_changes()
-            | self.gateway.part_suspects().take_has_changes();
+        let suspects_changed = self.gateway.suspects().take_has_changes();
+        let parts_changed = self.gateway.part_suspects().take_has_changes();
         let announcements_changed = self.gateway.balancer().take_announcements_changed();
-        let changed =
-            self.gateway.balancer().take_changed() || suspects_changed || announcements_changed;
+        let changed = self.gateway.balancer().take_changed()
+            || suspects_changed
+            || parts_changed
+            || announcements_changed;
         let is_due = {
             let mut state = self.lock();
             state.round_number += 1;
@@ -354,7 +356,7 @@
     fn apply_view(&self, view: &Arc<View>) {
         let now_us = self.gateway.clock.now_us();
         self.gateway.permits.set_view(view);
-        self.gateway.stream_origins.set_view(view);
+        self.gateway.set_view(view);
         self.gateway.quota.set_view(now_us, view);
         let mut state = self.lock();
         if state.aggregators.set_view(view) {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -428,6 +428,7 @@
     /// Returns whether a request that an endpoint may have run can be run again; takes a retry of the budget if so.
     fn may_run_again(&self) -> bool {
         self.job.is_repeatable()
+            && !self.job.is_trial
             && self.runs < self.job.route.max_attempts
             && self.has_time()
             && self.gateway.block_of(&self.job).is_none()
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -51,6 +51,7 @@
         retries::{RetryBounds, RetryBudget},
         suspects::SuspectTable,
     },
+    peers::view::View,
     prelude::{Micros, Name},
     shares::admission::Shares,
 };
@@ -131,6 +132,8 @@
     pub(super) part_suspects: Mutex<PartSuspects>,
     /// Time of the last refusal with a Retry-After; 0 if there was none.
     refused_us: AtomicU64,
+    /// The membership view.
+    view: Mutex<Arc<View>>,
     /// Number of instances that share limits, and of those seen recently; both include this one.
     instances_known: AtomicUsize,
     instances_seen: AtomicUsize,
@@ -216,6 +219,7 @@
             suspects: Mutex::default(),
             part_suspects: Mutex::default(),
             refused_us: AtomicU64::new(0),
+            view: Mutex::default(),
             instances_known: AtomicUsize::new(1),
             instances_seen: AtomicUsize::new(1),
             recent_addresses: Mutex::default(),
@@ -331,6 +335,16 @@
         self.refused_us.store(now_us.max(1), Ordering::Relaxed);
     }
 
+    /// Returns the membership view.
+    pub fn view(&self) -> Arc<View> {
+        lock(&self.view).clone()
+    }
+
+    /// Sets the membership view.
+    pub fn set_view(&self, view: &Arc<View>) {
+        lock(&self.view).clone_from(view);
+    }
+
     /// Returns how many instances share limits, and how many of them were seen recently.
     pub fn instance_counts(&self) -> InstanceCounts {
         InstanceCounts {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -468,6 +468,7 @@
 
     fn may_resume(&self) -> bool {
         self.job.is_repeatable()
+            && !self.job.is_trial
             && self.gateway.block_of(&self.job).is_none()
             && self.runs < self.job.route.max_attempts
             && self.last_id.is_some()
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -9,7 +9,7 @@
 use std::{
     collections::{HashMap, HashSet},
     net::IpAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -69,7 +69,6 @@
 
 #[derive(Default)]
 struct State {
-    view: Arc<View>,
     table: OriginTable,
     last_number: u64,
     /// Unanswered questions, by number.
@@ -96,11 +95,6 @@
 }
 
 impl StreamOrigins {
-    /// Sets the membership view.
-    pub fn set_view(&self, view: &Arc<View>) {
-        self.lock().view.clone_from(view);
-    }
-
     /// Returns the number of origins that this instance holds.
     pub fn len(&self) -> usize {
         self.lock().table.len()
@@ -131,14 +125,6 @@
         }
     }
 
-    /// Returns the `count` instances that hold a stream's origin first, other than this one.
-    fn holders(&self, key: StreamKey, count: usize) -> Vec<IpAddr> {
-        let view = self.lock().view.clone();
-        let holders = rank_holders(&view, key, count);
-        let others = holders.iter().filter(|m| m.info.incarnation != view.me);
-        others.map(|m| m.info.peer_addr.ip()).collect()
-    }
-
     fn lock(&self) -> MutexGuard<'_, State> {
         // No critical section can leave the state inconsistent, so a poisoned lock is still usable.
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -166,6 +152,14 @@
         self.balancer().versions().has_several(service)
     }
 
+    /// Returns the `count` instances that hold a stream's origin first, other than this one.
+    fn other_holders(&self, key: StreamKey, count: usize) -> Vec<IpAddr> {
+        let view = self.view();
+        let holders = rank_holders(&view, key, count);
+        let others = holders.iter().filter(|m| m.info.incarnation != view.me);
+        others.map(|m| m.info.peer_addr.ip()).collect()
+    }
+
     /// Writes the origin of a stream, here and to the instances that hold it.
     pub async fn record_origin(
         &self,
@@ -183,7 +177,7 @@
         let Some(channel) = self.reservation_client.channel() else {
             return;
         };
-        for holder in self.stream_origins.holders(key, HOLDERS) {
+        for holder in self.other_holders(key, HOLDERS) {
             let origin = origin.clone();
             let message = DirectMessage::Origins(OriginMessage::Record { key, origin });
             channel.send(holder, 0, message).await;
@@ -229,11 +223,8 @@
         let Some(channel) = self.reservation_client.channel() else {
             return unknown;
         };
-        let mut unanswered: HashSet<IpAddr> = self
-            .stream_origins
-            .holders(key, ASKED)
-            .into_iter()
-            .collect();
+        let asked = self.other_holders(key, ASKED);
+        let mut unanswered: HashSet<IpAddr> = asked.into_iter().collect();
         let mut pending = self.stream_origins.register();
         self.metrics.origins_asked.inc();
         let timeout = Instant::now() + ANSWER_TIMEOUT;
--- a/src/limits/part_suspects.rs
+++ b/src/limits/part_suspects.rs
@@ -32,8 +32,9 @@
 const CRASHES_OF_PROVEN_PART: usize = 6;
 /// How long a part counts as proven after a request with it was answered.
 const PROVEN_US: Micros = 60_000_000;
-/// While a proven part is blocked, one request with it is let through after this time, so that a wrong block ends.
-const TRIAL_INTERVAL_US: Micros = 5_000_000;
+/// While a proven part is blocked, a request with it is let through at these times after the block, so that a wrong block
+/// ends. Each may crash one more endpoint.
+const TRIALS_US: [Micros; 2] = [5_000_000, 20_000_000];
 /// The most proven parts that are stored, about 50 bytes each.
 const MAX_PROVEN: usize = 8_192;
 /// The most parts of one prompt that are looked at; prompts have two or three.
@@ -109,14 +110,23 @@
     pub left_us: Micros,
 }
 
+/// The trials of a blocked part.
+#[derive(Clone, Copy, Debug)]
+struct Trials {
+    /// When the part was first refused.
+    since_us: Micros,
+    /// Number of requests let through since.
+    taken: usize,
+}
+
 /// The parts of prompts under which endpoints crashed recently.
 #[derive(Debug, Default)]
 pub struct PartSuspects {
     table: SuspectTable<PartId>,
     /// When a request with a part was last answered.
     proven: HashMap<PartId, Micros>,
-    /// When a request with a blocked part was last let through.
-    trials: HashMap<PartId, Micros>,
+    /// The trials of blocked parts at this instance.
+    trials: HashMap<PartId, Trials>,
     /// Parts that were blocked when this was last asked.
     reported: HashSet<PartId>,
 }
@@ -173,17 +183,19 @@
         })
     }
 
-    /// Returns whether a request with a blocked part is let through as a trial. Parts that were never answered get
-    /// none: each trial may crash one more endpoint.
+    /// Returns whether a request with a blocked part is let through as a trial. Only one instance of a group takes
+    /// trials, and parts that were never answered get none.
     pub fn take_trial(&mut self, now_us: Micros, part: PartId) -> bool {
         if !self.is_proven(now_us, part) {
             return false;
         }
-        let last_us = *self.trials.entry(part).or_insert(now_us);
-        let is_due = now_us.saturating_sub(last_us) >= TRIAL_INTERVAL_US;
-        if is_due {
-            self.trials.insert(part, now_us);
-        }
+        let trials = self.trials.entry(part).or_insert(Trials {
+            since_us: now_us,
+            taken: 0,
+        });
+        let due_us = TRIALS_US.get(trials.taken);
+        let is_due = due_us.is_some_and(|due_us| now_us >= trials.since_us + due_us);
+        trials.taken += usize::from(is_due);
         is_due
     }
 
@@ -227,22 +239,18 @@
         if crashes < needed || self.requests(part) < CRASHES {
             return false;
         }
+        let explained = self.crashes_of_stronger(part, crashes);
         let own = self.table.uncleared_crashes(part);
-        let unexplained = own.filter(|c| !self.is_explained(part, crashes, c.endpoint));
+        let unexplained = own.filter(|c| !explained.contains(&c.endpoint));
         unexplained.count() >= needed
     }
 
-    /// Returns whether another part was at an endpoint's crash that was at more crashes than `crashes`.
-    fn is_explained(&self, part: PartId, crashes: usize, endpoint: EndpointKey) -> bool {
-        let mut others = self.table.with_crashes(crashes + 1);
-        others.any(|other| {
-            other != part
-                && self.requests(other) >= CRASHES
-                && self
-                    .table
-                    .uncleared_crashes(other)
-                    .any(|c| c.endpoint == endpoint)
-        })
+    /// Returns the endpoints that crashed under other parts with more crashes than `crashes`.
+    fn crashes_of_stronger(&self, part: PartId, crashes: usize) -> HashSet<EndpointKey> {
+        let stronger = self.table.with_crashes(crashes + 1);
+        let stronger = stronger.filter(|other| *other != part && self.requests(*other) >= CRASHES);
+        let crashes = stronger.flat_map(|other| self.table.uncleared_crashes(other));
+        crashes.map(|crash| crash.endpoint).collect()
     }
 
     /// Returns the number of different requests with a part under which endpoints crashed.
@@ -280,7 +288,8 @@
         self.table.expire(now_us);
         let is_current = |at_us: Micros| now_us.saturating_sub(at_us) < PROVEN_US;
         self.proven.retain(|_, at_us| is_current(*at_us));
-        self.trials.retain(|_, at_us| is_current(*at_us));
+        let table = &self.table;
+        self.trials.retain(|part, _| table.is_suspected(*part));
     }
 }
 
--- a/standins/src/soak/bad_parts.rs
+++ b/standins/src/soak/bad_parts.rs
@@ -14,8 +14,9 @@
 use tokio::{net::TcpStream, task::JoinSet, time};
 
 use crate::{
-    proxy::Mode,
-    soak::{Plan, Report, World},
+    proxy::{Mode, Proxy},
+    runner::Runner,
+    soak::{Plan, Report, World, rollouts},
 };
 
 /// XORed into the seed, so that these draws do not change the faults of a given seed.
@@ -35,7 +36,7 @@
 
 /// Starts what sends the requests and what starts crashed endpoints again.
 pub(super) fn spawn(world: &Arc<World>, plan: &Plan, tasks: &mut JoinSet<()>) {
-    for runner in &world.runners {
+    for runner in world.runners.iter().chain(&world.target_runners) {
         runner.crash_on(MARK.as_bytes());
     }
     let rng = ChaCha8Rng::seed_from_u64(plan.seed ^ RNG_STREAM);
@@ -79,15 +80,53 @@
     Some(())
 }
 
+/// An endpoint that may crash: those of the roll-out's target version have numbers of their own.
+#[derive(Clone, Copy, Debug)]
+enum Endpoint {
+    Usual(usize),
+    Target(usize),
+}
+
+impl Endpoint {
+    fn runner(self, world: &World) -> &Runner {
+        match self {
+            Self::Usual(index) => &world.runners[index],
+            Self::Target(index) => &world.target_runners[index],
+        }
+    }
+
+    fn proxy(self, world: &World) -> &Proxy {
+        match self {
+            Self::Usual(index) => &world.runner_proxies[index],
+            Self::Target(index) => &world.target_proxies[index],
+        }
+    }
+
+    async fn restart(self, world: &World) {
+        match self {
+            Self::Usual(index) => world.restart_endpoint(index).await,
+            Self::Target(index) => {
+                let id = rollouts::target_id(index);
+                world.target_runners[index].restart(&id).await;
+            }
+        }
+    }
+}
+
 /// Closes the address of crashed endpoints, and starts them again until the calm phase.
 async fn restart_crashed(world: Arc<World>) {
-    let mut ended_at: Vec<Option<Instant>> = vec![None; world.runners.len()];
+    let usual = (0..world.runners.len()).map(Endpoint::Usual);
+    let target = (0..world.target_runners.len()).map(Endpoint::Target);
+    let mut endpoints: Vec<(Endpoint, Option<Instant>)> = usual
+        .chain(target)
+        .map(|endpoint| (endpoint, None))
+        .collect();
     loop {
         time::sleep(POLL_INTERVAL).await;
         let is_calm = world.run_state().calm_since.is_some();
-        for (index, ended_at) in ended_at.iter_mut().enumerate() {
-            let proxy = &world.runner_proxies[index];
-            if !world.runners[index].has_ended() {
+        for (endpoint, ended_at) in &mut endpoints {
+            let proxy = endpoint.proxy(&world);
+            if !endpoint.runner(&world).has_ended() {
                 if ended_at.take().is_some() {
                     proxy.set(Mode::Pass);
                 }
@@ -98,7 +137,7 @@
             }
             let down_for = ended_at.get_or_insert_with(Instant::now).elapsed();
             if down_for > DOWN_FOR && !is_calm {
-                world.restart_endpoint(index).await;
+                endpoint.restart(&world).await;
             }
         }
     }
@@ -109,7 +148,8 @@
     let Some(calm_since) = world.run_state().calm_since else {
         return;
     };
-    let seen = world.runners.iter().flat_map(|r| r.seen());
+    let runners = world.runners.iter().chain(&world.target_runners);
+    let seen = runners.flat_map(|r| r.seen());
     let bad = seen.filter(|s| s.has_run && String::from_utf8_lossy(&s.body).contains(MARK));
     let bad: Vec<Instant> = bad.map(|s| s.at).collect();
     let calm = bad.iter().filter(|at| **at > calm_since).count();
--- a/tests/gateway/part_suspects.rs
+++ b/tests/gateway/part_suspects.rs
@@ -119,6 +119,8 @@
     let mut take = |at_us| suspects.take_trial(at_us, PartId(COMMON));
     assert_eq!([take(4 * SECOND), take(8 * SECOND)], [false, false]);
     assert_eq!([take(9 * SECOND), take(10 * SECOND)], [true, false]);
+    let later = (11..60).filter(|s| take(s * SECOND)).count();
+    assert_eq!(later, 1, "each trial may crash an endpoint");
     suspects.note_answered(10 * SECOND, &prompt(&[COMMON]));
     assert!(
         !is_blocked(&suspects, 10 * SECOND, &[COMMON]),
