Test of streams begun before a second version: callers leave once the version is known

Cause: the test failed once beside a soak, with no stream that went on: the callers left after a fixed time, before the instance knew of the second version, so that nothing was written and all were refused, which is allowed.

Change: callers stay until the version is known.

--- a/tests/edge/stream_versions.rs
+++ b/tests/edge/stream_versions.rs
@@ -10,7 +10,7 @@
 use hyper::{Request, StatusCode, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use standins::runner::{EVENTS, Fault};
-use tokio::{net::TcpStream, task::JoinSet, time};
+use tokio::{net::TcpStream, sync::watch, task::JoinSet, time};
 
 use crate::{
     cluster::until,
@@ -25,7 +25,7 @@
 /// Streams of one test. The retry budget of the smallest group has room for as many.
 const STREAMS: usize = 32;
 /// Events of a stream that lasts for longer than instances take to learn of a new version.
-const LONG_STREAM: u64 = 40;
+const LONG_STREAM: u64 = 45;
 /// Attempts of a caller to take up a stream, refusals included.
 const TAKE_UP_ATTEMPTS: usize = 4;
 
@@ -132,6 +132,17 @@
 
 /// Reads an answer until it has brought this many events, then disconnects.
 async fn leave_after(callers: std::net::SocketAddr, request: Request<Full<Bytes>>, events: usize) {
+    let (_sender, may_leave) = watch::channel(true);
+    leave_when(callers, request, events, may_leave).await;
+}
+
+/// Like [`leave_after`], but stays for these events after `may_leave` holds.
+async fn leave_when(
+    callers: std::net::SocketAddr,
+    request: Request<Full<Bytes>>,
+    events: usize,
+    may_leave: watch::Receiver<bool>,
+) {
     let stream = TcpStream::connect(callers).await.expect("a connection");
     let connecting = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = connecting.expect("a connection");
@@ -139,10 +150,14 @@
     let response = sender.send_request(request).await.expect("an answer");
     assert_eq!(response.status(), StatusCode::OK);
     let mut body = response.into_body();
-    let mut bytes = Vec::new();
-    while String::from_utf8_lossy(&bytes).matches("\n\n").count() < events {
+    let mut events_left = events;
+    while events_left > 0 {
         let frame = body.frame().await.expect("an event").expect("an event");
-        bytes.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()));
+        let text = frame.into_data().unwrap_or_default();
+        let received = String::from_utf8_lossy(&text).matches("\n\n").count();
+        if *may_leave.borrow() {
+            events_left = events_left.saturating_sub(received);
+        }
     }
     driver.abort();
 }
@@ -321,14 +336,16 @@
         runner.long_responses(LONG_STREAM, 0);
     }
     let mut begun = JoinSet::new();
+    let (leave, may_leave) = watch::channel(false);
     for number in 0..STREAMS {
         let (id, callers) = (format!("before-{number}"), site.callers[0]);
+        let may_leave = may_leave.clone();
         begun.spawn(async move {
-            leave_after(callers, request(PATH, &id, &[]), LONG_STREAM as usize / 2).await;
+            leave_when(callers, request(PATH, &id, &[]), 2, may_leave).await;
             id
         });
     }
-    time::sleep(Duration::from_millis(500)).await;
+    time::sleep(Duration::from_millis(300)).await;
     versions[8] = "v2";
     // The id of another start, since the first one was removed.
     let mut spec = entry(site.runners[8].addr);
@@ -341,6 +358,7 @@
         instances.all(|i| i.gateway.has_several_versions("svc"))
     })
     .await;
+    leave.send_replace(true);
     let begun = begun.join_all().await;
     site.instances[0].stop();
     let (tries, _) = take_up_streams(&site, 1, begun).await;
