explain says why a stream was not taken up

Cause: the reasons of refused resumptions had no description.

Change: descriptions of the three reasons, and a sentence for stream_not_taken_up, found from both ids.

--- a/src/explain.rs
+++ b/src/explain.rs
@@ -99,6 +99,12 @@
             text_of(line, "endpoint"),
             text_of(line, "version"),
         ),
+        "stream_not_taken_up" => format!(
+            "{} may not take up the stream of {}: {}",
+            text_of(line, "request_id"),
+            text_of(line, "resumes"),
+            reason(text_of(line, "reason")),
+        ),
         "caller_cut" => format!(
             "its caller was cut: it had read or sent nothing for {} ms, and memory for others was needed",
             number_of(line, "idle_ms"),
@@ -144,7 +150,7 @@
 }
 
 /// Readable descriptions of the values of `reason` in log lines.
-const REASONS: [(&str, &str); 33] = [
+const REASONS: [(&str, &str); 36] = [
     (
         "answer_broke_off",
         "the endpoint's answer broke off, so it may have run",
@@ -247,6 +253,18 @@
         "part_ends_endpoints",
         "endpoints ended whenever they began to answer prompts with one of its parts, so it is sent to none",
     ),
+    (
+        "no_endpoint_of_version",
+        "no ready endpoint is of the version that began its stream",
+    ),
+    (
+        "stream_origin_unknown",
+        "several versions may have begun its stream, and no instance that answered knows which",
+    ),
+    (
+        "stream_service_moved",
+        "its route does not lead to the service any more that began its stream",
+    ),
 ];
 
 fn reason(code: &str) -> &str {
