--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -295,8 +295,11 @@
         self.platform.set("servers", &runner_id(index, start), spec);
     }
 
-    /// Restarts an endpoint that has ended, under a new id.
+    /// Restarts an endpoint that has ended, under a new id, unless it was restarted meanwhile.
     async fn restart_endpoint(&self, index: usize) {
+        if !self.runners[index].has_ended() {
+            return;
+        }
         let start = self.starts[index].fetch_add(1, Ordering::Relaxed);
         self.platform.remove("servers", &runner_id(index, start));
         let id = runner_id(index, start + 1);
