--- a/src/limits/suspects.rs
+++ b/src/limits/suspects.rs
@@ -6,6 +6,9 @@
 //! crash counts as well: a request that many callers send runs on many endpoints when they crash, and once it is
 //! blocked no run could clear it.
 //!
+//! The same table holds crashes against parts of prompts, which [`crate::limits::part_suspects`] blocks by rules of its
+//! own.
+//!
 //! The state of a request is a set of crashes, each cleared or not. Crashes are only added, and a cleared one stays
 //! cleared, so updates between instances may be reordered, delayed or duplicated. Uses no clock or socket, so that
 //! tests can drive it step by step.
@@ -186,7 +189,7 @@
     }
 }
 
-/// The requests under which endpoints crashed recently.
+/// The requests, or other suspects, under which endpoints crashed recently.
 #[derive(Debug)]
 pub struct SuspectTable<K = Fingerprint> {
     suspects: HashMap<K, Suspect>,
