--- a/tests/edge/shares.rs
+++ b/tests/edge/shares.rs
@@ -125,7 +125,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn small_organisations_are_served_beside_a_flood() {
+async fn small_organisations_of_a_process_are_served_beside_a_flood() {
     let edge = start(&[("large", None), ("small-a", None), ("small-b", None)]).await;
     let loads = [("large", 400.0), ("small-a", 10.0), ("small-b", 10.0)];
     let (outcomes, used) = tokio::join!(send_all(&edge, loads), used(edge.clone()));
--- a/tests/gateway/part_suspects.rs
+++ b/tests/gateway/part_suspects.rs
@@ -182,8 +182,14 @@
     let mut suspects = PartSuspects::default();
     crash(&mut suspects, 0, 0..3, &[BAD]);
     let parts = suspects.take_due_updates(SECOND, Audience::Peers);
-    let with_parts = Update { parts, ..plain };
+    let with_parts = Update {
+        parts,
+        ..plain.clone()
+    };
     let sent = update::encode(&authenticator, &with_parts);
+    let body = authenticator.open(&sent).expect("an authentic datagram");
+    let by_earlier: Update = postcard::from_bytes(body).expect("readable without the parts");
+    assert_eq!(by_earlier, plain);
     let received = update::decode(&authenticator, &sent).expect("a datagram");
     assert_eq!(received, with_parts);
     let mut other = PartSuspects::default();
