--- a/tests/edge/connections.rs
+++ b/tests/edge/connections.rs
@@ -82,7 +82,7 @@
     assert_eq!((got.is_whole, got.text()), (true, stream_of("r-1")));
 }
 
-/// Callers' first tries, by whether they were served.
+/// A caller's first try.
 struct Tries {
     at: Instant,
     is_served: bool,
