Lines and counters of requests that end without an answer

A stream whose time is over, one that nothing could continue and one whose endpoint is silent all say stream_silent, nothing says why no other endpoint continued it, and a connection that ends with a request in progress leaves no line, whether its caller left, it broke or its task panicked.

Change: stream_not_resumed, request_unanswered, their counters, timed_out as a reason of its own; request_refused says whether the body was read, request_answered how long the request was held and might be. No decision changes.

--- a/src/explain.rs
+++ b/src/explain.rs
@@ -105,6 +105,21 @@
             text_of(line, "resumes"),
             reason(text_of(line, "reason")),
         ),
+        "stream_not_resumed" => format!(
+            "no other endpoint continued the stream after event {}: {} ({} of {} runs, {} ms left)",
+            number_of(line, "after_event"),
+            reason(text_of(line, "cause")),
+            number_of(line, "runs"),
+            number_of(line, "max_attempts"),
+            number_of(line, "left_ms"),
+        ),
+        "request_unanswered" => format!(
+            "its connection ended after {} ms while it was {}: {} ({})",
+            number_of(line, "held_ms"),
+            text_of(line, "stage"),
+            text_of(line, "cause"),
+            text_of(line, "error"),
+        ),
         "caller_cut" => format!(
             "its caller was cut: it had read or sent nothing for {} ms, and memory for others was needed",
             number_of(line, "idle_ms"),
@@ -150,7 +165,7 @@
 }
 
 /// Readable descriptions of the values of `reason` in log lines.
-const REASONS: [(&str, &str); 36] = [
+const REASONS: [(&str, &str); 39] = [
     (
         "answer_broke_off",
         "the endpoint's answer broke off, so it may have run",
@@ -228,11 +243,17 @@
         "the memory for requests and unread answers was used up",
     ),
     ("no_other_endpoint", "no other endpoint was left to try"),
+    ("no_place", "no other endpoint had a free slot"),
+    ("no_retry", "the retry budget of its service was used up"),
     ("no_route", "no route fits its host and path"),
     (
         "no_time_left",
         "its time was over before an endpoint was free",
     ),
+    (
+        "not_accepted",
+        "it may not run again, or no other endpoint accepted it",
+    ),
     ("over_limit", "its organisation had used up its limit"),
     ("stream_broke", "the endpoint's stream broke"),
     ("stream_silent", "the endpoint's stream fell silent"),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -117,6 +117,12 @@
         }
     }
 
+    /// Returns for how long the request may be held.
+    pub fn budget_us(&self) -> Micros {
+        let arrived_us = self.placement_request.arrived_us;
+        self.until_us.saturating_sub(arrived_us)
+    }
+
     /// Returns what names the request and cuts its caller.
     pub fn caller_handle(&self) -> CallerHandle {
         CallerHandle {
--- a/src/gateway/caller_buffer.rs
+++ b/src/gateway/caller_buffer.rs
@@ -32,7 +32,7 @@
 use crate::{
     clock::Clock,
     entry::answer::Body,
-    gateway::{attempt, state::lock},
+    gateway::{attempt, state::lock, unanswered::UnansweredSlot},
     limits::held_bytes::{CutHolder, HeldBytes, HeldLimits, HolderId},
     prelude::Name,
 };
@@ -47,6 +47,8 @@
 pub struct CallerConnection {
     /// Closes the connection, whatever is written to it.
     pub cut: CancellationToken,
+    /// The request that the connection leaves without a complete answer.
+    pub unanswered: UnansweredSlot,
 }
 
 /// Cuts a caller, and names its request in the log.
--- a/src/gateway/caller_listener.rs
+++ b/src/gateway/caller_listener.rs
@@ -2,16 +2,21 @@
 
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
-use hyper::{server::conn::http1, service::service_fn};
+use hyper::{
+    body::Incoming,
+    server::conn::http1,
+    service::{HttpService, service_fn},
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    entry::answer::Body,
     gateway::{
         caller_buffer::CallerConnection, config::CallerLimits, protocol::Protocol, run,
-        state::Gateway,
+        state::Gateway, unanswered::ConnectionEnd,
     },
     listener,
 };
@@ -64,9 +69,10 @@
         .table()
         .map_or_else(CallerLimits::default, |t| t.config().caller_limits);
     let caller = CallerConnection::default();
-    let cut = caller.cut.clone();
+    let CallerConnection { cut, unanswered } = caller.clone();
+    let answering_gateway = gateway.clone();
     let service = service_fn(move |request| {
-        let (gateway, caller) = (gateway.clone(), caller.clone());
+        let (gateway, caller) = (answering_gateway.clone(), caller.clone());
         async move { Ok::<_, Infallible>(run::answer(gateway, request, caller).await) }
     });
     let connection = http1::Builder::new()
@@ -76,15 +82,30 @@
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let serving = async {
-        tokio::select! {
-            _ = connection.as_mut() => return,
-            () = stop.cancelled() => connection.as_mut().graceful_shutdown(),
-        }
-        // An error means that the caller disconnected or that a body was cut on purpose.
-        let _ = connection.await;
-    };
     // A caller that does not read keeps its connection busy writing, so only dropping the connection cuts it.
-    cut.run_until_cancelled(serving).await;
+    let served = cut
+        .run_until_cancelled(run_connection(connection, stop))
+        .await;
+    let end = match served {
+        Some(Ok(())) => ConnectionEnd::Closed,
+        Some(Err(error)) => ConnectionEnd::Failed(error),
+        None => ConnectionEnd::Cut,
+    };
+    gateway.note_connection_end(&unanswered, &end);
+}
+
+/// Serves a connection until it ends; once `stop` is cancelled, until it is idle.
+async fn run_connection<S>(
+    connection: http1::Connection<TokioIo<TcpStream>, S>,
+    stop: CancellationToken,
+) -> Result<(), hyper::Error>
+where
+    S: HttpService<Incoming, ResBody = Body, Error = Infallible>,
+{
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        ended = connection.as_mut() => return ended,
+        () = stop.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    connection.await
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -74,6 +74,22 @@
     pub error: &'static str,
 }
 
+/// Labels of metrics by how far an unanswered request had come and how its connection ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct UnansweredLabels {
+    /// `reading`, `running` or `answering`.
+    pub stage: &'static str,
+    /// `caller_left`, `closed`, `cut`, `timed_out`, `answer_failed`, `broke` or `panic`.
+    pub cause: &'static str,
+}
+
+/// Labels of metrics by the cause that a stream was not resumed.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct NotResumedLabels {
+    /// `no_place`, `no_retry` or `not_accepted`.
+    pub cause: &'static str,
+}
+
 /// Labels of metrics by service.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ServiceLabels {
@@ -123,6 +139,7 @@
     unreachable_endpoints: Gauge,
     /// Callers cut because the memory for slow callers was used up.
     pub callers_cut: Counter,
+    requests_unanswered: Family<UnansweredLabels, Counter>,
     /// Times that an answer was not read further because its caller was behind.
     pub reads_paused: Counter,
     held_bytes: Gauge,
@@ -136,6 +153,7 @@
     pub streams_taken_up: Counter,
     /// Streams that callers took up again and that were refused, since their origin is not known or not available.
     pub streams_not_taken_up: Counter,
+    streams_not_resumed: Family<NotResumedLabels, Counter>,
     /// Origins of streams written.
     pub origins_recorded: Counter,
     /// Origins of streams asked of other instances.
@@ -244,6 +262,7 @@
             connects_failed: Family::default(),
             unreachable_endpoints: Gauge::default(),
             callers_cut: Counter::default(),
+            requests_unanswered: Family::default(),
             reads_paused: Counter::default(),
             held_bytes: Gauge::default(),
             retries_denied: Counter::default(),
@@ -251,6 +270,7 @@
             streams_resumed_mixed: Counter::default(),
             streams_taken_up: Counter::default(),
             streams_not_taken_up: Counter::default(),
+            streams_not_resumed: Family::default(),
             origins_recorded: Counter::default(),
             origins_asked: Counter::default(),
             requests_blocked: Counter::default(),
@@ -428,6 +448,9 @@
         registry.register("held_bytes", held, self.held_bytes.clone());
         let cut = "Callers cut because the memory for slow callers was used up";
         registry.register("callers_cut", cut, self.callers_cut.clone());
+        let unanswered = "Requests whose connection ended before their answer was complete";
+        let counter = self.requests_unanswered.clone();
+        registry.register("requests_unanswered", unanswered, counter);
         let paused = "Times that an answer was not read further because its caller was behind";
         registry.register("reads_paused", paused, self.reads_paused.clone());
     }
@@ -591,6 +614,9 @@
         let refused = "Streams that callers took up again and whose origin was not known";
         let counter = self.streams_not_taken_up.clone();
         registry.register("streams_not_taken_up", refused, counter);
+        let lost = "Streams for which no other endpoint was found within their answer";
+        let counter = self.streams_not_resumed.clone();
+        registry.register("streams_not_resumed", lost, counter);
         let recorded = "Origins of streams written for later attempts of their callers";
         registry.register("origins_recorded", recorded, self.origins_recorded.clone());
         let asked = "Origins of streams asked of other instances";
@@ -605,6 +631,18 @@
         }
     }
 
+    /// Counts a stream for which no other endpoint was found within its answer.
+    pub fn count_not_resumed(&self, cause: &'static str) {
+        let labels = NotResumedLabels { cause };
+        self.streams_not_resumed.get_or_create(&labels).inc();
+    }
+
+    /// Counts a request whose connection ended before its answer was complete.
+    pub fn count_unanswered(&self, stage: &'static str, cause: &'static str) {
+        let labels = UnansweredLabels { stage, cause };
+        self.requests_unanswered.get_or_create(&labels).inc();
+    }
+
     /// Counts a request by route and outcome.
     pub fn record_outcome(&self, route: &str, outcome: Outcome) {
         let labels = RouteLabels {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -60,3 +60,4 @@
 pub mod stream_origins;
 pub mod tunnel_server;
 pub mod tunnels;
+pub mod unanswered;
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -31,6 +31,8 @@
 pub struct Trace {
     /// The name of its route.
     pub route: Option<Name>,
+    /// Whether its body was read.
+    pub is_read: bool,
     /// The timeout that its caller declared, in milliseconds.
     pub deadline_ms: Option<u64>,
     /// How long its caller had waited in earlier attempts, as estimated, in milliseconds.
@@ -121,6 +123,7 @@
         blocked_part:serde = trace.part.map(|part| part.to_string()),
         endpoint = trace.endpoint.as_deref().unwrap_or("-"),
         attempts = trace.attempts,
+        is_read = trace.is_read,
         held_ms,
         deadline_ms = trace.deadline_ms.unwrap_or(0),
         waited_before_ms = trace.waited_ms,
@@ -161,6 +164,10 @@
     trace: &Trace,
 ) {
     let attempts = trace.attempts;
+    let held_us = gateway
+        .clock
+        .now_us()
+        .saturating_sub(job.placement_request.arrived_us);
     let target_gap_us = job.route.target_gap.as_micros() as Micros;
     let in_time =
         first_us <= job.placement_request.target_us && trace.longest_gap_us <= target_gap_us;
@@ -180,6 +187,8 @@
         longest_gap_ms = trace.longest_gap_us / 1_000,
         target_gap_ms = target_gap_us / 1_000,
         attempts,
+        held_ms = held_us / 1_000,
+        budget_ms = job.budget_us() / 1_000,
         deadline_ms = trace.deadline_ms.unwrap_or(0),
         waited_before_ms = trace.waited_ms,
         endpoint = trace.endpoint.as_deref().unwrap_or("-"),
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -40,6 +40,7 @@
         shares,
         state::Gateway,
         stream::Relay,
+        unanswered::{PendingAnswer, Stage},
     },
     limits::{fingerprint::Fingerprint, quota::Grant},
     prelude::{Micros, Rank},
@@ -74,7 +75,15 @@
         deadline_ms: head.deadline_ms,
         ..Trace::default()
     };
-    let result = handle(&gateway, request, head, arrived_us, caller, &mut trace).await;
+    let slot = caller.unanswered.clone();
+    let mut pending = PendingAnswer::new(gateway.clone(), slot, request_id.clone(), arrived_us);
+    let call = IncomingCall {
+        request,
+        head,
+        arrived_us,
+        caller,
+    };
+    let result = handle(&gateway, call, &mut pending, &mut trace).await;
     let mut response = match result {
         Ok(response) => response,
         Err(refusal) => {
@@ -92,7 +101,15 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    response
+    pending.watch(response)
+}
+
+/// A request whose body has not been read.
+struct IncomingCall {
+    request: Request<Incoming>,
+    head: CallHead,
+    arrived_us: Micros,
+    caller: CallerConnection,
 }
 
 /// Extends the Retry-After of a refusal by a random share.
@@ -107,12 +124,16 @@
 /// Checks a request and runs it to its final answer.
 async fn handle<P: Protocol>(
     gateway: &Arc<Gateway<P>>,
-    request: Request<Incoming>,
-    head: CallHead,
-    arrived_us: Micros,
-    caller: CallerConnection,
+    call: IncomingCall,
+    pending: &mut PendingAnswer<P>,
     trace: &mut Trace,
 ) -> Result<Response<Body>, Refusal> {
+    let IncomingCall {
+        request,
+        head,
+        arrived_us,
+        caller,
+    } = call;
     gateway.wait_for_fresh_config().await;
     let table = gateway.config.table();
     let table = table.ok_or_else(|| refuse::not_ready("no_configuration"))?;
@@ -135,6 +156,8 @@
         .timeout_at(arrived_us + time_budget_us, reading)
         .await;
     let body = read.unwrap_or_else(|| Err(refuse::body_too_slow()))?;
+    trace.is_read = true;
+    pending.set_stage(Stage::Running);
     let tokens = head.tokens.map(|t| t.total());
     let organisation_name = organisation.as_ref().map(|o| o.name.clone());
     trace.organisation.clone_from(&organisation_name);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -177,6 +177,7 @@
     pub unread_headers: UnreadHeaders,
     /// Limits the rate of log lines on changes of endpoints.
     endpoint_lines: Mutex<LineBudget>,
+    pub(super) unanswered_lines: Mutex<LineBudget>,
     /// Whether a graceful shutdown has started.
     stopping: AtomicBool,
 }
@@ -242,6 +243,7 @@
             evacuations: Evacuations::default(),
             rollouts: Rollouts::default(),
             endpoint_lines: Mutex::default(),
+            unanswered_lines: Mutex::default(),
             stopping: AtomicBool::new(false),
         }
     }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -41,9 +41,18 @@
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Reason for resuming a stalled stream.
 const STALLED: &str = "stream_silent";
+/// Reason for giving up a stream whose time is over.
+const TIME_OVER: &str = "timed_out";
 /// Reason for giving up a stream that its caller does not read, or reads too slowly.
 const CALLER_BEHIND: &str = "caller_behind";
 
+/// Cause that a stream is not resumed: no other endpoint has a free slot.
+const NO_PLACE: &str = "no_place";
+/// Cause that a stream is not resumed: the retry budget is used up.
+const NO_RETRY: &str = "no_retry";
+/// Cause that a stream is not resumed: it may not be, or no other endpoint accepted it.
+const NOT_ACCEPTED: &str = "not_accepted";
+
 /// The head of the first endpoint's response, and the first events.
 pub struct StreamHead {
     status: StatusCode,
@@ -388,7 +397,7 @@
                 }
                 Some(None) => return Err(self.complete()),
                 None if self.is_in_time() => return Err(StreamEnd::Stalled),
-                None => return Err(StreamEnd::Broken(STALLED)),
+                None => return Err(StreamEnd::Broken(TIME_OVER)),
             }
         }
     }
@@ -499,7 +508,10 @@
                 Some(choice) => choice,
                 None => match self.choose_other_endpoint().await {
                     Some(choice) => choice,
-                    None => return false,
+                    None => {
+                        self.note_not_resumed(reason, NO_PLACE);
+                        return false;
+                    }
                 },
             };
             self.tried.push(choice.key);
@@ -509,6 +521,7 @@
             if !self.gateway.take_retry(&self.job.placement_request.service) {
                 let tokens = choice.expected.uncached_tokens;
                 self.gateway.balancer().end(choice.key, tokens, None);
+                self.note_not_resumed(reason, NO_RETRY);
                 return false;
             }
             let began_version = self.began_version.as_deref().unwrap_or("-");
@@ -550,6 +563,24 @@
             let tokens = unused.expected.uncached_tokens;
             self.gateway.balancer().end(unused.key, tokens, None);
         }
+        self.note_not_resumed(reason, NOT_ACCEPTED);
         false
     }
+
+    /// Counts and logs that no other endpoint continues the stream.
+    fn note_not_resumed(&self, reason: &'static str, cause: &'static str) {
+        self.gateway.metrics.count_not_resumed(cause);
+        let now_us = self.gateway.clock.now_us();
+        log::info!(
+            target: "ryevalve::request",
+            request_id = self.job.request_id(),
+            reason, cause,
+            after_event = self.last_id.unwrap_or(0),
+            runs = self.runs,
+            max_attempts = self.job.route.max_attempts,
+            left_ms = self.job.until_us.saturating_sub(now_us) / 1_000,
+            retries_left = self.gateway.retries_left(&self.job.placement_request.service);
+            "stream_not_resumed"
+        );
+    }
 }
--- a/tests/edge/answers.rs
+++ b/tests/edge/answers.rs
@@ -392,3 +392,30 @@
         "{reached_at_first} at first"
     );
 }
+
+/// Returns the stage and cause of each request that was logged as unanswered.
+fn unanswered(edge: &Edge) -> Vec<(String, String)> {
+    let lines = edge.lines();
+    let lines = lines.iter().filter(|l| l["event"] == "request_unanswered");
+    let text = |value: &serde_json::Value| value.as_str().unwrap_or_default().to_owned();
+    lines
+        .map(|l| (text(&l["stage"]), text(&l["cause"])))
+        .collect()
+}
+
+#[tokio::test]
+async fn connection_that_ends_before_the_answer_is_logged_with_its_request() {
+    let edge = Edge::start(1).await;
+    edge.runners[0].pace(Duration::from_millis(300));
+    assert!(edge.call("/once/x", "r-1").await.is_whole);
+    assert!(edge.call("/resume/stream", "r-2").await.is_whole);
+    let stay = Duration::from_millis(100);
+    let left = time::timeout(stay, edge.call("/once/x", "r-3")).await;
+    assert!(left.is_err(), "{left:?}");
+    let stay = Duration::from_millis(500);
+    let left = time::timeout(stay, edge.call("/resume/stream", "r-4")).await;
+    assert!(left.is_err(), "{left:?}");
+    edge.until(|| async { unanswered(&edge).len() == 2 }).await;
+    let left = |stage: &str| (stage.to_owned(), "caller_left".to_owned());
+    assert_eq!(unanswered(&edge), [left("running"), left("answering")]);
+}
