Failing tests: answers of endpoints that are silent for a second

A stalled stream leaves its endpoint before another one has taken it over, and a plain request that may be retried is left in the same way.

Change: tests/edge/silent_endpoints, over real sockets: endpoints that are silent for 1.3 s and go on, at 1, 4 and 18 instances, with and without changes of the configuration.

--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -24,6 +24,7 @@
 mod resting_endpoints;
 mod rollouts;
 mod shares;
+mod silent_endpoints;
 mod site;
 mod slow_callers;
 mod store_lists;
