Failing tests: silent engines behind ryevalve serve

Two faults act there when the connect to an engine is silent for a second: a request does not watch its deadline while it waits for the connect, and the cancel of a request whose caller left is tried once.

Change: tests/cluster/silent_engines, over real sockets and processes: links to engines or the plain service that are silent for 1.3 s before the head, between events, at the connect and while idle; also beside a drain of the engine, a configuration without it, changes of the configuration, a planned stop of the leader and a leader that is frozen.

--- a/tests/cluster/main.rs
+++ b/tests/cluster/main.rs
@@ -6,4 +6,5 @@
 mod not_repeatable;
 mod operators;
 mod shedding;
+mod silent_engines;
 mod support;
--- a/tests/cluster/support.rs
+++ b/tests/cluster/support.rs
@@ -57,6 +57,7 @@
 }
 
 /// Number of instances, engine speeds and settings that a cluster is started with.
+#[derive(Clone)]
 pub struct ClusterOptions {
     pub instances: usize,
     pub engines: Vec<Speed>,
