A connect to a silent engine does not delay an answer

Callers saw the 504 of a deadline of 200 ms after 1.0 s when the connect to the granted engine was silent, and a request whose caller had left kept its place at the leader for as long.

Cause: the request waited for the connect, up to its timeout of a second, before it looked at its deadline and its caller again.

Change: the connect is a task of its own. The request stops waiting for it at its deadline or when its caller leaves, and returns its grant; nothing was sent. A failed connect is still reported to the leader.

--- a/src/entry/registry.rs
+++ b/src/entry/registry.rs
@@ -258,6 +258,12 @@
         held.is_some_and(|h| h.decisions.send(Decision::Cancelled).is_ok())
     }
 
+    /// Forwards an update to a pool's leader through the pool's registrar.
+    pub fn notify_leader(&self, pool: &Name, update: Update) {
+        self.lock()
+            .notify_registrar(pool, RegistrarEvent::Update(update));
+    }
+
     /// Returns the current registration for a pool.
     pub fn registration(&self, pool: &Name) -> Registration {
         self.lock().registration(self.incarnation, pool)
@@ -552,9 +558,7 @@
 
     /// Forwards an update to the pool's leader through the registrar.
     pub fn notify_leader(&self, update: Update) {
-        self.registry
-            .lock()
-            .notify_registrar(&self.pool, RegistrarEvent::Update(update));
+        self.registry.notify_leader(&self.pool, update);
     }
 
     fn step(
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -209,13 +209,8 @@
                 }
             }
         }
-        let connection = match Connection::open(addr).await {
-            Ok(connection) => connection,
-            Err(error) => {
-                log::debug!("failed to connect to endpoint {endpoint}: {error}");
-                self.held.notify_leader(Update::EndpointFailed(endpoint));
-                return self.resume_waiting();
-            }
+        let Some(connection) = self.connect(&endpoint, addr).await else {
+            return self.resume_waiting();
         };
         let now_us = self.instance.clock.now_us();
         if now_us >= self.deadline_us || self.answer.is_closed() {
@@ -234,6 +229,30 @@
         Attempt::Ended
     }
 
+    /// Connects to an endpoint; returns `None` if that fails, or if the caller leaves or the deadline passes meanwhile.
+    async fn connect(&self, endpoint: &Name, addr: SocketAddr) -> Option<Connection> {
+        let registry = self.instance.registry.clone();
+        let (pool, endpoint) = (self.pool.clone(), endpoint.clone());
+        // A task of its own, so that a failure is reported even if the request no longer waits for it.
+        let connecting = tokio::spawn(async move {
+            match Connection::open(addr).await {
+                Ok(connection) => Some(connection),
+                Err(error) => {
+                    log::debug!("failed to connect to endpoint {endpoint}: {error}");
+                    registry.notify_leader(&pool, Update::EndpointFailed(endpoint));
+                    None
+                }
+            }
+        });
+        tokio::select! {
+            biased;
+            () = self.answer.closed() => None,
+            () = self.instance.clock.sleep_until(self.deadline_us) => None,
+            // An error means that the task panicked; the request then waits for another grant.
+            connected = connecting => connected.ok().flatten(),
+        }
+    }
+
     fn resume_waiting(&mut self) -> Attempt {
         match self.held.return_grant() {
             Ok(()) => Attempt::StillWaiting,
