The cancel of a request outlasts a silent connect

Callers that left while the connects to their engines were silent for a second left their requests running there: 12 of 12 still ran half a second after the silence, and would have run to their end.

Change: a cancel is tried again, with connects of 250 ms, within the two seconds that it has had before. It may reach the engine twice, which changes nothing.

--- a/src/endpoint/engine.rs
+++ b/src/endpoint/engine.rs
@@ -22,6 +22,9 @@
 const MAX_RESUMES: u32 = 3;
 const RESUME_PAUSE: Duration = Duration::from_millis(50);
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
+/// A connect for a cancel that takes longer is tried again: its packets may have been lost.
+const CANCEL_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+const CANCEL_PAUSE: Duration = Duration::from_millis(100);
 /// A stream without data for this long counts as broken.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -295,15 +298,25 @@
     }
 }
 
-/// Cancels a request at the engine. Failures are ignored.
+/// Cancels a request at the engine, which may be silent for a moment. Failures are ignored.
 pub async fn cancel(addr: SocketAddr, id: RequestId) {
-    let attempt = async {
-        let connection = Connection::open(addr).await.ok()?;
-        let request = stream_request(Method::DELETE, id, None);
-        connection.send(request).await.ok()
+    let cancelling = async {
+        while !try_cancel(addr, id).await {
+            time::sleep(CANCEL_PAUSE).await;
+        }
     };
     // An engine that cannot be reached completes the request in vain; nothing more can be done about it.
-    let _ = time::timeout(CANCEL_TIMEOUT, attempt).await;
+    let _ = time::timeout(CANCEL_TIMEOUT, cancelling).await;
+}
+
+/// Tries to cancel a request; returns whether the engine answered.
+async fn try_cancel(addr: SocketAddr, id: RequestId) -> bool {
+    let connecting = time::timeout(CANCEL_CONNECT_TIMEOUT, Connection::open(addr));
+    let Ok(Ok(connection)) = connecting.await else {
+        return false;
+    };
+    let request = stream_request(Method::DELETE, id, None);
+    connection.send(request).await.is_ok()
 }
 
 fn resume_request(id: RequestId, after: u64) -> Request<Full<Bytes>> {
