--- a/tests/edge/cut_links.rs
+++ b/tests/edge/cut_links.rs
@@ -3,6 +3,7 @@
 //! Guards against callers of such instances being refused although the other instances reach endpoints with room.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -17,6 +18,7 @@
 };
 use tokio::{
     net::TcpListener,
+    runtime::Handle,
     task::{JoinHandle, JoinSet},
     time,
 };
@@ -40,7 +42,7 @@
 pub struct LinkedSite {
     pub runners: Arc<Vec<Runner>>,
     pub instances: Vec<Instance>,
-    pub callers: Vec<std::net::SocketAddr>,
+    pub callers: Vec<SocketAddr>,
     /// The links of each instance to the endpoints.
     pub links: Arc<Vec<Vec<Proxy>>>,
     /// The store as each instance sees it: endpoints have the addresses of the instance's links.
@@ -69,6 +71,13 @@
 impl LinkedSite {
     /// Starts endpoints and instances, and waits until the instances are ready and know each other.
     pub async fn start(net: u8, instances: usize, endpoints: usize) -> Self {
+        let runtimes = vec![Handle::current(); instances];
+        Self::start_on(net, &runtimes, endpoints).await
+    }
+
+    /// Like [`Self::start`], with an instance on each of these runtimes.
+    pub async fn start_on(net: u8, runtimes: &[Handle], endpoints: usize) -> Self {
+        let instances = runtimes.len();
         let mut runners = Vec::new();
         for index in 0..endpoints {
             let runner = Runner::start(&format!("e{index}")).await;
@@ -93,16 +102,12 @@
             ending,
         };
         let port = free_port(net).await;
-        let seeds = [0, 1, 2].map(|n| std::net::SocketAddr::new(address(net, n), port));
-        for number in 0..instances {
-            let spec = InstanceSpec {
-                net,
-                number,
-                hall: HALLS[number % HALLS.len()],
-                port,
-                seeds: &seeds,
-            };
-            site.start_instance(spec).await;
+        for (number, runtime) in runtimes.iter().enumerate() {
+            let store = site.stores[number].addr();
+            let starting = runtime.spawn(start_instance(net, number, port, store));
+            let (instance, callers) = starting.await.expect("no panic");
+            site.instances.push(instance);
+            site.callers.push(callers);
         }
         let is_joined =
             |i: &Instance| i.gateway.instance_counts().heard == instances && i.gateway.is_ready();
@@ -113,17 +118,6 @@
         site
     }
 
-    async fn start_instance(&mut self, spec: InstanceSpec<'_>) {
-        let mut instance = Instance::start(spec).await;
-        instance.follow(self.stores[spec.number].addr());
-        let listener = TcpListener::bind((address(spec.net, spec.number), 0)).await;
-        let listener = listener.expect("a port");
-        self.callers
-            .push(listener.local_addr().expect("an address"));
-        instance.serve(listener);
-        self.instances.push(instance);
-    }
-
     /// Sets the mode of all links of the first `count` instances.
     pub fn cut(&self, count: usize, mode: Mode) {
         for link in self.links[..count].iter().flatten() {
@@ -161,6 +155,30 @@
     }
 }
 
+/// Starts an instance, and returns it with its address for callers.
+async fn start_instance(
+    net: u8,
+    number: usize,
+    port: u16,
+    store: SocketAddr,
+) -> (Instance, SocketAddr) {
+    let seeds = [0, 1, 2].map(|n| SocketAddr::new(address(net, n), port));
+    let spec = InstanceSpec {
+        net,
+        number,
+        hall: HALLS[number % HALLS.len()],
+        port,
+        seeds: &seeds,
+    };
+    let mut instance = Instance::start(spec).await;
+    instance.follow(store);
+    let listener = TcpListener::bind((address(net, number), 0)).await;
+    let listener = listener.expect("a port");
+    let callers = listener.local_addr().expect("an address");
+    instance.serve(listener);
+    (instance, callers)
+}
+
 /// Starts an instance's links to the endpoints, and the store as it sees it.
 async fn start_links(runners: &[Runner]) -> (Vec<Proxy>, Platform) {
     let store = Platform::start().await;
@@ -236,7 +254,7 @@
 
 /// Sends requests at a steady pace for `lasts`; returns their ids.
 pub async fn send_requests(
-    addrs: &[std::net::SocketAddr],
+    addrs: &[SocketAddr],
     path: &'static str,
     lasts: Duration,
 ) -> Vec<String> {
