Failing test: links to engines that are cut for a second

Cause: found beside the silence of engines. A stream whose link breaks is resumed at its engine, which runs on; but if the connects are refused, all three attempts are over 300 ms after the break.

Change: a test that cuts the links to all engines for 1.3 s while answers run.

--- a/tests/cluster/silent_engines.rs
+++ b/tests/cluster/silent_engines.rs
@@ -314,3 +314,16 @@
 async fn engine_silent_at_the_connect_stops_work_for_callers_that_left() {
     check_that_engines_stop_after_callers_left(Mode::Unreachable).await;
 }
+
+/// The engines run on, and continue streams for whoever asks again.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_is_not_cut_when_links_to_engines_are_cut_for_a_second() {
+    let linked = LinkedCluster::start(options()).await;
+    let sending = linked.send(calls(12));
+    time::sleep(LEAD).await;
+    linked.set_engines(Mode::Refuse);
+    time::sleep(SILENCE).await;
+    linked.set_engines(Mode::Pass);
+    let responses = sending.await.expect("no panic");
+    linked.check_all_served(&responses);
+}
