A stream is resumed at its engine for three seconds after a break

Callers lost answers whose engines ran on: when the link to an engine broke and its connects were refused for half a second or more, every stream was cut and every collected answer ended with an unknown outcome (12 of 12 in 1.3 s).

Cause: three attempts over the whole life of a stream, which are over 300 ms after a break if connects are refused. A connect that is silent took a second of each.

Change: the time since the break bounds the attempts, and an event ends the break: three seconds, which three silent connects took before, but no longer than the request has time. A request without time left keeps about the three attempts that it had. Pauses grow to 400 ms, and connects take 250 ms at most. The run is the same one, so nothing is sent twice; an engine that has lost it answers 404, and the stream ends at once as before.

--- a/src/endpoint/engine.rs
+++ b/src/endpoint/engine.rs
@@ -7,7 +7,7 @@
 use hyper::{Method, Request, StatusCode, header};
 use serde::Deserialize;
 use snafu::Snafu;
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use crate::{
     endpoint::{
@@ -19,11 +19,15 @@
 
 /// The data of the last event of a stream.
 pub const DONE: &str = "[DONE]";
-const MAX_RESUMES: u32 = 3;
+/// A broken stream is resumed until then after its break, and for as long as its request has time.
+const RESUME_TIMEOUT: Duration = Duration::from_secs(3);
+/// A stream whose request has no time left is resumed until then after its break.
+const LATE_RESUME_TIMEOUT: Duration = Duration::from_millis(400);
 const RESUME_PAUSE: Duration = Duration::from_millis(50);
+const MAX_RESUME_PAUSE: Duration = Duration::from_millis(400);
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
-/// A connect for a cancel that takes longer is tried again: its packets may have been lost.
-const CANCEL_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// A connect that takes longer is tried again: its packets may have been lost.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 const CANCEL_PAUSE: Duration = Duration::from_millis(100);
 /// A stream without data for this long counts as broken.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
@@ -111,14 +115,17 @@
     splitter: Splitter,
     events: u64,
     tokens: u32,
-    resumes: u32,
+    /// End of the request's time.
+    deadline: Instant,
+    /// Until when the stream is resumed; set from a break until the next event.
+    resume_until: Option<Instant>,
     finish_reason: Option<String>,
     usage: Option<Usage>,
     done: bool,
 }
 
 impl EngineStream {
-    /// Sends the request over an open connection. From here on it may have run.
+    /// Sends the request over an open connection. From here on it may have run. Its time ends at `deadline`.
     ///
     /// # Errors
     /// The engine responded with an error status.
@@ -127,6 +134,7 @@
         addr: SocketAddr,
         id: RequestId,
         request: Request<Full<Bytes>>,
+        deadline: Instant,
     ) -> Result<Self, StreamError> {
         // Without a response the engine may be running the request all the same, so it is resumed like a broken stream.
         let answer = connection.send(request).await.ok();
@@ -136,12 +144,12 @@
                 let text = read_error_text(answer).await;
                 return RefusedSnafu { status, text }.fail();
             }
-            return Ok(Self::new(addr, id, Some(answer)));
+            return Ok(Self::new(addr, id, deadline, Some(answer)));
         }
-        Ok(Self::new(addr, id, None))
+        Ok(Self::new(addr, id, deadline, None))
     }
 
-    fn new(addr: SocketAddr, id: RequestId, answer: Option<Answer>) -> Self {
+    fn new(addr: SocketAddr, id: RequestId, deadline: Instant, answer: Option<Answer>) -> Self {
         Self {
             addr,
             id,
@@ -149,7 +157,8 @@
             splitter: Splitter::default(),
             events: 0,
             tokens: 0,
-            resumes: 0,
+            deadline,
+            resume_until: None,
             finish_reason: None,
             usage: None,
             done: false,
@@ -225,6 +234,7 @@
             }
             _ => self.events += 1,
         }
+        self.resume_until = None;
         let Ok(chunk) = serde_json::from_str::<Chunk<'_>>(&event.data) else {
             let reason = "an event cannot be read";
             return IncompleteSnafu { reason }.fail();
@@ -264,11 +274,19 @@
     /// sent again.
     async fn resume(&mut self) -> Result<(), StreamError> {
         let events = self.events;
+        let now = Instant::now();
+        let until = *self.resume_until.get_or_insert(
+            (now + RESUME_TIMEOUT)
+                .min(self.deadline)
+                .max(now + LATE_RESUME_TIMEOUT),
+        );
         let mut reachable = false;
-        while self.resumes < MAX_RESUMES {
-            self.resumes += 1;
-            time::sleep(RESUME_PAUSE * self.resumes).await;
-            let Ok(connection) = Connection::open(self.addr).await else {
+        let mut pause = RESUME_PAUSE;
+        while Instant::now() + pause < until {
+            time::sleep(pause).await;
+            pause = (pause * 2).min(MAX_RESUME_PAUSE);
+            let connecting = time::timeout(CONNECT_TIMEOUT, Connection::open(self.addr));
+            let Ok(Ok(connection)) = connecting.await else {
                 continue;
             };
             let Ok(answer) = connection.send(resume_request(self.id, events)).await else {
@@ -311,7 +329,7 @@
 
 /// Tries to cancel a request; returns whether the engine answered.
 async fn try_cancel(addr: SocketAddr, id: RequestId) -> bool {
-    let connecting = time::timeout(CANCEL_CONNECT_TIMEOUT, Connection::open(addr));
+    let connecting = time::timeout(CONNECT_TIMEOUT, Connection::open(addr));
     let Ok(Ok(connection)) = connecting.await else {
         return false;
     };
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -334,13 +334,17 @@
         };
         let request = self.request(path);
         let id = self.held.id;
+        let left_us = self
+            .deadline_us
+            .saturating_sub(self.instance.clock.now_us());
+        let deadline = time::Instant::now() + Duration::from_micros(left_us);
         let started = tokio::select! {
             biased;
             () = self.answer.closed() => {
                 self.end_abandoned(addr, None).await;
                 return;
             }
-            started = EngineStream::start(connection, addr, id, request) => started,
+            started = EngineStream::start(connection, addr, id, request, deadline) => started,
         };
         match started {
             Ok(engine) if stream => self.relay(engine, addr).await,
