Stalled streams keep their endpoint until another one has accepted them

Callers saw answers end midway although their endpoints were sound: they had been silent for a second.

Cause: a stream without events for two target gaps chose another endpoint, dropped its connection, and only then took a retry of the budget. Where others took the last retry meanwhile, or no endpoint accepted the request, the stream was cut with one run and time left.

Change: the stalled run is kept while the stream is resumed elsewhere, and ends when the other endpoint has accepted the request, or 300 ms after it was sent there. If the stalled endpoint brings an event first, the other run is cancelled. If nothing can be resumed, the wait goes on, and it is tried again after the next stall. The reading of events, the runs of a stream and the bound on overlapping runs are modules of their own. A stream whose time is over says so and starts no check for a crash. Empty answers are not counted as unanswered.

The time limit is the only reason left for which a silent stream ends.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -14,6 +14,7 @@
     header::{HeaderName, HeaderValue},
 };
 use tokio::time::{self, Instant};
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     balance::{balancer::Choice, cost::PlacementRequest, reachability::Reach},
@@ -216,13 +217,17 @@
     /// The endpoint refused it for want of room.
     is_refused: bool,
     records_hold_time: bool,
+    is_complete: bool,
+    is_failed: bool,
     is_finished: bool,
+    /// Cancelled once another endpoint has taken the request over.
+    replaced: CancellationToken,
     /// Set if it was sent during a roll-out of its service.
     pub(super) rollout: Option<RolloutRequest>,
 }
 
 impl<P: Protocol> InFlightRequest<P> {
-    fn new(gateway: Arc<Gateway<P>>, choice: Choice) -> Self {
+    fn new(gateway: Arc<Gateway<P>>, choice: Choice, replaced: CancellationToken) -> Self {
         Self {
             at_us: gateway.clock.now_us(),
             limit_version: 0,
@@ -234,7 +239,10 @@
             holds_slot: false,
             is_refused: false,
             records_hold_time: false,
+            is_complete: false,
+            is_failed: false,
             is_finished: false,
+            replaced,
             rollout: None,
         }
     }
@@ -256,13 +264,17 @@
     /// are held.
     pub fn note_complete(&mut self, records_hold_time: bool) {
         self.records_hold_time = records_hold_time;
+        self.is_complete = true;
         let now_us = self.gateway.clock.now_us();
         let mut balancer = self.gateway.balancer();
         balancer.update_speed(self.choice.key, |s| s.record_outcome(now_us, false));
     }
 
-    /// Records that the endpoint failed the request.
-    pub fn note_failure(&self) {
+    /// Records that the endpoint failed the request; later calls do nothing.
+    pub fn note_failure(&mut self) {
+        if std::mem::replace(&mut self.is_failed, true) {
+            return;
+        }
         if self.carrier.is_none() && self.is_cut_off() {
             // The link is broken, and not the endpoint.
             return;
@@ -290,6 +302,9 @@
         if std::mem::replace(&mut self.is_finished, true) {
             return;
         }
+        if self.replaced.is_cancelled() && !self.is_complete {
+            self.note_failure();
+        }
         let waiting_tokens = if self.has_first_event {
             0
         } else {
@@ -321,23 +336,28 @@
     }
 }
 
-/// Sends a request to an endpoint and waits until `deadline` for the head of its response. A stream goes on after the
-/// event with id `resume_after`.
+/// A request that can be sent to its endpoint. Nothing was sent yet.
+pub struct PreparedAttempt<P: Protocol> {
+    connection: EndpointConnection,
+    in_flight: InFlightRequest<P>,
+}
+
+/// Connects to the endpoint that was chosen for a request, and checks that the request may still be sent there. Once
+/// `replaced` is cancelled, an attempt that ends without an answer counts as a failure of the endpoint.
 ///
 /// # Errors
-/// There is no response; the error says whether the endpoint may have run the request.
-pub async fn send<P: Protocol>(
+/// The request cannot be sent there; nothing was sent.
+pub async fn prepare<P: Protocol>(
     gateway: &Arc<Gateway<P>>,
     job: &Job,
     choice: Choice,
-    resume_after: Option<u64>,
-    deadline: AttemptDeadline,
-) -> Result<EndpointResponse<P>, AttemptError> {
-    let mut in_flight = InFlightRequest::new(gateway.clone(), choice);
+    replaced: CancellationToken,
+) -> Result<PreparedAttempt<P>, AttemptError> {
+    let mut in_flight = InFlightRequest::new(gateway.clone(), choice, replaced);
     in_flight.holds_slot = gateway.balancer().is_brittle(in_flight.choice.key);
     let connecting = connect(gateway, job, &in_flight);
     let connected = gateway.clock.timeout_at(job.until_us, connecting).await;
-    let mut connection = connected.unwrap_or(Err(AttemptError::NotSent("unreachable")))?;
+    let connection = connected.unwrap_or(Err(AttemptError::NotSent("unreachable")))?;
     if let Some(tunnel) = &connection.tunnel {
         in_flight.carrier = Some(tunnel.carrier_ip);
         job.carrier.get_or_init(|| tunnel.carrier.clone());
@@ -352,6 +372,28 @@
     in_flight.rollout = gateway
         .admit_version(&in_flight.choice, &job.route)
         .map_err(AttemptError::NotSent)?;
+    Ok(PreparedAttempt {
+        connection,
+        in_flight,
+    })
+}
+
+/// Sends a prepared request and waits until `deadline` for the head of its response. A stream goes on after the event
+/// with id `resume_after`.
+///
+/// # Errors
+/// There is no response; the error says whether the endpoint may have run the request.
+pub async fn send<P: Protocol>(
+    gateway: &Arc<Gateway<P>>,
+    job: &Job,
+    prepared: PreparedAttempt<P>,
+    resume_after: Option<u64>,
+    deadline: AttemptDeadline,
+) -> Result<EndpointResponse<P>, AttemptError> {
+    let PreparedAttempt {
+        mut connection,
+        mut in_flight,
+    } = prepared;
     in_flight.at_us = gateway.clock.now_us();
     in_flight.limit_version =
         endpoint_announcements::record_sent(gateway, in_flight.choice.key, in_flight.at_us);
--- /dev/null
+++ b/src/gateway/event_source.rs
@@ -0,0 +1,272 @@
+//! Reads the events of a stream from the endpoint that it currently comes from.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::{StatusCode, body::Incoming, header::HeaderMap};
+
+use crate::{
+    balance::balancer::Choice,
+    endpoint::{connection_pool::EndpointConnection, events::EventSplitter},
+    gateway::{
+        attempt::{self, AttemptDeadline, EndpointResponse, InFlightRequest, Job},
+        caller_buffer::{HeldAccount, NoRoom},
+        protocol::Protocol,
+        state::Gateway,
+    },
+    limits::{part_suspects::PROVEN_AFTER_US, read_pauses::ReadPauses},
+    prelude::{Micros, Name},
+};
+
+/// Why an endpoint brings no more events.
+pub enum StreamEnd {
+    /// The response is complete.
+    Complete,
+    /// The stream broke, for the given reason.
+    Broken(&'static str),
+    /// There was no event for so long that another endpoint should continue.
+    Stalled,
+    /// The time of the request is over.
+    TimeOver,
+    /// What it sends cannot be held.
+    NoRoom,
+}
+
+/// One run of a stream at an endpoint.
+struct Upstream<P: Protocol> {
+    body: Incoming,
+    /// Returned to the pool when the stream is complete; dropping it cancels the run at the endpoint.
+    connection: Option<EndpointConnection>,
+    in_flight: InFlightRequest<P>,
+    status: StatusCode,
+    reuse: Option<Option<Duration>>,
+    cutter: EventSplitter,
+    events_seen: u32,
+    /// Whether it has gone on for so long that the parts of the prompt do not crash the endpoint.
+    has_proven_parts: bool,
+    first_event_us: Micros,
+    last_event_us: Micros,
+    pauses: ReadPauses,
+}
+
+impl<P: Protocol> Upstream<P> {
+    fn new(received: EndpointResponse<P>, now_us: Micros) -> (Self, HeaderMap) {
+        let (parts, body) = received.response.into_parts();
+        let mut headers = parts.headers;
+        let reuse = attempt::connection_reuse(&headers, parts.status);
+        attempt::strip_connection_headers(&mut headers);
+        let upstream = Self {
+            body,
+            connection: Some(received.connection),
+            in_flight: received.in_flight,
+            status: parts.status,
+            reuse,
+            cutter: EventSplitter::default(),
+            events_seen: 0,
+            has_proven_parts: false,
+            first_event_us: now_us,
+            last_event_us: now_us,
+            pauses: ReadPauses::default(),
+        };
+        (upstream, headers)
+    }
+
+    /// Notes the mean time between the events of a complete stream, which a slow version stretches.
+    fn note_mean_gap(&self) {
+        if self.events_seen > 1 {
+            let took_us = self.last_event_us.saturating_sub(self.first_event_us);
+            let gaps = f64::from(self.events_seen - 1);
+            self.in_flight.note_rollout_gap(took_us as f64 / 1e3 / gaps);
+        }
+    }
+}
+
+/// The events of a stream, over all its runs.
+pub struct EventSource<P: Protocol> {
+    gateway: Arc<Gateway<P>>,
+    job: Arc<Job>,
+    upstream: Upstream<P>,
+    last_id: Option<u64>,
+    /// The version of the endpoint that brought the first event.
+    began_version: Option<Name>,
+    longest_gap_us: Micros,
+    /// Counts the bytes of an incomplete event, which the caller cannot take yet.
+    partial_account: HeldAccount,
+    partial_bytes: usize,
+}
+
+impl<P: Protocol> EventSource<P> {
+    /// Starts with a response whose head has been received; returns its headers, too.
+    pub fn new(
+        gateway: Arc<Gateway<P>>,
+        job: Arc<Job>,
+        received: EndpointResponse<P>,
+    ) -> (Self, HeaderMap) {
+        let (upstream, headers) = Upstream::new(received, gateway.clock.now_us());
+        let source = Self {
+            partial_account: HeldAccount::open(&gateway.held_memory, job.caller_handle()),
+            partial_bytes: 0,
+            last_id: job.head.resume_after,
+            began_version: None,
+            longest_gap_us: 0,
+            gateway,
+            job,
+            upstream,
+        };
+        (source, headers)
+    }
+
+    /// Returns the endpoint of the current run.
+    pub fn choice(&self) -> &Choice {
+        &self.upstream.in_flight.choice
+    }
+
+    /// Returns the status of the current run.
+    pub fn status(&self) -> StatusCode {
+        self.upstream.status
+    }
+
+    /// Returns the id of the last event.
+    pub fn last_id(&self) -> Option<u64> {
+        self.last_id
+    }
+
+    /// Returns the version of the endpoint that brought the first event.
+    pub fn began_version(&self) -> Option<&Name> {
+        self.began_version.as_ref()
+    }
+
+    /// Returns the longest gap between two events.
+    pub fn longest_gap_us(&self) -> Micros {
+        self.longest_gap_us
+    }
+
+    /// Returns whether the current run has brought an event.
+    pub fn has_events(&self) -> bool {
+        self.upstream.events_seen > 0
+    }
+
+    /// Returns the time since the first event of the current run, if there was one.
+    pub fn answering_us(&self, now_us: Micros) -> Option<Micros> {
+        let upstream = &self.upstream;
+        self.has_events()
+            .then(|| now_us.saturating_sub(upstream.first_event_us))
+    }
+
+    /// Returns the pauses in which nothing was read because the caller was behind.
+    pub fn pauses_mut(&mut self) -> &mut ReadPauses {
+        &mut self.upstream.pauses
+    }
+
+    /// Records that the endpoint of the current run failed.
+    pub fn note_failure(&mut self) {
+        self.upstream.in_flight.note_failure();
+    }
+
+    /// Ends the current run, which has failed, and cancels it at its endpoint.
+    pub fn end_run(&mut self) {
+        self.note_failure();
+        drop(self.upstream.connection.take());
+        self.upstream.in_flight.finish();
+    }
+
+    /// Goes on with the response of another endpoint.
+    pub fn begin_run(&mut self, received: EndpointResponse<P>) {
+        (self.upstream, _) = Upstream::new(received, self.gateway.clock.now_us());
+    }
+
+    /// Waits until `deadline` for the next whole events. It may be cancelled at any time without losing any.
+    ///
+    /// # Errors
+    /// The current run brings none.
+    pub async fn next_events(&mut self, deadline: AttemptDeadline) -> Result<Bytes, StreamEnd> {
+        loop {
+            let complete_events = self.upstream.cutter.take_complete(self.last_id);
+            self.count_partial_event().map_err(|_| StreamEnd::NoRoom)?;
+            match complete_events {
+                Ok(Some(events)) => {
+                    self.last_id = events.last_id.or(self.last_id);
+                    self.note_events(events.count);
+                    return Ok(events.bytes);
+                }
+                Ok(None) => {}
+                Err(_) => return Err(StreamEnd::Broken("event_too_long")),
+            }
+            let clock = self.gateway.clock;
+            match deadline.wait(clock, self.upstream.body.frame()).await {
+                Some(Some(Ok(frame))) => {
+                    if let Some(bytes) = frame.data_ref() {
+                        self.upstream.cutter.push(bytes);
+                    }
+                }
+                Some(Some(Err(_))) => return Err(StreamEnd::Broken("stream_broke")),
+                Some(None) if self.upstream.cutter.has_partial_event() => {
+                    return Err(StreamEnd::Broken("ended_inside_event"));
+                }
+                Some(None) => return Err(self.complete()),
+                None if clock.now_us() < self.job.until_us => return Err(StreamEnd::Stalled),
+                None => return Err(StreamEnd::TimeOver),
+            }
+        }
+    }
+
+    /// Updates the account of the incomplete event.
+    fn count_partial_event(&mut self) -> Result<(), NoRoom> {
+        let bytes = self.upstream.cutter.partial_bytes();
+        let before = std::mem::replace(&mut self.partial_bytes, bytes);
+        if bytes < before {
+            self.partial_account.release(before - bytes);
+        }
+        match bytes.saturating_sub(before) {
+            0 => Ok(()),
+            more => self.partial_account.hold(more),
+        }
+    }
+
+    fn complete(&mut self) -> StreamEnd {
+        // A caller that was behind held the slot for longer than the run took.
+        let held_by_caller = self.upstream.pauses.any();
+        self.upstream.in_flight.note_complete(!held_by_caller);
+        if !held_by_caller {
+            self.upstream.note_mean_gap();
+        }
+        self.gateway.note_request_completed(&self.job);
+        if let (Some(idle_timeout), Some(connection)) =
+            (self.upstream.reuse, self.upstream.connection.take())
+        {
+            attempt::keep_connection(
+                &self.gateway,
+                &self.upstream.in_flight,
+                connection,
+                idle_timeout,
+            );
+        }
+        StreamEnd::Complete
+    }
+
+    fn note_events(&mut self, count: u32) {
+        let now_us = self.gateway.clock.now_us();
+        let upstream = &mut self.upstream;
+        self.began_version
+            .get_or_insert_with(|| upstream.in_flight.choice.version.clone());
+        if upstream.events_seen == 0 {
+            upstream.in_flight.note_first_event();
+            upstream.first_event_us = now_us;
+        } else if upstream.pauses.show_speed(now_us) {
+            let gap_us = now_us.saturating_sub(upstream.last_event_us);
+            self.longest_gap_us = self.longest_gap_us.max(gap_us);
+            let gap_ms = gap_us as f64 / 1e3;
+            let per_event = gap_ms / f64::from(count.max(1));
+            let mut balancer = self.gateway.balancer();
+            balancer.record_event_gap(upstream.in_flight.choice.key, per_event);
+        }
+        upstream.events_seen += count;
+        upstream.last_event_us = now_us;
+        let answering_us = now_us.saturating_sub(upstream.first_event_us);
+        if answering_us >= PROVEN_AFTER_US && !upstream.has_proven_parts {
+            upstream.has_proven_parts = true;
+            self.gateway.note_parts_answered(&self.job);
+        }
+    }
+}
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -12,6 +12,7 @@
 };
 use rand::RngExt;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     balance::{
@@ -40,6 +41,7 @@
         shares,
         state::Gateway,
         stream::Relay,
+        stream_runs::StreamRuns,
         unanswered::{PendingAnswer, Stage},
     },
     limits::{fingerprint::Fingerprint, quota::Grant},
@@ -465,8 +467,13 @@
     async fn try_endpoint(&self, choice: Choice, trace: &Trace) -> AttemptOutcome {
         let deadline = self.attempt_deadline(&choice);
         let sent_to = choice.clone();
-        let sent = attempt::send(&self.gateway, &self.job, choice, None, deadline).await;
-        let endpoint_response = match sent {
+        let replaced = CancellationToken::new();
+        let prepared = attempt::prepare(&self.gateway, &self.job, choice, replaced).await;
+        let sent = match prepared {
+            Ok(prepared) => attempt::send(&self.gateway, &self.job, prepared, None, deadline).await,
+            Err(error) => Err(error),
+        };
+        let mut endpoint_response = match sent {
             Ok(endpoint_response) => endpoint_response,
             Err(error) => return self.handle_failure(error, sent_to).await,
         };
@@ -583,19 +590,19 @@
         trace: &Trace,
     ) -> AttemptOutcome {
         let sent_to = endpoint_response.in_flight.choice.clone();
-        let mut relay = Relay::new(
-            self.gateway.clone(),
-            self.job.clone(),
-            endpoint_response,
-            self.tried.clone(),
-            self.runs,
-            trace.clone(),
-        );
+        let mut relay = Relay::new(self.gateway.clone(), self.job.clone(), endpoint_response);
         match relay
-            .wait_first_event(self.first_event_deadline(&relay))
+            .wait_first_event(self.first_event_deadline(&sent_to))
             .await
         {
-            Ok(head) => AttemptOutcome::Answer(relay.into_response(head)),
+            Ok(head) => {
+                let runs = StreamRuns {
+                    tried: self.tried.clone(),
+                    count: self.runs + 1,
+                    trace: trace.clone(),
+                };
+                AttemptOutcome::Answer(relay.into_response(head, runs))
+            }
             Err(error) => {
                 // The request is no longer in flight at the endpoint.
                 drop(relay);
@@ -604,8 +611,8 @@
         }
     }
 
-    fn first_event_deadline(&self, relay: &Relay<P>) -> AttemptDeadline {
-        self.attempt_deadline(relay.choice())
+    fn first_event_deadline(&self, sent_to: &Choice) -> AttemptDeadline {
+        self.attempt_deadline(sent_to)
     }
 
     /// Counts and logs an endpoint's complete answer, and returns it for the caller.
--- a/src/gateway/unanswered.rs
+++ b/src/gateway/unanswered.rs
@@ -130,6 +130,10 @@
     /// Returns the response with a body that completes the answer when it ends.
     pub fn watch(mut self, response: Response<Body>) -> Response<Body> {
         self.set_stage(Stage::Answering);
+        if response.body().is_end_stream() {
+            // An empty body is never polled.
+            self.complete();
+        }
         response.map(|inner| {
             let watched = WatchedBody {
                 pending: self,
--- a/tests/edge/silent_endpoints.rs
+++ b/tests/edge/silent_endpoints.rs
@@ -11,6 +11,7 @@
 use tokio::{task::JoinSet, time};
 
 use crate::{
+    cluster::{Instance, until},
     site::{self, Site},
     support::{CallerResponse, config, exchange, request},
 };
@@ -64,7 +65,11 @@
     }
     site.platform
         .set("config", "main", long_config(FIRST_VERSION));
-    time::sleep(Duration::from_secs(1)).await;
+    let has_config = |i: &Instance| i.gateway.config.version() == FIRST_VERSION;
+    until("all instances to have the configuration", || {
+        site.instances.iter().all(has_config)
+    })
+    .await;
     site
 }
 
@@ -108,7 +113,8 @@
             let got = call(&site, number % site.callers.len(), "/resume/stream", &id).await;
             let is_refused = got.status == StatusCode::SERVICE_UNAVAILABLE;
             let is_whole = got.is_whole && got.text() == stream_of(&id);
-            (!is_refused && !is_whole).then_some(id)
+            let events = got.text().matches("\n\n").count();
+            (!is_refused && !is_whole).then(|| format!("{id}: {} {events} events", got.status))
         });
     }
     let results = calls.join_all().await;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -54,3 +54,4 @@
 mod suspect_strategies;
 mod suspects;
 mod tunnels;
+mod unanswered;
