Requests that may be repeated keep a silent endpoint until another one answers

Callers of repeatable requests were answered 502 where the same request, if it may run once only, was served: their endpoints took 1.3 s to answer.

Cause: an attempt without an answer for a while was abandoned for a retry that the budget or the endpoints then did not grant. A request that may be repeated fared worse than one that may not.

Change: the attempt goes on. Beside it the request is sent to another endpoint once that has a place and the budget a retry, at most two at a time, and the first answer counts; the earlier endpoint is then noted as failed, as before. If the second attempt is refused or fails, the first one still answers.

--- /dev/null
+++ b/src/gateway/attempts.rs
@@ -0,0 +1,412 @@
+//! Runs a request at endpoints, one after the other, until one of them answers.
+//!
+//! An endpoint that does not answer for long may be lost or only silent for a moment. Its attempt therefore goes on until
+//! another endpoint has taken the request over, and the first answer counts.
+
+use std::{future::poll_fn, pin::Pin, sync::Arc, task::Poll, time::Duration};
+
+use hyper::Response;
+use tokio::time::{self, Instant};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    balance::{
+        balancer::{Choice, Placement},
+        cost::PlacementRequest,
+        load::EndpointKey,
+    },
+    entry::{answer::Body, refusal::Refusal},
+    gateway::{
+        admission::ANSWER_MARGIN_US,
+        attempt::{self, BufferedResponse, Job},
+        blocks::Block,
+        endpoint_attempt::{AttemptOutcome, EndpointAttempt},
+        metrics::Outcome,
+        overlap::SentSignal,
+        protocol::Protocol,
+        refuse,
+        report::{Trace, log_answer},
+        send_check::NOT_SENT_REASONS,
+        state::Gateway,
+        stream_runs::StreamRuns,
+    },
+    prelude::Rank,
+};
+
+/// Another endpoint is tried after this many times the latency target of a request that may be repeated.
+const ATTEMPT_TIMEOUT_TARGETS: f64 = 1.5;
+/// The same for streams. It is longer because under load a late first event is usually on its way, and a retry would
+/// process the prompt again.
+const STREAM_ATTEMPT_TIMEOUT_TARGETS: f64 = 3.0;
+/// No other endpoint is tried before this many times the expected time to the first event.
+const ATTEMPT_TIMEOUT_EXPECTED: f64 = 4.0;
+/// Minimum time before another endpoint is tried, in milliseconds.
+const MIN_ATTEMPT_TIMEOUT_MS: f64 = 250.0;
+/// Time after which another endpoint is sought again, if none was found or the retry budget was used up.
+const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(250);
+/// The most urgent rank at which a retry is queued.
+const RETRY_RANK: Rank = 2;
+/// How often a request is sent elsewhere after an endpoint refused it without running it.
+const MAX_NOT_RUN: usize = 3;
+
+/// An attempt that has not ended.
+struct Running<F> {
+    future: Pin<Box<F>>,
+    choice: Choice,
+    sent: SentSignal,
+    replaced: CancellationToken,
+}
+
+/// What happens next to a request with attempts that have not ended.
+enum Step<P: Protocol> {
+    /// The attempt with this index has ended.
+    Ended(usize, AttemptOutcome<P>),
+    /// The request may be sent to this endpoint, too.
+    Replacement(Choice),
+    /// The earlier of two attempts must end.
+    OverlapEnded,
+}
+
+/// Waits until one of the attempts has ended; the earliest one counts first.
+async fn next_ended<F: Future>(running: &mut [Running<F>]) -> (usize, F::Output) {
+    poll_fn(|cx| {
+        for (index, attempt) in running.iter_mut().enumerate() {
+            if let Poll::Ready(outcome) = attempt.future.as_mut().poll(cx) {
+                return Poll::Ready((index, outcome));
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
+
+/// A request in flight.
+pub struct Run<P: Protocol> {
+    gateway: Arc<Gateway<P>>,
+    job: Arc<Job>,
+    /// The request to the balancer. A retry has its own arrival time and rank.
+    attempt_request: PlacementRequest,
+    /// Endpoints chosen so far; they are not chosen again.
+    tried: Vec<EndpointKey>,
+    /// Number of attempts that have ended and that an endpoint may have run.
+    runs: u32,
+    /// Number of attempts that an endpoint did not run, except those that the send check stopped.
+    not_run: usize,
+}
+
+impl<P: Protocol> Run<P> {
+    /// Starts with a request that was sent nowhere.
+    pub fn new(gateway: Arc<Gateway<P>>, job: Arc<Job>) -> Self {
+        Self {
+            gateway,
+            attempt_request: job.placement_request.clone(),
+            job,
+            tried: Vec::new(),
+            runs: 0,
+            not_run: 0,
+        }
+    }
+
+    /// Runs the request to its final answer. If the retry after an endpoint's error answer fails, that answer is
+    /// returned instead of a refusal: it tells the caller what went wrong.
+    ///
+    /// # Errors
+    /// The refusal to return to the caller.
+    pub async fn run_to_answer(mut self, trace: &mut Trace) -> Result<Response<Body>, Refusal> {
+        let mut error_response = None;
+        match self.try_endpoints(trace, &mut error_response).await {
+            Ok(response) => Ok(response),
+            Err(refusal) => match error_response {
+                Some(response) => Ok(self.deliver(response, trace)),
+                None => Err(refusal),
+            },
+        }
+    }
+
+    /// Tries endpoints until one answers. The last error answer of an endpoint is stored in `error_response`.
+    async fn try_endpoints(
+        &mut self,
+        trace: &mut Trace,
+        error_response: &mut Option<BufferedResponse>,
+    ) -> Result<Response<Body>, Refusal> {
+        let mut running = Vec::new();
+        loop {
+            let Some(newest) = running.last() else {
+                self.prepare_retry(trace);
+                let choice = self.place().await?;
+                running.push(self.start(choice, trace));
+                continue;
+            };
+            let Running { sent, choice, .. } = newest;
+            let (sent, timeout) = (sent.clone(), self.attempt_timeout(choice));
+            let count = running.len();
+            let overlaps = count > 1 && self.job.route.kind.is_stream();
+            let step = tokio::select! {
+                biased;
+                (index, outcome) = next_ended(&mut running) => Step::Ended(index, outcome),
+                choice = self.choose_replacement(&sent, timeout, count) => Step::Replacement(choice),
+                () = sent.wait_for_overlap_end(), if overlaps => Step::OverlapEnded,
+            };
+            let (index, outcome) = match step {
+                Step::Ended(index, outcome) => (index, outcome),
+                Step::Replacement(choice) => {
+                    self.prepare_retry(trace);
+                    running.push(self.start(choice, trace));
+                    continue;
+                }
+                Step::OverlapEnded => {
+                    running.remove(0).replaced.cancel();
+                    self.runs += 1;
+                    continue;
+                }
+            };
+            let ended = running.remove(index);
+            let is_last = running.is_empty();
+            match outcome {
+                AttemptOutcome::Answer(response) => {
+                    self.note_answered_by(&ended, &running[..index], trace);
+                    return Ok(self.deliver(response, trace));
+                }
+                AttemptOutcome::Stream(relay, head) => {
+                    self.note_answered_by(&ended, &running[..index], trace);
+                    let runs = StreamRuns {
+                        tried: self.tried.clone(),
+                        count: self.runs + count as u32,
+                        trace: trace.clone(),
+                    };
+                    return Ok(relay.into_response(head, runs));
+                }
+                AttemptOutcome::NotRun { was_sent, reason } => {
+                    trace.reason = Some(reason);
+                    // A request stopped by the send check was not sent, and each endpoint stops it only once.
+                    let is_stopped = NOT_SENT_REASONS.contains(&reason);
+                    self.not_run += usize::from(!is_stopped);
+                    if is_last {
+                        self.check_resend(was_sent, reason)?;
+                    }
+                }
+                AttemptOutcome::Failed { refusal } => {
+                    trace.reason = Some(refusal.reason);
+                    trace.fingerprint = Some(self.job.fingerprint());
+                    self.runs += 1;
+                    if is_last && !self.may_run_again() {
+                        return Err(*refusal);
+                    }
+                }
+                AttemptOutcome::GivenUp { refusal } => {
+                    trace.reason = Some(refusal.reason);
+                    self.runs += 1;
+                    if is_last {
+                        return Err(*refusal);
+                    }
+                }
+                AttemptOutcome::Error(response) => {
+                    trace.reason = Some("endpoint_error");
+                    self.runs += 1;
+                    if is_last && !self.may_run_again() {
+                        return Ok(self.deliver(response, trace));
+                    }
+                    *error_response = Some(response);
+                }
+            }
+        }
+    }
+
+    /// Lowers the priority of a further attempt.
+    fn prepare_retry(&mut self, trace: &Trace) {
+        if trace.attempts > 0 {
+            self.attempt_request = self.retry_request();
+        }
+    }
+
+    /// Returns the request to the balancer for a further attempt.
+    fn retry_request(&self) -> PlacementRequest {
+        let mut request = self.attempt_request.clone();
+        request.arrived_us = self.gateway.clock.now_us();
+        // Under load, retries at the original rank would delay the first attempts of other requests.
+        request.rank = request.rank.max(RETRY_RANK);
+        request
+    }
+
+    /// Starts an attempt at an endpoint.
+    fn start(
+        &mut self,
+        choice: Choice,
+        trace: &mut Trace,
+    ) -> Running<impl Future<Output = AttemptOutcome<P>> + Send + use<P>> {
+        trace.endpoint = Some(choice.id.clone());
+        trace.attempts += 1;
+        trace.expected = Some(choice.expected);
+        self.tried.push(choice.key);
+        self.log_resumption(&choice);
+        let attempt = EndpointAttempt {
+            gateway: self.gateway.clone(),
+            job: self.job.clone(),
+            lost_before: self.runs > 0,
+            sent: SentSignal::default(),
+            replaced: CancellationToken::new(),
+        };
+        Running {
+            choice: choice.clone(),
+            sent: attempt.sent.clone(),
+            replaced: attempt.replaced.clone(),
+            future: Box::pin(attempt.run(choice)),
+        }
+    }
+
+    /// Waits until another endpoint may run the request beside the one that has not answered for long, and returns it.
+    async fn choose_replacement(
+        &self,
+        sent: &SentSignal,
+        timeout: Duration,
+        running: usize,
+    ) -> Choice {
+        let mut at = sent.wait().await + timeout;
+        loop {
+            time::sleep_until(at).await;
+            if self.may_start_another(running)
+                && let Placement::Send(choice) = self.place_replacement().await
+            {
+                if self.gateway.take_retry(&self.job.placement_request.service) {
+                    return choice;
+                }
+                let tokens = choice.expected.uncached_tokens;
+                self.gateway.balancer().end(choice.key, tokens, None);
+            }
+            at = Instant::now() + REPLACEMENT_INTERVAL;
+        }
+    }
+
+    /// Returns whether the request may run at one more endpoint beside those that run it.
+    fn may_start_another(&self, running: usize) -> bool {
+        let service = &self.job.placement_request.service;
+        running < 2
+            && self.job.is_repeatable()
+            && !self.job.is_trial
+            && self.runs + (running as u32) < self.job.route.max_attempts
+            && self.not_run <= MAX_NOT_RUN
+            && self.has_time()
+            && self.gateway.block_of(&self.job).is_none()
+            && self.gateway.retries_left(service) >= 1.0
+    }
+
+    async fn place_replacement(&self) -> Placement {
+        let request = self.retry_request();
+        self.gateway.place(&request, &self.tried).await
+    }
+
+    /// Records which endpoint has answered, and that those which were sent the request `before` have failed.
+    fn note_answered_by<F>(&self, ended: &Running<F>, before: &[Running<F>], trace: &mut Trace) {
+        trace.endpoint = Some(ended.choice.id.clone());
+        trace.expected = Some(ended.choice.expected);
+        for attempt in before {
+            attempt.replaced.cancel();
+        }
+    }
+
+    /// Logs that a stream which an earlier attempt of the caller began is sent on to an endpoint.
+    fn log_resumption(&self, choice: &Choice) {
+        let Some(after_event) = self.job.resumes_after() else {
+            return;
+        };
+        self.gateway.metrics.streams_taken_up.inc();
+        log::info!(
+            target: "ryevalve::request",
+            request_id = self.job.request_id(),
+            resumes = attempt::header_for_log(self.job.head.resumes.as_ref()),
+            after_event,
+            endpoint = &*choice.id,
+            version = &*choice.version;
+            "stream_taken_up"
+        );
+    }
+
+    /// Waits for a place at an endpoint; refuses once the request's time budget is spent.
+    async fn place(&self) -> Result<Choice, Refusal> {
+        let placing = self.gateway.place(&self.attempt_request, &self.tried);
+        let clock = self.gateway.clock;
+        match clock.timeout_at(self.job.until_us, placing).await {
+            Some(Placement::Send(choice)) => Ok(choice),
+            Some(Placement::Refuse {
+                reason,
+                retry_after_ms,
+            }) if self.runs == 0 => Err(refuse::not_run(reason, retry_after_ms)),
+            Some(_) | None if self.runs == 0 => Err(refuse::not_run("no_time_left", 500)),
+            // An endpoint may have run the request in an earlier attempt.
+            _ => Err(refuse::unknown("no_other_endpoint")),
+        }
+    }
+
+    /// Returns an error if a request that was not run must not be sent to another endpoint.
+    ///
+    /// # Errors
+    /// The refusal to return to the caller.
+    fn check_resend(&self, was_sent: bool, reason: &'static str) -> Result<(), Refusal> {
+        let may_resend = self.not_run <= MAX_NOT_RUN
+            && self.has_time()
+            && !Block::is_reason(reason)
+            && (!was_sent || self.gateway.take_retry(&self.job.placement_request.service));
+        match may_resend {
+            true => Ok(()),
+            false if self.runs == 0 && Block::is_reason(reason) => {
+                let block = self.gateway.block_of(&self.job);
+                Err(block.map_or_else(|| refuse::not_run(reason, 0), refuse::blocked))
+            }
+            false if self.runs == 0 => {
+                let retry_after_ms = self
+                    .gateway
+                    .retry_after_rejections_ms(&self.job.placement_request.service);
+                Err(refuse::not_run(reason, retry_after_ms))
+            }
+            false => Err(refuse::unknown(reason)),
+        }
+    }
+
+    /// Returns whether a request that an endpoint may have run can be run again; takes a retry of the budget if so.
+    fn may_run_again(&self) -> bool {
+        self.job.is_repeatable()
+            && !self.job.is_trial
+            && self.runs < self.job.route.max_attempts
+            && self.has_time()
+            && self.gateway.block_of(&self.job).is_none()
+            && self.gateway.take_retry(&self.job.placement_request.service)
+    }
+
+    fn has_time(&self) -> bool {
+        self.gateway.clock.now_us() + ANSWER_MARGIN_US < self.job.until_us
+    }
+
+    /// Returns the time after which another endpoint is tried beside one that has not answered.
+    fn attempt_timeout(&self, choice: &Choice) -> Duration {
+        let target_ms = self.job.placement_request.target_us as f64 / 1e3;
+        let timeout_targets = if self.job.route.kind.is_stream() {
+            STREAM_ATTEMPT_TIMEOUT_TARGETS
+        } else {
+            ATTEMPT_TIMEOUT_TARGETS
+        };
+        let timeout_ms = (target_ms * timeout_targets)
+            .max(choice.expected.first_ms * ATTEMPT_TIMEOUT_EXPECTED)
+            .max(MIN_ATTEMPT_TIMEOUT_MS);
+        Duration::from_secs_f64(timeout_ms / 1e3)
+    }
+
+    /// Counts and logs an endpoint's complete answer, and returns it for the caller.
+    fn deliver(&self, buffered: BufferedResponse, trace: &Trace) -> Response<Body> {
+        let outcome = if buffered.status.is_success() {
+            Outcome::Served
+        } else {
+            Outcome::EndpointError
+        };
+        let gateway = &self.gateway;
+        gateway
+            .metrics
+            .record_outcome(&self.job.route.name, outcome);
+        let took_us = gateway.clock.now_us() - self.job.placement_request.arrived_us;
+        gateway.metrics.first_seconds.observe(took_us as f64 / 1e6);
+        log_answer(gateway, &self.job, outcome, buffered.status, took_us, trace);
+        let mut response = Response::new(buffered.body.into_body());
+        *response.status_mut() = buffered.status;
+        *response.headers_mut() = buffered.headers;
+        response
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod aggregators;
 pub mod attempt;
+mod attempts;
 pub mod block_list;
 pub mod blocks;
 pub mod caller_buffer;
@@ -16,6 +17,7 @@
 pub mod crash_check;
 pub mod current_config;
 pub mod endpoint_announcements;
+mod endpoint_attempt;
 pub mod endpoint_connect;
 pub mod evacuations;
 pub mod event_source;
