Failing test: a slot given to a request whose caller leaves at that moment

The decision is dropped with its channel if the waiting task ends before it takes it.

Change: tests/gateway/waiting, listed.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -55,3 +55,4 @@
 mod suspects;
 mod tunnels;
 mod unanswered;
+mod waiting;
