A slot that is given to a request whose caller has left is released

Callers were refused for want of room after bursts whose callers leave: the slots stayed taken for the life of the process.

Cause: the decision reaches the waiting request over a channel. If its task ended before it took the decision, the decision was dropped with the channel, and nobody released the slot or told the other instances.

Change: a queued request owns the channel. On drop it closes it, releases a slot that it was given and did not take, and lets the other waiting requests have it.

--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -193,12 +193,15 @@
 
     /// Queues a request until it gets a slot or the balancer refuses it.
     pub async fn wait_for_place(&self, request: &PlacementRequest) -> Placement {
-        let (sender, receiver) = oneshot::channel();
+        let (sender, decision) = oneshot::channel();
         let key = self.balancer().enqueue(request.clone());
         lock(&self.waiters).insert(key, sender);
-        let queue_guard = QueueGuard { gateway: self, key };
-        let placement = receiver.await;
-        drop(queue_guard);
+        let mut queued = QueuedRequest {
+            gateway: self,
+            key,
+            decision,
+        };
+        let placement = (&mut queued.decision).await;
         placement.unwrap_or(Placement::Refuse {
             reason: BUSY,
             retry_after_ms: 500,
@@ -221,11 +224,16 @@
                 Some(sender) => sender.send(placement).err(),
                 None => Some(placement),
             };
-            if let Some(Placement::Send(choice)) = undelivered {
-                // The caller has disconnected, so nothing is sent and the slot is released.
-                let tokens = choice.expected.uncached_tokens;
-                self.balancer().end(choice.key, tokens, None);
-            }
+            // The caller has disconnected.
+            undelivered.inspect(|placement| self.release_unused(placement));
+        }
+    }
+
+    /// Releases the slot of a placement to which nothing is sent.
+    fn release_unused(&self, placement: &Placement) {
+        if let Placement::Send(choice) = placement {
+            let tokens = choice.expected.uncached_tokens;
+            self.balancer().end(choice.key, tokens, None);
         }
     }
 }
@@ -234,15 +242,23 @@
     matches!(placement, Placement::Send(choice) if choice.key == endpoint)
 }
 
-/// Removes a request from the queue on drop, such as when its caller disconnects.
-struct QueueGuard<'g, P: Protocol> {
+/// A request in the queue. On drop, such as when its caller disconnects, it leaves the queue and releases a slot that it
+/// was given and has not taken.
+struct QueuedRequest<'g, P: Protocol> {
     gateway: &'g Gateway<P>,
     key: WaitKey,
+    decision: oneshot::Receiver<Placement>,
 }
 
-impl<P: Protocol> Drop for QueueGuard<'_, P> {
+impl<P: Protocol> Drop for QueuedRequest<'_, P> {
     fn drop(&mut self) {
         self.gateway.balancer().dequeue(self.key);
         lock(&self.gateway.waiters).remove(&self.key);
+        // Nothing can be sent any more once it is closed.
+        self.decision.close();
+        if let Ok(unused) = self.decision.try_recv() {
+            self.gateway.release_unused(&unused);
+            self.gateway.reconsider();
+        }
     }
 }
--- a/tests/gateway/waiting.rs
+++ b/tests/gateway/waiting.rs
@@ -50,10 +50,7 @@
     gateway.reconsider();
     drop(waiting);
     let own_loads = gateway.balancer().load_view().own_loads();
-    let in_flight: u32 = own_loads
-        .iter()
-        .map(|(_, load)| u32::from(load.requests))
-        .sum();
+    let in_flight: u32 = own_loads.iter().map(|(_, load)| load.requests).sum();
     assert_eq!(in_flight, 0, "{own_loads:?}");
     let now_us = gateway.clock.now_us();
     let placed = gateway.balancer().place(now_us, &request(&gateway, 3), &[]);
