Failing tests: refusals of requests whose body is on its way

Callers saw neither an answer nor a refusal where a configuration took the route or the key of a request away while its body was on its way, and where a body was too long.

The request is refused from its head, and hyper closes the connection with the rest of the body unread. A caller that still writes then gets a reset or a broken pipe in place of the refusal.

Change: standins::upload is a caller that reads while it writes (hyper) or after it has written (raw socket; a write that fails is a failed request). tests/edge/unread_bodies and tests/cluster/refused_bodies refuse bodies of 8 KB to 4 MB with 404, 401 and 413, with Content-Length and in chunks, at once and over a second, and beside changes of the configuration.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod proxy;
 pub mod runner;
 pub mod soak;
+pub mod upload;
--- a/tests/cluster/main.rs
+++ b/tests/cluster/main.rs
@@ -5,5 +5,6 @@
 mod failures;
 mod not_repeatable;
 mod operators;
+mod refused_bodies;
 mod shedding;
 mod support;
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -32,3 +32,4 @@
 mod stream_versions;
 mod support;
 mod suspension;
+mod unread_bodies;
