Announce the close after a refusal of a body that was not asked for

A caller that had sent `Expect: 100-continue` was refused, and its connection closed without notice. It could take the connection up again for its next request, which then got no answer.

Cause: such a body may never come, so nothing can follow the refusal on its connection; hyper closes it, but had written the refusal as that of a connection that is kept.

Change: the refusal of a body that was not asked for says `Connection: close`, at both front doors.

--- a/src/caller_body.rs
+++ b/src/caller_body.rs
@@ -9,9 +9,9 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{
-    HeaderMap,
+    HeaderMap, Response,
     body::{Body, Frame, Incoming, SizeHint},
-    header::EXPECT,
+    header::{CONNECTION, EXPECT, HeaderValue},
 };
 use tokio::time;
 use tokio_util::sync::CancellationToken;
@@ -56,9 +56,15 @@
 
     /// Reads and discards the rest of a refused body while the refusal is sent. Closing a connection with unread bytes
     /// resets it, and the reset can overtake the refusal. If there is more than the limits allow, `cut` is cancelled,
-    /// which must close the connection.
-    pub fn discard_rest(self, cut: CancellationToken) {
-        if self.is_end_stream() || self.awaits_continue {
+    /// which must close the connection. A body that the caller was not asked for may never come, so that nothing can
+    /// follow it on its connection.
+    pub fn discard_rest<B>(self, refusal: &mut Response<B>, cut: CancellationToken) {
+        if self.is_end_stream() {
+            return;
+        }
+        if self.awaits_continue {
+            let close = HeaderValue::from_static("close");
+            refusal.headers_mut().insert(CONNECTION, close);
             return;
         }
         tokio::spawn(async move {
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -94,8 +94,9 @@
         Ok(response) => response,
         Err(refusal) => {
             instance.metrics.bad_requests.inc();
-            body.discard_rest(cut);
-            refusal.response(None)
+            let mut response = refusal.response(None);
+            body.discard_rest(&mut response, cut);
+            response
         }
     }
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -99,8 +99,9 @@
                 true => refusal,
                 false => add_jitter(refusal),
             };
-            body.discard_rest(cut);
-            refuse::response(&gateway.protocol, &refusal, request_id.as_ref())
+            let mut response = refuse::response(&gateway.protocol, &refusal, request_id.as_ref());
+            body.discard_rest(&mut response, cut);
+            response
         }
     };
     if gateway.is_stopping() {
