Failing tests: connections under the limits of an older configuration

Callers that took up a connection within four fifths of its idle timeout found it closed, and one was answered 431 for a head that the configuration allows.

The idle and header timeouts of a connection and the length of its heads are those of the configuration at its start.

Change: tests/edge/caller_limits, over real sockets, with an idle timeout that grows from 1 to 10 s and heads that may grow to 64,000 bytes. The others are guards of the fix: idle connections end, a request that takes longer than the idle timeout is answered, one that meets the end of it is answered or does not run.

--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -4,6 +4,7 @@
 mod allowed_regions;
 mod answers;
 mod brittle_endpoints;
+mod caller_limits;
 mod change_propagation;
 mod cluster;
 mod connections;
