Take the idle timeout of a connection from the configuration in force

Callers that took up a connection within four fifths of its idle timeout found it closed, where the connection had been opened under a configuration with a shorter timeout.

Cause: the timeout was hyper's header_read_timeout, which is fixed when the connection is opened.

The connection is polled before its timeout, so that a request that has arrived is begun.

--- a/src/gateway/caller_buffer.rs
+++ b/src/gateway/caller_buffer.rs
@@ -32,7 +32,7 @@
 use crate::{
     clock::Clock,
     entry::answer::Body,
-    gateway::{attempt, state::lock, unanswered::UnansweredSlot},
+    gateway::{attempt, caller_idle::ConnectionActivity, state::lock, unanswered::UnansweredSlot},
     limits::held_bytes::{CutHolder, HeldBytes, HeldLimits, HolderId},
     prelude::Name,
 };
@@ -49,6 +49,8 @@
     pub cut: CancellationToken,
     /// The request that the connection leaves without a complete answer.
     pub unanswered: UnansweredSlot,
+    /// Its requests in progress.
+    pub activity: ConnectionActivity,
 }
 
 /// Cuts a caller, and names its request in the log.
--- a/src/gateway/caller_listener.rs
+++ b/src/gateway/caller_listener.rs
@@ -1,13 +1,13 @@
 //! The HTTP listener for callers.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{convert::Infallible, sync::Arc};
 
 use hyper::{
     body::Incoming,
     server::conn::http1,
     service::{HttpService, service_fn},
 };
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
@@ -15,8 +15,12 @@
 use crate::{
     entry::answer::Body,
     gateway::{
-        caller_buffer::CallerConnection, config::CallerLimits, protocol::Protocol, run,
-        state::Gateway, unanswered::ConnectionEnd,
+        caller_buffer::CallerConnection,
+        caller_idle::{caller_limits, wait_for_idle_timeout},
+        protocol::Protocol,
+        run,
+        state::Gateway,
+        unanswered::ConnectionEnd,
     },
     listener,
 };
@@ -27,9 +31,6 @@
 const MAX_UNSENT_BYTES: u32 = 64 << 10;
 /// The smallest read buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
-/// Idle connections stay open this much longer than the configured idle timeout, so that the caller is the side that
-/// closes them.
-const IDLE_MARGIN: Duration = Duration::from_secs(3);
 
 /// Shuts the listener down in two steps.
 #[derive(Clone, Default)]
@@ -64,32 +65,34 @@
     let _ = stream.set_nodelay(true);
     // A failure only lets the kernel take more.
     let _ = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
-    let limits = gateway
-        .config
-        .table()
-        .map_or_else(CallerLimits::default, |t| t.config().caller_limits);
+    let limits = caller_limits(&gateway);
     let caller = CallerConnection::default();
-    let CallerConnection { cut, unanswered } = caller.clone();
+    let CallerConnection {
+        cut,
+        unanswered,
+        activity,
+    } = caller.clone();
     let answering_gateway = gateway.clone();
     let service = service_fn(move |request| {
         let (gateway, caller) = (answering_gateway.clone(), caller.clone());
         async move { Ok::<_, Infallible>(run::answer(gateway, request, caller).await) }
     });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // hyper counts the idle time before a request towards the timeout for its head.
-        .header_read_timeout(limits.idle_timeout.max(limits.header_timeout) + IDLE_MARGIN)
+        // hyper's timeout cannot be changed on an open connection, as a new configuration may change ours.
+        .header_read_timeout(None)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(stream), service);
     // A caller that does not read keeps its connection busy writing, so only dropping the connection cuts it.
-    let served = cut
-        .run_until_cancelled(run_connection(connection, stop))
-        .await;
-    let end = match served {
-        Some(Ok(())) => ConnectionEnd::Closed,
-        Some(Err(error)) => ConnectionEnd::Failed(error),
-        None => ConnectionEnd::Cut,
+    let end = tokio::select! {
+        biased;
+        () = cut.cancelled() => ConnectionEnd::Cut,
+        // Polled before the timeout, so that a request that has arrived is begun.
+        served = run_connection(connection, stop) => match served {
+            Ok(()) => ConnectionEnd::Closed,
+            Err(error) => ConnectionEnd::Failed(error),
+        },
+        () = wait_for_idle_timeout(&gateway, &activity) => ConnectionEnd::Closed,
     };
     gateway.note_connection_end(&unanswered, &end);
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod block_list;
 pub mod blocks;
 pub mod caller_buffer;
+pub mod caller_idle;
 pub mod caller_listener;
 pub mod caller_timeouts;
 pub mod config;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -77,8 +77,7 @@
         deadline_ms: head.deadline_ms,
         ..Trace::default()
     };
-    let slot = caller.unanswered.clone();
-    let mut pending = PendingAnswer::new(gateway.clone(), slot, request_id.clone(), arrived_us);
+    let mut pending = PendingAnswer::new(gateway.clone(), &caller, request_id.clone(), arrived_us);
     let cut = caller.cut.clone();
     let (parts, incoming) = request.into_parts();
     let mut body = CallerBody::new(&parts.headers, incoming);
--- a/src/gateway/unanswered.rs
+++ b/src/gateway/unanswered.rs
@@ -18,6 +18,8 @@
     entry::answer::Body,
     gateway::{
         attempt::header_for_log,
+        caller_buffer::CallerConnection,
+        caller_idle::RequestInProgress,
         protocol::Protocol,
         state::{Gateway, lock},
     },
@@ -98,13 +100,14 @@
     gateway: Arc<Gateway<P>>,
     slot: UnansweredSlot,
     request: Option<Unanswered>,
+    _in_progress: RequestInProgress,
 }
 
 impl<P: Protocol> PendingAnswer<P> {
     /// Begins with a request that arrived at `arrived_us`.
     pub fn new(
         gateway: Arc<Gateway<P>>,
-        slot: UnansweredSlot,
+        caller: &CallerConnection,
         request_id: Option<HeaderValue>,
         arrived_us: Micros,
     ) -> Self {
@@ -115,8 +118,9 @@
         });
         Self {
             gateway,
-            slot,
+            slot: caller.unanswered.clone(),
             request,
+            _in_progress: caller.activity.begin_request(),
         }
     }
 
