Close a connection whose limit of heads is no longer in force

A caller with a long head was answered 431 on a connection that had been opened under a configuration with shorter heads, though the configuration in force allows it.

Cause: hyper's limit of a head is fixed when the connection is opened.

Change: answers say `Connection: close` on a connection whose limit is not the one in force. A connection that rests while the limit changes still answers 431 to its next request, if the head of that is too long for the old limit; that answer closes it, and nothing has run.

--- a/src/gateway/caller_listener.rs
+++ b/src/gateway/caller_listener.rs
@@ -4,6 +4,7 @@
 
 use hyper::{
     body::Incoming,
+    header::{CONNECTION, HeaderValue},
     server::conn::http1,
     service::{HttpService, service_fn},
 };
@@ -75,7 +76,15 @@
     let answering_gateway = gateway.clone();
     let service = service_fn(move |request| {
         let (gateway, caller) = (answering_gateway.clone(), caller.clone());
-        async move { Ok::<_, Infallible>(run::answer(gateway, request, caller).await) }
+        async move {
+            let mut response = run::answer(gateway.clone(), request, caller).await;
+            // hyper's limit is fixed, so the caller has to open another connection for a longer head.
+            if caller_limits(&gateway).max_header_bytes != limits.max_header_bytes {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         // hyper's timeout cannot be changed on an open connection, as a new configuration may change ours.
