--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod block_list;
 pub mod blocks;
 pub mod caller_buffer;
+pub mod caller_idle;
 pub mod caller_listener;
 pub mod caller_timeouts;
 pub mod config;
--- a/tests/cluster/main.rs
+++ b/tests/cluster/main.rs
@@ -5,6 +5,7 @@
 mod failures;
 mod not_repeatable;
 mod operators;
+mod refused_bodies;
 mod shedding;
 mod silent_engines;
 mod support;
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -4,6 +4,7 @@
 mod allowed_regions;
 mod answers;
 mod brittle_endpoints;
+mod caller_limits;
 mod change_propagation;
 mod cluster;
 mod connections;
@@ -34,3 +35,4 @@
 mod stream_versions;
 mod support;
 mod suspension;
+mod unread_bodies;
--- a/tests/gateway/unanswered.rs
+++ b/tests/gateway/unanswered.rs
@@ -8,6 +8,7 @@
 use ryevalve::{
     entry::answer::Body,
     gateway::{
+        caller_buffer::CallerConnection,
         metrics::GatewayReadings,
         state::Gateway,
         unanswered::{ConnectionEnd, PendingAnswer, UnansweredSlot},
@@ -39,24 +40,24 @@
 #[tokio::test]
 async fn answer_that_was_taken_whole_is_not_counted_as_unanswered() {
     for body in ["", "an answer"] {
-        let (gateway, slot) = (gateway(), UnansweredSlot::default());
-        let pending = PendingAnswer::new(gateway.clone(), slot.clone(), None, 0);
+        let (gateway, caller) = (gateway(), CallerConnection::default());
+        let pending = PendingAnswer::new(gateway.clone(), &caller, None, 0);
         let mut answer = pending.watch(response(body)).into_body();
         if !body.is_empty() {
             // A server that knows the length does not poll again after the last byte.
             answer.frame().await.expect("a frame").expect("bytes");
         }
         drop(answer);
-        assert_eq!(unanswered(&gateway, &slot), 0, "{body:?}");
+        assert_eq!(unanswered(&gateway, &caller.unanswered), 0, "{body:?}");
     }
 }
 
 #[tokio::test]
 async fn request_that_is_dropped_at_any_stage_is_counted_as_unanswered() {
-    let (gateway, slot) = (gateway(), UnansweredSlot::default());
-    let pending = || PendingAnswer::new(gateway.clone(), slot.clone(), None, 0);
+    let (gateway, caller) = (gateway(), CallerConnection::default());
+    let pending = || PendingAnswer::new(gateway.clone(), &caller, None, 0);
     drop(pending());
-    assert_eq!(unanswered(&gateway, &slot), 1);
+    assert_eq!(unanswered(&gateway, &caller.unanswered), 1);
     drop(pending().watch(response("an answer")));
-    assert_eq!(unanswered(&gateway, &slot), 2);
+    assert_eq!(unanswered(&gateway, &caller.unanswered), 2);
 }
