--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -110,6 +110,14 @@
 /// Refusal reason: every eligible endpoint has a request rate limit and no permit is available.
 pub const ENDPOINT_LIMITS: &str = "endpoint_limits";
 
+/// A request in the wait queue.
+#[derive(Debug)]
+struct WaitingRequest {
+    request: PlacementRequest,
+    /// Endpoints at which it is not placed.
+    tried: Vec<EndpointKey>,
+}
+
 /// Key of a waiting request; orders by urgency, then by the standing of its organisation, then by age.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct WaitKey {
@@ -192,7 +200,7 @@
     pub(super) regions: HashMap<Name, Name>,
     /// Endpoints for which a permit was denied or the permit request was not answered.
     pub(super) permit_denials: HashMap<EndpointKey, PermitDenial>,
-    waiting: BTreeMap<WaitKey, PlacementRequest>,
+    waiting: BTreeMap<WaitKey, WaitingRequest>,
     next_number: u64,
     pub(super) changed: bool,
 }
@@ -480,7 +488,7 @@
 
     /// Returns the number of waiting requests of a service.
     pub fn waiting_for(&self, service: &Name) -> usize {
-        let waiting = self.waiting.values();
+        let waiting = self.waiting.values().map(|w| &w.request);
         waiting
             .filter(|request| request.service == *service)
             .count()
@@ -627,21 +635,22 @@
         Placement::Send(choice)
     }
 
-    /// Adds a request to the wait queue.
-    pub fn enqueue(&mut self, request: PlacementRequest) -> WaitKey {
+    /// Adds a request to the wait queue; it is not placed at the endpoints in `tried`.
+    pub fn enqueue(&mut self, request: PlacementRequest, tried: &[EndpointKey]) -> WaitKey {
         let key = WaitKey {
             rank: request.rank,
             standing: request.standing,
             number: self.next_number,
         };
         self.next_number += 1;
-        self.waiting.insert(key, request);
+        let tried = tried.to_vec();
+        self.waiting.insert(key, WaitingRequest { request, tried });
         key
     }
 
-    /// Removes a request from the wait queue.
-    pub fn dequeue(&mut self, key: WaitKey) -> Option<PlacementRequest> {
-        self.waiting.remove(&key)
+    /// Removes a request from the wait queue; returns whether it was there.
+    pub fn dequeue(&mut self, key: WaitKey) -> bool {
+        self.waiting.remove(&key).is_some()
     }
 
     /// Decides again on the waiting requests, the most urgent first; returns those that need not
@@ -650,12 +659,12 @@
         let mut decided = Vec::new();
         let keys: Vec<WaitKey> = self.waiting.keys().copied().collect();
         for key in keys {
-            let Some(request) = self.waiting.remove(&key) else {
+            let Some(waiting) = self.waiting.remove(&key) else {
                 continue;
             };
-            match self.place(now_us, &request, &[]) {
+            match self.place(now_us, &waiting.request, &waiting.tried) {
                 Placement::Wait => {
-                    self.waiting.insert(key, request);
+                    self.waiting.insert(key, waiting);
                 }
                 placement => decided.push((key, placement)),
             }
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -250,10 +250,7 @@
         "no_time_left",
         "its time was over before an endpoint was free",
     ),
-    (
-        "not_accepted",
-        "it may not run again, or no other endpoint accepted it",
-    ),
+    ("not_allowed", "it may not run again"),
     ("over_limit", "its organisation had used up its limit"),
     ("stream_broke", "the endpoint's stream broke"),
     ("stream_silent", "the endpoint's stream fell silent"),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -227,7 +227,9 @@
 }
 
 impl<P: Protocol> InFlightRequest<P> {
-    fn new(gateway: Arc<Gateway<P>>, choice: Choice, replaced: CancellationToken) -> Self {
+    /// Takes over the slot of a placement. Once `replaced` is cancelled, an attempt that ends without an answer counts as
+    /// a failure of the endpoint.
+    pub fn new(gateway: Arc<Gateway<P>>, choice: Choice, replaced: CancellationToken) -> Self {
         Self {
             at_us: gateway.clock.now_us(),
             limit_version: 0,
@@ -342,18 +344,15 @@
     in_flight: InFlightRequest<P>,
 }
 
-/// Connects to the endpoint that was chosen for a request, and checks that the request may still be sent there. Once
-/// `replaced` is cancelled, an attempt that ends without an answer counts as a failure of the endpoint.
+/// Connects to the endpoint that was chosen for a request, and checks that the request may still be sent there.
 ///
 /// # Errors
 /// The request cannot be sent there; nothing was sent.
 pub async fn prepare<P: Protocol>(
     gateway: &Arc<Gateway<P>>,
     job: &Job,
-    choice: Choice,
-    replaced: CancellationToken,
+    mut in_flight: InFlightRequest<P>,
 ) -> Result<PreparedAttempt<P>, AttemptError> {
-    let mut in_flight = InFlightRequest::new(gateway.clone(), choice, replaced);
     in_flight.holds_slot = gateway.balancer().is_brittle(in_flight.choice.key);
     let connecting = connect(gateway, job, &in_flight);
     let connected = gateway.clock.timeout_at(job.until_us, connecting).await;
--- a/src/gateway/attempts.rs
+++ b/src/gateway/dispatch.rs
@@ -1,9 +1,20 @@
-//! Runs a request at endpoints, one after the other, until one of them answers.
+//! Dispatches a request to endpoints until one of them answers.
 //!
-//! An endpoint that does not answer for long may be lost or only silent for a moment. Its attempt therefore goes on until
-//! another endpoint has taken the request over, and the first answer counts.
+//! An endpoint that does not answer for long may be lost or only silent for a moment. Its attempt therefore goes on
+//! beside the next one, and the first answer counts. Streams overlap for a short time only, see [`overlap`].
+//!
+//! [`overlap`]: crate::gateway::overlap
 
-use std::{future::poll_fn, pin::Pin, sync::Arc, task::Poll, time::Duration};
+use std::{
+    future::poll_fn,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    task::Poll,
+    time::Duration,
+};
 
 use hyper::Response;
 use tokio::time::{self, Instant};
@@ -18,7 +29,7 @@
     entry::{answer::Body, refusal::Refusal},
     gateway::{
         admission::ANSWER_MARGIN_US,
-        attempt::{self, BufferedResponse, Job},
+        attempt::{self, BufferedResponse, InFlightRequest, Job},
         blocks::Block,
         endpoint_attempt::{AttemptOutcome, EndpointAttempt},
         metrics::Outcome,
@@ -55,6 +66,8 @@
     choice: Choice,
     sent: SentSignal,
     replaced: CancellationToken,
+    /// It was started beside another attempt.
+    is_replacement: bool,
 }
 
 /// What happens next to a request with attempts that have not ended.
@@ -80,8 +93,8 @@
     .await
 }
 
-/// A request in flight.
-pub struct Run<P: Protocol> {
+/// A request that is being dispatched.
+pub struct Dispatch<P: Protocol> {
     gateway: Arc<Gateway<P>>,
     job: Arc<Job>,
     /// The request to the balancer. A retry has its own arrival time and rank.
@@ -89,12 +102,16 @@
     /// Endpoints chosen so far; they are not chosen again.
     tried: Vec<EndpointKey>,
     /// Number of attempts that have ended and that an endpoint may have run.
-    runs: u32,
+    runs: Arc<AtomicU32>,
     /// Number of attempts that an endpoint did not run, except those that the send check stopped.
     not_run: usize,
+    /// Whether a retry of the budget was taken for an attempt that was not sent.
+    has_spare_retry: bool,
+    /// No other endpoint is tried beside one that has not answered before this.
+    not_before: Instant,
 }
 
-impl<P: Protocol> Run<P> {
+impl<P: Protocol> Dispatch<P> {
     /// Starts with a request that was sent nowhere.
     pub fn new(gateway: Arc<Gateway<P>>, job: Arc<Job>) -> Self {
         Self {
@@ -102,11 +119,21 @@
             attempt_request: job.placement_request.clone(),
             job,
             tried: Vec::new(),
-            runs: 0,
+            runs: Arc::default(),
             not_run: 0,
+            has_spare_retry: false,
+            not_before: Instant::now(),
         }
     }
 
+    fn runs(&self) -> u32 {
+        self.runs.load(Ordering::Relaxed)
+    }
+
+    fn add_run(&self) {
+        self.runs.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Runs the request to its final answer. If the retry after an endpoint's error answer fails, that answer is
     /// returned instead of a refusal: it tells the caller what went wrong.
     ///
@@ -134,7 +161,7 @@
             let Some(newest) = running.last() else {
                 self.prepare_retry(trace);
                 let choice = self.place().await?;
-                running.push(self.start(choice, trace));
+                running.push(self.start(choice, false, trace));
                 continue;
             };
             let Running { sent, choice, .. } = newest;
@@ -150,18 +177,20 @@
             let (index, outcome) = match step {
                 Step::Ended(index, outcome) => (index, outcome),
                 Step::Replacement(choice) => {
+                    self.has_spare_retry = false;
                     self.prepare_retry(trace);
-                    running.push(self.start(choice, trace));
+                    running.push(self.start(choice, true, trace));
                     continue;
                 }
                 Step::OverlapEnded => {
                     running.remove(0).replaced.cancel();
-                    self.runs += 1;
+                    self.add_run();
                     continue;
                 }
             };
             let ended = running.remove(index);
             let is_last = running.is_empty();
+            self.not_before = Instant::now() + REPLACEMENT_INTERVAL;
             match outcome {
                 AttemptOutcome::Answer(response) => {
                     self.note_answered_by(&ended, &running[..index], trace);
@@ -171,7 +200,9 @@
                     self.note_answered_by(&ended, &running[..index], trace);
                     let runs = StreamRuns {
                         tried: self.tried.clone(),
-                        count: self.runs + count as u32,
+                        count: self.runs()
+                            + 1
+                            + running.iter().filter(|r| r.sent.is_set()).count() as u32,
                         trace: trace.clone(),
                     };
                     return Ok(relay.into_response(head, runs));
@@ -181,6 +212,8 @@
                     // A request stopped by the send check was not sent, and each endpoint stops it only once.
                     let is_stopped = NOT_SENT_REASONS.contains(&reason);
                     self.not_run += usize::from(!is_stopped);
+                    // Only replacements take their retry before they are sent.
+                    self.has_spare_retry |= !was_sent && ended.is_replacement;
                     if is_last {
                         self.check_resend(was_sent, reason)?;
                     }
@@ -188,21 +221,21 @@
                 AttemptOutcome::Failed { refusal } => {
                     trace.reason = Some(refusal.reason);
                     trace.fingerprint = Some(self.job.fingerprint());
-                    self.runs += 1;
+                    self.add_run();
                     if is_last && !self.may_run_again() {
                         return Err(*refusal);
                     }
                 }
                 AttemptOutcome::GivenUp { refusal } => {
                     trace.reason = Some(refusal.reason);
-                    self.runs += 1;
+                    self.add_run();
                     if is_last {
                         return Err(*refusal);
                     }
                 }
                 AttemptOutcome::Error(response) => {
                     trace.reason = Some("endpoint_error");
-                    self.runs += 1;
+                    self.add_run();
                     if is_last && !self.may_run_again() {
                         return Ok(self.deliver(response, trace));
                     }
@@ -232,6 +265,7 @@
     fn start(
         &mut self,
         choice: Choice,
+        is_replacement: bool,
         trace: &mut Trace,
     ) -> Running<impl Future<Output = AttemptOutcome<P>> + Send + use<P>> {
         trace.endpoint = Some(choice.id.clone());
@@ -239,18 +273,21 @@
         trace.expected = Some(choice.expected);
         self.tried.push(choice.key);
         self.log_resumption(&choice);
+        let replaced = CancellationToken::new();
         let attempt = EndpointAttempt {
             gateway: self.gateway.clone(),
             job: self.job.clone(),
-            lost_before: self.runs > 0,
+            runs: self.runs.clone(),
             sent: SentSignal::default(),
-            replaced: CancellationToken::new(),
         };
+        let in_flight =
+            InFlightRequest::new(self.gateway.clone(), choice.clone(), replaced.clone());
         Running {
-            choice: choice.clone(),
+            choice,
             sent: attempt.sent.clone(),
-            replaced: attempt.replaced.clone(),
-            future: Box::pin(attempt.run(choice)),
+            replaced,
+            is_replacement,
+            future: Box::pin(attempt.run(in_flight)),
         }
     }
 
@@ -283,11 +320,11 @@
         running < 2
             && self.job.is_repeatable()
             && !self.job.is_trial
-            && self.runs + (running as u32) < self.job.route.max_attempts
+            && self.runs() + (running as u32) < self.job.route.max_attempts
             && self.not_run <= MAX_NOT_RUN
             && self.has_time()
             && self.gateway.block_of(&self.job).is_none()
-            && self.gateway.retries_left(service) >= 1.0
+            && (self.has_spare_retry || self.gateway.retries_left(service) >= 1.0)
     }
 
     async fn place_replacement(&self) -> Placement {
@@ -295,7 +332,8 @@
         self.gateway.place(&request, &self.tried).await
     }
 
-    /// Records which endpoint has answered, and that those which were sent the request `before` have failed.
+    /// Records which endpoint has answered. Those which were sent the request `before` count as failed when their attempts
+    /// are dropped.
     fn note_answered_by<F>(&self, ended: &Running<F>, before: &[Running<F>], trace: &mut Trace) {
         trace.endpoint = Some(ended.choice.id.clone());
         trace.expected = Some(ended.choice.expected);
@@ -330,8 +368,8 @@
             Some(Placement::Refuse {
                 reason,
                 retry_after_ms,
-            }) if self.runs == 0 => Err(refuse::not_run(reason, retry_after_ms)),
-            Some(_) | None if self.runs == 0 => Err(refuse::not_run("no_time_left", 500)),
+            }) if self.runs() == 0 => Err(refuse::not_run(reason, retry_after_ms)),
+            Some(_) | None if self.runs() == 0 => Err(refuse::not_run("no_time_left", 500)),
             // An endpoint may have run the request in an earlier attempt.
             _ => Err(refuse::unknown("no_other_endpoint")),
         }
@@ -348,11 +386,11 @@
             && (!was_sent || self.gateway.take_retry(&self.job.placement_request.service));
         match may_resend {
             true => Ok(()),
-            false if self.runs == 0 && Block::is_reason(reason) => {
+            false if self.runs() == 0 && Block::is_reason(reason) => {
                 let block = self.gateway.block_of(&self.job);
                 Err(block.map_or_else(|| refuse::not_run(reason, 0), refuse::blocked))
             }
-            false if self.runs == 0 => {
+            false if self.runs() == 0 => {
                 let retry_after_ms = self
                     .gateway
                     .retry_after_rejections_ms(&self.job.placement_request.service);
@@ -366,7 +404,7 @@
     fn may_run_again(&self) -> bool {
         self.job.is_repeatable()
             && !self.job.is_trial
-            && self.runs < self.job.route.max_attempts
+            && self.runs() < self.job.route.max_attempts
             && self.has_time()
             && self.gateway.block_of(&self.job).is_none()
             && self.gateway.take_retry(&self.job.placement_request.service)
--- a/src/gateway/endpoint_attempt.rs
+++ b/src/gateway/endpoint_attempt.rs
@@ -1,16 +1,18 @@
 //! One attempt at a request that has no answer yet: sends it to an endpoint, and says what came of it.
 
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    atomic::{AtomicU32, Ordering},
+};
 
 use hyper::StatusCode;
 use tokio::time::Instant;
-use tokio_util::sync::CancellationToken;
 
 use crate::{
     balance::balancer::Choice,
     entry::refusal::Refusal,
     gateway::{
-        attempt::{self, AttemptError, BufferedResponse, EndpointResponse, Job},
+        attempt::{self, AttemptError, BufferedResponse, EndpointResponse, InFlightRequest, Job},
         crash_check::{self, LostRun},
         overlap::SentSignal,
         protocol::Protocol,
@@ -45,28 +47,33 @@
     pub gateway: Arc<Gateway<P>>,
     /// The request.
     pub job: Arc<Job>,
-    /// Whether an earlier attempt may have run the request.
-    pub lost_before: bool,
+    /// Number of attempts of the request that have ended and that an endpoint may have run.
+    pub runs: Arc<AtomicU32>,
     /// Says when the request was sent.
     pub sent: SentSignal,
-    /// Cancelled once another endpoint has taken the request over.
-    pub replaced: CancellationToken,
 }
 
 impl<P: Protocol> EndpointAttempt<P> {
     /// Runs the request at the endpoint until there is an answer, the first events of a stream, or a failure.
-    pub async fn run(self, choice: Choice) -> AttemptOutcome<P> {
-        let sent_to = choice.clone();
-        match self.receive(choice).await {
+    pub async fn run(self, in_flight: InFlightRequest<P>) -> AttemptOutcome<P> {
+        let sent_to = in_flight.choice.clone();
+        match self.receive(in_flight).await {
             Ok(outcome) => outcome,
-            Err(error) => self.handle_failure(error, sent_to).await,
+            Err(error) => {
+                // It does not overlap with an earlier attempt any more.
+                self.sent.clear();
+                self.handle_failure(error, sent_to).await
+            }
         }
     }
 
-    async fn receive(&self, choice: Choice) -> Result<AttemptOutcome<P>, AttemptError> {
+    async fn receive(
+        &self,
+        in_flight: InFlightRequest<P>,
+    ) -> Result<AttemptOutcome<P>, AttemptError> {
         let (gateway, job) = (&self.gateway, &self.job);
         let deadline = job.deadline();
-        let prepared = attempt::prepare(gateway, job, choice, self.replaced.clone()).await?;
+        let prepared = attempt::prepare(gateway, job, in_flight).await?;
         self.sent.set(Instant::now());
         let mut received = attempt::send(gateway, job, prepared, None, deadline).await?;
         let status = received.response.status();
@@ -79,7 +86,7 @@
         }
         if status.is_success() && job.route.kind.is_stream() {
             let mut relay = Relay::new(gateway.clone(), job.clone(), received);
-            let head = relay.wait_first_event(deadline).await?;
+            let head = relay.wait_first_event().await?;
             return Ok(AttemptOutcome::Stream(Box::new(relay), head));
         }
         let buffered = attempt::buffer_response(gateway, job, received, deadline).await?;
@@ -97,7 +104,7 @@
         if matches!(error, AttemptError::ConnectionLost(_)) {
             let lost = LostRun {
                 choice: sent_to,
-                lost_before: self.lost_before,
+                lost_before: self.runs.load(Ordering::Relaxed) > 0,
                 answering_us: None,
             };
             crash_check::on_connection_lost(&self.gateway, &self.job, lost).await;
--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -5,12 +5,13 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{StatusCode, body::Incoming, header::HeaderMap};
+use tokio::time::Instant;
 
 use crate::{
     balance::balancer::Choice,
     endpoint::{connection_pool::EndpointConnection, events::EventSplitter},
     gateway::{
-        attempt::{self, AttemptDeadline, EndpointResponse, InFlightRequest, Job},
+        attempt::{self, EndpointResponse, InFlightRequest, Job},
         caller_buffer::{HeldAccount, NoRoom},
         protocol::Protocol,
         state::Gateway,
@@ -176,11 +177,15 @@
         (self.upstream, _) = Upstream::new(received, self.gateway.clock.now_us());
     }
 
-    /// Waits until `deadline` for the next whole events. It may be cancelled at any time without losing any.
+    /// Waits for the next whole events; the run has stalled if it brings no byte within `stall_timeout`. It may be
+    /// cancelled at any time without losing any.
     ///
     /// # Errors
     /// The current run brings none.
-    pub async fn next_events(&mut self, deadline: AttemptDeadline) -> Result<Bytes, StreamEnd> {
+    pub async fn next_events(
+        &mut self,
+        stall_timeout: Option<Duration>,
+    ) -> Result<Bytes, StreamEnd> {
         loop {
             let complete_events = self.upstream.cutter.take_complete(self.last_id);
             self.count_partial_event().map_err(|_| StreamEnd::NoRoom)?;
@@ -194,6 +199,10 @@
                 Err(_) => return Err(StreamEnd::Broken("event_too_long")),
             }
             let clock = self.gateway.clock;
+            let mut deadline = self.job.deadline();
+            if let Some(stall_timeout) = stall_timeout {
+                deadline.attempt_end = Instant::now() + stall_timeout;
+            }
             match deadline.wait(clock, self.upstream.body.frame()).await {
                 Some(Some(Ok(frame))) => {
                     if let Some(bytes) = frame.data_ref() {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -86,7 +86,7 @@
 /// Labels of metrics by the cause that a stream was not resumed.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct NotResumedLabels {
-    /// `no_place`, `no_retry` or `not_accepted`.
+    /// `no_place`, `no_retry` or `not_allowed`.
     pub cause: &'static str,
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,6 @@
 pub mod admission;
 pub mod aggregators;
 pub mod attempt;
-mod attempts;
 pub mod block_list;
 pub mod blocks;
 pub mod caller_buffer;
@@ -17,6 +16,7 @@
 pub mod copies;
 pub mod crash_check;
 pub mod current_config;
+mod dispatch;
 pub mod endpoint_announcements;
 mod endpoint_attempt;
 pub mod endpoint_connect;
--- a/src/gateway/overlap.rs
+++ b/src/gateway/overlap.rs
@@ -35,6 +35,11 @@
         self.0.send_replace(None);
     }
 
+    /// Returns whether the endpoint may be running the request.
+    pub fn is_set(&self) -> bool {
+        self.0.borrow().is_some()
+    }
+
     /// Waits until the request was sent, and returns when that was.
     pub async fn wait(&self) -> Instant {
         let mut sent = self.0.subscribe();
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -181,7 +181,7 @@
         if !matches!(placement, Placement::Wait) {
             return placement;
         }
-        self.wait_for_place(request).await
+        self.wait_for_place(request, tried).await
     }
 
     /// Notes that a request got a slot with its permit, if the endpoint is brittle.
@@ -191,11 +191,20 @@
         }
     }
 
-    /// Queues a request until it gets a slot or the balancer refuses it.
-    pub async fn wait_for_place(&self, request: &PlacementRequest) -> Placement {
+    /// Queues a request until it gets a slot at an endpoint that is not in `tried` or the balancer refuses it.
+    pub async fn wait_for_place(
+        &self,
+        request: &PlacementRequest,
+        tried: &[EndpointKey],
+    ) -> Placement {
         let (sender, decision) = oneshot::channel();
-        let key = self.balancer().enqueue(request.clone());
-        lock(&self.waiters).insert(key, sender);
+        let key = {
+            let mut balancer = self.balancer();
+            let key = balancer.enqueue(request.clone(), tried);
+            // Before a decision can be made on it.
+            lock(&self.waiters).insert(key, sender);
+            key
+        };
         let mut queued = QueuedRequest {
             gateway: self,
             key,
--- a/src/gateway/reservation_server.rs
+++ b/src/gateway/reservation_server.rs
@@ -127,7 +127,7 @@
     tokio::spawn(async move {
         let placement = match needs_permit {
             true => gateway.place_locally(&request, &tried).await,
-            false => gateway.wait_for_place(&request).await,
+            false => gateway.wait_for_place(&request, &tried).await,
         };
         let message = conclude(&gateway, requester, number, placement);
         if let Some(channel) = gateway.reservation_client.channel() {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -20,9 +20,9 @@
             read_body, time_budget_us,
         },
         attempt::{self, Job},
-        attempts::Run,
         blocks::{Arrival, Block},
         caller_buffer::{CallerConnection, CallerHandle, HeldAccount},
+        dispatch::Dispatch,
         protocol::{CallHead, Protocol},
         quota, refuse,
         report::{Trace, note_refusal},
@@ -221,8 +221,8 @@
         fingerprint,
     };
     let job = Arc::new(job);
-    let run = Run::new(gateway.clone(), job.clone());
-    let mut result = run.run_to_answer(trace).await;
+    let dispatch = Dispatch::new(gateway.clone(), job.clone());
+    let mut result = dispatch.run_to_answer(trace).await;
     let refusal = result.as_mut().err();
     shares::note_result(gateway, &job, refusal, trace);
     let may_have_run = result
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -9,14 +9,14 @@
 
 use bytes::Bytes;
 use hyper::{Response, StatusCode, header::HeaderMap};
-use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::{
     entry::answer::Body,
     gateway::{
-        attempt::{AttemptDeadline, AttemptError, EndpointResponse, Job},
+        attempt::{AttemptError, EndpointResponse, Job},
         caller_buffer::{HeldAccount, StreamWriter, stream_buffer},
+        crash_check::{self, LostRun},
         event_source::{EventSource, StreamEnd},
         metrics::Outcome,
         origin_table::StreamOrigin,
@@ -30,9 +30,8 @@
     prelude::Micros,
 };
 
-/// A stream without events for this many times the target gap of its route is resumed at another endpoint, if one has
-/// a free slot. Otherwise the wait goes on: in a surge over 295 instances, streams that had only slowed down were cut
-/// 160 ms later because no slot had been found.
+/// A stream without events for this many times the target gap of its route is resumed at another endpoint, if one
+/// accepts it. Otherwise the wait goes on: in a surge over 295 instances, most stalled streams had only slowed down.
 const STALL_TIMEOUT_GAPS: f64 = 2.0;
 /// Lower bound of that time: an endpoint that prefills long prompts pauses its streams.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(800);
@@ -65,7 +64,7 @@
 enum Next {
     Events(Bytes),
     Complete,
-    /// Nothing has changed, so the wait goes on.
+    /// Nothing yet, from the same run or from another one.
     Wait,
 }
 
@@ -89,15 +88,12 @@
         }
     }
 
-    /// Waits until `deadline` for the first events. Nothing is sent to the caller before that.
+    /// Waits for the first events. Nothing is sent to the caller before that.
     ///
     /// # Errors
     /// There was no event; the endpoint may have run the request.
-    pub async fn wait_first_event(
-        &mut self,
-        deadline: AttemptDeadline,
-    ) -> Result<StreamHead, AttemptError> {
-        let events = match self.source.next_events(deadline).await {
+    pub async fn wait_first_event(&mut self) -> Result<StreamHead, AttemptError> {
+        let events = match self.source.next_events(None).await {
             Ok(events) => events,
             // A response without events is complete as well.
             Err(StreamEnd::Complete) => Bytes::new(),
@@ -218,8 +214,8 @@
     /// The stream is lost for good, for the returned reason.
     async fn next(&mut self) -> Result<Option<Bytes>, &'static str> {
         loop {
-            let deadline = self.next_event_deadline();
-            let end = match self.source.next_events(deadline).await {
+            let stall_timeout = self.stall_timeout();
+            let end = match self.source.next_events(stall_timeout).await {
                 Ok(events) => return Ok(Some(events)),
                 Err(end) => end,
             };
@@ -239,7 +235,11 @@
                     Next::Wait
                 }
                 StreamEnd::Stalled if is_callers_doing => Next::Wait,
-                StreamEnd::Stalled => self.take_over().await?,
+                StreamEnd::Stalled => {
+                    let next = self.take_over().await?;
+                    self.runs.trace.endpoint = Some(self.source.choice().id.clone());
+                    next
+                }
             };
             match next {
                 Next::Events(events) => return Ok(Some(events)),
@@ -280,20 +280,26 @@
     async fn take_over(&mut self) -> Result<Next, &'static str> {
         let sent = SentSignal::default();
         let resumption = Self::resumption(&self.gateway, &self.job, &self.source, STALLED, &sent);
-        let whole_request = self.job.deadline();
+        let runs_before = self.runs.count;
         let mut resuming = std::pin::pin!(resumption.resume(&mut self.runs));
         let mut has_run = true;
         loop {
             tokio::select! {
                 biased;
-                events = self.source.next_events(whole_request), if has_run => match events {
+                events = self.source.next_events(None), if has_run => match events {
                     Ok(events) => return Ok(Next::Events(events)),
                     Err(StreamEnd::Complete) => return Ok(Next::Complete),
                     Err(StreamEnd::NoRoom) => return Err(refuse::NO_MEMORY),
                     Err(StreamEnd::TimeOver) => return Err(TIME_OVER),
                     Err(StreamEnd::Broken(_) | StreamEnd::Stalled) => {
-                        self.source.end_run();
                         has_run = false;
+                        let lost = LostRun {
+                            choice: self.source.choice().clone(),
+                            lost_before: runs_before > 1,
+                            answering_us: self.source.answering_us(self.gateway.clock.now_us()),
+                        };
+                        self.source.end_run();
+                        crash_check::on_connection_lost(&self.gateway, &self.job, lost).await;
                     }
                 },
                 received = &mut resuming => {
@@ -341,15 +347,11 @@
         log_answer(gateway, &self.job, outcome, status, self.first_us, &trace);
     }
 
-    /// Returns the deadline of the next event.
-    fn next_event_deadline(&self) -> AttemptDeadline {
-        let mut deadline = self.job.deadline();
-        let sent = SentSignal::default();
-        let resumption = Self::resumption(&self.gateway, &self.job, &self.source, STALLED, &sent);
-        if self.source.has_events() && resumption.is_allowed(&self.runs) {
-            let gap = self.job.route.target_gap.mul_f64(STALL_TIMEOUT_GAPS);
-            deadline.attempt_end = Instant::now() + gap.max(MIN_STALL_TIMEOUT);
-        }
-        deadline
+    /// Returns the time without events after which another endpoint should continue, if that is allowed.
+    fn stall_timeout(&self) -> Option<Duration> {
+        let (gateway, job) = (&self.gateway, &self.job);
+        let may_resume = self.runs.may_resume(gateway, job, self.source.last_id());
+        let gap = self.job.route.target_gap.mul_f64(STALL_TIMEOUT_GAPS);
+        (self.source.has_events() && may_resume).then(|| gap.max(MIN_STALL_TIMEOUT))
     }
 }
--- a/src/gateway/stream_runs.rs
+++ b/src/gateway/stream_runs.rs
@@ -10,7 +10,7 @@
         load::EndpointKey,
     },
     gateway::{
-        attempt::{self, AttemptError, EndpointResponse, Job},
+        attempt::{self, AttemptError, EndpointResponse, InFlightRequest, Job},
         crash_check::{self, LostRun},
         overlap::SentSignal,
         protocol::Protocol,
@@ -37,8 +37,8 @@
     NoPlace,
     /// The retry budget is used up.
     NoRetry,
-    /// The stream may not run again, or no other endpoint accepted it.
-    NotAccepted,
+    /// The stream may not run again.
+    NotAllowed,
 }
 
 impl NotResumed {
@@ -46,11 +46,21 @@
         match self {
             Self::NoPlace => "no_place",
             Self::NoRetry => "no_retry",
-            Self::NotAccepted => "not_accepted",
+            Self::NotAllowed => "not_allowed",
         }
     }
 }
 
+/// What came of sending a stream's request to another endpoint.
+enum RunStart<P: Protocol> {
+    /// The endpoint runs it.
+    Accepted(Box<EndpointResponse<P>>),
+    /// Nothing was sent.
+    NotSent,
+    /// The endpoint does not run it, or not any more.
+    Failed,
+}
+
 /// Where a stream is to be resumed, and why.
 pub struct Resumption<'a, P: Protocol> {
     /// The gateway.
@@ -68,38 +78,36 @@
 }
 
 impl<P: Protocol> Resumption<'_, P> {
-    /// Returns whether the stream may be resumed after its runs so far.
-    pub fn is_allowed(&self, runs: &StreamRuns) -> bool {
-        self.job.is_repeatable()
-            && !self.job.is_trial
-            && self.gateway.block_of(self.job).is_none()
-            && runs.count < self.job.route.max_attempts
-            && self.after.is_some()
-            && self.retries_left() >= 1.0
-    }
-
     /// Resumes the stream at another endpoint, and returns that endpoint's response once it has accepted the request.
     /// Runs that were begun are counted in `runs` even if this is cancelled.
     pub async fn resume(&self, runs: &mut StreamRuns) -> Option<EndpointResponse<P>> {
-        let lost = loop {
-            if !self.is_allowed(runs) || self.gateway.clock.now_us() >= self.job.until_us {
-                break NotResumed::NotAccepted;
+        // A retry that was taken is used for the next endpoint if the request was not sent to the first.
+        let mut has_retry = false;
+        let cause = loop {
+            let is_in_time = self.gateway.clock.now_us() < self.job.until_us;
+            if !runs.may_resume(self.gateway, self.job, self.after) || !is_in_time {
+                break NotResumed::NotAllowed;
+            }
+            if !has_retry && self.retries_left() < 1.0 {
+                break NotResumed::NoRetry;
             }
             let Some(choice) = self.choose_endpoint(&runs.tried).await else {
                 break NotResumed::NoPlace;
             };
             runs.tried.push(choice.key);
-            if !self.gateway.take_retry(&self.job.placement_request.service) {
+            has_retry = has_retry || self.gateway.take_retry(&self.job.placement_request.service);
+            if !has_retry {
                 let tokens = choice.expected.uncached_tokens;
                 self.gateway.balancer().end(choice.key, tokens, None);
                 break NotResumed::NoRetry;
             }
-            if let Some(received) = self.run_at(choice, runs).await {
-                return Some(received);
+            match self.run_at(choice, runs).await {
+                RunStart::Accepted(received) => return Some(*received),
+                RunStart::NotSent => {}
+                RunStart::Failed => has_retry = false,
             }
-            self.sent.clear();
         };
-        self.note_not_resumed(runs, lost);
+        self.note_not_resumed(runs, cause);
         None
     }
 
@@ -117,31 +125,41 @@
         }
     }
 
-    /// Sends the request to an endpoint; returns its response if it accepts the request.
-    async fn run_at(&self, choice: Choice, runs: &mut StreamRuns) -> Option<EndpointResponse<P>> {
+    /// Sends the request to an endpoint.
+    async fn run_at(&self, choice: Choice, runs: &mut StreamRuns) -> RunStart<P> {
         runs.trace.attempts += 1;
         runs.trace.endpoint = Some(choice.id.clone());
         runs.trace.reason = Some(self.reason);
         self.note_resumption(&choice);
         let (gateway, job) = (self.gateway, self.job);
         let attempted = choice.clone();
-        let prepared = attempt::prepare(gateway, job, choice, Default::default()).await;
-        let prepared = prepared.ok()?;
+        let in_flight = InFlightRequest::new(gateway.clone(), choice, Default::default());
+        let Ok(prepared) = attempt::prepare(gateway, job, in_flight).await else {
+            return RunStart::NotSent;
+        };
         self.sent.set(Instant::now());
         runs.count += 1;
-        match attempt::send(gateway, job, prepared, self.after, job.deadline()).await {
+        let received = attempt::send(gateway, job, prepared, self.after, job.deadline()).await;
+        match received {
             Ok(received) if received.response.status().is_success() && received.is_signed => {
-                return Some(received);
+                return RunStart::Accepted(Box::new(received));
             }
             Ok(received) if received.not_executed => runs.count -= 1,
-            Err(AttemptError::NotSent(_)) => runs.count -= 1,
+            Err(AttemptError::NotSent(_)) => {
+                runs.count -= 1;
+                self.sent.clear();
+                return RunStart::NotSent;
+            }
             Err(AttemptError::ConnectionLost(_)) => {
+                // The check for a crash takes long, and no run overlaps with the stalled one meanwhile.
+                self.sent.clear();
                 runs.note_connection_lost(gateway, job, attempted, None)
                     .await;
             }
             Ok(_) | Err(AttemptError::Unknown(_) | AttemptError::NoRoom) => {}
         }
-        None
+        self.sent.clear();
+        RunStart::Failed
     }
 
     fn retries_left(&self) -> f64 {
@@ -189,6 +207,21 @@
 }
 
 impl StreamRuns {
+    /// Returns whether a stream may run again that its caller has up to the event with id `after`, apart from the retry
+    /// budget.
+    pub fn may_resume<P: Protocol>(
+        &self,
+        gateway: &Gateway<P>,
+        job: &Job,
+        after: Option<u64>,
+    ) -> bool {
+        job.is_repeatable()
+            && !job.is_trial
+            && gateway.block_of(job).is_none()
+            && self.count < job.route.max_attempts
+            && after.is_some()
+    }
+
     /// Starts the check whether an endpoint has crashed.
     pub async fn note_connection_lost<P: Protocol>(
         &mut self,
--- a/tests/edge/silent_endpoints.rs
+++ b/tests/edge/silent_endpoints.rs
@@ -228,3 +228,28 @@
 async fn request_is_still_retried_when_its_endpoint_is_silent_and_others_are_not() {
     check_that_all_are_served(178, "/often/x", 2).await;
 }
+
+/// The check whether the other endpoint has crashed takes longer than two runs may overlap.
+#[tokio::test(flavor = "multi_thread")]
+async fn stalled_stream_is_kept_when_the_endpoint_that_should_continue_it_breaks() {
+    let site = start(179, 1).await;
+    for number in 0..6 {
+        let id = format!("s-{number}");
+        for runner in site.runners.iter() {
+            runner.fault(Fault::Pause);
+        }
+        let call = call(&site, 0, "/resume/stream", &id);
+        let breaking = async {
+            until("the stream to begin", || {
+                site.runners.iter().any(|r| r.runs(&id) > 0)
+            })
+            .await;
+            for runner in site.runners.iter().filter(|r| r.runs(&id) == 0) {
+                runner.fault(Fault::ResetAfterRun);
+            }
+        };
+        let (got, ()) = tokio::join!(call, breaking);
+        assert!(got.is_whole, "{id}: {}", got.text());
+        assert_eq!(got.text(), stream_of(&id));
+    }
+}
--- a/tests/gateway/balancer.rs
+++ b/tests/gateway/balancer.rs
@@ -385,8 +385,8 @@
     {
         held.push(choice);
     }
-    let low = balancer.enqueue(placement_request(100, 100, 2, 0));
-    let high = balancer.enqueue(placement_request(101, 100, 0, 0));
+    let low = balancer.enqueue(placement_request(100, 100, 2, 0), &[]);
+    let high = balancer.enqueue(placement_request(101, 100, 0, 0), &[]);
     for choice in &held {
         balancer.record_first_event(choice, 50.0);
     }
@@ -499,7 +499,7 @@
     assert_matches!(balancer.place(0, &of(90, 3 * SECOND), &[]), Placement::Wait);
     sent(balancer.place(0, &of(91, 0), &[]));
     let key = EndpointKey::of("near");
-    balancer.enqueue(of(92, 0));
+    balancer.enqueue(of(92, 0), &[]);
     balancer.end(key, 100, None);
     balancer.end(key, 100, None);
     assert_matches!(
--- a/tests/gateway/surge.rs
+++ b/tests/gateway/surge.rs
@@ -206,7 +206,7 @@
         match placement {
             Placement::Send(choice) => self.send(now_us, choice, first_arrival_us),
             Placement::Wait => {
-                let key = self.balancer.enqueue(request);
+                let key = self.balancer.enqueue(request, &[]);
                 self.waiting
                     .insert(key, (number, first_arrival_us, is_retry));
             }
--- a/tests/gateway/waiting.rs
+++ b/tests/gateway/waiting.rs
@@ -3,7 +3,10 @@
 use assert_matches::assert_matches;
 use futures::poll;
 use ryevalve::{
-    balance::{balancer::Placement, cost::PlacementRequest},
+    balance::{
+        balancer::{Choice, Placement},
+        cost::PlacementRequest,
+    },
     gateway::state::Gateway,
     platform::headers::PlatformProtocol,
 };
@@ -27,23 +30,27 @@
     placement_request(draw, 100, 0, gateway.clock.now_us())
 }
 
-#[tokio::test]
-async fn slot_given_to_a_request_whose_caller_leaves_at_that_moment_is_released() {
-    let gateway = gateway();
+/// Takes all slots of all endpoints.
+fn fill(gateway: &Gateway<PlatformProtocol>) -> Vec<Choice> {
     let mut held = Vec::new();
-    // Fills the endpoint: one request runs, and others may wait at it.
     loop {
         let now_us = gateway.clock.now_us();
-        let placed = gateway.balancer().place(now_us, &request(&gateway, 1), &[]);
+        let placed = gateway.balancer().place(now_us, &request(gateway, 1), &[]);
         match placed {
             Placement::Send(choice) => held.push(choice),
-            _ => break,
+            _ => return held,
         }
     }
+}
+
+#[tokio::test]
+async fn slot_given_to_a_request_whose_caller_leaves_at_that_moment_is_released() {
+    let gateway = gateway();
+    let held = fill(&gateway);
     let waiting_request = request(&gateway, 2);
-    let mut waiting = Box::pin(gateway.wait_for_place(&waiting_request));
+    let mut waiting = Box::pin(gateway.wait_for_place(&waiting_request, &[]));
     assert!(poll!(&mut waiting).is_pending());
-    for choice in held.drain(..) {
+    for choice in &held {
         let tokens = choice.expected.uncached_tokens;
         gateway.balancer().end(choice.key, tokens, None);
     }
@@ -56,3 +63,24 @@
     let placed = gateway.balancer().place(now_us, &request(&gateway, 3), &[]);
     assert_matches!(placed, Placement::Send(_));
 }
+
+#[tokio::test]
+async fn retry_that_waits_for_a_slot_is_not_sent_to_the_endpoint_it_left() {
+    let gateway = gateway();
+    gateway
+        .balancer()
+        .upsert_endpoint(entry("b", "here", 1), at(1));
+    let held = fill(&gateway);
+    let request = request(&gateway, 2);
+    let left = held[0].key;
+    let tried = [left];
+    let mut waiting = Box::pin(gateway.wait_for_place(&request, &tried));
+    assert!(poll!(&mut waiting).is_pending());
+    for choice in &held {
+        let tokens = choice.expected.uncached_tokens;
+        gateway.balancer().end(choice.key, tokens, None);
+        gateway.reconsider();
+    }
+    let placed = waiting.await;
+    assert_matches!(placed, Placement::Send(choice) if choice.key != left);
+}
