A silent run is kept until another endpoint has accepted the request

The first endpoint was left 300 ms after the request was sent to the second, which read it 300 ms later still and refused it; then no place was left.

Cause: the bound on overlapping runs counted from the send. What waits at an endpoint has not continued there.

Change: the run of a stalled stream ends when another endpoint has accepted it, and not before. Two attempts at a stream that has not begun overlap for 300 ms after the later one was accepted.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -33,7 +33,7 @@
         blocks::Block,
         endpoint_attempt::{AttemptOutcome, EndpointAttempt},
         metrics::Outcome,
-        overlap::SentSignal,
+        overlap::Signal,
         protocol::Protocol,
         refuse,
         report::{Trace, log_answer},
@@ -64,7 +64,8 @@
 struct Running<F> {
     future: Pin<Box<F>>,
     choice: Choice,
-    sent: SentSignal,
+    sent: Signal,
+    accepted: Signal,
     replaced: CancellationToken,
     /// It was started beside another attempt.
     is_replacement: bool,
@@ -164,15 +165,14 @@
                 running.push(self.start(choice, false, trace));
                 continue;
             };
-            let Running { sent, choice, .. } = newest;
-            let (sent, timeout) = (sent.clone(), self.attempt_timeout(choice));
+            let (sent, accepted) = (newest.sent.clone(), newest.accepted.clone());
+            let timeout = self.attempt_timeout(&newest.choice);
             let count = running.len();
-            let overlaps = count > 1 && self.job.route.kind.is_stream();
             let step = tokio::select! {
                 biased;
                 (index, outcome) = next_ended(&mut running) => Step::Ended(index, outcome),
                 choice = self.choose_replacement(&sent, timeout, count) => Step::Replacement(choice),
-                () = sent.wait_for_overlap_end(), if overlaps => Step::OverlapEnded,
+                () = accepted.wait_for_overlap_end(), if count > 1 => Step::OverlapEnded,
             };
             let (index, outcome) = match step {
                 Step::Ended(index, outcome) => (index, outcome),
@@ -278,13 +278,15 @@
             gateway: self.gateway.clone(),
             job: self.job.clone(),
             runs: self.runs.clone(),
-            sent: SentSignal::default(),
+            sent: Signal::default(),
+            accepted: Signal::default(),
         };
         let in_flight =
             InFlightRequest::new(self.gateway.clone(), choice.clone(), replaced.clone());
         Running {
             choice,
             sent: attempt.sent.clone(),
+            accepted: attempt.accepted.clone(),
             replaced,
             is_replacement,
             future: Box::pin(attempt.run(in_flight)),
@@ -292,12 +294,7 @@
     }
 
     /// Waits until another endpoint may run the request beside the one that has not answered for long, and returns it.
-    async fn choose_replacement(
-        &self,
-        sent: &SentSignal,
-        timeout: Duration,
-        running: usize,
-    ) -> Choice {
+    async fn choose_replacement(&self, sent: &Signal, timeout: Duration, running: usize) -> Choice {
         let mut at = sent.wait().await + timeout;
         loop {
             time::sleep_until(at).await;
--- a/src/gateway/endpoint_attempt.rs
+++ b/src/gateway/endpoint_attempt.rs
@@ -14,7 +14,7 @@
     gateway::{
         attempt::{self, AttemptError, BufferedResponse, EndpointResponse, InFlightRequest, Job},
         crash_check::{self, LostRun},
-        overlap::SentSignal,
+        overlap::Signal,
         protocol::Protocol,
         refuse,
         state::Gateway,
@@ -50,7 +50,9 @@
     /// Number of attempts of the request that have ended and that an endpoint may have run.
     pub runs: Arc<AtomicU32>,
     /// Says when the request was sent.
-    pub sent: SentSignal,
+    pub sent: Signal,
+    /// Says when the endpoint accepted the request of a stream.
+    pub accepted: Signal,
 }
 
 impl<P: Protocol> EndpointAttempt<P> {
@@ -59,11 +61,7 @@
         let sent_to = in_flight.choice.clone();
         match self.receive(in_flight).await {
             Ok(outcome) => outcome,
-            Err(error) => {
-                // It does not overlap with an earlier attempt any more.
-                self.sent.clear();
-                self.handle_failure(error, sent_to).await
-            }
+            Err(error) => self.handle_failure(error, sent_to).await,
         }
     }
 
@@ -85,6 +83,7 @@
             return Err(AttemptError::Unknown("unsigned_answer"));
         }
         if status.is_success() && job.route.kind.is_stream() {
+            self.accepted.set(Instant::now());
             let mut relay = Relay::new(gateway.clone(), job.clone(), received);
             let head = relay.wait_first_event().await?;
             return Ok(AttemptOutcome::Stream(Box::new(relay), head));
--- a/src/gateway/overlap.rs
+++ b/src/gateway/overlap.rs
@@ -1,7 +1,7 @@
-//! Bounds how long two endpoints run the same request.
+//! Bounds how long two endpoints run the same stream.
 //!
 //! An endpoint that does not answer may be lost, or be silent for a moment and go on. Its run is therefore kept until
-//! another endpoint has taken the request over, but not for long once that one runs it as well.
+//! another endpoint has accepted the request, and not for long after that.
 
 use std::time::Duration;
 
@@ -10,37 +10,32 @@
     time::{self, Instant},
 };
 
-/// Longest time for which the earlier run of a stream goes on after the request was sent to another endpoint. An engine
+/// Longest time for which the earlier run of a stream goes on after another endpoint has accepted the request. An engine
 /// that still runs it 400 ms later holds memory that other streams need.
 const MAX_OVERLAP: Duration = Duration::from_millis(300);
 
-/// Says when a request was sent to an endpoint.
+/// Says when something happened to an attempt.
 #[derive(Clone, Debug)]
-pub struct SentSignal(watch::Sender<Option<Instant>>);
+pub struct Signal(watch::Sender<Option<Instant>>);
 
-impl Default for SentSignal {
+impl Default for Signal {
     fn default() -> Self {
         Self(watch::Sender::new(None))
     }
 }
 
-impl SentSignal {
-    /// Notes that the request was sent.
+impl Signal {
+    /// Notes that it happened.
     pub fn set(&self, at: Instant) {
         self.0.send_replace(Some(at));
     }
 
-    /// Notes that the endpoint does not run the request after all.
-    pub fn clear(&self) {
-        self.0.send_replace(None);
-    }
-
-    /// Returns whether the endpoint may be running the request.
+    /// Returns whether it has happened.
     pub fn is_set(&self) -> bool {
         self.0.borrow().is_some()
     }
 
-    /// Waits until the request was sent, and returns when that was.
+    /// Waits until it has happened, and returns when that was.
     pub async fn wait(&self) -> Instant {
         let mut sent = self.0.subscribe();
         loop {
@@ -52,15 +47,9 @@
         }
     }
 
-    /// Waits until the earlier run of the request must end.
+    /// Waits until an earlier run of the stream must end, if this says when another endpoint accepted the request.
     pub async fn wait_for_overlap_end(&self) {
-        loop {
-            let end = self.wait().await + MAX_OVERLAP;
-            time::sleep_until(end).await;
-            let sent = *self.0.borrow();
-            if sent.is_some_and(|at| at + MAX_OVERLAP <= Instant::now()) {
-                return;
-            }
-        }
+        let end = self.wait().await + MAX_OVERLAP;
+        time::sleep_until(end).await;
     }
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -20,7 +20,6 @@
         event_source::{EventSource, StreamEnd},
         metrics::Outcome,
         origin_table::StreamOrigin,
-        overlap::SentSignal,
         protocol::Protocol,
         refuse,
         report::{Trace, log_answer},
@@ -265,8 +264,7 @@
     /// # Errors
     /// No other endpoint continues it.
     async fn resume(&mut self, reason: &'static str) -> Result<(), &'static str> {
-        let sent = SentSignal::default();
-        let resumption = Self::resumption(&self.gateway, &self.job, &self.source, reason, &sent);
+        let resumption = Self::resumption(&self.gateway, &self.job, &self.source, reason);
         let received = resumption.resume(&mut self.runs).await.ok_or(reason)?;
         self.source.begin_run(received);
         Ok(())
@@ -278,8 +276,7 @@
     /// # Errors
     /// The stalled run has ended, and no other endpoint continues the stream.
     async fn take_over(&mut self) -> Result<Next, &'static str> {
-        let sent = SentSignal::default();
-        let resumption = Self::resumption(&self.gateway, &self.job, &self.source, STALLED, &sent);
+        let resumption = Self::resumption(&self.gateway, &self.job, &self.source, STALLED);
         let runs_before = self.runs.count;
         let mut resuming = std::pin::pin!(resumption.resume(&mut self.runs));
         let mut has_run = true;
@@ -310,10 +307,6 @@
                     self.source.begin_run(received);
                     return Ok(Next::Wait);
                 }
-                () = sent.wait_for_overlap_end(), if has_run => {
-                    self.source.end_run();
-                    has_run = false;
-                }
             }
         }
     }
@@ -323,7 +316,6 @@
         job: &'a Arc<Job>,
         source: &EventSource<P>,
         reason: &'static str,
-        sent: &'a SentSignal,
     ) -> Resumption<'a, P> {
         Resumption {
             gateway,
@@ -331,7 +323,6 @@
             began_version: source.began_version().cloned(),
             after: source.last_id(),
             reason,
-            sent,
         }
     }
 
--- a/src/gateway/stream_runs.rs
+++ b/src/gateway/stream_runs.rs
@@ -2,8 +2,6 @@
 
 use std::sync::Arc;
 
-use tokio::time::Instant;
-
 use crate::{
     balance::{
         balancer::{Choice, Placement},
@@ -12,7 +10,6 @@
     gateway::{
         attempt::{self, AttemptError, EndpointResponse, InFlightRequest, Job},
         crash_check::{self, LostRun},
-        overlap::SentSignal,
         protocol::Protocol,
         report::Trace,
         state::Gateway,
@@ -73,8 +70,6 @@
     pub after: Option<u64>,
     /// Why the stream does not go on where it is.
     pub reason: &'static str,
-    /// Says when the request was sent to another endpoint.
-    pub sent: &'a SentSignal,
 }
 
 impl<P: Protocol> Resumption<'_, P> {
@@ -137,7 +132,6 @@
         let Ok(prepared) = attempt::prepare(gateway, job, in_flight).await else {
             return RunStart::NotSent;
         };
-        self.sent.set(Instant::now());
         runs.count += 1;
         let received = attempt::send(gateway, job, prepared, self.after, job.deadline()).await;
         match received {
@@ -147,18 +141,14 @@
             Ok(received) if received.not_executed => runs.count -= 1,
             Err(AttemptError::NotSent(_)) => {
                 runs.count -= 1;
-                self.sent.clear();
                 return RunStart::NotSent;
             }
             Err(AttemptError::ConnectionLost(_)) => {
-                // The check for a crash takes long, and no run overlaps with the stalled one meanwhile.
-                self.sent.clear();
                 runs.note_connection_lost(gateway, job, attempted, None)
                     .await;
             }
             Ok(_) | Err(AttemptError::Unknown(_) | AttemptError::NoRoom) => {}
         }
-        self.sent.clear();
         RunStart::Failed
     }
 
