Tests of requests that meet a planned stop, and of older ways to send one

Audit of the paths on which a connection can close without the answer to a request: a body that arrives while idle connections are closed, connections that are used until the process is gone, pipelined requests, HTTP/1.0, and a body that its caller announces.

--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -19,6 +19,7 @@
 mod load_generator;
 mod loss_of_all;
 mod other_writers;
+mod planned_stops;
 mod poison_parts;
 mod poison_requests;
 mod reservations;
