Stand-in endpoints fall silent as a whole and record departures

A sound endpoint may be silent for a second and go on. The stand-in could only pause before the fourth event of a stream, and its other connections answered meanwhile. Runner::fall_silent stops all reading, accepting and sending for a time; nothing is lost.

Seen::left_at records when a caller closed its connection while its request was running, also between events and while the endpoint is silent, so that tests can tell when an earlier run of a resumed stream ended.

--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -6,6 +6,7 @@
 
 use std::{
     collections::{HashMap, VecDeque},
+    future,
     io::ErrorKind,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
@@ -13,8 +14,11 @@
 };
 
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    io::{AsyncReadExt, AsyncWriteExt, Interest},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{ReadHalf, WriteHalf},
+    },
     sync::Semaphore,
     time,
 };
@@ -33,6 +37,9 @@
 /// Length of the gap in a stream under [`Fault::Pause`].
 pub const PAUSE: Duration = Duration::from_millis(1_300);
 
+/// Interval at which a connection with unread bytes is checked for its end.
+const END_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Fault of an endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -129,6 +136,8 @@
     pub was_unread: bool,
     /// Whether its answer was bad because of the version.
     pub was_bad: bool,
+    /// When the caller closed the connection while the request was running.
+    pub left_at: Option<Instant>,
 }
 
 /// Shape of a response.
@@ -187,6 +196,8 @@
     busy: Duration,
     /// If set, it refuses all requests with this value of `Retry-After`.
     retry_after: Option<String>,
+    /// Until then it neither accepts, reads nor sends.
+    silent_until: Option<Instant>,
     /// Lifetime of the current start; cancelled when the endpoint ends.
     lifetime: CancellationToken,
 }
@@ -252,6 +263,7 @@
             state.lifetime = CancellationToken::new();
             state.leaving = None;
             state.retry_after = None;
+            state.silent_until = None;
             state.refused_at.clear();
             state.held = 0;
         }
@@ -263,6 +275,7 @@
         let lifetime = self.lock().lifetime.clone();
         let accept_loop = async move {
             while let Ok((stream, _)) = listener.accept().await {
+                wait_while_silent(&shared).await;
                 // An error on a connection only means that the caller disconnected.
                 tokio::spawn(serve_until(stream, shared.clone()));
             }
@@ -270,6 +283,14 @@
         tokio::spawn(async move { lifetime.run_until_cancelled(accept_loop).await });
     }
 
+    /// Neither accepts, reads nor sends on any connection for this long; nothing is lost, and everything goes on
+    /// afterwards.
+    pub fn fall_silent(&self, duration: Duration) {
+        let until = Instant::now() + duration;
+        let mut state = self.lock();
+        state.silent_until = state.silent_until.max(Some(until));
+    }
+
     /// Sets the fault.
     pub fn fault(&self, fault: Fault) {
         self.lock().fault = fault;
@@ -407,138 +428,202 @@
     Reset,
 }
 
+/// What follows a response.
+enum Next {
+    Request,
+    End(End),
+}
+
 /// Serves a connection until it or the endpoint ends.
 async fn serve_until(mut stream: TcpStream, state: Arc<Mutex<State>>) -> std::io::Result<()> {
     let lifetime = state.lock().expect("no holder panics").lifetime.clone();
-    let served = lifetime
-        .run_until_cancelled(serve(&mut stream, state))
-        .await;
+    let serving = async {
+        let end = serve(&mut stream, &state).await;
+        wait_while_silent(&state).await;
+        end
+    };
+    let served = lifetime.run_until_cancelled(serving).await;
     match served.unwrap_or(Ok(End::Reset))? {
         End::Closed => Ok(()),
         End::Reset => reset(stream),
     }
 }
 
-async fn serve(stream: &mut TcpStream, state: Arc<Mutex<State>>) -> std::io::Result<End> {
-    while let Some(seen) = read(stream).await? {
-        let request_id = seen.headers.get("request-id").cloned().unwrap_or_default();
-        let (fault, pace, mut shape, id, index) = {
+async fn wait_while_silent(state: &Mutex<State>) {
+    loop {
+        let until = state.lock().expect("no holder panics").silent_until;
+        match until {
+            Some(until) if until > Instant::now() => time::sleep_until(until.into()).await,
+            _ => return,
+        }
+    }
+}
+
+async fn serve(stream: &mut TcpStream, state: &Mutex<State>) -> std::io::Result<End> {
+    let (mut receiving, sending) = stream.split();
+    let mut output = Output {
+        socket: sending,
+        state,
+    };
+    while let Some(seen) = read(&mut receiving, state).await? {
+        let index = {
             let mut state = state.lock().expect("no holder panics");
             state.seen.push(seen.clone());
-            (
-                state.fault,
-                state.pace,
-                state.shape,
-                state.id.clone(),
-                state.seen.len() - 1,
-            )
+            state.seen.len() - 1
         };
-        // Reads the state when a response starts.
-        let announcements = || announcement_lines(&state.lock().expect("no holder panics"));
-        let update_seen = |change: fn(&mut Seen)| {
-            change(&mut state.lock().expect("no holder panics").seen[index]);
+        let departure = async {
+            wait_for_departure(&receiving).await;
+            record_departure(state, index);
+            future::pending().await
         };
-        let expected = seen.headers.get("expect-instance");
-        if expected.is_some_and(|e| *e != id) {
-            refuse(
-                stream,
-                "421 Misdirected Request",
-                &request_id,
-                &(announcements() + FULL_LOAD),
-            )
-            .await?;
-            continue;
+        let next = tokio::select! {
+            biased;
+            next = respond(&mut output, state, &seen, index) => next,
+            never = departure => never,
+        };
+        if next.is_err() {
+            record_departure(state, index);
         }
-        let retry_after = state.lock().expect("no holder panics").retry_after.clone();
-        if let Some(retry_after) = retry_after {
-            update_seen(|s| s.was_backed_off = true);
-            let lines = format!("{}Retry-After: {retry_after}\r\n", announcements());
-            refuse(stream, "503 Service Unavailable", &request_id, &lines).await?;
-            continue;
+        if let Next::End(end) = next? {
+            return Ok(end);
         }
-        let place = Place::take(&state);
-        let is_full = place.is_err();
-        if is_full && has_fallen(&state) {
-            return Ok(End::Reset);
+    }
+    Ok(End::Closed)
+}
+
+/// Runs a request and sends its response.
+async fn respond(
+    output: &mut Output<'_>,
+    state: &Mutex<State>,
+    seen: &Seen,
+    index: usize,
+) -> std::io::Result<Next> {
+    let request_id = seen.headers.get("request-id").cloned().unwrap_or_default();
+    let (fault, pace, mut shape, id) = {
+        let state = state.lock().expect("no holder panics");
+        (state.fault, state.pace, state.shape, state.id.clone())
+    };
+    // Reads the state when a response starts.
+    let announcements = || announcement_lines(&state.lock().expect("no holder panics"));
+    let update_seen = |change: fn(&mut Seen)| {
+        change(&mut state.lock().expect("no holder panics").seen[index]);
+    };
+    let expected = seen.headers.get("expect-instance");
+    if expected.is_some_and(|e| *e != id) {
+        refuse(
+            output,
+            "421 Misdirected Request",
+            &request_id,
+            &(announcements() + FULL_LOAD),
+        )
+        .await?;
+        return Ok(Next::Request);
+    }
+    let retry_after = state.lock().expect("no holder panics").retry_after.clone();
+    if let Some(retry_after) = retry_after {
+        update_seen(|s| s.was_backed_off = true);
+        let lines = format!("{}Retry-After: {retry_after}\r\n", announcements());
+        refuse(output, "503 Service Unavailable", &request_id, &lines).await?;
+        return Ok(Next::Request);
+    }
+    let place = Place::take(state);
+    let is_full = place.is_err();
+    if is_full && has_fallen(state) {
+        return Ok(Next::End(End::Reset));
+    }
+    if is_full || fault == Fault::Full {
+        refuse(
+            output,
+            "503 Service Unavailable",
+            &request_id,
+            &(announcements() + FULL_LOAD),
+        )
+        .await?;
+        return Ok(Next::Request);
+    }
+    update_seen(|s| s.has_run = true);
+    let _running = Running::start(state);
+    let (fault, pace) = match bad_answer(state, seen, index) {
+        Some(BadAnswer::Fails) => (Fault::Error, pace),
+        Some(BadAnswer::Slow(late)) => {
+            time::sleep(late).await;
+            (fault, pace)
         }
-        if is_full || fault == Fault::Full {
-            refuse(
-                stream,
-                "503 Service Unavailable",
-                &request_id,
-                &(announcements() + FULL_LOAD),
-            )
-            .await?;
-            continue;
+        None => (fault, pace),
+    };
+    let lifetime = crash_token(state, &seen.body);
+    if let Some(lifetime) = lifetime {
+        time::sleep(pace).await;
+        lifetime.cancel();
+        return Ok(Next::End(End::Reset));
+    }
+    match fault {
+        Fault::Mute => future::pending::<()>().await,
+        Fault::ResetAfterRun => return Ok(Next::End(End::Reset)),
+        _ => {}
+    }
+    if seen
+        .line
+        .split(' ')
+        .nth(1)
+        .is_some_and(|p| p.ends_with("/stream"))
+    {
+        if seen.line.contains("/long/stream ") {
+            shape.padding = LONG_PADDING;
         }
-        update_seen(|s| s.has_run = true);
-        let _running = Running::start(&state);
-        let (fault, pace) = match bad_answer(&state, &seen, index) {
-            Some(BadAnswer::Fails) => (Fault::Error, pace),
-            Some(BadAnswer::Slow(late)) => {
-                time::sleep(late).await;
-                (fault, pace)
-            }
-            None => (fault, pace),
+        let from = seen.headers.get("last-event-id");
+        let from: u64 = from.and_then(|f| f.parse().ok()).unwrap_or(0);
+        let response = ResponseParams {
+            request_id: &request_id,
+            fault,
+            shape,
+            announcements: &announcements(),
         };
-        let lifetime = crash_token(&state, &seen.body);
-        if let Some(lifetime) = lifetime {
-            time::sleep(pace).await;
-            lifetime.cancel();
-            return Ok(End::Reset);
-        }
-        match fault {
-            Fault::Mute => std::future::pending::<()>().await,
-            Fault::ResetAfterRun => return Ok(End::Reset),
-            _ => {}
-        }
-        if seen
-            .line
-            .split(' ')
-            .nth(1)
-            .is_some_and(|p| p.ends_with("/stream"))
-        {
-            if seen.line.contains("/long/stream ") {
-                shape.padding = LONG_PADDING;
-            }
-            let from = seen.headers.get("last-event-id");
-            let from: u64 = from.and_then(|f| f.parse().ok()).unwrap_or(0);
-            let response = ResponseParams {
-                request_id: &request_id,
-                fault,
-                shape,
-                announcements: &announcements(),
-            };
-            match send_events(stream, response, from, pace).await {
-                Err(error) if error.kind() == ErrorKind::TimedOut => {
-                    update_seen(|s| s.was_unread = true);
-                    return Ok(End::Reset);
-                }
-                Err(error) => return Err(error),
-                Ok(false) => return Ok(End::Closed),
-                Ok(true) => {}
-            }
-        } else {
-            run_in_slot(&state, pace).await;
-            let response = ResponseParams {
-                request_id: &request_id,
-                fault,
-                shape,
-                announcements: &announcements(),
-            };
-            if !send_response(stream, response).await? {
-                return Ok(End::Reset);
+        match send_events(output, response, from, pace).await {
+            Err(error) if error.kind() == ErrorKind::TimedOut => {
+                update_seen(|s| s.was_unread = true);
+                return Ok(Next::End(End::Reset));
             }
+            Err(error) => return Err(error),
+            Ok(false) => return Ok(Next::End(End::Closed)),
+            Ok(true) => {}
         }
-        update_seen(|s| {
-            s.finished = true;
-            s.finished_at = Some(Instant::now());
-        });
-        if shape.ends_with_connection {
-            return Ok(End::Closed);
+    } else {
+        run_in_slot(state, pace).await;
+        let response = ResponseParams {
+            request_id: &request_id,
+            fault,
+            shape,
+            announcements: &announcements(),
+        };
+        if !send_response(output, response).await? {
+            return Ok(Next::End(End::Reset));
         }
     }
-    Ok(End::Closed)
+    update_seen(|s| {
+        s.finished = true;
+        s.finished_at = Some(Instant::now());
+    });
+    if shape.ends_with_connection {
+        return Ok(Next::End(End::Closed));
+    }
+    Ok(Next::Request)
+}
+
+/// Waits until the peer has closed its side of the connection.
+async fn wait_for_departure(socket: &ReadHalf<'_>) {
+    loop {
+        match socket.ready(Interest::READABLE).await {
+            Ok(ready) if !ready.is_read_closed() => time::sleep(END_POLL_INTERVAL).await,
+            _ => return,
+        }
+    }
+}
+
+/// Records that the caller of a request has left, unless that is known.
+fn record_departure(state: &Mutex<State>, index: usize) {
+    let mut state = state.lock().expect("no holder panics");
+    state.seen[index].left_at.get_or_insert_with(Instant::now);
 }
 
 /// Records a refusal for want of room; returns whether a brittle endpoint crashes under it.
@@ -667,8 +752,27 @@
         + &line("Server-Brittle", &brittle)
 }
 
+/// Sending side of a connection.
+struct Output<'a> {
+    socket: WriteHalf<'a>,
+    state: &'a Mutex<State>,
+}
+
+impl Output<'_> {
+    async fn send(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        wait_while_silent(self.state).await;
+        self.socket.write_all(bytes).await
+    }
+
+    /// Sends bytes; fails if that takes longer than `timeout`, not counting silence.
+    async fn send_within(&mut self, bytes: &[u8], timeout: Duration) -> std::io::Result<()> {
+        wait_while_silent(self.state).await;
+        time::timeout(timeout, self.socket.write_all(bytes)).await?
+    }
+}
+
 async fn refuse(
-    stream: &mut TcpStream,
+    output: &mut Output<'_>,
     status: &str,
     request_id: &str,
     announcements: &str,
@@ -677,7 +781,7 @@
         "HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\nNot-Executed: 1\r\n{announcements}\
          Content-Length: 0\r\n\r\n"
     );
-    stream.write_all(head.as_bytes()).await
+    output.send(head.as_bytes()).await
 }
 
 fn head(response: ResponseParams<'_>, framing: &str) -> String {
@@ -702,21 +806,20 @@
 }
 
 async fn send_response(
-    stream: &mut TcpStream,
+    output: &mut Output<'_>,
     response: ResponseParams<'_>,
 ) -> std::io::Result<bool> {
     let fault = response.fault;
     let body = whole_body(response.request_id) + &"x".repeat(response.shape.padding);
     if fault == Fault::Unframed {
         let text = head(response, "Connection: close") + &body[..body.len() / 2];
-        stream.write_all(text.as_bytes()).await?;
-        stream.flush().await?;
+        output.send(text.as_bytes()).await?;
         time::sleep(Duration::from_millis(20)).await;
         return Ok(false);
     }
     if response.shape.ends_with_connection {
         let text = head(response, "Connection: close") + &body;
-        stream.write_all(text.as_bytes()).await?;
+        output.send(text.as_bytes()).await?;
         return Ok(true);
     }
     let length = format!("Content-Length: {}", body.len());
@@ -724,12 +827,12 @@
     if fault == Fault::Surplus {
         text = text.repeat(2);
     }
-    stream.write_all(text.as_bytes()).await?;
+    output.send(text.as_bytes()).await?;
     Ok(true)
 }
 
 async fn send_events(
-    stream: &mut TcpStream,
+    output: &mut Output<'_>,
     response: ResponseParams<'_>,
     from: u64,
     pace: Duration,
@@ -748,7 +851,7 @@
         true => text.to_owned(),
         false => format!("{:x}\r\n{text}\r\n", text.len()),
     };
-    stream.write_all(head(response, kind).as_bytes()).await?;
+    output.send(head(response, kind).as_bytes()).await?;
     for number in from + 1..=shape.events {
         time::sleep(pace).await;
         if fault == Fault::Pause && number == 4 {
@@ -758,27 +861,30 @@
         let is_cut = fault == Fault::CutStream || (fault == Fault::CutNewStream && from == 0);
         if is_cut && number == 4 {
             let chunk = framed(&event[..event.len() / 2]);
-            stream.write_all(chunk.as_bytes()).await?;
+            output.send(chunk.as_bytes()).await?;
             return Ok(false);
         }
         let chunk = framed(&event);
-        let writing = stream.write_all(chunk.as_bytes());
-        time::timeout(shape.unread_timeout, writing).await??;
+        output
+            .send_within(chunk.as_bytes(), shape.unread_timeout)
+            .await?;
     }
     if !shape.ends_with_connection {
-        stream.write_all(b"0\r\n\r\n").await?;
+        output.send(b"0\r\n\r\n").await?;
     }
     Ok(true)
 }
 
 /// Reads a request, whose body, if any, must have a `Content-Length`; returns `None` at the end of the connection.
-async fn read(stream: &mut TcpStream) -> std::io::Result<Option<Seen>> {
+async fn read(socket: &mut ReadHalf<'_>, state: &Mutex<State>) -> std::io::Result<Option<Seen>> {
     let mut bytes = Vec::new();
     let end = loop {
         if let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") {
             break end + 4;
         }
-        if stream.read_buf(&mut bytes).await? == 0 {
+        let count = socket.read_buf(&mut bytes).await?;
+        wait_while_silent(state).await;
+        if count == 0 {
             return Ok(None);
         }
     };
@@ -795,6 +901,7 @@
         finished_at: None,
         was_unread: false,
         was_bad: false,
+        left_at: None,
     };
     for line in lines {
         if let Some((name, value)) = line.split_once(':') {
@@ -806,7 +913,9 @@
     let length: usize = length.and_then(|l| l.parse().ok()).unwrap_or(0);
     let mut body = bytes.split_off(end);
     while body.len() < length {
-        if stream.read_buf(&mut body).await? == 0 {
+        let count = socket.read_buf(&mut body).await?;
+        wait_while_silent(state).await;
+        if count == 0 {
             return Ok(None);
         }
     }
