Soak: silent endpoints, all changes of the configuration, and lost requests

Drawn in the fault phase, beside the faults that existed: one, several or all endpoints are silent for 0.8 to 1.6 s; routes are added and removed, weights, time limits, idle and header limits, keys and the size of the configuration change, alone and in storms of a change each 200 to 400 ms; callers send bodies of 8 to 200 KB slowly, with a length or in chunks, also on routes and with keys that have just been taken away.

A quiet phase follows the faults: silence, a storm, a planned stop and a reload, with nothing else wrong.

New check: a request that reached an instance must get a complete response. In the quiet phase nothing excuses a loss. Before it, a kill or a freeze of the instance does; a response that has begun may also be cut because the instance was cut off, an endpoint that ran it broke off or its path had a fault. Never counted: a response cut at its route's time limit, and a request that reached no endpoint and was closed within 200 ms of sending by an instance with a reason to close (idle limit, planned stop).

Arrivals that a silent endpoint may have read late are no longer held against announcements and roll-outs. Settings and logs are kept in memory: writes to the disk took up to 17 s beside the builds of others, which stalled the soak itself (caller timeouts of 5 s ended after 5 to 21 s).

--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -68,6 +68,18 @@
     Error,
 }
 
+impl Fault {
+    fn breaks_answer(self, is_stream: bool, is_resumption: bool) -> bool {
+        match self {
+            Self::ResetAfterRun | Self::Mute => true,
+            Self::CutStream => is_stream,
+            Self::CutNewStream => is_stream && !is_resumption,
+            Self::Surplus | Self::Unframed => !is_stream,
+            Self::None | Self::Full | Self::Pause | Self::Unsigned | Self::Error => false,
+        }
+    }
+}
+
 /// What a bad answer of a version is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BadAnswer {
@@ -138,6 +150,9 @@
     pub was_bad: bool,
     /// When the caller closed the connection while the request was running.
     pub left_at: Option<Instant>,
+    /// Whether the endpoint did not answer it as a sound one does: it cut or garbled the response, never sent one, or
+    /// crashed meanwhile.
+    pub was_broken_off: bool,
 }
 
 /// Shape of a response.
@@ -476,6 +491,11 @@
             record_departure(state, index);
             future::pending().await
         };
+        let mut answering = Answering {
+            state,
+            index,
+            is_broken_off: true,
+        };
         let next = tokio::select! {
             biased;
             next = respond(&mut output, state, &seen, index) => next,
@@ -484,6 +504,8 @@
         if next.is_err() {
             record_departure(state, index);
         }
+        answering.is_broken_off = matches!(next, Ok(Next::End(End::Reset)));
+        drop(answering);
         if let Next::End(end) = next? {
             return Ok(end);
         }
@@ -491,6 +513,20 @@
     Ok(End::Closed)
 }
 
+/// Marks a request as broken off when dropped, unless its answer was sound or its caller left.
+struct Answering<'s> {
+    state: &'s Mutex<State>,
+    index: usize,
+    is_broken_off: bool,
+}
+
+impl Drop for Answering<'_> {
+    fn drop(&mut self) {
+        let mut state = self.state.lock().expect("no holder panics");
+        state.seen[self.index].was_broken_off |= self.is_broken_off;
+    }
+}
+
 /// Runs a request and sends its response.
 async fn respond(
     output: &mut Output<'_>,
@@ -557,17 +593,21 @@
         lifetime.cancel();
         return Ok(Next::End(End::Reset));
     }
+    let is_stream = seen
+        .line
+        .split(' ')
+        .nth(1)
+        .is_some_and(|p| p.ends_with("/stream"));
+    let is_resumption = seen.headers.contains_key("last-event-id");
+    if fault.breaks_answer(is_stream, is_resumption) {
+        update_seen(|s| s.was_broken_off = true);
+    }
     match fault {
         Fault::Mute => future::pending::<()>().await,
         Fault::ResetAfterRun => return Ok(Next::End(End::Reset)),
         _ => {}
     }
-    if seen
-        .line
-        .split(' ')
-        .nth(1)
-        .is_some_and(|p| p.ends_with("/stream"))
-    {
+    if is_stream {
         if seen.line.contains("/long/stream ") {
             shape.padding = LONG_PADDING;
         }
@@ -902,6 +942,7 @@
         was_unread: false,
         was_bad: false,
         left_at: None,
+        was_broken_off: false,
     };
     for line in lines {
         if let Some((name, value)) = line.split_once(':') {
--- a/standins/src/soak/announcements.rs
+++ b/standins/src/soak/announcements.rs
@@ -158,8 +158,9 @@
     if run_state.is_exempt(instance, period.endpoint, notified_at, period.until) {
         return 0;
     }
+    let bound = notified_at + LEAVING_BOUND;
     in_span
-        .filter(|s| s.at > notified_at + LEAVING_BOUND)
+        .filter(|s| s.at > bound && !run_state.may_have_waited(period.endpoint, bound, s.at))
         .count()
 }
 
@@ -179,7 +180,11 @@
         if run_state.is_exempt(instance, period.endpoint, refusal.at, end) {
             return 0;
         }
-        let is_late = |s: &&&Seen| s.at > refusal.at + IN_FLIGHT_BOUND && s.at < end;
+        let bound = refusal.at + IN_FLIGHT_BOUND;
+        let is_late = |s: &&&Seen| {
+            let may_have_waited = run_state.may_have_waited(period.endpoint, bound, s.at);
+            s.at > bound && s.at < end && !may_have_waited
+        };
         seen.iter().filter(is_late).count()
     });
     late_counts
--- a/standins/src/soak/bad_parts.rs
+++ b/standins/src/soak/bad_parts.rs
@@ -58,7 +58,8 @@
             let index = rng.random_range(0..instances.len());
             let addr = instances[index].callers();
             let mut run_state = world.run_state();
-            if run_state.calm_since.is_some() && run_state.is_disturbed(index) {
+            let is_disturbed = run_state.calm_since.is_some() && run_state.is_disturbed(index);
+            if run_state.is_quiet || is_disturbed {
                 continue;
             }
             run_state.other_ids.insert(id.clone());
--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -17,7 +17,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::{net::TcpSocket, time};
 
-use crate::soak::{World, slow_callers};
+use crate::soak::{World, configurations, slow_callers};
 
 /// Timeout of a request; the routes' own timeout is 3 s.
 const TIMEOUT: Duration = Duration::from_secs(5);
@@ -35,15 +35,27 @@
     Resume,
     /// As `Resume`, with long events.
     Long,
+    /// A route that comes and goes, with its number.
+    Side(usize),
 }
 
 impl Path {
-    fn as_str(self) -> &'static str {
+    /// Returns the path of a request.
+    pub fn as_str(self) -> &'static str {
         match self {
             Self::Once => "/once/x",
             Self::Again => "/again/x",
             Self::Resume => "/resume/stream",
             Self::Long => "/resume/long/stream",
+            Self::Side(number) => configurations::SIDE_ROUTES[number].path,
+        }
+    }
+
+    /// Returns whether a request may run only once.
+    pub fn runs_once(self) -> bool {
+        match self {
+            Self::Side(number) => configurations::SIDE_ROUTES[number].attempts == 1,
+            _ => self == Self::Once,
         }
     }
 }
@@ -62,8 +74,17 @@
         /// Whether the response has an endpoint's signature.
         is_signed: bool,
     },
-    /// The connection broke or the request timed out.
+    /// The connection broke or the request timed out before a response began.
     Lost,
+    /// The caller learned that the connection was closed before it had sent anything.
+    NotSent,
+}
+
+impl Outcome {
+    /// Returns whether a complete response arrived.
+    pub fn is_whole(&self) -> bool {
+        matches!(self, Self::Answered { is_whole: true, .. })
+    }
 }
 
 /// A request as its caller saw it.
@@ -75,10 +96,33 @@
     pub key: String,
     /// Index of the instance that it was sent to.
     pub instance: usize,
-    /// Time of sending.
+    /// When the caller began to send it.
     pub at: Instant,
+    /// When it had been sent whole; `None` if the connection broke before.
+    pub whole_at: Option<Instant>,
+    /// For how long its connection had been idle; `None` for a new one.
+    pub idle_for: Option<Duration>,
     /// Outcome; `None` while it is in flight.
     pub outcome: Option<Outcome>,
+    /// When the outcome was known.
+    pub ended_at: Option<Instant>,
+}
+
+impl Sent {
+    /// Returns a request that is sent now.
+    pub fn now(path: Path, key: &str, instance: usize, idle_since: Option<Instant>) -> Self {
+        let at = Instant::now();
+        Self {
+            path,
+            key: key.to_owned(),
+            instance,
+            at,
+            whole_at: None,
+            idle_for: idle_since.map(|since| at - since),
+            outcome: None,
+            ended_at: None,
+        }
+    }
 }
 
 /// Parameters of a caller.
@@ -116,6 +160,7 @@
     } = caller;
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut idle_connection: Option<(usize, SendRequest<Full<Bytes>>)> = None;
+    let mut idle_since = None;
     for count in 0.. {
         time::sleep(Duration::from_millis(rng.random_range(pause_ms.clone()))).await;
         let (index, mut sender) = match idle_connection.take() {
@@ -126,6 +171,7 @@
                 let Some(sender) = connect(addr, reads_slowly).await else {
                     continue;
                 };
+                idle_since = None;
                 (index, sender)
             }
         };
@@ -144,37 +190,34 @@
             None => pick_key(&world, &mut rng),
         };
         let id = format!("{number}-{count}");
-        let sent = Sent {
-            path,
-            key: key.clone(),
-            instance: index,
-            at: Instant::now(),
-            outcome: None,
-        };
-        let record = |sent: Sent| {
-            world
-                .sent
-                .lock()
-                .expect("no holder panics")
-                .insert(id.clone(), sent);
-        };
-        record(sent.clone());
+        let mut sent = Sent::now(path, &key, index, idle_since);
+        world.record(&id, &sent);
         let read_pause = reads_slowly
             .then(|| Duration::from_millis(rng.random_range(slow_callers::READ_PAUSE_MS)));
         let exchange = exchange(&mut sender, path, &id, &key, read_pause);
         let result = time::timeout(TIMEOUT, exchange).await;
         let outcome = result.unwrap_or(Outcome::Lost);
-        let is_reusable = matches!(outcome, Outcome::Answered { is_whole: true, .. });
-        record(Sent {
-            outcome: Some(outcome),
-            ..sent
-        });
+        let is_reusable = outcome.is_whole();
+        sent.ended_at = Some(Instant::now());
+        // Its few bytes are sent at once, or not at all.
+        sent.whole_at = (!matches!(outcome, Outcome::NotSent)).then_some(sent.at);
+        sent.outcome = Some(outcome);
+        world.record(&id, &sent);
         if is_reusable {
             idle_connection = Some((index, sender));
+            idle_since = sent.ended_at;
         }
     }
 }
 
+impl World {
+    /// Records the state of a request.
+    pub fn record(&self, id: &str, request: &Sent) {
+        let mut sent = self.sent.lock().expect("no holder panics");
+        sent.insert(id.to_owned(), request.clone());
+    }
+}
+
 /// Picks a valid key, or in one of 8 cases a revoked one.
 fn pick_key(world: &World, rng: &mut ChaCha8Rng) -> String {
     let run_state = world.run_state();
@@ -217,8 +260,10 @@
         .header("authorization", format!("Token {key}"))
         .body(Full::from("a prompt"))
         .expect("a sound request");
-    let Ok(response) = sender.send_request(request).await else {
-        return Outcome::Lost;
+    let response = match sender.send_request(request).await {
+        Ok(response) => response,
+        Err(error) if error.is_canceled() => return Outcome::NotSent,
+        Err(_) => return Outcome::Lost,
     };
     let (parts, mut incoming) = response.into_parts();
     let mut body = Vec::new();
--- a/standins/src/soak/checks.rs
+++ b/standins/src/soak/checks.rs
@@ -10,7 +10,8 @@
         CONFIG_PROPAGATION, KEY_REVOCATION, RACE_MARGIN, Report, RunState, World, announcements,
         bad_parts, brittle,
         callers::{Outcome, Path, Sent},
-        cuts, data_centres, limits, organisations, resumptions, rollouts, slow_callers,
+        configurations, cuts, data_centres, limits, lost, organisations, resumptions, rollouts,
+        slow_callers,
     },
 };
 
@@ -27,8 +28,7 @@
 pub fn check(world: &World) -> Report {
     let sent = world.sent.lock().expect("no holder panics");
     let mut runs: HashMap<String, Vec<Run>> = HashMap::new();
-    let runners = world.runners.iter().chain(&world.target_runners);
-    for (endpoint, runner) in runners.enumerate() {
+    for (endpoint, runner) in world.all_runners().enumerate() {
         for seen in runner.seen().into_iter().filter(|s| s.has_run) {
             let id = seen.headers.get("request-id").cloned().unwrap_or_default();
             let run = Run {
@@ -57,6 +57,7 @@
         report.breaches.push(unknown);
     }
     check_calm(&sent, &run_state, &mut report);
+    lost::check(world, &sent, &run_state, &mut report);
     limits::check(world, &run_state, &mut report);
     organisations::check(world, &sent, &run_state, &mut report);
     announcements::check(world, &sent, &run_state, &mut report);
@@ -64,7 +65,7 @@
     slow_callers::check(world, &sent, &run_state, &mut report);
     cuts::check(&sent, &run_state, &mut report);
     brittle::check(world, &mut report);
-    rollouts::check(world, run_state.rollout.as_ref(), &mut report);
+    rollouts::check(world, &run_state, &mut report);
     drop(run_state);
     drop(sent);
     resumptions::check(world, &mut report);
@@ -73,10 +74,10 @@
 }
 
 fn check_runs(sent: &Sent, runs: &[Run], run_state: &RunState, breach: &mut impl FnMut(&str)) {
-    if sent.path == Path::Once && runs.len() > 1 {
+    if sent.path.runs_once() && runs.len() > 1 {
         breach("ran more than once");
     }
-    if sent.path != Path::Once && runs.len() > 2 {
+    if !sent.path.runs_once() && runs.len() > 2 {
         breach("ran on more endpoints than its route allows");
     }
     let revoked = run_state.revoked.iter().find(|(key, _)| *key == sent.key);
@@ -121,7 +122,8 @@
         return false;
     }
     let expected = match sent.path {
-        Path::Resume => (1..=EVENTS).map(|n| event(id, n)).collect(),
+        Path::Side(number) if !configurations::SIDE_ROUTES[number].is_stream() => whole_body(id),
+        Path::Resume | Path::Side(_) => (1..=EVENTS).map(|n| event(id, n)).collect(),
         Path::Long => (1..=EVENTS)
             .map(|n| padded_event(id, n, LONG_PADDING))
             .collect(),
@@ -162,7 +164,7 @@
         ));
     }
     let cut = eligible.iter().filter(|(_, s)| {
-        let is_whole = matches!(&s.outcome, Some(Outcome::Answered { is_whole: true, .. }));
+        let is_whole = s.outcome.as_ref().is_some_and(Outcome::is_whole);
         run_state
             .stopped
             .iter()
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -1,22 +1,28 @@
 //! Randomized soak test: runs the real binary as several processes against faulty stand-ins and
 //! proxies, under load on persistent connections, and sends signals to the processes.
 //!
-//! A run has a phase of overlapping faults and then a calm phase, which also checks the guarantees that
-//! hold only without faults. The checks use only what callers and endpoints observe.
+//! A run has a phase of overlapping faults, a quiet phase with nothing but silent endpoints and planned changes, and a
+//! calm phase. The last two also check guarantees that hold only without faults. The checks use only what callers and
+//! endpoints observe.
 
 mod announcements;
 mod bad_parts;
 mod brittle;
 mod callers;
 mod checks;
+mod configurations;
 mod cuts;
 mod data_centres;
 mod faults;
 mod limits;
+mod long_bodies;
+mod lost;
 mod organisations;
 mod process;
+mod quiet;
 mod resumptions;
 mod rollouts;
+mod silence;
 mod slow_callers;
 
 use std::{
@@ -31,7 +37,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde_json::{Value, json};
+use serde_json::json;
 use tokio::time;
 
 use crate::{
@@ -100,6 +106,8 @@
     target_runners: Vec<Runner>,
     runner_proxies: Vec<Proxy>,
     target_proxies: Vec<Proxy>,
+    /// Endpoints of the second service.
+    second_runners: Vec<Runner>,
     store_proxies: Vec<Proxy>,
     /// Number of restarts of each endpoint.
     starts: Vec<AtomicUsize>,
@@ -112,6 +120,10 @@
 #[derive(Debug, Default)]
 struct RunState {
     version: u64,
+    /// What else varies in the configuration.
+    variation: configurations::Variation,
+    /// Time limits of the routes, each from its time on.
+    time_limits: Vec<configurations::TimeLimits>,
     /// Factor on the limits of the organisations that exceed them.
     limit_factor: f64,
     /// Valid keys.
@@ -130,6 +142,14 @@
     rollout: Option<rollouts::Rollout>,
     /// Announcements of endpoints, with the period for which each was valid.
     announcements: Vec<announcements::Period>,
+    /// Signals sent to instances.
+    signals: Vec<process::SentSignal>,
+    /// Periods in which endpoints were silent.
+    silences: Vec<silence::Silence>,
+    /// Whether the quiet phase is running.
+    is_quiet: bool,
+    /// The part of the quiet phase in which no request may be lost.
+    quiet: Option<quiet::Period>,
     /// Instances that lost their state or were frozen, with the start and end.
     disturbed: Vec<(usize, Instant, Instant)>,
     /// Instances that were cut off from all endpoints.
@@ -184,6 +204,7 @@
     organisations::spawn_callers(&world, plan, plan.callers, &mut callers);
     slow_callers::spawn_callers(&world, plan, plan.callers + SLOW_CALLERS_FROM, &mut callers);
     resumptions::spawn_callers(&world, plan, &mut callers);
+    long_bodies::spawn_callers(&world, plan, &mut callers);
     bad_parts::spawn(&world, plan, &mut callers);
     let supervisor = tokio::spawn(process::keep_running(world.clone()));
     let limit_task = tokio::spawn(limits::announce_at_random(world.clone(), plan.clone()));
@@ -193,6 +214,9 @@
     ));
     let organisation_task = organisations::vary_limits(world.clone(), plan.clone());
     let organisation_task = tokio::spawn(organisation_task);
+    let configuration_task = configurations::change_at_random(world.clone(), plan.clone());
+    let configuration_task = tokio::spawn(configuration_task);
+    let silence_task = tokio::spawn(silence::fall_silent_at_random(world.clone(), plan.clone()));
     let rollout_task = tokio::spawn(rollouts::order_at_random(world.clone(), plan.clone()));
     let faults = faults::inject(&world, plan, &mut rng).await;
     // These tasks end with the fault phase, the roll-out within the recovery; an error here means that one of them
@@ -200,8 +224,11 @@
     let _ = limit_task.await;
     let _ = announcement_task.await;
     let _ = organisation_task.await;
+    let _ = configuration_task.await;
+    let _ = silence_task.await;
     time::sleep(RECOVERY).await;
     let _ = rollout_task.await;
+    quiet::run(&world, plan).await;
     world.run_calm_phase(&mut rng).await;
     callers.abort_all();
     while callers.join_next().await.is_some() {}
@@ -235,6 +262,7 @@
             target_proxies.push(Proxy::start(runner.addr).await);
             target_runners.push(runner);
         }
+        let second_runners = configurations::start_second_service(&platform).await;
         let mut store_proxies = Vec::new();
         let mut instances = Vec::new();
         let hosts = Host::all(plan.seed, plan.instances);
@@ -250,6 +278,7 @@
             target_runners,
             runner_proxies,
             target_proxies,
+            second_runners,
             store_proxies,
             starts: (0..plan.endpoints).map(|_| AtomicUsize::new(0)).collect(),
             instances: Mutex::new(instances),
@@ -279,10 +308,17 @@
         let key = format!("key-{}", run_state.version);
         run_state.keys.push(key);
         change(&mut run_state);
-        let config = config(&run_state);
+        let config = configurations::config(&run_state);
+        run_state.record_time_limits();
         self.platform.set("config", "main", config);
     }
 
+    /// Returns all endpoints, those of the second service last.
+    fn all_runners(&self) -> impl Iterator<Item = &Runner> {
+        let first = self.runners.iter().chain(&self.target_runners);
+        first.chain(&self.second_runners)
+    }
+
     fn register_endpoint(&self, index: usize, state: &str) {
         self.register_with_warmup(index, state, 0);
     }
@@ -347,33 +383,3 @@
 fn runner_id(index: usize, start: usize) -> String {
     format!("i-soak{index}-{start}")
 }
-
-/// Returns a configuration with the routes `/once/`, `/again/` and `/resume/`, all of which require a key.
-fn config(run_state: &RunState) -> Value {
-    let mut tenants = organisations::tenants(run_state.limit_factor);
-    tenants.push(
-        json!({"name": "org", "apiKeys": run_state.keys, "unit": "token_count",
-        "uncachedTokens": 200, "ratePerS": 0, "burst": 0}),
-    );
-    let route = |name: &str, kind: &str, attempts: u32, resume: bool| {
-        json!({
-            "name": name, "hostname": "h.example", "pathPrefix": format!("/{name}/"),
-            "type": kind, "timeoutMs": 3_000, "targetLatencyMs": 500, "targetGapMs": 300,
-            "priority": 0, "maxAttempts": attempts, "public": false, "streamResume": resume,
-            "backend": "svc",
-        })
-    };
-    json!({
-        "version": run_state.version,
-        "routes": [
-            route("once", "non_idempotent", 1, false),
-            route("again", "idempotent", 2, false),
-            route("resume", "streaming", 2, true),
-        ],
-        "backends": [{"name": "svc", "healthCheck": "/healthz", "maxConnections": 1_000,
-            "warmupS": data_centres::COLD_FOR_S, "warmupPerS": data_centres::COLD_PER_S}],
-        "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 100_000,
-            "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000},
-        "tenants": tenants,
-    })
-}
--- a/standins/src/soak/process.rs
+++ b/standins/src/soak/process.rs
@@ -77,7 +77,7 @@
     /// Panics if it cannot be started.
     pub fn start(binary: &Path, host: &Host, all: &[Host], store: SocketAddr) -> Self {
         let name = format!("ryevalve-soak-{}", host.ip);
-        let dir = std::env::temp_dir().join(name);
+        let dir = run_dir().join(name);
         fs::create_dir_all(&dir).expect("a directory");
         let seeds = all.iter().take(3).map(|p| format!("\"{}:8229\"", p.ip));
         let seeds = seeds.collect::<Vec<_>>().join(",");
@@ -121,6 +121,15 @@
     }
 }
 
+/// Returns the directory for settings and logs, in memory if possible: a busy disk would stall the instances and the soak.
+fn run_dir() -> PathBuf {
+    let in_memory = PathBuf::from("/dev/shm");
+    match in_memory.is_dir() {
+        true => in_memory,
+        false => std::env::temp_dir(),
+    }
+}
+
 fn spawn(binary: &Path, dir: &Path, ip: &str) -> Child {
     let log = fs::OpenOptions::new()
         .create(true)
@@ -184,15 +193,28 @@
     }
 }
 
+/// Signal that was sent to an instance.
+#[derive(Clone, Copy, Debug)]
+pub struct SentSignal {
+    pub instance: usize,
+    pub name: &'static str,
+    pub at: Instant,
+}
+
 /// Sends a signal to an instance's process, if it runs.
-pub fn signal(world: &World, index: usize, name: &str) {
+pub fn signal(world: &World, index: usize, name: &'static str) {
     let mut instances = world.instances.lock().expect("no holder panics");
     let instance = &mut instances[index];
     if matches!(instance.child.try_wait(), Ok(Some(_))) {
         return;
     }
+    let now = Instant::now();
+    world.run_state().signals.push(SentSignal {
+        instance: index,
+        name,
+        at: now,
+    });
     if let Some(duration) = disturbance_duration(name) {
-        let now = Instant::now();
         let disturbed = (index, now, now + duration);
         world.run_state().disturbed.push(disturbed);
     }
--- a/standins/src/soak/rollouts.rs
+++ b/standins/src/soak/rollouts.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     runner::{BadAnswer, BadVersion, Runner, Seen},
-    soak::{CONFIG_PROPAGATION, Plan, RACE_MARGIN, Report, World},
+    soak::{CONFIG_PROPAGATION, Plan, RACE_MARGIN, Report, RunState, World},
 };
 
 /// Number of endpoints of the target version.
@@ -101,8 +101,8 @@
 }
 
 /// Checks the state of the roll-out, and the bounds on requests to a bad version.
-pub fn check(world: &World, rollout: Option<&Rollout>, report: &mut Report) {
-    let Some(rollout) = rollout else {
+pub fn check(world: &World, run_state: &RunState, report: &mut Report) {
+    let Some(rollout) = &run_state.rollout else {
         report.breaches.push("the roll-out did not end".into());
         return;
     };
@@ -122,19 +122,28 @@
         return;
     }
     let during = |seen: &Seen| (rollout.from..rollout.until).contains(&seen.at);
-    let mut to_target: Vec<Seen> = world.target_runners.iter().flat_map(Runner::seen).collect();
-    to_target.sort_by_key(|seen| seen.at);
+    let first = world.runners.len();
+    let to_target = world.target_runners.iter().enumerate();
+    let to_target = to_target.flat_map(|(index, runner)| {
+        let seen = runner.seen().into_iter();
+        seen.map(move |seen| (first + index, seen))
+    });
+    let mut to_target: Vec<(usize, Seen)> = to_target.collect();
+    to_target.sort_by_key(|(_, seen)| seen.at);
     let others = world.runners.iter().flat_map(Runner::seen);
-    let exposed = to_target.iter().filter(|seen| during(seen)).count();
+    let exposed = to_target.iter().filter(|(_, seen)| during(seen)).count();
     let all = exposed + others.filter(during).count();
     let bound = EXPOSURE_SHARE * all as f64 + EXPOSURE_SLACK;
     if exposed as f64 > bound {
         breach(format!("{exposed} of {all} requests, {bound:.0} allowed"));
     }
-    let mut bad = to_target.iter().filter(|seen| seen.was_bad);
-    if let Some(condemned) = bad.nth(BAD_ANSWERS - 1) {
+    let mut bad = to_target.iter().filter(|(_, seen)| seen.was_bad);
+    if let Some((_, condemned)) = bad.nth(BAD_ANSWERS - 1) {
         let end = condemned.at + ROLLBACK;
-        let late = to_target.iter().filter(|seen| seen.at > end).count();
+        let late = to_target.iter().filter(|(endpoint, seen)| {
+            seen.at > end && !run_state.may_have_waited(*endpoint, end, seen.at)
+        });
+        let late = late.count();
         if late > 0 {
             breach(format!("{late} requests too late after the bad answers"));
         }
