--- a/standins/src/soak/lost.rs
+++ b/standins/src/soak/lost.rs
@@ -32,6 +32,8 @@
     has_finished: bool,
     was_broken_off: bool,
     left_at: Option<Instant>,
+    /// When the endpoint ended, unless the instance had left it before.
+    endpoint_ended_at: Option<Instant>,
 }
 
 /// A request that ended without a complete response.
@@ -83,18 +85,19 @@
 fn arrivals_by_id(world: &World) -> HashMap<String, Vec<Arrival>> {
     let mut arrivals: HashMap<String, Vec<Arrival>> = HashMap::new();
     for (endpoint, runner) in world.all_runners().enumerate() {
+        let ends = runner.ended_at();
         for seen in runner.seen() {
             let Some(id) = seen.headers.get("request-id") else {
                 continue;
             };
             let of_id = arrivals.entry(id.clone()).or_default();
-            of_id.push(arrival(endpoint, &seen));
+            of_id.push(arrival(endpoint, &seen, &ends));
         }
     }
     arrivals
 }
 
-fn arrival(endpoint: usize, seen: &Seen) -> Arrival {
+fn arrival(endpoint: usize, seen: &Seen, ends: &[Instant]) -> Arrival {
     Arrival {
         endpoint,
         at: seen.at,
@@ -102,6 +105,11 @@
         has_finished: seen.finished,
         was_broken_off: seen.was_broken_off,
         left_at: seen.left_at,
+        endpoint_ended_at: ends
+            .iter()
+            .copied()
+            .find(|at| *at >= seen.at)
+            .filter(|at| seen.left_at.is_none_or(|left_at| *at <= left_at)),
     }
 }
 
@@ -169,11 +177,14 @@
         cuts.any(|c| c.instance == self.sent.instance && self.overlaps(c.from, c.until))
     }
 
-    /// Returns whether an endpoint that ran it broke off, or the network path to one had a fault.
+    /// Returns whether an endpoint that ran it broke off or ended, or the network path to one had a fault.
     fn was_broken_off(&self, run_state: &RunState) -> bool {
         self.arrivals.iter().any(|arrival| {
             let mut impaired = run_state.impaired.iter();
             arrival.was_broken_off
+                || arrival
+                    .endpoint_ended_at
+                    .is_some_and(|at| at <= self.ended_at)
                 || impaired.any(|(endpoint, from, until)| {
                     *endpoint == arrival.endpoint && self.overlaps(*from, *until)
                 })
