--- a/standins/src/soak/resumptions.rs
+++ b/standins/src/soak/resumptions.rs
@@ -186,6 +186,8 @@
 /// A run of an attempt at an endpoint.
 struct Run {
     at: Instant,
+    /// When the instance left it.
+    left_at: Option<Instant>,
     version: &'static str,
     is_resumption: bool,
 }
@@ -201,6 +203,7 @@
             let id = seen.headers.get("request-id").cloned().unwrap_or_default();
             runs.entry(id).or_default().push(Run {
                 at: seen.at,
+                left_at: seen.left_at,
                 version,
                 is_resumption: seen.headers.contains_key("last-event-id"),
             });
@@ -212,6 +215,15 @@
     runs
 }
 
+fn describe(runs: &[Run]) -> String {
+    let lines = runs.iter().map(|run| {
+        let after = run.at - runs[0].at;
+        let held = run.left_at.map(|at| at - run.at);
+        format!("{} after {after:?}, left after {held:?}", run.version)
+    });
+    lines.collect::<Vec<_>>().join("; ")
+}
+
 /// Checks that streams went on at the version that began them, and that enough went on without faults.
 pub(super) fn check(world: &World, report: &mut Report) {
     let run_state = world.run_state();
@@ -235,8 +247,11 @@
         let went_on = own.iter().chain(later).filter(|run| run.is_resumption);
         for run in went_on.filter(|run| run.version != began.version) {
             report.breaches.push(format!(
-                "{id}: a stream of {} went on at {}",
-                began.version, run.version
+                "{id}: a stream of {} went on at {} after {:?}; its runs: {}",
+                began.version,
+                run.version,
+                run.at - own[0].at,
+                describe(own)
             ));
         }
     }
