--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -54,3 +54,5 @@
 mod suspect_strategies;
 mod suspects;
 mod tunnels;
+mod unanswered;
+mod waiting;
