Soak: logs and settings are in the system's temporary directory

Change: the temporary directory, as before; TMPDIR moves it by hand, such as where a busy disk stalls the soak.

--- a/standins/src/soak/process.rs
+++ b/standins/src/soak/process.rs
@@ -77,7 +77,7 @@
     /// Panics if it cannot be started.
     pub fn start(binary: &Path, host: &Host, all: &[Host], store: SocketAddr) -> Self {
         let name = format!("ryevalve-soak-{}", host.ip);
-        let dir = run_dir().join(name);
+        let dir = std::env::temp_dir().join(name);
         fs::create_dir_all(&dir).expect("a directory");
         let seeds = all.iter().take(3).map(|p| format!("\"{}:8229\"", p.ip));
         let seeds = seeds.collect::<Vec<_>>().join(",");
@@ -121,15 +121,6 @@
     }
 }
 
-/// Returns the directory for settings and logs, in memory if possible: a busy disk would stall the instances and the soak.
-fn run_dir() -> PathBuf {
-    let in_memory = PathBuf::from("/dev/shm");
-    match in_memory.is_dir() {
-        true => in_memory,
-        false => std::env::temp_dir(),
-    }
-}
-
 fn spawn(binary: &Path, dir: &Path, ip: &str) -> Child {
     let log = fs::OpenOptions::new()
         .create(true)
