Dispatch: waiting for the next step is a function of its own; a test of the overlap of two runs

Cause: the loop over attempts was long, and no test checked how long two endpoints run the same stream.

Change: next_step; a test that the earlier run ends within 400 ms of the one that continues its stream, by what the endpoints see.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -159,21 +159,12 @@
     ) -> Result<Response<Body>, Refusal> {
         let mut running = Vec::new();
         loop {
-            let Some(newest) = running.last() else {
+            if running.is_empty() {
                 self.prepare_retry(trace);
                 let choice = self.place().await?;
                 running.push(self.start(choice, false, trace));
-                continue;
-            };
-            let (sent, accepted) = (newest.sent.clone(), newest.accepted.clone());
-            let timeout = self.attempt_timeout(&newest.choice);
-            let count = running.len();
-            let step = tokio::select! {
-                biased;
-                (index, outcome) = next_ended(&mut running) => Step::Ended(index, outcome),
-                choice = self.choose_replacement(&sent, timeout, count) => Step::Replacement(choice),
-                () = accepted.wait_for_overlap_end(), if count > 1 => Step::OverlapEnded,
-            };
+            }
+            let step = self.next_step(&mut running).await;
             let (index, outcome) = match step {
                 Step::Ended(index, outcome) => (index, outcome),
                 Step::Replacement(choice) => {
@@ -198,11 +189,10 @@
                 }
                 AttemptOutcome::Stream(relay, head) => {
                     self.note_answered_by(&ended, &running[..index], trace);
+                    let others = running.iter().filter(|r| r.sent.is_set()).count();
                     let runs = StreamRuns {
                         tried: self.tried.clone(),
-                        count: self.runs()
-                            + 1
-                            + running.iter().filter(|r| r.sent.is_set()).count() as u32,
+                        count: self.runs() + 1 + others as u32,
                         trace: trace.clone(),
                     };
                     return Ok(relay.into_response(head, runs));
@@ -245,6 +235,23 @@
         }
     }
 
+    /// Waits for what happens next to the attempts that have not ended, of which there is one at least.
+    async fn next_step<F>(&self, running: &mut [Running<F>]) -> Step<P>
+    where
+        F: Future<Output = AttemptOutcome<P>>,
+    {
+        let count = running.len();
+        let newest = &running[count - 1];
+        let (sent, accepted) = (newest.sent.clone(), newest.accepted.clone());
+        let timeout = self.attempt_timeout(&newest.choice);
+        tokio::select! {
+            biased;
+            (index, outcome) = next_ended(running) => Step::Ended(index, outcome),
+            choice = self.choose_replacement(&sent, timeout, count) => Step::Replacement(choice),
+            () = accepted.wait_for_overlap_end(), if count > 1 => Step::OverlapEnded,
+        }
+    }
+
     /// Lowers the priority of a further attempt.
     fn prepare_retry(&mut self, trace: &Trace) {
         if trace.attempts > 0 {
--- a/tests/edge/silent_endpoints.rs
+++ b/tests/edge/silent_endpoints.rs
@@ -253,3 +253,37 @@
         assert_eq!(got.text(), stream_of(&id));
     }
 }
+
+/// Longest time for which the earlier run of a stream may go on beside the one that continues it.
+const MAX_OVERLAP: Duration = Duration::from_millis(400);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_run_does_not_go_on_beside_the_run_that_continues_its_stream() {
+    let site = Arc::new(start(180, 1).await);
+    for runner in site.runners.iter() {
+        runner.fault(Fault::Pause);
+    }
+    let mut calls = JoinSet::new();
+    for number in 0..12 {
+        let site = site.clone();
+        calls.spawn(async move {
+            let id = format!("s-{number}");
+            let got = call(&site, 0, "/resume/stream", &id).await;
+            assert!(got.is_whole, "{id}: {}", got.text());
+            id
+        });
+    }
+    let mut continued = 0;
+    for id in calls.join_all().await {
+        let seen = site.runners.iter().flat_map(|r| r.seen());
+        let runs = seen.filter(|s| s.headers.get("request-id") == Some(&id));
+        let (later, earlier): (Vec<_>, Vec<_>) =
+            runs.partition(|s| s.headers.contains_key("last-event-id"));
+        for run in &later {
+            let left = earlier[0].left_at.expect("the earlier run to end");
+            assert!(left <= run.at + MAX_OVERLAP, "{id}: {:?}", left - run.at);
+        }
+        continued += later.len();
+    }
+    assert!(continued > 0, "no stream was continued elsewhere");
+}
