Stand-ins: streams checked by their callers while processes are killed

Cause: the soak infers from runs which version brought a stream's first event, and its endpoints reset their connections, as no kernel does for a process that is killed. Change: endpoints can state run and version in each event; the program streams runs endpoints and instances as processes, kills them, and checks every event where a caller on a plain socket receives it.

--- /dev/null
+++ b/standins/src/bin/streams.rs
@@ -0,0 +1,103 @@
+//! Runs streams beside killed processes:
+//! `streams [--binary PATH] [--seed N] [--runs N] [--seconds S] [--instances N] [--endpoints N] [--callers N]
+//! [--framing chunked|close|mixed] [--kills none|endpoints|instances|both] [--http10 0|1]`.
+//!
+//! Exit code 0 if each stream was right for its caller, 1 if one was not, 2 for bad arguments.
+//! `streams endpoint ADDRESS ID VERSION FRAMING` serves as an endpoint.
+
+use std::{path::PathBuf, process::ExitCode, time::Duration};
+
+use standins::streams::{self, Framing, Kills, Plan};
+
+/// Breaches shown of a run.
+const SHOWN: usize = 5;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    if let [command, addr, id, version, framing] = &args[..]
+        && command == "endpoint"
+    {
+        let (Ok(addr), Ok(framing)) = (addr.parse(), framing.parse()) else {
+            return ExitCode::from(2);
+        };
+        runtime.block_on(streams::serve_endpoint(addr, id, version, framing));
+        return ExitCode::SUCCESS;
+    }
+    let (plan, runs) = match parse(&args) {
+        Ok(parsed) => parsed,
+        Err(error) => {
+            eprintln!("streams: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    let mut passed = true;
+    for seed in plan.seed..plan.seed + runs {
+        let plan = Plan {
+            seed,
+            ..plan.clone()
+        };
+        let report = runtime.block_on(streams::run(&plan));
+        println!(
+            "seed {seed}: {} streams, {} whole, {} answers broken, {} taken up, {} killed, breaches {:?}",
+            report.streams,
+            report.whole,
+            report.broken,
+            report.taken_up,
+            report.killed,
+            report.breach_counts()
+        );
+        for (route, breach) in report.breaches.iter().take(SHOWN) {
+            println!("  {route}: {breach}");
+        }
+        passed &= report.breaches.is_empty();
+    }
+    ExitCode::from(u8::from(!passed))
+}
+
+fn parse(args: &[String]) -> Result<(Plan, u64), String> {
+    let current_exe = std::env::current_exe().map_err(|e| e.to_string())?;
+    let mut plan = Plan {
+        binary: current_exe.with_file_name("ryevalve"),
+        seed: 1,
+        instances: 3,
+        endpoints: 8,
+        callers: 24,
+        lasts: Duration::from_secs(12),
+        framing: Framing::Mixed,
+        kills: Kills::Endpoints,
+        http10: false,
+    };
+    let mut runs = 1;
+    for pair in args.chunks(2) {
+        let [flag, value] = pair else {
+            return Err(format!("{} needs a value", pair[0]));
+        };
+        let number = || {
+            let parsed = value.parse::<u64>();
+            parsed.map_err(|_| format!("{flag} {value}: not a number"))
+        };
+        match flag.as_str() {
+            "--binary" => plan.binary = PathBuf::from(value),
+            "--seed" => plan.seed = number()?,
+            "--runs" => runs = number()?,
+            "--seconds" => plan.lasts = Duration::from_secs(number()?),
+            "--instances" => plan.instances = number()?.clamp(1, 100) as usize,
+            "--endpoints" => plan.endpoints = number()?.clamp(1, 100) as usize,
+            "--callers" => plan.callers = number()?.clamp(1, 1_000) as usize,
+            "--framing" => plan.framing = value.parse()?,
+            "--kills" => {
+                plan.kills = match value.as_str() {
+                    "none" => Kills::None,
+                    "endpoints" => Kills::Endpoints,
+                    "instances" => Kills::Instances,
+                    "both" => Kills::Both,
+                    _ => return Err(format!("--kills {value}: not known")),
+                }
+            }
+            "--http10" => plan.http10 = number()? > 0,
+            _ => return Err(format!("{flag} is not known")),
+        }
+    }
+    Ok((plan, runs))
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -9,4 +9,6 @@
 pub mod proxy;
 pub mod runner;
 pub mod soak;
+pub mod stream_check;
+pub mod streams;
 pub mod upload;
--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -8,7 +8,7 @@
     collections::{HashMap, VecDeque},
     future,
     io::ErrorKind,
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard},
     time::{Duration, Instant},
 };
@@ -26,7 +26,7 @@
 
 /// Address of the endpoints. Outgoing connections use ports of 127.0.0.1, where one could take the port of an endpoint
 /// before that restarts.
-const HOST: &str = "127.1.0.1";
+const HOST: [u8; 4] = [127, 1, 0, 1];
 
 /// Number of events in a complete stream.
 pub const EVENTS: u64 = 8;
@@ -166,6 +166,8 @@
     unread_timeout: Duration,
     /// Whether responses have neither a length nor chunks and end with their connection.
     ends_with_connection: bool,
+    /// Whether each event states the run and the version that made it.
+    states_run: bool,
 }
 
 impl Default for Shape {
@@ -175,6 +177,7 @@
             padding: 0,
             unread_timeout: Duration::from_secs(3_600),
             ends_with_connection: false,
+            states_run: false,
         }
     }
 }
@@ -182,6 +185,8 @@
 #[derive(Default)]
 struct State {
     id: String,
+    /// The version of its software, as its events state it.
+    version: String,
     fault: Fault,
     bad_version: Option<BadVersion>,
     /// Number of requests that are running.
@@ -248,7 +253,15 @@
     /// # Panics
     /// Panics if no port can be bound.
     pub async fn start(id: &str) -> Self {
-        let listener = TcpListener::bind((HOST, 0)).await.expect("bind");
+        Self::start_at((Ipv4Addr::from(HOST), 0).into(), id).await
+    }
+
+    /// Starts an endpoint with an id at an address.
+    ///
+    /// # Panics
+    /// Panics if the address cannot be bound.
+    pub async fn start_at(addr: SocketAddr, id: &str) -> Self {
+        let listener = TcpListener::bind(addr).await.expect("bind");
         let addr = listener.local_addr().expect("a bound address");
         let state = Arc::new(Mutex::new(State {
             id: id.to_owned(),
@@ -379,6 +392,13 @@
         self.lock().shape.ends_with_connection = true;
     }
 
+    /// Lets each event state the run that made it, and this version of the endpoint's software.
+    pub fn state_runs(&self, version: &str) {
+        let mut state = self.lock();
+        state.version = version.to_owned();
+        state.shape.states_run = true;
+    }
+
     /// Cuts off a response of which nothing can be sent for this long.
     pub fn cut_unread_after(&self, timeout: Duration) {
         self.lock().shape.unread_timeout = timeout;
@@ -450,8 +470,13 @@
 
 /// Returns an event with `padding` more bytes, as sent.
 pub fn padded_event(request_id: &str, number: u64, padding: usize) -> String {
+    event_of(request_id, number, padding, "")
+}
+
+/// Returns an event whose further lines state the run that made it.
+fn event_of(request_id: &str, number: u64, padding: usize, run: &str) -> String {
     let padding = "x".repeat(padding);
-    format!("id: {number}\ndata: {request_id} {number}{padding}\n\n")
+    format!("id: {number}\ndata: {request_id} {number}{padding}\n{run}\n")
 }
 
 /// How a connection ends.
@@ -629,11 +654,18 @@
         }
         let from = seen.headers.get("last-event-id");
         let from: u64 = from.and_then(|f| f.parse().ok()).unwrap_or(0);
+        let run = if shape.states_run {
+            let version = state.lock().expect("no holder panics").version.clone();
+            format!("run: {id}/{index}\nversion: {version}\n")
+        } else {
+            String::new()
+        };
         let response = ResponseParams {
             request_id: &request_id,
             fault,
             shape,
             announcements: &announcements(),
+            run: &run,
         };
         match send_events(output, response, from, pace).await {
             Err(error) if error.kind() == ErrorKind::TimedOut => {
@@ -651,6 +683,7 @@
             fault,
             shape,
             announcements: &announcements(),
+            run: "",
         };
         if !send_response(output, response).await? {
             return Ok(Next::End(End::Reset));
@@ -797,6 +830,8 @@
     shape: Shape,
     /// Header lines with the announcements of the endpoint.
     announcements: &'a str,
+    /// Lines of each event that state its run.
+    run: &'a str,
 }
 
 fn announcement_lines(state: &State) -> String {
@@ -899,6 +934,7 @@
         request_id,
         fault,
         shape,
+        run,
         ..
     } = response;
     let kind = match shape.ends_with_connection {
@@ -915,7 +951,7 @@
         if fault == Fault::Pause && number == 4 {
             time::sleep(PAUSE).await;
         }
-        let event = padded_event(request_id, number, shape.padding);
+        let event = event_of(request_id, number, shape.padding, run);
         let is_cut = fault == Fault::CutStream || (fault == Fault::CutNewStream && from == 0);
         if is_cut && number == 4 {
             let chunk = framed(&event[..event.len() / 2]);
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -18,7 +18,7 @@
 mod long_bodies;
 mod lost;
 mod organisations;
-mod process;
+pub mod process;
 mod quiet;
 mod resumptions;
 mod rollouts;
@@ -99,7 +99,7 @@
 }
 
 /// State shared by the tasks of a run.
-struct World {
+pub struct World {
     platform: Platform,
     runners: Vec<Runner>,
     /// Endpoints of the version that is rolled out.
--- a/standins/src/soak/process.rs
+++ b/standins/src/soak/process.rs
@@ -63,9 +63,7 @@
 
 impl Drop for Instance {
     fn drop(&mut self) {
-        // An error means that the process has already ended.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
         let _ = fs::remove_dir_all(&self.dir);
     }
 }
@@ -110,7 +108,15 @@
             .expect("an address")
     }
 
-    fn restart(&mut self) {
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        // An error means that the process has already ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts the process again after it has ended.
+    pub fn restart(&mut self) {
         let settings = self.dir.join("boot.toml");
         let text = fs::read_to_string(&settings).expect("settings");
         let text = text.replace("bootstrap = true", "bootstrap = false");
--- /dev/null
+++ b/standins/src/streams/endpoint.rs
@@ -0,0 +1,140 @@
+//! Endpoints as processes of their own.
+
+use std::{
+    future,
+    net::SocketAddr,
+    process::{Child, Command, Stdio},
+    str::FromStr,
+    time::Duration,
+};
+
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+
+use crate::{runner::Runner, streams::EVENTS};
+
+/// Requests that an endpoint runs at a time.
+const SLOTS: u32 = 16;
+const EVENT_INTERVAL: Duration = Duration::from_millis(15);
+
+/// How an endpoint delimits its answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// By chunks.
+    Chunked,
+    /// By the end of the connection.
+    Close,
+    /// Either, by endpoint.
+    Mixed,
+}
+
+impl FromStr for Framing {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "chunked" => Ok(Self::Chunked),
+            "close" => Ok(Self::Close),
+            "mixed" => Ok(Self::Mixed),
+            _ => Err(format!("{text}: not chunked, close or mixed")),
+        }
+    }
+}
+
+impl Framing {
+    fn of_endpoint(self, index: usize) -> &'static str {
+        match self {
+            Self::Chunked => "chunked",
+            Self::Close => "close",
+            // Endpoints of both versions have either.
+            Self::Mixed if index % 4 < 2 => "chunked",
+            Self::Mixed => "close",
+        }
+    }
+}
+
+/// Serves as an endpoint until the process is killed.
+///
+/// # Panics
+/// Panics if the address cannot be bound.
+pub async fn serve(addr: SocketAddr, id: &str, version: &str, framing: Framing) {
+    let runner = Runner::start_at(addr, id).await;
+    runner.pace(EVENT_INTERVAL);
+    runner.long_responses(EVENTS, 0);
+    runner.state_runs(version);
+    if framing == Framing::Close {
+        runner.end_with_connection();
+    }
+    future::pending().await
+}
+
+/// An endpoint's process; it is killed on drop.
+pub struct EndpointProcess {
+    pub id: String,
+    index: usize,
+    starts: usize,
+    addr: SocketAddr,
+    version: &'static str,
+    framing: Framing,
+    child: Child,
+}
+
+impl Drop for EndpointProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl EndpointProcess {
+    /// Starts an endpoint on a free loopback port.
+    ///
+    /// # Panics
+    /// Panics if there is none, or the process cannot be started.
+    pub async fn start(index: usize, version: &'static str, framing: Framing) -> Self {
+        // Other sockets do not use this address, so the port stays free.
+        let listener = TcpListener::bind("127.1.0.2:0").await.expect("a port");
+        let addr = listener.local_addr().expect("a bound address");
+        drop(listener);
+        let id = format!("i-{index}-0");
+        Self {
+            child: spawn(addr, &id, version, framing.of_endpoint(index)),
+            id,
+            index,
+            starts: 0,
+            addr,
+            version,
+            framing,
+        }
+    }
+
+    /// Returns the entry of the endpoint in the store.
+    pub fn entry(&self) -> Value {
+        json!({"backend": "svc", "address": self.addr, "zone": "hall-0", "version": self.version,
+            "capacity": SLOTS, "state": "ready", "warmupLeftMs": 0, "sequence": 1})
+    }
+
+    /// Kills the process; the kernel closes its sockets.
+    pub fn kill(&mut self) {
+        // An error means that the process has ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts another endpoint at the address of this one, which was killed.
+    pub fn restart(&mut self, version: &'static str) {
+        self.starts += 1;
+        self.id = format!("i-{}-{}", self.index, self.starts);
+        self.version = version;
+        let framing = self.framing.of_endpoint(self.index);
+        self.child = spawn(self.addr, &self.id, version, framing);
+    }
+}
+
+fn spawn(addr: SocketAddr, id: &str, version: &str, framing: &str) -> Child {
+    let program = std::env::current_exe().expect("the path of this program");
+    Command::new(program)
+        .args(["endpoint", &addr.to_string(), id, version, framing])
+        .stdin(Stdio::null())
+        .spawn()
+        .expect("the endpoint starts")
+}
