Framing of endpoints' answers in counters and log lines

Change: answers_received_total{framing}; framing, events, last_event and began_version in request_answered. No decision changes.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -25,6 +25,7 @@
         config::Route,
         endpoint_announcements,
         endpoint_connect::ConnectError,
+        framing::Framing,
         permits,
         protocol::{CallHead, Forward, Protocol},
         rollout_requests::RolloutRequest,
@@ -163,6 +164,8 @@
     pub not_executed: bool,
     /// The response carries the endpoint's signature header.
     pub is_signed: bool,
+    /// How the response is delimited.
+    pub framing: Framing,
 }
 
 /// How long an attempt waits for its endpoint: until the earlier of two instants on different clocks.
@@ -416,6 +419,8 @@
         gateway.note_direct_answer(&job.placement_request.service);
     }
     let status = response.status();
+    let framing = Framing::of(&response);
+    gateway.metrics.count_answer(framing);
     let head = gateway.protocol.read_answer(status, response.headers());
     endpoint_announcements::handle_answer(gateway, &in_flight, &head);
     if head.request_id != job.head.request_id {
@@ -439,6 +444,7 @@
         in_flight,
         not_executed: head.not_executed,
         is_signed: head.is_signed,
+        framing,
     })
 }
 
@@ -536,6 +542,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: HeldAnswer,
+    /// How it was delimited.
+    pub framing: Framing,
 }
 
 /// Reads the body of a response until `deadline`, then returns the connection to the pool if it can be reused.
@@ -552,6 +560,7 @@
         response,
         connection,
         mut in_flight,
+        framing,
         ..
     } = received;
     let (parts, body) = response.into_parts();
@@ -582,6 +591,7 @@
         status: parts.status,
         headers,
         body,
+        framing,
     })
 }
 
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -445,7 +445,18 @@
             .record_outcome(&self.job.route.name, outcome);
         let took_us = gateway.clock.now_us() - self.job.placement_request.arrived_us;
         gateway.metrics.first_seconds.observe(took_us as f64 / 1e6);
-        log_answer(gateway, &self.job, outcome, buffered.status, took_us, trace);
+        let trace = Trace {
+            framing: Some(buffered.framing),
+            ..trace.clone()
+        };
+        log_answer(
+            gateway,
+            &self.job,
+            outcome,
+            buffered.status,
+            took_us,
+            &trace,
+        );
         let mut response = Response::new(buffered.body.into_body());
         *response.status_mut() = buffered.status;
         *response.headers_mut() = buffered.headers;
--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -13,6 +13,7 @@
     gateway::{
         attempt::{self, EndpointResponse, InFlightRequest, Job},
         caller_buffer::{HeldAccount, NoRoom},
+        framing::Framing,
         protocol::Protocol,
         state::Gateway,
     },
@@ -41,6 +42,7 @@
     connection: Option<EndpointConnection>,
     in_flight: InFlightRequest<P>,
     status: StatusCode,
+    framing: Framing,
     reuse: Option<Option<Duration>>,
     cutter: EventSplitter,
     events_seen: u32,
@@ -62,6 +64,7 @@
             connection: Some(received.connection),
             in_flight: received.in_flight,
             status: parts.status,
+            framing: received.framing,
             reuse,
             cutter: EventSplitter::default(),
             events_seen: 0,
@@ -92,6 +95,8 @@
     /// The version of the endpoint that brought the first event.
     began_version: Option<Name>,
     longest_gap_us: Micros,
+    /// Number of events over all runs.
+    events: u32,
     /// Counts the bytes of an incomplete event, which the caller cannot take yet.
     partial_account: HeldAccount,
     partial_bytes: usize,
@@ -111,6 +116,7 @@
             last_id: job.head.resume_after,
             began_version: None,
             longest_gap_us: 0,
+            events: 0,
             gateway,
             job,
             upstream,
@@ -138,6 +144,16 @@
         self.began_version.as_ref()
     }
 
+    /// Returns how the answer of the current run is delimited.
+    pub fn framing(&self) -> Framing {
+        self.upstream.framing
+    }
+
+    /// Returns the number of events over all runs.
+    pub fn events(&self) -> u32 {
+        self.events
+    }
+
     /// Returns the longest gap between two events.
     pub fn longest_gap_us(&self) -> Micros {
         self.longest_gap_us
@@ -271,6 +287,7 @@
             balancer.record_event_gap(upstream.in_flight.choice.key, per_event);
         }
         upstream.events_seen += count;
+        self.events += count;
         upstream.last_event_us = now_us;
         let answering_us = now_us.saturating_sub(upstream.first_event_us);
         if answering_us >= PROVEN_AFTER_US && !upstream.has_proven_parts {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     entry::refusal::{Refusal, Verdict},
-    gateway::rollouts::RolloutFigures,
+    gateway::{framing::Framing, rollouts::RolloutFigures},
 };
 
 /// The outcome of a request.
@@ -90,6 +90,13 @@
     pub cause: &'static str,
 }
 
+/// Labels of metrics by how an endpoint's answer is delimited.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct FramingLabels {
+    /// `length`, `chunked` or `close`.
+    pub framing: &'static str,
+}
+
 /// Labels of metrics by service.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ServiceLabels {
@@ -154,6 +161,7 @@
     /// Streams that callers took up again and that were refused, since their origin is not known or not available.
     pub streams_not_taken_up: Counter,
     streams_not_resumed: Family<NotResumedLabels, Counter>,
+    answers_received: Family<FramingLabels, Counter>,
     /// Origins of streams written.
     pub origins_recorded: Counter,
     /// Origins of streams asked of other instances.
@@ -271,6 +279,7 @@
             streams_taken_up: Counter::default(),
             streams_not_taken_up: Counter::default(),
             streams_not_resumed: Family::default(),
+            answers_received: Family::default(),
             origins_recorded: Counter::default(),
             origins_asked: Counter::default(),
             requests_blocked: Counter::default(),
@@ -617,6 +626,9 @@
         let lost = "Streams for which no other endpoint was found within their answer";
         let counter = self.streams_not_resumed.clone();
         registry.register("streams_not_resumed", lost, counter);
+        let received = "Answers of endpoints, by how they are delimited";
+        let counter = self.answers_received.clone();
+        registry.register("answers_received", received, counter);
         let recorded = "Origins of streams written for later attempts of their callers";
         registry.register("origins_recorded", recorded, self.origins_recorded.clone());
         let asked = "Origins of streams asked of other instances";
@@ -637,6 +649,13 @@
         self.streams_not_resumed.get_or_create(&labels).inc();
     }
 
+    /// Counts an endpoint's answer by how it is delimited.
+    pub fn count_answer(&self, framing: Framing) {
+        let framing = framing.as_str();
+        let labels = FramingLabels { framing };
+        self.answers_received.get_or_create(&labels).inc();
+    }
+
     /// Counts a request whose connection ended before its answer was complete.
     pub fn count_unanswered(&self, stage: &'static str, cause: &'static str) {
         let labels = UnansweredLabels { stage, cause };
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -14,6 +14,7 @@
         attempt::{self, Job},
         blocks::Block,
         crash_check::LostRun,
+        framing::Framing,
         metrics::Outcome,
         protocol::Protocol,
         state::Gateway,
@@ -59,6 +60,14 @@
     pub expected: Option<Expected>,
     /// The longest gap between two events of a stream.
     pub longest_gap_us: Micros,
+    /// How the last answer of an endpoint is delimited.
+    pub framing: Option<Framing>,
+    /// Number of events of a stream.
+    pub events: u32,
+    /// The id of a stream's last event.
+    pub last_event: Option<u64>,
+    /// The version of the endpoint that brought a stream's first event.
+    pub began_version: Option<Name>,
 }
 
 impl Trace {
@@ -192,6 +201,10 @@
         deadline_ms = trace.deadline_ms.unwrap_or(0),
         waited_before_ms = trace.waited_ms,
         endpoint = trace.endpoint.as_deref().unwrap_or("-"),
+        framing = trace.framing.map_or("-", Framing::as_str),
+        events = trace.events,
+        last_event:serde = trace.last_event,
+        began_version = trace.began_version.as_deref().unwrap_or("-"),
         carrier = job.carrier.get().map_or("-", |c| &**c),
         last_failure = trace.reason.unwrap_or("-"),
         fingerprint = trace.fingerprint_for_log(),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -332,6 +332,10 @@
             .record_outcome(&self.job.route.name, outcome);
         let trace = Trace {
             longest_gap_us: self.source.longest_gap_us(),
+            framing: Some(self.source.framing()),
+            events: self.source.events(),
+            last_event: self.source.last_id(),
+            began_version: self.source.began_version().cloned(),
             ..self.runs.trace.clone()
         };
         let (gateway, status) = (&self.gateway, self.source.status());
