Failing tests: answers that look complete after a killed endpoint or a bad resumed run

Seen by callers: streams complete after 0 to 19 of 20 events, half plain answers with status 200, streams with a gap. Cause shown so far: endpoints close (FIN) answers without length and chunks, as the kernel does for a killed process; a resumed run is joined whatever it brings. Two guards pass: sound answers that end with their connection are delivered and run once; a break after the last event still completes.

--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -62,6 +62,14 @@
     Surplus,
     /// Sends non-stream responses without a length and resets the connection before their end.
     Unframed,
+    /// Sends half of a non-stream response without a length, and is then killed.
+    KilledInAnswer,
+    /// Breaks streams that start at the first event after the last one, before their end mark.
+    CutAfterLastEvent,
+    /// Ends resumed streams at once, without an event.
+    EmptyResumption,
+    /// Begins resumed streams three events later than asked.
+    LateResumption,
     /// Leaves `Instance-Signature` out of responses.
     Unsigned,
     /// Runs requests and responds with status 500.
@@ -74,7 +82,9 @@
             Self::ResetAfterRun | Self::Mute => true,
             Self::CutStream => is_stream,
             Self::CutNewStream => is_stream && !is_resumption,
-            Self::Surplus | Self::Unframed => !is_stream,
+            Self::Surplus | Self::Unframed | Self::KilledInAnswer => !is_stream,
+            Self::CutAfterLastEvent => is_stream && !is_resumption,
+            Self::EmptyResumption | Self::LateResumption => is_stream && is_resumption,
             Self::None | Self::Full | Self::Pause | Self::Unsigned | Self::Error => false,
         }
     }
@@ -220,6 +230,8 @@
     silent_until: Option<Instant>,
     /// When it ended.
     ended_at: Vec<Instant>,
+    /// Whether it was killed, so that its connections are closed as the kernel does it.
+    is_killed: bool,
     /// Lifetime of the current start; cancelled when the endpoint ends.
     lifetime: CancellationToken,
 }
@@ -284,6 +296,14 @@
         self.lock().end();
     }
 
+    /// Ends the endpoint like a kill of its process: the kernel closes its port and its connections, which are reset only
+    /// where unread bytes lie.
+    pub fn kill(&self) {
+        let mut state = self.lock();
+        state.is_killed = true;
+        state.end();
+    }
+
     /// Returns when it ended, in order.
     pub fn ended_at(&self) -> Vec<Instant> {
         self.lock().ended_at.clone()
@@ -306,6 +326,7 @@
             let mut state = self.lock();
             state.id = id.to_owned();
             state.lifetime = CancellationToken::new();
+            state.is_killed = false;
             state.leaving = None;
             state.retry_after = None;
             state.silent_until = None;
@@ -500,9 +521,10 @@
         end
     };
     let served = lifetime.run_until_cancelled(serving).await;
+    let is_killed = state.lock().expect("no holder panics").is_killed;
     match served.unwrap_or(Ok(End::Reset))? {
-        End::Closed => Ok(()),
-        End::Reset => reset(stream),
+        End::Reset if !is_killed => reset(stream),
+        End::Reset | End::Closed => Ok(()),
     }
 }
 
@@ -904,10 +926,15 @@
 ) -> std::io::Result<bool> {
     let fault = response.fault;
     let body = whole_body(response.request_id) + &"x".repeat(response.shape.padding);
-    if fault == Fault::Unframed {
+    if matches!(fault, Fault::Unframed | Fault::KilledInAnswer) {
         let text = head(response, "Connection: close") + &body[..body.len() / 2];
         output.send(text.as_bytes()).await?;
         time::sleep(Duration::from_millis(20)).await;
+        if fault == Fault::KilledInAnswer {
+            let mut state = output.state.lock().expect("no holder panics");
+            state.is_killed = true;
+            state.end();
+        }
         return Ok(false);
     }
     if response.shape.ends_with_connection {
@@ -946,7 +973,12 @@
         false => format!("{:x}\r\n{text}\r\n", text.len()),
     };
     output.send(head(response, kind).as_bytes()).await?;
-    for number in from + 1..=shape.events {
+    let first = match fault {
+        Fault::EmptyResumption if from > 0 => shape.events + 1,
+        Fault::LateResumption if from > 0 => from + 4,
+        _ => from + 1,
+    };
+    for number in first..=shape.events {
         time::sleep(pace).await;
         if fault == Fault::Pause && number == 4 {
             time::sleep(PAUSE).await;
@@ -963,6 +995,9 @@
             .send_within(chunk.as_bytes(), shape.unread_timeout)
             .await?;
     }
+    if fault == Fault::CutAfterLastEvent && from == 0 {
+        return Ok(false);
+    }
     if !shape.ends_with_connection {
         output.send(b"0\r\n\r\n").await?;
     }
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -9,6 +9,7 @@
 mod cluster;
 mod connections;
 mod control;
+mod cut_answers;
 mod cut_links;
 mod cut_rollouts;
 mod endpoint_limits;
