The close of a connection completes an answer only if its endpoint takes another one

Cause: an answer without length and chunks ends with its connection, and the kernel closes the connections of a killed process as those of one that has finished. The close was taken as the end of the answer. Change: after such a close a connection to the endpoint is opened, which a process that has ended refuses; it is kept for the next request. Without it the answer counts as broken: resumed or retried where allowed, cut visibly or answered 502 otherwise.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -22,6 +22,7 @@
     endpoint::connection_pool::EndpointConnection,
     gateway::{
         caller_buffer::{CallerConnection, CallerHandle, HeldAccount, HeldAnswer},
+        close_check::{self, CLOSE_UNCONFIRMED},
         config::Route,
         endpoint_announcements,
         endpoint_connect::ConnectError,
@@ -551,7 +552,7 @@
 /// # Errors
 /// The body broke off, is too long, was not complete in time or could not be held; the endpoint may have run the request.
 pub async fn buffer_response<P: Protocol>(
-    gateway: &Gateway<P>,
+    gateway: &Arc<Gateway<P>>,
     job: &Job,
     received: EndpointResponse<P>,
     deadline: AttemptDeadline,
@@ -576,6 +577,12 @@
         in_flight.note_failure();
     }
     let body = collected?;
+    if framing == Framing::Close
+        && !close_check::is_confirmed(gateway, job, &in_flight.choice).await
+    {
+        in_flight.note_failure();
+        return Err(AttemptError::ConnectionLost(CLOSE_UNCONFIRMED));
+    }
     if parts.status.is_success() {
         in_flight.note_first_event();
         in_flight.note_complete(true);
--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -13,6 +13,7 @@
     gateway::{
         attempt::{self, EndpointResponse, InFlightRequest, Job},
         caller_buffer::{HeldAccount, NoRoom},
+        close_check::{self, CLOSE_UNCONFIRMED},
         framing::Framing,
         protocol::Protocol,
         state::Gateway,
@@ -229,6 +230,9 @@
                 Some(None) if self.upstream.cutter.has_partial_event() => {
                     return Err(StreamEnd::Broken("ended_inside_event"));
                 }
+                Some(None) if !self.is_end_confirmed().await => {
+                    return Err(StreamEnd::Broken(CLOSE_UNCONFIRMED));
+                }
                 Some(None) => return Err(self.complete()),
                 None if clock.now_us() < self.job.until_us => return Err(StreamEnd::Stalled),
                 None => return Err(StreamEnd::TimeOver),
@@ -236,6 +240,13 @@
         }
     }
 
+    /// Returns whether the end of the current run's answer shows that it is complete.
+    async fn is_end_confirmed(&self) -> bool {
+        let upstream = &self.upstream;
+        upstream.framing != Framing::Close
+            || close_check::is_confirmed(&self.gateway, &self.job, &upstream.in_flight.choice).await
+    }
+
     /// Updates the account of the incomplete event.
     fn count_partial_event(&mut self) -> Result<(), NoRoom> {
         let bytes = self.upstream.cutter.partial_bytes();
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -162,6 +162,8 @@
     pub streams_not_taken_up: Counter,
     streams_not_resumed: Family<NotResumedLabels, Counter>,
     answers_received: Family<FramingLabels, Counter>,
+    /// Answers that ended with their connection and whose endpoint took no other one afterwards.
+    pub closes_unconfirmed: Counter,
     /// Origins of streams written.
     pub origins_recorded: Counter,
     /// Origins of streams asked of other instances.
@@ -280,6 +282,7 @@
             streams_not_taken_up: Counter::default(),
             streams_not_resumed: Family::default(),
             answers_received: Family::default(),
+            closes_unconfirmed: Counter::default(),
             origins_recorded: Counter::default(),
             origins_asked: Counter::default(),
             requests_blocked: Counter::default(),
@@ -629,6 +632,10 @@
         let received = "Answers of endpoints, by how they are delimited";
         let counter = self.answers_received.clone();
         registry.register("answers_received", received, counter);
+        let unconfirmed =
+            "Answers that ended with their connection, at endpoints that took no other one";
+        let counter = self.closes_unconfirmed.clone();
+        registry.register("closes_unconfirmed", unconfirmed, counter);
         let recorded = "Origins of streams written for later attempts of their callers";
         registry.register("origins_recorded", recorded, self.origins_recorded.clone());
         let asked = "Origins of streams asked of other instances";
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub mod caller_idle;
 pub mod caller_listener;
 pub mod caller_timeouts;
+mod close_check;
 pub mod config;
 pub mod copies;
 pub mod crash_check;
