A resumed run that lacks events neither continues nor completes a stream

Seen by callers: streams complete without their last events, or with a gap in their midst, after their endpoint broke. Cause: what another endpoint brought was joined to the stream whatever it was. A run that ended at once made the stream complete; one that began later left a gap. Change: a first event that lies further ahead than the ids have risen so far (all by one step) counts as a run that does not continue the stream; so does a run that ends without an event after a visible break. Another endpoint is asked, if the route and the budget allow one; otherwise the stream is cut visibly, and its caller can take it up. A run without events completes a stream only where the end of the run before may have been its end (the close of an endpoint that is gone).

--- a/src/endpoint/events.rs
+++ b/src/endpoint/events.rs
@@ -10,10 +10,46 @@
 pub struct CompleteEvents {
     /// The bytes of the events.
     pub bytes: Bytes,
+    /// The id of the first event with an id.
+    pub first_id: Option<u64>,
     /// The id of the last event with an id.
     pub last_id: Option<u64>,
     /// The number of events.
     pub count: u32,
+    /// The steps between their ids.
+    pub steps: IdSteps,
+}
+
+/// The steps between the ids of consecutive events.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct IdSteps {
+    range: Option<(u64, u64)>,
+}
+
+impl IdSteps {
+    /// Adds the step from one id to the next.
+    pub fn add(&mut self, from: u64, to: u64) {
+        let step = to.saturating_sub(from);
+        self.merge(Self {
+            range: Some((step, step)),
+        });
+    }
+
+    /// Adds other steps of the same stream.
+    pub fn merge(&mut self, other: Self) {
+        self.range = match (self.range, other.range) {
+            (Some((low, high)), Some((other_low, other_high))) => {
+                Some((low.min(other_low), high.max(other_high)))
+            }
+            (range, other) => range.or(other),
+        };
+    }
+
+    /// Returns the step, if there were some and all were equal.
+    pub fn uniform(&self) -> Option<u64> {
+        let (low, high) = self.range?;
+        (low == high).then_some(low)
+    }
 }
 
 /// An event is longer than supported.
@@ -63,10 +99,13 @@
     ) -> Result<Option<CompleteEvents>, EventTooLong> {
         let mut end = 0;
         let mut skipped = 0;
+        let mut first_id = None;
         let mut last_id = None;
         let mut count = 0;
+        let mut steps = IdSteps::default();
         while let Some(length) = event_length(&self.buffer[end..]) {
-            let id = event_id(&self.buffer[end..end + length]);
+            let event = &self.buffer[end..end + length];
+            let id = event_id(event);
             end += length;
             let is_old = id.is_some_and(|id| last_seen.max(last_id).is_some_and(|s| id <= s));
             if is_old && count == 0 {
@@ -78,6 +117,10 @@
                 end -= length;
                 break;
             }
+            if let (Some(last), Some(id)) = (last_id, id) {
+                steps.add(last, id);
+            }
+            first_id = first_id.or(id);
             last_id = id.or(last_id);
             count += 1;
         }
@@ -88,8 +131,10 @@
         let _ = bytes.split_to(skipped);
         Ok((count > 0).then(|| CompleteEvents {
             bytes: bytes.freeze(),
+            first_id,
             last_id,
             count,
+            steps,
         }))
     }
 }
--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -9,7 +9,10 @@
 
 use crate::{
     balance::balancer::Choice,
-    endpoint::{connection_pool::EndpointConnection, events::EventSplitter},
+    endpoint::{
+        connection_pool::EndpointConnection,
+        events::{CompleteEvents, EventSplitter, IdSteps},
+    },
     gateway::{
         attempt::{self, EndpointResponse, InFlightRequest, Job},
         caller_buffer::{HeldAccount, NoRoom},
@@ -28,6 +31,8 @@
     Complete,
     /// The stream broke, for the given reason.
     Broken(&'static str),
+    /// A resumed run does not continue the stream, for the given reason.
+    NotContinued(&'static str),
     /// There was no event for so long that another endpoint should continue.
     Stalled,
     /// The time of the request is over.
@@ -87,12 +92,25 @@
     }
 }
 
+/// What is known of the place at which the next run continues a stream.
+#[derive(Debug, Default)]
+struct Seam {
+    /// The steps between the ids so far.
+    steps: IdSteps,
+    /// Whether the run that brought the last event may have been complete. A later run without events then confirms it;
+    /// otherwise its endpoint may only be unable to resume the stream.
+    may_be_complete: bool,
+}
+
 /// The events of a stream, over all its runs.
 pub struct EventSource<P: Protocol> {
     gateway: Arc<Gateway<P>>,
     job: Arc<Job>,
     upstream: Upstream<P>,
     last_id: Option<u64>,
+    /// Number of runs that were begun after the first.
+    resumptions: u32,
+    seam: Seam,
     /// The version of the endpoint that brought the first event.
     began_version: Option<Name>,
     longest_gap_us: Micros,
@@ -115,6 +133,8 @@
             partial_account: HeldAccount::open(&gateway.held_memory, job.caller_handle()),
             partial_bytes: 0,
             last_id: job.head.resume_after,
+            resumptions: 0,
+            seam: Seam::default(),
             began_version: None,
             longest_gap_us: 0,
             events: 0,
@@ -191,6 +211,7 @@
 
     /// Goes on with the response of another endpoint.
     pub fn begin_run(&mut self, received: EndpointResponse<P>) {
+        self.resumptions += 1;
         (self.upstream, _) = Upstream::new(received, self.gateway.clock.now_us());
     }
 
@@ -208,7 +229,10 @@
             self.count_partial_event().map_err(|_| StreamEnd::NoRoom)?;
             match complete_events {
                 Ok(Some(events)) => {
-                    self.last_id = events.last_id.or(self.last_id);
+                    if self.lacks_events_before(&events) {
+                        return Err(StreamEnd::NotContinued("resumed_with_gap"));
+                    }
+                    self.note_ids(&events);
                     self.note_events(events.count);
                     return Ok(events.bytes);
                 }
@@ -231,8 +255,12 @@
                     return Err(StreamEnd::Broken("ended_inside_event"));
                 }
                 Some(None) if !self.is_end_confirmed().await => {
+                    self.seam.may_be_complete = true;
                     return Err(StreamEnd::Broken(CLOSE_UNCONFIRMED));
                 }
+                Some(None) if self.is_resumed_without_events() && !self.seam.may_be_complete => {
+                    return Err(StreamEnd::NotContinued("resumed_without_events"));
+                }
                 Some(None) => return Err(self.complete()),
                 None if clock.now_us() < self.job.until_us => return Err(StreamEnd::Stalled),
                 None => return Err(StreamEnd::TimeOver),
@@ -240,6 +268,31 @@
         }
     }
 
+    /// Returns whether events are missing between the last one and the first ones of a resumed run: all ids of the
+    /// stream have risen by the same step so far.
+    fn lacks_events_before(&self, events: &CompleteEvents) -> bool {
+        let (Some(last), Some(first)) = (self.last_id, events.first_id) else {
+            return false;
+        };
+        let is_first = self.resumptions > 0 && self.upstream.events_seen == 0;
+        let step = self.seam.steps.uniform();
+        is_first && step.is_some_and(|step| first.saturating_sub(last) > step)
+    }
+
+    fn note_ids(&mut self, events: &CompleteEvents) {
+        let is_continued = self.upstream.events_seen > 0 || self.resumptions > 0;
+        if let (Some(last), Some(first), true) = (self.last_id, events.first_id, is_continued) {
+            self.seam.steps.add(last, first);
+        }
+        self.seam.steps.merge(events.steps);
+        self.seam.may_be_complete = false;
+        self.last_id = events.last_id.or(self.last_id);
+    }
+
+    fn is_resumed_without_events(&self) -> bool {
+        self.resumptions > 0 && self.upstream.events_seen == 0
+    }
+
     /// Returns whether the end of the current run's answer shows that it is complete.
     async fn is_end_confirmed(&self) -> bool {
         let upstream = &self.upstream;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -233,6 +233,11 @@
                     self.resume(reason).await?;
                     Next::Wait
                 }
+                StreamEnd::NotContinued(reason) => {
+                    self.source.end_run();
+                    self.resume(reason).await?;
+                    Next::Wait
+                }
                 StreamEnd::Stalled if is_callers_doing => Next::Wait,
                 StreamEnd::Stalled => {
                     let next = self.take_over().await?;
@@ -288,6 +293,10 @@
                     Err(StreamEnd::Complete) => return Ok(Next::Complete),
                     Err(StreamEnd::NoRoom) => return Err(refuse::NO_MEMORY),
                     Err(StreamEnd::TimeOver) => return Err(TIME_OVER),
+                    Err(StreamEnd::NotContinued(_)) => {
+                        has_run = false;
+                        self.source.end_run();
+                    }
                     Err(StreamEnd::Broken(_) | StreamEnd::Stalled) => {
                         has_run = false;
                         let lost = LostRun {
@@ -345,7 +354,9 @@
     /// Returns the time without events after which another endpoint should continue, if that is allowed.
     fn stall_timeout(&self) -> Option<Duration> {
         let (gateway, job) = (&self.gateway, &self.job);
-        let may_resume = self.runs.may_resume(gateway, job, self.source.last_id());
+        let may_resume = self
+            .runs
+            .may_resume(gateway, job, self.source.last_id());
         let gap = self.job.route.target_gap.mul_f64(STALL_TIMEOUT_GAPS);
         (self.source.has_events() && may_resume).then(|| gap.max(MIN_STALL_TIMEOUT))
     }
