A stream is not resumed after events without ids

Seen by callers: with events that have no ids, a stream that its caller had taken up was resumed at the caller's Last-Event-Id after a break, and held events twice (four times in one case). Cause: the id after which a run goes on was that of the last event with an id, or the caller's, whatever came after it. Change: a stream is resumed only if its last event with data has an id; otherwise it is cut visibly. Result: the new test failed before (event 3 four times in r-0) and passes.

--- a/src/endpoint/events.rs
+++ b/src/endpoint/events.rs
@@ -18,6 +18,8 @@
     pub count: u32,
     /// The steps between their ids.
     pub steps: IdSteps,
+    /// Whether the last event with data has an id; `None` if none has data.
+    pub ends_numbered: Option<bool>,
 }
 
 /// The steps between the ids of consecutive events.
@@ -103,9 +105,11 @@
         let mut last_id = None;
         let mut count = 0;
         let mut steps = IdSteps::default();
+        let mut ends_numbered = None;
         while let Some(length) = event_length(&self.buffer[end..]) {
             let event = &self.buffer[end..end + length];
             let id = event_id(event);
+            let has_data = has_data(event);
             end += length;
             let is_old = id.is_some_and(|id| last_seen.max(last_id).is_some_and(|s| id <= s));
             if is_old && count == 0 {
@@ -120,6 +124,9 @@
             if let (Some(last), Some(id)) = (last_id, id) {
                 steps.add(last, id);
             }
+            if has_data {
+                ends_numbered = Some(id.is_some());
+            }
             first_id = first_id.or(id);
             last_id = id.or(last_id);
             count += 1;
@@ -135,6 +142,7 @@
             last_id,
             count,
             steps,
+            ends_numbered,
         }))
     }
 }
@@ -154,6 +162,11 @@
     None
 }
 
+fn has_data(event: &[u8]) -> bool {
+    let mut lines = event.split(|b| *b == b'\n');
+    lines.any(|line| line.starts_with(b"data"))
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let mut lines = event.split(|b| *b == b'\n');
     let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -108,6 +108,8 @@
     job: Arc<Job>,
     upstream: Upstream<P>,
     last_id: Option<u64>,
+    /// Whether the last event with data has no id, so that another run would repeat it.
+    ends_unnumbered: bool,
     /// Number of runs that were begun after the first.
     resumptions: u32,
     seam: Seam,
@@ -133,6 +135,7 @@
             partial_account: HeldAccount::open(&gateway.held_memory, job.caller_handle()),
             partial_bytes: 0,
             last_id: job.head.resume_after,
+            ends_unnumbered: false,
             resumptions: 0,
             seam: Seam::default(),
             began_version: None,
@@ -160,6 +163,11 @@
         self.last_id
     }
 
+    /// Returns the id of the event after which another run can continue; `None` if it would repeat events without ids.
+    pub fn resume_point(&self) -> Option<u64> {
+        self.last_id.filter(|_| !self.ends_unnumbered)
+    }
+
     /// Returns the version of the endpoint that brought the first event.
     pub fn began_version(&self) -> Option<&Name> {
         self.began_version.as_ref()
@@ -287,6 +295,9 @@
         self.seam.steps.merge(events.steps);
         self.seam.may_be_complete = false;
         self.last_id = events.last_id.or(self.last_id);
+        self.ends_unnumbered = events
+            .ends_numbered
+            .map_or(self.ends_unnumbered, |is_numbered| !is_numbered);
     }
 
     fn is_resumed_without_events(&self) -> bool {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -330,7 +330,7 @@
             gateway,
             job,
             began_version: source.began_version().cloned(),
-            after: source.last_id(),
+            after: source.resume_point(),
             reason,
         }
     }
@@ -356,7 +356,7 @@
         let (gateway, job) = (&self.gateway, &self.job);
         let may_resume = self
             .runs
-            .may_resume(gateway, job, self.source.last_id());
+            .may_resume(gateway, job, self.source.resume_point());
         let gap = self.job.route.target_gap.mul_f64(STALL_TIMEOUT_GAPS);
         (self.source.has_events() && may_resume).then(|| gap.max(MIN_STALL_TIMEOUT))
     }
--- a/tests/edge/cut_answers.rs
+++ b/tests/edge/cut_answers.rs
@@ -256,3 +256,22 @@
     let ends = count(&[("last".to_owned(), got)]);
     assert_eq!(ends.whole, 1, "{ends:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_whose_events_have_no_ids_is_not_resumed_with_events_twice() {
+    let site = start(178, 1).await;
+    for runner in site.runners.iter() {
+        runner.omit_ids();
+    }
+    for runner in &site.runners[..ENDPOINTS - 1] {
+        runner.fault(Fault::CutStream);
+    }
+    for number in 0..REQUESTS {
+        let id = format!("r-{number}");
+        let headers = [("last-event-id", "2"), ("resumes", "r")];
+        let got = exchange(site.callers[0], request(PATIENT, &id, &headers)).await;
+        let text = got.expect("an answer").text();
+        let third = format!("data: {id} 3\n\n");
+        assert!(text.matches(&third).count() <= 1, "{text}");
+    }
+}
