The origin of a stream is that of the run that its caller gets

Cause: two runs of a stream may bring their first event at the same moment, since a silent run is kept until another endpoint has accepted the request. Each wrote its origin, so that the one of the run that was dropped could come last; callers would then have taken the stream up at the other's version. Found by reading; no run has shown it. Change: the origin is written once the run is chosen, still before the caller has an event.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -195,7 +195,7 @@
                         count: self.runs() + 1 + others as u32,
                         trace: trace.clone(),
                     };
-                    return Ok(relay.into_response(head, runs));
+                    return Ok(relay.into_response(head, runs).await);
                 }
                 AttemptOutcome::NotRun { was_sent, reason } => {
                     trace.reason = Some(reason);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -105,8 +105,6 @@
                 });
             }
         };
-        // Before the caller has an event, after which it may leave.
-        self.record_origin().await;
         let now_us = self.gateway.clock.now_us();
         self.first_us = now_us.saturating_sub(self.job.placement_request.arrived_us);
         let seconds = self.first_us as f64 / 1e6;
@@ -120,8 +118,10 @@
 
     /// Returns the response to the caller, after these runs of the request. Its body takes the events that a task reads
     /// from the endpoint; the task ends with the body.
-    pub fn into_response(mut self, head: StreamHead, runs: StreamRuns) -> Response<Body> {
+    pub async fn into_response(mut self, head: StreamHead, runs: StreamRuns) -> Response<Body> {
         self.runs = runs;
+        // Before the caller has an event, after which it may leave, and not by a run that another one has overtaken.
+        self.record_origin().await;
         let account = HeldAccount::open(&self.gateway.held_memory, self.job.caller_handle());
         let (writer, reader) = stream_buffer(account);
         // Buffered before the task runs, so that they are written together with the head.
