--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -72,6 +72,19 @@
     EmptyResumption,
     /// Begins resumed streams three events later than asked.
     LateResumption,
+    /// Closes the connection of a new stream before its fourth event, and goes on listening: a worker process has crashed,
+    /// and its parent holds the listener.
+    LostWorker,
+    /// As `EmptyResumption`, with a comment.
+    CommentThenEmptyResumption,
+    /// As `LateResumption`, with a comment first.
+    CommentThenLateResumption,
+    /// Ids rise by one up to the third event and by three from there, in all runs; new streams are cut before the fourth.
+    CutNewStreamOfUnevenIds,
+    /// As `CutNewStreamOfUnevenIds`, without the cut.
+    UnevenIds,
+    /// Falls silent for [`PAUSE`] after the last event of a new stream, before its end mark.
+    PauseBeforeEnd,
     /// Leaves `Instance-Signature` out of responses.
     Unsigned,
     /// Runs requests and responds with status 500.
@@ -86,7 +99,12 @@
             Self::CutNewStream => is_stream && !is_resumption,
             Self::Surplus | Self::Unframed | Self::KilledInAnswer => !is_stream,
             Self::CutAfterLastEvent | Self::KilledAfterLastEvent => is_stream && !is_resumption,
-            Self::EmptyResumption | Self::LateResumption => is_stream && is_resumption,
+            Self::EmptyResumption
+            | Self::LateResumption
+            | Self::CommentThenEmptyResumption
+            | Self::CommentThenLateResumption => is_stream && is_resumption,
+            Self::LostWorker | Self::CutNewStreamOfUnevenIds => is_stream && !is_resumption,
+            Self::UnevenIds | Self::PauseBeforeEnd => false,
             Self::None | Self::Full | Self::Pause | Self::Unsigned | Self::Error => false,
         }
     }
@@ -986,10 +1004,17 @@
     };
     output.send(head(response, kind).as_bytes()).await?;
     let first = match fault {
-        Fault::EmptyResumption if from > 0 => shape.events + 1,
-        Fault::LateResumption if from > 0 => from + 4,
+        Fault::EmptyResumption | Fault::CommentThenEmptyResumption if from > 0 => shape.events + 1,
+        Fault::LateResumption | Fault::CommentThenLateResumption if from > 0 => from + 4,
         _ => from + 1,
     };
+    let is_commented = matches!(
+        fault,
+        Fault::CommentThenEmptyResumption | Fault::CommentThenLateResumption
+    );
+    if is_commented && from > 0 {
+        output.send(framed(": resumed\n\n").as_bytes()).await?;
+    }
     for number in first..=shape.events {
         time::sleep(pace).await;
         if fault == Fault::Pause && number == 4 {
@@ -999,6 +1024,14 @@
         if shape.omits_ids {
             event = event.replacen(&format!("id: {number}\n"), "", 1);
         }
+        let is_lost = matches!(fault, Fault::LostWorker | Fault::CutNewStreamOfUnevenIds);
+        if is_lost && from == 0 && number == 4 {
+            return Ok(false);
+        }
+        let is_uneven = matches!(fault, Fault::UnevenIds | Fault::CutNewStreamOfUnevenIds);
+        if is_uneven && number >= 4 {
+            event = event.replacen(&format!("id: {number}\n"), &format!("id: {}\n", number * 3), 1);
+        }
         let is_cut = fault == Fault::CutStream || (fault == Fault::CutNewStream && from == 0);
         if is_cut && number == 4 {
             let chunk = framed(&event[..event.len() / 2]);
@@ -1010,6 +1043,9 @@
             .send_within(chunk.as_bytes(), shape.unread_timeout)
             .await?;
     }
+    if fault == Fault::PauseBeforeEnd && from == 0 {
+        time::sleep(PAUSE).await;
+    }
     if fault == Fault::CutAfterLastEvent && from == 0 {
         return Ok(false);
     }
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -25,6 +25,7 @@
 mod poison_requests;
 mod reservations;
 mod resting_endpoints;
+mod review_order;
 mod rollouts;
 mod shares;
 mod silent_carriers;
--- /dev/null
+++ b/tests/edge/review_order.rs
@@ -0,0 +1,209 @@
+//! Sequences of a review of the fix for streams that are cut short. Each test fails where a stream looks complete that is
+//! not, or where a whole one is thrown away.
+
+use std::{sync::Arc, time::Duration};
+
+use hyper::StatusCode;
+use standins::{
+    runner::{EVENTS, Fault},
+    stream_check::whole_events,
+};
+use tokio::{task::JoinSet, time};
+
+use crate::{
+    cluster::until,
+    site::{Site, entry},
+    support::CallerResponse,
+};
+
+const ENDPOINTS: usize = 6;
+const SLOTS: u32 = 16;
+const REQUESTS: usize = 24;
+
+async fn start(net: u8) -> Arc<Site> {
+    let site = Site::start(net, 4, ENDPOINTS).await;
+    for (index, runner) in site.runners.iter().enumerate() {
+        let mut spec = entry(runner.addr);
+        spec["capacity"] = SLOTS.into();
+        site.platform.set("servers", &format!("e{index}-0"), spec);
+    }
+    until("the endpoints' slots to be known", || {
+        site.instances.iter().all(|instance| {
+            let balancer = instance.gateway.balancer();
+            (0..ENDPOINTS).all(|index| {
+                let key = balancer.key_of(&format!("e{index}-0"));
+                let entry = key.and_then(|key| balancer.entry(key));
+                entry.is_some_and(|e| e.slots == SLOTS)
+            })
+        })
+    })
+    .await;
+    Arc::new(site)
+}
+
+async fn call_all(site: &Arc<Site>, path: &'static str) -> Vec<(String, CallerResponse)> {
+    let mut calls = JoinSet::new();
+    for number in 0..REQUESTS {
+        let site = site.clone();
+        calls.spawn(async move {
+            let id = format!("r-{number}");
+            let got = site.call(number % site.callers.len(), path, &id, "a prompt").await;
+            (id, got)
+        });
+    }
+    calls.join_all().await
+}
+
+/// Returns what is wrong with complete streams, by request, and how many were cut visibly.
+fn breaches(answers: &[(String, CallerResponse)]) -> (Vec<String>, usize) {
+    let mut found = Vec::new();
+    let mut cut = 0;
+    for (id, got) in answers {
+        let events = whole_events(&got.text());
+        let numbers: Vec<u64> = events
+            .iter()
+            .map(|e| e.number)
+            .filter(|n| *n > 0)
+            .collect();
+        let is_gapless = numbers.iter().zip(1..).all(|(n, i)| *n == i);
+        let is_short = numbers.len() as u64 != EVENTS;
+        if got.status == StatusCode::OK && !got.is_whole {
+            cut += 1;
+        }
+        if got.status == StatusCode::OK && (!is_gapless || (got.is_whole && is_short)) {
+            found.push(format!("{id}: {numbers:?}, complete: {}", got.is_whole));
+        }
+    }
+    println!("{} breaches, {cut} cut: {found:#?}", found.len());
+    (found, cut)
+}
+
+async fn check(site: &Arc<Site>, path: &'static str) -> usize {
+    let (found, cut) = breaches(&call_all(site, path).await);
+    assert!(found.is_empty(), "{}: {found:?}", found.len());
+    cut
+}
+
+/// The endpoint that takes the confirming connection is another one than the one that was killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn restart_at_the_address_does_not_confirm_the_answer_of_the_killed_endpoint() {
+    let site = start(180).await;
+    for runner in site.runners.iter() {
+        runner.end_with_connection();
+        runner.pace(Duration::from_millis(60));
+    }
+    let calling = tokio::spawn({
+        let site = site.clone();
+        async move { call_all(&site, "/fixed/stream").await }
+    });
+    time::sleep(Duration::from_millis(250)).await;
+    for (index, runner) in site.runners[..2].iter().enumerate() {
+        runner.kill();
+        // The port is free once the listener's task has ended.
+        while tokio::net::TcpListener::bind(runner.addr).await.is_err() {
+            tokio::task::yield_now().await;
+        }
+        runner.restart(&format!("e{index}-1")).await;
+    }
+    let (found, _) = breaches(&calling.await.expect("answers"));
+    assert!(found.is_empty(), "{}: {found:?}", found.len());
+}
+
+/// The listener is held by the parent of the process that ran the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn listener_of_a_parent_process_does_not_confirm_the_answer_of_a_lost_worker() {
+    let site = start(181).await;
+    for runner in site.runners.iter() {
+        runner.end_with_connection();
+    }
+    for runner in &site.runners[..2] {
+        runner.fault(Fault::LostWorker);
+    }
+    check(&site, "/fixed/stream").await;
+}
+
+/// A kill in the midst of a stream, and endpoints that cannot resume it.
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_stream_is_not_completed_by_a_resumed_run_without_events() {
+    let site = start(182).await;
+    for (index, runner) in site.runners.iter().enumerate() {
+        runner.end_with_connection();
+        runner.pace(Duration::from_millis(60));
+        if index >= 2 {
+            runner.fault(Fault::EmptyResumption);
+        }
+    }
+    let calling = tokio::spawn({
+        let site = site.clone();
+        async move { call_all(&site, "/resume/stream").await }
+    });
+    time::sleep(Duration::from_millis(250)).await;
+    for runner in &site.runners[..2] {
+        runner.kill();
+    }
+    let (found, _) = breaches(&calling.await.expect("answers"));
+    assert!(found.is_empty(), "{}: {found:?}", found.len());
+}
+
+async fn check_cut_then(net: u8, fault: Fault) {
+    let site = start(net).await;
+    for (index, runner) in site.runners.iter().enumerate() {
+        runner.fault(if index < 2 { Fault::CutNewStream } else { fault });
+    }
+    check(&site, "/resume/stream").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn comment_does_not_make_a_resumed_run_without_events_complete() {
+    check_cut_then(183, Fault::CommentThenEmptyResumption).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn comment_does_not_hide_the_gap_before_a_resumed_run() {
+    check_cut_then(184, Fault::CommentThenLateResumption).await;
+}
+
+/// No step between ids is known yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_breaks_after_its_first_event_is_not_resumed_with_a_gap() {
+    let site = start(185).await;
+    for (index, runner) in site.runners.iter().enumerate() {
+        runner.pace(Duration::from_millis(200));
+        if index >= 2 {
+            runner.fault(Fault::LateResumption);
+        }
+    }
+    let calling = tokio::spawn({
+        let site = site.clone();
+        async move { call_all(&site, "/resume/stream").await }
+    });
+    time::sleep(Duration::from_millis(320)).await;
+    for runner in &site.runners[..2] {
+        runner.kill();
+    }
+    let (found, _) = breaches(&calling.await.expect("answers"));
+    assert!(found.is_empty(), "{}: {found:?}", found.len());
+}
+
+/// Ids rise, but not evenly; all resumed runs are sound.
+#[tokio::test(flavor = "multi_thread")]
+async fn sound_resumption_of_uneven_ids_is_not_refused() {
+    let site = start(186).await;
+    for (index, runner) in site.runners.iter().enumerate() {
+        runner.fault(if index < 2 { Fault::CutNewStreamOfUnevenIds } else { Fault::UnevenIds });
+    }
+    let answers = call_all(&site, "/resume/stream").await;
+    let cut = answers.iter().filter(|(_, got)| !got.is_whole).count();
+    assert_eq!(cut, 0, "sound streams were cut");
+}
+
+/// All events have arrived; only the end mark is late.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_is_silent_before_its_end_mark_is_complete() {
+    let site = start(187).await;
+    for runner in site.runners.iter() {
+        runner.fault(Fault::PauseBeforeEnd);
+    }
+    let cut = check(&site, "/resume/stream").await;
+    assert_eq!(cut, 0, "streams whose events have all arrived were cut");
+}
