--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -255,6 +255,8 @@
     ended_at: Vec<Instant>,
     /// Whether it was killed, so that its connections are closed as the kernel does it.
     is_killed: bool,
+    /// Cancelled when the endpoint closes its port while its requests run on.
+    listening: CancellationToken,
     /// Lifetime of the current start; cancelled when the endpoint ends.
     lifetime: CancellationToken,
 }
@@ -331,6 +333,11 @@
         self.lock().kill();
     }
 
+    /// Closes the port; requests that are running are answered.
+    pub fn stop_listening(&self) {
+        self.lock().listening.cancel();
+    }
+
     /// Returns when it ended, in order.
     pub fn ended_at(&self) -> Vec<Instant> {
         self.lock().ended_at.clone()
@@ -366,6 +373,7 @@
     fn accept(&self, listener: TcpListener) {
         let shared = self.state.clone();
         let lifetime = self.lock().lifetime.clone();
+        let listening = self.lock().listening.clone();
         let accept_loop = async move {
             while let Ok((stream, _)) = listener.accept().await {
                 wait_while_silent(&shared).await;
@@ -373,7 +381,7 @@
                 tokio::spawn(serve_until(stream, shared.clone()));
             }
         };
-        tokio::spawn(async move { lifetime.run_until_cancelled(accept_loop).await });
+        tokio::spawn(async move { lifetime.run_until_cancelled(listening.run_until_cancelled(accept_loop)).await });
     }
 
     /// Neither accepts, reads nor sends on any connection for this long; nothing is lost, and everything goes on
--- a/tests/edge/review_order.rs
+++ b/tests/edge/review_order.rs
@@ -8,7 +8,13 @@
     runner::{EVENTS, Fault},
     stream_check::whole_events,
 };
-use tokio::{task::JoinSet, time};
+use ryevalve::endpoint::events::EventSplitter;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    task::JoinSet,
+    time,
+};
 
 use crate::{
     cluster::until,
@@ -207,3 +213,54 @@
     let cut = check(&site, "/resume/stream").await;
     assert_eq!(cut, 0, "streams whose events have all arrived were cut");
 }
+
+/// Sound endpoints that end as planned may close their port first, and then answer what they run.
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_answer_of_an_endpoint_that_has_closed_its_port_is_delivered() {
+    let site = start(188).await;
+    for runner in site.runners.iter() {
+        runner.end_with_connection();
+        runner.pace(Duration::from_millis(300));
+    }
+    let calling = tokio::spawn({
+        let site = site.clone();
+        async move { call_all(&site, "/once/x").await }
+    });
+    time::sleep(Duration::from_millis(150)).await;
+    for runner in site.runners.iter() {
+        runner.stop_listening();
+    }
+    let answers = calling.await.expect("answers");
+    let finished = site.runners.iter().flat_map(|r| r.seen());
+    let finished = finished.filter(|s| s.finished).count();
+    let statuses: Vec<_> = answers.iter().map(|(_, got)| got.status.as_u16()).collect();
+    let served = statuses.iter().filter(|s| **s == 200).count();
+    assert_eq!(served, finished, "of the whole answers of sound endpoints: {statuses:?}");
+}
+
+/// A caller of HTTP/1.0 sees only how its connection ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_stream_does_not_look_complete_for_a_caller_of_http_1_0() {
+    let site = start(189).await;
+    for runner in site.runners.iter() {
+        runner.fault(Fault::CutStream);
+    }
+    let mut stream = TcpStream::connect(site.callers[0]).await.expect("connects");
+    let request = "POST /fixed/stream HTTP/1.0\r\nHost: h.example\r\nRequest-Id: r-0\r\n\
+         Deadline-Ms: 2500\r\nAuthorization: Token key-of-the-tests\r\nContent-Length: 8\r\n\r\na prompt";
+    stream.write_all(request.as_bytes()).await.expect("sends");
+    let mut bytes = Vec::new();
+    let end = stream.read_to_end(&mut bytes).await;
+    let text = String::from_utf8_lossy(&bytes);
+    assert!(text.contains("id: 3\n"), "{text}");
+    assert!(end.is_err(), "closed as after a whole stream: {text}");
+}
+
+/// A resumed run starts before the last event, which the caller has, and some events have no id.
+#[test]
+fn events_without_ids_are_not_repeated_by_a_run_that_starts_earlier() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 1\ndata: a\n\ndata: x\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+    let events = splitter.take_complete(Some(2)).expect("short").expect("an event");
+    assert_eq!(String::from_utf8_lossy(&events.bytes), "id: 3\ndata: c\n\n");
+}
