--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -381,7 +381,11 @@
                 tokio::spawn(serve_until(stream, shared.clone()));
             }
         };
-        tokio::spawn(async move { lifetime.run_until_cancelled(listening.run_until_cancelled(accept_loop)).await });
+        tokio::spawn(async move {
+            lifetime
+                .run_until_cancelled(listening.run_until_cancelled(accept_loop))
+                .await
+        });
     }
 
     /// Neither accepts, reads nor sends on any connection for this long; nothing is lost, and everything goes on
@@ -1038,7 +1042,11 @@
         }
         let is_uneven = matches!(fault, Fault::UnevenIds | Fault::CutNewStreamOfUnevenIds);
         if is_uneven && number >= 4 {
-            event = event.replacen(&format!("id: {number}\n"), &format!("id: {}\n", number * 3), 1);
+            event = event.replacen(
+                &format!("id: {number}\n"),
+                &format!("id: {}\n", number * 3),
+                1,
+            );
         }
         let is_cut = fault == Fault::CutStream || (fault == Fault::CutNewStream && from == 0);
         if is_cut && number == 4 {
--- a/tests/edge/review_order.rs
+++ b/tests/edge/review_order.rs
@@ -4,11 +4,11 @@
 use std::{sync::Arc, time::Duration};
 
 use hyper::StatusCode;
+use ryevalve::endpoint::events::EventSplitter;
 use standins::{
     runner::{EVENTS, Fault},
     stream_check::whole_events,
 };
-use ryevalve::endpoint::events::EventSplitter;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -53,7 +53,9 @@
         let site = site.clone();
         calls.spawn(async move {
             let id = format!("r-{number}");
-            let got = site.call(number % site.callers.len(), path, &id, "a prompt").await;
+            let got = site
+                .call(number % site.callers.len(), path, &id, "a prompt")
+                .await;
             (id, got)
         });
     }
@@ -66,11 +68,7 @@
     let mut cut = 0;
     for (id, got) in answers {
         let events = whole_events(&got.text());
-        let numbers: Vec<u64> = events
-            .iter()
-            .map(|e| e.number)
-            .filter(|n| *n > 0)
-            .collect();
+        let numbers: Vec<u64> = events.iter().map(|e| e.number).filter(|n| *n > 0).collect();
         let is_gapless = numbers.iter().zip(1..).all(|(n, i)| *n == i);
         let is_short = numbers.len() as u64 != EVENTS;
         if got.status == StatusCode::OK && !got.is_whole {
@@ -154,7 +152,11 @@
 async fn check_cut_then(net: u8, fault: Fault) {
     let site = start(net).await;
     for (index, runner) in site.runners.iter().enumerate() {
-        runner.fault(if index < 2 { Fault::CutNewStream } else { fault });
+        runner.fault(if index < 2 {
+            Fault::CutNewStream
+        } else {
+            fault
+        });
     }
     check(&site, "/resume/stream").await;
 }
@@ -196,7 +198,11 @@
 async fn sound_resumption_of_uneven_ids_is_not_refused() {
     let site = start(186).await;
     for (index, runner) in site.runners.iter().enumerate() {
-        runner.fault(if index < 2 { Fault::CutNewStreamOfUnevenIds } else { Fault::UnevenIds });
+        runner.fault(if index < 2 {
+            Fault::CutNewStreamOfUnevenIds
+        } else {
+            Fault::UnevenIds
+        });
     }
     let answers = call_all(&site, "/resume/stream").await;
     let cut = answers.iter().filter(|(_, got)| !got.is_whole).count();
@@ -235,7 +241,10 @@
     let finished = finished.filter(|s| s.finished).count();
     let statuses: Vec<_> = answers.iter().map(|(_, got)| got.status.as_u16()).collect();
     let served = statuses.iter().filter(|s| **s == 200).count();
-    assert_eq!(served, finished, "of the whole answers of sound endpoints: {statuses:?}");
+    assert_eq!(
+        served, finished,
+        "of the whole answers of sound endpoints: {statuses:?}"
+    );
 }
 
 /// A caller of HTTP/1.0 sees only how its connection ends.
@@ -261,6 +270,9 @@
 fn events_without_ids_are_not_repeated_by_a_run_that_starts_earlier() {
     let mut splitter = EventSplitter::default();
     splitter.push(b"id: 1\ndata: a\n\ndata: x\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
-    let events = splitter.take_complete(Some(2)).expect("short").expect("an event");
+    let events = splitter
+        .take_complete(Some(2))
+        .expect("short")
+        .expect("an event");
     assert_eq!(String::from_utf8_lossy(&events.bytes), "id: 3\ndata: c\n\n");
 }
