Explain and operators' pages: answers whose end is not confirmed

Cause: the new lines and reasons had no sentence in explain and no row in the tables of lines and counters. Change: both; request_answered shows framing, events, last event and version.

--- a/src/explain.rs
+++ b/src/explain.rs
@@ -113,6 +113,10 @@
             number_of(line, "max_attempts"),
             number_of(line, "left_ms"),
         ),
+        "close_unconfirmed" => format!(
+            "endpoint {} closed the connection, which is how its answer was to end, and takes no other one",
+            text_of(line, "endpoint"),
+        ),
         "request_unanswered" => format!(
             "its connection ended after {} ms while it was {}: {} ({})",
             number_of(line, "held_ms"),
@@ -165,7 +169,7 @@
 }
 
 /// Readable descriptions of the values of `reason` in log lines.
-const REASONS: [(&str, &str); 39] = [
+const REASONS: [(&str, &str); 42] = [
     (
         "answer_broke_off",
         "the endpoint's answer broke off, so it may have run",
@@ -183,6 +187,10 @@
         "caller_behind",
         "its caller read too slowly for the rest of the stream",
     ),
+    (
+        "close_unconfirmed",
+        "the answer was to end with its connection, and its endpoint may have ended before",
+    ),
     (
         "closed_before",
         "the connection closed before anything was sent",
@@ -252,6 +260,14 @@
     ),
     ("not_allowed", "it may not run again"),
     ("over_limit", "its organisation had used up its limit"),
+    (
+        "resumed_with_gap",
+        "the endpoint did not go on at the next event",
+    ),
+    (
+        "resumed_without_events",
+        "the endpoint that was to go on brought no event",
+    ),
     ("stream_broke", "the endpoint's stream broke"),
     ("stream_silent", "the endpoint's stream fell silent"),
     (
@@ -291,7 +307,7 @@
 }
 
 /// The fields to print with each event: the inputs of the decision.
-const INPUTS: [&str; 28] = [
+const INPUTS: [&str; 32] = [
     "route",
     "organisation",
     "attempts",
@@ -301,6 +317,10 @@
     "blocked_ms",
     "endpoint",
     "carrier",
+    "framing",
+    "events",
+    "last_event",
+    "began_version",
     "expected_first_ms",
     "endpoint_requests",
     "uncached_tokens",
