Comments of a resumed run are not its events

Cause: the check looked at the first block of bytes of a run, and a comment is one. Change: the first event with an id decides whether there is a gap, the first one with data whether the run brought any.

--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -52,6 +52,10 @@
     reuse: Option<Option<Duration>>,
     cutter: EventSplitter,
     events_seen: u32,
+    /// Whether it has brought an event with an id.
+    has_ids: bool,
+    /// Whether it has brought an event with data; comments have none.
+    has_data: bool,
     /// Whether it has gone on for so long that the parts of the prompt do not crash the endpoint.
     has_proven_parts: bool,
     first_event_us: Micros,
@@ -74,6 +78,8 @@
             reuse,
             cutter: EventSplitter::default(),
             events_seen: 0,
+            has_ids: false,
+            has_data: false,
             has_proven_parts: false,
             first_event_us: now_us,
             last_event_us: now_us,
@@ -282,26 +288,28 @@
         let (Some(last), Some(first)) = (self.last_id, events.first_id) else {
             return false;
         };
-        let is_first = self.resumptions > 0 && self.upstream.events_seen == 0;
+        let is_first = self.resumptions > 0 && !self.upstream.has_ids;
         let step = self.seam.steps.uniform();
         is_first && step.is_some_and(|step| first.saturating_sub(last) > step)
     }
 
     fn note_ids(&mut self, events: &CompleteEvents) {
-        let is_continued = self.upstream.events_seen > 0 || self.resumptions > 0;
+        let is_continued = self.upstream.has_ids || self.resumptions > 0;
         if let (Some(last), Some(first), true) = (self.last_id, events.first_id, is_continued) {
             self.seam.steps.add(last, first);
         }
         self.seam.steps.merge(events.steps);
-        self.seam.may_be_complete = false;
+        self.upstream.has_ids |= events.first_id.is_some();
         self.last_id = events.last_id.or(self.last_id);
-        self.ends_unnumbered = events
-            .ends_numbered
-            .map_or(self.ends_unnumbered, |is_numbered| !is_numbered);
+        if let Some(is_numbered) = events.ends_numbered {
+            self.ends_unnumbered = !is_numbered;
+            self.upstream.has_data = true;
+            self.seam.may_be_complete = false;
+        }
     }
 
     fn is_resumed_without_events(&self) -> bool {
-        self.resumptions > 0 && self.upstream.events_seen == 0
+        self.resumptions > 0 && !self.upstream.has_data
     }
 
     /// Returns whether the end of the current run's answer shows that it is complete.
--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -68,9 +68,9 @@
     CutAfterLastEvent,
     /// Is killed after the last event of a stream that starts at the first one.
     KilledAfterLastEvent,
-    /// Ends resumed streams at once, without an event.
+    /// Ends resumed streams after a comment, without an event.
     EmptyResumption,
-    /// Begins resumed streams three events later than asked.
+    /// Begins resumed streams with a comment, and three events later than asked.
     LateResumption,
     /// Leaves `Instance-Signature` out of responses.
     Unsigned,
@@ -990,6 +990,9 @@
         Fault::LateResumption if from > 0 => from + 4,
         _ => from + 1,
     };
+    if first > from + 1 {
+        output.send(framed(": resumed\n\n").as_bytes()).await?;
+    }
     for number in first..=shape.events {
         time::sleep(pace).await;
         if fault == Fault::Pause && number == 4 {
--- a/standins/src/stream_check.rs
+++ b/standins/src/stream_check.rs
@@ -29,11 +29,11 @@
     pub version: String,
 }
 
-/// Returns the whole events of an answer's text.
+/// Returns the whole events of an answer's text, without comments.
 pub fn whole_events(text: &str) -> Vec<ReceivedEvent> {
     let whole = text.rfind("\n\n").map_or("", |end| &text[..end]);
-    let events = whole.split("\n\n").filter(|event| !event.is_empty());
-    events.map(parse).collect()
+    let has_data = |event: &&str| event.lines().any(|line| line.starts_with("data"));
+    whole.split("\n\n").filter(has_data).map(parse).collect()
 }
 
 fn parse(event: &str) -> ReceivedEvent {
