Failing tests: broken streams look complete to callers of HTTP/1.0

At the front door of edge, 10 of 10 streams that break, a long one for a slow caller and one whose instance is killed end with a close for callers of HTTP/1.0, as complete streams do. The caller on a plain socket of the streams tool moves to standins::raw_caller, which tells a close from a reset.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod plain;
 pub mod platform;
 pub mod proxy;
+pub mod raw_caller;
 pub mod runner;
 pub mod soak;
 pub mod stream_check;
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -6,6 +6,7 @@
 mod brittle_endpoints;
 mod caller_limits;
 mod change_propagation;
+mod close_delimited_callers;
 mod cluster;
 mod connections;
 mod control;
