Failing tests: callers of HTTP/1.0 that are cut or close their side

A caller that is cut for want of memory has 180 KB of a stream of 6.5 MB, one that closes its sending side 3 of 8 events, and both end with a close.

--- a/standins/src/raw_caller.rs
+++ b/standins/src/raw_caller.rs
@@ -127,6 +127,14 @@
         self.stream.write_all(text.as_bytes()).await
     }
 
+    /// Closes its sending side.
+    ///
+    /// # Errors
+    /// The connection broke.
+    pub async fn close_sending(&mut self) -> io::Result<()> {
+        self.stream.shutdown().await
+    }
+
     /// Reads an answer to its end, and leaves what follows it; returns `None` if its head did not arrive.
     pub async fn read_answer(&mut self) -> Option<RawAnswer> {
         let until = Instant::now() + ANSWER_TIMEOUT;
