A caller of HTTP/1.0 sees a reset where its answer is not complete

Cause: they get no chunks; an answer without a length is delimited by the close of its connection, and the kernel closes the connections of a failed body, a dropped task and a killed process all alike. Change: before the first byte of such an answer is written, the linger time of its socket is set to zero, so that any close resets it; hyper shuts the connection down only after a whole body has been flushed, where the linger time is removed if the body has ended. Why it works: the kernel itself resets the socket, also of a process that is killed. An answer with a length or chunks sets nothing; no descriptor is added.

--- a/src/gateway/caller_listener.rs
+++ b/src/gateway/caller_listener.rs
@@ -3,6 +3,7 @@
 use std::{convert::Infallible, sync::Arc};
 
 use hyper::{
+    Request,
     body::Incoming,
     header::{CONNECTION, HeaderValue},
     server::conn::http1,
@@ -14,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    caller_stream::{CallerStream, CloseDelimited},
     entry::answer::Body,
     gateway::{
         caller_buffer::CallerConnection,
@@ -73,17 +75,21 @@
         unanswered,
         activity,
     } = caller.clone();
+    let close_delimited = CloseDelimited::default();
+    let stream = CallerStream::new(stream, close_delimited.clone());
     let answering_gateway = gateway.clone();
-    let service = service_fn(move |request| {
+    let service = service_fn(move |request: Request<Incoming>| {
         let (gateway, caller) = (answering_gateway.clone(), caller.clone());
+        let close_delimited = close_delimited.clone();
         async move {
+            let requested = request.version();
             let mut response = run::answer(gateway.clone(), request, caller).await;
             // hyper's limit is fixed, so the caller has to open another connection for a longer head.
             if caller_limits(&gateway).max_header_bytes != limits.max_header_bytes {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(close_delimited.watch(requested, response))
         }
     });
     let connection = http1::Builder::new()
@@ -108,7 +114,7 @@
 
 /// Serves a connection until it ends; once `stop` is cancelled, until it is idle.
 async fn run_connection<S>(
-    connection: http1::Connection<TokioIo<TcpStream>, S>,
+    connection: http1::Connection<TokioIo<CallerStream>, S>,
     stop: CancellationToken,
 ) -> Result<(), hyper::Error>
 where
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod balance;
 pub mod caller_body;
+pub mod caller_stream;
 pub mod cli;
 pub mod client;
 pub mod clock;
--- a/tests/edge/close_delimited_callers.rs
+++ b/tests/edge/close_delimited_callers.rs
@@ -89,7 +89,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_that_breaks_ends_with_a_reset_for_a_caller_of_http10() {
-    let site = Site::start(177, 2, ENDPOINTS).await;
+    let site = Site::start(205, 2, ENDPOINTS).await;
     for runner in site.runners.iter() {
         runner.fault(Fault::CutStream);
     }
@@ -107,7 +107,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn long_stream_that_breaks_ends_with_a_reset_for_a_slow_caller_of_http10() {
-    let site = Site::start(178, 2, ENDPOINTS).await;
+    let site = Site::start(206, 2, ENDPOINTS).await;
     for runner in site.runners.iter() {
         runner.long_responses(LONG_EVENTS, LONG_PADDING);
         runner.pace(Duration::from_millis(2));
@@ -128,7 +128,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn complete_answers_are_not_reset_for_a_caller_of_http10() {
-    let site = Site::start(179, 2, ENDPOINTS).await;
+    let site = Site::start(207, 2, ENDPOINTS).await;
     for speaks in [Speaks::Http10, Speaks::Http10KeepAlive] {
         for path in [FIXED, "/resume/stream"] {
             for (id, got) in call_all(&site, speaks, path, ReadPace::AT_ONCE).await {
@@ -145,7 +145,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn long_complete_stream_arrives_whole_at_a_slow_caller_of_http10() {
-    let site = Site::start(180, 2, ENDPOINTS).await;
+    let site = Site::start(208, 2, ENDPOINTS).await;
     for runner in site.runners.iter() {
         runner.long_responses(LONG_EVENTS, LONG_PADDING);
         runner.pace(Duration::ZERO);
@@ -159,7 +159,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_of_http11_get_chunks_and_a_close_as_before() {
-    let site = Site::start(181, 2, ENDPOINTS).await;
+    let site = Site::start(209, 2, ENDPOINTS).await;
     let answers = call_all(&site, Speaks::Http11, FIXED, ReadPace::AT_ONCE).await;
     assert!(answers.iter().all(|(_, got)| got.is_complete()));
     for runner in site.runners.iter() {
@@ -173,7 +173,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn connection_of_http10_is_kept_after_answers_with_a_length() {
-    let site = Site::start(182, 1, ENDPOINTS).await;
+    let site = Site::start(210, 1, ENDPOINTS).await;
     let mut caller = RawCaller::connect(site.callers[0]).await.expect("connect");
     for number in 0..3 {
         let id = format!("r-{number}");
@@ -227,7 +227,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn caller_of_http10_that_is_cut_for_want_of_memory_sees_a_reset() {
-    let site = Site::start(183, 1, ENDPOINTS).await;
+    let site = Site::start(211, 1, ENDPOINTS).await;
     for runner in site.runners.iter() {
         runner.long_responses(LONG_EVENTS, LONG_PADDING);
         runner.pace(Duration::ZERO);
@@ -263,7 +263,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn caller_of_http10_that_closes_its_side_gets_no_short_stream() {
-    let site = Site::start(184, 1, ENDPOINTS).await;
+    let site = Site::start(212, 1, ENDPOINTS).await;
     let mut caller = RawCaller::connect(site.callers[0]).await.expect("connect");
     let request = Speaks::Http10.request(FIXED, "r-1");
     caller.send(&request).await.expect("an open connection");
