serve: a caller of HTTP/1.0 sees a reset where its answer is not complete

Seen by callers of serve: a stream that breaks, a plain answer that breaks and a stream whose instance is killed end with a close, like complete ones, for callers of HTTP/1.0. Cause: as at the other front door, their answers are delimited by the close of the connection. Change: connections of this listener are CallerStreams, too, which are reset unless such an answer is complete.

--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -24,6 +24,7 @@
 
 use crate::{
     caller_body::CallerBody,
+    caller_stream::{CallerStream, CloseDelimited},
     entry::{
         answer::{self, Body},
         parse::{self, Route},
@@ -61,9 +62,16 @@
     let header_timeout = Duration::from_millis(instance.settings.header_timeout_ms);
     let cut = CancellationToken::new();
     let connection_cut = cut.clone();
-    let service = service_fn(move |request| {
+    let close_delimited = CloseDelimited::default();
+    let stream = CallerStream::new(stream, close_delimited.clone());
+    let service = service_fn(move |request: Request<Incoming>| {
         let (instance, cut) = (instance.clone(), cut.clone());
-        async move { Ok::<_, Infallible>(answer(instance, request, cut).await) }
+        let close_delimited = close_delimited.clone();
+        async move {
+            let requested = request.version();
+            let response = answer(instance, request, cut).await;
+            Ok::<_, Infallible>(close_delimited.watch(requested, response))
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
