serve: a close completes a plain answer only if its service takes another connection

Seen by callers of serve: half an answer of a plain service is complete, with status 200 or 500, when the service's process is killed. Cause: an answer without length and chunks was taken as complete at the close of its connection, and the kernel closes the connections of a killed process as well. Change: after such a close the service must take a connection, within 1.5 s if it is silent, as at the other front door; otherwise the answer is cut visibly (answer_cut). Framing moves to endpoint::framing, where both front doors use it.

--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -12,8 +12,10 @@
 
 use crate::{
     endpoint::{
+        close_check,
         connection::Connection,
         engine::{self, EngineEvent, EngineStream, StreamError, Usage},
+        framing::Framing,
     },
     entry::{
         answer::{self, Message},
@@ -224,7 +226,7 @@
         self.endpoint = Some(endpoint);
         match self.call.target.clone() {
             Target::Model { chat, stream } => self.run_model(connection, addr, chat, stream).await,
-            Target::Plain { path } => self.run_plain(connection, &path).await,
+            Target::Plain { path } => self.run_plain(connection, addr, &path).await,
         }
         Attempt::Ended
     }
@@ -435,7 +437,7 @@
         self.end_complete(&engine).await;
     }
 
-    async fn run_plain(&mut self, connection: Connection, path: &str) {
+    async fn run_plain(&mut self, connection: Connection, addr: SocketAddr, path: &str) {
         let request = self.request(path);
         // A disconnecting caller does not abort a request to a plain service: aborting would only make it
         // uncertain whether the request ran.
@@ -451,6 +453,7 @@
         };
         self.held.notify_leader(Update::FirstToken(self.held.id));
         let status = sent.response.status();
+        let framing = Framing::of(&sent.response);
         let kind = sent.response.headers().get(CONTENT_TYPE).cloned();
         let kind = kind.unwrap_or(HeaderValue::from_static("application/octet-stream"));
         let content_length = sent.response.headers().get(CONTENT_LENGTH);
@@ -482,7 +485,9 @@
                 );
             }
         }
-        if content_length.is_some_and(|p| p != relayed_bytes) {
+        let is_cut = content_length.is_some_and(|p| p != relayed_bytes)
+            || (framing == Framing::Close && !close_check::is_confirmed(addr).await);
+        if is_cut {
             return self.finish_sent(false, None, "outcome_unknown", Some("answer_cut"), 0);
         }
         self.report_duration();
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -19,14 +19,13 @@
 use crate::{
     balance::{balancer::Choice, cost::PlacementRequest, reachability::Reach},
     clock::Clock,
-    endpoint::connection_pool::EndpointConnection,
+    endpoint::{connection_pool::EndpointConnection, framing::Framing},
     gateway::{
         caller_buffer::{CallerConnection, CallerHandle, HeldAccount, HeldAnswer},
         close_check::{self, CLOSE_UNCONFIRMED},
         config::Route,
         endpoint_announcements,
         endpoint_connect::ConnectError,
-        framing::Framing,
         permits,
         protocol::{CallHead, Forward, Protocol},
         rollout_requests::RolloutRequest,
--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -9,12 +9,12 @@
 
 use crate::{
     balance::balancer::Choice,
+    endpoint::framing::Framing,
     endpoint::{connection_pool::EndpointConnection, events::EventSplitter},
     gateway::{
         attempt::{self, EndpointResponse, InFlightRequest, Job},
         caller_buffer::{HeldAccount, NoRoom},
         close_check::{self, CLOSE_UNCONFIRMED},
-        framing::Framing,
         protocol::Protocol,
         state::Gateway,
     },
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -14,8 +14,9 @@
 };
 
 use crate::{
+    endpoint::framing::Framing,
     entry::refusal::{Refusal, Verdict},
-    gateway::{framing::Framing, rollouts::RolloutFigures},
+    gateway::rollouts::RolloutFigures,
 };
 
 /// The outcome of a request.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,7 +25,6 @@
 pub mod event_source;
 pub mod exchange;
 mod fetching;
-mod framing;
 mod freshness_checks;
 mod freshness_queries;
 pub mod hall_aggregate;
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -9,12 +9,12 @@
         cost::Expected,
         prefixes::{self, PromptPart},
     },
+    endpoint::framing::Framing,
     entry::refusal::Refusal,
     gateway::{
         attempt::{self, Job},
         blocks::Block,
         crash_check::LostRun,
-        framing::Framing,
         metrics::Outcome,
         protocol::Protocol,
         state::Gateway,
