--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -12,12 +12,12 @@
     endpoint::{
         connection_pool::EndpointConnection,
         events::{CompleteEvents, EventSplitter, IdSteps},
+        framing::Framing,
     },
     gateway::{
         attempt::{self, EndpointResponse, InFlightRequest, Job},
         caller_buffer::{HeldAccount, NoRoom},
         close_check::{self, CLOSE_UNCONFIRMED},
-        framing::Framing,
         protocol::Protocol,
         state::Gateway,
     },
