A close is confirmed by the start of the endpoint that made it

Cause: any process that took a connection confirmed the close, also the next start of the endpoint, and a proxy in its place. Change: a status check that names the expected start goes over the new connection; another start answers 421, and a proxy without a target closes. An endpoint that gives no answer within 300 ms is busy, which one that has just started is not. The connection is no longer kept.

--- a/src/gateway/close_check.rs
+++ b/src/gateway/close_check.rs
@@ -2,26 +2,34 @@
 //!
 //! The close alone proves nothing: the kernel closes the connections of a process that crashes like those of one that has
 //! finished. But it closes the listener of that process, too. So such an answer counts as complete only if its endpoint
-//! takes a connection afterwards.
+//! takes a connection afterwards, and no other start of it answers there.
 
 use std::{sync::Arc, time::Duration};
 
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Request, StatusCode, Uri,
+    header::{HOST, HeaderValue},
+};
 use tokio::time::{self, Instant};
 
 use crate::{
-    balance::{balancer::Choice, regions::AllowedRegions},
+    balance::balancer::Choice,
+    endpoint::connection_pool::EndpointConnection,
     gateway::{attempt::Job, endpoint_connect::ConnectError, protocol::Protocol, state::Gateway},
-    prelude::Name,
 };
 
-/// Reason for not taking an answer as complete: its connection was closed, and its endpoint takes no other one.
+/// Reason for not taking an answer as complete: its connection was closed, and nothing shows that its endpoint lives on.
 pub const CLOSE_UNCONFIRMED: &str = "close_unconfirmed";
 /// Time from the close until the endpoint is asked for a connection. The kernel closes the sockets of a process one after
 /// the other.
-const SETTLING_TIME: Duration = Duration::from_millis(10);
+pub const SETTLING_TIME: Duration = Duration::from_millis(10);
 /// Time in which an endpoint that does not answer must take a connection: it may be silent for a second.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Time for the status check. An endpoint that is busy answers it later; one that has just started is not busy.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Returns whether an answer to a request, which ended with its connection, is complete.
 pub async fn is_confirmed<P: Protocol>(
@@ -29,9 +37,7 @@
     job: &Job,
     choice: &Choice,
 ) -> bool {
-    let service = &job.placement_request.service;
-    let regions = &job.placement_request.allowed_regions;
-    let confirming = takes_connection(gateway, service, choice, regions);
+    let confirming = lives_on(gateway, job, choice);
     let confirmed = gateway.clock.timeout_at(job.until_us, confirming).await;
     let is_confirmed = confirmed.unwrap_or(false);
     if !is_confirmed {
@@ -47,26 +53,60 @@
     is_confirmed
 }
 
-/// Returns whether an endpoint takes a connection, which is kept for the next request.
-async fn takes_connection<P: Protocol>(
+/// Returns whether the start of the endpoint that has closed a connection is still there.
+async fn lives_on<P: Protocol>(gateway: &Arc<Gateway<P>>, job: &Job, choice: &Choice) -> bool {
+    time::sleep(SETTLING_TIME).await;
+    let Some(mut connection) = connect(gateway, job, choice).await else {
+        return false;
+    };
+    let answer = connection
+        .sender
+        .send_request(status_check(gateway, job, choice));
+    match time::timeout(STATUS_TIMEOUT, answer).await {
+        Ok(Ok(answer)) => answer.status() != StatusCode::MISDIRECTED_REQUEST,
+        // A proxy on the way has taken the connection in place of the endpoint.
+        Ok(Err(_)) => false,
+        Err(_) => true,
+    }
+}
+
+/// Connects to an endpoint, which may be silent for a moment.
+async fn connect<P: Protocol>(
     gateway: &Arc<Gateway<P>>,
-    service: &Name,
+    job: &Job,
     choice: &Choice,
-    regions: &AllowedRegions,
-) -> bool {
+) -> Option<EndpointConnection> {
+    let service = &job.placement_request.service;
+    let regions = &job.placement_request.allowed_regions;
     let until = Instant::now() + SILENCE_TIMEOUT;
-    time::sleep(SETTLING_TIME).await;
     loop {
         match gateway.open_connection(service, choice, regions).await {
-            Ok(connection) => {
-                let now_us = gateway.clock.now_us();
-                gateway
-                    .connections
-                    .return_idle(now_us, choice.addr, connection, None);
-                return true;
-            }
+            Ok(connection) => return Some(connection),
             Err(ConnectError::Silent) if Instant::now() < until => time::sleep(RETRY_PAUSE).await,
-            Err(_) => return false,
+            Err(_) => return None,
         }
     }
 }
+
+/// Returns a status check that another start of the endpoint refuses.
+fn status_check<P: Protocol>(
+    gateway: &Gateway<P>,
+    job: &Job,
+    choice: &Choice,
+) -> Request<Full<Bytes>> {
+    let table = gateway.config.table();
+    let service = table
+        .as_ref()
+        .and_then(|t| t.service(&job.placement_request.service));
+    let path = service.and_then(|s| s.health_path.parse::<Uri>().ok());
+    let mut request = Request::new(Full::default());
+    *request.uri_mut() = path.unwrap_or_else(|| Uri::from_static("/"));
+    let host = HeaderValue::from_str(&choice.addr.to_string());
+    if let Ok(host) = host {
+        request.headers_mut().insert(HOST, host);
+    }
+    gateway
+        .protocol
+        .write_status_check(request.headers_mut(), &choice.id);
+    request
+}
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -99,6 +99,9 @@
     /// Sets the headers that only the gateway may send to an endpoint, replacing those of the caller.
     fn write_forward(&self, headers: &mut HeaderMap, forward: &Forward<'_>);
 
+    /// Sets the headers of a status check that only the endpoint with this id may answer with another status than 421.
+    fn write_status_check(&self, headers: &mut HeaderMap, endpoint: &str);
+
     /// Reads the head of an endpoint's answer.
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerHead;
 
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -132,6 +132,10 @@
         }
     }
 
+    fn write_status_check(&self, headers: &mut HeaderMap, endpoint: &str) {
+        set(headers, EXPECTED_ENDPOINT, endpoint);
+    }
+
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerHead {
         AnswerHead {
             request_id: headers.get(REQUEST_ID).cloned(),
--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -590,6 +590,10 @@
         state,
     };
     while let Some(seen) = read(&mut receiving, state).await? {
+        if seen.line.starts_with("GET /healthz ") {
+            answer_status_check(&mut output, state, &seen).await?;
+            continue;
+        }
         let index = {
             let mut state = state.lock().expect("no holder panics");
             state.seen.push(seen.clone());
@@ -622,6 +626,22 @@
     Ok(End::Closed)
 }
 
+/// Answers a status check, unless it is meant for another start.
+async fn answer_status_check(
+    output: &mut Output<'_>,
+    state: &Mutex<State>,
+    seen: &Seen,
+) -> std::io::Result<()> {
+    let id = state.lock().expect("no holder panics").id.clone();
+    let expected = seen.headers.get("expect-instance");
+    let status = match expected {
+        Some(expected) if *expected != id => "421 Misdirected Request",
+        _ => "200 OK",
+    };
+    let head = format!("HTTP/1.1 {status}\r\nInstance-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+    output.send(head.as_bytes()).await
+}
+
 /// Marks a request as broken off when dropped, unless its answer was sound or its caller left.
 struct Answering<'s> {
     state: &'s Mutex<State>,
