A length beside a transfer coding does not delimit an answer

Cause: such an answer is read to the close of its connection, which was not checked. Change: it counts as delimited by the close.

--- a/src/endpoint/framing.rs
+++ b/src/endpoint/framing.rs
@@ -20,10 +20,13 @@
 impl Framing {
     /// Returns how a response is delimited whose body has not been read.
     pub fn of(response: &Response<Incoming>) -> Self {
-        if is_chunked(response.headers()) {
+        let headers = response.headers();
+        // A length does not count beside a transfer coding.
+        let has_length =
+            headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING);
+        if is_chunked(headers) {
             Self::Chunked
-        } else if response.body().is_end_stream() || response.headers().contains_key(CONTENT_LENGTH)
-        {
+        } else if has_length || response.body().is_end_stream() {
             Self::Length
         } else {
             Self::Close
