Resumed runs: nothing is complete for want of events, and a stalled run is kept until another one brings bytes

Cause: a run without events after an unconfirmed close completed the stream, as if two signs agreed; a stalled run was ended when another endpoint accepted the request, whatever that then brought; the step between ids was known only after two events. Change: a run without events completes nothing. A stalled run is kept until the other one brings bytes (300 ms at most, the bound of two runs at a time). The first id counts as a step from 0, or from where the caller took the stream up. A second endpoint that begins at the same id as the first one shows that there is no gap. An endpoint whose run is not joined has not failed.

--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{StatusCode, body::Incoming, header::HeaderMap};
-use tokio::time::Instant;
+use tokio::time::{self, Instant};
 
 use crate::{
     balance::balancer::Choice,
@@ -18,6 +18,7 @@
         attempt::{self, EndpointResponse, InFlightRequest, Job},
         caller_buffer::{HeldAccount, NoRoom},
         close_check::{self, CLOSE_UNCONFIRMED},
+        overlap::MAX_OVERLAP,
         protocol::Protocol,
         state::Gateway,
     },
@@ -88,6 +89,18 @@
         (upstream, headers)
     }
 
+    /// Waits for the first bytes; returns whether there are none. It may be cancelled at any time.
+    async fn ends_without_bytes(&mut self) -> bool {
+        while !self.cutter.has_partial_event() {
+            match self.body.frame().await {
+                Some(Ok(frame)) => self.cutter.push(frame.data_ref().unwrap_or(&Bytes::new())),
+                Some(Err(_)) => return false,
+                None => return true,
+            }
+        }
+        false
+    }
+
     /// Notes the mean time between the events of a complete stream, which a slow version stretches.
     fn note_mean_gap(&self) {
         if self.events_seen > 1 {
@@ -98,16 +111,6 @@
     }
 }
 
-/// What is known of the place at which the next run continues a stream.
-#[derive(Debug, Default)]
-struct Seam {
-    /// The steps between the ids so far.
-    steps: IdSteps,
-    /// Whether the run that brought the last event may have been complete. A later run without events then confirms it;
-    /// otherwise its endpoint may only be unable to resume the stream.
-    may_be_complete: bool,
-}
-
 /// The events of a stream, over all its runs.
 pub struct EventSource<P: Protocol> {
     gateway: Arc<Gateway<P>>,
@@ -118,7 +121,12 @@
     ends_unnumbered: bool,
     /// Number of runs that were begun after the first.
     resumptions: u32,
-    seam: Seam,
+    /// The steps between the ids so far; the first one is counted from 0 or from the event after which the caller took the
+    /// stream up.
+    id_steps: IdSteps,
+    /// The id at which a resumed run began that seemed to leave a gap. Another run that begins there shows that there is
+    /// none.
+    doubted_id: Option<u64>,
     /// The version of the endpoint that brought the first event.
     began_version: Option<Name>,
     longest_gap_us: Micros,
@@ -143,7 +151,8 @@
             last_id: job.head.resume_after,
             ends_unnumbered: false,
             resumptions: 0,
-            seam: Seam::default(),
+            id_steps: IdSteps::default(),
+            doubted_id: None,
             began_version: None,
             longest_gap_us: 0,
             events: 0,
@@ -219,6 +228,11 @@
     /// Ends the current run, which has failed, and cancels it at its endpoint.
     pub fn end_run(&mut self) {
         self.note_failure();
+        self.leave_run();
+    }
+
+    /// Ends the current run without a verdict on its endpoint, and cancels it there.
+    pub fn leave_run(&mut self) {
         drop(self.upstream.connection.take());
         self.upstream.in_flight.finish();
     }
@@ -229,6 +243,19 @@
         (self.upstream, _) = Upstream::new(received, self.gateway.clock.now_us());
     }
 
+    /// Goes on with the response of another endpoint, and ends the current run, unless the response ends at once without
+    /// a byte.
+    pub async fn replace_run(&mut self, received: EndpointResponse<P>) {
+        let (mut upstream, _) = Upstream::new(received, self.gateway.clock.now_us());
+        let ended = time::timeout(MAX_OVERLAP, upstream.ends_without_bytes()).await;
+        if ended == Ok(true) {
+            return;
+        }
+        self.end_run();
+        self.resumptions += 1;
+        self.upstream = upstream;
+    }
+
     /// Waits for the next whole events; the run has stalled if it brings no byte within `stall_timeout`. It may be
     /// cancelled at any time without losing any.
     ///
@@ -243,7 +270,7 @@
             self.count_partial_event().map_err(|_| StreamEnd::NoRoom)?;
             match complete_events {
                 Ok(Some(events)) => {
-                    if self.lacks_events_before(&events) {
+                    if self.leaves_gap(&events) {
                         return Err(StreamEnd::NotContinued("resumed_with_gap"));
                     }
                     self.note_ids(&events);
@@ -269,10 +296,10 @@
                     return Err(StreamEnd::Broken("ended_inside_event"));
                 }
                 Some(None) if !self.is_end_confirmed().await => {
-                    self.seam.may_be_complete = true;
                     return Err(StreamEnd::Broken(CLOSE_UNCONFIRMED));
                 }
-                Some(None) if self.is_resumed_without_events() && !self.seam.may_be_complete => {
+                // An endpoint that cannot resume streams ends them like that.
+                Some(None) if self.is_resumed_without_events() => {
                     return Err(StreamEnd::NotContinued("resumed_without_events"));
                 }
                 Some(None) => return Err(self.complete()),
@@ -282,29 +309,28 @@
         }
     }
 
-    /// Returns whether events are missing between the last one and the first ones of a resumed run: all ids of the
+    /// Returns whether events seem to be missing between the last one and the first ones of a resumed run: all ids of the
     /// stream have risen by the same step so far.
-    fn lacks_events_before(&self, events: &CompleteEvents) -> bool {
+    fn leaves_gap(&mut self, events: &CompleteEvents) -> bool {
         let (Some(last), Some(first)) = (self.last_id, events.first_id) else {
             return false;
         };
         let is_first = self.resumptions > 0 && !self.upstream.has_ids;
-        let step = self.seam.steps.uniform();
-        is_first && step.is_some_and(|step| first.saturating_sub(last) > step)
+        let step = self.id_steps.uniform();
+        let is_far = step.is_some_and(|step| first.saturating_sub(last) > step);
+        is_first && is_far && self.doubted_id.replace(first) != Some(first)
     }
 
     fn note_ids(&mut self, events: &CompleteEvents) {
-        let is_continued = self.upstream.has_ids || self.resumptions > 0;
-        if let (Some(last), Some(first), true) = (self.last_id, events.first_id, is_continued) {
-            self.seam.steps.add(last, first);
+        if let Some(first) = events.first_id {
+            self.id_steps.add(self.last_id.unwrap_or(0), first);
         }
-        self.seam.steps.merge(events.steps);
+        self.id_steps.merge(events.steps);
         self.upstream.has_ids |= events.first_id.is_some();
         self.last_id = events.last_id.or(self.last_id);
         if let Some(is_numbered) = events.ends_numbered {
             self.ends_unnumbered = !is_numbered;
             self.upstream.has_data = true;
-            self.seam.may_be_complete = false;
         }
     }
 
--- a/src/gateway/overlap.rs
+++ b/src/gateway/overlap.rs
@@ -12,7 +12,7 @@
 
 /// Longest time for which the earlier run of a stream goes on after another endpoint has accepted the request. An engine
 /// that still runs it 400 ms later holds memory that other streams need.
-const MAX_OVERLAP: Duration = Duration::from_millis(300);
+pub const MAX_OVERLAP: Duration = Duration::from_millis(300);
 
 /// Says when something happened to an attempt.
 #[derive(Clone, Debug)]
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -234,7 +234,7 @@
                     Next::Wait
                 }
                 StreamEnd::NotContinued(reason) => {
-                    self.source.end_run();
+                    self.source.leave_run();
                     self.resume(reason).await?;
                     Next::Wait
                 }
@@ -276,7 +276,7 @@
     }
 
     /// Resumes a stalled stream at another endpoint. The stalled run goes on until that endpoint has accepted the
-    /// request, and then ends; if it brings an event first, the other run ends.
+    /// request and has not ended it at once, and then ends; if it brings an event first, the other run ends.
     ///
     /// # Errors
     /// The stalled run has ended, and no other endpoint continues the stream.
@@ -295,7 +295,7 @@
                     Err(StreamEnd::TimeOver) => return Err(TIME_OVER),
                     Err(StreamEnd::NotContinued(_)) => {
                         has_run = false;
-                        self.source.end_run();
+                        self.source.leave_run();
                     }
                     Err(StreamEnd::Broken(_) | StreamEnd::Stalled) => {
                         has_run = false;
@@ -312,8 +312,10 @@
                     let Some(received) = received else {
                         return if has_run { Ok(Next::Wait) } else { Err(STALLED) };
                     };
-                    self.source.end_run();
-                    self.source.begin_run(received);
+                    match has_run {
+                        true => self.source.replace_run(received).await,
+                        false => self.source.begin_run(received),
+                    }
                     return Ok(Next::Wait);
                 }
             }
