--- a/standins/src/bin/soak.rs
+++ b/standins/src/bin/soak.rs
@@ -1,4 +1,5 @@
-//! Runs soaks: `soak [--seed N] [--runs N] [--seconds S] [--instances N] [--endpoints N] [--callers N]`.
+//! Runs soaks: `soak [--seed N] [--runs N] [--seconds S] [--instances N] [--endpoints N] [--callers N]
+//! [--http10 0|1]`.
 //!
 //! Exit code 0 if no check failed, 1 if one did (the seed is printed), 2 for bad arguments.
 
@@ -50,6 +51,7 @@
         instances: 5,
         endpoints: 6,
         callers: 24,
+        http10: false,
     };
     let mut runs = 1;
     let mut args = std::env::args().skip(1);
@@ -67,6 +69,7 @@
             "--instances" => plan.instances = number()?.clamp(1, 200) as usize,
             "--endpoints" => plan.endpoints = number()?.clamp(1, 500) as usize,
             "--callers" => plan.callers = number()?.clamp(1, 5_000) as usize,
+            "--http10" => plan.http10 = number()? > 0,
             "--binary" => plan.binary = PathBuf::from(&value),
             _ => return Err(format!("{flag} is not known")),
         }
--- a/standins/src/bin/streams.rs
+++ b/standins/src/bin/streams.rs
@@ -1,13 +1,13 @@
-//! Runs streams beside killed processes:
+//! Runs streams beside processes that end:
 //! `streams [--binary PATH] [--seed N] [--runs N] [--seconds S] [--instances N] [--endpoints N] [--callers N]
-//! [--framing chunked|close|mixed] [--kills none|endpoints|instances|both] [--http10 0|1]`.
+//! [--framing chunked|close|mixed] [--ends none|endpoints|instances|both|releases|stops|all] [--http10 0|1]`.
 //!
 //! Exit code 0 if each stream was right for its caller, 1 if one was not, 2 for bad arguments.
 //! `streams endpoint ADDRESS ID VERSION FRAMING` serves as an endpoint.
 
 use std::{path::PathBuf, process::ExitCode, time::Duration};
 
-use standins::streams::{self, Framing, Kills, Plan};
+use standins::streams::{self, Ends, Framing, Plan};
 
 /// Breaches shown of a run.
 const SHOWN: usize = 5;
@@ -39,12 +39,12 @@
         };
         let report = runtime.block_on(streams::run(&plan));
         println!(
-            "seed {seed}: {} streams, {} whole, {} answers broken, {} taken up, {} killed, breaches {:?}",
+            "seed {seed}: {} streams, {} whole, {} answers broken, {} taken up, {} ended, breaches {:?}",
             report.streams,
             report.whole,
             report.broken,
             report.taken_up,
-            report.killed,
+            report.ended,
             report.breach_counts()
         );
         for (route, breach) in report.breaches.iter().take(SHOWN) {
@@ -65,7 +65,7 @@
         callers: 24,
         lasts: Duration::from_secs(12),
         framing: Framing::Mixed,
-        kills: Kills::Endpoints,
+        ends: Ends::Endpoints,
         http10: false,
     };
     let mut runs = 1;
@@ -86,15 +86,7 @@
             "--endpoints" => plan.endpoints = number()?.clamp(1, 100) as usize,
             "--callers" => plan.callers = number()?.clamp(1, 1_000) as usize,
             "--framing" => plan.framing = value.parse()?,
-            "--kills" => {
-                plan.kills = match value.as_str() {
-                    "none" => Kills::None,
-                    "endpoints" => Kills::Endpoints,
-                    "instances" => Kills::Instances,
-                    "both" => Kills::Both,
-                    _ => return Err(format!("--kills {value}: not known")),
-                }
-            }
+            "--ends" => plan.ends = value.parse()?,
             "--http10" => plan.http10 = number()? > 0,
             _ => return Err(format!("{flag} is not known")),
         }
--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -24,6 +24,8 @@
 };
 use tokio_util::sync::CancellationToken;
 
+use crate::stream_check::ReceivedEvent;
+
 /// Address of the endpoints. Outgoing connections use ports of 127.0.0.1, where one could take the port of an endpoint
 /// before that restarts.
 const HOST: [u8; 4] = [127, 1, 0, 1];
@@ -146,6 +148,8 @@
     pub headers: HashMap<String, String>,
     /// Body.
     pub body: Vec<u8>,
+    /// The version of the endpoint's software that received it, as its events state it.
+    pub version: String,
     /// Whether it was refused with `Retry-After`.
     pub was_backed_off: bool,
     /// Whether it was run.
@@ -494,6 +498,17 @@
     event_of(request_id, number, padding, "")
 }
 
+/// Returns an event that states its run and version, with `padding` more bytes, as sent.
+pub fn stated_event(event: &ReceivedEvent, padding: usize) -> String {
+    let statement = statement(&event.run, &event.version);
+    event_of(&event.request_id, event.number, padding, &statement)
+}
+
+/// Returns the lines of an event that state the run and the version that made it.
+fn statement(run: &str, version: &str) -> String {
+    format!("run: {run}\nversion: {version}\n")
+}
+
 /// Returns an event whose further lines state the run that made it.
 fn event_of(request_id: &str, number: u64, padding: usize, run: &str) -> String {
     let padding = "x".repeat(padding);
@@ -544,9 +559,10 @@
         socket: sending,
         state,
     };
-    while let Some(seen) = read(&mut receiving, state).await? {
+    while let Some(mut seen) = read(&mut receiving, state).await? {
         let index = {
             let mut state = state.lock().expect("no holder panics");
+            seen.version = state.version.clone();
             state.seen.push(seen.clone());
             state.seen.len() - 1
         };
@@ -676,11 +692,9 @@
         }
         let from = seen.headers.get("last-event-id");
         let from: u64 = from.and_then(|f| f.parse().ok()).unwrap_or(0);
-        let run = if shape.states_run {
-            let version = state.lock().expect("no holder panics").version.clone();
-            format!("run: {id}/{index}\nversion: {version}\n")
-        } else {
-            String::new()
+        let run = match shape.states_run {
+            true => statement(&format!("{id}/{index}"), &seen.version),
+            false => String::new(),
         };
         let response = ResponseParams {
             request_id: &request_id,
@@ -1024,6 +1038,7 @@
         line: lines.next().unwrap_or_default().to_owned(),
         headers: HashMap::new(),
         body: Vec::new(),
+        version: String::new(),
         was_backed_off: false,
         has_run: false,
         finished: false,
--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -17,7 +17,11 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::{net::TcpSocket, time};
 
-use crate::soak::{World, configurations, slow_callers};
+use crate::{
+    runner::{EVENTS, LONG_PADDING},
+    soak::{World, configurations, slow_callers},
+    stream_check::{Answer, Expected},
+};
 
 /// Timeout of a request; the routes' own timeout is 3 s.
 const TIMEOUT: Duration = Duration::from_secs(5);
@@ -51,6 +55,27 @@
         }
     }
 
+    /// Returns what a response is if it is a stream.
+    pub fn stream(self) -> Option<Expected> {
+        let (padding_bytes, may_resume) = match self {
+            Self::Once | Self::Again => return None,
+            Self::Resume => (0, true),
+            Self::Long => (LONG_PADDING, true),
+            Self::Side(number) => {
+                let route = &configurations::SIDE_ROUTES[number];
+                if !route.is_stream() {
+                    return None;
+                }
+                (0, route.may_resume)
+            }
+        };
+        Some(Expected {
+            events: EVENTS,
+            padding_bytes,
+            may_resume,
+        })
+    }
+
     /// Returns whether a request may run only once.
     pub fn runs_once(self) -> bool {
         match self {
@@ -109,6 +134,26 @@
 }
 
 impl Sent {
+    /// Returns the answer, if it is a stream that began with success.
+    pub fn stream_answer(&self, id: &str) -> Option<Answer> {
+        let Some(Outcome::Answered {
+            status,
+            body,
+            is_whole,
+            ..
+        }) = &self.outcome
+        else {
+            return None;
+        };
+        let is_stream = self.path.stream().is_some() && status.is_success();
+        is_stream.then(|| Answer {
+            request_id: id.to_owned(),
+            after: 0,
+            text: String::from_utf8_lossy(body).into_owned(),
+            is_complete: *is_whole,
+        })
+    }
+
     /// Returns a request that is sent now.
     pub fn now(path: Path, key: &str, instance: usize, idle_since: Option<Instant>) -> Self {
         let at = Instant::now();
--- a/standins/src/soak/checks.rs
+++ b/standins/src/soak/checks.rs
@@ -5,14 +5,14 @@
 use hyper::StatusCode;
 
 use crate::{
-    runner::{EVENTS, LONG_PADDING, event, padded_event, whole_body},
+    runner::whole_body,
     soak::{
         CONFIG_PROPAGATION, KEY_REVOCATION, RACE_MARGIN, Report, RunState, World, announcements,
         bad_parts, brittle,
-        callers::{Outcome, Path, Sent},
-        configurations, cuts, data_centres, limits, lost, organisations, resumptions, rollouts,
-        slow_callers,
+        callers::{Outcome, Sent},
+        cuts, data_centres, limits, lost, organisations, resumptions, rollouts, slow_callers,
     },
+    stream_check,
 };
 
 /// Minimum share of the requests in the calm phase that must be served.
@@ -67,8 +67,8 @@
     brittle::check(world, &mut report);
     rollouts::check(world, &run_state, &mut report);
     drop(run_state);
+    resumptions::check(world, &sent, &mut report);
     drop(sent);
-    resumptions::check(world, &mut report);
     bad_parts::check(world, &mut report);
     report
 }
@@ -121,17 +121,16 @@
     if !status.is_success() {
         return false;
     }
-    let expected = match sent.path {
-        Path::Side(number) if !configurations::SIDE_ROUTES[number].is_stream() => whole_body(id),
-        Path::Resume | Path::Side(_) => (1..=EVENTS).map(|n| event(id, n)).collect(),
-        Path::Long => (1..=EVENTS)
-            .map(|n| padded_event(id, n, LONG_PADDING))
-            .collect(),
-        _ => whole_body(id),
-    };
     if !is_signed {
         breach("a success without an endpoint's proof");
     }
+    if let (Some(answer), Some(expected)) = (sent.stream_answer(id), sent.path.stream()) {
+        if let Some(wrong) = stream_check::find_breach(&[answer], &expected) {
+            breach(&format!("not its stream: {wrong}"));
+        }
+        return *is_whole;
+    }
+    let expected = whole_body(id);
     let text = String::from_utf8_lossy(body);
     match is_whole {
         true if *text != *expected => breach("not the whole answer, and it looked whole"),
--- a/standins/src/soak/configurations.rs
+++ b/standins/src/soak/configurations.rs
@@ -2,6 +2,7 @@
 //! connections, keys and the size of the configuration.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -43,6 +44,8 @@
 /// Number of endpoints of the second service.
 const SECOND_ENDPOINTS: usize = 2;
 const SECOND_SERVICE: &str = "second";
+/// Not a version of the first service, so that a stream of both shows.
+const SECOND_VERSION: &str = "s1";
 
 /// A route that is added and removed during a run.
 #[derive(Debug)]
@@ -50,7 +53,7 @@
     name: &'static str,
     kind: &'static str,
     pub attempts: u32,
-    may_resume: bool,
+    pub may_resume: bool,
     pub path: &'static str,
 }
 
@@ -253,18 +256,27 @@
 pub(super) async fn start_second_service(platform: &Platform) -> Vec<Runner> {
     let mut runners = Vec::new();
     for index in 0..SECOND_ENDPOINTS {
-        let id = format!("i-second{index}");
-        let runner = Runner::start(&id).await;
+        let runner = Runner::start(&second_id(index, 0)).await;
         runner.pace(Duration::from_millis(15));
-        let spec = json!({"backend": SECOND_SERVICE, "address": runner.addr,
-            "zone": format!("site-s{index}"), "version": "v1", "capacity": 32, "state": "ready",
-            "warmupLeftMs": 0, "sequence": 1});
-        platform.set("servers", &id, spec);
+        runner.state_runs(SECOND_VERSION);
+        register_second(platform, runner.addr, index, 0);
         runners.push(runner);
     }
     runners
 }
 
+/// Returns the id of an endpoint of the second service after a number of earlier starts.
+pub(super) fn second_id(index: usize, start: usize) -> String {
+    format!("i-second{index}-{start}")
+}
+
+/// Registers an endpoint of the second service.
+pub(super) fn register_second(platform: &Platform, addr: SocketAddr, index: usize, start: usize) {
+    let spec = json!({"backend": SECOND_SERVICE, "address": addr, "zone": format!("site-s{index}"),
+        "version": SECOND_VERSION, "capacity": 32, "state": "ready", "warmupLeftMs": 0, "sequence": 1});
+    platform.set("servers", &second_id(index, start), spec);
+}
+
 /// Returns the configuration: the routes `/once/`, `/again/` and `/resume/`, the side routes that are present, and, if it is
 /// big, many routes and organisations without requests. All routes require a key.
 pub(super) fn config(run_state: &RunState) -> Value {
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -17,7 +17,9 @@
 mod limits;
 mod long_bodies;
 mod lost;
+mod operations;
 mod organisations;
+mod plain_callers;
 pub mod process;
 mod quiet;
 mod resumptions;
@@ -28,10 +30,7 @@
 use std::{
     collections::{HashMap, HashSet},
     path::PathBuf,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicUsize, Ordering},
-    },
+    sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
@@ -48,6 +47,7 @@
         callers::{Caller, Sent},
         process::{Host, Instance},
     },
+    stream_check::Answer,
 };
 
 /// Every instance applies a configuration or a drain within this time of the write to the store.
@@ -81,6 +81,8 @@
     pub endpoints: usize,
     /// Number of callers.
     pub callers: usize,
+    /// Whether some callers speak HTTP/1.0, whose answers end with the connection.
+    pub http10: bool,
 }
 
 /// Result of a soak run.
@@ -109,13 +111,23 @@
     /// Endpoints of the second service.
     second_runners: Vec<Runner>,
     store_proxies: Vec<Proxy>,
-    /// Number of restarts of each endpoint.
-    starts: Vec<AtomicUsize>,
+    /// What runs at the address of each endpoint.
+    endpoint_starts: Mutex<Vec<EndpointStart>>,
+    /// Held while an endpoint is started again.
+    restarting: tokio::sync::Mutex<()>,
     instances: Mutex<Vec<Instance>>,
     sent: Mutex<HashMap<String, Sent>>,
     state: Mutex<RunState>,
 }
 
+/// A start of an endpoint.
+#[derive(Clone, Copy, Debug)]
+struct EndpointStart {
+    /// Number of starts before this one.
+    number: usize,
+    version: &'static str,
+}
+
 /// Changes and disturbances made so far, which the checks take into account.
 #[derive(Debug, Default)]
 struct RunState {
@@ -158,8 +170,10 @@
     impaired: Vec<(usize, Instant, Instant)>,
     /// Ids of requests that are not among those sent by the usual callers.
     other_ids: HashSet<String>,
-    /// Streams that callers left and took up.
-    taken_up: Vec<resumptions::TakenUp>,
+    /// Streams that callers left.
+    left: Vec<resumptions::LeftStream>,
+    /// Streams of callers on plain sockets.
+    plain_streams: Vec<(callers::Path, Vec<Answer>)>,
     /// Start of the calm phase.
     calm_since: Option<Instant>,
     breaches: Vec<String>,
@@ -196,6 +210,7 @@
     let mut rng = ChaCha8Rng::seed_from_u64(plan.seed);
     let world = Arc::new(World::start(plan).await);
     world.wait_until_ready().await;
+    operations::draw_framing(&world, plan);
     let mut callers = tokio::task::JoinSet::new();
     for number in 0..plan.callers {
         let caller = Caller::with_any_key(number);
@@ -204,6 +219,7 @@
     organisations::spawn_callers(&world, plan, plan.callers, &mut callers);
     slow_callers::spawn_callers(&world, plan, plan.callers + SLOW_CALLERS_FROM, &mut callers);
     resumptions::spawn_callers(&world, plan, &mut callers);
+    plain_callers::spawn_callers(&world, plan, &mut callers);
     long_bodies::spawn_callers(&world, plan, &mut callers);
     bad_parts::spawn(&world, plan, &mut callers);
     let supervisor = tokio::spawn(process::keep_running(world.clone()));
@@ -218,6 +234,7 @@
     let configuration_task = tokio::spawn(configuration_task);
     let silence_task = tokio::spawn(silence::fall_silent_at_random(world.clone(), plan.clone()));
     let rollout_task = tokio::spawn(rollouts::order_at_random(world.clone(), plan.clone()));
+    let operation_task = tokio::spawn(operations::run(world.clone(), plan.clone()));
     let faults = faults::inject(&world, plan, &mut rng).await;
     // These tasks end with the fault phase, the roll-out within the recovery; an error here means that one of them
     // panicked.
@@ -226,6 +243,7 @@
     let _ = organisation_task.await;
     let _ = configuration_task.await;
     let _ = silence_task.await;
+    let _ = operation_task.await;
     time::sleep(RECOVERY).await;
     let _ = rollout_task.await;
     quiet::run(&world, plan).await;
@@ -248,8 +266,12 @@
         let platform = Platform::start().await;
         let mut runners = Vec::new();
         let mut runner_proxies = Vec::new();
+        let mut endpoint_starts = Vec::new();
         for index in 0..plan.endpoints {
             let runner = Runner::start(&runner_id(index, 0)).await;
+            let version = resumptions::first_version_of(index);
+            runner.state_runs(version);
+            endpoint_starts.push(EndpointStart { number: 0, version });
             runner.pace(Duration::from_millis(15));
             runner_proxies.push(Proxy::start(runner.addr).await);
             runners.push(runner);
@@ -258,6 +280,7 @@
         let mut target_proxies = Vec::new();
         for index in 0..rollouts::ENDPOINTS {
             let runner = Runner::start(&rollouts::target_id(index)).await;
+            runner.state_runs(rollouts::TARGET_VERSION);
             runner.pace(Duration::from_millis(15));
             target_proxies.push(Proxy::start(runner.addr).await);
             target_runners.push(runner);
@@ -280,7 +303,8 @@
             target_proxies,
             second_runners,
             store_proxies,
-            starts: (0..plan.endpoints).map(|_| AtomicUsize::new(0)).collect(),
+            endpoint_starts: Mutex::new(endpoint_starts),
+            restarting: tokio::sync::Mutex::default(),
             instances: Mutex::new(instances),
             sent: Mutex::default(),
             state: Mutex::new(RunState {
@@ -324,21 +348,36 @@
     }
 
     fn register_with_warmup(&self, index: usize, state: &str, cold_ms: u64) {
+        let starts = self.endpoint_starts.lock().expect("no holder panics");
+        let EndpointStart { number, version } = starts[index];
         let spec = json!({"backend": "svc", "address": self.runner_proxies[index].addr,
-            "zone": data_centres::of_endpoint(index), "version": resumptions::version_of(index), "capacity": brittle::SLOTS,
+            "zone": data_centres::of_endpoint(index), "version": version, "capacity": brittle::SLOTS,
             "state": state, "warmupLeftMs": cold_ms, "sequence": 1});
-        let start = self.starts[index].load(Ordering::Relaxed);
-        self.platform.set("servers", &runner_id(index, start), spec);
+        self.platform
+            .set("servers", &runner_id(index, number), spec);
     }
 
     /// Restarts an endpoint that has ended, under a new id, unless it was restarted meanwhile.
     async fn restart_endpoint(&self, index: usize) {
+        self.restart_with_version(index, None).await;
+    }
+
+    /// As `restart_endpoint`, with other software if a version is given.
+    async fn restart_with_version(&self, index: usize, version: Option<&'static str>) {
+        let _restarting = self.restarting.lock().await;
         if !self.runners[index].has_ended() {
             return;
         }
-        let start = self.starts[index].fetch_add(1, Ordering::Relaxed);
-        self.platform.remove("servers", &runner_id(index, start));
-        let id = runner_id(index, start + 1);
+        let id = {
+            let mut starts = self.endpoint_starts.lock().expect("no holder panics");
+            let start = &mut starts[index];
+            self.platform
+                .remove("servers", &runner_id(index, start.number));
+            start.number += 1;
+            start.version = version.unwrap_or(start.version);
+            self.runners[index].state_runs(start.version);
+            runner_id(index, start.number)
+        };
         self.runners[index].restart(&id).await;
         self.register_endpoint(index, "ready");
     }
--- a/standins/src/soak/process.rs
+++ b/standins/src/soak/process.rs
@@ -115,6 +115,16 @@
         let _ = self.child.wait();
     }
 
+    /// Asks the process to end as planned.
+    pub fn terminate(&self) {
+        send_signal(&self.child, "TERM");
+    }
+
+    /// Returns whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// Starts the process again after it has ended.
     pub fn restart(&mut self) {
         let settings = self.dir.join("boot.toml");
@@ -202,7 +212,7 @@
 pub fn signal(world: &World, index: usize, name: &'static str) {
     let mut instances = world.instances.lock().expect("no holder panics");
     let instance = &mut instances[index];
-    if matches!(instance.child.try_wait(), Ok(Some(_))) {
+    if instance.has_ended() {
         return;
     }
     let now = Instant::now();
@@ -221,8 +231,13 @@
         "CONT" => instance.is_frozen = false,
         _ => {}
     }
-    let pid = instance.child.id().to_string();
-    // The process may end between the check and the signal.
+    send_signal(&instance.child, name);
+}
+
+/// Sends a signal to a process.
+pub fn send_signal(process: &Child, name: &str) {
+    let pid = process.id().to_string();
+    // The process may end between a check and the signal.
     let _ = Command::new("kill").args(["-s", name, &pid]).status();
 }
 
--- a/standins/src/soak/resumptions.rs
+++ b/standins/src/soak/resumptions.rs
@@ -1,8 +1,9 @@
 //! Callers that leave streams and take them up at any instance, while endpoints of two software versions serve side by
-//! side; the check is that no stream holds events of both.
+//! side. Each stream is checked by its events over all its answers. Endpoints state their version in each event, so
+//! that the runs of a stream are compared with the version whose events its caller has.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::HashMap,
     ops::Range,
     sync::Arc,
     time::{Duration, Instant},
@@ -17,8 +18,12 @@
 use tokio::{net::TcpStream, task::JoinSet, time};
 
 use crate::{
-    runner::{EVENTS, event},
-    soak::{Plan, Report, World},
+    runner::EVENTS,
+    soak::{
+        Plan, Report, World,
+        callers::{Path, Sent},
+    },
+    stream_check::{self, Answer, whole_events},
 };
 
 /// XORed into the seed, so that these draws do not change the faults of a given seed.
@@ -37,24 +42,22 @@
 /// From so many streams on, the share counts.
 const MIN_STREAMS: usize = 12;
 
-/// Returns the version of an endpoint's software.
-pub(super) fn version_of(endpoint: usize) -> &'static str {
+/// Returns the version of the software with which an endpoint starts.
+pub(super) fn first_version_of(endpoint: usize) -> &'static str {
     match endpoint % 3 {
         0 => "v1.1",
         _ => "v1",
     }
 }
 
-/// A stream that its caller left and took up again.
-#[derive(Clone, Debug)]
-pub(super) struct TakenUp {
-    /// The id of the attempt that began it.
-    first: String,
-    /// The ids of the attempts to take it up.
-    others: Vec<String>,
-    /// When the first of them was sent.
-    at: Instant,
-    /// Whether one brought the rest of the stream.
+/// A stream that its caller left, and may have taken up again.
+#[derive(Clone, Debug, Default)]
+pub(super) struct LeftStream {
+    /// The answers that brought events, or could have.
+    answers: Vec<Answer>,
+    /// When it was first taken up.
+    taken_up_at: Option<Instant>,
+    /// Whether it was taken up and one answer brought the rest of it.
     is_whole: bool,
 }
 
@@ -70,77 +73,87 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     for count in 0.. {
         time::sleep(Duration::from_millis(rng.random_range(PAUSE_MS))).await;
+        let mut stream = LeftStream::default();
         let first = format!("left-{number}-{count}");
-        world.run_state().other_ids.insert(first.clone());
         let events = rng.random_range(1..EVENTS);
-        let Some(after) = begin(&world, &mut rng, &first, events).await else {
-            continue;
-        };
-        time::sleep(Duration::from_millis(rng.random_range(AWAY_MS))).await;
-        take_up(&world, &mut rng, first, after).await;
+        // However it ends, the events that arrived count.
+        let _ = stream.read(&world, &mut rng, first, events).await;
+        let is_over = stream.answers.iter().any(|a| a.is_complete);
+        if stream_check::last_number(&stream.answers) > 0 && !is_over {
+            time::sleep(Duration::from_millis(rng.random_range(AWAY_MS))).await;
+            stream.take_up(&world, &mut rng).await;
+        }
+        world.run_state().left.push(stream);
     }
 }
 
-/// Begins a stream and leaves it after some events; returns the last whole event that arrived, if any did.
-async fn begin(world: &World, rng: &mut ChaCha8Rng, id: &str, events: u64) -> Option<u64> {
-    let mut text = String::new();
-    let reading = async {
-        let mut body = send(world, rng, id, &[]).await.ok()??;
-        while whole_events(&text) < events {
-            let frame = body.frame().await?.ok()?;
-            let bytes = frame.into_data().unwrap_or_else(|_| Bytes::new());
-            text.push_str(&String::from_utf8_lossy(&bytes));
+impl LeftStream {
+    async fn take_up(&mut self, world: &World, rng: &mut ChaCha8Rng) {
+        self.taken_up_at = Some(Instant::now());
+        for attempt in 0..ATTEMPTS {
+            let id = format!("{}-{attempt}", self.answers[0].request_id);
+            match self.read(world, rng, id, u64::MAX).await {
+                Ok(Reading::Answered) => {
+                    self.is_whole = true;
+                    break;
+                }
+                Ok(Reading::Refused) => time::sleep(Duration::from_millis(300)).await,
+                // The share of streams that go on counts attempts that are refused only.
+                Err(Lost) => break,
+            }
         }
-        Some(())
-    };
-    // However it ends, the events that arrived count.
-    let _ = time::timeout(TIMEOUT, reading).await;
-    Some(whole_events(&text)).filter(|last| *last > 0)
-}
-
-fn whole_events(text: &str) -> u64 {
-    text.matches("\n\n").count() as u64
-}
+    }
 
-async fn take_up(world: &World, rng: &mut ChaCha8Rng, first: String, after: u64) {
-    let mut taken_up = TakenUp {
-        others: Vec::new(),
-        at: Instant::now(),
-        is_whole: false,
-        first,
-    };
-    for attempt in 0..ATTEMPTS {
-        let id = format!("{}-{attempt}", taken_up.first);
+    /// Sends a request with this id for the stream, or for the rest of it, and reads until it ends or that many events
+    /// have arrived.
+    async fn read(
+        &mut self,
+        world: &World,
+        rng: &mut ChaCha8Rng,
+        id: String,
+        events: u64,
+    ) -> Result<Reading, Lost> {
         world.run_state().other_ids.insert(id.clone());
-        taken_up.others.push(id.clone());
+        let after = stream_check::last_number(&self.answers);
+        let mut answer = Answer {
+            request_id: id.clone(),
+            after,
+            text: String::new(),
+            is_complete: false,
+        };
         let last_event = after.to_string();
-        let headers = [
-            ("last-event-id", &*last_event),
-            ("resumes", &taken_up.first),
-        ];
+        let first = self.answers.first();
+        let headers = first.map(|first| {
+            [
+                ("last-event-id", &*last_event),
+                ("resumes", &*first.request_id),
+            ]
+        });
         let reading = async {
-            let body = send(world, rng, &id, &headers).await?;
-            let Some(body) = body else { return Ok(None) };
-            let whole = body.collect().await.map_err(|_| Lost)?;
-            Ok(Some(whole.to_bytes()))
+            let headers = headers.as_ref().map_or(&[][..], |h| &h[..]);
+            let Some(mut body) = send(world, rng, &id, headers).await? else {
+                return Ok(Reading::Refused);
+            };
+            while (whole_events(&answer.text).len() as u64) < events {
+                let Some(frame) = body.frame().await else {
+                    answer.is_complete = true;
+                    break;
+                };
+                let bytes = frame.map_err(|_| Lost)?.into_data().unwrap_or_default();
+                answer.text.push_str(&String::from_utf8_lossy(&bytes));
+            }
+            Ok(Reading::Answered)
         };
         let read = time::timeout(TIMEOUT, reading).await;
-        match read.unwrap_or(Err(Lost)) {
-            Ok(Some(bytes)) => {
-                let expected: String = (after + 1..=EVENTS).map(|n| event(&id, n)).collect();
-                if *bytes != *expected.as_bytes() {
-                    let breach = format!("{id}: not the rest of {}", taken_up.first);
-                    world.run_state().breaches.push(breach);
-                }
-                taken_up.is_whole = true;
-                break;
-            }
-            Ok(None) => time::sleep(Duration::from_millis(300)).await,
-            // Events that were received would have to be counted for another attempt.
-            Err(Lost) => break,
-        }
+        self.answers.push(answer);
+        read.unwrap_or(Err(Lost))
     }
-    world.run_state().taken_up.push(taken_up);
+}
+
+/// What came of a request that was answered or refused.
+enum Reading {
+    Answered,
+    Refused,
 }
 
 /// The connection broke.
@@ -183,85 +196,74 @@
     }
 }
 
-/// A run of an attempt at an endpoint.
-struct Run {
-    at: Instant,
-    /// When the instance left it.
-    left_at: Option<Instant>,
-    version: &'static str,
-    is_resumption: bool,
-}
-
-/// Returns the runs of streams by id, in order.
-fn runs_by_id(world: &World) -> HashMap<String, Vec<Run>> {
-    let mut runs: HashMap<String, Vec<Run>> = HashMap::new();
-    let own = world.runners.iter().enumerate();
-    let own = own.map(|(index, runner)| (version_of(index), runner));
-    let target = world.target_runners.iter().map(|runner| ("v2", runner));
-    for (version, runner) in own.chain(target) {
-        for seen in runner.seen().into_iter().filter(|s| s.has_run) {
-            let id = seen.headers.get("request-id").cloned().unwrap_or_default();
-            runs.entry(id).or_default().push(Run {
-                at: seen.at,
-                left_at: seen.left_at,
-                version,
-                is_resumption: seen.headers.contains_key("last-event-id"),
-            });
-        }
-    }
-    for runs in runs.values_mut() {
-        runs.sort_by_key(|run| run.at);
-    }
-    runs
+/// A run that was to continue a stream.
+struct Resumption {
+    id: String,
+    version: String,
+    after: String,
 }
 
-fn describe(runs: &[Run]) -> String {
-    let lines = runs.iter().map(|run| {
-        let after = run.at - runs[0].at;
-        let held = run.left_at.map(|at| at - run.at);
-        format!("{} after {after:?}, left after {held:?}", run.version)
-    });
-    lines.collect::<Vec<_>>().join("; ")
+/// Returns the runs that were to continue streams.
+fn resumptions(world: &World) -> Vec<Resumption> {
+    let seen = world.all_runners().flat_map(|runner| runner.seen());
+    let run = seen.filter(|seen| seen.has_run);
+    run.filter_map(|seen| {
+        Some(Resumption {
+            id: seen.headers.get("request-id")?.clone(),
+            version: seen.version.clone(),
+            after: seen.headers.get("last-event-id")?.clone(),
+        })
+    })
+    .collect()
 }
 
-/// Checks that streams went on at the version that began them, and that enough went on without faults.
-pub(super) fn check(world: &World, report: &mut Report) {
+/// Checks all streams that were left, that no run was to continue a stream of another version, and that enough streams
+/// went on without faults.
+pub(super) fn check(world: &World, sent: &HashMap<String, Sent>, report: &mut Report) {
     let run_state = world.run_state();
-    let runs = runs_by_id(world);
-    let later_ids: HashMap<&str, &[String]> = run_state
-        .taken_up
-        .iter()
-        .map(|t| (&*t.first, &*t.others))
-        .collect();
-    let others: HashSet<&str> = later_ids
-        .values()
-        .flat_map(|ids| ids.iter().map(|id| &**id))
-        .collect();
-    for (id, own) in runs.iter().filter(|(id, _)| !others.contains(&***id)) {
-        // A run that began anew brought no event, unless it is the last one.
-        let Some(began) = own.iter().rfind(|run| !run.is_resumption) else {
+    let left = run_state.left.iter();
+    let left = left.map(|stream| (Path::Resume, &stream.answers));
+    let plain = run_state.plain_streams.iter();
+    let plain = plain.map(|(path, answers)| (*path, answers));
+    let mut began: HashMap<&str, String> = HashMap::new();
+    for (path, answers) in left.chain(plain) {
+        let breach = path
+            .stream()
+            .and_then(|expected| stream_check::find_breach(answers, &expected));
+        if let Some(breach) = breach {
+            let id = &answers[0].request_id;
+            report
+                .breaches
+                .push(format!("{id}: not its stream: {breach}"));
+        }
+        if let Some(version) = stream_check::began_version(answers) {
+            began.extend(answers.iter().map(|a| (&*a.request_id, version.clone())));
+        }
+    }
+    for (id, one) in sent {
+        let version = one.stream_answer(id);
+        let version = version.and_then(|answer| stream_check::began_version(&[answer]));
+        began.extend(version.map(|version| (&**id, version)));
+    }
+    for run in resumptions(world) {
+        // Without an event at its caller, a stream has no version that can be told.
+        let Some(began) = began.get(&*run.id) else {
             continue;
         };
-        let later = later_ids.get(&**id).copied().unwrap_or_default();
-        let later = later.iter().filter_map(|id| runs.get(id)).flatten();
-        let went_on = own.iter().chain(later).filter(|run| run.is_resumption);
-        for run in went_on.filter(|run| run.version != began.version) {
+        if *began != run.version {
             report.breaches.push(format!(
-                "{id}: a stream of {} went on at {} after {:?}; its runs: {}",
-                began.version,
-                run.version,
-                run.at - own[0].at,
-                describe(own)
+                "{}: a stream of {began} went on at {} after event {}",
+                run.id, run.version, run.after
             ));
         }
     }
     let calm_since = run_state.calm_since;
     let calm: Vec<_> = run_state
-        .taken_up
+        .left
         .iter()
-        .filter(|t| calm_since.is_some_and(|since| t.at > since))
+        .filter(|s| calm_since.is_some_and(|since| s.taken_up_at.is_some_and(|at| at > since)))
         .collect();
-    let whole = calm.iter().filter(|t| t.is_whole).count();
+    let whole = calm.iter().filter(|s| s.is_whole).count();
     if calm.len() >= MIN_STREAMS && (whole as f64) < calm.len() as f64 * CALM_SHARE {
         report.breaches.push(format!(
             "{whole} of {} streams went on that were taken up without faults",
--- a/standins/src/soak/rollouts.rs
+++ b/standins/src/soak/rollouts.rs
@@ -17,6 +17,8 @@
 
 /// Number of endpoints of the target version.
 pub const ENDPOINTS: usize = 3;
+/// The target version.
+pub const TARGET_VERSION: &str = "v2";
 /// Separates the random choices here from those of the faults.
 const RNG_STREAM: u64 = 0x7011;
 const KIND: &str = "rollouts";
@@ -57,7 +59,8 @@
         runner.run_version(bad);
     }
     let from = Instant::now();
-    let spec = json!({"backend": SERVICE, "targetVersion": "v2", "durationS": DURATION_S});
+    let spec =
+        json!({"backend": SERVICE, "targetVersion": TARGET_VERSION, "durationS": DURATION_S});
     world.platform.set(KIND, SERVICE, spec);
     time::sleep(Duration::from_millis(rng.random_range(300..1_000))).await;
     register(&world, "ready");
@@ -84,7 +87,7 @@
 fn register(world: &World, state: &str) {
     for (index, proxy) in world.target_proxies.iter().enumerate() {
         let spec = json!({"backend": SERVICE, "address": proxy.addr, "zone": format!("site-t{index}"),
-            "version": "v2", "capacity": 8, "state": state, "warmupLeftMs": 0, "sequence": 1});
+            "version": TARGET_VERSION, "capacity": 8, "state": state, "warmupLeftMs": 0, "sequence": 1});
         world.platform.set("servers", &target_id(index), spec);
     }
 }
--- a/standins/src/stream_check.rs
+++ b/standins/src/stream_check.rs
@@ -3,6 +3,11 @@
 //! Endpoints state in each event the run and the version of their software that made it, see
 //! [`Runner::state_runs`](crate::runner::Runner::state_runs).
 
+use crate::runner::stated_event;
+
+/// Length of the text shown of an event that is not as it was sent.
+const SHOWN_CHARS: usize = 120;
+
 /// One answer that brought events of a stream.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -16,6 +21,17 @@
     pub is_complete: bool,
 }
 
+/// What a stream should be.
+#[derive(Clone, Copy, Debug)]
+pub struct Expected {
+    /// Number of its events.
+    pub events: u64,
+    /// Bytes added to each event.
+    pub padding_bytes: usize,
+    /// Whether it may go on at another run.
+    pub may_resume: bool,
+}
+
 /// An event as a caller received it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ReceivedEvent {
@@ -31,9 +47,14 @@
 
 /// Returns the whole events of an answer's text.
 pub fn whole_events(text: &str) -> Vec<ReceivedEvent> {
-    let whole = text.rfind("\n\n").map_or("", |end| &text[..end]);
-    let events = whole.split("\n\n").filter(|event| !event.is_empty());
-    events.map(parse).collect()
+    pieces(text).0.map(parse).collect()
+}
+
+/// Returns the texts of the whole events, and the part of another one after them.
+fn pieces(text: &str) -> (impl Iterator<Item = &str>, &str) {
+    let end = text.rfind("\n\n").map_or(0, |at| at + 2);
+    let (whole, part) = text.split_at(end);
+    (whole.split_inclusive("\n\n"), part)
 }
 
 fn parse(event: &str) -> ReceivedEvent {
@@ -57,42 +78,111 @@
     events.map(|e| e.number).max().unwrap_or(0)
 }
 
-/// Returns what is wrong with a stream of `length` events, if anything is. `may_resume` says whether it may go on at
-/// another run.
-pub fn find_breach(answers: &[Answer], length: u64, may_resume: bool) -> Option<String> {
-    let mut last = ReceivedEvent::default();
-    let mut runs: Vec<String> = Vec::new();
-    for answer in answers {
-        for event in whole_events(&answer.text) {
-            if event.request_id != answer.request_id {
-                return Some(format!("an event of another request: {event:?}"));
-            }
-            if event.number <= last.number {
-                return Some(format!(
-                    "event {} came twice: {event:?} after {last:?}",
-                    event.number
-                ));
-            }
-            if event.number > last.number + 1 {
-                return Some(format!("events are missing: {event:?} after {last:?}"));
-            }
-            if last.number > 0 && event.version != last.version {
-                return Some(format!("two versions: {event:?} after {last:?}"));
-            }
-            if runs.last() != Some(&event.run) {
-                if runs.contains(&event.run) {
-                    return Some(format!("two runs take turns: {event:?} after {last:?}"));
-                }
-                runs.push(event.run.clone());
-            }
-            last = event;
+/// Returns the version that made the first event of a stream, if its caller has one.
+pub fn began_version(answers: &[Answer]) -> Option<String> {
+    let mut events = answers.iter().flat_map(|a| whole_events(&a.text));
+    events.next().map(|event| event.version)
+}
+
+/// Returns what is wrong with a stream, if anything is.
+pub fn find_breach(answers: &[Answer], expected: &Expected) -> Option<String> {
+    let mut stream = Stream {
+        expected: *expected,
+        last: ReceivedEvent::default(),
+        runs: Vec::new(),
+    };
+    answers
+        .iter()
+        .try_for_each(|answer| stream.add(answer))
+        .err()
+}
+
+/// A stream as far as its caller has it.
+struct Stream {
+    expected: Expected,
+    last: ReceivedEvent,
+    /// The runs that brought its events, in order.
+    runs: Vec<String>,
+}
+
+impl Stream {
+    fn add(&mut self, answer: &Answer) -> Result<(), String> {
+        let (whole, part) = pieces(&answer.text);
+        for text in whole {
+            self.add_event(answer, text)?;
         }
-        if answer.is_complete && last.number != length {
-            return Some(format!(
-                "complete too early: {} of {length} events",
-                last.number
-            ));
+        self.check_part(answer, part)?;
+        let (last, all) = (self.last.number, self.expected.events);
+        match answer.is_complete {
+            true if last != all => Err(format!("complete too early: {last} of {all} events")),
+            true if !part.is_empty() => Err(format!("complete within an event: {part:?}")),
+            _ => Ok(()),
+        }
+    }
+
+    fn add_event(&mut self, answer: &Answer, text: &str) -> Result<(), String> {
+        let event = parse(text);
+        let last = &self.last;
+        let beside = format!("{event:?} after {last:?}");
+        let (number, padding_bytes) = (event.number, self.expected.padding_bytes);
+        if event.request_id != answer.request_id {
+            return Err(format!("an event of another request: {beside}"));
+        }
+        if number <= last.number {
+            return Err(format!("event {number} came twice: {beside}"));
+        }
+        if number > last.number + 1 {
+            return Err(format!("events are missing: {beside}"));
+        }
+        if number > self.expected.events {
+            return Err(format!("more events than the stream has: {beside}"));
+        }
+        if event.run.is_empty() || event.version.is_empty() {
+            return Err(format!("an event without its run and version: {beside}"));
+        }
+        if last.number > 0 && event.version != last.version {
+            return Err(format!("two versions: {beside}"));
+        }
+        if text != stated_event(&event, padding_bytes) {
+            let shown: String = text.chars().take(SHOWN_CHARS).collect();
+            return Err(format!("an event not as sent: {shown:?} after {last:?}"));
+        }
+        self.add_run(&event.run, &beside)?;
+        self.last = event;
+        Ok(())
+    }
+
+    fn add_run(&mut self, run: &str, beside: &str) -> Result<(), String> {
+        if self.runs.last().is_some_and(|last| last == run) {
+            return Ok(());
+        }
+        if self.runs.iter().any(|earlier| earlier == run) {
+            return Err(format!("two runs take turns: {beside}"));
+        }
+        self.runs.push(run.to_owned());
+        match self.runs.len() > 1 && !self.expected.may_resume {
+            true => Err(format!("runs joined: {beside}")),
+            false => Ok(()),
+        }
+    }
+
+    /// Checks the part of an event with which a broken answer ends.
+    fn check_part(&self, answer: &Answer, part: &str) -> Result<(), String> {
+        let next = ReceivedEvent {
+            number: self.last.number + 1,
+            request_id: answer.request_id.clone(),
+            ..ReceivedEvent::default()
+        };
+        let next = stated_event(&next, self.expected.padding_bytes);
+        // The run and the version that it states are not known.
+        let known = next.split_inclusive("run: ").next().unwrap_or_default();
+        if part.starts_with(known) || known.starts_with(part) {
+            return Ok(());
         }
+        let shown: String = part.chars().take(SHOWN_CHARS).collect();
+        let last = &self.last;
+        Err(format!(
+            "a part that is not of the next event: {shown:?} after {last:?}"
+        ))
     }
-    (runs.len() > 1 && !may_resume).then(|| format!("runs joined: {runs:?}"))
 }
--- a/standins/src/streams.rs
+++ b/standins/src/streams.rs
@@ -4,13 +4,14 @@
 //! Endpoints of two versions of their software serve side by side. Callers read a stream to its end, and take it up at
 //! another instance if it breaks.
 
-mod caller;
+pub(crate) mod caller;
 mod endpoint;
 
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
     path::PathBuf,
+    str::FromStr,
     sync::{
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering},
@@ -28,8 +29,8 @@
 use crate::{
     platform::Platform,
     soak::process::{Host, Instance},
-    stream_check::{self, Answer},
-    streams::{caller::Call, endpoint::EndpointProcess},
+    stream_check::{self, Answer, Expected},
+    streams::{caller::StreamCall, endpoint::EndpointProcess},
 };
 
 /// Events of a stream.
@@ -44,20 +45,73 @@
 const COOL_DOWN: Duration = Duration::from_secs(5);
 /// Pause between two disturbances, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 300..900;
-/// Time after which a killed process is started again.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time after which an ended process is started again.
 const RESTART_AFTER: Duration = Duration::from_millis(400);
-/// Answers of one stream: the first, and those of attempts to take it up.
-const MAX_ANSWERS: usize = 4;
-/// Pause before a stream is taken up, or a refused one is sent again.
-const RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Which processes are killed.
+/// How processes end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Kills {
+pub enum Ends {
     None,
+    /// Endpoints are killed.
     Endpoints,
+    /// Instances are killed.
     Instances,
+    /// Endpoints and instances are killed.
     Both,
+    /// Two releases of endpoints' software overlap; each endpoint says that it leaves, and ends.
+    Releases,
+    /// Instances are stopped as planned.
+    Stops,
+    /// All of these.
+    All,
+}
+
+impl FromStr for Ends {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        Ok(match text {
+            "none" => Self::None,
+            "endpoints" => Self::Endpoints,
+            "instances" => Self::Instances,
+            "both" => Self::Both,
+            "releases" => Self::Releases,
+            "stops" => Self::Stops,
+            "all" => Self::All,
+            _ => return Err(format!("{text}: not known")),
+        })
+    }
+}
+
+/// One end of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    EndpointKilled,
+    InstanceKilled,
+    EndpointReleased,
+    InstanceStopped,
+}
+
+impl Ends {
+    fn draw(self, rng: &mut ChaCha8Rng) -> Option<End> {
+        let all = [
+            End::EndpointKilled,
+            End::InstanceKilled,
+            End::EndpointReleased,
+            End::InstanceStopped,
+        ];
+        Some(match self {
+            Self::None => return None,
+            Self::Endpoints => End::EndpointKilled,
+            Self::Instances => End::InstanceKilled,
+            Self::Both if rng.random_bool(0.7) => End::EndpointKilled,
+            Self::Both => End::InstanceKilled,
+            Self::Releases => End::EndpointReleased,
+            Self::Stops => End::InstanceStopped,
+            Self::All => all[rng.random_range(0..all.len())],
+        })
+    }
 }
 
 /// Parameters of a run.
@@ -71,7 +125,7 @@
     pub callers: usize,
     pub lasts: Duration,
     pub framing: Framing,
-    pub kills: Kills,
+    pub ends: Ends,
     /// Whether callers speak HTTP/1.0, whose answers end with the connection.
     pub http10: bool,
 }
@@ -86,8 +140,8 @@
     pub broken: usize,
     /// Answers of which callers took up the rest.
     pub taken_up: usize,
-    /// Processes killed.
-    pub killed: usize,
+    /// Processes that were killed or stopped.
+    pub ended: usize,
     /// What is wrong with streams, by route.
     pub breaches: Vec<(&'static str, String)>,
 }
@@ -99,7 +153,12 @@
         self.whole += usize::from(answers.last().is_some_and(|a| a.is_complete));
         self.broken += answers.iter().filter(|a| !a.is_complete).count();
         self.taken_up += answers.iter().filter(|a| a.after > 0).count();
-        if let Some(breach) = stream_check::find_breach(answers, EVENTS, route == RESUMABLE) {
+        let expected = Expected {
+            events: EVENTS,
+            padding_bytes: 0,
+            may_resume: route == RESUMABLE,
+        };
+        if let Some(breach) = stream_check::find_breach(answers, &expected) {
             let id = &answers[0].request_id;
             self.breaches.push((route, format!("{breach} ({id})")));
         }
@@ -161,7 +220,7 @@
         for index in 0..plan.endpoints {
             let version = VERSIONS[index % VERSIONS.len()];
             let endpoint = EndpointProcess::start(index, version, plan.framing).await;
-            platform.set("servers", &endpoint.id, endpoint.entry());
+            platform.set("servers", &endpoint.id, endpoint.entry("ready"));
             endpoints.push(endpoint);
         }
         Self {
@@ -179,48 +238,102 @@
         self.report.lock().expect("no holder panics")
     }
 
-    /// Kills processes and starts them again until the time is over.
-    async fn disturb(&self, rng: &mut ChaCha8Rng) {
+    /// Ends processes and starts them again until the time is over.
+    async fn disturb(self: &Arc<Self>, rng: &mut ChaCha8Rng) {
         let until = time::Instant::now() + self.plan.lasts;
+        let mut planned = JoinSet::new();
         while time::Instant::now() < until {
             time::sleep(Duration::from_millis(rng.random_range(PAUSE_MS))).await;
-            match self.plan.kills {
-                Kills::None => {}
-                Kills::Endpoints => self.kill_endpoint(rng).await,
-                Kills::Instances => self.kill_instance(rng).await,
-                Kills::Both if rng.random_bool(0.7) => self.kill_endpoint(rng).await,
-                Kills::Both => self.kill_instance(rng).await,
+            let Some(end) = self.plan.ends.draw(rng) else {
+                continue;
+            };
+            let endpoint = rng.random_range(0..self.plan.endpoints);
+            let instance = rng.random_range(0..self.plan.instances);
+            let version = VERSIONS[rng.random_range(0..VERSIONS.len())];
+            match end {
+                End::EndpointKilled => self.end_endpoint(endpoint, version, false).await,
+                End::InstanceKilled => self.end_instance(instance, false).await,
+                // Planned ends take longer, and overlap.
+                End::EndpointReleased => {
+                    let world = self.clone();
+                    planned.spawn(async move { world.end_endpoint(endpoint, version, true).await });
+                }
+                End::InstanceStopped => {
+                    let world = self.clone();
+                    planned.spawn(async move { world.end_instance(instance, true).await });
+                }
             }
         }
+        planned.join_all().await;
     }
 
-    /// Kills an endpoint, and starts another one at its address, of either version.
-    async fn kill_endpoint(&self, rng: &mut ChaCha8Rng) {
-        let index = rng.random_range(0..self.plan.endpoints);
-        let version = VERSIONS[rng.random_range(0..VERSIONS.len())];
+    /// Kills an endpoint or lets it leave, and starts another one at its address, of this version.
+    async fn end_endpoint(&self, index: usize, version: &'static str, is_planned: bool) {
         let old = {
             let mut endpoints = self.endpoints.lock().expect("no holder panics");
-            endpoints[index].kill();
-            endpoints[index].id.clone()
+            let endpoint = &mut endpoints[index];
+            if endpoint.has_ended() {
+                return;
+            }
+            if is_planned {
+                let entry = endpoint.entry("draining");
+                self.platform.set("servers", &endpoint.id, entry);
+                endpoint.terminate();
+            } else {
+                endpoint.kill();
+            }
+            endpoint.id.clone()
         };
-        self.report().killed += 1;
+        self.report().ended += 1;
+        self.wait_for_end(|world| {
+            let mut endpoints = world.endpoints.lock().expect("no holder panics");
+            endpoints[index].has_ended()
+        })
+        .await;
         time::sleep(RESTART_AFTER).await;
-        self.platform.remove("servers", &old);
         let (id, entry) = {
             let mut endpoints = self.endpoints.lock().expect("no holder panics");
+            if endpoints[index].id != old {
+                return;
+            }
+            self.platform.remove("servers", &old);
             endpoints[index].restart(version);
-            (endpoints[index].id.clone(), endpoints[index].entry())
+            (endpoints[index].id.clone(), endpoints[index].entry("ready"))
         };
         time::sleep(RESTART_AFTER).await;
         self.platform.set("servers", &id, entry);
     }
 
-    async fn kill_instance(&self, rng: &mut ChaCha8Rng) {
-        let index = rng.random_range(0..self.plan.instances);
-        self.instances.lock().expect("no holder panics")[index].kill();
-        self.report().killed += 1;
+    /// Kills an instance or stops it as planned, and starts it again.
+    async fn end_instance(&self, index: usize, is_planned: bool) {
+        {
+            let mut instances = self.instances.lock().expect("no holder panics");
+            let instance = &mut instances[index];
+            if instance.has_ended() {
+                return;
+            }
+            match is_planned {
+                true => instance.terminate(),
+                false => instance.kill(),
+            }
+        }
+        self.report().ended += 1;
+        self.wait_for_end(|world| {
+            let mut instances = world.instances.lock().expect("no holder panics");
+            instances[index].has_ended()
+        })
+        .await;
         time::sleep(RESTART_AFTER).await;
-        self.instances.lock().expect("no holder panics")[index].restart();
+        let mut instances = self.instances.lock().expect("no holder panics");
+        if instances[index].has_ended() {
+            instances[index].restart();
+        }
+    }
+
+    async fn wait_for_end(&self, has_ended: impl Fn(&Self) -> bool) {
+        while !has_ended(self) {
+            time::sleep(POLL_INTERVAL).await;
+        }
     }
 }
 
@@ -235,43 +348,18 @@
             true => RESUMABLE,
             false => "fixed",
         };
-        let answers = read_stream(&world, &mut rng, route, &format!("s-{number}-{count}")).await;
-        world.report().add(route, &answers);
-        time::sleep(Duration::from_millis(rng.random_range(5..40))).await;
-    }
-}
-
-/// Reads a stream, and takes it up at any instance as long as it breaks and may go on.
-async fn read_stream(
-    world: &World,
-    rng: &mut ChaCha8Rng,
-    route: &'static str,
-    first_id: &str,
-) -> Vec<Answer> {
-    let mut answers: Vec<Answer> = Vec::new();
-    for attempt in 0..MAX_ANSWERS {
-        let after = stream_check::last_number(&answers);
-        let call = Call {
+        let call = StreamCall {
             path: format!("/{route}/stream"),
-            request_id: format!("{first_id}-{attempt}"),
-            took_up: answers
-                .first()
-                .filter(|_| after > 0)
-                .map(|a| a.request_id.clone()),
-            after,
+            first_id: format!("s-{number}-{count}"),
+            key: KEY.to_owned(),
+            may_resume: route == RESUMABLE,
             http10: world.plan.http10,
         };
-        let addr = world.callers[rng.random_range(0..world.callers.len())];
-        let answer = caller::call(addr, &call).await;
-        let is_over = answer.as_ref().is_some_and(|a| a.is_complete);
-        answers.extend(answer);
-        let has_begun = stream_check::last_number(&answers) > 0;
-        if is_over || (has_begun && route != RESUMABLE) {
-            break;
-        }
-        time::sleep(RETRY_AFTER).await;
+        let addrs = &world.callers;
+        let answers = caller::read_stream(&call, || addrs[rng.random_range(0..addrs.len())]).await;
+        world.report().add(route, &answers);
+        time::sleep(Duration::from_millis(rng.random_range(5..40))).await;
     }
-    answers
 }
 
 /// Returns a configuration with the routes `/resume/` and `/fixed/`.
--- a/standins/src/streams/endpoint.rs
+++ b/standins/src/streams/endpoint.rs
@@ -1,7 +1,6 @@
 //! Endpoints as processes of their own.
 
 use std::{
-    future,
     net::SocketAddr,
     process::{Child, Command, Stdio},
     str::FromStr,
@@ -9,12 +8,18 @@
 };
 
 use serde_json::{Value, json};
-use tokio::net::TcpListener;
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+    time,
+};
 
-use crate::{runner::Runner, streams::EVENTS};
+use crate::{runner::Runner, soak::process::send_signal, streams::EVENTS};
 
 /// Requests that an endpoint runs at a time.
 const SLOTS: u32 = 16;
+/// Time from the announcement that an endpoint leaves to its end.
+const LEAVING_FOR: Duration = Duration::from_millis(700);
 const EVENT_INTERVAL: Duration = Duration::from_millis(15);
 
 /// How an endpoint delimits its answers.
@@ -53,7 +58,7 @@
     }
 }
 
-/// Serves as an endpoint until the process is killed.
+/// Serves as an endpoint until the process is killed. After a SIGTERM it announces that it leaves, and ends.
 ///
 /// # Panics
 /// Panics if the address cannot be bound.
@@ -65,7 +70,10 @@
     if framing == Framing::Close {
         runner.end_with_connection();
     }
-    future::pending().await
+    let mut terminated = signal(SignalKind::terminate()).expect("a signal handler");
+    terminated.recv().await;
+    runner.announce_leaving(Some("1"));
+    time::sleep(LEAVING_FOR).await;
 }
 
 /// An endpoint's process; it is killed on drop.
@@ -108,9 +116,9 @@
     }
 
     /// Returns the entry of the endpoint in the store.
-    pub fn entry(&self) -> Value {
+    pub fn entry(&self, state: &str) -> Value {
         json!({"backend": "svc", "address": self.addr, "zone": "hall-0", "version": self.version,
-            "capacity": SLOTS, "state": "ready", "warmupLeftMs": 0, "sequence": 1})
+            "capacity": SLOTS, "state": state, "warmupLeftMs": 0, "sequence": 1})
     }
 
     /// Kills the process; the kernel closes its sockets.
@@ -120,7 +128,17 @@
         let _ = self.child.wait();
     }
 
-    /// Starts another endpoint at the address of this one, which was killed.
+    /// Asks the process to leave and end.
+    pub fn terminate(&self) {
+        send_signal(&self.child, "TERM");
+    }
+
+    /// Returns whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
+    /// Starts another endpoint at the address of this one, which has ended.
     pub fn restart(&mut self, version: &'static str) {
         self.starts += 1;
         self.id = format!("i-{}-{}", self.index, self.starts);
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -22,6 +22,7 @@
             instances: 3,
             endpoints: 6,
             callers: 10,
+            http10: false,
         };
         let report = soak::run(&plan).await;
         let breaches = report.breaches.join("\n");
