--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -1,6 +1,7 @@
 //! Short soak runs of real processes under faults. A seed fixes the plan of faults and load, not their timing.
 
 mod stand_in;
+mod stream_check;
 
 use std::{path::PathBuf, time::Duration};
 
