Streams: callers of two organisations that use ids again and leave their streams (--ids)

Two organisations use the same ids; callers leave streams after some events and take them up at once, send a request twice under one id, or do not say which request began the stream.

--- a/standins/src/bin/streams.rs
+++ b/standins/src/bin/streams.rs
@@ -1,6 +1,6 @@
 //! Runs streams beside processes that end:
 //! `streams [--binary PATH] [--seed N] [--runs N] [--seconds S] [--instances N] [--endpoints N] [--callers N]
-//! [--framing chunked|close|mixed] [--ends none|endpoints|instances|both|releases|stops|all] [--http10 0|1]`.
+//! [--framing chunked|close|mixed] [--ends none|endpoints|instances|both|releases|stops|all] [--http10 0|1] [--ids 0|1]`.
 //!
 //! Exit code 0 if each stream was right for its caller, 1 if one was not, 2 for bad arguments.
 //! `streams endpoint ADDRESS ID VERSION FRAMING` serves as an endpoint.
@@ -67,6 +67,7 @@
         framing: Framing::Mixed,
         ends: Ends::Endpoints,
         http10: false,
+        shares_ids: false,
     };
     let mut runs = 1;
     for pair in args.chunks(2) {
@@ -88,6 +89,7 @@
             "--framing" => plan.framing = value.parse()?,
             "--ends" => plan.ends = value.parse()?,
             "--http10" => plan.http10 = number()? > 0,
+            "--ids" => plan.shares_ids = number()? > 0,
             _ => return Err(format!("{flag} is not known")),
         }
     }
--- a/standins/src/soak/plain_callers.rs
+++ b/standins/src/soak/plain_callers.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     soak::{Plan, World, callers::Path, configurations::SIDE_ROUTES},
-    streams::caller::{self, MAX_ANSWERS, StreamCall},
+    streams::caller::{self, Habits, MAX_ANSWERS, StreamCall},
 };
 
 /// XORed into the seed, so that these draws do not change the faults of a given seed.
@@ -49,6 +49,7 @@
             key,
             may_resume: SIDE_ROUTES[route].may_resume,
             http10,
+            habits: Habits::default(),
         };
         let answers = caller::read_stream(&call, || pick_instance(&world, &mut rng)).await;
         let mut run_state = world.run_state();
--- a/standins/src/streams.rs
+++ b/standins/src/streams.rs
@@ -30,12 +30,16 @@
     platform::Platform,
     soak::process::{Host, Instance},
     stream_check::{self, Answer, Expected},
-    streams::{caller::StreamCall, endpoint::EndpointProcess},
+    streams::{
+        caller::{Habits, StreamCall},
+        endpoint::EndpointProcess,
+    },
 };
 
 /// Events of a stream.
 pub const EVENTS: u64 = 20;
-const KEY: &str = "key-of-the-streams";
+/// Keys of two organisations.
+const KEYS: [&str; 2] = ["key-of-the-streams", "another-key"];
 /// The route whose streams may go on at another endpoint.
 const RESUMABLE: &str = "resume";
 const VERSIONS: [&str; 2] = ["v1", "v1.1"];
@@ -128,6 +132,8 @@
     pub ends: Ends,
     /// Whether callers speak HTTP/1.0, whose answers end with the connection.
     pub http10: bool,
+    /// Whether callers use ids again, and leave streams.
+    pub shares_ids: bool,
 }
 
 /// What callers saw.
@@ -340,6 +346,7 @@
 /// Reads streams until the run is over.
 async fn call_until_over(world: Arc<World>, number: usize, seed: u64) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let shares_ids = world.plan.shares_ids;
     for count in 0.. {
         if world.is_over.load(Ordering::Relaxed) {
             return;
@@ -350,10 +357,18 @@
         };
         let call = StreamCall {
             path: format!("/{route}/stream"),
-            first_id: format!("s-{number}-{count}"),
-            key: KEY.to_owned(),
+            first_id: match shares_ids {
+                // Callers of two organisations use the same ids.
+                true => format!("s-{}-{count}", number / KEYS.len()),
+                false => format!("s-{number}-{count}"),
+            },
+            key: KEYS[number % KEYS.len()].to_owned(),
             may_resume: route == RESUMABLE,
             http10: world.plan.http10,
+            habits: match shares_ids {
+                true => draw_habits(&mut rng),
+                false => Habits::default(),
+            },
         };
         let addrs = &world.callers;
         let answers = caller::read_stream(&call, || addrs[rng.random_range(0..addrs.len())]).await;
@@ -362,6 +377,14 @@
     }
 }
 
+fn draw_habits(rng: &mut ChaCha8Rng) -> Habits {
+    Habits {
+        leaves_after: rng.random_bool(0.7).then(|| rng.random_range(1..EVENTS)),
+        sends_twice: rng.random_bool(0.3),
+        omits_resumes: rng.random_bool(0.2),
+    }
+}
+
 /// Returns a configuration with the routes `/resume/` and `/fixed/`.
 fn config() -> Value {
     let route = |name: &str, attempts: u32, resume: bool| {
@@ -378,7 +401,7 @@
         "backends": [{"name": "svc", "healthCheck": "/healthz", "maxConnections": 1_000}],
         "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 100_000, "headerTimeoutMs": 3_000,
             "idleTimeoutMs": 15_000},
-        "tenants": [{"name": "org", "apiKeys": [KEY], "unit": "token_count",
-            "uncachedTokens": 200, "ratePerS": 0, "burst": 0}],
+        "tenants": KEYS.map(|key| json!({"name": format!("org of {key}"), "apiKeys": [key],
+            "unit": "token_count", "uncachedTokens": 200, "ratePerS": 0, "burst": 0})),
     })
 }
--- a/standins/src/streams/caller.rs
+++ b/standins/src/streams/caller.rs
@@ -24,6 +24,18 @@
     /// Whether its caller takes it up when it breaks.
     pub may_resume: bool,
     pub http10: bool,
+    pub habits: Habits,
+}
+
+/// What a caller does that others do not.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Habits {
+    /// It leaves its first answer after so many events, and takes the stream up at once.
+    pub leaves_after: Option<u64>,
+    /// Before its first request it sends one with the same id, and leaves it.
+    pub sends_twice: bool,
+    /// It does not say which request began the stream.
+    pub omits_resumes: bool,
 }
 
 /// A request for a stream, or for the rest of it.
@@ -46,8 +58,10 @@
             stream.path, self.request_id, stream.key
         );
         if let Some(began_as) = &self.took_up {
-            let after = self.after;
-            head += &format!("Last-Event-Id: {after}\r\nResumes: {began_as}\r\n");
+            head += &format!("Last-Event-Id: {}\r\n", self.after);
+            if !stream.habits.omits_resumes {
+                head += &format!("Resumes: {began_as}\r\n");
+            }
         }
         head + "\r\na prompt"
     }
@@ -63,7 +77,12 @@
     stream: &StreamCall,
     mut next_instance: impl FnMut() -> SocketAddr,
 ) -> Vec<Answer> {
+    let habits = &stream.habits;
     let mut answers: Vec<Answer> = Vec::new();
+    let _left = match habits.sends_twice {
+        true => send_and_leave(stream, next_instance()).await,
+        false => None,
+    };
     for attempt in 0..MAX_ANSWERS {
         let after = stream_check::last_number(&answers);
         let began_as = answers.first().filter(|_| after > 0);
@@ -73,48 +92,95 @@
             took_up: began_as.map(|a| a.request_id.clone()),
             after,
         };
-        let answer = call(next_instance(), &request).await;
+        let until = habits.leaves_after.filter(|_| attempt == 0);
+        let answer = call(next_instance(), &request, until).await;
         let is_over = answer.as_ref().is_some_and(|a| a.is_complete);
         answers.extend(answer);
         let has_begun = stream_check::last_number(&answers) > 0;
         if is_over || (has_begun && !stream.may_resume) {
             break;
         }
-        time::sleep(RETRY_AFTER).await;
+        if until.is_none() {
+            time::sleep(RETRY_AFTER).await;
+        }
     }
     answers
 }
 
-/// Sends a request on a new connection, and reads until it ends; returns `None` unless a success arrived.
-async fn call(addr: SocketAddr, call: &Call<'_>) -> Option<Answer> {
+/// Sends the first request for a stream, of which nothing is read; the connection ends when it is dropped.
+async fn send_and_leave(stream: &StreamCall, addr: SocketAddr) -> Option<TcpStream> {
+    let request = Call {
+        stream,
+        request_id: attempt_id(&stream.first_id, 0),
+        took_up: None,
+        after: 0,
+    };
+    let mut connection = TcpStream::connect(addr).await.ok()?;
+    connection.write_all(request.head().as_bytes()).await.ok()?;
+    Some(connection)
+}
+
+/// Sends a request on a new connection, and reads until it ends or so many events have arrived; returns `None` unless a
+/// success arrived.
+async fn call(addr: SocketAddr, call: &Call<'_>, until: Option<u64>) -> Option<Answer> {
     let mut bytes = Vec::new();
     let reading = async {
         let mut stream = TcpStream::connect(addr).await.ok()?;
         stream.write_all(call.head().as_bytes()).await.ok()?;
-        Some(stream.read_to_end(&mut bytes).await.is_ok())
+        loop {
+            if until.is_some_and(|events| has_events(&bytes, events)) {
+                return Some(false);
+            }
+            match stream.read_buf(&mut bytes).await {
+                Ok(0) => return Some(true),
+                Ok(_) => {}
+                Err(_) => return Some(false),
+            }
+        }
     };
     let is_closed = time::timeout(TIMEOUT, reading).await.ok().flatten() == Some(true);
-    let text = String::from_utf8_lossy(&bytes).into_owned();
-    let (head, body) = text.split_once("\r\n\r\n")?;
-    let is_success = head.split(' ').nth(1) == Some("200");
-    if !is_success {
-        return None;
-    }
-    let is_chunked = head
-        .to_ascii_lowercase()
-        .contains("transfer-encoding: chunked");
-    let (text, has_end) = match is_chunked {
-        true => decode_chunks(body),
-        false => (body.to_owned(), is_closed),
-    };
+    let body = decode(&bytes)?;
     Some(Answer {
         request_id: call.request_id.clone(),
         after: call.after,
+        text: body.text,
+        is_complete: body.has_end.unwrap_or(is_closed),
+    })
+}
+
+/// The body of a success, as far as it has arrived.
+struct Body {
+    text: String,
+    /// Whether its last chunk has arrived; `None` if it is not chunked.
+    has_end: Option<bool>,
+}
+
+/// Returns the body of a success, if its head has arrived.
+fn decode(bytes: &[u8]) -> Option<Body> {
+    let text = String::from_utf8_lossy(bytes);
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    if head.split(' ').nth(1) != Some("200") {
+        return None;
+    }
+    let head = head.to_ascii_lowercase();
+    if !head.contains("transfer-encoding: chunked") {
+        let text = body.to_owned();
+        return Some(Body {
+            text,
+            has_end: None,
+        });
+    }
+    let (text, has_end) = decode_chunks(body);
+    Some(Body {
         text,
-        is_complete: has_end,
+        has_end: Some(has_end),
     })
 }
 
+fn has_events(bytes: &[u8], count: u64) -> bool {
+    decode(bytes).is_some_and(|body| stream_check::whole_events(&body.text).len() as u64 >= count)
+}
+
 /// Returns the data of chunks, and whether the last chunk has arrived.
 fn decode_chunks(mut rest: &str) -> (String, bool) {
     let mut text = String::new();
