Streams: two attempts with one id do not decide each other's version

Cause: the record of a stream's origin is found by the id that the caller chose, and the last write replaced the others. A caller that sends a request twice under one id may have the events of either attempt; and an instance that relayed one of them took its own record for that of the stream. Change: a record that is written with another origin is ambiguous, and such a stream is refused as one of unknown origin (503, not run). An instance does not rely on its own record alone: it asks the holders, whose answer counts, and refuses if they differ. An id that is used again within two minutes at another version makes its stream one of unknown origin, too. The new test of the edge and those of stream_origins pass.

--- a/src/gateway/origin_table.rs
+++ b/src/gateway/origin_table.rs
@@ -57,6 +57,8 @@
 #[derive(Debug)]
 struct Record {
     origin: StreamOrigin,
+    /// Whether attempts with the stream's id began at several origins.
+    is_ambiguous: bool,
     written_us: Micros,
 }
 
@@ -69,10 +71,13 @@
 }
 
 impl OriginTable {
-    /// Writes a record, in place of an earlier one of the stream.
+    /// Writes a record, in place of an earlier one of the stream. If that had another origin, neither is known to be that
+    /// of the stream: callers may use an id for two attempts.
     pub fn write(&mut self, now_us: Micros, key: StreamKey, origin: StreamOrigin) {
         self.expire(now_us);
+        let earlier = self.records.get(&key);
         let record = Record {
+            is_ambiguous: earlier.is_some_and(|e| e.is_ambiguous || e.origin != origin),
             origin,
             written_us: now_us,
         };
@@ -85,9 +90,19 @@
 
     /// Returns the origin of a stream, if it is known.
     pub fn get(&self, now_us: Micros, key: StreamKey) -> Option<&StreamOrigin> {
+        let record = self.record(now_us, key)?;
+        (!record.is_ambiguous).then_some(&record.origin)
+    }
+
+    /// Returns whether attempts with a stream's id began at several origins.
+    pub fn is_ambiguous(&self, now_us: Micros, key: StreamKey) -> bool {
+        self.record(now_us, key).is_some_and(|r| r.is_ambiguous)
+    }
+
+    fn record(&self, now_us: Micros, key: StreamKey) -> Option<&Record> {
         let record = self.records.get(&key)?;
         let age_us = now_us.saturating_sub(record.written_us);
-        (age_us < RECORD_LIFETIME_US).then_some(&record.origin)
+        (age_us < RECORD_LIFETIME_US).then_some(record)
     }
 
     /// Returns the number of records.
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -65,6 +65,8 @@
         /// Whether it has seen several versions of the service.
         has_several_versions: bool,
     },
+    /// Attempts with the id of the stream began at several origins.
+    Ambiguous,
 }
 
 #[derive(Default)]
@@ -201,29 +203,54 @@
             return sole_origin;
         };
         let key = StreamKey::of(organisation, began_as.as_bytes());
-        let now_us = self.clock.now_us();
-        let held = self.stream_origins.lock().table.get(now_us, key).cloned();
-        if held.is_some() {
-            return held;
-        }
-        match self.ask_for_origin(key, service).await {
-            OriginMessage::Known(origin) => Some(origin),
-            OriginMessage::Unknown {
-                has_several_versions: true,
-            } => None,
+        let held = self.held_origin(key, service);
+        // A record here may be of another attempt with this id.
+        let asked = match held {
+            OriginMessage::Ambiguous => OriginMessage::Ambiguous,
+            _ => self.ask_for_origin(key, service).await,
+        };
+        match (asked, held) {
+            (OriginMessage::Ambiguous, _) => None,
+            (OriginMessage::Known(asked), OriginMessage::Known(held)) if asked != held => None,
+            (OriginMessage::Known(origin), _) | (_, OriginMessage::Known(origin)) => Some(origin),
+            (
+                OriginMessage::Unknown {
+                    has_several_versions: true,
+                },
+                _,
+            ) => None,
             _ => sole_origin,
         }
     }
 
-    /// Asks other instances for an origin until one knows it, all have answered or the time for answers is over.
+    /// Returns what this instance knows of the origin of a stream.
+    fn held_origin(&self, key: StreamKey, service: &str) -> OriginMessage {
+        let now_us = self.clock.now_us();
+        let state = self.stream_origins.lock();
+        if state.table.is_ambiguous(now_us, key) {
+            return OriginMessage::Ambiguous;
+        }
+        let held = state.table.get(now_us, key).cloned();
+        drop(state);
+        held.map_or_else(
+            || OriginMessage::Unknown {
+                has_several_versions: self.has_several_versions(service),
+            },
+            OriginMessage::Known,
+        )
+    }
+
+    /// Asks other instances for an origin until a holder knows it, all have answered or the time for answers is over. An
+    /// instance that is no holder knows only the attempts that it relayed.
     async fn ask_for_origin(&self, key: StreamKey, service: &Name) -> OriginMessage {
-        let mut unknown = OriginMessage::Unknown {
+        let mut best = OriginMessage::Unknown {
             has_several_versions: false,
         };
         let Some(channel) = self.reservation_client.channel() else {
-            return unknown;
+            return best;
         };
         let asked = self.other_holders(key, ASKED);
+        let holders = self.other_holders(key, HOLDERS);
         let mut unanswered: HashSet<IpAddr> = asked.into_iter().collect();
         let mut pending = self.stream_origins.register();
         self.metrics.origins_asked.inc();
@@ -243,16 +270,33 @@
             else {
                 continue;
             };
-            match answer {
-                OriginMessage::Known(_) => return answer,
-                OriginMessage::Unknown {
-                    has_several_versions: true,
-                } => unknown = answer,
-                _ => {}
+            best = better_answer(best, answer);
+            let is_known = matches!(best, OriginMessage::Known(_)) && holders.contains(&from);
+            if is_known || best == OriginMessage::Ambiguous {
+                break;
             }
             unanswered.remove(&from);
         }
-        unknown
+        best
+    }
+}
+
+/// Returns what two answers about one stream say together.
+fn better_answer(first: OriginMessage, second: OriginMessage) -> OriginMessage {
+    use OriginMessage::{Ambiguous, Known, Unknown};
+    match (first, second) {
+        (Ambiguous, _) | (_, Ambiguous) => Ambiguous,
+        (Known(first), Known(second)) if first != second => Ambiguous,
+        (Known(origin), _) | (_, Known(origin)) => Known(origin),
+        (
+            Unknown {
+                has_several_versions: true,
+            },
+            _,
+        ) => Unknown {
+            has_several_versions: true,
+        },
+        (_, second) => second,
     }
 }
 
@@ -271,23 +315,12 @@
             state.table.write(now_us, key, origin);
         }
         OriginMessage::Ask { key, service } => {
-            let held = gateway
-                .stream_origins
-                .lock()
-                .table
-                .get(now_us, key)
-                .cloned();
-            let answer = match held {
-                Some(origin) => OriginMessage::Known(origin),
-                None => OriginMessage::Unknown {
-                    has_several_versions: gateway.has_several_versions(&service),
-                },
-            };
+            let answer = gateway.held_origin(key, &service);
             channel
                 .send(from, number, DirectMessage::Origins(answer))
                 .await;
         }
-        OriginMessage::Known(_) | OriginMessage::Unknown { .. } => {
+        OriginMessage::Known(_) | OriginMessage::Unknown { .. } | OriginMessage::Ambiguous => {
             gateway.stream_origins.deliver(number, from, message);
         }
     }
--- a/tests/edge/stream_versions.rs
+++ b/tests/edge/stream_versions.rs
@@ -9,13 +9,22 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, StatusCode, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use standins::runner::{EVENTS, Fault};
-use tokio::{net::TcpStream, sync::watch, task::JoinSet, time};
+use standins::{
+    runner::{EVENTS, Fault},
+    stream_check::whole_events,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    sync::watch,
+    task::JoinSet,
+    time,
+};
 
 use crate::{
     cluster::until,
     site::{Site, entry},
-    support::{exchange, request},
+    support::{KEY, exchange, request},
 };
 
 const PATH: &str = "/resume/w/stream";
@@ -411,3 +420,57 @@
     }
     assert!(refused > 0, "some streams began at the version that left");
 }
+
+/// Reads two events of a new stream and returns its connection and the version that made them.
+async fn begin_and_stay(callers: std::net::SocketAddr, id: &str) -> (TcpStream, String) {
+    let mut stream = TcpStream::connect(callers).await.expect("a connection");
+    let request = format!(
+        "POST {PATH} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 3000\r\n\
+         Authorization: {KEY}\r\nContent-Length: 0\r\n\r\n"
+    );
+    let sent = stream.write_all(request.as_bytes()).await;
+    sent.expect("the request is sent");
+    let mut bytes = Vec::new();
+    let version = loop {
+        let count = stream.read_buf(&mut bytes).await.expect("more bytes");
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        assert!(count > 0, "ended after {text}");
+        let versions: Vec<&str> = text
+            .lines()
+            .filter_map(|line| line.strip_prefix("version: "))
+            .collect();
+        if let [_, second, ..] = &versions[..] {
+            break (*second).to_owned();
+        }
+    };
+    (stream, version)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_goes_on_at_its_version_if_another_attempt_has_its_id() {
+    let site = Site::start(149, 7, 8).await;
+    site.set_versions(&TWO_VERSIONS).await;
+    for (index, runner) in site.runners.iter().enumerate() {
+        runner.state_runs(TWO_VERSIONS[index % TWO_VERSIONS.len()]);
+        runner.pace(Duration::from_millis(60));
+    }
+    let (mut several, mut mixed) = (0, Vec::new());
+    for number in 0..STREAMS {
+        let id = format!("twice-{number}");
+        let others = site.callers.len() - 1;
+        let (_first, other) = begin_and_stay(site.callers[0], &id).await;
+        let (second, version) = begin_and_stay(site.callers[1 + number % others], &id).await;
+        drop(second);
+        several += usize::from(other != version);
+        let headers = [("last-event-id", "2"), ("resumes", &*id)];
+        let again = request(PATH, &format!("{id}-again"), &headers);
+        let instance = site.callers[number % site.callers.len()];
+        let got = exchange(instance, again).await.expect("an answer");
+        let went_on = whole_events(&got.text());
+        if got.status == StatusCode::OK && went_on.iter().any(|event| event.version != version) {
+            mixed.push(id);
+        }
+    }
+    assert!(several * 4 >= STREAMS, "{several} of {STREAMS} differ");
+    assert!(mixed.is_empty(), "{mixed:?} of {several}");
+}
--- a/tests/gateway/stream_origins.rs
+++ b/tests/gateway/stream_origins.rs
@@ -74,6 +74,21 @@
     assert_eq!(table.len(), 2);
 }
 
+#[test]
+fn attempts_with_one_id_and_several_origins_are_ambiguous() {
+    let mut table = OriginTable::default();
+    table.write(0, key(1), origin("v1"));
+    table.write(0, key(1), origin("v1"));
+    assert!(!table.is_ambiguous(0, key(1)));
+    table.write(0, key(1), origin("v2"));
+    table.write(0, key(1), origin("v2"));
+    assert_eq!(table.get(0, key(1)), None);
+    assert!(table.is_ambiguous(0, key(1)));
+    assert!(!table.is_ambiguous(130 * SECOND, key(1)));
+    table.write(130 * SECOND, key(1), origin("v2"));
+    assert_eq!(table.get(130 * SECOND, key(1)), Some(&origin("v2")));
+}
+
 fn member(number: u64, data_centre: &str) -> Member {
     let info = MemberInfo {
         name: format!("i{number}").into(),
