Soak: announcements are those of the process that made them

Change: a departure or a back-off is checked until its process ends. Each request to the process that announced it is judged as before.

--- a/standins/src/soak/announcements.rs
+++ b/standins/src/soak/announcements.rs
@@ -115,7 +115,8 @@
     report: &mut Report,
 ) {
     for period in &run_state.announcements {
-        let seen = world.runners[period.endpoint].seen();
+        let runner = &world.runners[period.endpoint];
+        let (seen, ends) = (runner.seen(), runner.ended_at());
         let mut by_instance: HashMap<usize, Vec<&Seen>> = HashMap::new();
         for one in &seen {
             let id = one.headers.get("request-id");
@@ -125,9 +126,11 @@
         }
         for (instance, seen) in by_instance {
             let late = match period.announcement {
-                Announcement::Leaves => late_after_leaving(period, instance, &seen, run_state),
+                Announcement::Leaves => {
+                    late_after_leaving(period, &ends, instance, &seen, run_state)
+                }
                 Announcement::Rests(back_off) => {
-                    late_during_back_off(period, back_off, instance, &seen, run_state)
+                    late_during_back_off(period, back_off, &ends, instance, &seen, run_state)
                 }
             };
             if late > 0 {
@@ -140,22 +143,29 @@
     }
 }
 
+/// Returns the earlier of `until` and the first of an endpoint's ends after `from`: what is started at its address then has
+/// announced nothing.
+fn before_end(ends: &[Instant], from: Instant, until: Instant) -> Instant {
+    let end = ends.iter().copied().find(|end| *end > from);
+    end.map_or(until, |end| end.min(until))
+}
+
 /// Counts requests from an instance that arrived more than [`LEAVING_BOUND`] after the endpoint announced its departure
 /// to that instance.
 fn late_after_leaving(
     period: &Period,
+    ends: &[Instant],
     instance: usize,
     seen: &[&Seen],
     run_state: &RunState,
 ) -> usize {
-    let in_span = seen
-        .iter()
-        .filter(|s| s.at > period.from && s.at < period.until);
+    let until = before_end(ends, period.from, period.until);
+    let in_span = seen.iter().filter(|s| s.at > period.from && s.at < until);
     let answered = in_span.clone().filter(|s| s.finished);
     let Some(notified_at) = answered.map(|s| s.at).min() else {
         return 0;
     };
-    if run_state.is_exempt(instance, period.endpoint, notified_at, period.until) {
+    if run_state.is_exempt(instance, period.endpoint, notified_at, until) {
         return 0;
     }
     let bound = notified_at + LEAVING_BOUND;
@@ -168,6 +178,7 @@
 fn late_during_back_off(
     period: &Period,
     back_off: Duration,
+    ends: &[Instant],
     instance: usize,
     seen: &[&Seen],
     run_state: &RunState,
@@ -176,7 +187,7 @@
     let refusals = seen.iter().filter(is_in_span);
     let refusals = refusals.filter(|s| s.was_backed_off);
     let late_counts = refusals.map(|refusal| {
-        let end = refusal.at + back_off;
+        let end = before_end(ends, refusal.at, refusal.at + back_off);
         if run_state.is_exempt(instance, period.endpoint, refusal.at, end) {
             return 0;
         }
