--- a/standins/src/raw_caller.rs
+++ b/standins/src/raw_caller.rs
@@ -40,6 +40,8 @@
     Reset,
     /// Nothing more arrived in time.
     TimedOut,
+    /// The caller had enough.
+    Left,
 }
 
 /// How an answer is delimited.
@@ -137,6 +139,18 @@
 
     /// Reads an answer to its end, and leaves what follows it; returns `None` if its head did not arrive.
     pub async fn read_answer(&mut self) -> Option<RawAnswer> {
+        self.read_part(None::<fn(&str) -> bool>).await
+    }
+
+    /// Like [`Self::read_answer`], and ends early once there is enough of the body.
+    pub async fn read_answer_until(
+        &mut self,
+        has_enough: impl Fn(&str) -> bool,
+    ) -> Option<RawAnswer> {
+        self.read_part(Some(has_enough)).await
+    }
+
+    async fn read_part(&mut self, has_enough: Option<impl Fn(&str) -> bool>) -> Option<RawAnswer> {
         let until = Instant::now() + ANSWER_TIMEOUT;
         let head_len = loop {
             let position = self.received.windows(4).position(|w| w == HEAD_END);
@@ -154,6 +168,10 @@
             if let Some(text) = self.take_marked(framing) {
                 break (text, AnswerEnd::Marked);
             }
+            let has_enough = has_enough.as_ref();
+            if has_enough.is_some_and(|enough| enough(&decode(&self.received, framing))) {
+                break (self.take_rest(framing), AnswerEnd::Left);
+            }
             if let Some(end) = self.read(until).await {
                 break (self.take_rest(framing), end);
             }
@@ -205,12 +223,15 @@
 
     /// Takes what arrived of a body.
     fn take_rest(&mut self, framing: Framing) -> String {
-        let rest = std::mem::take(&mut self.received);
-        let bytes = match framing {
-            Framing::Chunked => decode_chunks(&rest).0,
-            Framing::Length(_) | Framing::Close => rest,
-        };
-        String::from_utf8_lossy(&bytes).into_owned()
+        decode(&std::mem::take(&mut self.received), framing)
+    }
+}
+
+/// Returns the text of a body, as far as it has arrived.
+fn decode(received: &[u8], framing: Framing) -> String {
+    match framing {
+        Framing::Chunked => String::from_utf8_lossy(&decode_chunks(received).0).into_owned(),
+        Framing::Length(_) | Framing::Close => String::from_utf8_lossy(received).into_owned(),
     }
 }
 
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -1,6 +1,7 @@
 //! Short soak runs of real processes under faults. A seed fixes the plan of faults and load, not their timing.
 
 mod stand_in;
+mod stream_check;
 
 use std::{path::PathBuf, time::Duration};
 
@@ -22,6 +23,7 @@
             instances: 3,
             endpoints: 6,
             callers: 10,
+            http10: false,
         };
         let report = soak::run(&plan).await;
         let breaches = report.breaches.join("\n");
