Failing tests: engines' errors are relayed short as complete answers

serve relays the first 300 bytes at most of the first part of an engine's error with a status of 4xx, as a complete JSON answer: 300 of some 2,400 bytes, also where the engine breaks the error off.

--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -19,7 +19,7 @@
 };
 
 use bytes::Bytes;
-use futures::stream;
+use futures::{StreamExt, stream};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{Method, Request, Response, StatusCode, body::Frame, body::Incoming};
 use serde::Serialize;
@@ -75,6 +75,10 @@
     pub gap_every: u64,
     /// Accepts requests and never responds.
     pub hang: bool,
+    /// Refuses requests with status 400 and [`long_refusal`], in two parts.
+    pub refuse: bool,
+    /// Cuts the connection between the parts of a refusal.
+    pub cut_refusals: bool,
 }
 
 impl Default for Faults {
@@ -85,6 +89,8 @@
             forget_cut: false,
             gap_every: 0,
             hang: false,
+            refuse: false,
+            cut_refusals: false,
         }
     }
 }
@@ -448,6 +454,29 @@
     }
 }
 
+/// Returns the body of a refusal under [`Faults::refuse`].
+pub fn long_refusal() -> String {
+    json!({"error": {"message": "the prompt is too long. ".repeat(100)}}).to_string()
+}
+
+fn refuse(is_cut: bool) -> Response<Body> {
+    let text = long_refusal();
+    let (first, second) = text.split_at(text.len() / 2);
+    let second = match is_cut {
+        true => Err(std::io::Error::other("cut")),
+        false => Ok(Frame::data(Bytes::from(second.to_owned()))),
+    };
+    let first = Ok(Frame::data(Bytes::from(first.to_owned())));
+    let parts = stream::iter([first, second]).then(async |part| {
+        // Leaves time for the first part to be written.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        part
+    });
+    let mut response = Response::new(StreamBody::new(parts).boxed_unsync());
+    *response.status_mut() = StatusCode::BAD_REQUEST;
+    response
+}
+
 async fn start(
     shared: Arc<Shared>,
     request: Request<Incoming>,
@@ -465,6 +494,10 @@
     let Ok(body) = serde_json::from_slice::<Value>(&body) else {
         return Ok(http::answer(StatusCode::BAD_REQUEST, "not JSON"));
     };
+    let faults = shared.lock().faults;
+    if faults.refuse {
+        return Ok(refuse(faults.cut_refusals));
+    }
     let prompt = prompt_text(&body, chat);
     let tokens_to_generate = body["max_tokens"].as_u64().unwrap_or(16).clamp(1, 100_000) as u32;
     {
--- a/tests/cluster/cut_answers.rs
+++ b/tests/cluster/cut_answers.rs
@@ -2,7 +2,9 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use hyper::StatusCode;
 use standins::{
+    engine::long_refusal,
     raw_caller::{AnswerEnd, RawAnswer, RawCaller},
     runner::{Fault, Runner, whole_body},
 };
@@ -140,3 +142,32 @@
         assert_eq!((got.complete, got.text), (true, whole_body("")));
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn long_error_of_an_engine_is_relayed_whole() {
+    let cluster = Cluster::start(one_engine(2)).await;
+    cluster.engines[0].fault(|f| f.refuse = true);
+    for streams in [false, true] {
+        let call = Call::completion("gate", "a prompt", 20, streams);
+        let got = call.send(cluster.instances[0].callers).await;
+        let got = got.expect("an answer");
+        assert_eq!(got.status, StatusCode::BAD_REQUEST, "{got:?}");
+        assert_eq!((got.complete, got.text), (true, long_refusal()));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn error_of_an_engine_that_breaks_off_is_not_relayed_as_whole() {
+    let cluster = Cluster::start(one_engine(2)).await;
+    cluster.engines[0].fault(|f| {
+        f.refuse = true;
+        f.cut_refusals = true;
+    });
+    for streams in [false, true] {
+        let call = Call::completion("gate", "a prompt", 20, streams);
+        let got = call.send(cluster.instances[0].callers).await;
+        let got = got.expect("an answer");
+        assert_eq!(got.error_type(), "outcome_unknown", "{got:?}");
+        assert_eq!(got.reason(), "stream_cut", "{got:?}");
+    }
+}
