serve: an engine's error is relayed whole, or not as an answer

Seen by callers of serve: an engine's error with a status of 4xx arrives as a complete answer of at most 300 bytes, and of the first part only: 300 of some 2,400 bytes, which is no JSON any more; also where the engine broke the error off. Cause: only the start of the body was read. Change: the body is read to its end, up to 64 KB and for 2 s; one that is delimited by the close of its connection counts as whole only if the engine takes another connection. If it does not arrive whole, the outcome is unknown (stream_cut), as with other broken answers.

--- a/src/endpoint/engine.rs
+++ b/src/endpoint/engine.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request, StatusCode, header};
 use serde::Deserialize;
 use snafu::Snafu;
@@ -11,7 +11,9 @@
 
 use crate::{
     endpoint::{
+        close_check,
         connection::{Answer, Connection},
+        framing::Framing,
         sse::{BadEvent, Event, Splitter},
     },
     prelude::RequestId,
@@ -29,6 +31,10 @@
 /// A connect that takes longer is tried again: its packets may have been lost.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 const CANCEL_PAUSE: Duration = Duration::from_millis(100);
+/// The longest error of an engine that is relayed; a message and some details take far less.
+const MAX_ERROR_BYTES: usize = 64 << 10;
+/// Time for the body of an error, whose head has arrived.
+const ERROR_TIMEOUT: Duration = Duration::from_secs(2);
 /// A stream without data for this long counts as broken.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -40,8 +46,8 @@
     Refused {
         /// The HTTP status.
         status: StatusCode,
-        /// The start of the response body.
-        text: String,
+        /// The response body of a client error, if it arrived whole.
+        body: Option<Bytes>,
     },
     /// The stream broke and could not be resumed.
     #[snafu(display("the stream broke after {events} events"))]
@@ -141,8 +147,11 @@
         if let Some(answer) = answer {
             let status = answer.response.status();
             if status != StatusCode::OK {
-                let text = read_error_text(answer).await;
-                return RefusedSnafu { status, text }.fail();
+                let body = match status.is_client_error() {
+                    true => read_error(answer, addr).await,
+                    false => None,
+                };
+                return RefusedSnafu { status, body }.fail();
             }
             return Ok(Self::new(addr, id, deadline, Some(answer)));
         }
@@ -352,10 +361,13 @@
     builder.body(Full::default()).unwrap_or_default()
 }
 
-async fn read_error_text(mut answer: Answer) -> String {
-    const MAX_BYTES: usize = 300;
-    let first = time::timeout(CANCEL_TIMEOUT, answer.response.body_mut().frame()).await;
-    let bytes = first.ok().flatten().and_then(Result::ok);
-    let bytes = bytes.and_then(|f| f.into_data().ok()).unwrap_or_default();
-    String::from_utf8_lossy(&bytes[..bytes.len().min(MAX_BYTES)]).into_owned()
+/// Reads the body of an error; returns `None` unless it arrives whole.
+async fn read_error(answer: Answer, addr: SocketAddr) -> Option<Bytes> {
+    let Answer { response, driver } = answer;
+    let framing = Framing::of(&response);
+    let body = Limited::new(response.into_body(), MAX_ERROR_BYTES).collect();
+    let collected = time::timeout(ERROR_TIMEOUT, body).await.ok()?.ok()?;
+    drop(driver);
+    let is_whole = framing != Framing::Close || close_check::is_confirmed(addr).await;
+    is_whole.then(|| collected.to_bytes())
 }
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -577,12 +577,14 @@
     /// Ends a request whose stream failed before anything was sent to the caller.
     async fn fail_unanswered(&mut self, error: &StreamError) {
         self.end_stream_failed(error);
-        if let StreamError::Refused { status, text } = error
-            && status.is_client_error()
+        if let StreamError::Refused {
+            status,
+            body: Some(body),
+        } = error
         {
             // The engine's client error is relayed as the answer.
             self.send_head(*status, "application/json").await;
-            let _ = self.answer.send(Message::Data(text.clone().into())).await;
+            let _ = self.answer.send(Message::Data(body.clone())).await;
             let _ = self.answer.send(Message::End).await;
             return;
         }
