--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -5,6 +5,7 @@
 mod answers;
 mod brittle_endpoints;
 mod caller_limits;
+mod carried_answers;
 mod change_propagation;
 mod close_delimited_callers;
 mod cluster;
