Failing test: a stream that an engine starts again is joined to its first events

An engine that resumes a stream from its first event, with neither ids nor token counts, has 9 of 20 tokens twice in an answer that is complete for callers of serve.

--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -71,6 +71,8 @@
     pub cut_every: u64,
     /// Refuses to resume streams, as if it had lost them.
     pub forget_cut: bool,
+    /// Resumes streams from their first event, whatever the last one was, with neither ids nor token counts.
+    pub restart_cut: bool,
     /// Skips every n-th cache event; 0 skips none.
     pub gap_every: u64,
     /// Accepts requests and never responds.
@@ -87,6 +89,7 @@
             slow: 1.0,
             cut_every: 0,
             forget_cut: false,
+            restart_cut: false,
             gap_every: 0,
             hang: false,
             refuse: false,
@@ -552,8 +555,28 @@
             return http::answer(StatusCode::NOT_FOUND, "no such stream");
         }
         state.counts.resumed += 1;
+        if !state.faults.restart_cut {
+            drop(state);
+            return relay(shared, id.to_owned(), from);
+        }
+    }
+    relay(shared, id.to_owned(), 0).map(|body| {
+        body.map_frame(|frame| frame.map_data(|event| without_marks(&event)))
+            .boxed_unsync()
+    })
+}
+
+/// Returns an event without its id and token counts.
+fn without_marks(event: &[u8]) -> Bytes {
+    let text = String::from_utf8_lossy(event);
+    let data = text.lines().find_map(|l| l.strip_prefix("data: "));
+    match data.and_then(|d| serde_json::from_str::<Value>(d).ok()) {
+        Some(mut data) => {
+            data.as_object_mut().map(|fields| fields.remove("usage"));
+            format!("data: {data}\n\n").into()
+        }
+        None => Bytes::copy_from_slice(event),
     }
-    relay(shared, id.to_owned(), from)
 }
 
 fn cancel(shared: &Shared, id: &str) {
--- a/tests/cluster/cut_answers.rs
+++ b/tests/cluster/cut_answers.rs
@@ -4,7 +4,7 @@
 
 use hyper::StatusCode;
 use standins::{
-    engine::long_refusal,
+    engine::{expected_text, long_refusal},
     raw_caller::{AnswerEnd, RawAnswer, RawCaller},
     runner::{Fault, Runner, whole_body},
 };
@@ -171,3 +171,21 @@
         assert_eq!(got.reason(), "stream_cut", "{got:?}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_an_engine_starts_again_is_not_joined_to_its_first_events() {
+    let cluster = Cluster::start(one_engine(2)).await;
+    cluster.engines[0].fault(|f| {
+        f.cut_every = 1;
+        f.restart_cut = true;
+    });
+    for streams in [false, true] {
+        let call = Call::completion("gate", "a prompt", 20, streams);
+        let got = call.send(cluster.instances[0].callers).await;
+        let got = got.expect("an answer");
+        let text = completion_text(&got);
+        let is_whole = text == expected_text("a prompt", 20);
+        let is_complete = got.complete && got.status == StatusCode::OK;
+        assert!(!is_complete || is_whole, "complete with {text:?}");
+    }
+}
