serve: events of a resumption without ids are not joined to a stream

Seen by callers of serve: an engine that resumes a stream from its first event, with neither ids nor token counts, has 9 of 20 tokens twice in an answer that is complete. Cause: events without an id were taken to follow the last one, also after a resumption. Change: after a resumption that follows received events, one without an id ends the stream visibly (stream_cut); whole streams without ids are relayed as before.

--- a/src/endpoint/engine.rs
+++ b/src/endpoint/engine.rs
@@ -121,6 +121,8 @@
     splitter: Splitter,
     events: u64,
     tokens: u32,
+    /// Whether the events come from a resumption after others, which may come again.
+    is_resumed: bool,
     /// End of the request's time.
     deadline: Instant,
     /// Until when the stream is resumed; set from a break until the next event.
@@ -166,6 +168,7 @@
             splitter: Splitter::default(),
             events: 0,
             tokens: 0,
+            is_resumed: false,
             deadline,
             resume_until: None,
             finish_reason: None,
@@ -241,6 +244,10 @@
                 let reason = "an event is missing";
                 return IncompleteSnafu { reason }.fail();
             }
+            None if self.is_resumed => {
+                let reason = "an event of a resumption has no id";
+                return IncompleteSnafu { reason }.fail();
+            }
             _ => self.events += 1,
         }
         self.resume_until = None;
@@ -305,6 +312,7 @@
             match answer.response.status() {
                 StatusCode::OK => {
                     self.answer = Some(answer);
+                    self.is_resumed = events > 0;
                     self.splitter = Splitter::default();
                     return Ok(());
                 }
