--- a/tests/edge/cut_answers.rs
+++ b/tests/edge/cut_answers.rs
@@ -210,3 +210,22 @@
     let ends = count(&call_all(&site, PATIENT).await);
     assert_eq!(ends.whole, REQUESTS, "{ends:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn error_of_a_killed_endpoint_does_not_look_complete() {
+    let site = start(216, 4).await;
+    for path in ["/again/x", "/once/x"] {
+        site.runners[0].fault(Fault::KilledInError);
+        site.runners[1].fault(Fault::KilledInError);
+        for (id, got) in call_all(&site, path).await {
+            let is_from_endpoint = got.headers.contains_key("instance-signature");
+            let is_short = got.is_whole && got.text() != whole_body(&id);
+            assert!(!(is_from_endpoint && is_short), "{path}: {got:?}");
+        }
+        let killed = site.runners[..2]
+            .iter()
+            .filter(|r| !r.ended_at().is_empty());
+        assert!(killed.count() > 0, "{path}: no endpoint was killed");
+        time::sleep(Duration::from_secs(2)).await;
+    }
+}
