--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -19,7 +19,7 @@
 };
 
 use bytes::Bytes;
-use futures::stream;
+use futures::{StreamExt, stream};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{Method, Request, Response, StatusCode, body::Frame, body::Incoming};
 use serde::Serialize;
@@ -71,10 +71,16 @@
     pub cut_every: u64,
     /// Refuses to resume streams, as if it had lost them.
     pub forget_cut: bool,
+    /// Resumes streams from their first event, whatever the last one was, with neither ids nor token counts.
+    pub restart_cut: bool,
     /// Skips every n-th cache event; 0 skips none.
     pub gap_every: u64,
     /// Accepts requests and never responds.
     pub hang: bool,
+    /// Refuses requests with status 400 and [`long_refusal`], in two parts.
+    pub refuse: bool,
+    /// Cuts the connection between the parts of a refusal.
+    pub cut_refusals: bool,
 }
 
 impl Default for Faults {
@@ -83,8 +89,11 @@
             slow: 1.0,
             cut_every: 0,
             forget_cut: false,
+            restart_cut: false,
             gap_every: 0,
             hang: false,
+            refuse: false,
+            cut_refusals: false,
         }
     }
 }
@@ -448,6 +457,29 @@
     }
 }
 
+/// Returns the body of a refusal under [`Faults::refuse`].
+pub fn long_refusal() -> String {
+    json!({"error": {"message": "the prompt is too long. ".repeat(100)}}).to_string()
+}
+
+fn refuse(is_cut: bool) -> Response<Body> {
+    let text = long_refusal();
+    let (first, second) = text.split_at(text.len() / 2);
+    let second = match is_cut {
+        true => Err(std::io::Error::other("cut")),
+        false => Ok(Frame::data(Bytes::from(second.to_owned()))),
+    };
+    let first = Ok(Frame::data(Bytes::from(first.to_owned())));
+    let parts = stream::iter([first, second]).then(async |part| {
+        // Leaves time for the first part to be written.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        part
+    });
+    let mut response = Response::new(StreamBody::new(parts).boxed_unsync());
+    *response.status_mut() = StatusCode::BAD_REQUEST;
+    response
+}
+
 async fn start(
     shared: Arc<Shared>,
     request: Request<Incoming>,
@@ -465,6 +497,10 @@
     let Ok(body) = serde_json::from_slice::<Value>(&body) else {
         return Ok(http::answer(StatusCode::BAD_REQUEST, "not JSON"));
     };
+    let faults = shared.lock().faults;
+    if faults.refuse {
+        return Ok(refuse(faults.cut_refusals));
+    }
     let prompt = prompt_text(&body, chat);
     let tokens_to_generate = body["max_tokens"].as_u64().unwrap_or(16).clamp(1, 100_000) as u32;
     {
@@ -519,8 +555,28 @@
             return http::answer(StatusCode::NOT_FOUND, "no such stream");
         }
         state.counts.resumed += 1;
+        if !state.faults.restart_cut {
+            drop(state);
+            return relay(shared, id.to_owned(), from);
+        }
+    }
+    relay(shared, id.to_owned(), 0).map(|body| {
+        body.map_frame(|frame| frame.map_data(|event| without_marks(&event)))
+            .boxed_unsync()
+    })
+}
+
+/// Returns an event without its id and token counts.
+fn without_marks(event: &[u8]) -> Bytes {
+    let text = String::from_utf8_lossy(event);
+    let data = text.lines().find_map(|l| l.strip_prefix("data: "));
+    match data.and_then(|d| serde_json::from_str::<Value>(d).ok()) {
+        Some(mut data) => {
+            data.as_object_mut().map(|fields| fields.remove("usage"));
+            format!("data: {data}\n\n").into()
+        }
+        None => Bytes::copy_from_slice(event),
     }
-    relay(shared, id.to_owned(), from)
 }
 
 fn cancel(shared: &Shared, id: &str) {
--- a/tests/edge/cut_answers.rs
+++ b/tests/edge/cut_answers.rs
@@ -276,3 +276,22 @@
         assert!(text.matches(&third).count() <= 1, "{text}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn error_of_a_killed_endpoint_does_not_look_complete() {
+    let site = start(216, 4).await;
+    for path in ["/again/x", "/once/x"] {
+        site.runners[0].fault(Fault::KilledInError);
+        site.runners[1].fault(Fault::KilledInError);
+        for (id, got) in call_all(&site, path).await {
+            let is_from_endpoint = got.headers.contains_key("instance-signature");
+            let is_short = got.is_whole && got.text() != whole_body(&id);
+            assert!(!(is_from_endpoint && is_short), "{path}: {got:?}");
+        }
+        let killed = site.runners[..2]
+            .iter()
+            .filter(|r| !r.ended_at().is_empty());
+        assert!(killed.count() > 0, "{path}: no endpoint was killed");
+        time::sleep(Duration::from_secs(2)).await;
+    }
+}
