--- a/src/endpoint/close_check.rs
+++ b/src/endpoint/close_check.rs
@@ -11,11 +11,11 @@
 
 /// Time from the close until the endpoint is asked for a connection. The kernel closes the sockets of a process one after
 /// the other.
-const SETTLING_TIME: Duration = Duration::from_millis(10);
+pub const SETTLING_TIME: Duration = Duration::from_millis(10);
 /// A connect that takes longer is tried again: its packets may have been lost.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time in which an endpoint that does not answer must take a connection: it may be silent for a second.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Returns whether an answer of the endpoint at `addr`, which has just ended with its connection, is complete.
 pub async fn is_confirmed(addr: SocketAddr) -> bool {
--- a/src/gateway/close_check.rs
+++ b/src/gateway/close_check.rs
@@ -16,17 +16,15 @@
 
 use crate::{
     balance::balancer::Choice,
-    endpoint::connection_pool::EndpointConnection,
+    endpoint::{
+        close_check::{SETTLING_TIME, SILENCE_TIMEOUT},
+        connection_pool::EndpointConnection,
+    },
     gateway::{attempt::Job, endpoint_connect::ConnectError, protocol::Protocol, state::Gateway},
 };
 
 /// Reason for not taking an answer as complete: its connection was closed, and nothing shows that its endpoint lives on.
 pub const CLOSE_UNCONFIRMED: &str = "close_unconfirmed";
-/// Time from the close until the endpoint is asked for a connection. The kernel closes the sockets of a process one after
-/// the other.
-pub const SETTLING_TIME: Duration = Duration::from_millis(10);
-/// Time in which an endpoint that does not answer must take a connection: it may be silent for a second.
-pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Time for the status check. An endpoint that is busy answers it later; one that has just started is not busy.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(300);
