--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! They implement the published protocols of those systems and can inject faults.
 
 pub mod engine;
+pub mod flood;
 pub mod http;
 pub mod plain;
 pub mod platform;
--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -24,6 +24,8 @@
 };
 use tokio_util::sync::CancellationToken;
 
+use crate::flood::Flood;
+
 /// Address of the endpoints. Outgoing connections use ports of 127.0.0.1, where one could take the port of an endpoint
 /// before that restarts.
 const HOST: [u8; 4] = [127, 1, 0, 1];
@@ -198,6 +200,8 @@
     /// The version of its software, as its events state it.
     version: String,
     fault: Fault,
+    /// If set, its answers never end.
+    flood: Option<Flood>,
     bad_version: Option<BadVersion>,
     /// Number of requests that are running.
     running: usize,
@@ -362,6 +366,11 @@
         self.lock().fault = fault;
     }
 
+    /// Lets its answers never end.
+    pub fn flood(&self, flood: Flood) {
+        self.lock().flood = Some(flood);
+    }
+
     /// Sets in which way the version of its software is bad; `None` if it is good.
     pub fn run_version(&self, bad: Option<BadVersion>) {
         self.lock().bad_version = bad;
@@ -665,6 +674,11 @@
     if fault.breaks_answer(is_stream, is_resumption) {
         update_seen(|s| s.was_broken_off = true);
     }
+    let flood = state.lock().expect("no holder panics").flood;
+    if let Some(flood) = flood {
+        update_seen(|s| s.was_broken_off = true);
+        match flood.send(&mut output.socket, &request_id).await? {}
+    }
     match fault {
         Fault::Mute => future::pending::<()>().await,
         Fault::ResetAfterRun => return Ok(Next::End(End::Reset)),
--- /dev/null
+++ b/tests/edge/endless_answers.rs
@@ -0,0 +1,248 @@
+//! Endpoints whose answers never end must not cost the group its requests.
+//!
+//! Two of six endpoints send bytes until their connection is closed: in a head, in a body, or between events. Requests
+//! that may run twice are served elsewhere, the others lose only those that such an endpoint ran, and the group stops
+//! choosing it as it does any other endpoint that fails.
+
+use std::{collections::HashSet, sync::Arc, time::Duration};
+
+use hyper::StatusCode;
+use standins::{
+    flood::Flood,
+    runner::{EVENTS, Runner, event, whole_body},
+};
+use tokio::{task::JoinSet, time};
+
+use crate::{
+    site::Site,
+    support::{CallerResponse, Edge, exchange, request},
+};
+
+const ENDPOINTS: usize = 6;
+/// Endpoints whose answers never end.
+const FLOODING: usize = 2;
+/// Requests of one test, spread over the instances and over 1.5 s.
+const REQUESTS: usize = 60;
+const REQUEST_INTERVAL: Duration = Duration::from_millis(25);
+/// Requests that one instance may send to a flooding endpoint: the one that fails, and those that it sends meanwhile.
+const MAX_REACHED: usize = 3;
+/// The same for an endpoint that fails only by its silence, until which it may be sent as many as it runs at a time.
+const MAX_REACHED_SILENT: usize = 6;
+/// Requests of which both attempts ran at flooding endpoints, before either was known to fail.
+const MAX_LOST_TWICE: usize = 2;
+/// The limit that the process of the test is configured with.
+const MEMORY_LIMIT_KB: u64 = 110 << 10;
+
+/// A route under test.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Once,
+    Again,
+    Resumable,
+    Fixed,
+}
+
+impl Kind {
+    fn path(self) -> &'static str {
+        match self {
+            Self::Once => "/once/x",
+            Self::Again => "/again/x",
+            Self::Resumable => "/resume/stream",
+            Self::Fixed => "/fixed/stream",
+        }
+    }
+
+    /// How many endpoints may run one request.
+    fn attempts(self) -> usize {
+        match self {
+            Self::Once | Self::Fixed => 1,
+            Self::Again | Self::Resumable => 2,
+        }
+    }
+
+    fn whole(self, id: &str) -> String {
+        match self {
+            Self::Once | Self::Again => whole_body(id),
+            Self::Resumable | Self::Fixed => (1..=EVENTS).map(|n| event(id, n)).collect(),
+        }
+    }
+}
+
+/// Sends the requests of one test, over 1.5 s; returns the answers with their ids.
+async fn call_all(site: &Arc<Site>, kind: Kind) -> Vec<(String, Option<CallerResponse>)> {
+    let mut calls = JoinSet::new();
+    for number in 0..REQUESTS {
+        let addr = site.callers[number % site.callers.len()];
+        calls.spawn(async move {
+            time::sleep(REQUEST_INTERVAL * number as u32).await;
+            let id = format!("{kind:?}-{number}");
+            // Streams state that they have 16 tokens at most.
+            let request = request(kind.path(), &id, &[("token-usage", "8,16")]);
+            let answer = time::timeout(Duration::from_secs(20), exchange(addr, request)).await;
+            (id, answer.expect("an answer in time"))
+        });
+    }
+    calls.join_all().await
+}
+
+fn is_served(kind: Kind, id: &str, answer: &Option<CallerResponse>) -> bool {
+    let Some(answer) = answer else { return false };
+    if answer.status != StatusCode::OK || !answer.is_whole {
+        return false;
+    }
+    assert_eq!(answer.text(), kind.whole(id), "{id} looks complete");
+    true
+}
+
+/// Returns how many flooding endpoints ran a request.
+fn flooded_runs(flooding: &[Runner], id: &str) -> usize {
+    flooding.iter().map(|runner| runner.runs(id)).sum()
+}
+
+/// Checks one kind of flood on one route of a new deployment.
+async fn check_route(net: u8, instances: usize, flood: Flood, kind: Kind) {
+    let site = Arc::new(Site::start(net, instances, ENDPOINTS).await);
+    let flooding = &site.runners[..FLOODING];
+    for runner in flooding {
+        runner.flood(flood);
+    }
+    let answers = call_all(&site, kind).await;
+    let lost: HashSet<&str> = answers
+        .iter()
+        .filter(|(id, answer)| !is_served(kind, id, answer))
+        .map(|(id, _)| &**id)
+        .collect();
+    let reached: usize = flooding.iter().map(|r| r.seen().len()).sum();
+    let served = REQUESTS - lost.len();
+    println!("{flood:?} {kind:?} at {instances}: {served} of {REQUESTS} served, {reached} reached");
+    let unexplained: Vec<_> = lost
+        .iter()
+        .filter(|id| flooded_runs(flooding, id) < kind.attempts())
+        .collect();
+    assert!(unexplained.is_empty(), "{kind:?} lost {unexplained:?}");
+    if kind.attempts() > 1 {
+        assert!(lost.len() <= MAX_LOST_TWICE, "{kind:?} lost {lost:?}");
+    }
+    let max_reached = match flood {
+        Flood::SlowHeader => MAX_REACHED_SILENT,
+        _ => MAX_REACHED,
+    };
+    assert!(
+        reached <= max_reached * FLOODING * instances,
+        "{kind:?}: {reached} requests reached flooding endpoints"
+    );
+}
+
+/// Checks a flood that can come in any answer.
+async fn check(net: u8, flood: Flood) {
+    for kind in [Kind::Once, Kind::Again, Kind::Resumable] {
+        check_route(net, 2, flood, kind).await;
+    }
+}
+
+/// Checks a flood that only streams have.
+async fn check_streams(net: u8, flood: Flood) {
+    for kind in [Kind::Resumable, Kind::Fixed] {
+        check_route(net, 2, flood, kind).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn header_without_end_costs_no_requests() {
+    check(232, Flood::Header).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn headers_without_end_cost_no_requests() {
+    check(233, Flood::Headers).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn status_line_without_end_costs_no_requests() {
+    check(234, Flood::StatusLine).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn header_that_comes_byte_by_byte_costs_no_requests() {
+    check(235, Flood::SlowHeader).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn interim_answers_without_end_cost_no_requests() {
+    check(236, Flood::InterimAnswers).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chunk_extension_without_end_costs_no_requests() {
+    check(237, Flood::ChunkExtension).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn trailers_without_end_cost_no_requests() {
+    check(238, Flood::Trailers).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chunked_body_without_end_costs_no_requests() {
+    check(239, Flood::ChunkedBody).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn body_of_no_length_without_end_costs_no_requests() {
+    check(240, Flood::UnframedBody).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn body_of_a_false_length_costs_no_requests() {
+    check(241, Flood::FalseLength).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn event_without_end_costs_no_requests() {
+    check(242, Flood::Event).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn events_without_ids_and_end_cost_no_requests() {
+    check_streams(243, Flood::EventsWithoutIds).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn events_with_ids_and_no_end_cost_no_requests() {
+    check_streams(244, Flood::EventsWithIds).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn comments_without_end_cost_no_requests() {
+    check_streams(245, Flood::Comments).await;
+}
+
+/// Each instance learns of the endpoints that fail from its own requests, of which it has three here.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_without_end_cost_a_group_of_18_instances_no_requests() {
+    check_route(246, 18, Flood::ChunkedBody, Kind::Again).await;
+    check_route(246, 18, Flood::EventsWithIds, Kind::Resumable).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn process_with_endless_bodies_keeps_within_its_memory() {
+    let edge = Arc::new(Edge::start(ENDPOINTS).await);
+    for runner in &edge.runners[..FLOODING] {
+        runner.flood(Flood::ChunkedBody);
+    }
+    let mut calls = JoinSet::new();
+    for number in 0..REQUESTS {
+        let edge = edge.clone();
+        calls.spawn(async move {
+            time::sleep(REQUEST_INTERVAL * number as u32).await;
+            let id = format!("r-{number}");
+            let answer = edge.call(Kind::Again.path(), &id).await;
+            is_served(Kind::Again, &id, &Some(answer))
+        });
+    }
+    let served = calls.join_all().await.into_iter().filter(|s| *s).count();
+    let peak_kb = edge.peak_memory_kb();
+    println!("{served} of {REQUESTS} served, peak of {peak_kb} KB");
+    assert!(peak_kb < MEMORY_LIMIT_KB, "{peak_kb} KB");
+    assert!(served + MAX_LOST_TWICE >= REQUESTS, "{served} served");
+}
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -12,6 +12,7 @@
 mod cut_answers;
 mod cut_links;
 mod cut_rollouts;
+mod endless_answers;
 mod endpoint_limits;
 mod evacuations;
 mod large_cluster;
