Streams bring no more events than their tokens, and comments are no events

Callers of resumable streams got events or comments of an endless answer until its time was over, then a cut.

The end of an event was sought from its start whenever bytes arrived, so that one without end cost time that grows with the square of its length.

Change: a stream whose caller states its tokens brings two events a token and 32 more; beyond that none of its events can be trusted, the endpoint has failed, and the request runs elsewhere if its caller has no event yet. Comments and empty events go out with the next event and are no progress; 64 KB of them, or 1 MB of old events, break the run. Comments after the last event are dropped. Bytes are searched once.

--- a/src/endpoint/events.rs
+++ b/src/endpoint/events.rs
@@ -2,8 +2,10 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// The longest supported event, in bytes.
+/// The longest supported event, in bytes. Old events before it count, too.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Most bytes of comments and empty events before an event: thousands of signs of life.
+const MAX_EMPTY_BYTES: usize = 64 << 10;
 
 /// One or more complete events.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -35,6 +37,12 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Comments and empty events at the start of the buffer, which go out with the next event.
+    empty_bytes: usize,
+    /// Bytes of the buffer that were searched for the end of an event.
+    searched_bytes: usize,
+    /// Bytes of old events since the last new one.
+    skipped_bytes: usize,
 }
 
 impl EventSplitter {
@@ -45,7 +53,7 @@
 
     /// Returns whether the buffer holds an incomplete event.
     pub fn has_partial_event(&self) -> bool {
-        !self.buffer.is_empty()
+        self.buffer.len() > self.empty_bytes
     }
 
     /// Returns the number of bytes in the buffer.
@@ -56,36 +64,55 @@
     /// Removes and returns the complete events, without those whose id is not above `last_seen`.
     ///
     /// # Errors
-    /// An event is too long; the stream cannot be read any further.
+    /// An event is too long, or too much comes between two; the stream cannot be read any further.
     pub fn take_complete(
         &mut self,
         last_seen: Option<u64>,
     ) -> Result<Option<CompleteEvents>, EventTooLong> {
-        let mut end = 0;
+        let mut end = self.empty_bytes;
+        let mut searched = self.searched_bytes.max(end);
+        let mut taken = 0;
         let mut skipped = 0;
         let mut last_id = None;
         let mut count = 0;
-        while let Some(length) = event_length(&self.buffer[end..]) {
-            let id = event_id(&self.buffer[end..end + length]);
-            end += length;
+        let mut is_searched = true;
+        while let Some(length) = event_length(&self.buffer[end..], searched - end) {
+            let event = &self.buffer[end..end + length];
+            let id = event_id(event);
             let is_old = id.is_some_and(|id| last_seen.max(last_id).is_some_and(|s| id <= s));
-            if is_old && count == 0 {
-                skipped = end;
-                continue;
-            }
-            if is_old {
+            if is_old && count > 0 {
                 // The next call skips this event; the new events before it are returned first.
-                end -= length;
+                is_searched = false;
                 break;
             }
-            last_id = id.or(last_id);
-            count += 1;
+            let is_empty = is_empty_event(event);
+            end += length;
+            searched = end;
+            if is_old {
+                skipped = end;
+                taken = end;
+            } else if !is_empty {
+                last_id = id.or(last_id);
+                count += 1;
+                taken = end;
+            }
         }
-        if self.buffer.len() - end > MAX_EVENT_BYTES {
+        self.skipped_bytes = if count > 0 {
+            0
+        } else {
+            self.skipped_bytes + skipped
+        };
+        let is_long = self.skipped_bytes + self.buffer.len() - taken > MAX_EVENT_BYTES;
+        if is_long || end - taken > MAX_EMPTY_BYTES {
             return Err(EventTooLong);
         }
-        let mut bytes = self.buffer.split_to(end);
+        let mut bytes = self.buffer.split_to(taken);
         let _ = bytes.split_to(skipped);
+        self.empty_bytes = end - taken;
+        self.searched_bytes = match is_searched {
+            true => self.buffer.len(),
+            false => self.empty_bytes,
+        };
         Ok((count > 0).then(|| CompleteEvents {
             bytes: bytes.freeze(),
             last_id,
@@ -94,10 +121,14 @@
     }
 }
 
-/// Returns the length of the first event, including the blank line that ends it.
-fn event_length(bytes: &[u8]) -> Option<usize> {
-    let newlines = bytes.iter().enumerate().filter(|(_, b)| **b == b'\n');
-    for (at, _) in newlines {
+/// Returns the length of the first event, including the blank line that ends it. Its first `searched` bytes do not hold
+/// that line as a whole.
+fn event_length(bytes: &[u8], searched: usize) -> Option<usize> {
+    // A blank line that was received in part begins two bytes earlier.
+    let start = searched.saturating_sub(2);
+    let newlines = bytes[start..].iter().enumerate();
+    let newlines = newlines.filter(|(_, b)| **b == b'\n');
+    for at in newlines.map(|(index, _)| start + index) {
         let rest = &bytes[at + 1..];
         if rest.first() == Some(&b'\n') {
             return Some(at + 2);
@@ -109,6 +140,12 @@
     None
 }
 
+/// Returns whether an event only has comments and fields that bring nothing.
+fn is_empty_event(event: &[u8]) -> bool {
+    let mut lines = event.split(|b| *b == b'\n');
+    !lines.any(|line| line.starts_with(b"data") || line.starts_with(b"id:"))
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let mut lines = event.split(|b| *b == b'\n');
     let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -14,6 +14,7 @@
         attempt::{self, EndpointResponse, InFlightRequest, Job},
         caller_buffer::{HeldAccount, NoRoom},
         close_check::{self, CLOSE_UNCONFIRMED},
+        excess::{self, Excess},
         framing::Framing,
         protocol::Protocol,
         state::Gateway,
@@ -30,6 +31,8 @@
     Broken(&'static str),
     /// There was no event for so long that another endpoint should continue.
     Stalled,
+    /// It brought more events than the stream can have: none of them can be trusted.
+    TooManyEvents,
     /// The time of the request is over.
     TimeOver,
     /// What it sends cannot be held.
@@ -194,7 +197,7 @@
         (self.upstream, _) = Upstream::new(received, self.gateway.clock.now_us());
     }
 
-    /// Waits for the next whole events; the run has stalled if it brings no byte within `stall_timeout`. It may be
+    /// Waits for the next whole events; the run has stalled if it brings no part of one within `stall_timeout`. It may be
     /// cancelled at any time without losing any.
     ///
     /// # Errors
@@ -203,28 +206,40 @@
         &mut self,
         stall_timeout: Option<Duration>,
     ) -> Result<Bytes, StreamEnd> {
+        let mut progress_at = Instant::now();
         loop {
             let complete_events = self.upstream.cutter.take_complete(self.last_id);
             self.count_partial_event().map_err(|_| StreamEnd::NoRoom)?;
             match complete_events {
+                Ok(Some(events)) if self.exceeds(events.count) => {
+                    self.note_excess(Excess::Events);
+                    return Err(StreamEnd::TooManyEvents);
+                }
                 Ok(Some(events)) => {
                     self.last_id = events.last_id.or(self.last_id);
                     self.note_events(events.count);
                     return Ok(events.bytes);
                 }
                 Ok(None) => {}
-                Err(_) => return Err(StreamEnd::Broken("event_too_long")),
+                Err(_) => {
+                    self.note_excess(Excess::Event);
+                    return Err(StreamEnd::Broken(Excess::Event.as_str()));
+                }
             }
             let clock = self.gateway.clock;
             let mut deadline = self.job.deadline();
             if let Some(stall_timeout) = stall_timeout {
-                deadline.attempt_end = Instant::now() + stall_timeout;
+                deadline.attempt_end = progress_at + stall_timeout;
             }
             match deadline.wait(clock, self.upstream.body.frame()).await {
                 Some(Some(Ok(frame))) => {
                     if let Some(bytes) = frame.data_ref() {
                         self.upstream.cutter.push(bytes);
                     }
+                    // Comments alone are no progress.
+                    if self.upstream.cutter.has_partial_event() {
+                        progress_at = Instant::now();
+                    }
                 }
                 Some(Some(Err(_))) => return Err(StreamEnd::Broken("stream_broke")),
                 Some(None) if self.upstream.cutter.has_partial_event() => {
@@ -240,6 +255,16 @@
         }
     }
 
+    /// Returns whether the stream cannot have as many more events as these.
+    fn exceeds(&self, more: u32) -> bool {
+        let max_events = excess::max_events(self.job.head.tokens);
+        max_events.is_some_and(|max| u64::from(self.events) + u64::from(more) > max)
+    }
+
+    fn note_excess(&self, excess: Excess) {
+        excess::note(&self.gateway, &self.job, self.choice(), excess);
+    }
+
     /// Returns whether the end of the current run's answer shows that it is complete.
     async fn is_end_confirmed(&self) -> bool {
         let upstream = &self.upstream;
--- /dev/null
+++ b/src/gateway/excess.rs
@@ -0,0 +1,57 @@
+//! Answers that bring more than any answer to their request can: how much that is, and how it is counted and logged.
+//!
+//! Such an answer counts as a failure of its endpoint, and its request runs elsewhere if it may.
+
+use crate::{
+    balance::balancer::Choice,
+    gateway::{
+        attempt::Job,
+        protocol::{Protocol, TokenCounts},
+        state::Gateway,
+    },
+};
+
+/// Events of a stream per token that its caller allows: engines count the tokens of a text differently.
+const EVENTS_PER_TOKEN: u64 = 2;
+/// Events that bring no token, such as the role at the start and the usage at the end.
+const TOKENLESS_EVENTS: u64 = 32;
+
+/// What an answer brings too much of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Excess {
+    /// One event, or what comes between two.
+    Event,
+    /// Its events.
+    Events,
+}
+
+impl Excess {
+    /// Returns the reason in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Event => "event_too_long",
+            Self::Events => "too_many_events",
+        }
+    }
+}
+
+/// Returns the most events that a stream can have whose caller states these tokens; `None` if there is no bound.
+pub fn max_events(tokens: Option<TokenCounts>) -> Option<u64> {
+    let max_output = u64::from(tokens?.max_output);
+    Some(max_output * EVENTS_PER_TOKEN + TOKENLESS_EVENTS)
+}
+
+/// Counts and logs an answer that is given up because of its excess.
+pub fn note<P: Protocol>(gateway: &Gateway<P>, job: &Job, choice: &Choice, excess: Excess) {
+    let reason = excess.as_str();
+    gateway.metrics.count_excess(reason);
+    log::warn!(
+        target: "ryevalve::request",
+        request_id = job.request_id(),
+        route = &*job.route.name,
+        endpoint = &*choice.id,
+        max_events:serde = max_events(job.head.tokens),
+        reason;
+        "answer_too_long"
+    );
+}
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -97,6 +97,13 @@
     pub framing: &'static str,
 }
 
+/// Labels of metrics by what an endpoint's answer brings too much of.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ExcessLabels {
+    /// `head_too_long`, `body_too_long`, `event_too_long` or `too_many_events`.
+    pub reason: &'static str,
+}
+
 /// Labels of metrics by service.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ServiceLabels {
@@ -164,6 +171,7 @@
     answers_received: Family<FramingLabels, Counter>,
     /// Answers that ended with their connection and whose endpoint took no other one afterwards.
     pub closes_unconfirmed: Counter,
+    answers_too_long: Family<ExcessLabels, Counter>,
     /// Origins of streams written.
     pub origins_recorded: Counter,
     /// Origins of streams asked of other instances.
@@ -283,6 +291,7 @@
             streams_not_resumed: Family::default(),
             answers_received: Family::default(),
             closes_unconfirmed: Counter::default(),
+            answers_too_long: Family::default(),
             origins_recorded: Counter::default(),
             origins_asked: Counter::default(),
             requests_blocked: Counter::default(),
@@ -636,6 +645,9 @@
             "Answers that ended with their connection, at endpoints that took no other one";
         let counter = self.closes_unconfirmed.clone();
         registry.register("closes_unconfirmed", unconfirmed, counter);
+        let too_long = "Answers that brought more than any answer to their request can";
+        let counter = self.answers_too_long.clone();
+        registry.register("answers_too_long", too_long, counter);
         let recorded = "Origins of streams written for later attempts of their callers";
         registry.register("origins_recorded", recorded, self.origins_recorded.clone());
         let asked = "Origins of streams asked of other instances";
@@ -663,6 +675,12 @@
         self.answers_received.get_or_create(&labels).inc();
     }
 
+    /// Counts an answer that brought more than any answer to its request can.
+    pub fn count_excess(&self, reason: &'static str) {
+        let labels = ExcessLabels { reason };
+        self.answers_too_long.get_or_create(&labels).inc();
+    }
+
     /// Counts a request whose connection ended before its answer was complete.
     pub fn count_unanswered(&self, stage: &'static str, cause: &'static str) {
         let labels = UnansweredLabels { stage, cause };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 pub mod endpoint_connect;
 pub mod evacuations;
 pub mod event_source;
+mod excess;
 pub mod exchange;
 mod fetching;
 mod framing;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -18,6 +18,7 @@
         caller_buffer::{HeldAccount, StreamWriter, stream_buffer},
         crash_check::{self, LostRun},
         event_source::{EventSource, StreamEnd},
+        excess::Excess,
         metrics::Outcome,
         origin_table::StreamOrigin,
         protocol::Protocol,
@@ -101,6 +102,7 @@
                 self.source.note_failure();
                 return Err(match end {
                     StreamEnd::Broken(reason) => AttemptError::ConnectionLost(reason),
+                    StreamEnd::TooManyEvents => AttemptError::Unknown(Excess::Events.as_str()),
                     _ => AttemptError::Unknown("no_first_event"),
                 });
             }
@@ -227,6 +229,10 @@
                     self.source.end_run();
                     return Err(TIME_OVER);
                 }
+                StreamEnd::TooManyEvents => {
+                    self.source.end_run();
+                    return Err(Excess::Events.as_str());
+                }
                 StreamEnd::Broken(_) if is_callers_doing => return Err(CALLER_BEHIND),
                 StreamEnd::Broken(reason) => {
                     self.end_broken_run(reason).await;
@@ -288,6 +294,10 @@
                     Err(StreamEnd::Complete) => return Ok(Next::Complete),
                     Err(StreamEnd::NoRoom) => return Err(refuse::NO_MEMORY),
                     Err(StreamEnd::TimeOver) => return Err(TIME_OVER),
+                    Err(StreamEnd::TooManyEvents) => {
+                        self.source.end_run();
+                        return Err(Excess::Events.as_str());
+                    }
                     Err(StreamEnd::Broken(_) | StreamEnd::Stalled) => {
                         has_run = false;
                         let lost = LostRun {
--- a/standins/src/flood.rs
+++ b/standins/src/flood.rs
@@ -1,6 +1,11 @@
 //! Answers whose bytes never end, as an endpoint with a fault sends them.
 
-use std::{convert::Infallible, io, time::Duration};
+use std::{
+    convert::Infallible,
+    io,
+    sync::atomic::{AtomicUsize, Ordering},
+    time::Duration,
+};
 
 use tokio::{
     io::{AsyncWrite, AsyncWriteExt},
@@ -48,7 +53,7 @@
 }
 
 impl Flood {
-    /// Answers the request with this id until the connection is closed.
+    /// Answers the request with this id until the connection is closed; counts the bytes that were sent.
     ///
     /// # Errors
     /// The connection was closed, which is the only end.
@@ -56,6 +61,7 @@
         self,
         socket: &mut (impl AsyncWrite + Unpin),
         request_id: &str,
+        sent_bytes: &AtomicUsize,
     ) -> io::Result<Infallible> {
         socket.write_all(self.start(request_id).as_bytes()).await?;
         let mut number = 0;
@@ -74,6 +80,7 @@
                 block = format!("{:x}\r\n{block}\r\n", block.len());
             }
             socket.write_all(block.as_bytes()).await?;
+            sent_bytes.fetch_add(block.len(), Ordering::Relaxed);
         }
     }
 
