A body without end is a failure of its endpoint, and leaves room for others

Cause: such an answer takes the room for all answers before it reaches its own bound of 16 MB. Its attempt was then given up for want of memory: without a retry, and without a failure of the endpoint, which was chosen again. Small answers of sound endpoints found no room meanwhile.

Change: an answer beyond the bound of one caller that finds no room is too long: a failure, and retried where the request may run again. While it is read, such answers use up seven eighths of the room, so that the others find some. A length beyond 16 MB is given up at the head. A sound answer of up to 16 MB is read as before while there is room.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, Uri,
-    body::Incoming,
+    body::{Body as _, Incoming},
     header::{HeaderName, HeaderValue},
 };
 use tokio::time::{self, Instant};
@@ -26,6 +26,7 @@
         config::Route,
         endpoint_announcements,
         endpoint_connect::ConnectError,
+        excess::{self, Excess},
         framing::Framing,
         permits,
         protocol::{CallHead, Forward, Protocol},
@@ -36,8 +37,9 @@
     prelude::{Micros, Name},
 };
 
-/// The longest response body that is buffered, in bytes. A longer one counts as a lost connection.
+/// The longest response body that is buffered, in bytes. A longer one counts as a failure of its endpoint.
 const MAX_BUFFERED_BYTES: usize = 16 << 20;
+const BODY_TOO_LONG: AttemptError = AttemptError::Unknown(Excess::Body.as_str());
 /// Longer than any request is held: the attempt may then last until the deadline of the request.
 const NO_ATTEMPT_TIMEOUT: Duration = Duration::from_secs(86_400);
 /// Longest idle time of a pooled connection over which a request is sent that may run once only: if the endpoint closes
@@ -567,7 +569,8 @@
     let (parts, body) = response.into_parts();
     let reuse = connection_reuse(&parts.headers, parts.status);
     let answer = HeldAnswer::new(HeldAccount::open(&gateway.held_memory, job.caller_handle()));
-    let collecting = collect_body(body, answer);
+    let fair_share_bytes = gateway.bounds().held.per_caller_bytes;
+    let collecting = collect_body(body, answer, fair_share_bytes);
     let collected = deadline.wait(gateway.clock, collecting).await;
     let collected = collected.unwrap_or(Err(AttemptError::Unknown("answer_broke_off")));
     if collected
@@ -576,6 +579,9 @@
     {
         in_flight.note_failure();
     }
+    if matches!(&collected, Err(e) if *e == BODY_TOO_LONG) {
+        excess::note(gateway, job, &in_flight.choice, Excess::Body);
+    }
     let body = collected?;
     if framing == Framing::Close
         && !close_check::is_confirmed(gateway, job, &in_flight.choice).await
@@ -602,19 +608,29 @@
     })
 }
 
+/// Reads a body. If there is no room for it, it is too long only if it takes more than its fair share: another answer
+/// may take the room.
 async fn collect_body(
     mut body: Incoming,
     mut answer: HeldAnswer,
+    fair_share_bytes: usize,
 ) -> Result<HeldAnswer, AttemptError> {
+    if body.size_hint().lower() > MAX_BUFFERED_BYTES as u64 {
+        return Err(BODY_TOO_LONG);
+    }
     while let Some(frame) = body.frame().await {
         let broke_off = AttemptError::ConnectionLost("answer_broke_off");
         let Ok(chunk) = frame.map_err(|_| broke_off)?.into_data() else {
             continue;
         };
         if answer.len() + chunk.len() > MAX_BUFFERED_BYTES {
-            return Err(broke_off);
+            return Err(BODY_TOO_LONG);
         }
-        answer.push(chunk).map_err(|_| AttemptError::NoRoom)?;
+        let takes_more = answer.len() + chunk.len() > fair_share_bytes;
+        answer.push(chunk).map_err(|_| match takes_more {
+            true => BODY_TOO_LONG,
+            false => AttemptError::NoRoom,
+        })?;
     }
     Ok(answer)
 }
--- a/src/limits/held_bytes.rs
+++ b/src/limits/held_bytes.rs
@@ -15,6 +15,10 @@
 /// Share of the memory of the process for bytes held, which leaves the rest to everything else that it keeps.
 const MEMORY_SHARE: f64 = 0.25;
 
+/// Share of the total that answers beyond the bound of one caller may use up while they are read. The rest is for other
+/// answers: the end of a long one may never come.
+const LONG_ANSWERS_SHARE: f64 = 0.875;
+
 /// Limits on the bytes held.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeldLimits {
@@ -35,6 +39,17 @@
     }
 }
 
+impl HeldLimits {
+    /// Returns the total up to which a holder may hold more.
+    fn total_bytes_for<H>(&self, holder: &Holder<H>) -> usize {
+        let is_long = holder.bytes > self.per_caller_bytes && !holder.waits_for_caller;
+        match is_long {
+            true => (self.total_bytes as f64 * LONG_ANSWERS_SHARE) as usize,
+            false => self.total_bytes,
+        }
+    }
+}
+
 /// Identifies an answer or a request that bytes are held of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct HolderId(u64);
@@ -148,8 +163,9 @@
         }
         holder.bytes += bytes;
         self.total_bytes += bytes;
+        let limit_bytes = self.limits.total_bytes_for(holder);
         let mut cut = Vec::new();
-        while self.total_bytes > self.limits.total_bytes {
+        while self.total_bytes > limit_bytes {
             let Some(slowest) = self.slowest() else {
                 self.release(id, bytes);
                 return HoldOutcome {
--- a/tests/gateway/slow_callers.rs
+++ b/tests/gateway/slow_callers.rs
@@ -108,6 +108,18 @@
     assert!(held.hold(SECOND, next, 200).is_held);
 }
 
+#[test]
+fn answer_without_end_leaves_room_for_others() {
+    let mut held = Held::new(LIMITS);
+    let endless = held.open(0, 0);
+    while held.hold(0, endless, 64 << 10).is_held {}
+    let answers: Vec<_> = (1..=100).map(|caller| held.open(SECOND, caller)).collect();
+    for id in answers {
+        let cut = hold(&mut held, SECOND, id, 32 << 10);
+        assert!(cut.is_empty(), "{cut:?} are cut");
+    }
+}
+
 #[test]
 fn bytes_of_a_holder_that_was_cut_are_not_counted_again() {
     let limits = HeldLimits {
