Heads of answers are bounded together with the interim answers before them

An endpoint that answers 103 without end was read until the time of its request was over.

Cause: hyper bounds each head, but neither the number of interim answers nor their sum.

Change: the bytes read from the connection until the head is known are counted below hyper, 256 KB at most; beyond that the answer is a failure of its endpoint and is retried where the request may run again. So is a head that hyper finds too long.

--- a/src/endpoint/connection_pool.rs
+++ b/src/endpoint/connection_pool.rs
@@ -24,6 +24,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::{
+    endpoint::head_limit::{HeadLimit, HeadLimited},
     peers::tunnel::{TunnelState, TunnelStream},
     prelude::{Micros, Name},
 };
@@ -48,6 +49,8 @@
     pub is_reused: bool,
     /// Set if it leads through another instance.
     pub tunnel: Option<TunnelRoute>,
+    /// Bounds the heads of its answers.
+    pub head_limit: HeadLimit,
     driver: AbortOnDropHandle<()>,
 }
 
@@ -222,9 +225,11 @@
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
+        let head_limit = HeadLimit::default();
+        let limit = head_limit.clone();
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_READ_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(HeadLimited { stream, limit }))
             .await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let driver = AbortOnDropHandle::new(tokio::spawn(async move {
@@ -235,6 +240,7 @@
             sender,
             is_reused: false,
             tunnel,
+            head_limit,
             driver,
         })
     }
--- a/src/endpoint/mod.rs
+++ b/src/endpoint/mod.rs
@@ -4,5 +4,6 @@
 pub mod connection_pool;
 pub mod engine;
 pub mod events;
+pub mod head_limit;
 pub mod poll;
 pub mod sse;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -403,13 +403,18 @@
     in_flight.limit_version =
         endpoint_announcements::record_sent(gateway, in_flight.choice.key, in_flight.at_us);
     let request = build_request(gateway, job, &in_flight.choice, resume_after);
+    connection.head_limit.begin();
     let answer = connection.sender.send_request(request);
     let answer = watch_for_silence(gateway, &job.placement_request.service, &in_flight, answer);
     let response = match deadline.wait(gateway.clock, answer).await {
         Some(Ok(response)) => response,
         Some(Err(e)) if e.is_canceled() => return Err(AttemptError::NotSent("closed_before")),
-        Some(Err(_)) => {
+        Some(Err(error)) => {
             in_flight.note_failure();
+            if error.is_parse_too_large() || connection.head_limit.is_used_up() {
+                excess::note(gateway, job, &in_flight.choice, Excess::Head);
+                return Err(AttemptError::Unknown(Excess::Head.as_str()));
+            }
             return Err(AttemptError::ConnectionLost("connection_broke"));
         }
         None => {
@@ -417,6 +422,7 @@
             return Err(AttemptError::Unknown("no_answer"));
         }
     };
+    connection.head_limit.end();
     in_flight.has_response_head = true;
     if in_flight.carrier.is_none() {
         gateway.note_direct_answer(&job.placement_request.service);
--- a/src/gateway/excess.rs
+++ b/src/gateway/excess.rs
@@ -19,6 +19,8 @@
 /// What an answer brings too much of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Excess {
+    /// Its head, with the interim answers before it.
+    Head,
     /// Its body.
     Body,
     /// One event, or what comes between two.
@@ -31,6 +33,7 @@
     /// Returns the reason in logs and metrics.
     pub const fn as_str(self) -> &'static str {
         match self {
+            Self::Head => "head_too_long",
             Self::Body => "body_too_long",
             Self::Event => "event_too_long",
             Self::Events => "too_many_events",
