Failing tests: streams of engines that never end, at `ryevalve serve`

A stream of endless interim answers, comments, old events or tokens goes on after 8 s and 40 to 70 MB; one of an endless header or event fails within a second. The most tokens of a request reach the stream, which does not use them yet.

--- a/src/endpoint/engine.rs
+++ b/src/endpoint/engine.rs
@@ -135,6 +135,7 @@
         id: RequestId,
         request: Request<Full<Bytes>>,
         deadline: Instant,
+        max_tokens: Option<u32>,
     ) -> Result<Self, StreamError> {
         // Without a response the engine may be running the request all the same, so it is resumed like a broken stream.
         let answer = connection.send(request).await.ok();
--- a/src/endpoint/mod.rs
+++ b/src/endpoint/mod.rs
@@ -3,6 +3,7 @@
 pub mod connection;
 pub mod connection_pool;
 pub mod engine;
+pub mod event_limit;
 pub mod events;
 pub mod head_limit;
 pub mod poll;
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -338,13 +338,14 @@
             .deadline_us
             .saturating_sub(self.instance.clock.now_us());
         let deadline = time::Instant::now() + Duration::from_micros(left_us);
+        let max_tokens = self.call.meta.max_output_tokens;
         let started = tokio::select! {
             biased;
             () = self.answer.closed() => {
                 self.end_abandoned(addr, None).await;
                 return;
             }
-            started = EngineStream::start(connection, addr, id, request, deadline) => started,
+            started = EngineStream::start(connection, addr, id, request, deadline, max_tokens) => started,
         };
         match started {
             Ok(engine) if stream => self.relay(engine, addr).await,
--- a/standins/src/flood.rs
+++ b/standins/src/flood.rs
@@ -48,6 +48,10 @@
     EventsWithoutIds,
     /// Events with rising ids.
     EventsWithIds,
+    /// The same event again.
+    OldEvents,
+    /// Events of a model, with rising ids.
+    Tokens,
     /// Comments.
     Comments,
 }
@@ -102,9 +106,12 @@
             Self::UnframedBody => head("Connection: close"),
             Self::FalseLength => head(&format!("Content-Length: {FALSE_LENGTH_BYTES}")),
             Self::Event => chunked() + "b\r\nid: 1\ndata:\r\n",
-            Self::ChunkedBody | Self::EventsWithoutIds | Self::EventsWithIds | Self::Comments => {
-                chunked()
-            }
+            Self::ChunkedBody
+            | Self::EventsWithoutIds
+            | Self::EventsWithIds
+            | Self::OldEvents
+            | Self::Tokens
+            | Self::Comments => chunked(),
         }
     }
 
@@ -115,6 +122,10 @@
             Self::InterimAnswers => "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n".to_owned(),
             Self::EventsWithoutIds => format!("data: {number}\n\n"),
             Self::EventsWithIds => format!("id: {number}\ndata: {number}\n\n"),
+            Self::OldEvents => "id: 1\ndata: {\"choices\":[]}\n\n".to_owned(),
+            Self::Tokens => {
+                format!("id: {number}\ndata: {{\"choices\":[{{\"text\":\"x\"}}]}}\n\n")
+            }
             Self::Comments => ": x\n\n".to_owned(),
             _ => "x".repeat(64),
         }
@@ -128,6 +139,8 @@
                 | Self::Event
                 | Self::EventsWithoutIds
                 | Self::EventsWithIds
+                | Self::OldEvents
+                | Self::Tokens
                 | Self::Comments
         )
     }
--- a/tests/cluster/main.rs
+++ b/tests/cluster/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod configuration;
+mod endless_engines;
 mod failures;
 mod not_repeatable;
 mod operators;
