Engine streams of `ryevalve serve` end where they bring no answer

A stream of endless interim answers, comments, old events or tokens went on after 8 s and 40 to 70 MB, and held its request and its slot.

Cause: neither heads nor what comes between two events was bounded, and nothing compared the events with the tokens that the request allows.

Change: connections of the engine count the bytes of a head as those of the edge do; 64 KB of comments break a stream, 1 MB of old events or more events than its tokens allow end it as incomplete. The bound on events is the one of the edge. The bound of heads there is 512 KB, so that what hyper reads ahead of a body never counts as a head that is too long.

--- a/src/endpoint/connection.rs
+++ b/src/endpoint/connection.rs
@@ -18,6 +18,8 @@
 use tokio::{net::TcpStream, time};
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::endpoint::head_limit::{HeadLimit, HeadLimited};
+
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The connection could not be opened; provably no byte was sent.
@@ -55,6 +57,7 @@
 /// An open connection on which nothing has been sent yet.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
     driver: AbortOnDropHandle<()>,
 }
 
@@ -80,13 +83,19 @@
         // Disables Nagle's algorithm, which delays small messages until an acknowledgement arrives. A failure only costs
         // latency.
         let _ = stream.set_nodelay(true);
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let head_limit = HeadLimit::default();
+        let limit = head_limit.clone();
+        let handshake = http1::handshake(TokioIo::new(HeadLimited { stream, limit })).await;
         let (sender, connection) = handshake.context(LostSnafu)?;
         let driver = AbortOnDropHandle::new(tokio::spawn(async move {
             // Errors also reach the reader of the response.
             let _ = connection.await;
         }));
-        Ok(Self { sender, driver })
+        Ok(Self {
+            sender,
+            head_limit,
+            driver,
+        })
     }
 
     /// Sends the request and waits for the head of the response.
@@ -94,7 +103,9 @@
     /// # Errors
     /// No response arrived; the request may have run.
     pub async fn send(mut self, request: Request<Full<Bytes>>) -> Result<Answer, SendError> {
+        self.head_limit.begin();
         let response = self.sender.send_request(request).await.context(SendSnafu)?;
+        self.head_limit.end();
         Ok(Answer {
             response,
             driver: self.driver,
--- a/src/endpoint/engine.rs
+++ b/src/endpoint/engine.rs
@@ -12,7 +12,8 @@
 use crate::{
     endpoint::{
         connection::{Answer, Connection},
-        sse::{BadEvent, Event, Splitter},
+        event_limit,
+        sse::{BadEvent, Event, MAX_EVENT_BYTES, Splitter},
     },
     prelude::RequestId,
 };
@@ -114,6 +115,10 @@
     answer: Option<Answer>,
     splitter: Splitter,
     events: u64,
+    /// More of them are no answer.
+    max_events: u64,
+    /// Data of old events since the last new one.
+    old_bytes: usize,
     tokens: u32,
     /// End of the request's time.
     deadline: Instant,
@@ -125,7 +130,8 @@
 }
 
 impl EngineStream {
-    /// Sends the request over an open connection. From here on it may have run. Its time ends at `deadline`.
+    /// Sends the request over an open connection. From here on it may have run. Its time ends at `deadline`; its answer has
+    /// `max_tokens` at most, if that is known.
     ///
     /// # Errors
     /// The engine responded with an error status.
@@ -145,18 +151,26 @@
                 let text = read_error_text(answer).await;
                 return RefusedSnafu { status, text }.fail();
             }
-            return Ok(Self::new(addr, id, deadline, Some(answer)));
+            return Ok(Self::new(addr, id, deadline, max_tokens, Some(answer)));
         }
-        Ok(Self::new(addr, id, deadline, None))
+        Ok(Self::new(addr, id, deadline, max_tokens, None))
     }
 
-    fn new(addr: SocketAddr, id: RequestId, deadline: Instant, answer: Option<Answer>) -> Self {
+    fn new(
+        addr: SocketAddr,
+        id: RequestId,
+        deadline: Instant,
+        max_tokens: Option<u32>,
+        answer: Option<Answer>,
+    ) -> Self {
         Self {
             addr,
             id,
             answer,
             splitter: Splitter::default(),
             events: 0,
+            max_events: max_tokens.map_or(u64::MAX, event_limit::max_events),
+            old_bytes: 0,
             tokens: 0,
             deadline,
             resume_until: None,
@@ -228,13 +242,18 @@
             return Ok(None);
         }
         match event.id {
-            Some(id) if id <= self.events => return Ok(None),
+            Some(id) if id <= self.events => return self.skip_old(&event).map(|()| None),
             Some(id) if id > self.events + 1 => {
                 let reason = "an event is missing";
                 return IncompleteSnafu { reason }.fail();
             }
             _ => self.events += 1,
         }
+        if self.events > self.max_events {
+            let reason = "it has more events than its tokens allow";
+            return IncompleteSnafu { reason }.fail();
+        }
+        self.old_bytes = 0;
         self.resume_until = None;
         let Ok(chunk) = serde_json::from_str::<Chunk<'_>>(&event.data) else {
             let reason = "an event cannot be read";
@@ -262,6 +281,16 @@
         }))
     }
 
+    /// Skips an event that was received before. An engine may send as many as a long event takes.
+    fn skip_old(&mut self, event: &Event) -> Result<(), StreamError> {
+        self.old_bytes += event.data.len().max(1);
+        if self.old_bytes > MAX_EVENT_BYTES {
+            let reason = "old events come without end";
+            return IncompleteSnafu { reason }.fail();
+        }
+        Ok(())
+    }
+
     fn check_complete(&self) -> Result<(), StreamError> {
         let reason = match (&self.finish_reason, self.usage) {
             (None, _) => "it has no finish reason",
--- a/src/endpoint/head_limit.rs
+++ b/src/endpoint/head_limit.rs
@@ -14,9 +14,9 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// The most bytes read until an answer's head is known. What was read of the body by then counts, too: two buffers of
-/// hyper at most.
-const MAX_HEAD_BYTES: usize = 256 << 10;
+/// The most bytes read until an answer's head is known. What was read of the body by then counts, too: a few buffers of
+/// hyper, of 64 KB each.
+const MAX_HEAD_BYTES: usize = 512 << 10;
 /// No head is awaited.
 const UNLIMITED: usize = usize::MAX;
 
--- a/src/endpoint/sse.rs
+++ b/src/endpoint/sse.rs
@@ -5,6 +5,9 @@
 /// The longest supported event, in bytes.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Most bytes of comments and empty events before an event.
+const MAX_EMPTY_BYTES: usize = 64 << 10;
+
 /// A server-sent event.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Event {
@@ -14,7 +17,7 @@
     pub data: String,
 }
 
-/// An event is longer than [`MAX_EVENT_BYTES`] or not valid UTF-8.
+/// An event is longer than [`MAX_EVENT_BYTES`] or not valid UTF-8, or too much without data comes before it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BadEvent;
 
@@ -33,6 +36,8 @@
 pub struct Splitter {
     buffer: BytesMut,
     searched: usize,
+    /// Bytes of comments and empty events since the last event.
+    empty_bytes: usize,
 }
 
 impl Splitter {
@@ -44,7 +49,7 @@
     /// Returns the next complete event, or none until more bytes arrive.
     ///
     /// # Errors
-    /// The event is too long or not valid UTF-8; the stream cannot be read any further.
+    /// The event is bad; the stream cannot be read any further.
     #[allow(clippy::should_implement_trait)]
     pub fn next(&mut self) -> Result<Option<Event>, BadEvent> {
         loop {
@@ -57,8 +62,13 @@
             self.buffer.advance(end);
             self.searched = 0;
             if let Some(event) = event {
+                self.empty_bytes = 0;
                 return Ok(Some(event));
             }
+            self.empty_bytes += end;
+            if self.empty_bytes > MAX_EMPTY_BYTES {
+                return Err(BadEvent);
+            }
         }
     }
 
--- a/src/gateway/excess.rs
+++ b/src/gateway/excess.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     balance::balancer::Choice,
+    endpoint::event_limit,
     gateway::{
         attempt::Job,
         protocol::{Protocol, TokenCounts},
@@ -11,11 +12,6 @@
     },
 };
 
-/// Events of a stream per token that its caller allows: engines count the tokens of a text differently.
-const EVENTS_PER_TOKEN: u64 = 2;
-/// Events that bring no token, such as the role at the start and the usage at the end.
-const TOKENLESS_EVENTS: u64 = 32;
-
 /// What an answer brings too much of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Excess {
@@ -43,8 +39,7 @@
 
 /// Returns the most events that a stream can have whose caller states these tokens; `None` if there is no bound.
 pub fn max_events(tokens: Option<TokenCounts>) -> Option<u64> {
-    let max_output = u64::from(tokens?.max_output);
-    Some(max_output * EVENTS_PER_TOKEN + TOKENLESS_EVENTS)
+    tokens.map(|tokens| event_limit::max_events(tokens.max_output))
 }
 
 /// Counts and logs an answer that is given up because of its excess.
