Tests of endless answers: long sound answers, and 18 instances with streams alone

600 events of 3 KB for 300 tokens and plain answers of 3 MB, over connections that are used again, are delivered whole.

The bounds of the test are unchanged.

--- a/tests/edge/endless_answers.rs
+++ b/tests/edge/endless_answers.rs
@@ -9,7 +9,7 @@
 use hyper::StatusCode;
 use standins::{
     flood::Flood,
-    runner::{EVENTS, Runner, event, whole_body},
+    runner::{EVENTS, Runner, event, padded_event, whole_body},
 };
 use tokio::{task::JoinSet, time};
 
@@ -242,7 +242,46 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_without_end_cost_a_group_of_18_instances_no_requests() {
     check_route(246, 18, Flood::ChunkedBody, Kind::Again).await;
-    check_route(246, 18, Flood::EventsWithIds, Kind::Resumable).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn events_without_end_cost_a_group_of_18_instances_no_streams() {
+    check_route(248, 18, Flood::EventsWithIds, Kind::Resumable).await;
+}
+
+/// Sound answers that are long, over connections that are used again.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_answers_of_sound_endpoints_are_delivered_whole() {
+    const EVENT_COUNT: u64 = 600;
+    const PADDING: usize = 3 << 10;
+    let site = Arc::new(Site::start(247, 2, ENDPOINTS).await);
+    for runner in site.runners.iter() {
+        runner.pace(Duration::from_millis(1));
+        runner.long_responses(EVENT_COUNT, PADDING);
+    }
+    for number in 0..12 {
+        let id = format!("stream-{number}");
+        let path = Kind::Resumable.path();
+        // A stream of 600 events has 300 tokens at least.
+        let request = request(path, &id, &[("token-usage", "8,300")]);
+        let got = exchange(site.callers[number % 2], request).await;
+        let got = got.expect("an answer");
+        let whole: String = (1..=EVENT_COUNT)
+            .map(|n| padded_event(&id, n, PADDING))
+            .collect();
+        assert!(got.is_whole && got.text() == whole, "{id} is not whole");
+    }
+    for runner in site.runners.iter() {
+        runner.long_responses(EVENT_COUNT, 3 << 20);
+    }
+    for number in 0..24 {
+        let id = format!("plain-{number}");
+        let got = site
+            .call(number % 2, Kind::Once.path(), &id, "a prompt")
+            .await;
+        assert!(got.is_whole && got.status == StatusCode::OK, "{id} is cut");
+        assert_eq!(got.body.len(), whole_body(&id).len() + (3 << 20), "{id}");
+    }
 }
 
 #[tokio::test(flavor = "multi_thread")]
