--- a/tests/edge/endless_answers.rs
+++ b/tests/edge/endless_answers.rs
@@ -290,7 +290,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn process_with_endless_bodies_keeps_within_its_memory() {
+async fn process_with_endless_bodies_keeps_within_its_memory_and_logs_their_endpoint() {
     let edge = Arc::new(Edge::start(ENDPOINTS).await);
     for runner in &edge.runners[..FLOODING] {
         runner.flood(Flood::ChunkedBody);
@@ -310,4 +310,8 @@
     println!("{served} of {REQUESTS} served, peak of {peak_kb} KB");
     assert!(peak_kb < MEMORY_LIMIT_KB, "{peak_kb} KB");
     assert!(served + MAX_LOST_TWICE >= REQUESTS, "{served} served");
+    let lines = edge.lines();
+    let mut too_long = lines.iter().filter(|l| l["event"] == "answer_too_long");
+    let is_named = too_long.all(|l| l["endpoint"] == "i-0" || l["endpoint"] == "i-1");
+    assert!(edge.has_logged("answer_too_long") && is_named);
 }
