--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -18,6 +18,7 @@
         attempt::{self, EndpointResponse, InFlightRequest, Job},
         caller_buffer::{HeldAccount, NoRoom},
         close_check::{self, CLOSE_UNCONFIRMED},
+        excess::{self, Excess},
         overlap::MAX_OVERLAP,
         protocol::Protocol,
         state::Gateway,
@@ -26,6 +27,9 @@
     prelude::{Micros, Name},
 };
 
+/// Bytes of a run in which its first data must come, if a run that it is to replace is kept meanwhile.
+const MAX_AWAITED_BYTES: usize = 64 << 10;
+
 /// Why an endpoint brings no more events.
 pub enum StreamEnd {
     /// The response is complete.
@@ -36,6 +40,8 @@
     NotContinued(&'static str),
     /// There was no event for so long that another endpoint should continue.
     Stalled,
+    /// It brought more events than the stream can have: none of them can be trusted.
+    TooManyEvents,
     /// The time of the request is over.
     TimeOver,
     /// What it sends cannot be held.
@@ -89,9 +95,9 @@
         (upstream, headers)
     }
 
-    /// Waits for the first bytes; returns whether there are none. It may be cancelled at any time.
-    async fn ends_without_bytes(&mut self) -> bool {
-        while !self.cutter.has_partial_event() {
+    /// Waits for the first data; returns whether there is none. It may be cancelled at any time.
+    async fn ends_without_data(&mut self) -> bool {
+        while !self.cutter.has_data() && self.cutter.partial_bytes() < MAX_AWAITED_BYTES {
             match self.body.frame().await {
                 Some(Ok(frame)) => self.cutter.push(frame.data_ref().unwrap_or(&Bytes::new())),
                 Some(Err(_)) => return false,
@@ -244,10 +250,10 @@
     }
 
     /// Goes on with the response of another endpoint, and ends the current run, unless the response ends at once without
-    /// a byte.
+    /// data.
     pub async fn replace_run(&mut self, received: EndpointResponse<P>) {
         let (mut upstream, _) = Upstream::new(received, self.gateway.clock.now_us());
-        let ended = time::timeout(MAX_OVERLAP, upstream.ends_without_bytes()).await;
+        let ended = time::timeout(MAX_OVERLAP, upstream.ends_without_data()).await;
         if ended == Ok(true) {
             return;
         }
@@ -256,7 +262,7 @@
         self.upstream = upstream;
     }
 
-    /// Waits for the next whole events; the run has stalled if it brings no byte within `stall_timeout`. It may be
+    /// Waits for the next whole events; the run has stalled if it brings no part of one within `stall_timeout`. It may be
     /// cancelled at any time without losing any.
     ///
     /// # Errors
@@ -265,10 +271,15 @@
         &mut self,
         stall_timeout: Option<Duration>,
     ) -> Result<Bytes, StreamEnd> {
+        let mut progress_at = Instant::now();
         loop {
             let complete_events = self.upstream.cutter.take_complete(self.last_id);
             self.count_partial_event().map_err(|_| StreamEnd::NoRoom)?;
             match complete_events {
+                Ok(Some(events)) if self.exceeds(events.count) => {
+                    self.note_excess(Excess::Events);
+                    return Err(StreamEnd::TooManyEvents);
+                }
                 Ok(Some(events)) => {
                     if self.leaves_gap(&events) {
                         return Err(StreamEnd::NotContinued("resumed_with_gap"));
@@ -277,13 +288,20 @@
                     self.note_events(events.count);
                     return Ok(events.bytes);
                 }
+                Ok(None) if self.upstream.cutter.has_partial_event() => {
+                    progress_at = Instant::now();
+                }
+                // Comments alone are no progress.
                 Ok(None) => {}
-                Err(_) => return Err(StreamEnd::Broken("event_too_long")),
+                Err(_) => {
+                    self.note_excess(Excess::Event);
+                    return Err(StreamEnd::Broken(Excess::Event.as_str()));
+                }
             }
             let clock = self.gateway.clock;
             let mut deadline = self.job.deadline();
             if let Some(stall_timeout) = stall_timeout {
-                deadline.attempt_end = Instant::now() + stall_timeout;
+                deadline.attempt_end = progress_at + stall_timeout;
             }
             match deadline.wait(clock, self.upstream.body.frame()).await {
                 Some(Some(Ok(frame))) => {
@@ -292,23 +310,34 @@
                     }
                 }
                 Some(Some(Err(_))) => return Err(StreamEnd::Broken("stream_broke")),
-                Some(None) if self.upstream.cutter.has_partial_event() => {
-                    return Err(StreamEnd::Broken("ended_inside_event"));
-                }
-                Some(None) if !self.is_end_confirmed().await => {
-                    return Err(StreamEnd::Broken(CLOSE_UNCONFIRMED));
-                }
-                // An endpoint that cannot resume streams ends them like that.
-                Some(None) if self.is_resumed_without_events() => {
-                    return Err(StreamEnd::NotContinued("resumed_without_events"));
+                Some(None) => {
+                    let comments = self.upstream.cutter.take_trailing_comments();
+                    if comments.is_empty() {
+                        return Err(self.judge_end().await);
+                    }
+                    return Ok(comments);
                 }
-                Some(None) => return Err(self.complete()),
                 None if clock.now_us() < self.job.until_us => return Err(StreamEnd::Stalled),
                 None => return Err(StreamEnd::TimeOver),
             }
         }
     }
 
+    /// Returns what the end of the current run's answer means.
+    async fn judge_end(&mut self) -> StreamEnd {
+        if self.upstream.cutter.has_partial_event() {
+            return StreamEnd::Broken("ended_inside_event");
+        }
+        if !self.is_end_confirmed().await {
+            return StreamEnd::Broken(CLOSE_UNCONFIRMED);
+        }
+        if self.is_resumed_without_data() {
+            // An endpoint that cannot resume streams ends them like that.
+            return StreamEnd::NotContinued("resumed_without_events");
+        }
+        self.complete()
+    }
+
     /// Returns whether events seem to be missing between the last one and the first ones of a resumed run: all ids of the
     /// stream have risen by the same step so far.
     fn leaves_gap(&mut self, events: &CompleteEvents) -> bool {
@@ -334,10 +363,20 @@
         }
     }
 
-    fn is_resumed_without_events(&self) -> bool {
+    fn is_resumed_without_data(&self) -> bool {
         self.resumptions > 0 && !self.upstream.has_data
     }
 
+    /// Returns whether the stream cannot have as many more events as these.
+    fn exceeds(&self, more: u32) -> bool {
+        let max_events = excess::max_events(self.job.head.tokens);
+        max_events.is_some_and(|max| u64::from(self.events) + u64::from(more) > max)
+    }
+
+    fn note_excess(&self, excess: Excess) {
+        excess::note(&self.gateway, &self.job, self.choice(), excess);
+    }
+
     /// Returns whether the end of the current run's answer shows that it is complete.
     async fn is_end_confirmed(&self) -> bool {
         let upstream = &self.upstream;
--- a/standins/src/runner.rs
+++ b/standins/src/runner.rs
@@ -9,7 +9,10 @@
     future,
     io::ErrorKind,
     net::{Ipv4Addr, SocketAddr},
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -24,7 +27,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::stream_check::ReceivedEvent;
+use crate::{flood::Flood, stream_check::ReceivedEvent};
 
 /// Address of the endpoints. Outgoing connections use ports of 127.0.0.1, where one could take the port of an endpoint
 /// before that restarts.
@@ -226,6 +229,10 @@
     /// The version of its software, as its events state it.
     version: String,
     fault: Fault,
+    /// If set, its answers never end.
+    flood: Option<Flood>,
+    /// Bytes sent by such answers.
+    flood_bytes: Arc<AtomicUsize>,
     bad_version: Option<BadVersion>,
     /// Number of requests that are running.
     running: usize,
@@ -406,6 +413,16 @@
         self.lock().fault = fault;
     }
 
+    /// Lets its answers never end.
+    pub fn flood(&self, flood: Flood) {
+        self.lock().flood = Some(flood);
+    }
+
+    /// Returns the bytes that its endless answers have brought so far.
+    pub fn flood_bytes(&self) -> usize {
+        self.lock().flood_bytes.load(Ordering::Relaxed)
+    }
+
     /// Sets in which way the version of its software is bad; `None` if it is good.
     pub fn run_version(&self, bad: Option<BadVersion>) {
         self.lock().bad_version = bad;
@@ -746,6 +763,16 @@
     if fault.breaks_answer(is_stream, is_resumption) {
         update_seen(|s| s.was_broken_off = true);
     }
+    let (flood, flood_bytes) = {
+        let state = state.lock().expect("no holder panics");
+        (state.flood, state.flood_bytes.clone())
+    };
+    if let Some(flood) = flood {
+        update_seen(|s| s.was_broken_off = true);
+        match flood
+            .send(&mut output.socket, &request_id, &flood_bytes)
+            .await? {}
+    }
     match fault {
         Fault::Mute => future::pending::<()>().await,
         Fault::ResetAfterRun => return Ok(Next::End(End::Reset)),
--- a/tests/cluster/main.rs
+++ b/tests/cluster/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod configuration;
 mod cut_answers;
+mod endless_engines;
 mod failures;
 mod not_repeatable;
 mod operators;
