--- a/standins/src/soak/plain_callers.rs
+++ b/standins/src/soak/plain_callers.rs
@@ -28,6 +28,7 @@
     }
 }
 
+/// Reads streams until the calm phase, whose checks count on the load of the others.
 async fn run(world: Arc<World>, number: usize, http10: bool, seed: u64) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let streams = SIDE_ROUTES.iter().enumerate();
@@ -35,6 +36,9 @@
     let streams: Vec<usize> = streams.map(|(number, _)| number).collect();
     for count in 0.. {
         time::sleep(Duration::from_millis(rng.random_range(PAUSE_MS))).await;
+        if world.run_state().calm_since.is_some() {
+            return;
+        }
         let route = streams[rng.random_range(0..streams.len())];
         let first_id = format!("plain-{number}-{count}");
         let key = {
