--- a/standins/src/bin/streams.rs
+++ b/standins/src/bin/streams.rs
@@ -1,6 +1,7 @@
 //! Runs streams beside processes that end:
 //! `streams [--binary PATH] [--seed N] [--runs N] [--seconds S] [--instances N] [--endpoints N] [--callers N]
-//! [--framing chunked|close|mixed] [--ends none|endpoints|instances|both|releases|stops|all] [--http10 0|1] [--ids 0|1]`.
+//! [--framing chunked|close|mixed] [--ends none|endpoints|instances|both|releases|stops|all] [--http10 0|1] [--ids 0|1]
+//! [--restart-ms N]`.
 //!
 //! Exit code 0 if each stream was right for its caller, 1 if one was not, 2 for bad arguments.
 //! `streams endpoint ADDRESS ID VERSION FRAMING` serves as an endpoint.
@@ -68,6 +69,7 @@
         ends: Ends::Endpoints,
         http10: false,
         shares_ids: false,
+        restart_after: Duration::from_millis(400),
     };
     let mut runs = 1;
     for pair in args.chunks(2) {
@@ -82,6 +84,7 @@
             "--binary" => plan.binary = PathBuf::from(value),
             "--seed" => plan.seed = number()?,
             "--runs" => runs = number()?,
+            "--restart-ms" => plan.restart_after = Duration::from_millis(number()?),
             "--seconds" => plan.lasts = Duration::from_secs(number()?),
             "--instances" => plan.instances = number()?.clamp(1, 100) as usize,
             "--endpoints" => plan.endpoints = number()?.clamp(1, 100) as usize,
--- a/standins/src/streams.rs
+++ b/standins/src/streams.rs
@@ -134,6 +134,8 @@
     pub http10: bool,
     /// Whether callers use ids again, and leave streams.
     pub shares_ids: bool,
+    /// Time after which another endpoint is started at the address of one that has ended.
+    pub restart_after: Duration,
 }
 
 /// What callers saw.
@@ -296,7 +298,7 @@
             endpoints[index].has_ended()
         })
         .await;
-        time::sleep(RESTART_AFTER).await;
+        time::sleep(self.plan.restart_after).await;
         let (id, entry) = {
             let mut endpoints = self.endpoints.lock().expect("no holder panics");
             if endpoints[index].id != old {
