--- a/tests/edge/cut_answers.rs
+++ b/tests/edge/cut_answers.rs
@@ -127,17 +127,17 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_of_a_killed_endpoint_does_not_look_complete_at_4_instances() {
-    check_killed_endpoints(170, 4).await;
+    check_killed_endpoints(250, 4).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_of_a_killed_endpoint_does_not_look_complete_at_18_instances() {
-    check_killed_endpoints(171, 18).await;
+    check_killed_endpoints(251, 18).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn plain_answer_of_a_killed_endpoint_does_not_look_complete() {
-    let site = start(172, 4).await;
+    let site = start(252, 4).await;
     for path in ["/again/x", "/once/x"] {
         site.runners[0].fault(Fault::KilledInAnswer);
         site.runners[1].fault(Fault::KilledInAnswer);
@@ -160,7 +160,7 @@
 /// Endpoints are sound, and their answers end with their connections.
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_that_end_with_their_connection_are_still_delivered() {
-    let site = start(173, 4).await;
+    let site = start(253, 4).await;
     for runner in site.runners.iter() {
         runner.end_with_connection();
     }
@@ -201,18 +201,18 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn resumed_run_without_events_does_not_complete_a_stream() {
-    check_bad_resumptions(174, Fault::EmptyResumption).await;
+    check_bad_resumptions(254, Fault::EmptyResumption).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn resumed_run_that_begins_later_leaves_no_gap() {
-    check_bad_resumptions(175, Fault::LateResumption).await;
+    check_bad_resumptions(231, Fault::LateResumption).await;
 }
 
 /// That nothing follows is what a run that cannot be resumed looks like, too, so the callers have to ask.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_that_breaks_after_its_last_event_is_not_called_complete_for_its_caller() {
-    let site = start(176, 4).await;
+    let site = start(217, 4).await;
     for runner in &site.runners[..2] {
         runner.fault(Fault::CutAfterLastEvent);
     }
@@ -240,7 +240,7 @@
 /// An endpoint that cannot resume streams brings nothing either, so what is missing is left to the caller to ask.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_of_an_endpoint_that_ends_after_the_last_event_is_not_completed_by_an_empty_run() {
-    let site = start(177, 4).await;
+    let site = start(218, 4).await;
     for runner in site.runners.iter() {
         runner.end_with_connection();
         runner.fault(Fault::KilledAfterLastEvent);
@@ -252,7 +252,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_whose_events_have_no_ids_is_not_resumed_with_events_twice() {
-    let site = start(178, 1).await;
+    let site = start(219, 1).await;
     for runner in site.runners.iter() {
         runner.omit_ids();
     }
