Two runs that begin at the same later id do not show that nothing is missing

Cause: a second endpoint that began at the same id was taken as proof that the ids rise unevenly; endpoints of one version fail alike. Change: a run that leaves a gap is never joined.

--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -130,9 +130,6 @@
     /// The steps between the ids so far; the first one is counted from 0 or from the event after which the caller took the
     /// stream up.
     id_steps: IdSteps,
-    /// The id at which a resumed run began that seemed to leave a gap. Another run that begins there shows that there is
-    /// none.
-    doubted_id: Option<u64>,
     /// The version of the endpoint that brought the first event.
     began_version: Option<Name>,
     longest_gap_us: Micros,
@@ -158,7 +155,6 @@
             last_lacks_id: false,
             resumptions: 0,
             id_steps: IdSteps::default(),
-            doubted_id: None,
             began_version: None,
             longest_gap_us: 0,
             events: 0,
@@ -340,14 +336,13 @@
 
     /// Returns whether events seem to be missing between the last one and the first ones of a resumed run: all ids of the
     /// stream have risen by the same step so far.
-    fn leaves_gap(&mut self, events: &CompleteEvents) -> bool {
+    fn leaves_gap(&self, events: &CompleteEvents) -> bool {
         let (Some(last), Some(first)) = (self.last_id, events.first_id) else {
             return false;
         };
         let is_first = self.resumptions > 0 && !self.upstream.has_ids;
         let step = self.id_steps.uniform();
-        let is_far = step.is_some_and(|step| first.saturating_sub(last) > step);
-        is_first && is_far && self.doubted_id.replace(first) != Some(first)
+        is_first && step.is_some_and(|step| first.saturating_sub(last) > step)
     }
 
     fn note_ids(&mut self, events: &CompleteEvents) {
