Log and count how the origin of a stream was concluded

stream_taken_up says where a stream goes on, not why: by a record of its origin, or because the service had no other version as far as the instances that answered know. No decision changes.

--- a/src/explain.rs
+++ b/src/explain.rs
@@ -99,6 +99,17 @@
             text_of(line, "endpoint"),
             text_of(line, "version"),
         ),
+        "stream_origin_found" => format!(
+            "{} takes up the stream of {}, which version {} of {} began: {}",
+            text_of(line, "request_id"),
+            text_of(line, "resumes"),
+            text_of(line, "version"),
+            text_of(line, "service"),
+            match text_of(line, "source") {
+                "recorded" => "an instance has a record",
+                _ => "no instance has a record, and the service had no other version",
+            },
+        ),
         "stream_not_taken_up" => format!(
             "{} may not take up the stream of {}: {}",
             text_of(line, "request_id"),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -16,7 +16,7 @@
 use crate::{
     endpoint::framing::Framing,
     entry::refusal::{Refusal, Verdict},
-    gateway::rollouts::RolloutFigures,
+    gateway::{rollouts::RolloutFigures, stream_origins::OriginSource},
 };
 
 /// The outcome of a request.
@@ -60,6 +60,11 @@
 }
 
 /// Labels of metrics by route and outcome.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OriginLabels {
+    source: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RouteLabels {
     /// The route's name.
@@ -177,6 +182,7 @@
     pub origins_recorded: Counter,
     /// Origins of streams asked of other instances.
     pub origins_asked: Counter,
+    origins_found: Family<OriginLabels, Counter>,
     /// Requests refused because endpoints crashed while running them.
     pub requests_blocked: Counter,
     /// Requests refused because their organisation has its share of a service that is short of room.
@@ -295,6 +301,7 @@
             answers_too_long: Family::default(),
             origins_recorded: Counter::default(),
             origins_asked: Counter::default(),
+            origins_found: Family::default(),
             requests_blocked: Counter::default(),
             requests_over_share: Counter::default(),
             share_room_slots: Family::default(),
@@ -653,6 +660,16 @@
         registry.register("origins_recorded", recorded, self.origins_recorded.clone());
         let asked = "Origins of streams asked of other instances";
         registry.register("origins_asked", asked, self.origins_asked.clone());
+        let found = "Origins of streams that callers took up, by how they were concluded";
+        registry.register("origins_found", found, self.origins_found.clone());
+    }
+
+    /// Counts a stream that its caller takes up and whose origin was concluded.
+    pub fn count_origin(&self, source: OriginSource) {
+        let source = source.as_str();
+        self.origins_found
+            .get_or_create(&OriginLabels { source })
+            .inc();
     }
 
     /// Counts a stream that is resumed within its answer.
--- a/src/gateway/resumption.rs
+++ b/src/gateway/resumption.rs
@@ -9,6 +9,7 @@
         protocol::{CallHead, Protocol},
         refuse,
         state::Gateway,
+        stream_origins::FoundOrigin,
     },
     prelude::{Name, Rank},
 };
@@ -56,15 +57,28 @@
         .find_origin(organisation, began_as, &service)
         .await
         .ok_or(ORIGIN_UNKNOWN)
-        .and_then(|origin| match route.leads_to(&origin.service) {
-            true => Ok(origin),
+        .and_then(|found| match route.leads_to(&found.origin.service) {
+            true => Ok(found),
             false => Err(SERVICE_MOVED),
         });
     match origin {
-        Ok(origin) => Ok(Destination {
-            service: origin.service,
-            version: Some(origin.version),
-        }),
+        Ok(FoundOrigin { origin, source }) => {
+            gateway.metrics.count_origin(source);
+            log::info!(
+                target: "ryevalve::request",
+                request_id = header_for_log(head.request_id.as_ref()),
+                resumes = header_for_log(began_as),
+                service = &*origin.service,
+                version = &*origin.version,
+                source = source.as_str(),
+                up_ms = gateway.clock.now_us() / 1_000;
+                "stream_origin_found"
+            );
+            Ok(Destination {
+                service: origin.service,
+                version: Some(origin.version),
+            })
+        }
         Err(reason) => {
             gateway.metrics.streams_not_taken_up.inc();
             log::info!(
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -41,6 +41,34 @@
 /// Time after which an unanswered question is sent again: a datagram may be lost.
 const REPEAT_AFTER: Duration = Duration::from_millis(35);
 
+/// How the origin of a stream was concluded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OriginSource {
+    /// An instance has a record of it.
+    Recorded,
+    /// No instance that answered has a record, and the service has had no other version as far as they know.
+    OnlyVersion,
+}
+
+impl OriginSource {
+    /// Returns the name used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Recorded => "recorded",
+            Self::OnlyVersion => "only_version",
+        }
+    }
+}
+
+/// The origin of a stream that a caller takes up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FoundOrigin {
+    /// The origin.
+    pub origin: StreamOrigin,
+    /// How it was concluded.
+    pub source: OriginSource,
+}
+
 /// A message between instances about the origin of a stream.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum OriginMessage {
@@ -193,11 +221,14 @@
         organisation: Option<&str>,
         began_as: Option<&HeaderValue>,
         service: &Name,
-    ) -> Option<StreamOrigin> {
+    ) -> Option<FoundOrigin> {
         let sole_version = self.balancer().versions().sole_version(service).cloned();
-        let sole_origin = sole_version.map(|version| StreamOrigin {
-            service: service.clone(),
-            version,
+        let sole_origin = sole_version.map(|version| FoundOrigin {
+            origin: StreamOrigin {
+                service: service.clone(),
+                version,
+            },
+            source: OriginSource::OnlyVersion,
         });
         let Some(began_as) = began_as else {
             return sole_origin;
@@ -212,7 +243,12 @@
         match (asked, held) {
             (OriginMessage::Ambiguous, _) => None,
             (OriginMessage::Known(asked), OriginMessage::Known(held)) if asked != held => None,
-            (OriginMessage::Known(origin), _) | (_, OriginMessage::Known(origin)) => Some(origin),
+            (OriginMessage::Known(origin), _) | (_, OriginMessage::Known(origin)) => {
+                Some(FoundOrigin {
+                    origin,
+                    source: OriginSource::Recorded,
+                })
+            }
             (
                 OriginMessage::Unknown {
                     has_several_versions: true,
--- a/tests/gateway/explain.rs
+++ b/tests/gateway/explain.rs
@@ -32,6 +32,20 @@
     }
 }
 
+/// Guards against a stream that went on at the wrong version and no line that says why.
+#[test]
+fn how_the_origin_of_a_stream_was_concluded_is_explained() {
+    let line = |source: &str| {
+        format!(
+            r#"{{"at":5,"event":"stream_origin_found","request_id":"r-8","resumes":"r-7","service":"svc","version":"v2","source":"{source}"}}"#
+        )
+    };
+    let recorded = explain(&line("recorded"), "r-7").unwrap();
+    assert!(recorded.contains("version v2 of svc began: an instance has a record"));
+    let concluded = explain(&line("only_version"), "r-8").unwrap();
+    assert!(concluded.contains("the service had no other version"));
+}
+
 #[test]
 fn a_request_without_log_lines_has_no_explanation() {
     assert_eq!(explain(LOG, "r-3"), None);
