Failing tests: streams after the loss of all instances are joined or refused

Real sockets, 48 streams of two versions, all instances lost and as many started: 23 to 48 go on at a version that did not begin them if only one is left, and none goes on while both serve.

--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -29,7 +29,6 @@
 mod poison_requests;
 mod reservations;
 mod resting_endpoints;
-
 mod rollouts;
 mod shares;
 mod silent_carriers;
@@ -39,6 +38,7 @@
 mod slow_callers;
 mod store_lists;
 mod store_returns;
+mod stream_losses;
 mod stream_versions;
 mod support;
 mod suspension;
--- /dev/null
+++ b/tests/edge/stream_losses.rs
@@ -0,0 +1,235 @@
+//! Streams that run when all instances are lost at once, and are taken up when instances are back.
+//!
+//! Endpoints of one or two versions serve. No instance that comes back has seen what the lost ones knew.
+
+use std::time::Duration;
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    task::JoinSet,
+    time,
+};
+
+use crate::{
+    site::{Site, entry},
+    stream_versions::{Counts, PATH, SLOTS, TWO_VERSIONS, Tries, begin_streams, take_up},
+    support::KEY,
+};
+
+const ENDPOINTS: usize = 8;
+const STREAMS: usize = 48;
+/// Streams of which the caller gets the rest, if endpoints of their version serve: nine in ten.
+const MIN_WHOLE: usize = 43;
+/// Events of a stream that runs for longer than it takes to begin all of them.
+const LONG_STREAM: u64 = 60;
+/// How long the streams run before the loss.
+const RUN_TIME: Duration = Duration::from_millis(300);
+/// How long all instances are down.
+const DOWNTIME: Duration = Duration::from_millis(1_200);
+/// Endpoints of the first version, in a site whose versions alternate.
+const OLD: [usize; 4] = [0, 2, 4, 6];
+
+/// Begins a stream and reads it until its connection ends; returns its id if it brought the two events after which it is
+/// taken up.
+async fn read_until_lost(callers: std::net::SocketAddr, id: String) -> Option<String> {
+    let mut stream = TcpStream::connect(callers).await.expect("a connection");
+    let request = format!(
+        "POST {PATH} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 3000\r\n\
+         Authorization: {KEY}\r\nContent-Length: 0\r\n\r\n"
+    );
+    let sent = stream.write_all(request.as_bytes()).await;
+    sent.expect("the request is sent");
+    let mut bytes = Vec::new();
+    // The connection of a lost instance ends or is reset.
+    while matches!(stream.read_buf(&mut bytes).await, Ok(count) if count > 0) {}
+    let text = String::from_utf8_lossy(&bytes);
+    let events = text.matches("\n\n").count();
+    (events >= 2).then_some(id)
+}
+
+/// Sets one endpoint's version.
+fn set_version(site: &Site, index: usize, version: &str) {
+    let mut spec = entry(site.runners[index].addr);
+    spec["version"] = version.into();
+    spec["capacity"] = SLOTS.into();
+    site.platform.set("servers", &format!("e{index}-0"), spec);
+}
+
+/// Starts an endpoint of another version in place of one that left.
+fn replace(site: &Site, index: usize, version: &str) {
+    site.platform.remove("servers", &format!("e{index}-0"));
+    let mut spec = entry(site.runners[index].addr);
+    spec["version"] = version.into();
+    spec["capacity"] = SLOTS.into();
+    let id = format!("e{index}-1");
+    site.runners[index].replace(&id);
+    site.platform.set("servers", &id, spec);
+}
+
+/// Begins streams at all instances in turn and lets them run, then loses all instances and calls `meanwhile` before as
+/// many are back.
+async fn lose_all(site: &mut Site, name: &str, meanwhile: impl FnOnce(&Site)) -> Vec<String> {
+    let instances = site.instances.len();
+    for runner in site.runners.iter() {
+        runner.long_responses(LONG_STREAM, 0);
+    }
+    let mut calls = JoinSet::new();
+    for number in 0..STREAMS {
+        let callers = site.callers[number % instances];
+        calls.spawn(read_until_lost(callers, format!("{name}-{number}")));
+    }
+    time::sleep(RUN_TIME).await;
+    site.kill_all();
+    let begun = calls.join_all().await;
+    for runner in site.runners.iter() {
+        runner.long_responses(standins::runner::EVENTS, 0);
+    }
+    time::sleep(DOWNTIME).await;
+    meanwhile(site);
+    site.start_instances(instances).await;
+    let begun: Vec<String> = begun.into_iter().flatten().collect();
+    assert!(begun.len() >= MIN_WHOLE, "{} streams began", begun.len());
+    begun
+}
+
+/// Takes up streams at all instances in turn.
+async fn take_up_all(site: &Site, begun: Vec<String>) -> (Tries, usize) {
+    let mut calls = JoinSet::new();
+    for (number, first) in begun.into_iter().enumerate() {
+        let callers = site.callers[number % site.callers.len()];
+        calls.spawn(async move {
+            let (ids, is_whole) = take_up(callers, first.clone(), 2).await;
+            (first, ids, is_whole)
+        });
+    }
+    let done = calls.join_all().await;
+    let whole = done.iter().filter(|(_, _, is_whole)| *is_whole).count();
+    let tries = done.into_iter().map(|(first, ids, _)| (first, ids));
+    (tries.collect(), whole)
+}
+
+/// Loses all instances beside endpoints of two versions, takes up the streams and counts.
+async fn count_after_loss(
+    site: &mut Site,
+    name: &str,
+    versions: &[&str],
+    meanwhile: impl FnOnce(&Site),
+) -> Counts {
+    let begun = lose_all(site, name, meanwhile).await;
+    let (tries, whole) = take_up_all(site, begun).await;
+    let counts = Counts {
+        whole,
+        ..site.count(&tries, versions)
+    };
+    println!("{name}: {counts:?} of {}", tries.len());
+    counts
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_after_the_loss_of_all_instances_while_two_versions_serve() {
+    for (net, instances) in [(150, 7), (151, 18)] {
+        let mut site = Site::start(net, instances, ENDPOINTS).await;
+        site.set_versions(&TWO_VERSIONS).await;
+        let counts = count_after_loss(&mut site, "both", &TWO_VERSIONS, |_| {}).await;
+        assert_eq!(counts.mixed, 0, "{instances} instances: {counts:?}");
+        assert!(
+            counts.whole >= MIN_WHOLE,
+            "{instances} instances: {counts:?}"
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_after_the_loss_of_all_instances_while_one_version_serves() {
+    let versions = ["v1"];
+    let mut site = Site::start(152, 7, ENDPOINTS).await;
+    site.set_versions(&versions).await;
+    let counts = count_after_loss(&mut site, "one", &versions, |_| {}).await;
+    assert!(counts.whole >= MIN_WHOLE, "{counts:?}");
+}
+
+/// The last endpoints of the old version leave while no instance runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_version_that_left_while_all_instances_were_down_is_not_joined() {
+    let mut site = Site::start(153, 7, ENDPOINTS).await;
+    site.set_versions(&TWO_VERSIONS).await;
+    let counts = count_after_loss(&mut site, "left", &TWO_VERSIONS, |site| {
+        for index in OLD {
+            site.platform.remove("servers", &format!("e{index}-0"));
+        }
+    })
+    .await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+    // About half of the streams began at the version that still serves.
+    assert!(counts.whole * 4 >= STREAMS, "{counts:?}");
+}
+
+/// Before the loss there was one version, and after it there is one version.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_version_that_was_replaced_while_all_instances_were_down_is_not_joined() {
+    let versions = ["v1"];
+    let mut site = Site::start(154, 7, ENDPOINTS).await;
+    site.set_versions(&versions).await;
+    let counts = count_after_loss(&mut site, "replaced", &versions, |site| {
+        for index in 0..ENDPOINTS {
+            replace(site, index, "v2");
+        }
+    })
+    .await;
+    assert_eq!(counts.went_on, 0, "{counts:?}");
+}
+
+/// The old version's last endpoints leave before the loss, while their streams run.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_version_that_left_before_the_loss_of_all_instances_is_not_joined() {
+    for (net, instances) in [(155, 7), (156, 18)] {
+        let mut site = Site::start(net, instances, ENDPOINTS).await;
+        site.set_versions(&TWO_VERSIONS).await;
+        let begun = begin_streams(&site, 0, "before", STREAMS).await;
+        let old = OLD.map(|index| format!("e{index}-0"));
+        for id in &old {
+            site.platform.remove("servers", id);
+        }
+        site.until_gone(&old.each_ref().map(|id| &**id)).await;
+        site.kill_all();
+        time::sleep(DOWNTIME).await;
+        site.start_instances(instances).await;
+        let (tries, whole) = take_up_all(&site, begun).await;
+        let counts = Counts {
+            whole,
+            ..site.count(&tries, &TWO_VERSIONS)
+        };
+        println!("{instances} instances: {counts:?}");
+        assert_eq!(counts.mixed, 0, "{instances} instances: {counts:?}");
+        assert!(counts.whole * 4 >= STREAMS, "{counts:?}");
+    }
+}
+
+/// A version appears a second before the loss, and the other one leaves while no instance runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_begun_before_a_version_appeared_and_the_other_left_is_not_joined() {
+    let mut site = Site::start(157, 7, ENDPOINTS).await;
+    site.set_versions(&["v1"]).await;
+    let begun = begin_streams(&site, 0, "early", STREAMS).await;
+    for index in (0..ENDPOINTS).filter(|index| !OLD.contains(index)) {
+        set_version(&site, index, "v2");
+    }
+    time::sleep(Duration::from_secs(1)).await;
+    site.kill_all();
+    for index in OLD {
+        site.platform.remove("servers", &format!("e{index}-0"));
+    }
+    time::sleep(DOWNTIME).await;
+    site.start_instances(7).await;
+    let (tries, _) = take_up_all(&site, begun).await;
+    let went_on = tries
+        .iter()
+        .flat_map(|(_, ids)| ids)
+        .filter(|id| !site.endpoints_of(id).is_empty());
+    assert_eq!(
+        went_on.count(),
+        0,
+        "all streams began at v1, which has left"
+    );
+}
--- a/tests/edge/stream_versions.rs
+++ b/tests/edge/stream_versions.rs
@@ -27,10 +27,10 @@
     support::{KEY, exchange, request},
 };
 
-const PATH: &str = "/resume/w/stream";
-const TWO_VERSIONS: [&str; 2] = ["v1", "v2"];
+pub const PATH: &str = "/resume/w/stream";
+pub const TWO_VERSIONS: [&str; 2] = ["v1", "v2"];
 /// Requests that an endpoint runs at a time: all streams have room at either version.
-const SLOTS: usize = 16;
+pub const SLOTS: usize = 16;
 /// Streams of one test. The retry budget of the smallest group has room for as many.
 const STREAMS: usize = 32;
 /// Events of a stream that lasts for longer than instances take to learn of a new version.
@@ -40,13 +40,13 @@
 
 /// How streams went on, counted at the endpoints.
 #[derive(Debug, Default)]
-struct Counts {
+pub struct Counts {
     /// Streams that went on at an endpoint.
-    went_on: usize,
+    pub went_on: usize,
     /// Of these, streams that went on at another version than the one that began them.
-    mixed: usize,
+    pub mixed: usize,
     /// Streams that callers got to their end.
-    whole: usize,
+    pub whole: usize,
 }
 
 impl Counts {
@@ -60,11 +60,11 @@
 }
 
 /// A caller's streams: the id under which each was begun, and those under which it was taken up.
-type Tries = Vec<(String, Vec<String>)>;
+pub type Tries = Vec<(String, Vec<String>)>;
 
 impl Site {
     /// Gives the endpoints these versions in turn, and waits until all instances know.
-    async fn set_versions(&self, versions: &[&str]) {
+    pub async fn set_versions(&self, versions: &[&str]) {
         for (index, runner) in self.runners.iter().enumerate() {
             let mut spec = entry(runner.addr);
             spec["version"] = versions[index % versions.len()].into();
@@ -89,7 +89,7 @@
     }
 
     /// Waits until no instance knows these endpoints.
-    async fn until_gone(&self, ids: &[&str]) {
+    pub async fn until_gone(&self, ids: &[&str]) {
         until("endpoints to be gone", || {
             self.instances.iter().all(|instance| {
                 let balancer = instance.gateway.balancer();
@@ -100,7 +100,7 @@
     }
 
     /// Returns the endpoints that ran an attempt, each with whether the attempt went on after an event.
-    fn endpoints_of(&self, id: &str) -> Vec<(usize, bool)> {
+    pub fn endpoints_of(&self, id: &str) -> Vec<(usize, bool)> {
         let mut found = Vec::new();
         for (index, runner) in self.runners.iter().enumerate() {
             for seen in runner.seen().iter().filter(|s| s.has_run) {
@@ -125,7 +125,7 @@
     }
 
     /// Counts how streams went on at endpoints of these versions.
-    fn count(&self, tries: &Tries, versions: &[&str]) -> Counts {
+    pub fn count(&self, tries: &Tries, versions: &[&str]) -> Counts {
         let mut counts = Counts::default();
         for (first, others) in tries {
             let ids: Vec<&str> = std::iter::once(&**first)
@@ -173,7 +173,7 @@
 
 /// Takes up a stream at an instance, again after a refusal; returns the ids of the attempts, and whether one brought the
 /// rest of the stream.
-async fn take_up(
+pub async fn take_up(
     callers: std::net::SocketAddr,
     first: String,
     after: usize,
@@ -197,9 +197,9 @@
 }
 
 /// Begins streams at one instance, whose callers leave after two events.
-async fn begin_streams(site: &Site, instance: usize, name: &str) -> Vec<String> {
+pub async fn begin_streams(site: &Site, instance: usize, name: &str, count: usize) -> Vec<String> {
     let mut calls = JoinSet::new();
-    for number in 0..STREAMS {
+    for number in 0..count {
         let id = format!("{name}-{number}");
         let callers = site.callers[instance];
         calls.spawn(async move {
@@ -235,7 +235,7 @@
     kills_first: bool,
     pause: Duration,
 ) -> Counts {
-    let begun = begin_streams(site, 0, name).await;
+    let begun = begin_streams(site, 0, name, STREAMS).await;
     if kills_first {
         site.instances[0].stop();
     }
@@ -401,7 +401,7 @@
 async fn stream_whose_version_has_left_is_refused_without_being_run() {
     let site = Site::start(147, 3, 4).await;
     site.set_versions(&TWO_VERSIONS).await;
-    let begun = begin_streams(&site, 0, "left").await;
+    let begun = begin_streams(&site, 0, "left", STREAMS).await;
     for index in [1, 3] {
         site.platform.remove("servers", &format!("e{index}-0"));
     }
