A version that an instance has not seen is not taken for one that never was

Callers saw streams joined from two versions after a loss of all instances. Cause: a version counted as the only one of its service as soon as an instance that had just started had seen one, and no answer of other instances counted as their word that there was no other. Class: the absence of a sign is taken for a sign.

The versions that services have or had in the last two minutes are kept in the store, written by the watchers when they change, and read by each instance at its start. Before that, after the store came back from a copy, and where nobody answers while the instance is out of touch with the store, nothing is concluded: the stream is refused, after waiting for up to half a second for the list.

--- a/src/balance/balancer.rs
+++ b/src/balance/balancer.rs
@@ -424,6 +424,11 @@
         &self.versions
     }
 
+    /// Returns the versions that services have or had recently, to add what is read of them.
+    pub fn versions_mut(&mut self) -> &mut ServiceVersions {
+        &mut self.versions
+    }
+
     /// Returns the load view.
     pub fn load_view(&self) -> &LoadView {
         &self.load_view
--- a/src/balance/service_versions.rs
+++ b/src/balance/service_versions.rs
@@ -19,10 +19,26 @@
     gone_us: Option<Micros>,
 }
 
+/// What is known of the versions that services had before this instance followed them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum History {
+    /// All of them, as far as they are remembered.
+    #[default]
+    Complete,
+    /// Nothing yet.
+    Unread,
+    /// Versions that were in service until a time before this one may be missing.
+    IncompleteUntil(Micros),
+}
+
 /// The versions by service.
+///
+/// That an instance has not seen another version of a service says nothing about the time before it started, so no
+/// version is the only one of its service before the history is known.
 #[derive(Debug, Default)]
 pub struct ServiceVersions {
     by_service: HashMap<Name, BTreeMap<Name, VersionUse>>,
+    history: History,
 }
 
 impl ServiceVersions {
@@ -42,8 +58,59 @@
         }
     }
 
+    /// Records that the versions that services had before now are still to be read.
+    pub fn await_history(&mut self) {
+        self.history = History::Unread;
+    }
+
+    /// Adds versions that services had before now; others may be missing for the next `incomplete_us`.
+    pub fn add_history(
+        &mut self,
+        now_us: Micros,
+        versions: impl IntoIterator<Item = (Name, Name)>,
+        incomplete_us: Micros,
+    ) {
+        for (service, version) in versions {
+            let versions = self.by_service.entry(service).or_default();
+            versions.entry(version).or_default();
+        }
+        self.history = match incomplete_us {
+            0 => History::Complete,
+            _ => History::IncompleteUntil(now_us + incomplete_us),
+        };
+    }
+
+    /// Returns whether the history has been read.
+    pub fn is_history_read(&self) -> bool {
+        self.history != History::Unread
+    }
+
+    /// Returns for how long versions may still be missing that were in service before.
+    pub fn incomplete_us(&self, now_us: Micros) -> Micros {
+        match self.history {
+            History::Complete => 0,
+            History::Unread => VERSION_MEMORY_US,
+            History::IncompleteUntil(until_us) => until_us.saturating_sub(now_us),
+        }
+    }
+
+    /// Returns all services and their versions, in order.
+    pub fn all(&self) -> Vec<(Name, Name)> {
+        let services = self.by_service.iter();
+        let pairs = services.flat_map(|(service, versions)| {
+            let versions = versions.keys();
+            versions.map(|version| (service.clone(), version.clone()))
+        });
+        let mut pairs: Vec<_> = pairs.collect();
+        pairs.sort_unstable();
+        pairs
+    }
+
     /// Returns the version of a service that had no other for as long as versions are remembered.
     pub fn sole_version(&self, service: &str) -> Option<&Name> {
+        if self.history != History::Complete {
+            return None;
+        }
         let versions = self.by_service.get(service)?;
         match versions.len() {
             1 => versions.keys().next(),
@@ -51,14 +118,20 @@
         }
     }
 
-    /// Returns whether a service has several versions, or had them as long ago as versions are remembered.
+    /// Returns whether a service has several versions, or may have had them as long ago as versions are remembered.
     pub fn has_several(&self, service: &str) -> bool {
+        if self.history != History::Complete {
+            return true;
+        }
         let versions = self.by_service.get(service);
         versions.is_some_and(|versions| versions.len() > 1)
     }
 
     /// Forgets the versions that have had no endpoints for [`VERSION_MEMORY_US`].
     pub fn expire(&mut self, now_us: Micros) {
+        if matches!(self.history, History::IncompleteUntil(until_us) if until_us <= now_us) {
+            self.history = History::Complete;
+        }
         for versions in self.by_service.values_mut() {
             versions.retain(|_, version| {
                 if version.endpoints > 0 {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -69,3 +69,4 @@
 pub mod tunnel_server;
 pub mod tunnels;
 pub mod unanswered;
+pub mod version_history;
--- a/src/gateway/resumption.rs
+++ b/src/gateway/resumption.rs
@@ -9,7 +9,7 @@
         protocol::{CallHead, Protocol},
         refuse,
         state::Gateway,
-        stream_origins::FoundOrigin,
+        stream_origins::{FoundOrigin, OriginError},
     },
     prelude::{Name, Rank},
 };
@@ -17,6 +17,9 @@
 /// Reason for refusing to take up a stream: several versions may have begun it, and no instance that answered knows
 /// which.
 const ORIGIN_UNKNOWN: &str = "stream_origin_unknown";
+/// Reason for refusing to take up a stream: instances that may know which version began it did not answer, or have just
+/// started.
+const ORIGIN_NOT_YET_KNOWN: &str = "stream_origin_not_yet_known";
 /// Reason for refusing to take up a stream: its route does not lead to the service any more that began it.
 const SERVICE_MOVED: &str = "stream_service_moved";
 /// Retry delay of these refusals, in milliseconds: an instance that paused may answer by then.
@@ -56,7 +59,10 @@
     let origin = gateway
         .find_origin(organisation, began_as, &service)
         .await
-        .ok_or(ORIGIN_UNKNOWN)
+        .map_err(|error| match error {
+            OriginError::Unknown => ORIGIN_UNKNOWN,
+            OriginError::NotYetKnown => ORIGIN_NOT_YET_KNOWN,
+        })
         .and_then(|found| match route.leads_to(&found.origin.service) {
             true => Ok(found),
             false => Err(SERVICE_MOVED),
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -40,6 +40,9 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time after which an unanswered question is sent again: a datagram may be lost.
 const REPEAT_AFTER: Duration = Duration::from_millis(35);
+/// How long a caller waits for instances that have just started to read what those before them knew, which takes some
+/// tens of milliseconds. It may have no other attempt.
+const HISTORY_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// How the origin of a stream was concluded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -95,6 +98,17 @@
     },
     /// Attempts with the id of the stream began at several origins.
     Ambiguous,
+    /// The receiver does not know the origin, but has not read yet what the instances before it knew.
+    NotYetKnown,
+}
+
+/// Why the origin of a stream is not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OriginError {
+    /// No instance that answered has a record, and several versions may have begun the stream.
+    Unknown,
+    /// Instances that may have a record did not answer, or have not read yet what those before them knew.
+    NotYetKnown,
 }
 
 #[derive(Default)]
@@ -215,50 +229,107 @@
     }
 
     /// Returns the origin of a stream that a caller takes up at a service: as it was recorded, or else the service and
-    /// its version if no instance that was asked has seen another one.
+    /// its version if it had no other one.
+    ///
+    /// # Errors
+    /// The origin is unknown, or not known yet.
     pub async fn find_origin(
         &self,
         organisation: Option<&str>,
         began_as: Option<&HeaderValue>,
         service: &Name,
-    ) -> Option<FoundOrigin> {
-        let sole_version = self.balancer().versions().sole_version(service).cloned();
-        let sole_origin = sole_version.map(|version| FoundOrigin {
-            origin: StreamOrigin {
-                service: service.clone(),
-                version,
-            },
-            source: OriginSource::OnlyVersion,
-        });
-        let Some(began_as) = began_as else {
-            return sole_origin;
-        };
-        let key = StreamKey::of(organisation, began_as.as_bytes());
+    ) -> Result<FoundOrigin, OriginError> {
+        let timeout = Instant::now() + HISTORY_TIMEOUT;
+        loop {
+            let found = match began_as {
+                Some(id) => {
+                    let key = StreamKey::of(organisation, id.as_bytes());
+                    self.look_up_origin(key, service).await
+                }
+                None => self.conclude_origin(service).await,
+            };
+            let is_final = !matches!(found, Err(OriginError::NotYetKnown));
+            if is_final || Instant::now() >= timeout {
+                return found;
+            }
+            time::sleep(REPEAT_AFTER).await;
+        }
+    }
+
+    /// Returns the origin of a stream by what instances know now.
+    async fn look_up_origin(
+        &self,
+        key: StreamKey,
+        service: &Name,
+    ) -> Result<FoundOrigin, OriginError> {
         let held = self.held_origin(key, service);
         // A record here may be of another attempt with this id.
         let asked = match held {
-            OriginMessage::Ambiguous => OriginMessage::Ambiguous,
+            OriginMessage::Ambiguous => Some(OriginMessage::Ambiguous),
             _ => self.ask_for_origin(key, service).await,
         };
         match (asked, held) {
-            (OriginMessage::Ambiguous, _) => None,
-            (OriginMessage::Known(asked), OriginMessage::Known(held)) if asked != held => None,
-            (OriginMessage::Known(origin), _) | (_, OriginMessage::Known(origin)) => {
-                Some(FoundOrigin {
+            (Some(OriginMessage::Ambiguous), _) => Err(OriginError::Unknown),
+            (Some(OriginMessage::Known(asked)), OriginMessage::Known(held)) if asked != held => {
+                Err(OriginError::Unknown)
+            }
+            (Some(OriginMessage::Known(origin)), _) | (_, OriginMessage::Known(origin)) => {
+                Ok(FoundOrigin {
                     origin,
                     source: OriginSource::Recorded,
                 })
             }
-            (
-                OriginMessage::Unknown {
-                    has_several_versions: true,
-                },
-                _,
-            ) => None,
-            _ => sole_origin,
+            (asked, held) => self.conclude(asked, held, service),
         }
     }
 
+    /// Returns the origin of a stream of which the caller does not say which attempt began it: its service and version if
+    /// that had no other one.
+    async fn conclude_origin(&self, service: &Name) -> Result<FoundOrigin, OriginError> {
+        // No record has this key. The answers say whether there were several versions.
+        let key = StreamKey::of(None, b"");
+        let held = self.held_origin(key, service);
+        let asked = self.ask_for_origin(key, service).await;
+        self.conclude(asked, held, service)
+    }
+
+    /// Returns the origin of a stream without a record.
+    fn conclude(
+        &self,
+        asked: Option<OriginMessage>,
+        held: OriginMessage,
+        service: &Name,
+    ) -> Result<FoundOrigin, OriginError> {
+        let Some(asked) = asked else {
+            // Cut off from the others, this instance may have missed a version that they use.
+            let age_us = self.endpoints_staleness.age_us(self.clock.now_us());
+            let is_in_touch = age_us <= self.bounds().drain.outage_age_us();
+            return match is_in_touch {
+                true => self.sole_origin(service).ok_or(OriginError::Unknown),
+                false => Err(OriginError::NotYetKnown),
+            };
+        };
+        match better_answer(asked, held) {
+            OriginMessage::NotYetKnown => Err(OriginError::NotYetKnown),
+            OriginMessage::Unknown {
+                has_several_versions: false,
+            } => self.sole_origin(service).ok_or(OriginError::Unknown),
+            _ => Err(OriginError::Unknown),
+        }
+    }
+
+    /// Returns a service and its version as an origin, if the service had no other version.
+    fn sole_origin(&self, service: &Name) -> Option<FoundOrigin> {
+        let version = self.balancer().versions().sole_version(service)?.clone();
+        Some(FoundOrigin {
+            origin: StreamOrigin {
+                service: service.clone(),
+                version,
+            },
+            source: OriginSource::OnlyVersion,
+        })
+    }
+
     /// Returns what this instance knows of the origin of a stream.
     fn held_origin(&self, key: StreamKey, service: &str) -> OriginMessage {
         let now_us = self.clock.now_us();
@@ -266,26 +337,30 @@
         if state.table.is_ambiguous(now_us, key) {
             return OriginMessage::Ambiguous;
         }
-        let held = state.table.get(now_us, key).cloned();
+        if let Some(origin) = state.table.get(now_us, key) {
+            return OriginMessage::Known(origin.clone());
+        }
         drop(state);
-        held.map_or_else(
-            || OriginMessage::Unknown {
-                has_several_versions: self.has_several_versions(service),
+        let balancer = self.balancer();
+        match balancer.versions().is_history_read() {
+            true => OriginMessage::Unknown {
+                has_several_versions: balancer.versions().has_several(service),
             },
-            OriginMessage::Known,
-        )
+            false => OriginMessage::NotYetKnown,
+        }
     }
 
     /// Asks other instances for an origin until a holder knows it, all have answered or the time for answers is over. An
-    /// instance that is no holder knows only the attempts that it relayed.
-    async fn ask_for_origin(&self, key: StreamKey, service: &Name) -> OriginMessage {
-        let mut best = OriginMessage::Unknown {
-            has_several_versions: false,
-        };
-        let Some(channel) = self.reservation_client.channel() else {
-            return best;
-        };
+    /// instance that is no holder knows only the attempts that it relayed. Returns none if no instance answered.
+    async fn ask_for_origin(&self, key: StreamKey, service: &Name) -> Option<OriginMessage> {
         let asked = self.other_holders(key, ASKED);
+        let channel = self.reservation_client.channel();
+        let Some(channel) = channel.filter(|_| !asked.is_empty()) else {
+            return Some(OriginMessage::Unknown {
+                has_several_versions: false,
+            });
+        };
+        let mut best = None;
         let holders = self.other_holders(key, HOLDERS);
         let mut unanswered: HashSet<IpAddr> = asked.into_iter().collect();
         let mut pending = self.stream_origins.register();
@@ -306,9 +381,14 @@
             else {
                 continue;
             };
-            best = better_answer(best, answer);
-            let is_known = matches!(best, OriginMessage::Known(_)) && holders.contains(&from);
-            if is_known || best == OriginMessage::Ambiguous {
+            let answer = match best {
+                Some(best) => better_answer(best, answer),
+                None => answer,
+            };
+            let is_known = matches!(answer, OriginMessage::Known(_)) && holders.contains(&from);
+            let is_ambiguous = answer == OriginMessage::Ambiguous;
+            best = Some(answer);
+            if is_known || is_ambiguous {
                 break;
             }
             unanswered.remove(&from);
@@ -319,11 +399,12 @@
 
 /// Returns what two answers about one stream say together.
 fn better_answer(first: OriginMessage, second: OriginMessage) -> OriginMessage {
-    use OriginMessage::{Ambiguous, Known, Unknown};
+    use OriginMessage::{Ambiguous, Known, NotYetKnown, Unknown};
     match (first, second) {
         (Ambiguous, _) | (_, Ambiguous) => Ambiguous,
         (Known(first), Known(second)) if first != second => Ambiguous,
         (Known(origin), _) | (_, Known(origin)) => Known(origin),
+        (NotYetKnown, _) | (_, NotYetKnown) => NotYetKnown,
         (
             Unknown {
                 has_several_versions: true,
@@ -356,7 +437,10 @@
                 .send(from, number, DirectMessage::Origins(answer))
                 .await;
         }
-        OriginMessage::Known(_) | OriginMessage::Unknown { .. } | OriginMessage::Ambiguous => {
+        OriginMessage::Known(_)
+        | OriginMessage::Unknown { .. }
+        | OriginMessage::Ambiguous
+        | OriginMessage::NotYetKnown => {
             gateway.stream_origins.deliver(number, from, message);
         }
     }
--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -30,6 +30,7 @@
         state::{Gateway, GatewayBounds},
         stop, tunnel_server,
         tunnels::{self, TunnelChannel},
+        version_history,
     },
     limits::{
         held_bytes::HeldLimits, permits::ColdTolerance, quota::Tolerance, retries::RetryBounds,
@@ -218,6 +219,11 @@
         store.clone(),
         settings.is_first_start,
     ));
+    tokio::spawn(version_history::start(
+        gateway.clone(),
+        store.clone(),
+        settings.is_first_start,
+    ));
     tokio::spawn(instance_count::run(
         gateway.clone(),
         store,
--- a/tests/edge/cluster.rs
+++ b/tests/edge/cluster.rs
@@ -23,6 +23,7 @@
         state::{Gateway, GatewayBounds},
         tunnel_server,
         tunnels::{self, TunnelChannel},
+        version_history,
     },
     limits::{
         held_bytes::HeldLimits, permits::ColdTolerance, quota::Tolerance, retries::RetryBounds,
@@ -234,6 +235,13 @@
         self.tasks.push(tokio::spawn(syncing));
     }
 
+    /// Syncs the versions of services with the store at `addr`.
+    pub fn sync_versions(&mut self, addr: SocketAddr, is_first_start: bool) {
+        let store = PlatformStore::with_era(addr, self.store_era.clone());
+        let syncing = version_history::start(self.gateway.clone(), store, is_first_start);
+        self.tasks.push(tokio::spawn(syncing));
+    }
+
     /// Follows the endpoints and the configuration in the store at `addr`.
     pub fn follow(&mut self, addr: SocketAddr) {
         let gateway = self.gateway.clone();
