The origins of streams outlive all instances: an archive in the store

Callers whose streams broke off in a loss of all instances were refused when they took them up, though endpoints of the version that began them served: the origins were in memory only. Cause: as for the joined streams, what nobody remembers any more was taken for what cannot be known.

While a service has several versions, each origin also goes to the keeper of its slot (2 slots in a group of 7 instances, 32 from 256 on), which writes one small object a slot and second, every 50 to 400 ms, 80 writes a second in all. A keeper that is asked for a stream that it does not know reads the archive, at most once a second. A ring of 32 seconds replaces the objects, so nothing has to be deleted.

--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -60,6 +60,11 @@
 }
 
 /// Labels of metrics by route and outcome.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ArchiveWriteLabels {
+    outcome: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct OriginLabels {
     source: &'static str,
@@ -183,6 +188,9 @@
     /// Origins of streams asked of other instances.
     pub origins_asked: Counter,
     origins_found: Family<OriginLabels, Counter>,
+    archive_writes: Family<ArchiveWriteLabels, Counter>,
+    /// Times that the archive of stream origins was read.
+    pub archive_reads: Counter,
     /// Requests refused because endpoints crashed while running them.
     pub requests_blocked: Counter,
     /// Requests refused because their organisation has its share of a service that is short of room.
@@ -302,6 +310,8 @@
             origins_recorded: Counter::default(),
             origins_asked: Counter::default(),
             origins_found: Family::default(),
+            archive_writes: Family::default(),
+            archive_reads: Counter::default(),
             requests_blocked: Counter::default(),
             requests_over_share: Counter::default(),
             share_room_slots: Family::default(),
@@ -662,6 +672,17 @@
         registry.register("origins_asked", asked, self.origins_asked.clone());
         let found = "Origins of streams that callers took up, by how they were concluded";
         registry.register("origins_found", found, self.origins_found.clone());
+        let writes = "Rounds of writes of the archive of stream origins, by whether all succeeded";
+        registry.register("origin_archive_writes", writes, self.archive_writes.clone());
+        let reads = "Times that the archive of stream origins was read";
+        registry.register("origin_archive_reads", reads, self.archive_reads.clone());
+    }
+
+    /// Counts a round of writes of the archive of stream origins.
+    pub fn count_archive_write(&self, is_written: bool) {
+        let outcome = if is_written { "written" } else { "failed" };
+        let labels = ArchiveWriteLabels { outcome };
+        self.archive_writes.get_or_create(&labels).inc();
     }
 
     /// Counts a stream that its caller takes up and whose origin was concluded.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -35,6 +35,8 @@
 pub mod line_budget;
 mod link_probes;
 pub mod metrics;
+pub mod origin_archive;
+pub mod origin_segments;
 pub mod origin_table;
 pub mod other_halls;
 pub mod overlap;
--- /dev/null
+++ b/src/gateway/origin_archive.rs
@@ -0,0 +1,300 @@
+//! Keeps the origins of streams in the store, so that streams can be taken up after the loss of all instances.
+//!
+//! While a service has several versions, the instance that relays a stream sends its origin to the keeper of the stream's
+//! slot. Keepers write what they get some times a second, one object for each slot and second, and read the archive when
+//! they are asked for a stream that they do not know. Nothing waits for a write. A stream that began since the last write
+//! is refused after the loss of all.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use tokio::{sync::Notify, time};
+
+use crate::{
+    clock::unix_s,
+    gateway::{
+        origin_segments::{ArchivedOrigin, SEGMENTS, Segment, Slot, slot_count},
+        origin_table::StreamKey,
+        protocol::Protocol,
+        state::Gateway,
+    },
+    prelude::Micros,
+    store::{ListingStore, ObjectEra, Store, WriteError},
+};
+
+/// Shortest time between two writes of a keeper.
+const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(50);
+/// Slots share 80 writes a second, a fifth of what the store of the largest deployments allows.
+const WRITE_INTERVAL_PER_SLOT: Duration = Duration::from_micros(12_500);
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Attempts to write a segment that another keeper writes, too, before the next round.
+const WRITE_ATTEMPTS: usize = 3;
+/// For how long the archive as read answers for streams that it does not have.
+const READ_LIFETIME_US: Micros = 1_000_000;
+
+/// What the archive says of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Archived {
+    /// It has a record.
+    Found(ArchivedOrigin),
+    /// It was read just now and has none.
+    Absent,
+    /// It is being read.
+    Pending,
+}
+
+/// A segment that this instance writes.
+#[derive(Debug, Default)]
+struct OwnSegment {
+    segment: Segment,
+    /// Version of the object at the last write, 0 if it is not known.
+    version: u64,
+    era: ObjectEra,
+    is_dirty: bool,
+}
+
+/// The archive as it was last read.
+#[derive(Debug, Default)]
+struct ReadArchive {
+    asked_us: Option<Micros>,
+    records: HashMap<StreamKey, ArchivedOrigin>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// By slot and position in the ring.
+    own: BTreeMap<(Slot, u64), OwnSegment>,
+    read: ReadArchive,
+}
+
+/// The part of the archive that this instance keeps.
+#[derive(Debug, Default)]
+pub struct OriginArchive {
+    state: Mutex<State>,
+    has_records: Notify,
+    is_read_wanted: Notify,
+}
+
+impl OriginArchive {
+    /// Adds a record to be written.
+    pub fn insert(&self, slot: Slot, unix_s: u64, key: StreamKey, origin: ArchivedOrigin) {
+        let mut state = self.lock();
+        let own = state.own.entry((slot, unix_s % SEGMENTS)).or_default();
+        if own.segment.unix_s != unix_s {
+            own.segment = Segment::new(unix_s);
+        }
+        if own.segment.insert(key, origin) {
+            own.is_dirty = true;
+            drop(state);
+            self.has_records.notify_one();
+        }
+    }
+
+    /// Returns what the archive says of a stream. If that has to be read, it is read now.
+    pub fn get(&self, now_us: Micros, key: StreamKey) -> Archived {
+        let state = self.lock();
+        if let Some(origin) = state.read.records.get(&key) {
+            return Archived::Found(origin.clone());
+        }
+        let asked_us = state.read.asked_us;
+        let is_fresh =
+            asked_us.is_some_and(|asked_us| now_us.saturating_sub(asked_us) < READ_LIFETIME_US);
+        drop(state);
+        if is_fresh {
+            return Archived::Absent;
+        }
+        self.is_read_wanted.notify_one();
+        Archived::Pending
+    }
+
+    /// Returns the number of records as last read.
+    pub fn records_read(&self) -> usize {
+        self.lock().read.records.len()
+    }
+
+    /// Marks what the store may have lost by coming back from a copy as not written.
+    fn note_era(&self, era: u64) {
+        for own in self.lock().own.values_mut() {
+            own.is_dirty |= own.era.may_be_lost(era);
+        }
+    }
+
+    /// Returns the segments to be written, oldest first.
+    fn take_dirty(&self, now_unix_s: u64) -> Vec<(Slot, Segment, u64)> {
+        let mut state = self.lock();
+        // Kept for a second round, so that the version of the object is known when it is replaced.
+        let is_kept = |own: &OwnSegment| own.segment.unix_s.abs_diff(now_unix_s) < 2 * SEGMENTS;
+        state.own.retain(|_, own| is_kept(own));
+        let dirty = state.own.iter_mut().filter(|(_, own)| own.is_dirty);
+        let dirty = dirty.map(|((slot, _), own)| {
+            own.is_dirty = false;
+            (*slot, own.segment.clone(), own.version)
+        });
+        let mut dirty: Vec<_> = dirty.collect();
+        dirty.sort_by_key(|(_, segment, _)| segment.unix_s);
+        dirty
+    }
+
+    /// Records the outcome of a write. A segment that was not written is written again.
+    fn note_written(&self, slot: Slot, unix_s: u64, written: Option<(u64, ObjectEra)>) {
+        let mut state = self.lock();
+        let Some(own) = state.own.get_mut(&(slot, unix_s % SEGMENTS)) else {
+            return;
+        };
+        match written {
+            Some((version, era)) => {
+                own.version = version;
+                own.era = era;
+            }
+            None => {
+                own.version = 0;
+                own.is_dirty |= own.segment.unix_s == unix_s;
+            }
+        }
+    }
+
+    fn set_read(&self, asked_us: Micros, records: HashMap<StreamKey, ArchivedOrigin>) {
+        self.lock().read = ReadArchive {
+            asked_us: Some(asked_us),
+            records,
+        };
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        // No critical section can leave the state inconsistent, so a poisoned lock is still usable.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Writes the archive's records to the store until dropped.
+pub async fn write<P: Protocol, S: Store>(gateway: Arc<Gateway<P>>, store: S) {
+    let archive = &gateway.origin_archive;
+    let mut was_written = true;
+    loop {
+        archive.has_records.notified().await;
+        archive.note_era(store.era());
+        let failure = write_dirty(archive, &store).await;
+        let is_written = failure.is_none();
+        gateway.metrics.count_archive_write(is_written);
+        if let Some(error) = failure.filter(|_| was_written) {
+            let reason = error.to_string();
+            log::warn!(target: "ryevalve::process", reason; "stream_origins_not_written");
+        }
+        if is_written && !was_written {
+            log::info!(target: "ryevalve::process", written = true; "stream_origins_written_again");
+        }
+        was_written = is_written;
+        if is_written {
+            time::sleep(write_interval(gateway.view().present().count())).await;
+        } else {
+            time::sleep(RETRY_PAUSE).await;
+            archive.has_records.notify_one();
+        }
+    }
+}
+
+/// Writes the segments that have changed; returns the last error if not all were written.
+async fn write_dirty<S: Store>(archive: &OriginArchive, store: &S) -> Option<WriteError> {
+    let mut failure = None;
+    for (slot, segment, version) in archive.take_dirty(unix_s()) {
+        let unix_s = segment.unix_s;
+        match write_segment(store, slot, segment, version).await {
+            Ok((version, era)) => archive.note_written(slot, unix_s, Some((version, era))),
+            Err(error) => {
+                archive.note_written(slot, unix_s, None);
+                failure = Some(error);
+            }
+        }
+    }
+    failure
+}
+
+/// Returns the pause between two writes of a keeper in a group of this many instances.
+fn write_interval(instances: usize) -> Duration {
+    let shared = WRITE_INTERVAL_PER_SLOT * slot_count(instances);
+    shared.max(MIN_WRITE_INTERVAL)
+}
+
+/// Writes a segment, together with what another keeper wrote of it; returns the version and era of the object.
+async fn write_segment<S: Store>(
+    store: &S,
+    slot: Slot,
+    mut segment: Segment,
+    mut version: u64,
+) -> Result<(u64, ObjectEra), WriteError> {
+    let name = Segment::object_name(slot, segment.unix_s);
+    let mut attempts = 0;
+    loop {
+        attempts += 1;
+        let era_before = store.era();
+        match store.write(&name, segment.encode().into(), version).await {
+            Ok(version) => return Ok((version, ObjectEra::of_call(era_before, store.era()))),
+            Err(WriteError::Conflict) if attempts < WRITE_ATTEMPTS => {}
+            Err(error) => return Err(error),
+        }
+        let stored = store.read(&name).await.map_err(|error| {
+            let reason = error.to_string();
+            WriteError::NotWritten { reason }
+        })?;
+        version = stored.as_ref().map_or(0, |object| object.version);
+        let stored = stored.and_then(|object| Segment::decode(&object.value).ok());
+        if let Some(stored) = stored.filter(|s| s.unix_s == segment.unix_s) {
+            segment.merge(&stored);
+        }
+    }
+}
+
+/// Reads the archive whenever that is wanted, until dropped.
+pub async fn read<P: Protocol, S: ListingStore>(gateway: Arc<Gateway<P>>, store: S) {
+    loop {
+        gateway.origin_archive.is_read_wanted.notified().await;
+        let asked_us = gateway.clock.now_us();
+        match store.list().await {
+            Ok(objects) => {
+                let segments = objects.iter().map(|object| Segment::decode(&object.value));
+                let segments: Vec<Segment> = segments.filter_map(decoded).collect();
+                let records = collect_records(&segments);
+                let took_ms = (gateway.clock.now_us() - asked_us) / 1_000;
+                log::info!(
+                    target: "ryevalve::process",
+                    segments = segments.len(), streams = records.len(), took_ms;
+                    "stream_origins_read"
+                );
+                gateway.metrics.archive_reads.inc();
+                gateway.origin_archive.set_read(asked_us, records);
+            }
+            Err(error) => {
+                let reason = error.to_string();
+                log::warn!(target: "ryevalve::process", reason; "stream_origins_not_read");
+                time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn decoded<E: std::error::Error>(segment: Result<Segment, E>) -> Option<Segment> {
+    match segment {
+        Ok(segment) => segment.is_recent(unix_s()).then_some(segment),
+        Err(error) => {
+            let reason = error.to_string();
+            log::warn!(target: "ryevalve::process", reason; "stream_origins_unreadable");
+            None
+        }
+    }
+}
+
+/// Returns the records of all segments by stream. One that has two origins is ambiguous.
+fn collect_records(segments: &[Segment]) -> HashMap<StreamKey, ArchivedOrigin> {
+    let mut records: HashMap<StreamKey, ArchivedOrigin> = HashMap::new();
+    for (key, origin) in segments.iter().flat_map(Segment::records) {
+        let known = records.entry(key).or_insert_with(|| origin.clone());
+        if known != origin {
+            *known = None;
+        }
+    }
+    records
+}
--- a/src/gateway/origin_table.rs
+++ b/src/gateway/origin_table.rs
@@ -18,7 +18,7 @@
 const MAX_RECORDS: usize = 16_384;
 
 /// Identifies a stream on all instances: a hash of its organisation and of the id of the attempt that began it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct StreamKey(u128);
 
 impl StreamKey {
@@ -36,6 +36,11 @@
         prefix.copy_from_slice(&digest[..16]);
         Self(u128::from_le_bytes(prefix))
     }
+
+    /// Returns the remainder of the key divided by `divisor`, which is not 0: keys are spread evenly.
+    pub fn remainder(self, divisor: u32) -> u32 {
+        (self.0 % u128::from(divisor)) as u32
+    }
 }
 
 impl fmt::Display for StreamKey {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -31,6 +31,7 @@
         limit_log,
         line_budget::LineBudget,
         metrics::GatewayMetrics,
+        origin_archive::OriginArchive,
         permits::Permits,
         protocol::Protocol,
         quota::Quota,
@@ -161,6 +162,8 @@
     pub permits: Permits,
     /// The origins of streams that callers may take up.
     pub stream_origins: StreamOrigins,
+    /// The part of the archive of stream origins that this instance keeps.
+    pub origin_archive: OriginArchive,
     /// Usage limits of organisations.
     pub quota: Quota,
     /// The organisations' shares of services that are short of room.
@@ -232,6 +235,7 @@
             reservation_client: ReservationClient::default(),
             permits: Permits::default(),
             stream_origins: StreamOrigins::default(),
+            origin_archive: OriginArchive::default(),
             quota,
             shares: Mutex::default(),
             endpoint_reach: EndpointReach::default(),
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -2,9 +2,10 @@
 //! the version of the endpoints' software that began it.
 //!
 //! The instance that relays a stream writes the origin to three instances, found by rendezvous hashing of the stream's
-//! key, when it delivers the first event. An instance at which a caller takes the stream up asks these. Nothing waits
-//! for a write, and nothing is written while a service has one version only. A stream whose origin is unknown is
-//! refused where several versions could have begun it.
+//! key, when it delivers the first event, and to the keeper of the stream's slot in the archive, which outlives all
+//! instances. An instance at which a caller takes the stream up asks these. Nothing waits for a write, and nothing is
+//! written while a service has one version only. A stream whose origin is unknown is refused where several versions could
+//! have begun it.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -21,7 +22,10 @@
 };
 
 use crate::{
+    clock::unix_s,
     gateway::{
+        origin_archive::Archived,
+        origin_segments::Slot,
         origin_table::{OriginTable, StreamKey, StreamOrigin},
         protocol::Protocol,
         reservation_client::{Channel, DirectMessage},
@@ -36,6 +40,9 @@
 /// Number of instances that are asked for an origin: the holders, and those that are holders by a view that differs in
 /// a few members.
 const ASKED: usize = 6;
+/// Number of instances that are asked what the archive has: the keeper, and the one that is the keeper by a view that
+/// differs in one member.
+const KEEPERS_ASKED: usize = 2;
 /// How long an answer is waited for. Instances that share a busy machine pause for some tens of milliseconds.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time after which an unanswered question is sent again: a datagram may be lost.
@@ -100,6 +107,20 @@
     Ambiguous,
     /// The receiver does not know the origin, but has not read yet what the instances before it knew.
     NotYetKnown,
+    /// The origin of a stream, for the receiver to write to the archive.
+    Archive {
+        /// The stream.
+        key: StreamKey,
+        /// Its origin.
+        origin: StreamOrigin,
+    },
+    /// Asks for the origin of a stream as [`OriginMessage::Ask`] does, of an instance that may read the archive for it.
+    AskArchive {
+        /// The stream.
+        key: StreamKey,
+        /// The service at which the caller takes it up.
+        service: Name,
+    },
 }
 
 /// Why the origin of a stream is not known.
@@ -190,6 +211,11 @@
     ranked
 }
 
+/// Returns the `count` instances that keep a slot of the archive first.
+pub fn rank_keepers(view: &View, slot: Slot, count: usize) -> Vec<&Member> {
+    view.rank_members(&format!("stream archive {slot}"), count, Member::can_lead)
+}
+
 impl<P: Protocol> Gateway<P> {
     /// Returns whether a service has several versions, or had them recently.
     pub fn has_several_versions(&self, service: &str) -> bool {
@@ -226,6 +252,40 @@
             let message = DirectMessage::Origins(OriginMessage::Record { key, origin });
             channel.send(holder, 0, message).await;
         }
+        match self.keeper(key) {
+            Some(keeper) => {
+                let message = DirectMessage::Origins(OriginMessage::Archive { key, origin });
+                channel.send(keeper, 0, message).await;
+            }
+            None => self.archive_origin(key, origin),
+        }
+    }
+
+    /// Returns the instance that keeps a stream's slot; none if it is this one.
+    fn keeper(&self, key: StreamKey) -> Option<IpAddr> {
+        let view = self.view();
+        let keepers = rank_keepers(&view, slot_of(&view, key), 1);
+        let other = keepers.first().filter(|m| m.info.incarnation != view.me);
+        other.map(|m| m.info.peer_addr.ip())
+    }
+
+    /// Adds a record to the archive.
+    fn archive_origin(&self, key: StreamKey, origin: StreamOrigin) {
+        let slot = slot_of(&self.view(), key);
+        self.origin_archive
+            .insert(slot, unix_s(), key, Some(origin));
+    }
+
+    /// Returns the instances that are asked what the archive has, and whether this one is among them.
+    fn keepers_asked(&self, key: StreamKey) -> (Vec<IpAddr>, bool) {
+        let view = self.view();
+        let keepers = rank_keepers(&view, slot_of(&view, key), KEEPERS_ASKED);
+        let is_own = keepers.iter().any(|m| m.info.incarnation == view.me);
+        let others = keepers.iter().filter(|m| m.info.incarnation != view.me);
+        (
+            others.map(|m| m.info.peer_addr.ip()).collect(),
+            is_own || keepers.is_empty(),
+        )
     }
 
     /// Returns the origin of a stream that a caller takes up at a service: as it was recorded, or else the service and
@@ -262,7 +322,11 @@
         key: StreamKey,
         service: &Name,
     ) -> Result<FoundOrigin, OriginError> {
-        let held = self.held_origin(key, service);
+        let (_, is_keeper) = self.keepers_asked(key);
+        let held = match is_keeper {
+            true => self.archived_origin(key, service),
+            false => self.held_origin(key, service),
+        };
         // A record here may be of another attempt with this id.
         let asked = match held {
             OriginMessage::Ambiguous => Some(OriginMessage::Ambiguous),
@@ -350,10 +414,42 @@
         }
     }
 
+    /// Returns what this instance knows of the origin of a stream, together with the archive.
+    fn archived_origin(&self, key: StreamKey, service: &str) -> OriginMessage {
+        let held = self.held_origin(key, service);
+        let is_in_doubt = matches!(
+            held,
+            OriginMessage::Unknown {
+                has_several_versions: true
+            }
+        );
+        if !is_in_doubt {
+            return held;
+        }
+        if self.is_joining() {
+            return OriginMessage::NotYetKnown;
+        }
+        match self.origin_archive.get(self.clock.now_us(), key) {
+            Archived::Found(Some(origin)) => OriginMessage::Known(origin),
+            Archived::Found(None) => OriginMessage::Ambiguous,
+            Archived::Absent => held,
+            Archived::Pending => OriginMessage::NotYetKnown,
+        }
+    }
+
+    /// Returns whether this instance has not met most of the others yet. Each would take itself for the keeper of all
+    /// slots and read the archive.
+    fn is_joining(&self) -> bool {
+        let met = self.view().present().count();
+        met * 2 < self.instance_counts().all
+    }
+
     /// Asks other instances for an origin until a holder knows it, all have answered or the time for answers is over. An
     /// instance that is no holder knows only the attempts that it relayed. Returns none if no instance answered.
     async fn ask_for_origin(&self, key: StreamKey, service: &Name) -> Option<OriginMessage> {
-        let asked = self.other_holders(key, ASKED);
+        let (keepers, _) = self.keepers_asked(key);
+        let mut asked: HashSet<IpAddr> = self.other_holders(key, ASKED).into_iter().collect();
+        asked.extend(&keepers);
         let channel = self.reservation_client.channel();
         let Some(channel) = channel.filter(|_| !asked.is_empty()) else {
             return Some(OriginMessage::Unknown {
@@ -362,7 +458,7 @@
         };
         let mut best = None;
         let holders = self.other_holders(key, HOLDERS);
-        let mut unanswered: HashSet<IpAddr> = asked.into_iter().collect();
+        let mut unanswered = asked;
         let mut pending = self.stream_origins.register();
         self.metrics.origins_asked.inc();
         let timeout = Instant::now() + ANSWER_TIMEOUT;
@@ -371,7 +467,11 @@
             if Instant::now() >= repeat_at {
                 for holder in &unanswered {
                     let service = service.clone();
-                    let message = DirectMessage::Origins(OriginMessage::Ask { key, service });
+                    let message = match keepers.contains(holder) {
+                        true => OriginMessage::AskArchive { key, service },
+                        false => OriginMessage::Ask { key, service },
+                    };
+                    let message = DirectMessage::Origins(message);
                     channel.send(*holder, pending.number, message).await;
                 }
                 repeat_at = Instant::now() + REPEAT_AFTER;
@@ -397,6 +497,11 @@
     }
 }
 
+/// Returns the slot of a stream by a view of the group.
+fn slot_of(view: &View, key: StreamKey) -> Slot {
+    Slot::of(key, view.present().count())
+}
+
 /// Returns what two answers about one stream say together.
 fn better_answer(first: OriginMessage, second: OriginMessage) -> OriginMessage {
     use OriginMessage::{Ambiguous, Known, NotYetKnown, Unknown};
@@ -431,12 +536,19 @@
             let mut state = gateway.stream_origins.lock();
             state.table.write(now_us, key, origin);
         }
+        OriginMessage::Archive { key, origin } => gateway.archive_origin(key, origin),
         OriginMessage::Ask { key, service } => {
             let answer = gateway.held_origin(key, &service);
             channel
                 .send(from, number, DirectMessage::Origins(answer))
                 .await;
         }
+        OriginMessage::AskArchive { key, service } => {
+            let answer = gateway.archived_origin(key, &service);
+            channel
+                .send(from, number, DirectMessage::Origins(answer))
+                .await;
+        }
         OriginMessage::Known(_)
         | OriginMessage::Unknown { .. }
         | OriginMessage::Ambiguous
--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -23,7 +23,7 @@
         caller_listener::{self, ListenerStop},
         copies,
         exchange::{Exchange, ExchangeSettings},
-        instance_count, limit_log, probes, reservation_server, rollout_loop,
+        instance_count, limit_log, origin_archive, probes, reservation_server, rollout_loop,
         rollouts::RolloutBounds,
         shares,
         staleness::StalenessBound,
@@ -219,6 +219,9 @@
         store.clone(),
         settings.is_first_start,
     ));
+    let archive = store.origin_archive();
+    tokio::spawn(origin_archive::write(gateway.clone(), archive.clone()));
+    tokio::spawn(origin_archive::read(gateway.clone(), archive));
     tokio::spawn(version_history::start(
         gateway.clone(),
         store.clone(),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -13,11 +13,13 @@
         store_era::StoreEra,
     },
     prelude::StorePosition,
-    store::{self, ListedInstance, ReadError, Store, WriteError, back_off_delay},
+    store::{self, ListedInstance, ListingStore, ReadError, Store, WriteError, back_off_delay},
 };
 
 /// Kind of the product's own objects.
 pub const KIND: &str = "ryevalve";
+/// Kind of the objects of the archive of stream origins.
+const ORIGIN_KIND: &str = "ryevalve-stream-origins";
 /// Kind of the entries of instances.
 pub const INSTANCE_KIND: &str = "ryevalve-instances";
 const MAX_READ_ATTEMPTS: u32 = 3;
@@ -56,6 +58,8 @@
 pub struct PlatformStore {
     addr: SocketAddr,
     era: StoreEra,
+    /// Kind of its objects.
+    kind: &'static str,
 }
 
 impl PlatformStore {
@@ -66,7 +70,19 @@
 
     /// Creates a client that shares the newest era with other clients of the same store.
     pub fn with_era(addr: SocketAddr, era: StoreEra) -> Self {
-        Self { addr, era }
+        Self {
+            addr,
+            era,
+            kind: KIND,
+        }
+    }
+
+    /// Returns a client for the archive of stream origins in the same store.
+    pub fn origin_archive(&self) -> Self {
+        Self {
+            kind: ORIGIN_KIND,
+            ..self.clone()
+        }
     }
 
     pub(super) fn client(&self) -> ObjectClient {
@@ -81,7 +97,7 @@
             if attempt > 0 {
                 time::sleep(back_off_delay(attempt)).await;
             }
-            match self.client().get::<Content>(KIND, key).await {
+            match self.client().get::<Content>(self.kind, key).await {
                 Ok(found) => return found.map(into_object).transpose(),
                 Err(error) => reason = error.to_string(),
             }
@@ -101,8 +117,8 @@
         };
         let mut client = self.client();
         let written = match expected {
-            0 => client.create(KIND, &object).await,
-            _ => client.replace(KIND, &object).await,
+            0 => client.create(self.kind, &object).await,
+            _ => client.replace(self.kind, &object).await,
         };
         written.map_err(write_error)
     }
@@ -119,7 +135,7 @@
         // Changes of other objects of the kind end a watch too.
         loop {
             let left = deadline.saturating_duration_since(Instant::now());
-            let changes = match client.watch::<Content>(KIND, from, left).await {
+            let changes = match client.watch::<Content>(self.kind, from, left).await {
                 Ok(changes) => changes,
                 Err(CallError::HistoryGone | CallError::EraChanged) => {
                     return self.read_if_newer(key, after).await;
@@ -151,6 +167,23 @@
     }
 }
 
+impl ListingStore for PlatformStore {
+    async fn list(&self) -> Result<Vec<store::Object>, ReadError> {
+        let listing = self.client().list::<Content>(self.kind).await;
+        let listing = listing.map_err(|error| unavailable(&error))?;
+        let objects = listing.items.into_iter().map(into_object);
+        let readable = objects.filter_map(|object| match object {
+            Ok(object) => Some(object),
+            Err(error) => {
+                let reason = error.to_string();
+                log::warn!(target: "ryevalve::process", kind = self.kind, reason; "object_unreadable");
+                None
+            }
+        });
+        Ok(readable.collect())
+    }
+}
+
 impl PlatformStore {
     /// Reads an object if the store no longer has the history since version `after`; none if it has not changed since.
     async fn read_if_newer(
--- a/src/store.rs
+++ b/src/store.rs
@@ -102,6 +102,15 @@
     fn instances(&self) -> impl Future<Output = Result<Vec<ListedInstance>, ReadError>> + Send;
 }
 
+/// A [`Store`] whose objects can be listed.
+pub trait ListingStore: Store {
+    /// Reads all objects.
+    ///
+    /// # Errors
+    /// The platform did not answer.
+    fn list(&self) -> impl Future<Output = Result<Vec<Object>, ReadError>> + Send;
+}
+
 /// The era of the store in which an object was read or written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ObjectEra(u64);
--- a/tests/edge/cluster.rs
+++ b/tests/edge/cluster.rs
@@ -17,7 +17,7 @@
         caller_listener::{self, ListenerStop},
         copies,
         exchange::{Exchange, ExchangeSettings},
-        reservation_server, rollout_loop,
+        origin_archive, reservation_server, rollout_loop,
         rollouts::RolloutBounds,
         staleness::StalenessBound,
         state::{Gateway, GatewayBounds},
@@ -235,11 +235,16 @@
         self.tasks.push(tokio::spawn(syncing));
     }
 
-    /// Syncs the versions of services with the store at `addr`.
-    pub fn sync_versions(&mut self, addr: SocketAddr, is_first_start: bool) {
+    /// Syncs the versions of services and the origins of streams with the store at `addr`.
+    pub fn sync_origins(&mut self, addr: SocketAddr, is_first_start: bool) {
         let store = PlatformStore::with_era(addr, self.store_era.clone());
+        let archive = store.origin_archive();
         let syncing = version_history::start(self.gateway.clone(), store, is_first_start);
         self.tasks.push(tokio::spawn(syncing));
+        let writing = origin_archive::write(self.gateway.clone(), archive.clone());
+        self.tasks.push(tokio::spawn(writing));
+        let reading = origin_archive::read(self.gateway.clone(), archive);
+        self.tasks.push(tokio::spawn(reading));
     }
 
     /// Follows the endpoints and the configuration in the store at `addr`.
--- a/tests/edge/site.rs
+++ b/tests/edge/site.rs
@@ -150,7 +150,7 @@
         instance.follow(self.platform.addr());
         instance.follow_evacuations(self.platform.addr(), EVACUATE);
         instance.sync_block_list(self.platform.addr());
-        instance.sync_versions(self.platform.addr(), self.killed == 0);
+        instance.sync_origins(self.platform.addr(), self.killed == 0);
         let listener = TcpListener::bind((address(self.net, number), 0)).await;
         let listener = listener.expect("a port");
         self.callers
