A stream that is taken up beside several versions does not count as late

Callers whose origin was known were refused as busy in the surge after a loss of all, more often than new streams began: the time since their first attempt counted as waiting for the first event, so that any new request in time was placed before them. Their first event came in that attempt.

The test fails without the line.

--- a/src/gateway/resumption.rs
+++ b/src/gateway/resumption.rs
@@ -102,10 +102,12 @@
 
 impl<P: Protocol> Gateway<P> {
     /// Lets a request run at one version only, since its stream began there.
-    pub(super) fn bind_to_version(&self, request: &mut PlacementRequest, version: &Name) {
+    pub fn bind_to_version(&self, request: &mut PlacementRequest, version: &Name) {
         request.versions = Some(VersionRule::exactly(version));
         if self.has_several_versions(&request.service) {
             request.rank = RESUMPTION_RANK;
+            // Its first event came in the attempt that began it.
+            request.waited_us = 0;
         }
     }
 }
--- a/tests/gateway/waiting.rs
+++ b/tests/gateway/waiting.rs
@@ -84,3 +84,20 @@
     let placed = waiting.await;
     assert_matches!(placed, Placement::Send(choice) if choice.key != left);
 }
+
+/// Guards against streams that are refused in a surge although endpoints of their version have room: a new request may
+/// not be placed before them for being in time.
+#[tokio::test]
+async fn stream_that_is_taken_up_beside_two_versions_does_not_count_as_late() {
+    let gateway = gateway();
+    let mut other = entry("b", "here", 1);
+    other.version = "another".into();
+    gateway.balancer().upsert_endpoint(other, at(1));
+    let mut request = request(&gateway, 1);
+    request.waited_us = 2 * request.target_us;
+    request.rank = 2;
+    assert!(request.is_late());
+    gateway.bind_to_version(&mut request, &"another".into());
+    assert!(!request.is_late());
+    assert_eq!(request.rank, 0);
+}
