Origins: answers of instances that have just started, long streams, small rests of a group

An instance that could not read the versions yet answered others that it may know the origin later, so that one instance without the store would have held up the take-ups of all. It now answers what it has seen, and only its own conclusions wait for the list. Origins of streams that still run are recorded again every 8 s, since the archive keeps 32 s. What is left of a group reads the archive once it has been up for 2 s, also if less than half of it is back.

Tests: all instances replaced one after the other, a store that comes back from a copy or is away, streams without the id of their first attempt, an instance that is cut off: none joined, 43 and more of 48 go on after the rolling replacement.

--- a/src/balance/service_versions.rs
+++ b/src/balance/service_versions.rs
@@ -120,9 +120,11 @@
 
     /// Returns whether a service has several versions, or may have had them as long ago as versions are remembered.
     pub fn has_several(&self, service: &str) -> bool {
-        if self.history != History::Complete {
-            return true;
-        }
+        self.history != History::Complete || self.are_several_known(service)
+    }
+
+    /// Returns whether several versions of a service are known.
+    pub fn are_several_known(&self, service: &str) -> bool {
         let versions = self.by_service.get(service);
         versions.is_some_and(|versions| versions.len() > 1)
     }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -35,6 +35,8 @@
 const STALL_TIMEOUT_GAPS: f64 = 2.0;
 /// Lower bound of that time: an endpoint that prefills long prompts pauses its streams.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time after which the origin of a stream that still runs is recorded again: the archive keeps records for 32 s.
+const RECORD_AGAIN_US: Micros = 8_000_000;
 /// Reason for resuming a stalled stream.
 const STALLED: &str = "stream_silent";
 /// Reason for giving up a stream whose time is over.
@@ -57,7 +59,8 @@
     headers: HeaderMap,
     runs: StreamRuns,
     first_us: Micros,
-    has_recorded_origin: bool,
+    /// When the origin was last recorded.
+    origin_recorded_us: Option<Micros>,
 }
 
 /// What a stream brings next.
@@ -84,7 +87,7 @@
             headers,
             runs,
             first_us: 0,
-            has_recorded_origin: false,
+            origin_recorded_us: None,
         }
     }
 
@@ -168,7 +171,9 @@
     /// Writes where the stream began, if its caller may take it up and its service has several versions.
     async fn record_origin(&mut self) {
         let service = &self.job.placement_request.service;
-        if self.has_recorded_origin
+        let now_us = self.gateway.clock.now_us();
+        let is_recent = |at_us| now_us.saturating_sub(at_us) < RECORD_AGAIN_US;
+        if self.origin_recorded_us.is_some_and(is_recent)
             || !self.job.is_repeatable()
             || !self.gateway.has_several_versions(service)
         {
@@ -177,7 +182,7 @@
         let Some(version) = self.source.began_version().cloned() else {
             return;
         };
-        self.has_recorded_origin = true;
+        self.origin_recorded_us = Some(now_us);
         let origin = StreamOrigin {
             service: service.clone(),
             version,
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -32,7 +32,7 @@
         state::Gateway,
     },
     peers::view::{Member, View},
-    prelude::Name,
+    prelude::{Micros, Name},
 };
 
 /// Number of instances that hold the origin of a stream: two of them may be lost with the one that relayed it.
@@ -79,6 +79,9 @@
     pub source: OriginSource,
 }
 
+/// Time within which an instance that starts meets the others.
+const JOIN_TIME_US: Micros = 2_000_000;
+
 /// A message between instances about the origin of a stream.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum OriginMessage {
@@ -364,6 +367,9 @@
         held: OriginMessage,
         service: &Name,
     ) -> Result<FoundOrigin, OriginError> {
+        if !self.balancer().versions().is_history_read() {
+            return Err(OriginError::NotYetKnown);
+        }
         let Some(asked) = asked else {
             // Cut off from the others, this instance may have missed a version that they use.
             let age_us = self.endpoints_staleness.age_us(self.clock.now_us());
@@ -405,25 +411,16 @@
             return OriginMessage::Known(origin.clone());
         }
         drop(state);
-        let balancer = self.balancer();
-        match balancer.versions().is_history_read() {
-            true => OriginMessage::Unknown {
-                has_several_versions: balancer.versions().has_several(service),
-            },
-            false => OriginMessage::NotYetKnown,
+        OriginMessage::Unknown {
+            has_several_versions: self.balancer().versions().are_several_known(service),
         }
     }
 
     /// Returns what this instance knows of the origin of a stream, together with the archive.
     fn archived_origin(&self, key: StreamKey, service: &str) -> OriginMessage {
         let held = self.held_origin(key, service);
-        let is_in_doubt = matches!(
-            held,
-            OriginMessage::Unknown {
-                has_several_versions: true
-            }
-        );
-        if !is_in_doubt {
+        let is_unknown = matches!(held, OriginMessage::Unknown { .. });
+        if !is_unknown || !self.has_several_versions(service) {
             return held;
         }
         if self.is_joining() {
@@ -437,11 +434,11 @@
         }
     }
 
-    /// Returns whether this instance has not met most of the others yet. Each would take itself for the keeper of all
-    /// slots and read the archive.
+    /// Returns whether this instance has just started and not met most of the others yet. Each would take itself for the
+    /// keeper of all slots and read the archive.
     fn is_joining(&self) -> bool {
         let met = self.view().present().count();
-        met * 2 < self.instance_counts().all
+        self.clock.now_us() < JOIN_TIME_US && met * 2 < self.instance_counts().all
     }
 
     /// Asks other instances for an origin until a holder knows it, all have answered or the time for answers is over. An
--- a/tests/edge/cluster.rs
+++ b/tests/edge/cluster.rs
@@ -106,6 +106,8 @@
     exchange: Arc<Exchange<PlatformProtocol>>,
     store_era: StoreEra,
     tasks: Vec<JoinHandle<()>>,
+    /// The tasks that follow the endpoints and the configuration in the store.
+    store_links: Vec<AbortHandle>,
     /// The tasks that exchange messages with other instances.
     peer_tasks: Vec<JoinHandle<()>>,
     /// The task that serves callers.
@@ -196,6 +198,7 @@
             exchange,
             store_era: StoreEra::default(),
             tasks,
+            store_links: Vec::new(),
             peer_tasks,
             serving: None,
         }
@@ -253,8 +256,17 @@
         let client = || ObjectClient::with_era(addr, self.store_era.clone());
         let endpoints = store_watch::endpoints(gateway.clone(), client());
         let configuration = store_watch::configuration(gateway, client());
-        self.tasks.push(tokio::spawn(endpoints));
-        self.tasks.push(tokio::spawn(configuration));
+        for task in [tokio::spawn(endpoints), tokio::spawn(configuration)] {
+            self.store_links.push(task.abort_handle());
+            self.tasks.push(task);
+        }
+    }
+
+    /// Ends the tasks that follow the store, as a cut from the store does.
+    pub fn stop_following(&self) {
+        for task in &self.store_links {
+            task.abort();
+        }
     }
 
     /// Follows the store's evacuations, which must take effect within `bound`.
--- a/tests/edge/site.rs
+++ b/tests/edge/site.rs
@@ -94,11 +94,16 @@
         for _ in 0..instances {
             self.start_instance().await;
         }
-        let site = self;
+        self.until_joined().await;
+    }
+
+    /// Waits until all instances have received each other's reports and are ready.
+    pub async fn until_joined(&self) {
+        let instances = self.instances.len();
         let is_joined =
             |i: &Instance| i.gateway.instance_counts().heard == instances && i.gateway.is_ready();
         until("all instances to receive reports of each other", || {
-            site.instances.iter().all(is_joined)
+            self.instances.iter().all(is_joined)
         })
         .await;
         // Instances may report to other aggregators than at first; this lets the former ones stop.
@@ -133,6 +138,13 @@
         self.callers.clear();
     }
 
+    /// Stops the instance that was started first, as a kill does. Its address is not reused.
+    pub fn kill_first(&mut self) {
+        self.killed += 1;
+        self.instances.remove(0);
+        self.callers.remove(0);
+    }
+
     /// Starts one more instance.
     pub async fn start_instance(&mut self) {
         let number = self.killed + self.instances.len();
--- a/tests/edge/stream_losses.rs
+++ b/tests/edge/stream_losses.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use hyper::StatusCode;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -12,9 +13,10 @@
 };
 
 use crate::{
+    cluster::until,
     site::{Site, entry},
     stream_versions::{Counts, PATH, SLOTS, TWO_VERSIONS, Tries, begin_streams, take_up},
-    support::KEY,
+    support::{KEY, exchange, request},
 };
 
 const ENDPOINTS: usize = 8;
@@ -140,6 +142,117 @@
     }
 }
 
+/// Each instance is killed and another one started, until none is left that was there when the streams began.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_after_all_instances_were_replaced_one_after_the_other() {
+    const INSTANCES: usize = 7;
+    let mut site = Site::start(158, INSTANCES, ENDPOINTS).await;
+    site.set_versions(&TWO_VERSIONS).await;
+    let begun = begin_streams(&site, 0, "rolling", STREAMS).await;
+    for _ in 0..INSTANCES {
+        site.kill_first();
+        site.start_instance().await;
+        time::sleep(Duration::from_millis(400)).await;
+    }
+    site.until_joined().await;
+    let (tries, whole) = take_up_all(&site, begun).await;
+    let counts = Counts {
+        whole,
+        ..site.count(&tries, &TWO_VERSIONS)
+    };
+    println!("rolling: {counts:?}");
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+    assert!(counts.whole >= MIN_WHOLE, "{counts:?}");
+}
+
+/// The store comes back from a copy that lacks the latest origins, and all instances are lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_are_not_joined_after_the_store_came_back_from_a_copy_and_all_instances_were_lost()
+{
+    let mut site = Site::start(159, 7, ENDPOINTS).await;
+    site.set_versions(&["v1"]).await;
+    time::sleep(Duration::from_millis(500)).await;
+    site.platform.take_copy();
+    site.set_versions(&TWO_VERSIONS).await;
+    let counts = count_after_loss(&mut site, "copied", &TWO_VERSIONS, |site| {
+        site.platform.return_to_copy();
+        for (index, version) in TWO_VERSIONS.iter().cycle().take(ENDPOINTS).enumerate() {
+            set_version(site, index, version);
+        }
+        // The endpoints of the version that the copy lacks leave.
+        for index in (0..ENDPOINTS).filter(|index| !OLD.contains(index)) {
+            site.platform.remove("servers", &format!("e{index}-0"));
+        }
+    })
+    .await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+}
+
+/// The store is away when the streams begin and when the instances are lost, and is back with them.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_are_not_joined_after_a_loss_of_all_instances_while_the_store_was_silent() {
+    let mut site = Site::start(160, 7, ENDPOINTS).await;
+    site.set_versions(&TWO_VERSIONS).await;
+    time::sleep(Duration::from_millis(500)).await;
+    site.platform.fault(|faults| faults.down = true);
+    let counts = count_after_loss(&mut site, "silent", &TWO_VERSIONS, |site| {
+        site.platform.fault(|faults| faults.down = false);
+        for index in OLD {
+            site.platform.remove("servers", &format!("e{index}-0"));
+        }
+    })
+    .await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+}
+
+/// A caller does not say which attempt began its stream, and one version is left.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_without_the_id_of_its_first_attempt_is_not_joined_after_a_loss_of_all_instances() {
+    let mut site = Site::start(161, 7, ENDPOINTS).await;
+    site.set_versions(&TWO_VERSIONS).await;
+    let begun = lose_all(&mut site, "unnamed", |site| {
+        for index in OLD {
+            site.platform.remove("servers", &format!("e{index}-0"));
+        }
+    })
+    .await;
+    for id in begun {
+        let again = format!("{id}-again");
+        let headers = [("last-event-id", "2")];
+        let got = exchange(site.callers[0], request(PATH, &again, &headers)).await;
+        let status = got.expect("an answer").status;
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{again}");
+        assert!(site.endpoints_of(&again).is_empty(), "{again} has run");
+    }
+}
+
+/// An instance has lost the others and the store, and does not learn of a version that they use.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_is_not_joined_by_an_instance_that_is_cut_off_from_the_others_and_the_store() {
+    let site = Site::start(162, 7, ENDPOINTS).await;
+    site.set_versions(&["v1"]).await;
+    for link in site.instances[6].links() {
+        link.abort();
+    }
+    site.instances[6].stop_following();
+    for index in (0..ENDPOINTS).filter(|index| !OLD.contains(index)) {
+        set_version(&site, index, "v2");
+    }
+    let is_known = |site: &Site| {
+        let mut connected = site.instances[..6].iter();
+        connected.all(|i| i.gateway.has_several_versions("svc"))
+    };
+    until("the second version to be known", || is_known(&site)).await;
+    let begun = begin_streams(&site, 0, "cut", STREAMS).await;
+    for id in begun {
+        let headers = [("last-event-id", "2"), ("resumes", &*id)];
+        let again = request(PATH, &format!("{id}-again"), &headers);
+        let got = exchange(site.callers[6], again).await;
+        let status = got.expect("an answer").status;
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{id}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_go_on_after_the_loss_of_all_instances_while_one_version_serves() {
     let versions = ["v1"];
