--- a/src/gateway/origin_archive.rs
+++ b/src/gateway/origin_archive.rs
@@ -36,6 +36,10 @@
 /// For how long the archive as read answers for streams that it does not have.
 const READ_LIFETIME_US: Micros = 1_000_000;
 
+/// Most records that are kept of the archive as read, some 80 bytes each: those of the last 16 s of 4,000 streams a
+/// second.
+const MAX_READ_RECORDS: usize = 65_536;
+
 /// What the archive says of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Archived {
@@ -256,7 +260,8 @@
         match store.list().await {
             Ok(objects) => {
                 let segments = objects.iter().map(|object| Segment::decode(&object.value));
-                let segments: Vec<Segment> = segments.filter_map(decoded).collect();
+                let mut segments: Vec<Segment> = segments.filter_map(decoded).collect();
+                segments.sort_by_key(|segment| std::cmp::Reverse(segment.unix_s));
                 let records = collect_records(&segments);
                 let took_ms = (gateway.clock.now_us() - asked_us) / 1_000;
                 log::info!(
@@ -287,10 +292,11 @@
     }
 }
 
-/// Returns the records of all segments by stream. One that has two origins is ambiguous.
+/// Returns the records of segments, the newest first, by stream. One that has two origins is ambiguous.
 fn collect_records(segments: &[Segment]) -> HashMap<StreamKey, ArchivedOrigin> {
     let mut records: HashMap<StreamKey, ArchivedOrigin> = HashMap::new();
-    for (key, origin) in segments.iter().flat_map(Segment::records) {
+    let newest = segments.iter().flat_map(Segment::records);
+    for (key, origin) in newest.take(MAX_READ_RECORDS) {
         let known = records.entry(key).or_insert_with(|| origin.clone());
         if known != origin {
             *known = None;
--- a/src/gateway/origin_segments.rs
+++ b/src/gateway/origin_segments.rs
@@ -16,6 +16,8 @@
 /// Segments that differ from the time of the reader by more than this are of an earlier use of their slot, or of a writer
 /// whose clock is wrong.
 const MAX_AGE_S: u64 = 120;
+/// Most records of a segment, some 30 bytes each as stored. Objects may have a megabyte.
+const MAX_RECORDS: usize = 16_384;
 /// One slot is kept for so many instances.
 const INSTANCES_PER_SLOT: usize = 8;
 /// Two slots, so that a group of a few instances has a second keeper.
@@ -99,7 +101,9 @@
 
     /// Adds a record; returns whether the segment changed. A stream with two origins keeps neither.
     pub fn insert(&mut self, key: StreamKey, origin: ArchivedOrigin) -> bool {
+        let has_room = self.records.len() < MAX_RECORDS;
         match self.records.get_mut(&key) {
+            None if !has_room => false,
             None => {
                 self.records.insert(key, origin);
                 true
