A stream whose event is too long fails at once

`serve` resumed such a stream at the same engine for as long as its request had time: the engine continues the same run, so the same event came again, 1 MB and the socket buffers each time (71 MB in a second once, bound 64). Bytes that are not UTF-8 are still resumed, since they may have been damaged on the way.

--- a/src/endpoint/engine.rs
+++ b/src/endpoint/engine.rs
@@ -205,7 +205,12 @@
                     }
                 }
                 Ok(None) if self.done => return self.check_complete().map(|()| None),
-                Ok(None) | Err(Broken) => self.resume().await?,
+                Ok(None) | Err(Unread::Broken) => self.resume().await?,
+                // The engine continues the same run, so a resumption would bring the same event.
+                Err(Unread::TooLong) => {
+                    let reason = "an event is too long";
+                    return IncompleteSnafu { reason }.fail();
+                }
             }
         }
     }
@@ -225,7 +230,7 @@
         self.tokens
     }
 
-    async fn next_event(&mut self) -> Result<Option<Event>, Broken> {
+    async fn next_event(&mut self) -> Result<Option<Event>, Unread> {
         loop {
             if let Some(event) = self.splitter.next()? {
                 return Ok(Some(event));
@@ -233,15 +238,15 @@
             if self.done {
                 return Ok(None);
             }
-            let answer = self.answer.as_mut().ok_or(Broken)?;
+            let answer = self.answer.as_mut().ok_or(Unread::Broken)?;
             let frame = time::timeout(IDLE_TIMEOUT, answer.response.body_mut().frame()).await;
-            match frame.map_err(|_| Broken)? {
+            match frame.map_err(|_| Unread::Broken)? {
                 Some(Ok(frame)) => {
                     if let Some(bytes) = frame.data_ref() {
                         self.splitter.push(bytes);
                     }
                 }
-                Some(Err(_)) => return Err(Broken),
+                Some(Err(_)) => return Err(Unread::Broken),
                 None => return Ok(None),
             }
         }
@@ -354,12 +359,20 @@
     }
 }
 
-/// The connection broke or its data cannot be parsed.
-struct Broken;
+/// Why the next event was not read.
+enum Unread {
+    /// The connection broke, or its data cannot be parsed.
+    Broken,
+    /// The event is too long.
+    TooLong,
+}
 
-impl From<BadEvent> for Broken {
-    fn from(_: BadEvent) -> Self {
-        Self
+impl From<BadEvent> for Unread {
+    fn from(error: BadEvent) -> Self {
+        match error {
+            BadEvent::TooLong => Self::TooLong,
+            BadEvent::NotUtf8 => Self::Broken,
+        }
     }
 }
 
--- a/src/endpoint/sse.rs
+++ b/src/endpoint/sse.rs
@@ -17,9 +17,14 @@
     pub data: String,
 }
 
-/// An event is longer than [`MAX_EVENT_BYTES`] or not valid UTF-8, or too much without data comes before it.
+/// Why an event cannot be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct BadEvent;
+pub enum BadEvent {
+    /// It is longer than [`MAX_EVENT_BYTES`], or too much without data comes before it.
+    TooLong,
+    /// It is not valid UTF-8.
+    NotUtf8,
+}
 
 /// Parses bytes that arrive in arbitrary chunks into events.
 ///
@@ -55,9 +60,14 @@
         loop {
             let Some((length, end)) = self.find_end() else {
                 let too_long = self.buffer.len() > MAX_EVENT_BYTES;
-                return if too_long { Err(BadEvent) } else { Ok(None) };
+                return if too_long {
+                    Err(BadEvent::TooLong)
+                } else {
+                    Ok(None)
+                };
             };
-            let text = std::str::from_utf8(&self.buffer[..length]).map_err(|_| BadEvent)?;
+            let text =
+                std::str::from_utf8(&self.buffer[..length]).map_err(|_| BadEvent::NotUtf8)?;
             let event = parse(text);
             self.buffer.advance(end);
             self.searched = 0;
@@ -67,7 +77,7 @@
             }
             self.empty_bytes += end;
             if self.empty_bytes > MAX_EMPTY_BYTES {
-                return Err(BadEvent);
+                return Err(BadEvent::TooLong);
             }
         }
     }
