The record of a holder counts once an owner of its slot has answered, too

Callers may send a request twice under one id.

The lookup has a module of its own; the instance that writes a slot is its owner.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -36,6 +36,7 @@
 mod link_probes;
 pub mod metrics;
 pub mod origin_archive;
+mod origin_lookup;
 pub mod origin_segments;
 pub mod origin_table;
 pub mod other_halls;
--- a/src/gateway/origin_archive.rs
+++ b/src/gateway/origin_archive.rs
@@ -1,9 +1,9 @@
 //! Keeps the origins of streams in the store, so that streams can be taken up after the loss of all instances.
 //!
-//! While a service has several versions, the instance that relays a stream sends its origin to the keeper of the stream's
-//! slot. Keepers write what they get some times a second, one object for each slot and second, and read the archive when
-//! they are asked for a stream that they do not know. Nothing waits for a write. A stream that began since the last write
-//! is refused after the loss of all.
+//! While a service has several versions, the instance that relays a stream sends its origin to the owner of the stream's
+//! slot. Owners write what they get some times a second, one object for each slot and second. They read the archive when
+//! they are asked for a stream, unless they got all that was written to its slot. Nothing waits for a write. A stream that
+//! began since the last write is refused after the loss of all.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -25,13 +25,13 @@
     store::{ListingStore, ObjectEra, Store, WriteError},
 };
 
-/// Shortest time between two writes of a keeper.
+/// Shortest time between two writes of an instance.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(50);
 /// Slots share 80 writes a second, a fifth of what the store of the largest deployments allows.
 const WRITE_INTERVAL_PER_SLOT: Duration = Duration::from_micros(12_500);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
-/// Attempts to write a segment that another keeper writes, too, before the next round.
+/// Attempts to write a segment that another instance writes, too, before the next round.
 const WRITE_ATTEMPTS: usize = 3;
 /// For how long the archive as read answers for streams that it does not have.
 const READ_LIFETIME_US: Micros = 1_000_000;
@@ -40,12 +40,15 @@
 /// second.
 const MAX_READ_RECORDS: usize = 65_536;
 
+/// An instance that gets no record of a slot for longer than this may have missed some: another one may own the slot.
+const MAX_RECORD_GAP_US: Micros = 2_000_000;
+
 /// What the archive says of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Archived {
     /// It has a record.
     Found(ArchivedOrigin),
-    /// It was read just now and has none.
+    /// It has none.
     Absent,
     /// It is being read.
     Pending,
@@ -68,14 +71,22 @@
     records: HashMap<StreamKey, ArchivedOrigin>,
 }
 
+/// The time for which this instance has got the records of a slot without a gap.
+#[derive(Clone, Copy, Debug)]
+struct Coverage {
+    since_us: Micros,
+    last_us: Micros,
+}
+
 #[derive(Debug, Default)]
 struct State {
     /// By slot and position in the ring.
     own: BTreeMap<(Slot, u64), OwnSegment>,
+    coverage: BTreeMap<Slot, Coverage>,
     read: ReadArchive,
 }
 
-/// The part of the archive that this instance keeps.
+/// The part of the archive that this instance writes, and the archive as it was last read.
 #[derive(Debug, Default)]
 pub struct OriginArchive {
     state: Mutex<State>,
@@ -83,10 +94,59 @@
     is_read_wanted: Notify,
 }
 
+impl State {
+    fn note_record(&mut self, now_us: Micros, slot: Slot) {
+        let coverage = self.coverage.entry(slot).or_insert(Coverage {
+            since_us: now_us,
+            last_us: now_us,
+        });
+        if now_us.saturating_sub(coverage.last_us) > MAX_RECORD_GAP_US {
+            coverage.since_us = now_us;
+        }
+        coverage.last_us = now_us;
+    }
+
+    /// Returns whether this instance got all records of a slot that the archive may have.
+    fn covers(&self, now_us: Micros, slot: Slot) -> bool {
+        self.coverage.get(&slot).is_some_and(|coverage| {
+            let gap_us = now_us.saturating_sub(coverage.last_us);
+            let covered_us = now_us.saturating_sub(coverage.since_us);
+            gap_us <= MAX_RECORD_GAP_US && covered_us >= SEGMENTS * 1_000_000
+        })
+    }
+
+    /// Returns the record of a stream in the segments that this instance writes.
+    fn own_record(&self, slot: Slot, key: StreamKey) -> Option<ArchivedOrigin> {
+        let own = self.own.range((slot, 0)..(slot, SEGMENTS));
+        let mut records = own.filter_map(|(_, own)| own.segment.get(key));
+        let first = records.next()?;
+        match records.all(|record| record == first) {
+            true => Some(first.clone()),
+            false => Some(None),
+        }
+    }
+}
+
+impl ReadArchive {
+    fn is_fresh(&self, now_us: Micros) -> bool {
+        let age_us = |asked_us| now_us.saturating_sub(asked_us);
+        let age_us = self.asked_us.map(age_us);
+        age_us.is_some_and(|age_us| age_us < READ_LIFETIME_US)
+    }
+}
+
 impl OriginArchive {
     /// Adds a record to be written.
-    pub fn insert(&self, slot: Slot, unix_s: u64, key: StreamKey, origin: ArchivedOrigin) {
+    pub fn insert(
+        &self,
+        now_us: Micros,
+        slot: Slot,
+        unix_s: u64,
+        key: StreamKey,
+        origin: ArchivedOrigin,
+    ) {
         let mut state = self.lock();
+        state.note_record(now_us, slot);
         let own = state.own.entry((slot, unix_s % SEGMENTS)).or_default();
         if own.segment.unix_s != unix_s {
             own.segment = Segment::new(unix_s);
@@ -98,21 +158,23 @@
         }
     }
 
-    /// Returns what the archive says of a stream. If that has to be read, it is read now.
-    pub fn get(&self, now_us: Micros, key: StreamKey) -> Archived {
+    /// Returns what the archive says of a stream of a slot. If that has to be read, it is read now.
+    pub fn get(&self, now_us: Micros, slot: Slot, key: StreamKey) -> Archived {
         let state = self.lock();
-        if let Some(origin) = state.read.records.get(&key) {
-            return Archived::Found(origin.clone());
+        let own = state.own_record(slot, key);
+        if state.covers(now_us, slot) {
+            return own.map_or(Archived::Absent, Archived::Found);
+        }
+        if !state.read.is_fresh(now_us) {
+            drop(state);
+            self.is_read_wanted.notify_one();
+            return Archived::Pending;
         }
-        let asked_us = state.read.asked_us;
-        let is_fresh =
-            asked_us.is_some_and(|asked_us| now_us.saturating_sub(asked_us) < READ_LIFETIME_US);
-        drop(state);
-        if is_fresh {
-            return Archived::Absent;
+        let read = state.read.records.get(&key).cloned();
+        match (own, read) {
+            (Some(own), Some(read)) if own != read => Archived::Found(None),
+            (own, read) => own.or(read).map_or(Archived::Absent, Archived::Found),
         }
-        self.is_read_wanted.notify_one();
-        Archived::Pending
     }
 
     /// Returns the number of records as last read.
@@ -217,13 +279,13 @@
     failure
 }
 
-/// Returns the pause between two writes of a keeper in a group of this many instances.
+/// Returns the pause between two writes of an instance in a group of this many instances.
 fn write_interval(instances: usize) -> Duration {
     let shared = WRITE_INTERVAL_PER_SLOT * slot_count(instances);
     shared.max(MIN_WRITE_INTERVAL)
 }
 
-/// Writes a segment, together with what another keeper wrote of it; returns the version and era of the object.
+/// Writes a segment, together with what another instance wrote of it; returns the version and era of the object.
 async fn write_segment<S: Store>(
     store: &S,
     slot: Slot,
--- a/src/gateway/origin_segments.rs
+++ b/src/gateway/origin_segments.rs
@@ -20,9 +20,9 @@
 const MAX_RECORDS: usize = 16_384;
 /// One slot is kept for so many instances.
 const INSTANCES_PER_SLOT: usize = 8;
-/// Two slots, so that a group of a few instances has a second keeper.
+/// Two slots, so that a small group divides the writes.
 const MIN_SLOTS: usize = 2;
-/// With more, the instances that keep a slot would be too many to read the archive at the same time.
+/// With more, the instances that own a slot would be too many to read the archive at the same time.
 const MAX_SLOTS: usize = 32;
 
 /// Returns the number of slots in a group of this many instances.
@@ -123,6 +123,11 @@
         }
     }
 
+    /// Returns the record of a stream.
+    pub fn get(&self, key: StreamKey) -> Option<&ArchivedOrigin> {
+        self.records.get(&key)
+    }
+
     /// Returns the records.
     pub fn records(&self) -> impl Iterator<Item = (StreamKey, &ArchivedOrigin)> {
         self.records.iter().map(|(key, origin)| (*key, origin))
