--- a/src/gateway/origin_archive.rs
+++ b/src/gateway/origin_archive.rs
@@ -40,7 +40,7 @@
 /// second.
 const MAX_READ_RECORDS: usize = 65_536;
 
-/// An instance that gets no record of a slot for longer than this may have missed some: another one may own the slot.
+/// An instance that gets no record of a slot for longer than this may have missed some.
 const MAX_RECORD_GAP_US: Micros = 2_000_000;
 
 /// What the archive says of a stream.
@@ -177,6 +177,12 @@
         }
     }
 
+    /// Records that an instance joined or left: views differ for a moment, so that another one may get records of the
+    /// slots that this one owns.
+    pub fn note_members_changed(&self) {
+        self.lock().coverage.clear();
+    }
+
     /// Returns the number of records as last read.
     pub fn records_read(&self) -> usize {
         self.lock().read.records.len()
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -348,7 +348,14 @@
 
     /// Sets the membership view.
     pub fn set_view(&self, view: &Arc<View>) {
-        lock(&self.view).clone_from(view);
+        let before = std::mem::replace(&mut *lock(&self.view), view.clone());
+        let incarnations = |view: &View| -> Vec<_> {
+            let present = view.present();
+            present.map(|member| member.info.incarnation).collect()
+        };
+        if incarnations(&before) != incarnations(view) {
+            self.origin_archive.note_members_changed();
+        }
     }
 
     /// Returns how many instances share limits, and how many of them were seen recently.
