Origins of running streams are recorded again when instances join or leave

A record that was sent to an instance just killed was lost until the stream was taken up; the holders and the owner of the slot are others then.

--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -162,7 +162,9 @@
     pub permits: Permits,
     /// The origins of streams that callers may take up.
     pub stream_origins: StreamOrigins,
-    /// The part of the archive of stream origins that this instance keeps.
+    /// How often the members of the view changed.
+    member_changes: AtomicU64,
+    /// The part of the archive of stream origins that this instance writes.
     pub origin_archive: OriginArchive,
     /// Usage limits of organisations.
     pub quota: Quota,
@@ -235,6 +237,7 @@
             reservation_client: ReservationClient::default(),
             permits: Permits::default(),
             stream_origins: StreamOrigins::default(),
+            member_changes: AtomicU64::new(0),
             origin_archive: OriginArchive::default(),
             quota,
             shares: Mutex::default(),
@@ -354,10 +357,16 @@
             present.map(|member| member.info.incarnation).collect()
         };
         if incarnations(&before) != incarnations(view) {
+            self.member_changes.fetch_add(1, Ordering::Relaxed);
             self.origin_archive.note_members_changed();
         }
     }
 
+    /// Returns how often instances joined or left, as far as this instance knows.
+    pub fn member_changes(&self) -> u64 {
+        self.member_changes.load(Ordering::Relaxed)
+    }
+
     /// Returns how many instances share limits, and how many of them were seen recently.
     pub fn instance_counts(&self) -> InstanceCounts {
         InstanceCounts {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -59,8 +59,8 @@
     headers: HeaderMap,
     runs: StreamRuns,
     first_us: Micros,
-    /// When the origin was last recorded.
-    origin_recorded_us: Option<Micros>,
+    /// When the origin was last recorded, and the changes of members until then.
+    origin_recorded: Option<(Micros, u64)>,
 }
 
 /// What a stream brings next.
@@ -87,7 +87,7 @@
             headers,
             runs,
             first_us: 0,
-            origin_recorded_us: None,
+            origin_recorded: None,
         }
     }
 
@@ -172,8 +172,12 @@
     async fn record_origin(&mut self) {
         let service = &self.job.placement_request.service;
         let now_us = self.gateway.clock.now_us();
-        let is_recent = |at_us| now_us.saturating_sub(at_us) < RECORD_AGAIN_US;
-        if self.origin_recorded_us.is_some_and(is_recent)
+        // Other instances hold and archive it after a change of members.
+        let changes = self.gateway.member_changes();
+        let is_current = |(at_us, changes_then)| {
+            changes == changes_then && now_us.saturating_sub(at_us) < RECORD_AGAIN_US
+        };
+        if self.origin_recorded.is_some_and(is_current)
             || !self.job.is_repeatable()
             || !self.gateway.has_several_versions(service)
         {
@@ -182,7 +186,7 @@
         let Some(version) = self.source.began_version().cloned() else {
             return;
         };
-        self.origin_recorded_us = Some(now_us);
+        self.origin_recorded = Some((now_us, changes));
         let origin = StreamOrigin {
             service: service.clone(),
             version,
