The first event of a stream waits while an instance meets the others

Both had a record of another attempt with the same id, at the other version. The first event is now held back beside several versions until the instance has met half of the others, for half a second at most.

--- a/src/gateway/origin_lookup.rs
+++ b/src/gateway/origin_lookup.rs
@@ -32,6 +32,10 @@
 /// How long a caller waits for instances that have just started to read what those before them knew, which takes some
 /// tens of milliseconds. It may have no other attempt.
 const READ_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long the first event of a stream is held back while this instance meets the others, which takes some hundred
+/// milliseconds: they could not find its origin.
+const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
+const JOIN_POLL: Duration = Duration::from_millis(10);
 /// Time within which an instance that starts meets the others.
 const JOIN_TIME_US: Micros = 2_000_000;
 
@@ -211,11 +215,22 @@
         }
     }
 
-    /// Returns whether this instance has just started and not met most of the others yet. Each would take itself for the
-    /// owner of all slots and read the archive.
+    /// Returns whether this instance has just started and not met most of the others yet. It would take itself for a holder
+    /// of all streams and the owner of all slots.
     fn is_joining(&self) -> bool {
+        if self.clock.now_us() >= JOIN_TIME_US {
+            return false;
+        }
         let met = self.view().present().count();
-        self.clock.now_us() < JOIN_TIME_US && met * 2 < self.instance_counts().all
+        !self.quota.knows_instance_count() || met * 2 < self.instance_counts().all
+    }
+
+    /// Waits while this instance is joining the others, for a short time at most.
+    pub(super) async fn wait_until_joined(&self) {
+        let timeout = Instant::now() + JOIN_TIMEOUT;
+        while self.is_joining() && Instant::now() < timeout {
+            time::sleep(JOIN_POLL).await;
+        }
     }
 
     /// Returns the instances that may know the origin of a stream.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -173,9 +173,9 @@
         let service = &self.job.placement_request.service;
         let now_us = self.gateway.clock.now_us();
         // Other instances hold and archive it after a change of members.
-        let changes = self.gateway.member_changes();
         let is_current = |(at_us, changes_then)| {
-            changes == changes_then && now_us.saturating_sub(at_us) < RECORD_AGAIN_US
+            changes_then == self.gateway.member_changes()
+                && now_us.saturating_sub(at_us) < RECORD_AGAIN_US
         };
         if self.origin_recorded.is_some_and(is_current)
             || !self.job.is_repeatable()
@@ -186,7 +186,10 @@
         let Some(version) = self.source.began_version().cloned() else {
             return;
         };
-        self.origin_recorded = Some((now_us, changes));
+        if self.origin_recorded.is_none() {
+            self.gateway.wait_until_joined().await;
+        }
+        self.origin_recorded = Some((now_us, self.gateway.member_changes()));
         let origin = StreamOrigin {
             service: service.clone(),
             version,
