Failing tests: instances that lost the store join streams of two versions

The test of an instance that is cut off passed without the rule that it guards: it was refused as busy or for an old configuration. It now fails calls to the store as a cut does, takes all streams up at once, and checks the reason.

--- a/tests/edge/stream_losses.rs
+++ b/tests/edge/stream_losses.rs
@@ -13,7 +13,7 @@
 };
 
 use crate::{
-    cluster::until,
+    cluster::{Instance, until},
     site::{Site, entry},
     stream_versions::{Counts, PATH, SLOTS, TWO_VERSIONS, Tries, begin_streams, take_up},
     support::{KEY, exchange, request},
@@ -226,15 +226,22 @@
     }
 }
 
+/// Cuts an instance off from the store: its calls fail.
+fn cut_from_store(instance: &mut Instance) {
+    instance.stop_following();
+    let unused = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr());
+    instance.follow(unused.expect("an address"));
+}
+
 /// An instance has lost the others and the store, and does not learn of a version that they use.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_is_not_joined_by_an_instance_that_is_cut_off_from_the_others_and_the_store() {
-    let site = Site::start(162, 7, ENDPOINTS).await;
+    let mut site = Site::start(162, 7, ENDPOINTS).await;
     site.set_versions(&["v1"]).await;
     for link in site.instances[6].links() {
         link.abort();
     }
-    site.instances[6].stop_following();
+    cut_from_store(&mut site.instances[6]);
     for index in (0..ENDPOINTS).filter(|index| !OLD.contains(index)) {
         set_version(&site, index, "v2");
     }
@@ -244,12 +251,22 @@
     };
     until("the second version to be known", || is_known(&site)).await;
     let begun = begin_streams(&site, 0, "cut", STREAMS).await;
+    let mut calls = JoinSet::new();
     for id in begun {
-        let headers = [("last-event-id", "2"), ("resumes", &*id)];
-        let again = request(PATH, &format!("{id}-again"), &headers);
-        let got = exchange(site.callers[6], again).await;
-        let status = got.expect("an answer").status;
-        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{id}");
+        let callers = site.callers[6];
+        calls.spawn(async move {
+            let again = format!("{id}-again");
+            let headers = [("last-event-id", "2"), ("resumes", &*id)];
+            let got = exchange(callers, request(PATH, &again, &headers)).await;
+            (again, got.expect("an answer"))
+        });
+    }
+    for (again, got) in calls.join_all().await {
+        assert_eq!(got.status, StatusCode::SERVICE_UNAVAILABLE, "{again}");
+        // Not for another reason, such as a state of the store that is too old.
+        let text = got.text();
+        assert!(text.contains("stream_origin_not_yet_known"), "{text}");
+        assert!(site.endpoints_of(&again).is_empty(), "{again} has run");
     }
 }
 
@@ -346,3 +363,93 @@
         "all streams began at v1, which has left"
     );
 }
+
+/// Begins streams at the first instance beside a second version that the last `cut` instances do not learn of, and loses
+/// the other instances.
+async fn lose_all_but(site: &mut Site, name: &str, cut: usize) -> Vec<String> {
+    site.set_versions(&["v1"]).await;
+    let connected = site.instances.len() - cut;
+    for instance in &mut site.instances[connected..] {
+        cut_from_store(instance);
+    }
+    for index in (0..ENDPOINTS).filter(|index| !OLD.contains(index)) {
+        set_version(site, index, "v2");
+    }
+    until("the second version to be known", || {
+        let mut connected = site.instances[..connected].iter();
+        connected.all(|i| i.gateway.has_several_versions("svc"))
+    })
+    .await;
+    let begun = begin_streams(site, 0, name, STREAMS).await;
+    for _ in 0..connected {
+        site.kill_first();
+    }
+    begun
+}
+
+/// Takes up streams at the instances that are left and counts.
+async fn count_taken_up(site: &Site, name: &str, begun: Vec<String>) -> Counts {
+    let (tries, whole) = take_up_all(site, begun).await;
+    let counts = Counts {
+        whole,
+        ..site.count(&tries, &TWO_VERSIONS)
+    };
+    println!("{name}: {counts:?}");
+    counts
+}
+
+/// Guards against taking an empty view of the group for an answer that there was one version.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_is_not_joined_by_an_instance_that_lost_the_store_and_knows_that_the_others_are_lost()
+ {
+    let mut site = Site::start(163, 7, ENDPOINTS).await;
+    let begun = lose_all_but(&mut site, "alone", 1).await;
+    until("the others to be known as lost", || {
+        site.instances[0].gateway.view().others().count() == 0
+    })
+    .await;
+    let counts = count_taken_up(&site, "alone", begun).await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+}
+
+/// Guards against two instances that both lack a version and confirm to each other that there was none.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_is_not_joined_by_two_instances_that_lost_the_store_and_the_others() {
+    let mut site = Site::start(164, 7, ENDPOINTS).await;
+    let begun = lose_all_but(&mut site, "pair", 2).await;
+    let counts = count_taken_up(&site, "pair", begun).await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+}
+
+/// Guards against an instance that takes what it missed while the store turned it away for what never was.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_version_that_came_and_left_while_an_instance_lost_the_store_is_not_joined() {
+    let mut site = Site::start(165, 7, ENDPOINTS).await;
+    site.set_versions(&["v1"]).await;
+    for link in site.instances[6].links() {
+        link.abort();
+    }
+    cut_from_store(&mut site.instances[6]);
+    let new = [1, 3, 5, 7];
+    for index in new {
+        set_version(&site, index, "v2");
+    }
+    until("the second version to be known", || {
+        let mut connected = site.instances[..6].iter();
+        connected.all(|i| i.gateway.has_several_versions("svc"))
+    })
+    .await;
+    let begun = begin_streams(&site, 0, "missed", STREAMS).await;
+    for index in new {
+        site.platform.remove("servers", &format!("e{index}-0"));
+    }
+    time::sleep(Duration::from_secs(1)).await;
+    site.platform.forget_history();
+    site.instances[6].stop_following();
+    let addr = site.platform.addr();
+    site.instances[6].follow(addr);
+    site.until_gone(&["e1-0", "e3-0", "e5-0", "e7-0"]).await;
+    site.callers.drain(..6);
+    let counts = count_taken_up(&site, "missed", begun).await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+}
