Tests of streams after losses of small groups, a second loss, and a store that takes no writes

Three fail: a version that could not be written before the loss is not known after it, and streams of a service's only version are refused by an instance that cannot read the list of versions or finds none.

--- a/tests/edge/site.rs
+++ b/tests/edge/site.rs
@@ -147,6 +147,12 @@
 
     /// Starts one more instance.
     pub async fn start_instance(&mut self) {
+        let store = self.platform.addr();
+        self.start_instance_with_origins_at(store).await;
+    }
+
+    /// Starts one more instance, which keeps the versions of services and the origins of streams in another store.
+    pub async fn start_instance_with_origins_at(&mut self, store: SocketAddr) {
         let number = self.killed + self.instances.len();
         let seeds: Vec<SocketAddr> = (self.killed..self.killed + 3)
             .map(|n| SocketAddr::new(address(self.net, n), self.port))
@@ -162,7 +168,7 @@
         instance.follow(self.platform.addr());
         instance.follow_evacuations(self.platform.addr(), EVACUATE);
         instance.sync_block_list(self.platform.addr());
-        instance.sync_origins(self.platform.addr(), self.killed == 0);
+        instance.sync_origins(store, self.killed == 0);
         let listener = TcpListener::bind((address(self.net, number), 0)).await;
         let listener = listener.expect("a port");
         self.callers
--- a/tests/edge/stream_losses.rs
+++ b/tests/edge/stream_losses.rs
@@ -229,8 +229,14 @@
 /// Cuts an instance off from the store: its calls fail.
 fn cut_from_store(instance: &mut Instance) {
     instance.stop_following();
-    let unused = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr());
-    instance.follow(unused.expect("an address"));
+    instance.follow(unused_addr());
+}
+
+/// Returns an address at which nothing listens.
+fn unused_addr() -> std::net::SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0");
+    let addr = listener.and_then(|listener| listener.local_addr());
+    addr.expect("an address")
 }
 
 /// An instance has lost the others and the store, and does not learn of a version that they use.
@@ -453,3 +459,91 @@
     let counts = count_taken_up(&site, "missed", begun).await;
     assert_eq!(counts.mixed, 0, "{counts:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_after_the_loss_of_all_instances_of_a_small_group() {
+    for (net, instances) in [(166, 1), (167, 2)] {
+        let mut site = Site::start(net, instances, ENDPOINTS).await;
+        site.set_versions(&TWO_VERSIONS).await;
+        let counts = count_after_loss(&mut site, "small", &TWO_VERSIONS, |_| {}).await;
+        assert_eq!(counts.mixed, 0, "{instances} instances: {counts:?}");
+        assert!(
+            counts.whole >= MIN_WHOLE,
+            "{instances} instances: {counts:?}"
+        );
+    }
+}
+
+/// The instances are lost again while they start, and one version has left when they are back.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_is_not_joined_after_a_second_loss_of_all_within_a_second() {
+    let mut site = Site::start(168, 7, ENDPOINTS).await;
+    site.set_versions(&TWO_VERSIONS).await;
+    let begun = begin_streams(&site, 0, "twice", STREAMS).await;
+    time::sleep(RUN_TIME).await;
+    site.kill_all();
+    for _ in 0..7 {
+        site.start_instance().await;
+    }
+    time::sleep(Duration::from_millis(300)).await;
+    site.kill_all();
+    for index in OLD {
+        site.platform.remove("servers", &format!("e{index}-0"));
+    }
+    time::sleep(DOWNTIME).await;
+    site.start_instances(7).await;
+    let counts = count_taken_up(&site, "twice", begun).await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+    assert!(counts.whole * 4 >= STREAMS, "{counts:?}");
+}
+
+/// Guards against a list of versions that the store did not take for seconds, and that counts as complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_version_that_could_not_be_written_before_the_loss_of_all_is_not_joined() {
+    let mut site = Site::start(169, 7, ENDPOINTS).await;
+    site.set_versions(&["v1"]).await;
+    time::sleep(Duration::from_millis(500)).await;
+    site.platform.fault(|faults| {
+        faults.lose_write_answers = u32::MAX;
+        faults.lost_write_delay = Duration::from_secs(60);
+    });
+    site.set_versions(&TWO_VERSIONS).await;
+    let counts = count_after_loss(&mut site, "unwritten", &TWO_VERSIONS, |site| {
+        for index in (0..ENDPOINTS).filter(|index| !OLD.contains(index)) {
+            site.platform.remove("servers", &format!("e{index}-0"));
+        }
+        site.platform.fault(|faults| faults.lose_write_answers = 0);
+    })
+    .await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+}
+
+/// Guards against refusals by an instance that the store turns away, though all others know of one version only.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_the_only_version_go_on_at_an_instance_that_cannot_read_the_list_of_versions() {
+    let mut site = Site::start(170, 7, ENDPOINTS).await;
+    site.set_versions(&["v1"]).await;
+    let begun = begin_streams(&site, 1, "unread", STREAMS).await;
+    site.kill_first();
+    site.start_instance_with_origins_at(unused_addr()).await;
+    site.until_joined().await;
+    site.callers.drain(..6);
+    let (_, whole) = take_up_all(&site, begun).await;
+    assert!(whole >= MIN_WHOLE, "{whole} whole");
+}
+
+/// Instances of a release without a list of versions are replaced one after the other.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_the_only_version_go_on_where_the_store_has_no_list_of_versions() {
+    let mut site = Site::start(171, 7, ENDPOINTS).await;
+    site.set_versions(&["v1"]).await;
+    let begun = begin_streams(&site, 1, "listless", STREAMS).await;
+    time::sleep(Duration::from_millis(500)).await;
+    site.kill_first();
+    site.platform.remove("ryevalve", "service-versions");
+    site.start_instance().await;
+    site.until_joined().await;
+    site.callers.drain(..6);
+    let (_, whole) = take_up_all(&site, begun).await;
+    assert!(whole >= MIN_WHOLE, "{whole} whole");
+}
