--- a/tests/edge/stream_losses.rs
+++ b/tests/edge/stream_losses.rs
@@ -547,3 +547,24 @@
     let (_, whole) = take_up_all(&site, begun).await;
     assert!(whole >= MIN_WHOLE, "{whole} whole");
 }
+
+/// Guards against callers that are held beyond the time they have left while instances read what those before them knew.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_unknown_origin_is_refused_in_time_while_the_store_is_silent() {
+    let site = Site::start(172, 7, ENDPOINTS).await;
+    site.set_versions(&TWO_VERSIONS).await;
+    time::sleep(Duration::from_secs(1)).await;
+    site.platform.fault(|faults| faults.silent = true);
+    for instance in 0..7 {
+        let headers = [("last-event-id", "2"), ("resumes", "unknown")];
+        let mut again = request(PATH, &format!("again-{instance}"), &headers);
+        let deadline = "200".parse().expect("a header");
+        again.headers_mut().insert("deadline-ms", deadline);
+        let began = time::Instant::now();
+        let got = exchange(site.callers[instance], again).await;
+        let status = got.expect("an answer").status;
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+        let took = began.elapsed();
+        assert!(took < Duration::from_millis(300), "{took:?}");
+    }
+}
--- a/tests/gateway/stream_origins.rs
+++ b/tests/gateway/stream_origins.rs
@@ -50,6 +50,20 @@
     assert_eq!(table.get(0, joined), None);
 }
 
+/// Guards against a limit of records that streams which are recorded again use up several times.
+#[test]
+fn streams_that_are_recorded_again_do_not_drop_the_records_of_others() {
+    let mut table = OriginTable::default();
+    table.write(0, key(0), origin("v1"));
+    for now_us in (SECOND..=60 * SECOND).step_by(8 * SECOND as usize) {
+        for number in 1..2_500 {
+            table.write(now_us, key(number), origin("v1"));
+        }
+    }
+    assert!(table.len() < MAX_RECORDS / 6);
+    assert_eq!(table.get(60 * SECOND, key(0)), Some(&origin("v1")));
+}
+
 #[test]
 fn flood_of_streams_drops_the_oldest_records_first() {
     let mut table = OriginTable::default();
