--- a/tests/edge/stream_losses.rs
+++ b/tests/edge/stream_losses.rs
@@ -16,7 +16,7 @@
     cluster::{Instance, until},
     site::{Site, entry},
     stream_versions::{Counts, PATH, SLOTS, TWO_VERSIONS, Tries, begin_streams, take_up},
-    support::{KEY, exchange, request},
+    support::{KEY, config, exchange, request},
 };
 
 const ENDPOINTS: usize = 8;
@@ -568,3 +568,73 @@
         assert!(took < Duration::from_millis(300), "{took:?}");
     }
 }
+
+/// Lets every second endpoint serve another service, which has one version like the first.
+async fn add_other_service(site: &Site) {
+    for index in (0..ENDPOINTS).filter(|index| !OLD.contains(index)) {
+        site.platform.remove("servers", &format!("e{index}-0"));
+        let mut spec = entry(site.runners[index].addr);
+        spec["backend"] = "other".into();
+        spec["capacity"] = SLOTS.into();
+        let id = format!("e{index}-1");
+        site.runners[index].replace(&id);
+        site.platform.set("servers", &id, spec);
+    }
+    until("the other service to be known", || {
+        site.instances.iter().all(|instance| {
+            let balancer = instance.gateway.balancer();
+            [1, 3, 5, 7].iter().all(|index| {
+                let key = balancer.key_of(&format!("e{index}-1"));
+                key.is_some()
+            })
+        })
+    })
+    .await;
+}
+
+/// Leads the route of the streams to these services in equal parts, and waits until all instances know.
+async fn lead_to(site: &Site, version: u64, services: &[&str]) {
+    let mut config = config(version, &["key-of-the-tests"]);
+    let mut other = config["backends"][0].clone();
+    other["name"] = "other".into();
+    let known = config["backends"].as_array_mut().expect("services");
+    known.push(other);
+    let part = |service| serde_json::json!({"backend": service, "weight": 0.5});
+    let routes = config["routes"].as_array_mut().expect("routes");
+    for route in routes.iter_mut().filter(|r| r["name"] == "resume") {
+        route["trafficSplit"] = services.iter().map(part).collect();
+    }
+    site.platform.set("config", "main", config);
+    until("the configuration to be known", || {
+        let mut instances = site.instances.iter();
+        instances.all(|i| i.gateway.config.version() == version)
+    })
+    .await;
+    time::sleep(Duration::from_millis(500)).await;
+}
+
+/// Guards against a stream that goes on at the other service of a route, since each of the two has one version only.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_route_with_two_services_goes_on_at_the_service_that_began_it() {
+    let site = Site::start(173, 7, ENDPOINTS).await;
+    site.set_versions(&["v1"]).await;
+    add_other_service(&site).await;
+    lead_to(&site, 4, &["svc", "other"]).await;
+    let begun = begin_streams(&site, 0, "split", STREAMS).await;
+    let counts = count_taken_up(&site, "split", begun).await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+    assert!(counts.whole >= MIN_WHOLE, "{counts:?}");
+}
+
+/// Guards against a stream that goes on at the service to which its route leads now, since that has one version only.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_route_that_leads_to_another_service_now_is_not_joined() {
+    let site = Site::start(174, 7, ENDPOINTS).await;
+    site.set_versions(&["v1"]).await;
+    add_other_service(&site).await;
+    lead_to(&site, 4, &["svc"]).await;
+    let begun = begin_streams(&site, 0, "moved", STREAMS).await;
+    lead_to(&site, 5, &["other"]).await;
+    let counts = count_taken_up(&site, "moved", begun).await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+}
