--- a/tests/edge/stream_losses.rs
+++ b/tests/edge/stream_losses.rs
@@ -13,10 +13,10 @@
 };
 
 use crate::{
-    cluster::until,
+    cluster::{Instance, until},
     site::{Site, entry},
     stream_versions::{Counts, PATH, SLOTS, TWO_VERSIONS, Tries, begin_streams, take_up},
-    support::{KEY, exchange, request},
+    support::{KEY, config, exchange, request},
 };
 
 const ENDPOINTS: usize = 8;
@@ -226,15 +226,28 @@
     }
 }
 
+/// Cuts an instance off from the store: its calls fail.
+fn cut_from_store(instance: &mut Instance) {
+    instance.stop_following();
+    instance.follow(unused_addr());
+}
+
+/// Returns an address at which nothing listens.
+fn unused_addr() -> std::net::SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0");
+    let addr = listener.and_then(|listener| listener.local_addr());
+    addr.expect("an address")
+}
+
 /// An instance has lost the others and the store, and does not learn of a version that they use.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_is_not_joined_by_an_instance_that_is_cut_off_from_the_others_and_the_store() {
-    let site = Site::start(162, 7, ENDPOINTS).await;
+    let mut site = Site::start(162, 7, ENDPOINTS).await;
     site.set_versions(&["v1"]).await;
     for link in site.instances[6].links() {
         link.abort();
     }
-    site.instances[6].stop_following();
+    cut_from_store(&mut site.instances[6]);
     for index in (0..ENDPOINTS).filter(|index| !OLD.contains(index)) {
         set_version(&site, index, "v2");
     }
@@ -244,12 +257,22 @@
     };
     until("the second version to be known", || is_known(&site)).await;
     let begun = begin_streams(&site, 0, "cut", STREAMS).await;
+    let mut calls = JoinSet::new();
     for id in begun {
-        let headers = [("last-event-id", "2"), ("resumes", &*id)];
-        let again = request(PATH, &format!("{id}-again"), &headers);
-        let got = exchange(site.callers[6], again).await;
-        let status = got.expect("an answer").status;
-        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{id}");
+        let callers = site.callers[6];
+        calls.spawn(async move {
+            let again = format!("{id}-again");
+            let headers = [("last-event-id", "2"), ("resumes", &*id)];
+            let got = exchange(callers, request(PATH, &again, &headers)).await;
+            (again, got.expect("an answer"))
+        });
+    }
+    for (again, got) in calls.join_all().await {
+        assert_eq!(got.status, StatusCode::SERVICE_UNAVAILABLE, "{again}");
+        // Not for another reason, such as a state of the store that is too old.
+        let text = got.text();
+        assert!(text.contains("stream_origin_not_yet_known"), "{text}");
+        assert!(site.endpoints_of(&again).is_empty(), "{again} has run");
     }
 }
 
@@ -346,3 +369,272 @@
         "all streams began at v1, which has left"
     );
 }
+
+/// Begins streams at the first instance beside a second version that the last `cut` instances do not learn of, and loses
+/// the other instances.
+async fn lose_all_but(site: &mut Site, name: &str, cut: usize) -> Vec<String> {
+    site.set_versions(&["v1"]).await;
+    let connected = site.instances.len() - cut;
+    for instance in &mut site.instances[connected..] {
+        cut_from_store(instance);
+    }
+    for index in (0..ENDPOINTS).filter(|index| !OLD.contains(index)) {
+        set_version(site, index, "v2");
+    }
+    until("the second version to be known", || {
+        let mut connected = site.instances[..connected].iter();
+        connected.all(|i| i.gateway.has_several_versions("svc"))
+    })
+    .await;
+    let begun = begin_streams(site, 0, name, STREAMS).await;
+    for _ in 0..connected {
+        site.kill_first();
+    }
+    begun
+}
+
+/// Takes up streams at the instances that are left and counts.
+async fn count_taken_up(site: &Site, name: &str, begun: Vec<String>) -> Counts {
+    let (tries, whole) = take_up_all(site, begun).await;
+    let counts = Counts {
+        whole,
+        ..site.count(&tries, &TWO_VERSIONS)
+    };
+    println!("{name}: {counts:?}");
+    counts
+}
+
+/// Guards against taking an empty view of the group for an answer that there was one version.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_is_not_joined_by_an_instance_that_lost_the_store_and_knows_that_the_others_are_lost()
+ {
+    let mut site = Site::start(163, 7, ENDPOINTS).await;
+    let begun = lose_all_but(&mut site, "alone", 1).await;
+    until("the others to be known as lost", || {
+        site.instances[0].gateway.view().others().count() == 0
+    })
+    .await;
+    let counts = count_taken_up(&site, "alone", begun).await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+}
+
+/// Guards against two instances that both lack a version and confirm to each other that there was none.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_is_not_joined_by_two_instances_that_lost_the_store_and_the_others() {
+    let mut site = Site::start(164, 7, ENDPOINTS).await;
+    let begun = lose_all_but(&mut site, "pair", 2).await;
+    let counts = count_taken_up(&site, "pair", begun).await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+}
+
+/// Guards against an instance that takes what it missed while the store turned it away for what never was.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_version_that_came_and_left_while_an_instance_lost_the_store_is_not_joined() {
+    let mut site = Site::start(165, 7, ENDPOINTS).await;
+    site.set_versions(&["v1"]).await;
+    for link in site.instances[6].links() {
+        link.abort();
+    }
+    cut_from_store(&mut site.instances[6]);
+    let new = [1, 3, 5, 7];
+    for index in new {
+        set_version(&site, index, "v2");
+    }
+    until("the second version to be known", || {
+        let mut connected = site.instances[..6].iter();
+        connected.all(|i| i.gateway.has_several_versions("svc"))
+    })
+    .await;
+    let begun = begin_streams(&site, 0, "missed", STREAMS).await;
+    for index in new {
+        site.platform.remove("servers", &format!("e{index}-0"));
+    }
+    time::sleep(Duration::from_secs(1)).await;
+    site.platform.forget_history();
+    site.instances[6].stop_following();
+    let addr = site.platform.addr();
+    site.instances[6].follow(addr);
+    site.until_gone(&["e1-0", "e3-0", "e5-0", "e7-0"]).await;
+    site.callers.drain(..6);
+    let counts = count_taken_up(&site, "missed", begun).await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_after_the_loss_of_all_instances_of_a_small_group() {
+    for (net, instances) in [(166, 1), (167, 2)] {
+        let mut site = Site::start(net, instances, ENDPOINTS).await;
+        site.set_versions(&TWO_VERSIONS).await;
+        let counts = count_after_loss(&mut site, "small", &TWO_VERSIONS, |_| {}).await;
+        assert_eq!(counts.mixed, 0, "{instances} instances: {counts:?}");
+        assert!(
+            counts.whole >= MIN_WHOLE,
+            "{instances} instances: {counts:?}"
+        );
+    }
+}
+
+/// The instances are lost again while they start, and one version has left when they are back.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_is_not_joined_after_a_second_loss_of_all_within_a_second() {
+    let mut site = Site::start(168, 7, ENDPOINTS).await;
+    site.set_versions(&TWO_VERSIONS).await;
+    let begun = begin_streams(&site, 0, "twice", STREAMS).await;
+    time::sleep(RUN_TIME).await;
+    site.kill_all();
+    for _ in 0..7 {
+        site.start_instance().await;
+    }
+    time::sleep(Duration::from_millis(300)).await;
+    site.kill_all();
+    for index in OLD {
+        site.platform.remove("servers", &format!("e{index}-0"));
+    }
+    time::sleep(DOWNTIME).await;
+    site.start_instances(7).await;
+    let counts = count_taken_up(&site, "twice", begun).await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+    assert!(counts.whole * 4 >= STREAMS, "{counts:?}");
+}
+
+/// Guards against a list of versions that the store did not take for seconds, and that counts as complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_version_that_could_not_be_written_before_the_loss_of_all_is_not_joined() {
+    let mut site = Site::start(169, 7, ENDPOINTS).await;
+    site.set_versions(&["v1"]).await;
+    time::sleep(Duration::from_millis(500)).await;
+    site.platform.fault(|faults| {
+        faults.lose_write_answers = u32::MAX;
+        faults.lost_write_delay = Duration::from_secs(60);
+    });
+    site.set_versions(&TWO_VERSIONS).await;
+    let counts = count_after_loss(&mut site, "unwritten", &TWO_VERSIONS, |site| {
+        for index in (0..ENDPOINTS).filter(|index| !OLD.contains(index)) {
+            site.platform.remove("servers", &format!("e{index}-0"));
+        }
+        site.platform.fault(|faults| faults.lose_write_answers = 0);
+    })
+    .await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+}
+
+/// Guards against refusals by an instance that the store turns away, though all others know of one version only.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_the_only_version_go_on_at_an_instance_that_cannot_read_the_list_of_versions() {
+    let mut site = Site::start(170, 7, ENDPOINTS).await;
+    site.set_versions(&["v1"]).await;
+    let begun = begin_streams(&site, 1, "unread", STREAMS).await;
+    site.kill_first();
+    site.start_instance_with_origins_at(unused_addr()).await;
+    site.until_joined().await;
+    site.callers.drain(..6);
+    let (_, whole) = take_up_all(&site, begun).await;
+    assert!(whole >= MIN_WHOLE, "{whole} whole");
+}
+
+/// Instances of a release without a list of versions are replaced one after the other.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_the_only_version_go_on_where_the_store_has_no_list_of_versions() {
+    let mut site = Site::start(171, 7, ENDPOINTS).await;
+    site.set_versions(&["v1"]).await;
+    let begun = begin_streams(&site, 1, "listless", STREAMS).await;
+    time::sleep(Duration::from_millis(500)).await;
+    site.kill_first();
+    site.platform.remove("ryevalve", "service-versions");
+    site.start_instance().await;
+    site.until_joined().await;
+    site.callers.drain(..6);
+    let (_, whole) = take_up_all(&site, begun).await;
+    assert!(whole >= MIN_WHOLE, "{whole} whole");
+}
+
+/// Guards against callers that are held beyond the time they have left while instances read what those before them knew.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_unknown_origin_is_refused_in_time_while_the_store_is_silent() {
+    let site = Site::start(172, 7, ENDPOINTS).await;
+    site.set_versions(&TWO_VERSIONS).await;
+    time::sleep(Duration::from_secs(1)).await;
+    site.platform.fault(|faults| faults.silent = true);
+    for instance in 0..7 {
+        let headers = [("last-event-id", "2"), ("resumes", "unknown")];
+        let mut again = request(PATH, &format!("again-{instance}"), &headers);
+        let deadline = "200".parse().expect("a header");
+        again.headers_mut().insert("deadline-ms", deadline);
+        let began = time::Instant::now();
+        let got = exchange(site.callers[instance], again).await;
+        let status = got.expect("an answer").status;
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+        let took = began.elapsed();
+        assert!(took < Duration::from_millis(300), "{took:?}");
+    }
+}
+
+/// Lets every second endpoint serve another service, which has one version like the first.
+async fn add_other_service(site: &Site) {
+    for index in (0..ENDPOINTS).filter(|index| !OLD.contains(index)) {
+        site.platform.remove("servers", &format!("e{index}-0"));
+        let mut spec = entry(site.runners[index].addr);
+        spec["backend"] = "other".into();
+        spec["capacity"] = SLOTS.into();
+        let id = format!("e{index}-1");
+        site.runners[index].replace(&id);
+        site.platform.set("servers", &id, spec);
+    }
+    until("the other service to be known", || {
+        site.instances.iter().all(|instance| {
+            let balancer = instance.gateway.balancer();
+            [1, 3, 5, 7].iter().all(|index| {
+                let key = balancer.key_of(&format!("e{index}-1"));
+                key.is_some()
+            })
+        })
+    })
+    .await;
+}
+
+/// Leads the route of the streams to these services in equal parts, and waits until all instances know.
+async fn lead_to(site: &Site, version: u64, services: &[&str]) {
+    let mut config = config(version, &["key-of-the-tests"]);
+    let mut other = config["backends"][0].clone();
+    other["name"] = "other".into();
+    let known = config["backends"].as_array_mut().expect("services");
+    known.push(other);
+    let part = |service| serde_json::json!({"backend": service, "weight": 0.5});
+    let routes = config["routes"].as_array_mut().expect("routes");
+    for route in routes.iter_mut().filter(|r| r["name"] == "resume") {
+        route["trafficSplit"] = services.iter().map(part).collect();
+    }
+    site.platform.set("config", "main", config);
+    until("the configuration to be known", || {
+        let mut instances = site.instances.iter();
+        instances.all(|i| i.gateway.config.version() == version)
+    })
+    .await;
+    time::sleep(Duration::from_millis(500)).await;
+}
+
+/// Guards against a stream that goes on at the other service of a route, since each of the two has one version only.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_route_with_two_services_goes_on_at_the_service_that_began_it() {
+    let site = Site::start(173, 7, ENDPOINTS).await;
+    site.set_versions(&["v1"]).await;
+    add_other_service(&site).await;
+    lead_to(&site, 4, &["svc", "other"]).await;
+    let begun = begin_streams(&site, 0, "split", STREAMS).await;
+    let counts = count_taken_up(&site, "split", begun).await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+    assert!(counts.whole >= MIN_WHOLE, "{counts:?}");
+}
+
+/// Guards against a stream that goes on at the service to which its route leads now, since that has one version only.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_route_that_leads_to_another_service_now_is_not_joined() {
+    let site = Site::start(174, 7, ENDPOINTS).await;
+    site.set_versions(&["v1"]).await;
+    add_other_service(&site).await;
+    lead_to(&site, 4, &["svc"]).await;
+    let begun = begin_streams(&site, 0, "moved", STREAMS).await;
+    lead_to(&site, 5, &["other"]).await;
+    let counts = count_taken_up(&site, "moved", begun).await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+}
