Crashes keep their age over the start of an instance

Requests that crash endpoints ran again after the loss of all instances, although the list in the store had them. Cause: the process's clock begins at 0 at its start, and crashes that others noted earlier were put there. So all of them counted as crashes of the last ten seconds, beside which two crashes do not block a request; and the ten minutes of a block began anew with each start, at others too, since ages are sent on.

Times in the table of suspects are signed now: what is older than the process has a negative time. Ages between instances and in the store are unchanged.

Ruled out: the list in the store has the right ages; persisted_parts_are_blocked_after_the_loss_of_all passed before, as it restores one suspect at the time of its crashes.

--- a/src/limits/suspects.rs
+++ b/src/limits/suspects.rs
@@ -73,6 +73,16 @@
 /// The most suspects that are persisted for instances that start when no other is left, about 30 bytes each.
 const MAX_PERSISTED: usize = 1_000;
 
+/// A time on this process's clock, in microseconds; negative before the start of the clock. What others noted may be older
+/// than this process.
+type SignedMicros = i64;
+
+/// Returns the time since `at_us`, 0 if that is in the future.
+fn age_us(now_us: Micros, at_us: SignedMicros) -> Micros {
+    let age_us = (now_us as SignedMicros).saturating_sub(at_us);
+    Micros::try_from(age_us).unwrap_or(0)
+}
+
 /// What a crash is held against: a request, or a part of prompts.
 pub trait SuspectKey: Copy + Ord + Hash {}
 
@@ -120,7 +130,7 @@
 struct Suspect {
     crashes: Vec<Crash>,
     /// When a crash was last added or cleared.
-    changed_us: Micros,
+    changed_us: SignedMicros,
     dissemination: Dissemination,
 }
 
@@ -150,7 +160,7 @@
     }
 
     fn to_update<K>(&self, now_us: Micros, key: K) -> SuspectUpdate<K> {
-        let age_us = now_us.saturating_sub(self.changed_us);
+        let age_us = age_us(now_us, self.changed_us);
         SuspectUpdate {
             key,
             age_s: u16::try_from(age_us / 1_000_000).unwrap_or(u16::MAX),
@@ -169,17 +179,16 @@
     }
 
     fn is_current(&self, now_us: Micros) -> bool {
-        let age_us = now_us.saturating_sub(self.changed_us);
         let expiry_us = match self.uncleared() {
             0 => CLEARED_EXPIRY_US,
             _ => BLOCKED_US,
         };
-        age_us < expiry_us
+        age_us(now_us, self.changed_us) < expiry_us
     }
 
     /// Returns whether it is resent periodically.
     fn is_resent(&self, now_us: Micros) -> bool {
-        let age_us = now_us.saturating_sub(self.changed_us);
+        let age_us = age_us(now_us, self.changed_us);
         self.uncleared() >= LIKELY_CRASHES && age_us < RESENT_UNTIL_US
     }
 
@@ -194,7 +203,7 @@
 pub struct SuspectTable<K = Fingerprint> {
     suspects: HashMap<K, Suspect>,
     /// When endpoints crashed recently, whichever requests ran there.
-    crashed: HashMap<EndpointKey, Micros>,
+    crashed: HashMap<EndpointKey, SignedMicros>,
     /// When requests last completed, for those that did recently.
     completed: HashMap<K, Micros>,
     has_changes: bool,
@@ -261,7 +270,7 @@
     /// Returns how long it takes until a suspect is forgotten, if it does not change before.
     pub fn block_left_us(&self, now_us: Micros, key: K) -> Option<Micros> {
         let suspect = self.suspects.get(&key)?;
-        (suspect.changed_us + BLOCKED_US).checked_sub(now_us)
+        BLOCKED_US.checked_sub(age_us(now_us, suspect.changed_us))
     }
 
     /// Returns the uncleared crashes of a suspect.
@@ -279,7 +288,7 @@
 
     /// Returns how many endpoints crashed recently without this request running there.
     fn other_crashes(&self, now_us: Micros, suspect: &Suspect) -> usize {
-        let is_recent = |at_us: Micros| now_us.saturating_sub(at_us) < OTHERS_WINDOW_US;
+        let is_recent = |at_us| age_us(now_us, at_us) < OTHERS_WINDOW_US;
         let recent = self.crashed.iter().filter(|(_, at_us)| is_recent(**at_us));
         let others = recent.filter(|(key, _)| suspect.crashes.iter().all(|c| c.endpoint != **key));
         others.count()
@@ -298,12 +307,13 @@
         endpoint: EndpointKey,
         request_tag: u32,
     ) {
+        let at_us = now_us as SignedMicros;
         let crash = Crash {
             endpoint,
-            is_cleared: self.is_trusted(now_us, key),
+            is_cleared: self.is_trusted(at_us, key),
             request_tag,
         };
-        if self.merge(now_us, key, &[crash]) {
+        if self.merge(at_us, key, &[crash]) {
             self.schedule_update(key, Audience::Peers);
         }
     }
@@ -317,10 +327,10 @@
     }
 
     /// Returns whether a request completed here shortly before `at_us`, or later.
-    fn is_trusted(&self, at_us: Micros, key: K) -> bool {
+    fn is_trusted(&self, at_us: SignedMicros, key: K) -> bool {
         let completed_us = self.completed.get(&key);
         completed_us.is_some_and(|completed_us| {
-            at_us.saturating_sub(*completed_us) < TRUST_AFTER_COMPLETION_US
+            at_us < (*completed_us + TRUST_AFTER_COMPLETION_US) as SignedMicros
         })
     }
 
@@ -334,7 +344,7 @@
         for crash in &mut suspect.crashes {
             crash.is_cleared = true;
         }
-        suspect.changed_us = now_us;
+        suspect.changed_us = now_us as SignedMicros;
         suspect.dissemination.mark_changed(Audience::Hall);
         self.schedule_update(key, Audience::Peers);
     }
@@ -343,7 +353,7 @@
     /// instance that found them. If the sender counts crashes that are cleared here, an update is scheduled for it.
     pub fn apply_updates(&mut self, now_us: Micros, updates: &[SuspectUpdate<K>]) {
         for update in updates {
-            let changed_us = now_us.saturating_sub(Micros::from(update.age_s) * 1_000_000);
+            let changed_us = now_us as SignedMicros - SignedMicros::from(update.age_s) * 1_000_000;
             self.merge(changed_us, update.key, &update.crashes);
             if self.is_trusted(changed_us, update.key) {
                 self.clear(now_us, update.key);
@@ -357,11 +367,14 @@
     }
 
     /// Adds crashes to a request; returns whether anything changed.
-    fn merge(&mut self, at_us: Micros, key: K, crashes: &[Crash]) -> bool {
+    fn merge(&mut self, at_us: SignedMicros, key: K, crashes: &[Crash]) -> bool {
         if !self.suspects.contains_key(&key) {
             self.make_room();
         }
-        let suspect = self.suspects.entry(key).or_default();
+        let suspect = self.suspects.entry(key).or_insert_with(|| Suspect {
+            changed_us: at_us,
+            ..Suspect::default()
+        });
         let mut is_new = false;
         for crash in crashes {
             is_new |= suspect.merge(*crash);
@@ -377,7 +390,7 @@
         is_new
     }
 
-    fn note_crashed(&mut self, at_us: Micros, endpoint: EndpointKey) {
+    fn note_crashed(&mut self, at_us: SignedMicros, endpoint: EndpointKey) {
         // Beyond this number the exact count makes no difference.
         if self.crashed.len() < MAX_CRASHED {
             self.crashed.entry(endpoint).or_insert(at_us);
@@ -449,7 +462,7 @@
     pub fn expire(&mut self, now_us: Micros) {
         self.suspects
             .retain(|_, suspect| suspect.is_current(now_us));
-        let is_recent = |at_us: Micros| now_us.saturating_sub(at_us) < OTHERS_WINDOW_US;
+        let is_recent = |at_us| age_us(now_us, at_us) < OTHERS_WINDOW_US;
         self.crashed.retain(|_, at_us| is_recent(*at_us));
         let is_current = |at_us: Micros| now_us.saturating_sub(at_us) < COMPLETED_EXPIRY_US;
         self.completed.retain(|_, at_us| is_current(*at_us));
