Requests wait for the list of blocked ones at the start of an instance

Requests that are blocked because they crash endpoints ran again right after the loss of all instances. Cause: not being in the own list was taken for being harmless, also by an instance that had not read the list yet. Only the watchers of the store read it; the others were told within two seconds.

Each instance reads the list once at its start, and requests wait for that until half a second after the start at most. Without the store they run as before. One reading call a start; nothing on the first start.

--- a/src/gateway/block_list.rs
+++ b/src/gateway/block_list.rs
@@ -2,12 +2,16 @@
 //!
 //! Instances send the list to each other, and a new instance receives it within two seconds. If all instances are lost
 //! at once, no copy is left in memory: without the store each request that crashes endpoints would then crash two or
-//! three more. The instances that watch the store for the others read the list once and write what is new.
+//! three more. Each instance reads the list at its start, and requests wait for that. The instances that watch the store
+//! for the others write what is new.
 
 use std::{sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use tokio::time::{self, MissedTickBehavior};
+use tokio::{
+    sync::watch,
+    time::{self, MissedTickBehavior},
+};
 
 use crate::{
     clock::unix_s,
@@ -23,6 +27,10 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// The delay before a failed store call is retried. Store calls cost money, and no request waits for these.
 const RETRY_US: Micros = 2_000_000;
+/// Requests wait for the first read until this time after the start. Without the store they run as if none was blocked.
+const FIRST_READ_WAIT_US: Micros = 500_000;
+/// The delay before the first read is retried while requests wait for it.
+const FIRST_READ_RETRY_US: Micros = 150_000;
 /// The first of the instances that watch the store writes at once. Each further one waits this much longer than the one
 /// before it, and then checks whether the write is done.
 const WRITE_STAGGER_US: Micros = 1_500_000;
@@ -57,6 +65,36 @@
     }
 }
 
+/// Tells requests whether the list was read since the start, as far as there is one to read.
+#[derive(Debug)]
+pub struct FirstRead(watch::Sender<bool>);
+
+impl Default for FirstRead {
+    fn default() -> Self {
+        Self(watch::Sender::new(true))
+    }
+}
+
+impl FirstRead {
+    fn is_done(&self) -> bool {
+        *self.0.borrow()
+    }
+}
+
+impl<P: Protocol> Gateway<P> {
+    /// Waits until the requests are known that were blocked before the start of this instance.
+    pub async fn wait_for_block_list(&self) {
+        if self.block_list_read.is_done() {
+            return;
+        }
+        let left_us = FIRST_READ_WAIT_US.saturating_sub(self.clock.now_us());
+        let mut is_read = self.block_list_read.0.subscribe();
+        let read = is_read.wait_for(|is_read| *is_read);
+        // After a timeout the request runs.
+        let _ = time::timeout(Duration::from_micros(left_us), read).await;
+    }
+}
+
 /// Whether the store's list has to be updated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PendingWrite {
@@ -67,21 +105,21 @@
     AfterRead,
 }
 
-/// Synchronises the list with the store until dropped. On the first start of a deployment there is no list to read.
-pub async fn run<P: Protocol, S: Store>(gateway: Arc<Gateway<P>>, store: S, is_first_start: bool) {
-    let mut sync = BlockListSync {
+/// Starts to synchronise the list with the store. On the first start of a deployment there is no list to read.
+pub fn start<P: Protocol, S: Store>(
+    gateway: Arc<Gateway<P>>,
+    store: S,
+    is_first_start: bool,
+) -> impl Future<Output = ()> + Send {
+    gateway.block_list_read.0.send_replace(is_first_start);
+    let sync = BlockListSync {
         gateway,
         store,
         stored: is_first_start.then(Stored::default),
         pending: PendingWrite::Nothing,
         next_call_us: 0,
     };
-    let mut interval = time::interval(CHECK_INTERVAL);
-    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        interval.tick().await;
-        sync.check().await;
-    }
+    sync.run()
 }
 
 struct BlockListSync<P: Protocol, S: Store> {
@@ -95,9 +133,24 @@
 }
 
 impl<P: Protocol, S: Store> BlockListSync<P, S> {
+    async fn run(mut self) {
+        let mut interval = time::interval(CHECK_INTERVAL);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            interval.tick().await;
+            self.check().await;
+        }
+    }
+
     async fn check(&mut self) {
         let now_us = self.gateway.clock.now_us();
-        if !self.gateway.watches_store() || now_us < self.next_call_us {
+        if now_us < self.next_call_us {
+            return;
+        }
+        if !self.gateway.block_list_read.is_done() {
+            return self.read().await;
+        }
+        if !self.gateway.watches_store() {
             return;
         }
         self.forget_if_lost();
@@ -145,6 +198,7 @@
         let era = ObjectEra::of_call(era_before, self.store.era());
         match read {
             Ok(None) => {
+                self.gateway.block_list_read.0.send_replace(true);
                 self.stored = Some(Stored {
                     era,
                     ..Stored::default()
@@ -153,6 +207,7 @@
             Ok(Some(object)) => {
                 let list = decode(&object.value);
                 self.merge(&list);
+                self.gateway.block_list_read.0.send_replace(true);
                 self.stored = Some(Stored {
                     era,
                     version: object.version,
@@ -209,7 +264,13 @@
 
     fn back_off(&mut self, event: &'static str, reason: &str) {
         log::warn!(target: "ryevalve::process", reason; "{event}");
-        self.next_call_us = self.gateway.clock.now_us() + RETRY_US;
+        let now_us = self.gateway.clock.now_us();
+        let is_awaited = !self.gateway.block_list_read.is_done() && now_us < FIRST_READ_WAIT_US;
+        let retry_us = match is_awaited {
+            true => FIRST_READ_RETRY_US,
+            false => RETRY_US,
+        };
+        self.next_call_us = now_us + retry_us;
     }
 }
 
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -140,6 +140,7 @@
     let tokens = head.tokens.map(|t| t.total());
     let organisation_name = organisation.as_ref().map(|o| o.name.clone());
     trace.organisation.clone_from(&organisation_name);
+    gateway.wait_for_block_list().await;
     let fingerprint = OnceLock::new();
     let is_trial = refuse_blocked(gateway, trace, &head.parts, || {
         let organisation = organisation_name.as_deref();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -20,6 +20,7 @@
     clock::Clock,
     endpoint::connection_pool::ConnectionPool,
     gateway::{
+        block_list::FirstRead,
         caller_buffer::HeldMemory,
         caller_timeouts::TypicalTimeouts,
         config::GatewayConfig,
@@ -130,6 +131,7 @@
     caller_timeouts: Mutex<TypicalTimeouts>,
     suspects: Mutex<SuspectTable>,
     pub(super) part_suspects: Mutex<PartSuspects>,
+    pub(super) block_list_read: FirstRead,
     /// Time of the last refusal with a Retry-After; 0 if there was none.
     refused_us: AtomicU64,
     /// The membership view.
@@ -219,6 +221,7 @@
             caller_timeouts: Mutex::default(),
             suspects: Mutex::default(),
             part_suspects: Mutex::default(),
+            block_list_read: FirstRead::default(),
             refused_us: AtomicU64::new(0),
             view: Mutex::default(),
             instances_known: AtomicUsize::new(1),
--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -214,7 +214,7 @@
         tokio::spawn(rollout_loop::record(gateway.clone(), statuses));
         tokio::spawn(rollout_loop::run(gateway.clone()));
     }
-    tokio::spawn(block_list::run(
+    tokio::spawn(block_list::start(
         gateway.clone(),
         store.clone(),
         settings.is_first_start,
--- a/tests/edge/cluster.rs
+++ b/tests/edge/cluster.rs
@@ -231,7 +231,7 @@
     /// Syncs the block list with the store at `addr`, as an instance that is not the first to start.
     pub fn sync_block_list(&mut self, addr: SocketAddr) {
         let list = PlatformStore::with_era(addr, self.store_era.clone());
-        let syncing = block_list::run(self.gateway.clone(), list, false);
+        let syncing = block_list::start(self.gateway.clone(), list, false);
         self.tasks.push(tokio::spawn(syncing));
     }
 
