An instance that has seen no others takes no slack of the retry budget

Cause: the slack is divided by the instances that an instance knows of, and one that has just started knows of itself alone. Having seen no others was taken for being the only one: after the loss of all each could spend the whole slack until it read the number in the store, some 50 ms later, or for as long as the store did not answer.

While the number is not known the slack is divided by more than there can be, so that retries come from the own requests alone. On the first start of a deployment and after the number was read or told nothing changes.

--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -304,8 +304,8 @@
     /// Takes a retry of a service's budget; returns false if none is left.
     pub fn take_retry(&self, service: &Name) -> bool {
         let now_us = self.clock.now_us();
-        let instances = self.instances_sharing_retries(now_us);
-        let taken = lock(&self.retries).try_take(now_us, service, instances);
+        let sharers = self.retry_sharers(now_us);
+        let taken = lock(&self.retries).try_take(now_us, service, sharers);
         if !taken {
             self.metrics.retries_denied.inc();
         }
@@ -315,14 +315,22 @@
     /// Returns the retries left in a service's budget.
     pub fn retries_left(&self, service: &Name) -> f64 {
         let now_us = self.clock.now_us();
-        let instances = self.instances_sharing_retries(now_us);
-        lock(&self.retries).remaining(now_us, service, instances)
+        let sharers = self.retry_sharers(now_us);
+        lock(&self.retries).remaining(now_us, service, sharers)
     }
 
-    /// Returns how many instances share the retry budget, including those that are partitioned from this one.
-    fn instances_sharing_retries(&self, now_us: Micros) -> usize {
+    /// Returns how many instances there are, including those that are partitioned from this one; `None` until this
+    /// instance has learned it.
+    pub fn known_instances(&self, now_us: Micros) -> Option<usize> {
         let divisor = self.quota.divisor(now_us) as usize;
-        divisor.max(self.instance_counts().all)
+        let known = self.quota.knows_instance_count();
+        known.then(|| divisor.max(self.instance_counts().all))
+    }
+
+    /// Returns among how many instances the slack of the retry budget is divided. While that is not known there are as
+    /// many as can be: an instance that has seen no others is not the only one.
+    fn retry_sharers(&self, now_us: Micros) -> usize {
+        self.known_instances(now_us).unwrap_or(usize::MAX)
     }
 
     /// Records the timeout that a caller of a route declares, and returns how long the caller has waited already, as
