Failing tests: evacuations and roll-outs that were not received yet

The same conclusion as in the tests before: an instance that has received no evacuations since its start takes that for none in force, and likewise for roll-outs. It is not ready then, but gets requests where no instance is ready, as after the loss of all.

--- a/tests/gateway/staleness.rs
+++ b/tests/gateway/staleness.rs
@@ -8,9 +8,11 @@
     balance::{balancer::Placement, load::EndpointKey},
     clock::{Clock, TimeSource},
     gateway::{
-        send_check::ENDPOINT_LEFT,
+        evacuations::EvacuationSet,
+        rollouts::{RolloutBounds, RolloutSet},
+        send_check::{ENDPOINT_EVACUATED, ENDPOINT_LEFT},
         staleness::{Freshness, Staleness, StalenessBound},
-        state::Gateway,
+        state::{Gateway, GatewayBounds},
     },
     platform::headers::PlatformProtocol,
 };
@@ -175,6 +177,46 @@
     assert_eq!(gateway.check_before_send(key), Err(ENDPOINT_LEFT));
 }
 
+/// Guards against evacuations that an instance ignores because it has not received any since its start.
+#[tokio::test(start_paused = true)]
+async fn nothing_is_sent_before_the_evacuations_are_known() {
+    let gateway = gateway();
+    gateway.set_bounds(GatewayBounds {
+        evacuate: Some(BOUND),
+        ..gateway.bounds()
+    });
+    let key = EndpointKey::of("staying");
+    assert_eq!(gateway.check_before_send(key), Err(ENDPOINT_EVACUATED));
+    let (none, _) = EvacuationSet::new(at(1), []);
+    gateway.apply_evacuations(none, None, "peer");
+    assert_eq!(gateway.check_before_send(key), Ok(()));
+}
+
+/// Guards against roll-outs that an instance ignores because it has not received any since its start: a version that was
+/// rolled back would get requests.
+#[tokio::test(start_paused = true)]
+async fn nothing_is_placed_before_the_rollouts_are_known() {
+    let gateway = gateway();
+    let rollouts = RolloutBounds {
+        exposure_share: 0.1,
+        rollback: StalenessBound(5 * SECOND),
+    };
+    gateway.set_bounds(GatewayBounds {
+        rollouts: Some(rollouts),
+        ..gateway.bounds()
+    });
+    let request = placement_request(7, 100, 0, gateway.clock.now_us());
+    let placed = gateway.place(&request, &[]).await;
+    assert_matches!(placed, Placement::Refuse { .. });
+    let none = RolloutSet {
+        position: at(1),
+        ..RolloutSet::default()
+    };
+    gateway.apply_rollouts(&none, None, "peer");
+    let placed = gateway.place(&request, &[]).await;
+    assert_matches!(placed, Placement::Send(_));
+}
+
 proptest! {
     /// For every bound, the store is queried early enough that it can answer before the state becomes too old, but
     /// not at ages that the state reaches while watches work.
