Nothing is sent before the evacuations have been received

Cause: the set of evacuations is empty at the start of an instance, and that no set was received was taken for none in force. The instance was not ready, but requests that came all the same were sent to evacuated data centres, until the list was read.

Requests wait for the first set, from the store or another instance, as long as for an answer of the store, and the last check before a request is written refuses them then, as not run. A set that is received without its age counts, so that instances that start in an outage of the store serve.

nothing_is_sent_before_the_evacuations_are_known: sent before, refused now and sent once the set is there.

--- a/src/gateway/freshness_checks.rs
+++ b/src/gateway/freshness_checks.rs
@@ -8,7 +8,7 @@
         staleness::{Freshness, Staleness, StalenessBound},
         state::Gateway,
     },
-    prelude::Micros,
+    prelude::{Micros, StorePosition},
 };
 
 /// How often a task that waits for the store's response checks whether to keep waiting.
@@ -103,21 +103,37 @@
         }
     }
 
-    /// While the store is queried, waits until the evacuations are fresh enough to use.
+    /// Returns whether this instance has received the evacuations since its start, from the store or another instance.
+    pub fn knows_evacuations(&self) -> bool {
+        self.bounds().evacuate.is_none() || self.evacuations.position() > StorePosition::START
+    }
+
+    /// While the store is queried, waits until the evacuations are known and fresh enough to use.
     pub async fn wait_for_fresh_evacuations(&self) {
         if let Some(bound) = self.bounds().evacuate {
-            self.wait_until_fresh(&self.evacuations.staleness, bound)
-                .await;
+            self.wait_until(bound, &self.evacuations.staleness, || {
+                self.knows_evacuations() && self.evacuations_freshness() != Freshness::Refreshing
+            })
+            .await;
         }
     }
 
     async fn wait_until_fresh(&self, staleness: &Staleness, bound: StalenessBound) {
+        self.wait_until(bound, staleness, || {
+            self.freshness(staleness, bound) != Freshness::Refreshing
+        })
+        .await;
+    }
+
+    /// Waits until a condition on stored state holds, no longer than for an answer of the store.
+    async fn wait_until(
+        &self,
+        bound: StalenessBound,
+        staleness: &Staleness,
+        holds: impl Fn() -> bool,
+    ) {
         let until_us = self.clock.now_us() + bound.answer_timeout_us();
-        loop {
-            let now_us = self.clock.now_us();
-            if now_us >= until_us || self.freshness(staleness, bound) != Freshness::Refreshing {
-                return;
-            }
+        while !holds() && self.clock.now_us() < until_us {
             staleness.wait_for_answer(RECHECK_INTERVAL).await;
         }
     }
--- a/src/gateway/send_check.rs
+++ b/src/gateway/send_check.rs
@@ -35,7 +35,7 @@
             // This process was suspended and its endpoint list is being refreshed: the endpoint may have left.
             return Err(ENDPOINT_LEFT);
         }
-        if self.evacuations_freshness() == Staleness::Refreshing {
+        if !self.knows_evacuations() || self.evacuations_freshness() == Staleness::Refreshing {
             return Err(ENDPOINT_EVACUATED);
         }
         let now_us = self.clock.now_us();
