Nothing is placed before the roll-outs have been received

Cause: as with evacuations, that no set of roll-outs was received since the start was taken for none in force, so a version under test, or one that was rolled back, got requests like any other until the list was read.

Where roll-outs are followed, requests wait for the first set, as long as for an answer of the store, and are refused then, as not run.

nothing_is_placed_before_the_rollouts_are_known: placed before; refused now, and placed once the set is there. The test placed the same request again after the wait, too late for its target; it makes a new one now.

--- a/src/gateway/freshness_checks.rs
+++ b/src/gateway/freshness_checks.rs
@@ -118,6 +118,20 @@
         }
     }
 
+    /// Returns whether this instance has received the roll-outs since its start, from the store or another instance.
+    pub fn knows_rollouts(&self) -> bool {
+        self.bounds().rollouts.is_none() || self.rollouts.position() > StorePosition::START
+    }
+
+    /// Waits until the roll-outs are known, no longer than for an answer of the store.
+    pub async fn wait_for_known_rollouts(&self) {
+        if !self.knows_rollouts() {
+            let bound = self.rollouts_bound();
+            self.wait_until(bound, &self.rollouts.staleness, || self.knows_rollouts())
+                .await;
+        }
+    }
+
     async fn wait_until_fresh(&self, staleness: &Staleness, bound: StalenessBound) {
         self.wait_until(bound, staleness, || {
             self.freshness(staleness, bound) != Freshness::Refreshing
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -34,6 +34,13 @@
     pub async fn place(&self, request: &PlacementRequest, tried: &[EndpointKey]) -> Placement {
         self.wait_for_fresh_endpoints().await;
         self.wait_for_fresh_evacuations().await;
+        self.wait_for_known_rollouts().await;
+        if !self.knows_rollouts() {
+            return Placement::Refuse {
+                reason: VERSION_WITHHELD,
+                retry_after_ms: REJECTED_RETRY_AFTER_MS,
+            };
+        }
         let rule = self.version_rule(request);
         if let (Some(bound), Some(rule)) = (&request.versions, &rule)
             && !rule.allows(&bound.target_version)
--- a/tests/gateway/staleness.rs
+++ b/tests/gateway/staleness.rs
@@ -205,15 +205,15 @@
         rollouts: Some(rollouts),
         ..gateway.bounds()
     });
-    let request = placement_request(7, 100, 0, gateway.clock.now_us());
-    let placed = gateway.place(&request, &[]).await;
+    let request = || placement_request(7, 100, 0, gateway.clock.now_us());
+    let placed = gateway.place(&request(), &[]).await;
     assert_matches!(placed, Placement::Refuse { .. });
     let none = RolloutSet {
         position: at(1),
         ..RolloutSet::default()
     };
     gateway.apply_rollouts(&none, None, "peer");
-    let placed = gateway.place(&request, &[]).await;
+    let placed = gateway.place(&request(), &[]).await;
     assert_matches!(placed, Placement::Send(_));
 }
 
