--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -20,6 +20,7 @@
     clock::Clock,
     endpoint::connection_pool::ConnectionPool,
     gateway::{
+        block_list::FirstRead,
         caller_buffer::HeldMemory,
         caller_timeouts::TypicalTimeouts,
         config::GatewayConfig,
@@ -131,6 +132,7 @@
     caller_timeouts: Mutex<TypicalTimeouts>,
     suspects: Mutex<SuspectTable>,
     pub(super) part_suspects: Mutex<PartSuspects>,
+    pub(super) block_list_read: FirstRead,
     /// Time of the last refusal with a Retry-After; 0 if there was none.
     refused_us: AtomicU64,
     /// The membership view.
@@ -224,6 +226,7 @@
             caller_timeouts: Mutex::default(),
             suspects: Mutex::default(),
             part_suspects: Mutex::default(),
+            block_list_read: FirstRead::default(),
             refused_us: AtomicU64::new(0),
             view: Mutex::default(),
             instances_known: AtomicUsize::new(1),
@@ -308,8 +311,8 @@
     /// Takes a retry of a service's budget; returns false if none is left.
     pub fn take_retry(&self, service: &Name) -> bool {
         let now_us = self.clock.now_us();
-        let instances = self.instances_sharing_retries(now_us);
-        let taken = lock(&self.retries).try_take(now_us, service, instances);
+        let sharers = self.retry_sharers(now_us);
+        let taken = lock(&self.retries).try_take(now_us, service, sharers);
         if !taken {
             self.metrics.retries_denied.inc();
         }
@@ -319,14 +322,22 @@
     /// Returns the retries left in a service's budget.
     pub fn retries_left(&self, service: &Name) -> f64 {
         let now_us = self.clock.now_us();
-        let instances = self.instances_sharing_retries(now_us);
-        lock(&self.retries).remaining(now_us, service, instances)
+        let sharers = self.retry_sharers(now_us);
+        lock(&self.retries).remaining(now_us, service, sharers)
     }
 
-    /// Returns how many instances share the retry budget, including those that are partitioned from this one.
-    fn instances_sharing_retries(&self, now_us: Micros) -> usize {
+    /// Returns how many instances there are, including those that are partitioned from this one; `None` until this
+    /// instance has learned it.
+    pub fn known_instances(&self, now_us: Micros) -> Option<usize> {
         let divisor = self.quota.divisor(now_us) as usize;
-        divisor.max(self.instance_counts().all)
+        let known = self.quota.knows_instance_count();
+        known.then(|| divisor.max(self.instance_counts().all))
+    }
+
+    /// Returns among how many instances the slack of the retry budget is divided. While that is not known there are as
+    /// many as can be: an instance that has seen no others is not the only one.
+    fn retry_sharers(&self, now_us: Micros) -> usize {
+        self.known_instances(now_us).unwrap_or(usize::MAX)
     }
 
     /// Records the timeout that a caller of a route declares, and returns how long the caller has waited already, as
--- a/tests/gateway/origin_archive.rs
+++ b/tests/gateway/origin_archive.rs
@@ -1,4 +1,4 @@
-//! The archive of stream origins: what keepers write, and what is read of it.
+//! The archive of stream origins: what owners write, and what is read of it.
 
 use std::{sync::Arc, time::Duration};
 
@@ -34,7 +34,7 @@
 }
 
 /// Starts an instance that writes and reads the archive.
-fn keeper(store: &MemoryStore) -> Arc<Gateway<PlatformProtocol>> {
+fn owner(store: &MemoryStore) -> Arc<Gateway<PlatformProtocol>> {
     let gateway = Gateway::new(PlatformProtocol, "here".into(), bounds(true), true);
     let gateway = Arc::new(gateway);
     tokio::spawn(origin_archive::write(gateway.clone(), store.clone()));
@@ -53,7 +53,7 @@
     found.map(|(_, origin)| origin.clone())
 }
 
-/// Waits for longer than keepers take to write, also after a failure.
+/// Waits for longer than owners take to write, also after a failure.
 async fn until_written() {
     time::sleep(Duration::from_millis(500)).await;
 }
@@ -61,7 +61,7 @@
 /// Returns what an instance reads of a stream.
 async fn read(gateway: &Gateway<PlatformProtocol>, now_us: u64, key: StreamKey) -> Archived {
     for _ in 0..50 {
-        let found = gateway.origin_archive.get(now_us, key);
+        let found = gateway.origin_archive.get(now_us, SLOT, key);
         if found != Archived::Pending {
             return found;
         }
@@ -70,14 +70,14 @@
     Archived::Pending
 }
 
-/// Guards against a keeper that writes its own records over those of another one once it has merged them.
+/// Guards against a owner that writes its own records over those of another one once it has merged them.
 #[tokio::test]
-async fn segment_that_two_keepers_write_keeps_the_records_of_both() {
+async fn segment_that_two_owners_write_keeps_the_records_of_both() {
     let (store, now_s) = (MemoryStore::default(), unix_s());
-    let (first, second) = (keeper(&store), keeper(&store));
-    let insert = |keeper: &Gateway<PlatformProtocol>, number| {
-        let archive = &keeper.origin_archive;
-        archive.insert(SLOT, now_s, key(number), origin("v1"));
+    let (first, second) = (owner(&store), owner(&store));
+    let insert = |owner: &Gateway<PlatformProtocol>, number| {
+        let archive = &owner.origin_archive;
+        archive.insert(0, SLOT, now_s, key(number), origin("v1"));
     };
     insert(&second, 0);
     until_written().await;
@@ -96,21 +96,21 @@
 
 /// Guards against a stream that is joined since the record of its other attempt was overwritten.
 #[tokio::test]
-async fn stream_of_two_origins_stays_ambiguous_when_its_keeper_writes_again() {
+async fn stream_of_two_origins_stays_ambiguous_when_its_owner_writes_again() {
     let (store, now_s) = (MemoryStore::default(), unix_s());
-    let (first, second) = (keeper(&store), keeper(&store));
+    let (first, second) = (owner(&store), owner(&store));
     second
         .origin_archive
-        .insert(SLOT, now_s, key(0), origin("v2"));
+        .insert(0, SLOT, now_s, key(0), origin("v2"));
     until_written().await;
     first
         .origin_archive
-        .insert(SLOT, now_s, key(0), origin("v1"));
+        .insert(0, SLOT, now_s, key(0), origin("v1"));
     until_written().await;
     assert_eq!(find(&store, now_s, key(0)), Some(None));
     first
         .origin_archive
-        .insert(SLOT, now_s, key(1), origin("v1"));
+        .insert(0, SLOT, now_s, key(1), origin("v1"));
     until_written().await;
     assert_eq!(find(&store, now_s, key(0)), Some(None));
 }
@@ -118,11 +118,11 @@
 #[tokio::test]
 async fn segment_whose_answer_is_lost_is_written_again_with_all_records() {
     let (store, now_s) = (MemoryStore::default(), unix_s());
-    let keeper = keeper(&store);
+    let owner = owner(&store);
     store.lose_answers(2);
     for number in 0..3 {
-        let archive = &keeper.origin_archive;
-        archive.insert(SLOT, now_s, key(number), origin("v1"));
+        let archive = &owner.origin_archive;
+        archive.insert(0, SLOT, now_s, key(number), origin("v1"));
         until_written().await;
     }
     for number in 0..3 {
@@ -133,30 +133,30 @@
 #[tokio::test]
 async fn segment_of_the_next_round_replaces_that_of_the_last() {
     let (store, now_s) = (MemoryStore::default(), unix_s());
-    let keeper = keeper(&store);
-    let archive = &keeper.origin_archive;
-    archive.insert(SLOT, now_s - SEGMENTS, key(0), origin("v1"));
+    let owner = owner(&store);
+    let archive = &owner.origin_archive;
+    archive.insert(0, SLOT, now_s - SEGMENTS, key(0), origin("v1"));
     until_written().await;
     assert_eq!(find(&store, now_s - SEGMENTS, key(0)), Some(origin("v1")));
-    archive.insert(SLOT, now_s, key(1), origin("v2"));
+    archive.insert(0, SLOT, now_s, key(1), origin("v2"));
     until_written().await;
     let segment = stored(&store, now_s).unwrap();
     assert_eq!(segment.unix_s, now_s);
     assert_eq!(segment.records().count(), 1);
 }
 
-/// Guards against a keeper whose write is late, or whose clock is behind, and that drops the newer records of another.
+/// Guards against a owner whose write is late, or whose clock is behind, and that drops the newer records of another.
 #[tokio::test]
 async fn late_segment_does_not_replace_one_of_the_next_round() {
     let (store, now_s) = (MemoryStore::default(), unix_s());
-    let (first, second) = (keeper(&store), keeper(&store));
+    let (first, second) = (owner(&store), owner(&store));
     second
         .origin_archive
-        .insert(SLOT, now_s, key(1), origin("v2"));
+        .insert(0, SLOT, now_s, key(1), origin("v2"));
     until_written().await;
     first
         .origin_archive
-        .insert(SLOT, now_s - SEGMENTS, key(0), origin("v1"));
+        .insert(0, SLOT, now_s - SEGMENTS, key(0), origin("v1"));
     until_written().await;
     assert_eq!(find(&store, now_s, key(1)), Some(origin("v2")));
 }
@@ -164,28 +164,28 @@
 #[tokio::test]
 async fn record_of_a_stream_with_two_origins_is_ambiguous_when_it_is_read() {
     let (store, now_s) = (MemoryStore::default(), unix_s());
-    let keeper = keeper(&store);
+    let owner = owner(&store);
     for (unix_s, version) in [(now_s - 1, "v1"), (now_s, "v2")] {
-        let archive = &keeper.origin_archive;
-        archive.insert(SLOT, unix_s, key(0), origin(version));
+        let archive = &owner.origin_archive;
+        archive.insert(0, SLOT, unix_s, key(0), origin(version));
     }
     until_written().await;
-    let now_us = keeper.clock.now_us();
-    assert_eq!(read(&keeper, now_us, key(0)).await, Archived::Found(None));
+    let now_us = owner.clock.now_us();
+    assert_eq!(read(&owner, now_us, key(0)).await, Archived::Found(None));
 }
 
 /// Guards against a stream that is joined by what was read before its other attempt was recorded.
 #[tokio::test]
 async fn record_that_became_ambiguous_after_it_was_read_is_not_used() {
     let (store, now_s) = (MemoryStore::default(), unix_s());
-    let (reader, writer) = (keeper(&store), keeper(&store));
+    let (reader, writer) = (owner(&store), owner(&store));
     let archive = &writer.origin_archive;
-    archive.insert(SLOT, now_s, key(0), origin("v1"));
+    archive.insert(0, SLOT, now_s, key(0), origin("v1"));
     until_written().await;
     let now_us = reader.clock.now_us();
     let found = read(&reader, now_us, key(0)).await;
     assert_eq!(found, Archived::Found(origin("v1")));
-    archive.insert(SLOT, now_s, key(0), origin("v2"));
+    archive.insert(0, SLOT, now_s, key(0), origin("v2"));
     until_written().await;
     let later_us = now_us + 10 * SECOND;
     assert_ne!(
@@ -198,12 +198,12 @@
 async fn stream_is_not_absent_while_the_archive_cannot_be_read() {
     let store = MemoryStore::default();
     store.fail_reads(true);
-    let keeper = keeper(&store);
-    let now_us = keeper.clock.now_us();
-    assert_eq!(read(&keeper, now_us, key(0)).await, Archived::Pending);
+    let owner = owner(&store);
+    let now_us = owner.clock.now_us();
+    assert_eq!(read(&owner, now_us, key(0)).await, Archived::Pending);
     assert!(store.reads() >= 2, "{} reads", store.reads());
     store.fail_reads(false);
-    assert_eq!(read(&keeper, now_us, key(0)).await, Archived::Absent);
+    assert_eq!(read(&owner, now_us, key(0)).await, Archived::Absent);
 }
 
 #[tokio::test]
@@ -211,12 +211,12 @@
     let (store, now_s) = (MemoryStore::default(), unix_s());
     store.set("2-1-7", &b"\xff\xff\xff"[..]);
     store.set("2-1-8", &b""[..]);
-    let keeper = keeper(&store);
-    let archive = &keeper.origin_archive;
-    archive.insert(SLOT, now_s, key(0), origin("v1"));
+    let owner = owner(&store);
+    let archive = &owner.origin_archive;
+    archive.insert(0, SLOT, now_s, key(0), origin("v1"));
     until_written().await;
-    let now_us = keeper.clock.now_us();
-    let found = read(&keeper, now_us, key(0)).await;
+    let now_us = owner.clock.now_us();
+    let found = read(&owner, now_us, key(0)).await;
     assert_eq!(found, Archived::Found(origin("v1")));
 }
 
