--- a/src/gateway/origin_archive.rs
+++ b/src/gateway/origin_archive.rs
@@ -211,24 +211,28 @@
         dirty
     }
 
-    /// Records the outcome of a write. A segment that was not written is written again.
-    fn note_written(&self, slot: Slot, unix_s: u64, written: Option<(u64, ObjectEra)>) {
+    /// Records that a segment was written, together with what another instance had written of it.
+    fn note_written(&self, slot: Slot, written: &WrittenSegment) {
         let mut state = self.lock();
-        let Some(own) = state.own.get_mut(&(slot, unix_s % SEGMENTS)) else {
-            return;
-        };
-        match written {
-            Some((version, era)) => {
-                own.version = version;
-                own.era = era;
-            }
-            None => {
-                own.version = 0;
-                own.is_dirty |= own.segment.unix_s == unix_s;
+        let unix_s = written.segment.unix_s;
+        if let Some(own) = state.own.get_mut(&(slot, unix_s % SEGMENTS)) {
+            own.version = written.version;
+            own.era = written.era;
+            if own.segment.unix_s == unix_s {
+                own.segment.merge(&written.segment);
             }
         }
     }
 
+    /// Records that a segment was not written, so that it is written again.
+    fn note_not_written(&self, slot: Slot, unix_s: u64) {
+        let mut state = self.lock();
+        if let Some(own) = state.own.get_mut(&(slot, unix_s % SEGMENTS)) {
+            own.version = 0;
+            own.is_dirty |= own.segment.unix_s == unix_s;
+        }
+    }
+
     fn set_read(&self, asked_us: Micros, records: HashMap<StreamKey, ArchivedOrigin>) {
         self.lock().read = ReadArchive {
             asked_us: Some(asked_us),
@@ -275,9 +279,11 @@
     for (slot, segment, version) in archive.take_dirty(unix_s()) {
         let unix_s = segment.unix_s;
         match write_segment(store, slot, segment, version).await {
-            Ok((version, era)) => archive.note_written(slot, unix_s, Some((version, era))),
+            Ok(Some(written)) => archive.note_written(slot, &written),
+            // The object is that of the next round of the ring.
+            Ok(None) => {}
             Err(error) => {
-                archive.note_written(slot, unix_s, None);
+                archive.note_not_written(slot, unix_s);
                 failure = Some(error);
             }
         }
@@ -291,20 +297,33 @@
     shared.max(MIN_WRITE_INTERVAL)
 }
 
-/// Writes a segment, together with what another instance wrote of it; returns the version and era of the object.
+/// A segment as the store has it.
+struct WrittenSegment {
+    segment: Segment,
+    version: u64,
+    era: ObjectEra,
+}
+
+/// Writes a segment, together with what another instance wrote of it; returns none if its object holds a later one.
 async fn write_segment<S: Store>(
     store: &S,
     slot: Slot,
     mut segment: Segment,
     mut version: u64,
-) -> Result<(u64, ObjectEra), WriteError> {
+) -> Result<Option<WrittenSegment>, WriteError> {
     let name = Segment::object_name(slot, segment.unix_s);
     let mut attempts = 0;
     loop {
         attempts += 1;
         let era_before = store.era();
         match store.write(&name, segment.encode().into(), version).await {
-            Ok(version) => return Ok((version, ObjectEra::of_call(era_before, store.era()))),
+            Ok(version) => {
+                return Ok(Some(WrittenSegment {
+                    segment,
+                    version,
+                    era: ObjectEra::of_call(era_before, store.era()),
+                }));
+            }
             Err(WriteError::Conflict) if attempts < WRITE_ATTEMPTS => {}
             Err(error) => return Err(error),
         }
@@ -314,8 +333,10 @@
         })?;
         version = stored.as_ref().map_or(0, |object| object.version);
         let stored = stored.and_then(|object| Segment::decode(&object.value).ok());
-        if let Some(stored) = stored.filter(|s| s.unix_s == segment.unix_s) {
-            segment.merge(&stored);
+        match stored {
+            Some(stored) if stored.unix_s == segment.unix_s => segment.merge(&stored),
+            Some(stored) if stored.unix_s > segment.unix_s => return Ok(None),
+            _ => {}
         }
     }
 }
--- a/src/gateway/origin_lookup.rs
+++ b/src/gateway/origin_lookup.rs
@@ -25,6 +25,8 @@
 /// Number of instances that are asked what the archive has: the owner of the slot, and the one that is the owner by a
 /// view that differs in one member.
 const OWNERS_ASKED: usize = 2;
+/// Number of other instances that have to answer where the endpoints in the store are not known.
+const MIN_ANSWERS: usize = 3;
 /// How long an answer is waited for. Instances that share a busy machine pause for some tens of milliseconds.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time after which an unanswered question is sent again: a datagram may be lost.
@@ -32,6 +34,8 @@
 /// How long a caller waits for instances that have just started to read what those before them knew, which takes some
 /// tens of milliseconds. It may have no other attempt.
 const READ_TIMEOUT: Duration = Duration::from_millis(500);
+/// The same, as a share of the time that the caller has left.
+const MAX_READ_SHARE: f64 = 0.25;
 /// How long the first event of a stream is held back while this instance meets the others, which takes some hundred
 /// milliseconds: they could not find its origin.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
@@ -56,6 +60,8 @@
 struct Answers {
     /// What they say together, but for those that do not know yet.
     best: Option<OriginMessage>,
+    /// Number of instances that answered.
+    answered: usize,
     /// Whether a holder has a record.
     is_held: bool,
     /// Whether the archive, or all that was written to it, was looked at.
@@ -67,6 +73,7 @@
 impl Answers {
     /// Adds an answer of an instance that may be a holder or answer for the archive.
     fn add(&mut self, answer: OriginMessage, is_holder: bool, is_owner: bool) {
+        self.answered += 1;
         if answer == OriginMessage::NotYetKnown {
             self.is_archive_pending = true;
             return;
@@ -79,10 +86,6 @@
         });
     }
 
-    fn is_empty(&self) -> bool {
-        self.best.is_none() && !self.is_archive_pending
-    }
-
     /// Returns whether further answers cannot change the outcome. A holder may lack the record of another attempt with the
     /// same id, which the archive has.
     fn is_final(&self) -> bool {
@@ -98,7 +101,7 @@
 
 impl<P: Protocol> Gateway<P> {
     /// Returns the origin of a stream that a caller takes up at a service: as it was recorded, or else the service and
-    /// its version if it had no other one.
+    /// its version if it had no other one. `time_left` is what the caller has left for its request.
     ///
     /// # Errors
     /// The origin is unknown, or not known yet.
@@ -107,9 +110,11 @@
         organisation: Option<&str>,
         began_as: Option<&HeaderValue>,
         service: &Name,
+        time_left: Option<Duration>,
     ) -> Result<FoundOrigin, OriginError> {
         let key = began_as.map(|id| StreamKey::of(organisation, id.as_bytes()));
-        let timeout = Instant::now() + READ_TIMEOUT;
+        let share = time_left.map(|left| left.mul_f64(MAX_READ_SHARE));
+        let timeout = Instant::now() + share.unwrap_or(READ_TIMEOUT).min(READ_TIMEOUT);
         loop {
             let (found, is_pending) = self.look_up_origin(key, service).await;
             let is_waiting = is_pending || found == Err(OriginError::NotYetKnown);
@@ -140,7 +145,7 @@
             self.ask_for_origin(&mut answers, &asked, key, service)
                 .await;
         }
-        let is_cut_off = answers.is_empty() && !asked.others.is_empty();
+        let others_answered = answers.answered;
         answers.add(own, false, asked.is_owner);
         let is_pending = has_key && answers.is_pending();
         let found = match answers.best {
@@ -153,7 +158,7 @@
             }
             Some(OriginMessage::Unknown {
                 has_several_versions: false,
-            }) => self.conclude_origin(service, is_cut_off),
+            }) => self.conclude_origin(service, others_answered),
             _ => Err(OriginError::Unknown),
         };
         (found, is_pending)
@@ -164,14 +169,12 @@
     fn conclude_origin(
         &self,
         service: &Name,
-        is_cut_off: bool,
+        others_answered: usize,
     ) -> Result<FoundOrigin, OriginError> {
         if !self.balancer().versions().is_history_read() {
             return Err(OriginError::NotYetKnown);
         }
-        // Without an answer, this instance may have missed a version that the others use.
-        let age_us = self.endpoints_staleness.age_us(self.clock.now_us());
-        if is_cut_off && age_us > self.bounds().drain.outage_age_us() {
+        if !self.follows_endpoints() && !self.is_among_most(others_answered) {
             return Err(OriginError::NotYetKnown);
         }
         let balancer = self.balancer();
@@ -186,6 +189,20 @@
         })
     }
 
+    /// Returns whether this instance got its endpoints from the store a short time ago.
+    fn follows_endpoints(&self) -> bool {
+        let age_us = self.endpoints_staleness.age_us(self.clock.now_us());
+        age_us <= self.bounds().drain.outage_age_us()
+    }
+
+    /// Returns whether this instance, of which so many others answered, is with most of the group. A small part that lost
+    /// the store may have missed a version that the others use; while all have lost it, there is none to miss.
+    fn is_among_most(&self, others_answered: usize) -> bool {
+        let met = self.view().present().count();
+        let is_majority = met * 2 > self.instance_counts().all;
+        is_majority && others_answered >= MIN_ANSWERS.min(met - 1)
+    }
+
     /// Returns what this instance knows of the origin of a stream.
     pub(super) fn held_origin(&self, key: StreamKey, service: &str) -> OriginMessage {
         let now_us = self.clock.now_us();
--- a/src/gateway/origin_table.rs
+++ b/src/gateway/origin_table.rs
@@ -16,6 +16,8 @@
 /// Maximum number of records, some 250 bytes each: those of two minutes with 130 streams a second. The ones that were
 /// written first are dropped first.
 const MAX_RECORDS: usize = 16_384;
+/// Length of the list of writes at which those of records that were written again are dropped.
+const MAX_WRITES: usize = 2 * MAX_RECORDS;
 
 /// Identifies a stream on all instances: a hash of its organisation and of the id of the attempt that began it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -88,9 +90,12 @@
         };
         self.records.insert(key, record);
         self.writes.push_back((now_us, key));
-        while self.writes.len() > MAX_RECORDS {
+        while self.records.len() > MAX_RECORDS {
             self.drop_oldest();
         }
+        if self.writes.len() > MAX_WRITES {
+            self.drop_outdated_writes();
+        }
     }
 
     /// Returns the origin of a stream, if it is known.
@@ -128,6 +133,15 @@
         }
     }
 
+    /// Drops the writes of records that were written again.
+    fn drop_outdated_writes(&mut self) {
+        let records = &self.records;
+        self.writes.retain(|(written_us, key)| {
+            let record = records.get(key);
+            record.is_some_and(|record| record.written_us == *written_us)
+        });
+    }
+
     /// Drops the oldest write, and its record if it was not written again.
     fn drop_oldest(&mut self) {
         let Some((written_us, key)) = self.writes.pop_front() else {
--- a/src/gateway/resumption.rs
+++ b/src/gateway/resumption.rs
@@ -1,5 +1,7 @@
 //! Where a stream goes on that a caller takes up: at the service and the version of the endpoints' software that began it.
 
+use std::time::Duration;
+
 use crate::{
     balance::{cost::PlacementRequest, versions::VersionRule},
     entry::refusal::Refusal,
@@ -56,8 +58,9 @@
         return Ok(Destination { service, version });
     }
     let began_as = head.resumes.as_ref();
+    let time_left = head.deadline_ms.map(Duration::from_millis);
     let origin = gateway
-        .find_origin(organisation, began_as, &service)
+        .find_origin(organisation, began_as, &service, time_left)
         .await
         .map_err(|error| match error {
             OriginError::Unknown => ORIGIN_UNKNOWN,
