Runs of streams beside losses of all instances at once

The streams tool kills instances one after the other only, so no run of real processes showed what its callers get after the loss of all, and none counted streams that are refused though their version serves.

`--ends losses` kills all instances at once, in series, beside endpoints of two versions that stay; `--ends replacements` replaces one version before or during each loss. Callers wait for instances that are down, pause as refusals ask and take a stream up four times. Of streams begun before a loss whose version served from the return to the last attempt, those that went on and those refused are printed beside the joined ones; fewer than nine in ten whole, or one joined, fails the run.

--- a/standins/src/bin/streams.rs
+++ b/standins/src/bin/streams.rs
@@ -1,9 +1,10 @@
 //! Runs streams beside processes that end:
 //! `streams [--binary PATH] [--seed N] [--runs N] [--seconds S] [--instances N] [--endpoints N] [--callers N]
-//! [--framing chunked|close|mixed] [--ends none|endpoints|instances|both|releases|stops|all] [--http10 0|1] [--ids 0|1]
-//! [--restart-ms N]`.
+//! [--framing chunked|close|mixed] [--ends none|endpoints|instances|both|releases|stops|all|losses|replacements]
+//! [--http10 0|1] [--ids 0|1] [--restart-ms N]`.
 //!
-//! Exit code 0 if each stream was right for its caller, 1 if one was not, 2 for bad arguments.
+//! Exit code 0 if each stream was right for its caller and enough went on after losses of all instances, 1 if not, 2 for
+//! bad arguments.
 //! `streams endpoint ADDRESS ID VERSION FRAMING` serves as an endpoint.
 
 use std::{path::PathBuf, process::ExitCode, time::Duration};
@@ -51,7 +52,18 @@
         for (route, breach) in report.breaches.iter().take(SHOWN) {
             println!("  {route}: {breach}");
         }
-        passed &= report.breaches.is_empty();
+        let owed = report.taken_up_after_loss;
+        if owed.streams > 0 {
+            println!(
+                "  after losses of all instances: {} joined of two versions, {} of {} whole whose version served, {} refused \
+                 while served",
+                report.joined(),
+                owed.whole,
+                owed.streams,
+                owed.refused
+            );
+        }
+        passed &= report.passes();
     }
     ExitCode::from(u8::from(!passed))
 }
--- a/standins/src/soak/plain_callers.rs
+++ b/standins/src/soak/plain_callers.rs
@@ -55,9 +55,11 @@
             http10,
             habits: Habits::default(),
         };
-        let answers = caller::read_stream(&call, || pick_instance(&world, &mut rng)).await;
+        let read = caller::read_stream(&call, || pick_instance(&world, &mut rng)).await;
         let mut run_state = world.run_state();
-        run_state.plain_streams.push((Path::Side(route), answers));
+        run_state
+            .plain_streams
+            .push((Path::Side(route), read.answers));
     }
 }
 
--- a/standins/src/soak/process.rs
+++ b/standins/src/soak/process.rs
@@ -108,11 +108,16 @@
             .expect("an address")
     }
 
-    /// Kills the process.
+    /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
+        self.begin_kill();
+        let _ = self.child.wait();
+    }
+
+    /// Kills the process without waiting for its end.
+    pub fn begin_kill(&mut self) {
         // An error means that the process has already ended.
         let _ = self.child.kill();
-        let _ = self.child.wait();
     }
 
     /// Asks the process to end as planned.
--- a/standins/src/streams.rs
+++ b/standins/src/streams.rs
@@ -6,6 +6,7 @@
 
 pub(crate) mod caller;
 mod endpoint;
+mod losses;
 
 use std::{
     collections::BTreeMap,
@@ -25,14 +26,16 @@
 use tokio::{task::JoinSet, time};
 
 pub use endpoint::{Framing, serve as serve_endpoint};
+pub use losses::TakenUp;
 
 use crate::{
     platform::Platform,
     soak::process::{Host, Instance},
     stream_check::{self, Answer, Expected},
     streams::{
-        caller::{Habits, StreamCall},
+        caller::{Habits, StreamCall, StreamRead},
         endpoint::EndpointProcess,
+        losses::Losses,
     },
 };
 
@@ -49,6 +52,8 @@
 const COOL_DOWN: Duration = Duration::from_secs(5);
 /// Pause between two disturbances, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 300..900;
+/// How long a caller is away that leaves a stream beside losses of all instances, in milliseconds.
+const AWAY_MS: std::ops::Range<u64> = 0..1_500;
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time after which an ended process is started again.
 const RESTART_AFTER: Duration = Duration::from_millis(400);
@@ -69,6 +74,10 @@
     Stops,
     /// All of these.
     All,
+    /// All instances are killed at once.
+    Losses,
+    /// As `Losses`; before each or meanwhile, another version replaces one of the two.
+    Replacements,
 }
 
 impl FromStr for Ends {
@@ -83,6 +92,8 @@
             "releases" => Self::Releases,
             "stops" => Self::Stops,
             "all" => Self::All,
+            "losses" => Self::Losses,
+            "replacements" => Self::Replacements,
             _ => return Err(format!("{text}: not known")),
         })
     }
@@ -98,6 +109,11 @@
 }
 
 impl Ends {
+    /// Returns whether all instances are lost at once.
+    fn loses_all(self) -> bool {
+        matches!(self, Self::Losses | Self::Replacements)
+    }
+
     fn draw(self, rng: &mut ChaCha8Rng) -> Option<End> {
         let all = [
             End::EndpointKilled,
@@ -106,7 +122,7 @@
             End::InstanceStopped,
         ];
         Some(match self {
-            Self::None => return None,
+            Self::None | Self::Losses | Self::Replacements => return None,
             Self::Endpoints => End::EndpointKilled,
             Self::Instances => End::InstanceKilled,
             Self::Both if rng.random_bool(0.7) => End::EndpointKilled,
@@ -150,13 +166,15 @@
     pub taken_up: usize,
     /// Processes that were killed or stopped.
     pub ended: usize,
+    /// Streams that were taken up after losses of all instances while their version served.
+    pub taken_up_after_loss: TakenUp,
     /// What is wrong with streams, by route.
     pub breaches: Vec<(&'static str, String)>,
 }
 
 impl Report {
-    /// Adds the answers that a caller got for a stream.
-    fn add(&mut self, route: &'static str, answers: &[Answer]) {
+    /// Adds the answers that a caller got for a stream; returns whether they were right.
+    fn add(&mut self, route: &'static str, answers: &[Answer]) -> bool {
         self.streams += 1;
         self.whole += usize::from(answers.last().is_some_and(|a| a.is_complete));
         self.broken += answers.iter().filter(|a| !a.is_complete).count();
@@ -166,10 +184,24 @@
             padding_bytes: 0,
             may_resume: route == RESUMABLE,
         };
-        if let Some(breach) = stream_check::find_breach(answers, &expected) {
+        let breach = stream_check::find_breach(answers, &expected);
+        if let Some(breach) = &breach {
             let id = &answers[0].request_id;
             self.breaches.push((route, format!("{breach} ({id})")));
         }
+        breach.is_none()
+    }
+
+    /// Returns whether each stream was right for its caller, and enough went on after losses.
+    pub fn passes(&self) -> bool {
+        self.breaches.is_empty() && self.taken_up_after_loss.holds()
+    }
+
+    /// Returns the number of streams that were joined from two versions.
+    pub fn joined(&self) -> usize {
+        let counts = self.breach_counts().into_iter();
+        let joined = counts.filter(|((_, kind), _)| *kind == "two versions");
+        joined.map(|(_, count)| count).sum()
     }
 
     /// Returns the number of breaches of each kind.
@@ -190,6 +222,7 @@
     instances: Mutex<Vec<Instance>>,
     callers: Vec<SocketAddr>,
     report: Mutex<Report>,
+    losses: Mutex<Losses>,
     is_over: AtomicBool,
 }
 
@@ -205,7 +238,10 @@
     for number in 0..plan.callers {
         callers.spawn(call_until_over(world.clone(), number, rng.random()));
     }
-    world.disturb(&mut rng).await;
+    match plan.ends.loses_all() {
+        true => world.lose_instances(&mut rng).await,
+        false => world.disturb(&mut rng).await,
+    }
     world.is_over.store(true, Ordering::Relaxed);
     let _ = time::timeout(COOL_DOWN, async {
         while callers.join_next().await.is_some() {}
@@ -238,6 +274,7 @@
             endpoints: Mutex::new(endpoints),
             instances: Mutex::new(instances),
             report: Mutex::default(),
+            losses: Mutex::default(),
             is_over: AtomicBool::new(false),
         }
     }
@@ -246,6 +283,20 @@
         self.report.lock().expect("no holder panics")
     }
 
+    fn losses(&self) -> MutexGuard<'_, Losses> {
+        self.losses.lock().expect("no holder panics")
+    }
+
+    /// Adds a stream to the report.
+    fn add(&self, route: &'static str, read: &StreamRead) {
+        let is_owed = route == RESUMABLE && self.losses().is_owed(read);
+        let mut report = self.report();
+        let is_right = report.add(route, &read.answers);
+        if is_owed {
+            report.taken_up_after_loss.add(read, is_right);
+        }
+    }
+
     /// Ends processes and starts them again until the time is over.
     async fn disturb(self: &Arc<Self>, rng: &mut ChaCha8Rng) {
         let until = time::Instant::now() + self.plan.lasts;
@@ -276,7 +327,7 @@
     }
 
     /// Kills an endpoint or lets it leave, and starts another one at its address, of this version.
-    async fn end_endpoint(&self, index: usize, version: &'static str, is_planned: bool) {
+    async fn end_endpoint(&self, index: usize, version: &str, is_planned: bool) {
         let old = {
             let mut endpoints = self.endpoints.lock().expect("no holder panics");
             let endpoint = &mut endpoints[index];
@@ -367,24 +418,28 @@
             key: KEYS[number % KEYS.len()].to_owned(),
             may_resume: route == RESUMABLE,
             http10: world.plan.http10,
-            habits: match shares_ids {
-                true => draw_habits(&mut rng),
-                false => Habits::default(),
-            },
+            habits: draw_habits(&world.plan, &mut rng),
         };
         let addrs = &world.callers;
-        let answers = caller::read_stream(&call, || addrs[rng.random_range(0..addrs.len())]).await;
-        world.report().add(route, &answers);
+        let read = caller::read_stream(&call, || addrs[rng.random_range(0..addrs.len())]).await;
+        world.add(route, &read);
         time::sleep(Duration::from_millis(rng.random_range(5..40))).await;
     }
 }
 
-fn draw_habits(rng: &mut ChaCha8Rng) -> Habits {
-    Habits {
-        leaves_after: rng.random_bool(0.7).then(|| rng.random_range(1..EVENTS)),
-        sends_twice: rng.random_bool(0.3),
-        omits_resumes: rng.random_bool(0.2),
+fn draw_habits(plan: &Plan, rng: &mut ChaCha8Rng) -> Habits {
+    let mut habits = Habits::default();
+    if plan.shares_ids {
+        habits.leaves_after = rng.random_bool(0.7).then(|| rng.random_range(1..EVENTS));
+        habits.sends_twice = rng.random_bool(0.3);
+        habits.omits_resumes = rng.random_bool(0.2);
+    }
+    if plan.ends.loses_all() {
+        habits.is_patient = true;
+        habits.leaves_after = rng.random_bool(0.3).then(|| rng.random_range(1..EVENTS));
+        habits.away_for = Duration::from_millis(rng.random_range(AWAY_MS));
     }
+    habits
 }
 
 /// Returns a configuration with the routes `/resume/` and `/fixed/`.
--- a/standins/src/streams/caller.rs
+++ b/standins/src/streams/caller.rs
@@ -2,7 +2,11 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use tokio::{io::AsyncWriteExt, net::TcpStream, time};
+use tokio::{
+    io::AsyncWriteExt,
+    net::TcpStream,
+    time::{self, Instant},
+};
 
 use crate::{
     raw_caller::RawCaller,
@@ -13,6 +17,10 @@
 pub const MAX_ANSWERS: usize = 4;
 /// Pause before a stream is taken up, or a refused one is sent again.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Upper bound on the pause that a refusal asks for.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+/// For how long a patient caller tries to reach an instance.
+const PATIENCE: Duration = Duration::from_secs(5);
 
 /// A stream that a caller reads.
 pub struct StreamCall {
@@ -34,6 +42,32 @@
     pub sends_twice: bool,
     /// It does not say which request began the stream.
     pub omits_resumes: bool,
+    /// How long it is away after it left its first answer.
+    pub away_for: Duration,
+    /// It has one more attempt, instances that cannot be reached cost it none, and it pauses as refusals ask.
+    pub is_patient: bool,
+}
+
+/// A stream as its caller read it.
+pub struct StreamRead {
+    pub answers: Vec<Answer>,
+    /// When the request was sent that brought the first event.
+    pub began_at: Option<Instant>,
+    /// When the last attempt ended.
+    pub ended_at: Instant,
+    /// Whether the last attempt was refused.
+    pub was_refused: bool,
+}
+
+/// What came of a request.
+enum Outcome {
+    Answered(Answer),
+    /// Refused, with the pause that the refusal asks for.
+    Refused(Duration),
+    /// The connection broke before a response began.
+    Lost,
+    /// No connection was made.
+    Unreached,
 }
 
 /// A request for a stream, or for the rest of it.
@@ -74,35 +108,70 @@
 pub async fn read_stream(
     stream: &StreamCall,
     mut next_instance: impl FnMut() -> SocketAddr,
-) -> Vec<Answer> {
+) -> StreamRead {
     let habits = &stream.habits;
-    let mut answers: Vec<Answer> = Vec::new();
+    let mut read = StreamRead {
+        answers: Vec::new(),
+        began_at: None,
+        ended_at: Instant::now(),
+        was_refused: false,
+    };
     let _left = match habits.sends_twice {
         true => send_and_leave(stream, next_instance()).await,
         false => None,
     };
-    for attempt in 0..MAX_ANSWERS {
-        let after = stream_check::last_number(&answers);
-        let began_as = answers.first().filter(|_| after > 0);
+    let give_up_at = Instant::now() + PATIENCE;
+    let attempts = MAX_ANSWERS + usize::from(habits.is_patient);
+    let mut attempt = 0;
+    while attempt < attempts {
+        let until = habits.leaves_after.filter(|_| attempt == 0);
+        let outcome = read.attempt(stream, next_instance(), attempt, until).await;
+        let is_over = read.answers.last().is_some_and(|a| a.is_complete);
+        if is_over || (read.began_at.is_some() && !stream.may_resume) {
+            break;
+        }
+        let may_wait = habits.is_patient && Instant::now() < give_up_at;
+        attempt += usize::from(!(may_wait && matches!(outcome, Outcome::Unreached)));
+        time::sleep(match outcome {
+            Outcome::Refused(pause) if habits.is_patient => pause,
+            Outcome::Unreached if habits.is_patient => RETRY_AFTER,
+            _ if until.is_some() => habits.away_for,
+            _ => RETRY_AFTER,
+        })
+        .await;
+    }
+    read
+}
+
+impl StreamRead {
+    /// Sends a request for the stream, or for the rest of it, and reads its answer.
+    async fn attempt(
+        &mut self,
+        stream: &StreamCall,
+        addr: SocketAddr,
+        attempt: usize,
+        until: Option<u64>,
+    ) -> Outcome {
+        let after = stream_check::last_number(&self.answers);
+        let began_as = self.answers.first().filter(|_| after > 0);
         let request = Call {
             stream,
             request_id: attempt_id(&stream.first_id, attempt),
             took_up: began_as.map(|a| a.request_id.clone()),
             after,
         };
-        let until = habits.leaves_after.filter(|_| attempt == 0);
-        let answer = call(next_instance(), &request, until).await;
-        let is_over = answer.as_ref().is_some_and(|a| a.is_complete);
-        answers.extend(answer);
-        let has_begun = stream_check::last_number(&answers) > 0;
-        if is_over || (has_begun && !stream.may_resume) {
-            break;
+        let sent_at = Instant::now();
+        let outcome = call(addr, &request, until).await;
+        self.was_refused = matches!(outcome, Outcome::Refused(_));
+        self.ended_at = Instant::now();
+        if let Outcome::Answered(answer) = &outcome {
+            self.answers.push(answer.clone());
         }
-        if until.is_none() {
-            time::sleep(RETRY_AFTER).await;
+        if self.began_at.is_none() && stream_check::last_number(&self.answers) > 0 {
+            self.began_at = Some(sent_at);
         }
+        outcome
     }
-    answers
 }
 
 /// Sends the first request for a stream, of which nothing is read; the connection ends when it is dropped.
@@ -118,19 +187,36 @@
     Some(connection)
 }
 
-/// Sends a request on a new connection, and reads until it ends or so many events have arrived; returns `None` unless a
-/// success arrived.
-async fn call(addr: SocketAddr, call: &Call<'_>, until: Option<u64>) -> Option<Answer> {
+/// Sends a request on a new connection, and reads until it ends or so many events have arrived.
+async fn call(addr: SocketAddr, call: &Call<'_>, until: Option<u64>) -> Outcome {
     let has_enough = |text: &str| {
         until.is_some_and(|events| stream_check::whole_events(text).len() as u64 >= events)
     };
-    let mut caller = RawCaller::connect(addr).await.ok()?;
-    caller.send(&call.head()).await.ok()?;
-    let got = caller.read_answer_until(has_enough).await?;
-    (got.status() == Some(200)).then(|| Answer {
+    let Ok(mut caller) = RawCaller::connect(addr).await else {
+        return Outcome::Unreached;
+    };
+    if caller.send(&call.head()).await.is_err() {
+        return Outcome::Lost;
+    }
+    let Some(got) = caller.read_answer_until(has_enough).await else {
+        return Outcome::Lost;
+    };
+    if got.status() != Some(200) {
+        return Outcome::Refused(retry_after(&got.head));
+    }
+    Outcome::Answered(Answer {
         request_id: call.request_id.clone(),
         after: call.after,
         is_complete: got.is_complete(),
         text: got.text,
     })
 }
+
+/// Returns the pause that a refusal asks for.
+fn retry_after(head: &str) -> Duration {
+    let head = head.to_ascii_lowercase();
+    let seconds = head.lines().find_map(|l| l.strip_prefix("retry-after: "));
+    let seconds = seconds.and_then(|s| s.trim().parse().ok());
+    let pause = seconds.and_then(|s| Duration::try_from_secs_f64(s).ok());
+    pause.unwrap_or(RETRY_AFTER).min(LONGEST_PAUSE)
+}
--- a/standins/src/streams/endpoint.rs
+++ b/standins/src/streams/endpoint.rs
@@ -82,7 +82,7 @@
     index: usize,
     starts: usize,
     addr: SocketAddr,
-    version: &'static str,
+    pub version: String,
     framing: Framing,
     child: Child,
 }
@@ -98,7 +98,7 @@
     ///
     /// # Panics
     /// Panics if there is none, or the process cannot be started.
-    pub async fn start(index: usize, version: &'static str, framing: Framing) -> Self {
+    pub async fn start(index: usize, version: &str, framing: Framing) -> Self {
         // Other sockets do not use this address, so the port stays free.
         let listener = TcpListener::bind("127.1.0.2:0").await.expect("a port");
         let addr = listener.local_addr().expect("a bound address");
@@ -110,7 +110,7 @@
             index,
             starts: 0,
             addr,
-            version,
+            version: version.to_owned(),
             framing,
         }
     }
@@ -139,10 +139,10 @@
     }
 
     /// Starts another endpoint at the address of this one, which has ended.
-    pub fn restart(&mut self, version: &'static str) {
+    pub fn restart(&mut self, version: &str) {
         self.starts += 1;
         self.id = format!("i-{}-{}", self.index, self.starts);
-        self.version = version;
+        self.version = version.to_owned();
         let framing = self.framing.of_endpoint(self.index);
         self.child = spawn(self.addr, &self.id, version, framing);
     }
