Soak: all instances are killed at once in some fault phases

Cause: the soak kills instances one by one, and its callers that take up streams count joined streams only. Change: an operation kills all at a drawn time, beside two releases that overlap; streams begun before it and taken up after it are counted if one endpoint of their version served, with those that went on and those refused. They are printed, not bounded: other faults of the phase refuse streams, too.

--- a/standins/src/bin/soak.rs
+++ b/standins/src/bin/soak.rs
@@ -25,10 +25,14 @@
         };
         let report = runtime.block_on(soak::run(&plan));
         println!(
-            "seed {seed}: {} requests, {} served, {} faults, {} breaches",
+            "seed {seed}: {} requests, {} served, {} faults, {} of {} streams whole after a loss of all ({} refused), {} \
+             breaches",
             report.requests,
             report.served,
             report.faults,
+            report.taken_up_after_loss.whole,
+            report.taken_up_after_loss.streams,
+            report.taken_up_after_loss.refused,
             report.breaches.len()
         );
         for breach in &report.breaches {
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -48,6 +48,7 @@
         process::{Host, Instance},
     },
     stream_check::Answer,
+    streams::TakenUp,
 };
 
 /// Every instance applies a configuration or a drain within this time of the write to the store.
@@ -94,6 +95,8 @@
     pub served: usize,
     /// Number of injected faults.
     pub faults: usize,
+    /// Streams that were taken up after the loss of all instances while their version served.
+    pub taken_up_after_loss: TakenUp,
     /// Violated guarantees, each with the request or process that shows it.
     pub breaches: Vec<String>,
     /// Directory with the logs of the instances; only if a guarantee was violated.
@@ -126,6 +129,17 @@
     /// Number of starts before this one.
     number: usize,
     version: &'static str,
+    at: Instant,
+}
+
+impl EndpointStart {
+    fn new(number: usize, version: &'static str) -> Self {
+        Self {
+            number,
+            version,
+            at: Instant::now(),
+        }
+    }
 }
 
 /// Changes and disturbances made so far, which the checks take into account.
@@ -170,6 +184,10 @@
     impaired: Vec<(usize, Instant, Instant)>,
     /// Ids of requests that are not among those sent by the usual callers.
     other_ids: HashSet<String>,
+    /// Starts of endpoints that have ended, and when the next ones began.
+    ended_starts: Vec<(EndpointStart, Instant)>,
+    /// When all instances were killed at once.
+    lost_all_at: Option<Instant>,
     /// Streams that callers left.
     left: Vec<resumptions::LeftStream>,
     /// Streams of callers on plain sockets.
@@ -271,7 +289,7 @@
             let runner = Runner::start(&runner_id(index, 0)).await;
             let version = resumptions::first_version_of(index);
             runner.state_runs(version);
-            endpoint_starts.push(EndpointStart { number: 0, version });
+            endpoint_starts.push(EndpointStart::new(0, version));
             runner.pace(Duration::from_millis(15));
             runner_proxies.push(Proxy::start(runner.addr).await);
             runners.push(runner);
@@ -349,7 +367,9 @@
 
     fn register_with_warmup(&self, index: usize, state: &str, cold_ms: u64) {
         let starts = self.endpoint_starts.lock().expect("no holder panics");
-        let EndpointStart { number, version } = starts[index];
+        let EndpointStart {
+            number, version, ..
+        } = starts[index];
         let spec = json!({"backend": "svc", "address": self.runner_proxies[index].addr,
             "zone": data_centres::of_endpoint(index), "version": version, "capacity": brittle::SLOTS,
             "state": state, "warmupLeftMs": cold_ms, "sequence": 1});
@@ -368,16 +388,17 @@
         if !self.runners[index].has_ended() {
             return;
         }
-        let id = {
+        let (id, ended) = {
             let mut starts = self.endpoint_starts.lock().expect("no holder panics");
             let start = &mut starts[index];
             self.platform
                 .remove("servers", &runner_id(index, start.number));
-            start.number += 1;
-            start.version = version.unwrap_or(start.version);
+            let next = EndpointStart::new(start.number + 1, version.unwrap_or(start.version));
+            let ended = (std::mem::replace(start, next), next.at);
             self.runners[index].state_runs(start.version);
-            runner_id(index, start.number)
+            (runner_id(index, start.number), ended)
         };
+        self.run_state().ended_starts.push(ended);
         self.runners[index].restart(&id).await;
         self.register_endpoint(index, "ready");
     }
--- a/standins/src/soak/operations.rs
+++ b/standins/src/soak/operations.rs
@@ -1,5 +1,5 @@
-//! Operations that overlap in the fault phase: two releases of the endpoints' software, kills of endpoints, and planned
-//! stops and reloads of instances. Changes of the configuration run beside them.
+//! Operations that overlap in the fault phase: two releases of the endpoints' software, kills of endpoints, planned stops
+//! and reloads of instances, and a kill of all instances at once. Changes of the configuration run beside them.
 
 use std::{ops::Range, sync::Arc, time::Duration};
 
@@ -20,6 +20,8 @@
 const DRAIN_MS: Range<u64> = 200..1_000;
 const KILL_PAUSE_MS: Range<u64> = 800..2_500;
 const SIGNAL_PAUSE_MS: Range<u64> = 2_500..5_000;
+/// When all instances are killed at once, if the phase is long enough, in milliseconds.
+const LOSS_AT_MS: Range<u64> = 3_000..16_000;
 /// Time until an endpoint that has ended is started again.
 const DOWN_FOR: Duration = Duration::from_millis(400);
 
@@ -44,6 +46,7 @@
         kill_endpoints(&world, rng(3), until),
         kill_second_endpoints(&world, rng(4), until),
         signal_instances(&world, rng(5), until),
+        lose_instances(&world, rng(6), until),
     );
 }
 
@@ -108,3 +111,15 @@
         }
     }
 }
+
+/// Kills all instances at once; they are started again as others that have ended.
+async fn lose_instances(world: &World, mut rng: ChaCha8Rng, until: Instant) {
+    pause(&mut rng, LOSS_AT_MS).await;
+    if Instant::now() >= until {
+        return;
+    }
+    world.run_state().lost_all_at = Some(std::time::Instant::now());
+    for instance in 0..world.store_proxies.len() {
+        process::signal(world, instance, "KILL");
+    }
+}
--- a/standins/src/soak/resumptions.rs
+++ b/standins/src/soak/resumptions.rs
@@ -20,10 +20,11 @@
 use crate::{
     runner::EVENTS,
     soak::{
-        Plan, Report, World,
+        EndpointStart, Plan, Report, RunState, World,
         callers::{Path, Sent},
     },
     stream_check::{self, Answer, whole_events},
+    streams::TakenUp,
 };
 
 /// XORed into the seed, so that these draws do not change the faults of a given seed.
@@ -37,6 +38,10 @@
 /// Attempts to take up one stream.
 const ATTEMPTS: usize = 3;
 const TIMEOUT: Duration = Duration::from_secs(4);
+/// Time after a loss of all instances in which a caller tries again if its connection breaks.
+const RETURN: Duration = Duration::from_secs(2);
+/// Upper bound on the time for which an endpoint drains and is down before the next start at its address.
+const ENDPOINT_LEAVES_FOR: Duration = Duration::from_millis(1_400);
 /// Share of the streams taken up without faults that must go on. New streams are served at .9.
 const CALM_SHARE: f64 = 0.45;
 /// From so many streams on, the share counts.
@@ -55,6 +60,10 @@
 pub(super) struct LeftStream {
     /// The answers that brought events, or could have.
     answers: Vec<Answer>,
+    /// When its first request was sent and its last answer ended.
+    period: Option<(Instant, Instant)>,
+    /// Whether its last attempt was refused.
+    was_refused: bool,
     /// When it was first taken up.
     taken_up_at: Option<Instant>,
     /// Whether it was taken up and one answer brought the rest of it.
@@ -76,6 +85,7 @@
         let mut stream = LeftStream::default();
         let first = format!("left-{number}-{count}");
         let events = rng.random_range(1..EVENTS);
+        let began_at = Instant::now();
         // However it ends, the events that arrived count.
         let _ = stream.read(&world, &mut rng, first, events).await;
         let is_over = stream.answers.iter().any(|a| a.is_complete);
@@ -83,6 +93,7 @@
             time::sleep(Duration::from_millis(rng.random_range(AWAY_MS))).await;
             stream.take_up(&world, &mut rng).await;
         }
+        stream.period = Some((began_at, Instant::now()));
         world.run_state().left.push(stream);
     }
 }
@@ -92,12 +103,17 @@
         self.taken_up_at = Some(Instant::now());
         for attempt in 0..ATTEMPTS {
             let id = format!("{}-{attempt}", self.answers[0].request_id);
-            match self.read(world, rng, id, u64::MAX).await {
+            let reading = self.read(world, rng, id, u64::MAX).await;
+            self.was_refused = matches!(reading, Ok(Reading::Refused));
+            match reading {
                 Ok(Reading::Answered) => {
                     self.is_whole = true;
                     break;
                 }
                 Ok(Reading::Refused) => time::sleep(Duration::from_millis(300)).await,
+                Err(Lost) if world.run_state().has_just_lost_all() => {
+                    time::sleep(Duration::from_millis(300)).await;
+                }
                 // The share of streams that go on counts attempts that are refused only.
                 Err(Lost) => break,
             }
@@ -196,6 +212,48 @@
     }
 }
 
+impl RunState {
+    fn has_just_lost_all(&self) -> bool {
+        self.lost_all_at.is_some_and(|at| at.elapsed() < RETURN)
+    }
+
+    /// Returns whether one endpoint of a version served between `from` and `until`.
+    fn served(
+        &self,
+        current: &[EndpointStart],
+        version: &str,
+        from: Instant,
+        until: Instant,
+    ) -> bool {
+        let mut ended = self.ended_starts.iter();
+        let is_of = |start: &EndpointStart| start.version == version && start.at < from;
+        current.iter().any(is_of)
+            || ended.any(|(start, end)| is_of(start) && *end > until + ENDPOINT_LEAVES_FOR)
+    }
+}
+
+/// Counts streams that began before the loss of all instances and were taken up after it, whose version served.
+fn count_after_loss(world: &World, run_state: &RunState) -> TakenUp {
+    let mut counts = TakenUp::default();
+    let Some(lost_at) = run_state.lost_all_at else {
+        return counts;
+    };
+    let current = world.endpoint_starts.lock().expect("no holder panics");
+    for stream in &run_state.left {
+        let (Some((began_at, ended_at)), Some(_)) = (stream.period, stream.taken_up_at) else {
+            continue;
+        };
+        let served = stream_check::began_version(&stream.answers)
+            .is_some_and(|version| run_state.served(&current, &version, lost_at, ended_at));
+        if began_at < lost_at && lost_at < ended_at && served {
+            counts.streams += 1;
+            counts.whole += usize::from(stream.is_whole);
+            counts.refused += usize::from(stream.was_refused);
+        }
+    }
+    counts
+}
+
 /// A run that was to continue a stream.
 struct Resumption {
     id: String,
@@ -257,6 +315,7 @@
             ));
         }
     }
+    report.taken_up_after_loss = count_after_loss(world, &run_state);
     let calm_since = run_state.calm_since;
     let calm: Vec<_> = run_state
         .left
