Endpoints of the streams tool have an address of their process

Cause: a port that is free for a moment while an endpoint is started again was taken by another run of the tool, which binds ports of the same address. Change: the address has the process id in it.

--- a/standins/src/streams/endpoint.rs
+++ b/standins/src/streams/endpoint.rs
@@ -99,8 +99,9 @@
     /// # Panics
     /// Panics if there is none, or the process cannot be started.
     pub async fn start(index: usize, version: &str, framing: Framing) -> Self {
-        // Other sockets do not use this address, so the port stays free.
-        let listener = TcpListener::bind("127.1.0.2:0").await.expect("a port");
+        // Other sockets do not use this address, so the port stays free while nothing runs at it.
+        let address = format!("127.1.{}.2:0", std::process::id() % 250);
+        let listener = TcpListener::bind(address).await.expect("a port");
         let addr = listener.local_addr().expect("a bound address");
         drop(listener);
         let id = format!("i-{index}-0");
