Streams run for 900 ms beside losses of all instances

Change: with `losses` and `replacements` a stream has 60 events, as in stream_losses, and the age of the oldest refused stream is printed.

--- a/standins/src/bin/streams.rs
+++ b/standins/src/bin/streams.rs
@@ -5,7 +5,7 @@
 //!
 //! Exit code 0 if each stream was right for its caller and enough went on after losses of all instances, 1 if not, 2 for
 //! bad arguments.
-//! `streams endpoint ADDRESS ID VERSION FRAMING` serves as an endpoint.
+//! `streams endpoint ADDRESS ID VERSION FRAMING EVENTS` serves as an endpoint.
 
 use std::{path::PathBuf, process::ExitCode, time::Duration};
 
@@ -17,13 +17,14 @@
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
     let runtime = tokio::runtime::Runtime::new().expect("a runtime");
-    if let [command, addr, id, version, framing] = &args[..]
+    if let [command, addr, id, version, framing, events] = &args[..]
         && command == "endpoint"
     {
-        let (Ok(addr), Ok(framing)) = (addr.parse(), framing.parse()) else {
+        let (Ok(addr), Ok(framing), Ok(events)) = (addr.parse(), framing.parse(), events.parse())
+        else {
             return ExitCode::from(2);
         };
-        runtime.block_on(streams::serve_endpoint(addr, id, version, framing));
+        runtime.block_on(streams::serve_endpoint(addr, id, version, framing, events));
         return ExitCode::SUCCESS;
     }
     let (plan, runs) = match parse(&args) {
@@ -56,11 +57,12 @@
         if owed.streams > 0 {
             println!(
                 "  after losses of all instances: {} joined of two versions, {} of {} whole whose version served, {} refused \
-                 while served",
+                 while served (the oldest {} ms old at the loss)",
                 report.joined(),
                 owed.whole,
                 owed.streams,
-                owed.refused
+                owed.refused,
+                owed.oldest_refused_ms
             );
         }
         passed &= report.passes();
--- a/standins/src/streams.rs
+++ b/standins/src/streams.rs
@@ -40,7 +40,9 @@
 };
 
 /// Events of a stream.
-pub const EVENTS: u64 = 20;
+const EVENTS: u64 = 20;
+/// Events of a stream beside losses of all instances; most streams then run for longer than it takes to begin one.
+const LONG_EVENTS: u64 = 60;
 /// Keys of two organisations.
 const KEYS: [&str; 2] = ["key-of-the-streams", "another-key"];
 /// The route whose streams may go on at another endpoint.
@@ -109,6 +111,14 @@
 }
 
 impl Ends {
+    /// Returns the number of events of a stream.
+    fn events(self) -> u64 {
+        match self.loses_all() {
+            true => LONG_EVENTS,
+            false => EVENTS,
+        }
+    }
+
     /// Returns whether all instances are lost at once.
     fn loses_all(self) -> bool {
         matches!(self, Self::Losses | Self::Replacements)
@@ -174,13 +184,13 @@
 
 impl Report {
     /// Adds the answers that a caller got for a stream; returns whether they were right.
-    fn add(&mut self, route: &'static str, answers: &[Answer]) -> bool {
+    fn add(&mut self, route: &'static str, answers: &[Answer], events: u64) -> bool {
         self.streams += 1;
         self.whole += usize::from(answers.last().is_some_and(|a| a.is_complete));
         self.broken += answers.iter().filter(|a| !a.is_complete).count();
         self.taken_up += answers.iter().filter(|a| a.after > 0).count();
         let expected = Expected {
-            events: EVENTS,
+            events,
             padding_bytes: 0,
             may_resume: route == RESUMABLE,
         };
@@ -263,7 +273,7 @@
         let mut endpoints = Vec::new();
         for index in 0..plan.endpoints {
             let version = VERSIONS[index % VERSIONS.len()];
-            let endpoint = EndpointProcess::start(index, version, plan.framing).await;
+            let endpoint = EndpointProcess::start(index, version, plan).await;
             platform.set("servers", &endpoint.id, endpoint.entry("ready"));
             endpoints.push(endpoint);
         }
@@ -289,11 +299,11 @@
 
     /// Adds a stream to the report.
     fn add(&self, route: &'static str, read: &StreamRead) {
-        let is_owed = route == RESUMABLE && self.losses().is_owed(read);
+        let owed = self.losses().age_if_owed(read);
         let mut report = self.report();
-        let is_right = report.add(route, &read.answers);
-        if is_owed {
-            report.taken_up_after_loss.add(read, is_right);
+        let is_right = report.add(route, &read.answers, self.plan.ends.events());
+        if let Some(age) = owed.filter(|_| route == RESUMABLE) {
+            report.taken_up_after_loss.add(read, is_right, age);
         }
     }
 
@@ -429,14 +439,15 @@
 
 fn draw_habits(plan: &Plan, rng: &mut ChaCha8Rng) -> Habits {
     let mut habits = Habits::default();
+    let events = plan.ends.events();
     if plan.shares_ids {
-        habits.leaves_after = rng.random_bool(0.7).then(|| rng.random_range(1..EVENTS));
+        habits.leaves_after = rng.random_bool(0.7).then(|| rng.random_range(1..events));
         habits.sends_twice = rng.random_bool(0.3);
         habits.omits_resumes = rng.random_bool(0.2);
     }
     if plan.ends.loses_all() {
         habits.is_patient = true;
-        habits.leaves_after = rng.random_bool(0.3).then(|| rng.random_range(1..EVENTS));
+        habits.leaves_after = rng.random_bool(0.3).then(|| rng.random_range(1..events));
         habits.away_for = Duration::from_millis(rng.random_range(AWAY_MS));
     }
     habits
--- a/standins/src/streams/endpoint.rs
+++ b/standins/src/streams/endpoint.rs
@@ -14,7 +14,7 @@
     time,
 };
 
-use crate::{runner::Runner, soak::process::send_signal, streams::EVENTS};
+use crate::{runner::Runner, soak::process::send_signal, streams::Plan};
 
 /// Requests that an endpoint runs at a time.
 const SLOTS: u32 = 16;
@@ -62,10 +62,10 @@
 ///
 /// # Panics
 /// Panics if the address cannot be bound.
-pub async fn serve(addr: SocketAddr, id: &str, version: &str, framing: Framing) {
+pub async fn serve(addr: SocketAddr, id: &str, version: &str, framing: Framing, events: u64) {
     let runner = Runner::start_at(addr, id).await;
     runner.pace(EVENT_INTERVAL);
-    runner.long_responses(EVENTS, 0);
+    runner.long_responses(events, 0);
     runner.state_runs(version);
     if framing == Framing::Close {
         runner.end_with_connection();
@@ -83,7 +83,8 @@
     starts: usize,
     addr: SocketAddr,
     pub version: String,
-    framing: Framing,
+    framing: &'static str,
+    events: u64,
     child: Child,
 }
 
@@ -98,21 +99,24 @@
     ///
     /// # Panics
     /// Panics if there is none, or the process cannot be started.
-    pub async fn start(index: usize, version: &str, framing: Framing) -> Self {
+    pub async fn start(index: usize, version: &str, plan: &Plan) -> Self {
         // Other sockets do not use this address, so the port stays free while nothing runs at it.
         let address = format!("127.1.{}.2:0", std::process::id() % 250);
         let listener = TcpListener::bind(address).await.expect("a port");
         let addr = listener.local_addr().expect("a bound address");
         drop(listener);
         let id = format!("i-{index}-0");
+        let framing = plan.framing.of_endpoint(index);
+        let events = plan.ends.events();
         Self {
-            child: spawn(addr, &id, version, framing.of_endpoint(index)),
+            child: spawn(addr, &id, version, framing, events),
             id,
             index,
             starts: 0,
             addr,
             version: version.to_owned(),
             framing,
+            events,
         }
     }
 
@@ -144,15 +148,15 @@
         self.starts += 1;
         self.id = format!("i-{}-{}", self.index, self.starts);
         self.version = version.to_owned();
-        let framing = self.framing.of_endpoint(self.index);
-        self.child = spawn(self.addr, &self.id, version, framing);
+        self.child = spawn(self.addr, &self.id, version, self.framing, self.events);
     }
 }
 
-fn spawn(addr: SocketAddr, id: &str, version: &str, framing: &str) -> Child {
+fn spawn(addr: SocketAddr, id: &str, version: &str, framing: &str, events: u64) -> Child {
     let program = std::env::current_exe().expect("the path of this program");
     Command::new(program)
         .args(["endpoint", &addr.to_string(), id, version, framing])
+        .arg(events.to_string())
         .stdin(Stdio::null())
         .spawn()
         .expect("the endpoint starts")
--- a/standins/src/streams/losses.rs
+++ b/standins/src/streams/losses.rs
@@ -53,6 +53,8 @@
     pub whole: usize,
     /// Streams whose last attempt was refused.
     pub refused: usize,
+    /// How long the oldest of these had run at the loss, in milliseconds.
+    pub oldest_refused_ms: u128,
 }
 
 impl TakenUp {
@@ -61,26 +63,29 @@
         self.whole * 10 >= self.streams * MIN_WHOLE_OF_TEN
     }
 
-    pub(super) fn add(&mut self, read: &StreamRead, is_right: bool) {
+    pub(super) fn add(&mut self, read: &StreamRead, is_right: bool, age: Duration) {
         let is_complete = read.answers.last().is_some_and(|a| a.is_complete);
         self.streams += 1;
         self.whole += usize::from(is_complete && is_right);
-        self.refused += usize::from(read.was_refused);
+        if read.was_refused {
+            self.refused += 1;
+            self.oldest_refused_ms = self.oldest_refused_ms.max(age.as_millis());
+        }
     }
 }
 
 impl Losses {
-    /// Returns whether a stream was taken up after a loss while its version served and instances ran.
-    pub(super) fn is_owed(&self, read: &StreamRead) -> bool {
-        let Some(began_at) = read.began_at else {
-            return false;
-        };
+    /// Returns how long a stream had run at a loss, if it was taken up after it while its version served and instances
+    /// ran.
+    pub(super) fn age_if_owed(&self, read: &StreamRead) -> Option<Duration> {
+        let began_at = read.began_at?;
         let mut losses = self.losses.iter().rev();
-        let last = losses.find(|loss| loss.killed_at < read.ended_at);
+        let last = losses.find(|loss| loss.killed_at < read.ended_at)?;
         let left_at = stream_check::began_version(&read.answers)
             .and_then(|version| self.left_at.get(&version));
-        last.is_some_and(|loss| began_at < loss.killed_at && loss.back_at < read.ended_at)
-            && left_at.is_none_or(|left_at| *left_at > read.ended_at)
+        let served = left_at.is_none_or(|left_at| *left_at > read.ended_at);
+        let is_owed = began_at < last.killed_at && last.back_at < read.ended_at && served;
+        is_owed.then(|| last.killed_at - began_at)
     }
 }
 
