Soak: processes are started and settings written without the lock of callers

Cause: the supervisor rewrote an instance's settings and started its process while it held the lock that every caller takes.

Change: the settings of later starts (`bootstrap = false`) are written once, in a file of their own; processes start on a thread for blocking work, and reloads rewrite settings after the lock.

--- a/standins/src/soak/process.rs
+++ b/standins/src/soak/process.rs
@@ -20,6 +20,8 @@
 const KEY: &str = "cluster-key-of-the-soak";
 /// Name of an instance's log file.
 const LOG: &str = "log.jsonl";
+/// Names of the settings files of an instance's first start and of the later ones.
+const SETTINGS: [&str; 2] = ["boot.toml", "later.toml"];
 /// Delay before a restart, as on the platform.
 const RESTART_AFTER: Duration = Duration::from_millis(300);
 /// Upper bound on a freeze: the longest duration of a fault.
@@ -80,8 +82,11 @@
         let seeds = all.iter().take(3).map(|p| format!("\"{}:8229\"", p.ip));
         let seeds = seeds.collect::<Vec<_>>().join(",");
         let settings = settings(host, &seeds, store);
-        fs::write(dir.join("boot.toml"), settings).expect("settings");
-        let child = spawn(binary, &dir, &host.ip);
+        let later = settings.replace("bootstrap = true", "bootstrap = false");
+        for (name, text) in SETTINGS.iter().zip([settings, later]) {
+            fs::write(dir.join(name), text).expect("settings");
+        }
+        let child = Start::of(binary, &dir, host, SETTINGS[0]).spawn();
         Self {
             host: host.clone(),
             binary: binary.to_owned(),
@@ -132,31 +137,57 @@
 
     /// Starts the process again after it has ended.
     pub fn restart(&mut self) {
-        let settings = self.dir.join("boot.toml");
-        let text = fs::read_to_string(&settings).expect("settings");
-        let text = text.replace("bootstrap = true", "bootstrap = false");
-        fs::write(&settings, text).expect("settings");
-        self.child = spawn(&self.binary, &self.dir, &self.host.ip);
+        let child = self.next_start().spawn();
+        self.run_as(child);
+    }
+
+    /// Returns the next start of a process that has ended.
+    fn next_start(&self) -> Start {
+        Start::of(&self.binary, &self.dir, &self.host, SETTINGS[1])
+    }
+
+    /// Replaces the process, which has ended, by its next start.
+    fn run_as(&mut self, child: Child) {
+        self.child = child;
         self.may_end = false;
         self.is_frozen = false;
     }
 }
 
-fn spawn(binary: &Path, dir: &Path, ip: &str) -> Child {
-    let log = fs::OpenOptions::new()
-        .create(true)
-        .append(true)
-        .open(dir.join(LOG))
-        .expect("a log file");
-    Command::new(binary)
-        .arg("edge")
-        .env("RYEVALVE_CONFIG", dir.join("boot.toml"))
-        .env("RYEVALVE_CLUSTER_KEY", KEY)
-        .env("RYEVALVE_SOURCE_ADDRESS", ip)
-        .stdout(log)
-        .stderr(Stdio::inherit())
-        .spawn()
-        .expect("the program starts")
+/// A start of an instance's process.
+struct Start {
+    binary: PathBuf,
+    dir: PathBuf,
+    ip: String,
+    settings: &'static str,
+}
+
+impl Start {
+    fn of(binary: &Path, dir: &Path, host: &Host, settings: &'static str) -> Self {
+        Self {
+            binary: binary.to_owned(),
+            dir: dir.to_owned(),
+            ip: host.ip.clone(),
+            settings,
+        }
+    }
+
+    fn spawn(&self) -> Child {
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.dir.join(LOG))
+            .expect("a log file");
+        Command::new(&self.binary)
+            .arg("edge")
+            .env("RYEVALVE_CONFIG", self.dir.join(self.settings))
+            .env("RYEVALVE_CLUSTER_KEY", KEY)
+            .env("RYEVALVE_SOURCE_ADDRESS", &self.ip)
+            .stdout(log)
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("the program starts")
+    }
 }
 
 fn settings(host: &Host, seeds: &str, store: SocketAddr) -> String {
@@ -262,41 +293,58 @@
     kept
 }
 
-/// Rewrites an instance's settings file.
+/// Rewrites an instance's settings files.
 pub fn rewrite_settings(world: &World, index: usize, slack: u32) {
-    let instances = world.instances.lock().expect("no holder panics");
-    let settings = instances[index].dir.join("boot.toml");
-    let text = fs::read_to_string(&settings).expect("settings");
-    let lines = text
-        .lines()
-        .map(|line| match line.starts_with("budgetSlack") {
-            true => format!("budgetSlack = {slack}"),
-            false => line.to_owned(),
-        });
-    let text = lines.collect::<Vec<_>>().join("\n");
-    fs::write(&settings, text).expect("settings");
+    let dir = {
+        let instances = world.instances.lock().expect("no holder panics");
+        instances[index].dir.clone()
+    };
+    for settings in SETTINGS.map(|name| dir.join(name)) {
+        let text = fs::read_to_string(&settings).expect("settings");
+        let lines = text
+            .lines()
+            .map(|line| match line.starts_with("budgetSlack") {
+                true => format!("budgetSlack = {slack}"),
+                false => line.to_owned(),
+            });
+        let text = lines.collect::<Vec<_>>().join("\n");
+        fs::write(&settings, text).expect("settings");
+    }
 }
 
 /// Restarts processes that have ended, as the platform does; an unexpected end counts as a breach.
 pub async fn keep_running(world: Arc<World>) {
     loop {
         time::sleep(RESTART_AFTER).await;
-        let mut breaches = Vec::new();
-        {
-            let mut instances = world.instances.lock().expect("no holder panics");
-            for instance in instances.iter_mut() {
-                let Ok(Some(status)) = instance.child.try_wait() else {
-                    continue;
-                };
-                if !instance.may_end {
-                    let number = instance.host.number;
-                    breaches.push(format!("instance {number} ended by itself: {status}"));
-                }
-                instance.restart();
-            }
+        for (index, start) in next_starts(&world) {
+            let world = world.clone();
+            // Callers need the lock, which is not held meanwhile: a start takes seconds on a busy machine.
+            let starting = tokio::task::spawn_blocking(move || {
+                let child = start.spawn();
+                world.instances.lock().expect("no holder panics")[index].run_as(child);
+            });
+            starting.await.expect("the process starts");
+        }
+    }
+}
+
+/// Returns the next starts of processes that have ended, by index of the instance.
+fn next_starts(world: &World) -> Vec<(usize, Start)> {
+    let mut starts = Vec::new();
+    let mut breaches = Vec::new();
+    let mut instances = world.instances.lock().expect("no holder panics");
+    for (index, instance) in instances.iter_mut().enumerate() {
+        let Ok(Some(status)) = instance.child.try_wait() else {
+            continue;
+        };
+        if !instance.may_end {
+            let number = instance.host.number;
+            breaches.push(format!("instance {number} ended by itself: {status}"));
         }
-        world.run_state().breaches.append(&mut breaches);
+        starts.push((index, instance.next_start()));
     }
+    world.run_state().breaches.append(&mut breaches);
+    starts
 }
 
 /// Returns whether an instance's readiness probe succeeds.
