--- a/standins/src/bin/streams.rs
+++ b/standins/src/bin/streams.rs
@@ -1,10 +1,11 @@
 //! Runs streams beside processes that end:
 //! `streams [--binary PATH] [--seed N] [--runs N] [--seconds S] [--instances N] [--endpoints N] [--callers N]
-//! [--framing chunked|close|mixed] [--ends none|endpoints|instances|both|releases|stops|all] [--http10 0|1] [--ids 0|1]
-//! [--restart-ms N]`.
+//! [--framing chunked|close|mixed] [--ends none|endpoints|instances|both|releases|stops|all|losses|replacements]
+//! [--http10 0|1] [--ids 0|1] [--restart-ms N]`.
 //!
-//! Exit code 0 if each stream was right for its caller, 1 if one was not, 2 for bad arguments.
-//! `streams endpoint ADDRESS ID VERSION FRAMING` serves as an endpoint.
+//! Exit code 0 if each stream was right for its caller and enough went on after losses of all instances, 1 if not, 2 for
+//! bad arguments.
+//! `streams endpoint ADDRESS ID VERSION FRAMING EVENTS` serves as an endpoint.
 
 use std::{path::PathBuf, process::ExitCode, time::Duration};
 
@@ -16,13 +17,14 @@
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
     let runtime = tokio::runtime::Runtime::new().expect("a runtime");
-    if let [command, addr, id, version, framing] = &args[..]
+    if let [command, addr, id, version, framing, events] = &args[..]
         && command == "endpoint"
     {
-        let (Ok(addr), Ok(framing)) = (addr.parse(), framing.parse()) else {
+        let (Ok(addr), Ok(framing), Ok(events)) = (addr.parse(), framing.parse(), events.parse())
+        else {
             return ExitCode::from(2);
         };
-        runtime.block_on(streams::serve_endpoint(addr, id, version, framing));
+        runtime.block_on(streams::serve_endpoint(addr, id, version, framing, events));
         return ExitCode::SUCCESS;
     }
     let (plan, runs) = match parse(&args) {
@@ -51,7 +53,19 @@
         for (route, breach) in report.breaches.iter().take(SHOWN) {
             println!("  {route}: {breach}");
         }
-        passed &= report.breaches.is_empty();
+        let owed = report.taken_up_after_loss;
+        if owed.streams > 0 {
+            println!(
+                "  after losses of all instances: {} joined of two versions, {} of {} whole whose version served, {} refused \
+                 while served (the oldest {} ms old at the loss)",
+                report.joined(),
+                owed.whole,
+                owed.streams,
+                owed.refused,
+                owed.oldest_refused_ms
+            );
+        }
+        passed &= report.passes();
     }
     ExitCode::from(u8::from(!passed))
 }
--- a/standins/src/streams.rs
+++ b/standins/src/streams.rs
@@ -6,6 +6,7 @@
 
 pub(crate) mod caller;
 mod endpoint;
+mod losses;
 
 use std::{
     collections::BTreeMap,
@@ -25,19 +26,23 @@
 use tokio::{task::JoinSet, time};
 
 pub use endpoint::{Framing, serve as serve_endpoint};
+pub use losses::TakenUp;
 
 use crate::{
     platform::Platform,
     soak::process::{Host, Instance},
     stream_check::{self, Answer, Expected},
     streams::{
-        caller::{Habits, StreamCall},
+        caller::{Habits, StreamCall, StreamRead},
         endpoint::EndpointProcess,
+        losses::Losses,
     },
 };
 
 /// Events of a stream.
-pub const EVENTS: u64 = 20;
+const EVENTS: u64 = 20;
+/// Events of a stream beside losses of all instances; most streams then run for longer than it takes to begin one.
+const LONG_EVENTS: u64 = 60;
 /// Keys of two organisations.
 const KEYS: [&str; 2] = ["key-of-the-streams", "another-key"];
 /// The route whose streams may go on at another endpoint.
@@ -49,6 +54,8 @@
 const COOL_DOWN: Duration = Duration::from_secs(5);
 /// Pause between two disturbances, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 300..900;
+/// How long a caller is away that leaves a stream beside losses of all instances, in milliseconds.
+const AWAY_MS: std::ops::Range<u64> = 0..1_500;
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time after which an ended process is started again.
 const RESTART_AFTER: Duration = Duration::from_millis(400);
@@ -69,6 +76,10 @@
     Stops,
     /// All of these.
     All,
+    /// All instances are killed at once.
+    Losses,
+    /// As `Losses`; before each or meanwhile, another version replaces one of the two.
+    Replacements,
 }
 
 impl FromStr for Ends {
@@ -83,6 +94,8 @@
             "releases" => Self::Releases,
             "stops" => Self::Stops,
             "all" => Self::All,
+            "losses" => Self::Losses,
+            "replacements" => Self::Replacements,
             _ => return Err(format!("{text}: not known")),
         })
     }
@@ -98,6 +111,28 @@
 }
 
 impl Ends {
+    /// Returns the number of events of a stream.
+    fn events(self) -> u64 {
+        match self.loses_all() {
+            true => LONG_EVENTS,
+            false => EVENTS,
+        }
+    }
+
+    /// Returns the range of the pause between two streams of a caller. Beside losses of all instances streams must not
+    /// begin in step, or a loss may meet most of them just after they began.
+    fn caller_pause_ms(self) -> std::ops::Range<u64> {
+        match self.loses_all() {
+            true => 5..900,
+            false => 5..40,
+        }
+    }
+
+    /// Returns whether all instances are lost at once.
+    fn loses_all(self) -> bool {
+        matches!(self, Self::Losses | Self::Replacements)
+    }
+
     fn draw(self, rng: &mut ChaCha8Rng) -> Option<End> {
         let all = [
             End::EndpointKilled,
@@ -106,7 +141,7 @@
             End::InstanceStopped,
         ];
         Some(match self {
-            Self::None => return None,
+            Self::None | Self::Losses | Self::Replacements => return None,
             Self::Endpoints => End::EndpointKilled,
             Self::Instances => End::InstanceKilled,
             Self::Both if rng.random_bool(0.7) => End::EndpointKilled,
@@ -150,26 +185,42 @@
     pub taken_up: usize,
     /// Processes that were killed or stopped.
     pub ended: usize,
+    /// Streams that were taken up after losses of all instances while their version served.
+    pub taken_up_after_loss: TakenUp,
     /// What is wrong with streams, by route.
     pub breaches: Vec<(&'static str, String)>,
 }
 
 impl Report {
-    /// Adds the answers that a caller got for a stream.
-    fn add(&mut self, route: &'static str, answers: &[Answer]) {
+    /// Adds the answers that a caller got for a stream; returns whether they were right.
+    fn add(&mut self, route: &'static str, answers: &[Answer], events: u64) -> bool {
         self.streams += 1;
         self.whole += usize::from(answers.last().is_some_and(|a| a.is_complete));
         self.broken += answers.iter().filter(|a| !a.is_complete).count();
         self.taken_up += answers.iter().filter(|a| a.after > 0).count();
         let expected = Expected {
-            events: EVENTS,
+            events,
             padding_bytes: 0,
             may_resume: route == RESUMABLE,
         };
-        if let Some(breach) = stream_check::find_breach(answers, &expected) {
+        let breach = stream_check::find_breach(answers, &expected);
+        if let Some(breach) = &breach {
             let id = &answers[0].request_id;
             self.breaches.push((route, format!("{breach} ({id})")));
         }
+        breach.is_none()
+    }
+
+    /// Returns whether each stream was right for its caller, and enough went on after losses.
+    pub fn passes(&self) -> bool {
+        self.breaches.is_empty() && self.taken_up_after_loss.holds()
+    }
+
+    /// Returns the number of streams that were joined from two versions.
+    pub fn joined(&self) -> usize {
+        let counts = self.breach_counts().into_iter();
+        let joined = counts.filter(|((_, kind), _)| *kind == "two versions");
+        joined.map(|(_, count)| count).sum()
     }
 
     /// Returns the number of breaches of each kind.
@@ -190,6 +241,7 @@
     instances: Mutex<Vec<Instance>>,
     callers: Vec<SocketAddr>,
     report: Mutex<Report>,
+    losses: Mutex<Losses>,
     is_over: AtomicBool,
 }
 
@@ -205,7 +257,10 @@
     for number in 0..plan.callers {
         callers.spawn(call_until_over(world.clone(), number, rng.random()));
     }
-    world.disturb(&mut rng).await;
+    match plan.ends.loses_all() {
+        true => world.lose_instances(&mut rng).await,
+        false => world.disturb(&mut rng).await,
+    }
     world.is_over.store(true, Ordering::Relaxed);
     let _ = time::timeout(COOL_DOWN, async {
         while callers.join_next().await.is_some() {}
@@ -227,7 +282,7 @@
         let mut endpoints = Vec::new();
         for index in 0..plan.endpoints {
             let version = VERSIONS[index % VERSIONS.len()];
-            let endpoint = EndpointProcess::start(index, version, plan.framing).await;
+            let endpoint = EndpointProcess::start(index, version, plan).await;
             platform.set("servers", &endpoint.id, endpoint.entry("ready"));
             endpoints.push(endpoint);
         }
@@ -238,6 +293,7 @@
             endpoints: Mutex::new(endpoints),
             instances: Mutex::new(instances),
             report: Mutex::default(),
+            losses: Mutex::default(),
             is_over: AtomicBool::new(false),
         }
     }
@@ -246,6 +302,20 @@
         self.report.lock().expect("no holder panics")
     }
 
+    fn losses(&self) -> MutexGuard<'_, Losses> {
+        self.losses.lock().expect("no holder panics")
+    }
+
+    /// Adds a stream to the report.
+    fn add(&self, route: &'static str, read: &StreamRead) {
+        let owed = self.losses().age_if_owed(read);
+        let mut report = self.report();
+        let is_right = report.add(route, &read.answers, self.plan.ends.events());
+        if let Some(age) = owed.filter(|_| route == RESUMABLE) {
+            report.taken_up_after_loss.add(read, is_right, age);
+        }
+    }
+
     /// Ends processes and starts them again until the time is over.
     async fn disturb(self: &Arc<Self>, rng: &mut ChaCha8Rng) {
         let until = time::Instant::now() + self.plan.lasts;
@@ -276,7 +346,7 @@
     }
 
     /// Kills an endpoint or lets it leave, and starts another one at its address, of this version.
-    async fn end_endpoint(&self, index: usize, version: &'static str, is_planned: bool) {
+    async fn end_endpoint(&self, index: usize, version: &str, is_planned: bool) {
         let old = {
             let mut endpoints = self.endpoints.lock().expect("no holder panics");
             let endpoint = &mut endpoints[index];
@@ -349,6 +419,10 @@
 async fn call_until_over(world: Arc<World>, number: usize, seed: u64) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let shares_ids = world.plan.shares_ids;
+    let pause_ms = world.plan.ends.caller_pause_ms();
+    if world.plan.ends.loses_all() {
+        time::sleep(Duration::from_millis(rng.random_range(pause_ms.clone()))).await;
+    }
     for count in 0.. {
         if world.is_over.load(Ordering::Relaxed) {
             return;
@@ -367,24 +441,29 @@
             key: KEYS[number % KEYS.len()].to_owned(),
             may_resume: route == RESUMABLE,
             http10: world.plan.http10,
-            habits: match shares_ids {
-                true => draw_habits(&mut rng),
-                false => Habits::default(),
-            },
+            habits: draw_habits(&world.plan, &mut rng),
         };
         let addrs = &world.callers;
-        let answers = caller::read_stream(&call, || addrs[rng.random_range(0..addrs.len())]).await;
-        world.report().add(route, &answers);
-        time::sleep(Duration::from_millis(rng.random_range(5..40))).await;
+        let read = caller::read_stream(&call, || addrs[rng.random_range(0..addrs.len())]).await;
+        world.add(route, &read);
+        time::sleep(Duration::from_millis(rng.random_range(pause_ms.clone()))).await;
     }
 }
 
-fn draw_habits(rng: &mut ChaCha8Rng) -> Habits {
-    Habits {
-        leaves_after: rng.random_bool(0.7).then(|| rng.random_range(1..EVENTS)),
-        sends_twice: rng.random_bool(0.3),
-        omits_resumes: rng.random_bool(0.2),
+fn draw_habits(plan: &Plan, rng: &mut ChaCha8Rng) -> Habits {
+    let mut habits = Habits::default();
+    let events = plan.ends.events();
+    if plan.shares_ids {
+        habits.leaves_after = rng.random_bool(0.7).then(|| rng.random_range(1..events));
+        habits.sends_twice = rng.random_bool(0.3);
+        habits.omits_resumes = rng.random_bool(0.2);
+    }
+    if plan.ends.loses_all() {
+        habits.is_patient = true;
+        habits.leaves_after = rng.random_bool(0.3).then(|| rng.random_range(1..events));
+        habits.away_for = Duration::from_millis(rng.random_range(AWAY_MS));
     }
+    habits
 }
 
 /// Returns a configuration with the routes `/resume/` and `/fixed/`.
