The archive is read and named by slot; origins are concluded by most of the group or the store

The number of slots goes by the instances that the group remembers: those that come back one after the other would have looked for other slots.

A first event that is held back is recorded before as well.

--- a/src/gateway/origin_archive.rs
+++ b/src/gateway/origin_archive.rs
@@ -6,7 +6,7 @@
 //! began since the last write is refused after the loss of all.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -22,13 +22,13 @@
         state::Gateway,
     },
     prelude::Micros,
-    store::{ListingStore, ObjectEra, Store, WriteError},
+    store::{ListingStore, ObjectEra, ReadError, Store, WriteError},
 };
 
 /// Shortest time between two writes of an instance.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(50);
-/// Slots share 80 writes a second, a fifth of what the store of the largest deployments allows.
-const WRITE_INTERVAL_PER_SLOT: Duration = Duration::from_micros(12_500);
+/// Slots share 40 writes a second, a tenth of what stores allow.
+const WRITE_INTERVAL_PER_SLOT: Duration = Duration::from_millis(25);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Attempts to write a segment that another instance writes, too, before the next round.
@@ -36,9 +36,8 @@
 /// For how long the archive as read answers for streams that it does not have.
 const READ_LIFETIME_US: Micros = 1_000_000;
 
-/// Most records that are kept of the archive as read, some 80 bytes each: those of the last 16 s of 4,000 streams a
-/// second.
-const MAX_READ_RECORDS: usize = 65_536;
+/// Most records that are kept of a slot as read, some 80 bytes each.
+const MAX_READ_RECORDS: usize = 16_384;
 
 /// An instance that gets no record of a slot for longer than this may have missed some.
 const MAX_RECORD_GAP_US: Micros = 2_000_000;
@@ -64,10 +63,10 @@
     is_dirty: bool,
 }
 
-/// The archive as it was last read.
+/// A slot of the archive as it was last read.
 #[derive(Debug, Default)]
-struct ReadArchive {
-    asked_us: Option<Micros>,
+struct ReadSlot {
+    asked_us: Micros,
     records: HashMap<StreamKey, ArchivedOrigin>,
 }
 
@@ -83,7 +82,10 @@
     /// By slot and position in the ring.
     own: BTreeMap<(Slot, u64), OwnSegment>,
     coverage: BTreeMap<Slot, Coverage>,
-    read: ReadArchive,
+    /// The slots as they were last read.
+    read: BTreeMap<Slot, ReadSlot>,
+    /// The slots to be read.
+    wanted: BTreeSet<Slot>,
 }
 
 /// The part of the archive that this instance writes, and the archive as it was last read.
@@ -127,11 +129,9 @@
     }
 }
 
-impl ReadArchive {
+impl ReadSlot {
     fn is_fresh(&self, now_us: Micros) -> bool {
-        let age_us = |asked_us| now_us.saturating_sub(asked_us);
-        let age_us = self.asked_us.map(age_us);
-        age_us.is_some_and(|age_us| age_us < READ_LIFETIME_US)
+        now_us.saturating_sub(self.asked_us) < READ_LIFETIME_US
     }
 }
 
@@ -160,17 +160,19 @@
 
     /// Returns what the archive says of a stream of a slot. If that has to be read, it is read now.
     pub fn get(&self, now_us: Micros, slot: Slot, key: StreamKey) -> Archived {
-        let state = self.lock();
+        let mut state = self.lock();
         let own = state.own_record(slot, key);
         if state.covers(now_us, slot) {
             return own.map_or(Archived::Absent, Archived::Found);
         }
-        if !state.read.is_fresh(now_us) {
+        let read = state.read.get(&slot).filter(|read| read.is_fresh(now_us));
+        let Some(read) = read else {
+            state.wanted.insert(slot);
             drop(state);
             self.is_read_wanted.notify_one();
             return Archived::Pending;
-        }
-        let read = state.read.records.get(&key).cloned();
+        };
+        let read = read.records.get(&key).cloned();
         match (own, read) {
             (Some(own), Some(read)) if own != read => Archived::Found(None),
             (own, read) => own.or(read).map_or(Archived::Absent, Archived::Found),
@@ -183,15 +185,16 @@
         self.lock().coverage.clear();
     }
 
-    /// Returns the number of records as last read.
-    pub fn records_read(&self) -> usize {
-        self.lock().read.records.len()
-    }
-
     /// Marks what the store may have lost by coming back from a copy as not written.
     fn note_era(&self, era: u64) {
+        let mut has_lost = false;
         for own in self.lock().own.values_mut() {
-            own.is_dirty |= own.era.may_be_lost(era);
+            let is_lost = own.era.may_be_lost(era);
+            own.is_dirty |= is_lost;
+            has_lost |= is_lost;
+        }
+        if has_lost {
+            self.has_records.notify_one();
         }
     }
 
@@ -233,11 +236,16 @@
         }
     }
 
-    fn set_read(&self, asked_us: Micros, records: HashMap<StreamKey, ArchivedOrigin>) {
-        self.lock().read = ReadArchive {
-            asked_us: Some(asked_us),
-            records,
-        };
+    fn take_wanted(&self) -> BTreeSet<Slot> {
+        std::mem::take(&mut self.lock().wanted)
+    }
+
+    /// Keeps a slot as it was read, in place of all that were read longer ago.
+    fn set_read(&self, slot: Slot, read: ReadSlot) {
+        let mut state = self.lock();
+        let asked_us = read.asked_us;
+        state.read.retain(|_, read| read.is_fresh(asked_us));
+        state.read.insert(slot, read);
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -246,14 +254,13 @@
     }
 }
 
-/// Writes the archive's records to the store until dropped.
-pub async fn write<P: Protocol, S: Store>(gateway: Arc<Gateway<P>>, store: S) {
+/// Writes the archive's records to the store until dropped. `store_of` returns the store of a slot's objects.
+pub async fn write<P: Protocol, S: Store>(gateway: Arc<Gateway<P>>, store_of: impl Fn(Slot) -> S) {
     let archive = &gateway.origin_archive;
     let mut was_written = true;
     loop {
         archive.has_records.notified().await;
-        archive.note_era(store.era());
-        let failure = write_dirty(archive, &store).await;
+        let failure = write_dirty(archive, &store_of).await;
         let is_written = failure.is_none();
         gateway.metrics.count_archive_write(is_written);
         if let Some(error) = failure.filter(|_| was_written) {
@@ -265,7 +272,7 @@
         }
         was_written = is_written;
         if is_written {
-            time::sleep(write_interval(gateway.view().present().count())).await;
+            time::sleep(write_interval(gateway.instance_counts().all)).await;
         } else {
             time::sleep(RETRY_PAUSE).await;
             archive.has_records.notify_one();
@@ -274,12 +281,19 @@
 }
 
 /// Writes the segments that have changed; returns the last error if not all were written.
-async fn write_dirty<S: Store>(archive: &OriginArchive, store: &S) -> Option<WriteError> {
+async fn write_dirty<S: Store>(
+    archive: &OriginArchive,
+    store_of: impl Fn(Slot) -> S,
+) -> Option<WriteError> {
     let mut failure = None;
     for (slot, segment, version) in archive.take_dirty(unix_s()) {
         let unix_s = segment.unix_s;
-        match write_segment(store, slot, segment, version).await {
-            Ok(Some(written)) => archive.note_written(slot, &written),
+        let store = store_of(slot);
+        match write_segment(&store, slot, segment, version).await {
+            Ok(Some(written)) => {
+                archive.note_written(slot, &written);
+                archive.note_era(store.era());
+            }
             // The object is that of the next round of the ring.
             Ok(None) => {}
             Err(error) => {
@@ -341,35 +355,47 @@
     }
 }
 
-/// Reads the archive whenever that is wanted, until dropped.
-pub async fn read<P: Protocol, S: ListingStore>(gateway: Arc<Gateway<P>>, store: S) {
+/// Reads slots of the archive whenever that is wanted, until dropped. `store_of` returns the store of a slot's objects.
+pub async fn read<P: Protocol, S: ListingStore>(
+    gateway: Arc<Gateway<P>>,
+    store_of: impl Fn(Slot) -> S,
+) {
+    let archive = &gateway.origin_archive;
     loop {
-        gateway.origin_archive.is_read_wanted.notified().await;
-        let asked_us = gateway.clock.now_us();
-        match store.list().await {
-            Ok(objects) => {
-                let segments = objects.iter().map(|object| Segment::decode(&object.value));
-                let mut segments: Vec<Segment> = segments.filter_map(decoded).collect();
-                segments.sort_by_key(|segment| std::cmp::Reverse(segment.unix_s));
-                let records = collect_records(&segments);
-                let took_ms = (gateway.clock.now_us() - asked_us) / 1_000;
-                log::info!(
-                    target: "ryevalve::process",
-                    segments = segments.len(), streams = records.len(), took_ms;
-                    "stream_origins_read"
-                );
-                gateway.metrics.archive_reads.inc();
-                gateway.origin_archive.set_read(asked_us, records);
-            }
-            Err(error) => {
+        archive.is_read_wanted.notified().await;
+        for slot in archive.take_wanted() {
+            if let Err(error) = read_slot(&gateway, slot, &store_of(slot)).await {
                 let reason = error.to_string();
-                log::warn!(target: "ryevalve::process", reason; "stream_origins_not_read");
+                log::warn!(target: "ryevalve::process", slot:% = slot, reason; "stream_origins_not_read");
                 time::sleep(RETRY_PAUSE).await;
             }
         }
     }
 }
 
+async fn read_slot<P: Protocol, S: ListingStore>(
+    gateway: &Gateway<P>,
+    slot: Slot,
+    store: &S,
+) -> Result<(), ReadError> {
+    let asked_us = gateway.clock.now_us();
+    let objects = store.list().await?;
+    let segments = objects.iter().map(|object| Segment::decode(&object.value));
+    let mut segments: Vec<Segment> = segments.filter_map(decoded).collect();
+    segments.sort_by_key(|segment| std::cmp::Reverse(segment.unix_s));
+    let records = collect_records(&segments);
+    let took_ms = (gateway.clock.now_us() - asked_us) / 1_000;
+    log::info!(
+        target: "ryevalve::process",
+        slot:% = slot, segments = segments.len(), streams = records.len(), took_ms;
+        "stream_origins_read"
+    );
+    gateway.metrics.archive_reads.inc();
+    let read = ReadSlot { asked_us, records };
+    gateway.origin_archive.set_read(slot, read);
+    Ok(())
+}
+
 fn decoded<E: std::error::Error>(segment: Result<Segment, E>) -> Option<Segment> {
     match segment {
         Ok(segment) => segment.is_recent(unix_s()).then_some(segment),
--- a/src/gateway/origin_lookup.rs
+++ b/src/gateway/origin_lookup.rs
@@ -13,7 +13,7 @@
         reservation_client::DirectMessage,
         state::Gateway,
         stream_origins::{
-            FoundOrigin, HOLDERS, OriginError, OriginMessage, OriginSource, rank_owners, slot_of,
+            FoundOrigin, HOLDERS, OriginError, OriginMessage, OriginSource, rank_owners,
         },
     },
     prelude::{Micros, Name},
@@ -36,9 +36,9 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(500);
 /// The same, as a share of the time that the caller has left.
 const MAX_READ_SHARE: f64 = 0.25;
-/// How long the first event of a stream is held back while this instance meets the others, which takes some hundred
-/// milliseconds: they could not find its origin.
-const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long the first event of a stream is held back while this instance meets the others, which could not find
+/// its origin. One that is left alone meets none.
+const JOIN_TIMEOUT: Duration = Duration::from_millis(200);
 const JOIN_POLL: Duration = Duration::from_millis(10);
 /// Time within which an instance that starts meets the others.
 const JOIN_TIME_US: Micros = 2_000_000;
@@ -114,9 +114,10 @@
     ) -> Result<FoundOrigin, OriginError> {
         let key = began_as.map(|id| StreamKey::of(organisation, id.as_bytes()));
         let share = time_left.map(|left| left.mul_f64(MAX_READ_SHARE));
+        let asked_us = self.clock.now_us();
         let timeout = Instant::now() + share.unwrap_or(READ_TIMEOUT).min(READ_TIMEOUT);
         loop {
-            let (found, is_pending) = self.look_up_origin(key, service).await;
+            let (found, is_pending) = self.look_up_origin(key, service, asked_us).await;
             let is_waiting = is_pending || found == Err(OriginError::NotYetKnown);
             if !is_waiting || Instant::now() >= timeout {
                 return found;
@@ -131,6 +132,7 @@
         &self,
         key: Option<StreamKey>,
         service: &Name,
+        asked_us: Micros,
     ) -> (Result<FoundOrigin, OriginError>, bool) {
         let has_key = key.is_some();
         // No record has this key.
@@ -158,7 +160,7 @@
             }
             Some(OriginMessage::Unknown {
                 has_several_versions: false,
-            }) => self.conclude_origin(service, others_answered),
+            }) => self.conclude_origin(service, others_answered, asked_us),
             _ => Err(OriginError::Unknown),
         };
         (found, is_pending)
@@ -170,11 +172,12 @@
         &self,
         service: &Name,
         others_answered: usize,
+        asked_us: Micros,
     ) -> Result<FoundOrigin, OriginError> {
         if !self.balancer().versions().is_history_read() {
             return Err(OriginError::NotYetKnown);
         }
-        if !self.follows_endpoints() && !self.is_among_most(others_answered) {
+        if !self.is_among_most(others_answered) && !self.has_asked_store_since(asked_us) {
             return Err(OriginError::NotYetKnown);
         }
         let balancer = self.balancer();
@@ -189,10 +192,10 @@
         })
     }
 
-    /// Returns whether this instance got its endpoints from the store a short time ago.
-    fn follows_endpoints(&self) -> bool {
-        let age_us = self.endpoints_staleness.age_us(self.clock.now_us());
-        age_us <= self.bounds().drain.outage_age_us()
+    /// Returns whether this instance knows the endpoints that were in the store after this time.
+    fn has_asked_store_since(&self, asked_us: Micros) -> bool {
+        let now_us = self.clock.now_us();
+        self.endpoints_staleness.age_us(now_us) <= now_us.saturating_sub(asked_us)
     }
 
     /// Returns whether this instance, of which so many others answered, is with most of the group. A small part that lost
@@ -223,7 +226,7 @@
         if self.is_joining() {
             return OriginMessage::NotYetKnown;
         }
-        let slot = slot_of(&self.view(), key);
+        let slot = self.slot_of(key);
         match self.origin_archive.get(self.clock.now_us(), slot, key) {
             Archived::Found(Some(origin)) => better_answer(held, OriginMessage::Known(origin)),
             Archived::Found(None) => OriginMessage::Ambiguous,
@@ -234,7 +237,7 @@
 
     /// Returns whether this instance has just started and not met most of the others yet. It would take itself for a holder
     /// of all streams and the owner of all slots.
-    fn is_joining(&self) -> bool {
+    pub(super) fn is_joining(&self) -> bool {
         if self.clock.now_us() >= JOIN_TIME_US {
             return false;
         }
@@ -253,7 +256,7 @@
     /// Returns the instances that may know the origin of a stream.
     fn instances_to_ask(&self, key: StreamKey) -> Asked {
         let view = self.view();
-        let ranked = rank_owners(&view, slot_of(&view, key), OWNERS_ASKED);
+        let ranked = rank_owners(&view, self.slot_of(key), OWNERS_ASKED);
         let (own, others): (Vec<_>, Vec<_>) = ranked
             .into_iter()
             .partition(|m| m.info.incarnation == view.me);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -186,14 +186,21 @@
         let Some(version) = self.source.began_version().cloned() else {
             return;
         };
-        if self.origin_recorded.is_none() {
-            self.gateway.wait_until_joined().await;
-        }
+        let is_first = self.origin_recorded.is_none();
         self.origin_recorded = Some((now_us, self.gateway.member_changes()));
         let origin = StreamOrigin {
             service: service.clone(),
             version,
         };
+        self.write_origin(&origin).await;
+        if is_first && self.gateway.is_joining() {
+            self.gateway.wait_until_joined().await;
+            self.write_origin(&origin).await;
+        }
+    }
+
+    /// Writes where the stream began, under the ids by which its caller may name it.
+    async fn write_origin(&self, origin: &StreamOrigin) {
         let head = &self.job.head;
         // The id under which an earlier attempt began the stream is the one that its caller names again.
         let began_as = head.resumes.iter().filter(|_| head.resume_after.is_some());
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -237,7 +237,7 @@
             .write(now_us, key, origin.clone());
         self.metrics.origins_recorded.inc();
         let Some(channel) = self.reservation_client.channel() else {
-            return;
+            return self.archive_origin(key, origin);
         };
         for holder in self.other_holders(key, HOLDERS) {
             let origin = origin.clone();
@@ -256,25 +256,26 @@
     /// Returns the instance that owns a stream's slot; none if it is this one.
     fn other_owner(&self, key: StreamKey) -> Option<IpAddr> {
         let view = self.view();
-        let owners = rank_owners(&view, slot_of(&view, key), 1);
+        let owners = rank_owners(&view, self.slot_of(key), 1);
         let other = owners.first().filter(|m| m.info.incarnation != view.me);
         other.map(|m| m.info.peer_addr.ip())
     }
 
+    /// Returns the slot of a stream. The number of instances is that which the group remembers: all that were lost and
+    /// come back go by the same one.
+    pub(super) fn slot_of(&self, key: StreamKey) -> Slot {
+        Slot::of(key, self.instance_counts().all)
+    }
+
     /// Adds a record to the archive.
     fn archive_origin(&self, key: StreamKey, origin: StreamOrigin) {
-        let slot = slot_of(&self.view(), key);
+        let slot = self.slot_of(key);
         let now_us = self.clock.now_us();
         self.origin_archive
             .insert(now_us, slot, unix_s(), key, Some(origin));
     }
 }
 
-/// Returns the slot of a stream by a view of the group.
-pub(super) fn slot_of(view: &View, key: StreamKey) -> Slot {
-    Slot::of(key, view.present().count())
-}
-
 /// Handles a message from another instance; `number` is that of its datagram.
 pub(super) async fn receive<P: Protocol>(
     gateway: &Gateway<P>,
--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -219,9 +219,11 @@
         store.clone(),
         settings.is_first_start,
     ));
-    let archive = store.origin_archive();
-    tokio::spawn(origin_archive::write(gateway.clone(), archive.clone()));
-    tokio::spawn(origin_archive::read(gateway.clone(), archive));
+    let (written, read) = (store.clone(), store.clone());
+    let written = move |slot| written.origin_archive(slot);
+    let read = move |slot| read.origin_archive(slot);
+    tokio::spawn(origin_archive::write(gateway.clone(), written));
+    tokio::spawn(origin_archive::read(gateway.clone(), read));
     tokio::spawn(version_history::start(
         gateway.clone(),
         store.clone(),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,6 +1,6 @@
 //! Implements the product's [`Store`] with objects of a kind of its own in the platform's store.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use base64::{Engine, prelude::BASE64_STANDARD};
 use bytes::Bytes;
@@ -8,6 +8,7 @@
 use tokio::time::{self, Instant};
 
 use crate::{
+    gateway::origin_segments::Slot,
     platform::{
         objects::{CallError, Event, Metadata, Object, ObjectClient},
         store_era::StoreEra,
@@ -18,7 +19,7 @@
 
 /// Kind of the product's own objects.
 pub const KIND: &str = "ryevalve";
-/// Kind of the objects of the archive of stream origins.
+/// Kinds of the objects of the archive of stream origins begin with this; each slot has one, so that it is read at once.
 const ORIGIN_KIND: &str = "ryevalve-stream-origins";
 /// Kind of the entries of instances.
 pub const INSTANCE_KIND: &str = "ryevalve-instances";
@@ -59,7 +60,7 @@
     addr: SocketAddr,
     era: StoreEra,
     /// Kind of its objects.
-    kind: &'static str,
+    kind: Arc<str>,
 }
 
 impl PlatformStore {
@@ -73,14 +74,14 @@
         Self {
             addr,
             era,
-            kind: KIND,
+            kind: KIND.into(),
         }
     }
 
-    /// Returns a client for the archive of stream origins in the same store.
-    pub fn origin_archive(&self) -> Self {
+    /// Returns a client for a slot of the archive of stream origins in the same store.
+    pub fn origin_archive(&self, slot: Slot) -> Self {
         Self {
-            kind: ORIGIN_KIND,
+            kind: format!("{ORIGIN_KIND}-{slot}").into(),
             ..self.clone()
         }
     }
@@ -97,7 +98,7 @@
             if attempt > 0 {
                 time::sleep(back_off_delay(attempt)).await;
             }
-            match self.client().get::<Content>(self.kind, key).await {
+            match self.client().get::<Content>(&self.kind, key).await {
                 Ok(found) => return found.map(into_object).transpose(),
                 Err(error) => reason = error.to_string(),
             }
@@ -117,8 +118,8 @@
         };
         let mut client = self.client();
         let written = match expected {
-            0 => client.create(self.kind, &object).await,
-            _ => client.replace(self.kind, &object).await,
+            0 => client.create(&self.kind, &object).await,
+            _ => client.replace(&self.kind, &object).await,
         };
         written.map_err(write_error)
     }
@@ -135,7 +136,7 @@
         // Changes of other objects of the kind end a watch too.
         loop {
             let left = deadline.saturating_duration_since(Instant::now());
-            let changes = match client.watch::<Content>(self.kind, from, left).await {
+            let changes = match client.watch::<Content>(&self.kind, from, left).await {
                 Ok(changes) => changes,
                 Err(CallError::HistoryGone | CallError::EraChanged) => {
                     return self.read_if_newer(key, after).await;
@@ -169,14 +170,14 @@
 
 impl ListingStore for PlatformStore {
     async fn list(&self) -> Result<Vec<store::Object>, ReadError> {
-        let listing = self.client().list::<Content>(self.kind).await;
+        let listing = self.client().list::<Content>(&self.kind).await;
         let listing = listing.map_err(|error| unavailable(&error))?;
         let objects = listing.items.into_iter().map(into_object);
         let readable = objects.filter_map(|object| match object {
             Ok(object) => Some(object),
             Err(error) => {
                 let reason = error.to_string();
-                log::warn!(target: "ryevalve::process", kind = self.kind, reason; "object_unreadable");
+                log::warn!(target: "ryevalve::process", kind = &*self.kind, reason; "object_unreadable");
                 None
             }
         });
--- a/tests/edge/cluster.rs
+++ b/tests/edge/cluster.rs
@@ -241,12 +241,14 @@
     /// Syncs the versions of services and the origins of streams with the store at `addr`.
     pub fn sync_origins(&mut self, addr: SocketAddr, is_first_start: bool) {
         let store = PlatformStore::with_era(addr, self.store_era.clone());
-        let archive = store.origin_archive();
+        let (written, read) = (store.clone(), store.clone());
         let syncing = version_history::start(self.gateway.clone(), store, is_first_start);
         self.tasks.push(tokio::spawn(syncing));
-        let writing = origin_archive::write(self.gateway.clone(), archive.clone());
+        let written = move |slot| written.origin_archive(slot);
+        let writing = origin_archive::write(self.gateway.clone(), written);
         self.tasks.push(tokio::spawn(writing));
-        let reading = origin_archive::read(self.gateway.clone(), archive);
+        let read = move |slot| read.origin_archive(slot);
+        let reading = origin_archive::read(self.gateway.clone(), read);
         self.tasks.push(tokio::spawn(reading));
     }
 
--- a/tests/gateway/origin_archive.rs
+++ b/tests/gateway/origin_archive.rs
@@ -37,8 +37,11 @@
 fn owner(store: &MemoryStore) -> Arc<Gateway<PlatformProtocol>> {
     let gateway = Gateway::new(PlatformProtocol, "here".into(), bounds(true), true);
     let gateway = Arc::new(gateway);
-    tokio::spawn(origin_archive::write(gateway.clone(), store.clone()));
-    tokio::spawn(origin_archive::read(gateway.clone(), store.clone()));
+    let (written, read) = (store.clone(), store.clone());
+    tokio::spawn(origin_archive::write(gateway.clone(), move |_| {
+        written.clone()
+    }));
+    tokio::spawn(origin_archive::read(gateway.clone(), move |_| read.clone()));
     gateway
 }
 
