--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -59,7 +59,6 @@
     }
 }
 
-/// Labels of metrics by route and outcome.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ArchiveWriteLabels {
     outcome: &'static str,
@@ -70,6 +69,7 @@
     source: &'static str,
 }
 
+/// Labels of metrics by route and outcome.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RouteLabels {
     /// The route's name.
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -87,7 +87,7 @@
     },
     /// Attempts with the id of the stream began at several origins.
     Ambiguous,
-    /// The receiver does not know the origin, but has not read yet what the instances before it knew.
+    /// The receiver answers for the archive, which it has not read yet.
     NotYetKnown,
     /// The origin of a stream, for the receiver to write to the archive.
     Archive {
