An endpoint that is missing again leaves instances that learned it meanwhile

An instance went on using an endpoint that had left, after the store had come back from a copy twice, until the store changed again.

Cause: an entry that is missing after a return counts as lapsed, at the position of the first listing without it. An instance that learned the endpoint from a later copy was given only what had changed since its own position; the lapse was older than that, and it kept the endpoint.

Change: a lapsed entry that is missing at a later position lapses at that position. How long it is kept does not change.

The named test fails without the change (the endpoint is not among those that expire).

--- a/src/balance/discovery.rs
+++ b/src/balance/discovery.rs
@@ -71,7 +71,7 @@
 struct Lapse {
     /// Time until which the endpoint is kept.
     until_us: Micros,
-    /// The position at which the entry was missing.
+    /// The latest position at which the entry was missing.
     position: StorePosition,
 }
 
@@ -279,7 +279,11 @@
         if known.position > at {
             return None;
         }
-        if known.lapse.is_some() && !known.entry.draining {
+        if let Some(lapse) = &mut known.lapse
+            && !known.entry.draining
+        {
+            // Instances whose position is between the two may have the entry.
+            lapse.position = lapse.position.max(at);
             return None;
         }
         if now_us >= self.grace_until_us || known.entry.draining {
--- a/tests/gateway/store_returns.rs
+++ b/tests/gateway/store_returns.rs
@@ -113,6 +113,23 @@
     }
 }
 
+/// An entry lapses at an instance, and another one learns the endpoint from a copy before the entry is missing again.
+#[test]
+fn endpoint_that_is_missing_again_does_not_stay_at_an_instance_that_learned_it_meanwhile() {
+    let mut lapsed = Discovery::default();
+    lapsed.upsert(start_of("a", 1, false), at(3));
+    lapsed.store_returned_from_copy(SECOND);
+    lapsed.mark_removed(SECOND, "a", position(2, 5));
+    let mut learned = Discovery::default();
+    learned.upsert(start_of("a", 1, false), position(3, 3));
+    learned.advance_to(position(3, 3));
+    lapsed.mark_removed(SECOND, "a", position(3, 4));
+    lapsed.advance_to(position(3, 4));
+    let delta = lapsed.delta_since(SECOND, learned.position());
+    learned.apply_delta(SECOND, delta);
+    assert_eq!(learned.expire(SECOND + SETTLED), vec!["a".into()]);
+}
+
 /// The state of an endpoint in the model.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Life {
