--- a/tests/edge/carried_answers.rs
+++ b/tests/edge/carried_answers.rs
@@ -1,17 +1,18 @@
 //! Answers that end with their connection and are carried by another instance must not look complete unless they are,
 //! whichever process ends.
 
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
 
 use hyper::StatusCode;
 use serde_json::json;
 use standins::{
     proxy::Mode,
-    runner::{EVENTS, event},
+    runner::{EVENTS, Runner, Seen, event},
 };
 use tokio::{task::JoinSet, time};
 
 use crate::{
+    cluster::until,
     cut_links::{LinkedSite, linked_entry, send_requests},
     support::{CallerResponse, exchange, request},
 };
@@ -62,6 +63,12 @@
     calls
 }
 
+/// Returns the streams that an endpoint ran.
+fn streams(runner: &Runner) -> impl Iterator<Item = Seen> {
+    let seen = runner.seen().into_iter();
+    seen.filter(|seen| seen.has_run && seen.line.contains("/fixed/"))
+}
+
 /// Checks that no stream is complete with events missing; returns how many are whole and how many cut.
 async fn check(calls: JoinSet<(String, Option<CallerResponse>)>) -> (usize, usize) {
     let (mut whole, mut cut) = (0, 0);
@@ -90,12 +97,21 @@
 async fn carried_stream_of_a_killed_endpoint_does_not_look_complete() {
     let site = start(214).await;
     let calls = send_streams(&site);
-    time::sleep(4 * PACE).await;
-    for runner in &site.runners[..3] {
+    let begun = || site.runners.iter().flat_map(streams).count();
+    until("all streams to run", || begun() == REQUESTS).await;
+    // Each of them has brought events by then, and none all.
+    time::sleep(3 * PACE).await;
+    let mut runners: Vec<&Runner> = site.runners.iter().collect();
+    runners.sort_by_key(|runner| Reverse(streams(runner).count()));
+    let killed = &runners[..ENDPOINTS / 2];
+    for runner in killed {
         runner.kill();
     }
     let (_, cut) = check(calls).await;
-    assert!(cut > 0, "no stream ran at a killed endpoint");
+    let interrupted = killed.iter().flat_map(|runner| streams(runner));
+    let interrupted = interrupted.filter(|stream| !stream.finished).count();
+    assert!(interrupted > 0, "no stream ran at a killed endpoint");
+    assert_eq!(cut, interrupted);
 }
 
 #[tokio::test(flavor = "multi_thread")]
