The list of versions keeps what other instances wrote, and when versions left

Cause: an instance read the list once, and wrote what it had seen itself.

Change: each read of the list is merged into what the instance knows, so that a write has both. The list says when a version left. Expired entries stay in the list until the next write and are ignored.

--- a/src/balance/service_versions.rs
+++ b/src/balance/service_versions.rs
@@ -10,13 +10,44 @@
 /// How long a version counts after its last endpoint is gone: longer than callers take streams up that began there.
 pub const VERSION_MEMORY_US: Micros = 120_000_000;
 
+/// How long a version that the store lists may be without endpoints and still counts as listed. Instances see that within
+/// less than the time after which the list says that it left.
+const UNLISTED_AFTER_US: Micros = 5_000_000;
+
 /// One version of a service.
 #[derive(Debug, Default)]
 struct VersionUse {
     /// Endpoints that run it.
     endpoints: u32,
-    /// When it was first seen without endpoints.
-    gone_us: Option<Micros>,
+    /// When it is forgotten, if it was seen without endpoints.
+    forget_us: Option<Micros>,
+    /// Whether this instance has seen such endpoints itself.
+    is_seen: bool,
+    /// Whether the list in the store has it as in service, as last read or written.
+    is_listed: bool,
+}
+
+impl VersionUse {
+    fn is_in_service(&self) -> bool {
+        self.endpoints > 0
+    }
+
+    /// Returns for how long it has had no endpoints; `None` if it has some.
+    fn gone_for_us(&self, now_us: Micros) -> Option<Micros> {
+        let left_us = self.forget_us?.saturating_sub(now_us);
+        Some(VERSION_MEMORY_US.saturating_sub(left_us))
+    }
+}
+
+/// A version of a service, as instances tell each other by the list in the store.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct KnownVersion {
+    /// The service.
+    pub service: Name,
+    /// The version.
+    pub version: Name,
+    /// For how long it has had no endpoints; `None` if it has some.
+    pub gone_for_us: Option<Micros>,
 }
 
 /// What is known of the versions that services had before this instance followed them.
@@ -47,7 +78,8 @@
         let versions = self.by_service.entry(entry.service.clone()).or_default();
         let version = versions.entry(entry.version.clone()).or_default();
         version.endpoints += 1;
-        version.gone_us = None;
+        version.forget_us = None;
+        version.is_seen = true;
     }
 
     /// Removes an endpoint that was added with this entry.
@@ -63,23 +95,78 @@
         self.history = History::Unread;
     }
 
-    /// Adds versions that services had before now; others may be missing for the next `incomplete_us`.
-    pub fn add_history(
+    /// Adds the versions of the list in the store, from which others may be missing for the next `incomplete_us`.
+    ///
+    /// Only these count as listed from now on. One that the list has as in service and that has no endpoints here counts
+    /// from the time at which that was first seen.
+    pub fn merge_list(
         &mut self,
         now_us: Micros,
-        versions: impl IntoIterator<Item = (Name, Name)>,
+        listed: impl IntoIterator<Item = KnownVersion>,
         incomplete_us: Micros,
     ) {
-        for (service, version) in versions {
-            let versions = self.by_service.entry(service).or_default();
-            versions.entry(version).or_default();
+        let known = self.by_service.values_mut().flat_map(BTreeMap::values_mut);
+        known.for_each(|version| version.is_listed = false);
+        for listed in listed {
+            self.merge_listed(now_us, listed);
         }
+        let incomplete_us = match self.history {
+            History::Unread => incomplete_us,
+            _ => incomplete_us.min(self.incomplete_us(now_us)),
+        };
         self.history = match incomplete_us {
             0 => History::Complete,
             _ => History::IncompleteUntil(now_us + incomplete_us),
         };
     }
 
+    fn merge_listed(&mut self, now_us: Micros, listed: KnownVersion) {
+        let gone_for_us = listed.gone_for_us.unwrap_or(0);
+        if gone_for_us >= VERSION_MEMORY_US {
+            return;
+        }
+        let listed_until_us = now_us + VERSION_MEMORY_US - gone_for_us;
+        let versions = self.by_service.entry(listed.service).or_default();
+        let known = versions
+            .entry(listed.version)
+            .or_insert_with(|| VersionUse {
+                forget_us: Some(listed_until_us),
+                ..VersionUse::default()
+            });
+        known.is_listed = listed.gone_for_us.is_none();
+        if listed.gone_for_us.is_some() {
+            let later_us = |seen_us: Micros| seen_us.max(listed_until_us);
+            known.forget_us = match known.is_seen {
+                true => known.forget_us.map(later_us),
+                false => Some(listed_until_us),
+            };
+        }
+    }
+
+    /// Returns whether some of the versions in service of a service are listed in the store and some are not.
+    pub fn is_partly_listed(&self, service: &str) -> bool {
+        let Some(versions) = self.by_service.get(service) else {
+            return false;
+        };
+        let in_service = || versions.values().filter(|version| version.is_in_service());
+        in_service().any(|version| version.is_listed)
+            && in_service().any(|version| !version.is_listed)
+    }
+
+    /// Returns whether a version is listed in the store, so that streams that begin there are known to have been able to.
+    pub fn is_listed(&self, service: &str, version: &str) -> bool {
+        let versions = self.by_service.get(service);
+        versions
+            .and_then(|v| v.get(version))
+            .is_some_and(|v| v.is_listed)
+    }
+
+    /// Returns whether a version in service is not listed in the store.
+    pub fn has_unlisted(&self) -> bool {
+        let mut versions = self.by_service.values().flat_map(BTreeMap::values);
+        versions.any(|version| version.is_in_service() && !version.is_listed)
+    }
+
     /// Returns whether the history has been read.
     pub fn is_history_read(&self) -> bool {
         self.history != History::Unread
@@ -95,15 +182,18 @@
     }
 
     /// Returns all services and their versions, in order.
-    pub fn all(&self) -> Vec<(Name, Name)> {
+    pub fn known(&self, now_us: Micros) -> Vec<KnownVersion> {
         let services = self.by_service.iter();
-        let pairs = services.flat_map(|(service, versions)| {
-            let versions = versions.keys();
-            versions.map(|version| (service.clone(), version.clone()))
+        let known = services.flat_map(|(service, versions)| {
+            versions.iter().map(|(version, version_use)| KnownVersion {
+                service: service.clone(),
+                version: version.clone(),
+                gone_for_us: version_use.gone_for_us(now_us),
+            })
         });
-        let mut pairs: Vec<_> = pairs.collect();
-        pairs.sort_unstable();
-        pairs
+        let mut known: Vec<_> = known.collect();
+        known.sort_unstable();
+        known
     }
 
     /// Returns the version of a service that had no other for as long as versions are remembered.
@@ -136,11 +226,13 @@
         }
         for versions in self.by_service.values_mut() {
             versions.retain(|_, version| {
-                if version.endpoints > 0 {
+                if version.is_in_service() {
                     return true;
                 }
-                let gone_us = *version.gone_us.get_or_insert(now_us);
-                now_us.saturating_sub(gone_us) < VERSION_MEMORY_US
+                let forget_us = *version.forget_us.get_or_insert(now_us + VERSION_MEMORY_US);
+                let gone_for_us = version.gone_for_us(now_us).unwrap_or(0);
+                version.is_listed &= gone_for_us < UNLISTED_AFTER_US;
+                now_us < forget_us
             });
         }
         self.by_service.retain(|_, versions| !versions.is_empty());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -73,3 +73,4 @@
 pub mod tunnels;
 pub mod unanswered;
 pub mod version_history;
+pub mod version_list;
--- a/src/gateway/version_history.rs
+++ b/src/gateway/version_history.rs
@@ -2,18 +2,18 @@
 //!
 //! An instance takes the only version that it knows of a service for the origin of streams without a record. What it has
 //! seen itself only covers the time since its start; the versions before that are read from the store. The instances that
-//! watch the store for the others write them when they change.
+//! watch the store for the others write them when they change: what they have seen and what they have read, so that no
+//! instance drops what another one has seen.
 
 use std::sync::Arc;
 
-use serde::{Deserialize, Serialize};
 use tokio::time::{self, MissedTickBehavior};
 
 use crate::{
     balance::service_versions::VERSION_MEMORY_US,
-    clock::unix_s,
-    gateway::{protocol::Protocol, state::Gateway},
-    prelude::{Micros, Name},
+    clock::unix_ms,
+    gateway::{protocol::Protocol, state::Gateway, version_list::VersionList},
+    prelude::Micros,
     store::{ObjectEra, Store, WriteError},
 };
 
@@ -27,24 +27,6 @@
 /// As for the block list: the instances that watch the store write one after the other, and only what the first has not.
 const WRITE_STAGGER_US: Micros = 1_500_000;
 
-/// The versions as they are stored.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-struct VersionList {
-    /// Services and their versions, in order.
-    versions: Vec<(Name, Name)>,
-    /// Until this time, versions may be missing that were in service before; 0 if none are.
-    incomplete_until_unix_s: u64,
-    /// The era of the store in which the list was written.
-    era: u64,
-}
-
-impl VersionList {
-    /// Returns whether this list needs no update. That no version is missing any more is not worth a write.
-    fn matches(&self, wanted: &Self) -> bool {
-        self.versions == wanted.versions && self.era == wanted.era
-    }
-}
-
 /// The store's list as last read or written.
 #[derive(Debug, Default)]
 struct Stored {
@@ -108,16 +90,20 @@
         if !self.gateway.balancer().versions().is_history_read() {
             return self.read().await;
         }
-        if !self.gateway.watches_store() {
-            return;
+        if self.gateway.watches_store() {
+            self.update(now_us).await;
         }
+    }
+
+    /// Writes the list if it lacks something and no other instance is to write it first.
+    async fn update(&mut self, now_us: Micros) {
         let era = self.store.era();
         let stored = self.stored.as_ref();
         let Some(stored) = stored.filter(|s| !s.era.may_be_lost(era)) else {
             return self.read().await;
         };
         let wanted = self.wanted(now_us, era);
-        if stored.list.matches(&wanted) {
+        if stored.list.covers(&wanted) {
             self.pending = None;
             return;
         }
@@ -143,14 +129,7 @@
         let balancer = self.gateway.balancer();
         let versions = balancer.versions();
         let incomplete_us = versions.incomplete_us(now_us);
-        VersionList {
-            versions: versions.all(),
-            incomplete_until_unix_s: match incomplete_us {
-                0 => 0,
-                _ => unix_s() + incomplete_us.div_ceil(1_000_000),
-            },
-            era,
-        }
+        VersionList::of_known(versions.known(now_us), incomplete_us, era, unix_ms())
     }
 
     async fn read(&mut self) {
@@ -162,31 +141,37 @@
         let newest = self.store.era();
         let version = object.as_ref().map_or(0, |object| object.version);
         let list = object.and_then(|object| decode(&object.value));
-        self.add_to_known(list.as_ref(), newest);
+        let list = list.unwrap_or_else(|| self.missing_list(newest));
+        self.merge(&list, newest);
         self.stored = Some(Stored {
             era: ObjectEra::of_call(era_before, newest),
             version,
-            list: list.unwrap_or_default(),
+            list,
         });
     }
 
-    /// Adds the store's list to what this instance has seen, unless that covers the time of the list already.
-    fn add_to_known(&self, list: Option<&VersionList>, era: u64) {
+    /// Returns what counts as the list where the store has none: versions may have been in service.
+    fn missing_list(&self, era: u64) -> VersionList {
+        VersionList::of_known(Vec::new(), VERSION_MEMORY_US, era, unix_ms())
+    }
+
+    /// Adds a list that the store has to what this instance knows.
+    fn merge(&self, list: &VersionList, era: u64) {
         let now_us = self.gateway.clock.now_us();
+        let now_unix_ms = unix_ms();
+        let incomplete_us = list.incomplete_us(era, now_unix_ms);
         let mut balancer = self.gateway.balancer();
         let versions = balancer.versions_mut();
-        if versions.is_history_read() {
-            return;
+        let is_first = !versions.is_history_read();
+        versions.merge_list(now_us, list.known(now_unix_ms), incomplete_us);
+        if is_first {
+            let (versions, incomplete_ms) = (list.versions.len(), incomplete_us / 1_000);
+            log::info!(
+                target: "ryevalve::process",
+                versions, incomplete_ms;
+                "service_versions_read"
+            );
         }
-        let incomplete_us = list.map_or(VERSION_MEMORY_US, |list| incomplete_us(list, era));
-        let listed = list.map_or(&[][..], |list| &list.versions);
-        versions.add_history(now_us, listed.iter().cloned(), incomplete_us);
-        let (versions, incomplete_ms) = (listed.len(), incomplete_us / 1_000);
-        log::info!(
-            target: "ryevalve::process",
-            versions, incomplete_ms;
-            "service_versions_read"
-        );
     }
 
     async fn write(&mut self, list: VersionList) {
@@ -199,6 +184,7 @@
             Ok(version) => {
                 let versions = list.versions.len();
                 log::info!(target: "ryevalve::process", versions; "service_versions_written");
+                self.merge(&list, list.era);
                 self.stored = Some(Stored {
                     era: ObjectEra::of_call(era_before, self.store.era()),
                     version,
@@ -220,16 +206,6 @@
     }
 }
 
-/// Returns for how long versions may be missing from a list that is read in an era of the store. A copy of the store
-/// lacks what was written after it was taken.
-fn incomplete_us(list: &VersionList, era: u64) -> Micros {
-    if list.era != era {
-        return VERSION_MEMORY_US;
-    }
-    let left_s = list.incomplete_until_unix_s.saturating_sub(unix_s());
-    (left_s * 1_000_000).min(VERSION_MEMORY_US)
-}
-
 /// Decodes the list. One that cannot be decoded was written by another version of the software; it counts as missing and
 /// is replaced.
 fn decode(bytes: &[u8]) -> Option<VersionList> {
--- a/tests/gateway/memory_store.rs
+++ b/tests/gateway/memory_store.rs
@@ -43,6 +43,11 @@
         self.lock().reads
     }
 
+    /// Returns the number of writes.
+    pub fn revision(&self) -> u64 {
+        self.lock().revision
+    }
+
     /// Returns an object's value.
     pub fn value(&self, key: &str) -> Option<Bytes> {
         self.lock().objects.get(key).map(|o| o.value.clone())
