Streams begin at a version once the list in the store has it

What callers saw: while the store took no writes, a version appeared and streams began there; all instances were lost and the version left. The same window of 50 ms was open for each new version.

Cause: a version was used before it was listed.

Change: a stream is not placed at a version that the list lacks, as last read or written, while the service has endpoints of a listed one that could take it (not leaving, evacuated, outside the regions or tried before). Where there is none, any is used, so that availability does not depend on the list. The rule of a roll-out or of a stream that is bound to a version goes first; a roll-out that prefers its target prefers it once it is listed. Requests that are no streams are never taken up, so they use all versions.

Changes to tests: set_versions waited until instances knew the endpoints, and three waits in stream_losses and one in stream_versions until they had seen the second version. They now wait until the second version is listed, which comes later. The test of the store without writes keeps the earlier wait (show_versions).

--- a/src/balance/selection.rs
+++ b/src/balance/selection.rs
@@ -51,6 +51,14 @@
     }
 }
 
+/// Which versions of the endpoints' software a request may use.
+#[derive(Clone, Copy)]
+struct VersionFilter<'r> {
+    rule: Option<&'r VersionRule>,
+    /// Only those that the store lists as in service.
+    is_listed_only: bool,
+}
+
 /// The result of a search for an endpoint.
 pub(super) struct Selection {
     /// The cheapest endpoint that may be used now.
@@ -111,25 +119,69 @@
         permit: Option<EndpointKey>,
     ) -> Selection {
         let rule = request.versions.as_ref();
+        let filter = VersionFilter {
+            rule,
+            is_listed_only: self.can_use_listed(now_us, request, tried, rule),
+        };
         if let Some(rule) = rule.filter(|rule| rule.choice == VersionChoice::PreferTarget) {
-            let target = rule.only(VersionGroup::Target);
-            let selection = self.select_among(now_us, request, tried, permit, Some(&target));
+            let target = VersionFilter {
+                rule: Some(&rule.only(VersionGroup::Target)),
+                ..filter
+            };
+            let selection = self.select_among(now_us, request, tried, permit, target);
             let has_room = |choice: &Choice| choice.expected.has_room;
             if selection.best.as_ref().is_some_and(has_room) {
                 return selection;
             }
         }
-        self.select_among(now_us, request, tried, permit, rule)
+        self.select_among(now_us, request, tried, permit, filter)
+    }
+
+    /// Returns whether a stream has to begin at a version that the store lists: some endpoints run one and could take it,
+    /// and others run one that the store does not list yet. After a loss of all instances, nothing else would show that
+    /// streams began at a version that left meanwhile.
+    fn can_use_listed(
+        &self,
+        now_us: Micros,
+        request: &PlacementRequest,
+        tried: &[EndpointKey],
+        rule: Option<&VersionRule>,
+    ) -> bool {
+        if !request.is_stream || !self.versions().is_partly_listed(&request.service) {
+            return false;
+        }
+        let filter = VersionFilter {
+            rule,
+            is_listed_only: true,
+        };
+        let untried = self.keys_of(&request.service).iter();
+        let mut untried = untried.filter(|key| !tried.contains(key));
+        untried.any(|key| {
+            self.endpoints.get(key).is_some_and(|endpoint| {
+                self.passes(filter, endpoint)
+                    && self.is_in_allowed_region(&request.allowed_regions, endpoint)
+                    && !matches!(
+                        self.readiness_of(now_us, *key, endpoint),
+                        Readiness::Leaving | Readiness::Evacuated
+                    )
+            })
+        })
+    }
+
+    fn passes(&self, filter: VersionFilter<'_>, endpoint: &Endpoint) -> bool {
+        let entry = &endpoint.entry;
+        filter.rule.is_none_or(|rule| rule.allows(&entry.version))
+            && (!filter.is_listed_only || self.versions().is_listed(&entry.service, &entry.version))
     }
 
-    /// Finds the cheapest endpoint among those that `rule` allows.
+    /// Finds the cheapest endpoint among those of the versions that pass a filter.
     fn select_among(
         &self,
         now_us: Micros,
         request: &PlacementRequest,
         tried: &[EndpointKey],
         permit: Option<EndpointKey>,
-        rule: Option<&VersionRule>,
+        filter: VersionFilter<'_>,
     ) -> Selection {
         let mut best: Option<(EndpointKey, Expected)> = None;
         let mut limited: Option<(EndpointKey, Expected)> = None;
@@ -151,7 +203,7 @@
             let Some(endpoint) = self.endpoints.get(&key) else {
                 continue;
             };
-            if rule.is_some_and(|rule| !rule.allows(&endpoint.entry.version)) {
+            if !self.passes(filter, endpoint) {
                 has_other_versions = true;
                 continue;
             }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -72,5 +72,6 @@
 pub mod tunnel_server;
 pub mod tunnels;
 pub mod unanswered;
+pub mod unlisted_versions;
 pub mod version_history;
 pub mod version_list;
--- a/src/gateway/version_history.rs
+++ b/src/gateway/version_history.rs
@@ -4,23 +4,29 @@
 //! seen itself only covers the time since its start; the versions before that are read from the store. The instances that
 //! watch the store for the others write them when they change: what they have seen and what they have read, so that no
 //! instance drops what another one has seen.
+//!
+//! A version is listed before it is used: streams begin at one that the list lacks only where the service has no other
+//! that could take them. All instances read the list when they see a version that it lacks, to learn that it was written.
 
 use std::sync::Arc;
 
+use rand::RngExt;
 use tokio::time::{self, MissedTickBehavior};
 
 use crate::{
     balance::service_versions::VERSION_MEMORY_US,
     clock::unix_ms,
-    gateway::{protocol::Protocol, state::Gateway, version_list::VersionList},
+    gateway::{
+        protocol::Protocol, state::Gateway, unlisted_versions::UnlistedReads,
+        version_list::VersionList,
+    },
     prelude::Micros,
     store::{ObjectEra, Store, WriteError},
 };
 
 /// The store key of the versions.
 const KEY: &str = "service-versions";
-/// How often the versions are checked for changes to write. Streams that begin at a new version before it is written are
-/// taken for those of another one if all instances are lost and the new version leaves meanwhile.
+/// How often the versions are checked for changes to write. A new version waits for its first streams meanwhile.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 /// The delay before a failed call is retried. Streams without a record are refused until the versions have been read.
 const RETRY_US: Micros = 200_000;
@@ -49,6 +55,7 @@
     /// `None` until the store has been read, and again when it must be reread.
     stored: Option<Stored>,
     pending: Option<PendingWrite>,
+    unlisted_reads: UnlistedReads,
     /// No store call is made before this time.
     next_call_us: Micros,
 }
@@ -67,6 +74,7 @@
         store,
         stored: is_first_start.then(Stored::default),
         pending: None,
+        unlisted_reads: UnlistedReads::default(),
         next_call_us: 0,
     };
     sync.run()
@@ -93,6 +101,13 @@
         if self.gateway.watches_store() {
             self.update(now_us).await;
         }
+        let has_unlisted = self.gateway.balancer().versions().has_unlisted();
+        let instances = self.gateway.instance_counts().all;
+        let draw = rand::rng().random_range(0.0..1.0);
+        let reads = &mut self.unlisted_reads;
+        if reads.is_due(now_us, has_unlisted, instances, draw) {
+            self.read().await;
+        }
     }
 
     /// Writes the list if it lacks something and no other instance is to write it first.
--- a/tests/edge/cluster.rs
+++ b/tests/edge/cluster.rs
@@ -252,6 +252,12 @@
         self.tasks.push(tokio::spawn(reading));
     }
 
+    /// Returns whether streams may begin at a version of the service `svc`.
+    pub fn lists_version(&self, version: &str) -> bool {
+        let balancer = self.gateway.balancer();
+        balancer.versions().is_listed("svc", version)
+    }
+
     /// Follows the endpoints and the configuration in the store at `addr`.
     pub fn follow(&mut self, addr: SocketAddr) {
         let gateway = self.gateway.clone();
--- a/tests/edge/stream_losses.rs
+++ b/tests/edge/stream_losses.rs
@@ -253,9 +253,9 @@
     }
     let is_known = |site: &Site| {
         let mut connected = site.instances[..6].iter();
-        connected.all(|i| i.gateway.has_several_versions("svc"))
+        connected.all(|i| i.lists_version("v2"))
     };
-    until("the second version to be known", || is_known(&site)).await;
+    until("the second version to be listed", || is_known(&site)).await;
     let begun = begin_streams(&site, 0, "cut", STREAMS).await;
     let mut calls = JoinSet::new();
     for id in begun {
@@ -381,9 +381,9 @@
     for index in (0..ENDPOINTS).filter(|index| !OLD.contains(index)) {
         set_version(site, index, "v2");
     }
-    until("the second version to be known", || {
+    until("the second version to be listed", || {
         let mut connected = site.instances[..connected].iter();
-        connected.all(|i| i.gateway.has_several_versions("svc"))
+        connected.all(|i| i.lists_version("v2"))
     })
     .await;
     let begun = begin_streams(site, 0, name, STREAMS).await;
@@ -440,9 +440,9 @@
     for index in new {
         set_version(&site, index, "v2");
     }
-    until("the second version to be known", || {
+    until("the second version to be listed", || {
         let mut connected = site.instances[..6].iter();
-        connected.all(|i| i.gateway.has_several_versions("svc"))
+        connected.all(|i| i.lists_version("v2"))
     })
     .await;
     let begun = begin_streams(&site, 0, "missed", STREAMS).await;
@@ -507,7 +507,7 @@
         faults.lose_write_answers = u32::MAX;
         faults.lost_write_delay = Duration::from_secs(60);
     });
-    site.set_versions(&TWO_VERSIONS).await;
+    site.show_versions(&TWO_VERSIONS).await;
     let counts = count_after_loss(&mut site, "unwritten", &TWO_VERSIONS, |site| {
         for index in (0..ENDPOINTS).filter(|index| !OLD.contains(index)) {
             site.platform.remove("servers", &format!("e{index}-0"));
--- a/tests/edge/stream_versions.rs
+++ b/tests/edge/stream_versions.rs
@@ -63,8 +63,18 @@
 pub type Tries = Vec<(String, Vec<String>)>;
 
 impl Site {
-    /// Gives the endpoints these versions in turn, and waits until all instances know.
+    /// Gives the endpoints these versions in turn, and waits until streams may begin at all of them.
     pub async fn set_versions(&self, versions: &[&str]) {
+        self.show_versions(versions).await;
+        until("the versions to be listed", || {
+            let mut instances = self.instances.iter();
+            instances.all(|instance| !instance.gateway.balancer().versions().has_unlisted())
+        })
+        .await;
+    }
+
+    /// Gives the endpoints these versions in turn, and waits until all instances know.
+    pub async fn show_versions(&self, versions: &[&str]) {
         for (index, runner) in self.runners.iter().enumerate() {
             let mut spec = entry(runner.addr);
             spec["version"] = versions[index % versions.len()].into();
@@ -362,9 +372,9 @@
     spec["capacity"] = (8 * SLOTS).into();
     site.runners[8].replace("e8-1");
     site.platform.set("servers", "e8-1", spec);
-    until("the second version to be known", || {
+    until("the second version to be listed", || {
         let mut instances = site.instances.iter();
-        instances.all(|i| i.gateway.has_several_versions("svc"))
+        instances.all(|i| i.lists_version("v2"))
     })
     .await;
     leave.send_replace(true);
--- a/tests/gateway/memory_store.rs
+++ b/tests/gateway/memory_store.rs
@@ -15,6 +15,7 @@
     era: u64,
     objects: BTreeMap<String, Object>,
     fails_reads: bool,
+    fails_writes: bool,
     /// Number of writes that are done and whose answer is lost.
     answers_to_lose: u32,
     reads: u32,
@@ -35,6 +36,10 @@
         self.lock().fails_reads = fails;
     }
 
+    pub fn fail_writes(&self, fails: bool) {
+        self.lock().fails_writes = fails;
+    }
+
     pub fn lose_answers(&self, count: u32) {
         self.lock().answers_to_lose = count;
     }
@@ -87,6 +92,10 @@
     }
 
     async fn write(&self, key: &str, value: Bytes, expected: u64) -> Result<u64, WriteError> {
+        if self.lock().fails_writes {
+            let reason = "refused".to_owned();
+            return Err(WriteError::NotWritten { reason });
+        }
         let known = self.lock().objects.get(key).map_or(0, |o| o.version);
         if known != expected {
             return Err(WriteError::Conflict);
--- a/tests/gateway/version_history.rs
+++ b/tests/gateway/version_history.rs
@@ -4,19 +4,24 @@
 
 use ryevalve::{
     balance::{
+        balancer::Placement,
+        cost::PlacementRequest,
         discovery::EndpointEntry,
+        load::EndpointKey,
         service_versions::{ServiceVersions, VERSION_MEMORY_US},
+        versions::VersionRule,
     },
-    gateway::{state::Gateway, version_history, version_list::VersionList},
+    gateway::{state::Gateway, unlisted_versions, version_history, version_list::VersionList},
     platform::headers::PlatformProtocol,
     prelude::{Micros, Name},
+    rollouts::VersionChoice,
 };
 use tokio::time;
 
 use crate::{
     current_config::bounds,
     memory_store::MemoryStore,
-    support::{SECOND, at, entry},
+    support::{SECOND, at, entry, placement_request},
 };
 
 const KEY: &str = "service-versions";
@@ -51,9 +56,18 @@
 
 /// Starts an instance that watches the store and has seen version v1.
 fn start(store: &MemoryStore, is_first_start: bool) -> Arc<Gateway<PlatformProtocol>> {
+    start_one(store, is_first_start, true)
+}
+
+/// Starts an instance that has seen version v1.
+fn start_one(
+    store: &MemoryStore,
+    is_first_start: bool,
+    watches_store: bool,
+) -> Arc<Gateway<PlatformProtocol>> {
     let gateway = Gateway::new(PlatformProtocol, "here".into(), bounds(true), true);
     let gateway = Arc::new(gateway);
-    gateway.set_watches_store(true);
+    gateway.set_watches_store(watches_store);
     add_endpoint(&gateway, "a", "v1");
     let syncing = version_history::start(gateway.clone(), store.clone(), is_first_start);
     tokio::spawn(syncing);
@@ -173,6 +187,160 @@
     assert_eq!(store.revision(), writes, "the list is written again");
 }
 
+/// Returns the versions at which 40 requests in a row are placed.
+fn versions_used(
+    gateway: &Gateway<PlatformProtocol>,
+    change: impl Fn(&mut PlacementRequest),
+    tried: &[EndpointKey],
+) -> Vec<String> {
+    let mut used = Vec::new();
+    for subject in 0..40 {
+        let now_us = gateway.clock.now_us();
+        // No prompt is cached.
+        let mut request = placement_request(now_us + subject, 100, 0, now_us);
+        change(&mut request);
+        let mut balancer = gateway.balancer();
+        if let Placement::Send(choice) = balancer.place(now_us, &request, tried) {
+            balancer.end(choice.key, choice.expected.uncached_tokens, None);
+            used.push(choice.version.to_string());
+        }
+    }
+    assert_eq!(used.len(), 40, "requests were refused");
+    used.sort_unstable();
+    used.dedup();
+    used
+}
+
+fn stream(_: &mut PlacementRequest) {}
+
+/// Starts an instance in whose list v1 is, and adds an endpoint of v2 while the store takes no writes.
+async fn start_beside_unlisted_version() -> (MemoryStore, Arc<Gateway<PlatformProtocol>>) {
+    let store = MemoryStore::default();
+    store.set(KEY, encode(&["v1"], 0));
+    let gateway = start(&store, false);
+    time::sleep(SETTLED).await;
+    store.fail_writes(true);
+    add_endpoint(&gateway, "b", "v2");
+    time::sleep(SETTLED).await;
+    assert_eq!(stored(&store), ["v1"]);
+    (store, gateway)
+}
+
+/// After a loss of all instances, nothing would show that a stream had begun at the version that the list lacks.
+#[tokio::test]
+async fn stream_does_not_begin_at_a_version_that_could_not_be_written() {
+    let (store, gateway) = start_beside_unlisted_version().await;
+    assert_eq!(versions_used(&gateway, stream, &[]), ["v1"]);
+    store.fail_writes(false);
+    time::sleep(SETTLED).await;
+    assert_eq!(versions_used(&gateway, stream, &[]), ["v1", "v2"]);
+}
+
+#[tokio::test]
+async fn version_that_could_not_be_written_is_used_where_no_listed_one_could_take_a_stream() {
+    let (_store, gateway) = start_beside_unlisted_version().await;
+    let tried = gateway.balancer().key_of("a").unwrap();
+    assert_eq!(versions_used(&gateway, stream, &[tried]), ["v2"]);
+    let leaving = EndpointEntry {
+        draining: true,
+        ..entry("a", "here", 1)
+    };
+    gateway.balancer().upsert_endpoint(leaving, at(2));
+    assert_eq!(versions_used(&gateway, stream, &[]), ["v2"]);
+    gateway.balancer().remove_endpoint(1, "a", at(3));
+    assert_eq!(versions_used(&gateway, stream, &[]), ["v2"]);
+}
+
+#[tokio::test]
+async fn stream_that_began_at_a_version_that_could_not_be_written_goes_on_there() {
+    let (_store, gateway) = start_beside_unlisted_version().await;
+    let bind = |request: &mut PlacementRequest| {
+        request.versions = Some(VersionRule::exactly(&"v2".into()));
+    };
+    assert_eq!(versions_used(&gateway, bind, &[]), ["v2"]);
+}
+
+/// A roll-out that prefers its target version must not let streams begin there before it is listed.
+#[tokio::test]
+async fn stream_does_not_begin_at_the_target_of_a_rollout_that_could_not_be_written() {
+    let (store, gateway) = start_beside_unlisted_version().await;
+    let prefer = |request: &mut PlacementRequest| {
+        request.versions = Some(VersionRule {
+            target_version: "v2".into(),
+            choice: VersionChoice::PreferTarget,
+        });
+    };
+    assert_eq!(versions_used(&gateway, prefer, &[]), ["v1"]);
+    store.fail_writes(false);
+    time::sleep(SETTLED).await;
+    assert_eq!(versions_used(&gateway, prefer, &[]), ["v2"]);
+}
+
+/// Requests that are not taken up need no list.
+#[tokio::test]
+async fn version_that_could_not_be_written_is_used_by_requests_that_are_no_streams() {
+    let (_store, gateway) = start_beside_unlisted_version().await;
+    let whole = |request: &mut PlacementRequest| request.is_stream = false;
+    assert_eq!(versions_used(&gateway, whole, &[]), ["v1", "v2"]);
+}
+
+#[tokio::test]
+async fn all_versions_are_used_while_the_list_cannot_be_read() {
+    let store = MemoryStore::default();
+    store.set(KEY, encode(&["v1"], 0));
+    store.fail_reads(true);
+    let gateway = start(&store, false);
+    add_endpoint(&gateway, "b", "v2");
+    time::sleep(SETTLED).await;
+    assert_eq!(versions_used(&gateway, stream, &[]), ["v1", "v2"]);
+}
+
+/// An instance that does not write the list would never use a version that another one wrote.
+#[tokio::test]
+async fn instance_that_does_not_watch_the_store_learns_that_a_version_was_written() {
+    let store = MemoryStore::default();
+    store.set(KEY, encode(&["v1"], 0));
+    let gateway = start_one(&store, false, false);
+    time::sleep(SETTLED).await;
+    let reads = store.reads();
+    time::sleep(SETTLED).await;
+    assert_eq!(store.reads(), reads, "the list is read without need");
+    add_endpoint(&gateway, "b", "v2");
+    assert_eq!(versions_used(&gateway, stream, &[]), ["v1"]);
+    time::sleep(SETTLED).await;
+    assert_eq!(versions_used(&gateway, stream, &[]), ["v1"]);
+    store.set(KEY, encode(&["v1", "v2"], 0));
+    time::sleep(SETTLED).await;
+    assert_eq!(versions_used(&gateway, stream, &[]), ["v1", "v2"]);
+    assert!(store.reads() - reads < 10, "{} reads", store.reads());
+}
+
+/// The store allows 2,000 reads a second for everybody, and all instances see a new version at the same moment.
+#[test]
+fn instances_do_not_read_the_list_all_at_once_when_a_version_appears() {
+    for instances in [7, 85, 300, 985] {
+        let mut reads_at_ms = Vec::new();
+        for instance in 0..instances {
+            let draw = instance as f64 / instances as f64;
+            let mut at_ms = 0;
+            // The list stays without the version for a while.
+            for attempt in 0..8 {
+                let delay = unlisted_versions::read_delay(instances, attempt, draw);
+                at_ms += delay.as_millis();
+                reads_at_ms.push(at_ms);
+            }
+        }
+        let busiest = (0..30_000).step_by(100).map(|from_ms| {
+            let second = from_ms..from_ms + 1_000;
+            reads_at_ms.iter().filter(|at| second.contains(*at)).count()
+        });
+        let busiest = busiest.max().unwrap();
+        assert!(busiest <= 1_000, "{instances}: {busiest} reads in a second");
+    }
+    let first = unlisted_versions::read_delay(7, 0, 1.0);
+    assert!(first < Duration::from_millis(100), "{first:?}");
+}
+
 /// An instance in a simulation: what it knows, and its clock.
 struct Simulated {
     versions: ServiceVersions,
