The duration of a roll-out counts from the order, not from the start of an instance

Operators saw a roll-out end after its duration if all instances were lost meanwhile: each instance counted from its first sight of the order.

The time is recorded with the state `running` (`startedUnixMs`, no call more) and sent with the order, and an instance that learns of the order counts what has passed by then. Instances that know the order keep their own count, so that clocks are compared only by those that start later.

With a late start, the lack of answers shows less: a watcher waits for a second for the stage and reports of the others before it shifts or ends a roll-out that began earlier, and takes the service for idle only if it has known the order for half of the canary's time.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -212,7 +212,12 @@
 
 /// Returns Unix time in seconds, for data that outlives the process.
 pub fn unix_s() -> u64 {
+    unix_ms() / 1_000
+}
+
+/// Returns Unix time in milliseconds, for data that outlives the process.
+pub fn unix_ms() -> u64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
-        .map_or(0, |d| d.as_secs())
+        .map_or(0, |d| d.as_millis() as u64)
 }
--- a/src/gateway/rollout_loop.rs
+++ b/src/gateway/rollout_loop.rs
@@ -202,15 +202,18 @@
     loop {
         interval.tick().await;
         let unrecorded = gateway.rollouts.unrecorded();
-        pending.retain(|id, _| unrecorded.iter().any(|(order, _)| order.id == *id));
+        pending.retain(|id, _| unrecorded.iter().any(|(known, _)| known.order.id == *id));
         if !gateway.watches_store() {
             continue;
         }
-        for (order, state) in unrecorded {
+        for (known, state) in unrecorded {
+            let order = &known.order;
             let now_us = gateway.clock.now_us();
             let stagger_us = gateway.watch_position() as Micros * RECORD_STAGGER_US;
-            let known = pending.get(&order.id).filter(|known| known.state == state);
-            let record = known.copied().unwrap_or(PendingRecord {
+            let before = pending
+                .get(&order.id)
+                .filter(|before| before.state == state);
+            let record = before.copied().unwrap_or(PendingRecord {
                 state,
                 next_try_us: now_us + stagger_us,
             });
@@ -218,8 +221,8 @@
             if now_us < record.next_try_us {
                 continue;
             }
-            let recorded = store.record(&order, state).await;
-            note_recorded(&gateway, &order, recorded);
+            let recorded = store.record(&known, state).await;
+            note_recorded(&gateway, order, recorded);
             let next_try_us = gateway.clock.now_us() + RECORD_RETRY_US;
             pending.insert(order.id, PendingRecord { state, next_try_us });
         }
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -17,6 +17,7 @@
         load::EndpointKey,
         versions::{VersionCounts, VersionRule},
     },
+    clock::unix_ms,
     gateway::staleness::{Staleness, StalenessBound},
     prelude::{Incarnation, Micros, Name, StorePosition},
     rollouts::{
@@ -83,6 +84,8 @@
     pub order: RolloutOrder,
     /// The recorded state; none if nothing was recorded for this order yet.
     pub recorded: Option<RolloutState>,
+    /// Unix time at which the duration began, if it is known: when the first of the instances learned of the order.
+    pub started_unix_ms: Option<u64>,
 }
 
 /// A roll-out as instances send it to each other.
@@ -123,14 +126,14 @@
 
 /// Records the states of roll-outs where they outlast the processes.
 pub trait RolloutStatusStore: Clone + Send + Sync + 'static {
-    /// Records the state of an order, unless it or a final state is recorded already; returns the state that is recorded
+    /// Records the state of an order and when its duration began, unless it or a final state is recorded already; returns the state that is recorded
     /// afterwards, or `None` if the order does not exist any more.
     ///
     /// # Errors
     /// Why the state was not recorded, or may not have been.
     fn record(
         &self,
-        order: &RolloutOrder,
+        known: &KnownOrder,
         state: RolloutState,
     ) -> impl Future<Output = Result<Option<RolloutState>, String>> + Send;
 }
@@ -191,13 +194,22 @@
 
 impl ActiveRollout {
     fn new(now_us: Micros, share: f64, known: KnownOrder) -> Self {
+        let now_unix_ms = unix_ms();
+        let started_unix_ms = known.started_unix_ms.unwrap_or(now_unix_ms);
+        let elapsed_us = now_unix_ms
+            .saturating_sub(started_unix_ms)
+            .saturating_mul(1_000);
+        let known = KnownOrder {
+            started_unix_ms: Some(started_unix_ms),
+            ..known
+        };
         Self {
             stage: Stage::Canary,
             canary_share: share,
             credit: ExposureCredit::new(share),
             evidence: Evidence::default(),
             times: AnswerTimes::default(),
-            decider: RolloutDecider::new(known.order.clone(), now_us),
+            decider: RolloutDecider::with_elapsed(known.order.clone(), now_us, elapsed_us),
             known,
             sent_to_target: 0,
             bad_answers: 0,
@@ -561,14 +573,14 @@
     }
 
     /// Returns the orders whose state is not recorded yet, with that state.
-    pub fn unrecorded(&self) -> Vec<(RolloutOrder, RolloutState)> {
+    pub fn unrecorded(&self) -> Vec<(KnownOrder, RolloutState)> {
         let state = self.lock();
         let unrecorded = state.active.iter().filter(|a| {
             let recorded = a.known.recorded;
             recorded != Some(a.wanted_state()) && !recorded.is_some_and(RolloutState::is_final)
         });
         unrecorded
-            .map(|a| (a.known.order.clone(), a.wanted_state()))
+            .map(|a| (a.known.clone(), a.wanted_state()))
             .collect()
     }
 
--- a/src/platform/rollouts.rs
+++ b/src/platform/rollouts.rs
@@ -46,6 +46,9 @@
 struct RolloutStatus {
     state: RecordedState,
     target_version: Name,
+    /// When the duration began.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    started_unix_ms: Option<u64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -103,14 +106,18 @@
         target_version: spec.target_version.clone(),
         duration_us: (duration_s * 1e6) as u64,
     };
-    let recorded = recorded_state(object.status.as_ref(), &spec.target_version);
-    Ok(KnownOrder { order, recorded })
+    let status = read_status(object.status.as_ref(), &spec.target_version);
+    Ok(KnownOrder {
+        order,
+        recorded: status.as_ref().map(|status| status.state.into()),
+        started_unix_ms: status.and_then(|status| status.started_unix_ms),
+    })
 }
 
-/// Returns the state recorded for a target version. A status for another version belongs to an earlier order.
-fn recorded_state(status: Option<&Value>, target_version: &str) -> Option<RolloutState> {
+/// Returns the status recorded for a target version. One for another version belongs to an earlier order.
+fn read_status(status: Option<&Value>, target_version: &str) -> Option<RolloutStatus> {
     let status = RolloutStatus::deserialize(status?).ok()?;
-    (*status.target_version == *target_version).then(|| status.state.into())
+    (*status.target_version == *target_version).then_some(status)
 }
 
 /// Returns the FNV-1a hash of what identifies an order.
@@ -137,25 +144,27 @@
 impl RolloutStatusStore for RolloutStatuses {
     async fn record(
         &self,
-        order: &RolloutOrder,
+        known: &KnownOrder,
         state: RolloutState,
     ) -> Result<Option<RolloutState>, String> {
+        let order = &known.order;
         let mut client = self.0.client();
         let name = &*order.service;
         let found: Option<Object<Value>> = client.get(KIND, name).await.map_err(message)?;
         let Some(mut object) = found else {
             return Ok(None);
         };
-        let known = read_order(&decode(&object)?)?;
-        if known.order.id != order.id {
+        let stored = read_order(&decode(&object)?)?;
+        if stored.order.id != order.id {
             return Ok(None);
         }
-        if let Some(recorded) = known.recorded.filter(|r| *r == state || r.is_final()) {
+        if let Some(recorded) = stored.recorded.filter(|r| *r == state || r.is_final()) {
             return Ok(Some(recorded));
         }
         let status = RolloutStatus {
             state: state.into(),
             target_version: order.target_version.clone(),
+            started_unix_ms: stored.started_unix_ms.or(known.started_unix_ms),
         };
         object.status = Some(serde_json::to_value(status).map_err(|e| e.to_string())?);
         client
--- a/src/rollouts/stages.rs
+++ b/src/rollouts/stages.rs
@@ -55,6 +55,9 @@
 const RESERVE_PART: f64 = 0.1;
 /// Time for which the endpoints of a group are to be missing before that counts: an update may be on its way.
 const MISSING_US: Micros = 2_000_000;
+/// Time in which a watcher that has just learned of an order gets the stage and the reports of the others. Until then, the
+/// lack of evidence shows nothing.
+const FIRST_REPORTS_US: Micros = 1_000_000;
 
 /// The stage of a roll-out.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -194,7 +197,10 @@
 pub struct RolloutDecider {
     order: RolloutOrder,
     schedule: Schedule,
-    started_us: Micros,
+    /// When this watcher learned of the order.
+    known_since_us: Micros,
+    /// The part of the duration that had passed by then.
+    elapsed_before_us: Micros,
     stage: Stage,
     stage_since_us: Micros,
     /// The stage is final and in the store.
@@ -208,10 +214,16 @@
 impl RolloutDecider {
     /// Begins at [`Stage::Canary`] with an order whose duration counts from `now_us`.
     pub fn new(order: RolloutOrder, now_us: Micros) -> Self {
+        Self::with_elapsed(order, now_us, 0)
+    }
+
+    /// Begins at [`Stage::Canary`] with an order of whose duration `elapsed_us` have passed.
+    pub fn with_elapsed(order: RolloutOrder, now_us: Micros, elapsed_us: Micros) -> Self {
         Self {
             schedule: Schedule::new(order.duration_us),
             order,
-            started_us: now_us,
+            known_since_us: now_us,
+            elapsed_before_us: elapsed_us,
             stage: Stage::Canary,
             stage_since_us: now_us,
             is_recorded: false,
@@ -288,6 +300,12 @@
         }
     }
 
+    /// Returns the part of the duration that has passed.
+    fn elapsed_us(&self, now_us: Micros) -> Micros {
+        let known_for_us = now_us.saturating_sub(self.known_since_us);
+        self.elapsed_before_us.saturating_add(known_for_us)
+    }
+
     fn next_stage(&mut self, now_us: Micros, facts: GroupFacts) -> Stage {
         let verdict = judge(&self.sum);
         if let Verdict::Bad(reason) = verdict {
@@ -301,9 +319,7 @@
             _ if now_us.saturating_sub(self.target_seen_us) >= MISSING_US => {
                 self.roll_back(BadReason::NoEndpoint)
             }
-            _ if now_us.saturating_sub(self.started_us) >= self.schedule.last_us => {
-                self.at_end(facts)
-            }
+            _ if self.elapsed_us(now_us) >= self.schedule.last_us => self.at_end(facts),
             Stage::Shifting(step) => self.after_shift_step(now_us, step),
             _ => self.after_draining(now_us, facts),
         }
@@ -329,15 +345,14 @@
     }
 
     fn after_canary(&mut self, now_us: Micros, verdict: Verdict) -> Stage {
-        let elapsed_us = now_us.saturating_sub(self.started_us);
-        if elapsed_us < self.schedule.shift_us {
+        if self.elapsed_us(now_us) < self.schedule.shift_us || self.awaits_reports(now_us) {
             return Stage::Canary;
         }
         let is_target_ready = self.target_seen_us == now_us;
-        if is_target_ready && self.may_shift(elapsed_us, verdict) {
+        if is_target_ready && self.may_shift(now_us, verdict) {
             return Stage::Shifting(0);
         }
-        if elapsed_us < self.schedule.last_us {
+        if self.elapsed_us(now_us) < self.schedule.last_us {
             return Stage::Canary;
         }
         self.roll_back(match is_target_ready {
@@ -347,10 +362,11 @@
     }
 
     /// Waits one step for rare routes, and longer only for the service as a whole.
-    fn may_shift(&self, elapsed_us: Micros, verdict: Verdict) -> bool {
+    fn may_shift(&self, now_us: Micros, verdict: Verdict) -> bool {
         if verdict == Verdict::Good {
             return true;
         }
+        let elapsed_us = self.elapsed_us(now_us);
         if elapsed_us
             < self
                 .schedule
@@ -359,16 +375,29 @@
         {
             return false;
         }
-        let answers = self.sum.answers();
-        let is_idle = answers.target.total == 0 && answers.others.total == 0;
         let is_late = elapsed_us >= self.schedule.latest_shift_us;
-        is_good_over_all(&self.sum) || (is_idle && is_late)
+        is_good_over_all(&self.sum) || (is_late && self.is_service_idle(now_us))
+    }
+
+    /// Returns whether the order began before this watcher learned of it, and that is so short ago that the others have
+    /// not told it what they know.
+    fn awaits_reports(&self, now_us: Micros) -> bool {
+        let known_for_us = now_us.saturating_sub(self.known_since_us);
+        self.elapsed_before_us >= FIRST_REPORTS_US && known_for_us < FIRST_REPORTS_US
+    }
+
+    /// Returns whether the service gets no requests, as far as this watcher has known the order for long enough to say.
+    fn is_service_idle(&self, now_us: Micros) -> bool {
+        let answers = self.sum.answers();
+        let known_for_us = now_us.saturating_sub(self.known_since_us);
+        let is_without_answers = answers.target.total == 0 && answers.others.total == 0;
+        is_without_answers && known_for_us >= self.schedule.shift_us / 2
     }
 
     /// Goes on to the next step, but not while a test leans to bad and there is time.
     fn after_shift_step(&self, now_us: Micros, step: u8) -> Stage {
         let step_us = self.schedule.steps_us.get(usize::from(step));
-        let elapsed_us = now_us.saturating_sub(self.started_us);
+        let elapsed_us = self.elapsed_us(now_us);
         let latest_us = self.schedule.latest_hold_us;
         let is_over = now_us.saturating_sub(self.stage_since_us) >= step_us.copied().unwrap_or(0);
         if !is_over || (elapsed_us < latest_us && leans_to_bad(&self.sum)) {
--- a/tests/gateway/rollouts.rs
+++ b/tests/gateway/rollouts.rs
@@ -28,7 +28,11 @@
     RolloutSet {
         position: StorePosition::new(1, revision),
         rollouts: vec![SentRollout {
-            known: KnownOrder { order, recorded },
+            known: KnownOrder {
+                order,
+                recorded,
+                started_unix_ms: None,
+            },
             stage,
         }],
     }
--- a/tests/rollouts/stages.rs
+++ b/tests/rollouts/stages.rs
@@ -19,14 +19,17 @@
     is_store_answering: true,
 };
 
-fn decider(duration_us: u64) -> RolloutDecider {
-    let order = RolloutOrder {
+fn order(duration_us: u64) -> RolloutOrder {
+    RolloutOrder {
         id: OrderId(1),
         service: "service".into(),
         target_version: "2".into(),
         duration_us,
-    };
-    RolloutDecider::new(order, 0)
+    }
+}
+
+fn decider(duration_us: u64) -> RolloutDecider {
+    RolloutDecider::new(order(duration_us), 0)
 }
 
 fn answers(evidence: &mut Evidence, group: VersionGroup, quality: AnswerQuality, number: u32) {
@@ -127,6 +130,47 @@
     );
 }
 
+/// Fails if a watcher that learns of the order later counts the duration anew.
+#[test]
+fn duration_counts_from_the_beginning_of_the_order() {
+    let elapsed_us = 10 * SECOND_US;
+    let mut decider = RolloutDecider::with_elapsed(order(20 * SECOND_US), 0, elapsed_us);
+    let stages = run_good(&mut decider, |_| FACTS);
+    let last = stages[stages.len() - 1];
+    assert_eq!(last.1, Stage::Completed);
+    assert!(last.0 < 10 * SECOND_US, "{stages:?}");
+}
+
+/// Fails if a watcher that learns of the order at the end of its duration rolls it back before it can know the stage.
+#[test]
+fn late_watcher_waits_for_the_stage_of_the_others() {
+    let elapsed_us = 20 * SECOND_US;
+    let late = || RolloutDecider::with_elapsed(order(20 * SECOND_US), 0, elapsed_us);
+    let mut told = late();
+    assert_eq!(told.step(100 * MS_US, FACTS), Stage::Canary);
+    told.follow(500 * MS_US, Stage::Draining);
+    assert_eq!(told.step(600 * MS_US, FACTS), Stage::Completed);
+    let mut alone = late();
+    assert_eq!(alone.step(100 * MS_US, FACTS), Stage::Canary);
+    assert_eq!(alone.step(1_100 * MS_US, FACTS), Stage::RolledBack);
+    assert_eq!(alone.reason(), Some(BadReason::TooLittleEvidence));
+}
+
+/// Fails if a watcher takes the lack of answers since its own start for a service without requests.
+#[test]
+fn late_watcher_does_not_complete_a_version_without_evidence() {
+    let elapsed_us = 15 * SECOND_US;
+    let mut late = RolloutDecider::with_elapsed(order(20 * SECOND_US), 0, elapsed_us);
+    let steps = (0..6 * SECOND_US).step_by(100_000);
+    let stages: Vec<Stage> = steps.map(|now_us| late.step(now_us, FACTS)).collect();
+    assert!(
+        stages
+            .iter()
+            .all(|s| [Stage::Canary, Stage::RolledBack].contains(s))
+    );
+    assert_eq!(late.stage(), Stage::RolledBack);
+}
+
 /// Fails if the stage says completed before the store can record it.
 #[test]
 fn completing_waits_for_the_store() {
