A roll-out is not completed by a watcher that has not met all instances

A watcher that has just started, as in a rolling kill, counted the instances of its own view. Told the stage by the first instance that it met, it could record `completed` with the reports of these two, while others ran requests at the old versions, whose endpoints stop at that moment: their callers would get cut answers.

All instances of the group are now those that the group remembers (the number by which limits are divided). While that is not known, the roll-out is completed at the end of its duration.

The test failed before: completed with two of seven instances, and where their number is not known. It passes now, as does one with two of two. A rolling kill of real processes in this stage was not run.

--- a/src/gateway/rollout_loop.rs
+++ b/src/gateway/rollout_loop.rs
@@ -104,10 +104,20 @@
         GroupFacts {
             target_ready: counts.target_ready,
             others_known: counts.others_known,
-            instances_known: self.instance_counts().all,
+            instances_known: self.instances_to_drain(),
             is_store_answering: self.are_rollouts_fresh(),
         }
     }
+
+    /// Returns the number of instances in the group, 0 if it is not known: an instance that has just started has not met
+    /// all of them.
+    fn instances_to_drain(&self) -> usize {
+        if !self.quota.knows_instance_count() {
+            return 0;
+        }
+        let counted = self.quota.divisor(self.clock.now_us()) as usize;
+        counted.max(self.instance_counts().all)
+    }
 }
 
 /// Returns the name of a stage in the log; the share tells the steps of the shift apart.
--- a/src/rollouts/stages.rs
+++ b/src/rollouts/stages.rs
@@ -144,7 +144,7 @@
     pub target_ready: u32,
     /// Known endpoints of other versions, in any state.
     pub others_known: u32,
-    /// Instances in the group.
+    /// Instances in the group; 0 if their number is not known.
     pub instances_known: usize,
     /// The store answers, so that a status can be recorded.
     pub is_store_answering: bool,
--- a/tests/gateway/rollouts.rs
+++ b/tests/gateway/rollouts.rs
@@ -1,14 +1,30 @@
 //! Roll-outs at one instance: which stage and recorded state it believes, which versions it sends to, which answers are slow.
 
+use std::{sync::Arc, time::Duration};
+
 use ryevalve::{
-    balance::versions::VersionCounts,
-    gateway::rollouts::{KnownOrder, RolloutSet, RolloutState, Rollouts, SentRollout},
-    prelude::{Name, StorePosition},
+    balance::{load::EndpointKey, versions::VersionCounts},
+    clock::{Clock, TimeSource},
+    gateway::{
+        rollout_loop,
+        rollouts::{
+            KnownOrder, RolloutBounds, RolloutMessage, RolloutSet, RolloutState, Rollouts,
+            SentRollout,
+        },
+        staleness::StalenessBound,
+        state::{Gateway, GatewayBounds},
+    },
+    limits::instance_counts::InstanceCounts,
+    platform::headers::PlatformProtocol,
+    prelude::{Incarnation, Name, StorePosition},
     rollouts::{
-        AnswerTime, AnswerTimes, OrderId, RolloutOrder, Stage, TimeSpan, VersionChoice,
-        VersionGroup,
+        AnswerQuality, AnswerTime, AnswerTimes, Evidence, OrderId, RolloutOrder, Stage, TimeSpan,
+        VersionChoice, VersionGroup,
     },
 };
+use tokio::time;
+
+use crate::{current_config::bounds, support::SECOND};
 
 const SHARE: f64 = 0.1;
 const ROUTE: u32 = 1;
@@ -154,3 +170,65 @@
     let slow = times.is_slow(VersionGroup::Target, first(1_000.0, 190.0));
     assert_eq!(slow, Some(true));
 }
+
+/// Returns a watcher that was told that requests at the old versions end, and that has met one of the other instances,
+/// at which they have ended.
+fn watcher_that_met_one() -> Arc<Gateway<PlatformProtocol>> {
+    let clock = Clock::new(TimeSource::simulated());
+    let gateway = Gateway::with_clock(PlatformProtocol, "h".into(), bounds(true), false, clock);
+    let rollouts = RolloutBounds {
+        exposure_share: SHARE,
+        rollback: StalenessBound(5 * SECOND),
+    };
+    gateway.set_bounds(GatewayBounds {
+        rollouts: Some(rollouts),
+        ..gateway.bounds()
+    });
+    gateway.set_watches_store(true);
+    gateway.set_instance_counts(InstanceCounts { all: 2, heard: 2 });
+    gateway.quota.set_instances(2);
+    let now_us = gateway.clock.now_us().max(1);
+    gateway.apply_rollouts(&set(5, None, Stage::Draining), Some(now_us), "peer");
+    let mut evidence = Evidence::default();
+    for number in 0..400 {
+        let group = match number % 4 {
+            0 => VersionGroup::Target,
+            _ => VersionGroup::Others,
+        };
+        let endpoint = EndpointKey(number % 6);
+        evidence.note_answer(ROUTE, group, endpoint, AnswerQuality::Good);
+    }
+    let message = RolloutMessage {
+        order: OrderId(1),
+        report: evidence.report(0, true),
+    };
+    gateway.rollouts.receive(now_us, Incarnation(7), message);
+    gateway.into()
+}
+
+async fn stage_after_a_second(gateway: &Arc<Gateway<PlatformProtocol>>) -> Stage {
+    let running = tokio::spawn(rollout_loop::run(gateway.clone()));
+    time::sleep(Duration::from_secs(1)).await;
+    running.abort();
+    known(&gateway.rollouts).1
+}
+
+/// Guards against a watcher that has just started and completes while requests run at the old versions of instances that
+/// it has not met yet: their endpoints would stop.
+#[tokio::test(start_paused = true)]
+async fn watcher_does_not_complete_before_all_instances_have_drained() {
+    let gateway = watcher_that_met_one();
+    assert_eq!(stage_after_a_second(&gateway).await, Stage::Draining);
+    let now_us = gateway.clock.now_us();
+    gateway.quota.restore_instance_count(now_us, 7);
+    assert_eq!(stage_after_a_second(&gateway).await, Stage::Draining);
+}
+
+/// The group has the two instances that the watcher knows.
+#[tokio::test(start_paused = true)]
+async fn watcher_completes_once_all_instances_have_drained() {
+    let gateway = watcher_that_met_one();
+    let now_us = gateway.clock.now_us();
+    gateway.quota.restore_instance_count(now_us, 2);
+    assert_eq!(stage_after_a_second(&gateway).await, Stage::Completed);
+}
