--- a/tests/edge/stream_versions.rs
+++ b/tests/edge/stream_versions.rs
@@ -484,3 +484,21 @@
     assert!(several * 4 >= STREAMS, "{several} of {STREAMS} differ");
     assert!(mixed.is_empty(), "{mixed:?} of {several}");
 }
+
+/// A release must not wait for the list of versions.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_may_begin_at_a_new_version_soon_after_it_appears() {
+    let site = Site::start(190, 7, 8).await;
+    site.set_versions(&["v1"]).await;
+    // The watchers of the store are settled.
+    time::sleep(Duration::from_secs(2)).await;
+    site.show_versions(&TWO_VERSIONS).await;
+    let seen = time::Instant::now();
+    until("the second version to be listed", || {
+        site.instances.iter().all(|i| i.lists_version("v2"))
+    })
+    .await;
+    let took = seen.elapsed();
+    println!("listed after {took:?}");
+    assert!(took < Duration::from_millis(200), "{took:?}");
+}
