Streams of a route are taken up at the service that began them

Callers whose stream broke off took it up on a route that leads to two services, or had led to another one until recently, and got the rest from the other service: joined from two services, with nothing to show it.

Cause: what may have begun a stream was taken from the versions of the one service that was drawn at the take-up. Where each service has one version, nothing was recorded, and that version was taken for the origin.

A stream is recorded unless its service and version are the only ones at which streams of its path can have begun; running streams are recorded when that changes. A take-up that has other services to consider goes on only by a record, for which the owners of the archive are asked with a new question (AskRecord, appended to OriginMessage). A route with one service is treated as before, and nothing is asked of the archive for it.

What an earlier configuration said is known to instances that were there when it was in force; after a loss of all it is not yet.

--- a/src/gateway/origin_lookup.rs
+++ b/src/gateway/origin_lookup.rs
@@ -13,7 +13,8 @@
         reservation_client::DirectMessage,
         state::Gateway,
         stream_origins::{
-            FoundOrigin, HOLDERS, OriginError, OriginMessage, OriginSource, rank_owners,
+            FoundOrigin, HOLDERS, OriginError, OriginMessage, OriginSource, PossibleServices,
+            rank_owners,
         },
     },
     prelude::{Micros, Name},
@@ -100,8 +101,8 @@
 }
 
 impl<P: Protocol> Gateway<P> {
-    /// Returns the origin of a stream that a caller takes up at a service: as it was recorded, or else the service and
-    /// its version if it had no other one. `time_left` is what the caller has left for its request.
+    /// Returns the origin of a stream that a caller takes up: as it was recorded, or else the service and its version if
+    /// there was no other one. `time_left` is what the caller has left for its request.
     ///
     /// # Errors
     /// The origin is unknown, or not known yet.
@@ -109,7 +110,7 @@
         &self,
         organisation: Option<&str>,
         began_as: Option<&HeaderValue>,
-        service: &Name,
+        services: PossibleServices<'_>,
         time_left: Option<Duration>,
     ) -> Result<FoundOrigin, OriginError> {
         let key = began_as.map(|id| StreamKey::of(organisation, id.as_bytes()));
@@ -117,7 +118,7 @@
         let asked_us = self.clock.now_us();
         let timeout = Instant::now() + share.unwrap_or(READ_TIMEOUT).min(READ_TIMEOUT);
         loop {
-            let (found, is_pending) = self.look_up_origin(key, service, asked_us).await;
+            let (found, is_pending) = self.look_up_origin(key, services, asked_us).await;
             let is_waiting = is_pending || found == Err(OriginError::NotYetKnown);
             if !is_waiting || Instant::now() >= timeout {
                 return found;
@@ -131,7 +132,7 @@
     async fn look_up_origin(
         &self,
         key: Option<StreamKey>,
-        service: &Name,
+        services: PossibleServices<'_>,
         asked_us: Micros,
     ) -> (Result<FoundOrigin, OriginError>, bool) {
         let has_key = key.is_some();
@@ -140,11 +141,12 @@
         let asked = self.instances_to_ask(key);
         let mut answers = Answers::default();
         let own = match asked.is_owner && has_key {
-            true => self.archived_origin(key, service),
-            false => self.held_origin(key, service),
+            true if services.has_others => self.recorded_origin(key),
+            true => self.archived_origin(key, services.service),
+            false => self.held_origin(key, services.service),
         };
         if own != OriginMessage::Ambiguous {
-            self.ask_for_origin(&mut answers, &asked, key, service)
+            self.ask_for_origin(&mut answers, &asked, key, services)
                 .await;
         }
         let others_answered = answers.answered;
@@ -160,7 +162,9 @@
             }
             Some(OriginMessage::Unknown {
                 has_several_versions: false,
-            }) => self.conclude_origin(service, others_answered, asked_us),
+            }) if !services.has_others => {
+                self.conclude_origin(services.service, others_answered, asked_us)
+            }
             _ => Err(OriginError::Unknown),
         };
         (found, is_pending)
@@ -220,7 +224,24 @@
     /// Returns what this instance knows of the origin of a stream, together with the archive.
     pub(super) fn archived_origin(&self, key: StreamKey, service: &str) -> OriginMessage {
         let held = self.held_origin(key, service);
-        if held == OriginMessage::Ambiguous || !self.has_several_versions(service) {
+        match self.has_several_versions(service) {
+            true => self.with_archive(key, held),
+            false => held,
+        }
+    }
+
+    /// Returns the record that this instance has of the origin of a stream, or the archive.
+    pub(super) fn recorded_origin(&self, key: StreamKey) -> OriginMessage {
+        let held = self.stream_origins.held(self.clock.now_us(), key);
+        let held = held.unwrap_or(OriginMessage::Unknown {
+            has_several_versions: true,
+        });
+        self.with_archive(key, held)
+    }
+
+    /// Adds what the archive says of a stream to what this instance holds.
+    fn with_archive(&self, key: StreamKey, held: OriginMessage) -> OriginMessage {
+        if held == OriginMessage::Ambiguous {
             return held;
         }
         if self.is_joining() {
@@ -278,7 +299,7 @@
         answers: &mut Answers,
         asked: &Asked,
         key: StreamKey,
-        service: &Name,
+        services: PossibleServices<'_>,
     ) {
         let Some(channel) = self.reservation_client.channel() else {
             return;
@@ -291,8 +312,9 @@
         while !unanswered.is_empty() && !answers.is_final() && Instant::now() < timeout {
             if Instant::now() >= repeat_at {
                 for instance in &unanswered {
-                    let service = service.clone();
+                    let service = services.service.clone();
                     let question = match asked.owners.contains(instance) {
+                        true if services.has_others => OriginMessage::AskRecord { key },
                         true => OriginMessage::AskArchive { key, service },
                         false => OriginMessage::Ask { key, service },
                     };
--- a/src/gateway/resumption.rs
+++ b/src/gateway/resumption.rs
@@ -11,7 +11,7 @@
         protocol::{CallHead, Protocol},
         refuse,
         state::Gateway,
-        stream_origins::{FoundOrigin, OriginError},
+        stream_origins::{FoundOrigin, OriginError, PossibleServices},
     },
     prelude::{Name, Rank},
 };
@@ -39,13 +39,14 @@
     pub version: Option<Name>,
 }
 
-/// Returns where a request on a route is to run; `draw` (0 to 1) picks among the route's services.
+/// Returns where a request for a path on a route is to run; `draw` (0 to 1) picks among the route's services.
 ///
 /// # Errors
 /// The route has no service, or the request takes up a stream and it is not known where that began.
 pub async fn choose_destination<P: Protocol>(
     gateway: &Gateway<P>,
     route: &Route,
+    path: &str,
     head: &CallHead,
     organisation: Option<&str>,
     draw: f64,
@@ -57,10 +58,14 @@
         let version = None;
         return Ok(Destination { service, version });
     }
+    let services = PossibleServices {
+        service: &service,
+        has_others: !gateway.leads_only_to(route, path, &service),
+    };
     let began_as = head.resumes.as_ref();
     let time_left = head.deadline_ms.map(Duration::from_millis);
     let origin = gateway
-        .find_origin(organisation, began_as, &service, time_left)
+        .find_origin(organisation, began_as, services, time_left)
         .await
         .map_err(|error| match error {
             OriginError::Unknown => ORIGIN_UNKNOWN,
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -106,6 +106,12 @@
         targets.any(|t| t.weight > 0 && *t.service == *service)
     }
 
+    /// Returns whether no other service is among the route's targets.
+    pub fn leads_only_to(&self, service: &str) -> bool {
+        let mut targets = self.targets.iter();
+        targets.all(|t| t.weight == 0 || *t.service == *service)
+    }
+
     /// Returns the event after which a request goes on with a stream that an earlier attempt of its caller began, if it
     /// does.
     pub fn resumed_event(&self, head: &CallHead) -> Option<u64> {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -148,9 +148,15 @@
         *fingerprint.get_or_init(compute)
     })?;
     let draw = rand::rng().random_range(0.0..1.0);
-    let destination =
-        resumption::choose_destination(gateway, &route, &head, organisation_name.as_deref(), draw)
-            .await?;
+    let destination = resumption::choose_destination(
+        gateway,
+        &route,
+        parts.uri.path(),
+        &head,
+        organisation_name.as_deref(),
+        draw,
+    )
+    .await?;
     let service = destination.service;
     let limited_organisation = organisation.as_deref();
     let grant = acquire_quota(
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -38,6 +38,7 @@
         quota::Quota,
         reservation_client::ReservationClient,
         rollouts::{RolloutBounds, Rollouts},
+        route_services::RouteServices,
         shares,
         staleness::{Staleness, StalenessBound},
         stream_origins::StreamOrigins,
@@ -166,6 +167,8 @@
     pub stream_origins: StreamOrigins,
     /// How often the members of the view changed.
     member_changes: AtomicU64,
+    /// The services that routes lead to or led to recently.
+    route_services: Mutex<RouteServices>,
     /// The part of the archive of stream origins that this instance writes.
     pub origin_archive: OriginArchive,
     /// Usage limits of organisations.
@@ -241,6 +244,7 @@
             permits: Permits::default(),
             stream_origins: StreamOrigins::default(),
             member_changes: AtomicU64::new(0),
+            route_services: Mutex::default(),
             origin_archive: OriginArchive::default(),
             quota,
             shares: Mutex::default(),
@@ -396,6 +400,11 @@
     pub fn offer(&self, config: GatewayConfig, from: &'static str) {
         let version = config.version;
         let before = self.config.version();
+        if version > before || self.config.table().is_none() {
+            // Before a stream is taken up by the new routes.
+            let now_us = self.clock.now_us();
+            self.route_services().put_in_force(now_us, &config);
+        }
         let offered = self.config.offer(config);
         if offered == OfferOutcome::Known {
             return;
@@ -415,6 +424,11 @@
         );
     }
 
+    /// Locks the services that routes lead to or led to recently. The guard must not be held across an await.
+    pub fn route_services(&self) -> MutexGuard<'_, RouteServices> {
+        lock(&self.route_services)
+    }
+
     /// Applies another instance's copy of the endpoints.
     ///
     /// `fresh_at_us` is the time at which the copy is known to have matched the store, if any.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -158,7 +158,7 @@
     /// The stream is lost for good, for the returned reason.
     async fn fill(&mut self, writer: &StreamWriter) -> Result<(), &'static str> {
         while let Some(events) = self.next().await? {
-            // The stream may have begun before its service had several versions.
+            // The stream may have begun before its service had several versions, or its route another service.
             self.record_origin().await;
             writer.push(events);
             if !self.wait_for_room(writer).await {
@@ -168,29 +168,30 @@
         Ok(())
     }
 
-    /// Writes where the stream began, if its caller may take it up and its service has several versions.
+    /// Writes where the stream began, if its caller may take it up and it could have begun elsewhere.
     async fn record_origin(&mut self) {
-        let service = &self.job.placement_request.service;
         let now_us = self.gateway.clock.now_us();
         // Other instances hold and archive it after a change of members.
         let is_current = |(at_us, changes_then)| {
             changes_then == self.gateway.member_changes()
                 && now_us.saturating_sub(at_us) < RECORD_AGAIN_US
         };
-        if self.origin_recorded.is_some_and(is_current)
-            || !self.job.is_repeatable()
-            || !self.gateway.has_several_versions(service)
-        {
+        if self.origin_recorded.is_some_and(is_current) || !self.job.is_repeatable() {
             return;
         }
-        let Some(version) = self.source.began_version().cloned() else {
+        let Some(version) = self.source.began_version() else {
             return;
         };
+        let service = &self.job.placement_request.service;
+        let (route, path) = (&self.job.route, self.job.uri.path());
+        if self.gateway.is_only_origin(route, path, service, version) {
+            return;
+        }
         let is_first = self.origin_recorded.is_none();
         self.origin_recorded = Some((now_us, self.gateway.member_changes()));
         let origin = StreamOrigin {
             service: service.clone(),
-            version,
+            version: version.clone(),
         };
         self.write_origin(&origin).await;
         if is_first && self.gateway.is_joining() {
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -4,8 +4,8 @@
 //! The instance that relays a stream writes the origin to three instances, found by rendezvous hashing of the stream's
 //! key, when it delivers the first event, and to the owner of the stream's slot in the archive, which outlives all
 //! instances. An instance at which a caller takes the stream up asks these. Nothing waits for a write, and nothing is
-//! written while a service has one version only. A stream whose origin is unknown is refused where several versions could
-//! have begun it.
+//! written while the route leads to one service only, which has one version. A stream whose origin is unknown is refused
+//! where several services or versions could have begun it.
 
 use std::{
     collections::HashMap,
@@ -20,6 +20,7 @@
 use crate::{
     clock::unix_s,
     gateway::{
+        config::Route,
         origin_segments::Slot,
         origin_table::{OriginTable, StreamKey, StreamOrigin},
         protocol::Protocol,
@@ -103,6 +104,21 @@
         /// The service at which the caller takes it up.
         service: Name,
     },
+    /// Asks for the record of a stream that several services may have begun, of an instance that may read the archive for
+    /// it.
+    AskRecord {
+        /// The stream.
+        key: StreamKey,
+    },
+}
+
+/// The services at which a stream that a caller takes up may have begun.
+#[derive(Clone, Copy, Debug)]
+pub struct PossibleServices<'a> {
+    /// One of them, to which its route leads now.
+    pub service: &'a Name,
+    /// Whether there are others.
+    pub has_others: bool,
 }
 
 /// Why the origin of a stream is not known.
@@ -214,6 +230,27 @@
         self.balancer().versions().has_several(service)
     }
 
+    /// Returns whether all streams of a route and a path can only have begun at this service and version.
+    pub(super) fn is_only_origin(
+        &self,
+        route: &Route,
+        path: &str,
+        service: &str,
+        version: &Name,
+    ) -> bool {
+        self.leads_only_to(route, path, service)
+            && self.balancer().versions().sole_version(service) == Some(version)
+    }
+
+    /// Returns whether a route and a path lead to this service only, and led to no other one recently.
+    pub(super) fn leads_only_to(&self, route: &Route, path: &str, service: &str) -> bool {
+        let now_us = self.clock.now_us();
+        route.leads_only_to(service)
+            && self
+                .route_services()
+                .is_only_service(now_us, &route.host, path, service)
+    }
+
     /// Returns the `count` instances that hold a stream's origin first, other than this one.
     pub(super) fn other_holders(&self, key: StreamKey, count: usize) -> Vec<IpAddr> {
         let view = self.view();
@@ -303,6 +340,12 @@
                 .send(from, number, DirectMessage::Origins(answer))
                 .await;
         }
+        OriginMessage::AskRecord { key } => {
+            let answer = gateway.recorded_origin(key);
+            channel
+                .send(from, number, DirectMessage::Origins(answer))
+                .await;
+        }
         OriginMessage::Known(_)
         | OriginMessage::Unknown { .. }
         | OriginMessage::Ambiguous
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -43,6 +43,7 @@
 mod restarts;
 mod retries;
 mod rollouts;
+mod route_services;
 mod routes;
 mod settings;
 mod shares;
