The services of routes outlive all instances

After a loss of all instances, callers took up streams of a route that had been moved to another service before the loss or while all were down, and got the rest from that service.

Cause: to which services a route led was kept in the memory of instances alone. One that starts knows the configuration in force and takes its only service for the one that began the stream.

Change: the stored list of versions has the targets of routes as well (gateway::route_list): those in force, and those that ended within two minutes with the time of their end. It is written when a configuration brings a target, and once more when one ended; lists are merged as those of versions are. The object has a further part, so the type in tests/gateway/version_history.rs has one more (empty) field.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -58,6 +58,7 @@
 pub mod rollout_loop;
 mod rollout_requests;
 pub mod rollouts;
+pub mod route_list;
 pub mod route_services;
 pub mod routes;
 pub mod run;
--- a/src/gateway/route_services.rs
+++ b/src/gateway/route_services.rs
@@ -3,7 +3,7 @@
 //! A stream that its caller takes up may have begun at any of them. Its caller names it by host and path, so what counts
 //! is where these led, whatever the name of the route was.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -14,7 +14,7 @@
 };
 
 /// Where the requests with a host and a path prefix lead to.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum RouteTarget {
     /// To a service.
     Service(Name),
@@ -22,15 +22,17 @@
     ShorterPrefix,
 }
 
-/// Where a host and a path prefix lead to or led to recently.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RouteUse {
+/// Where a host and a path prefix lead to or led to, as instances tell each other by the list in the store.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct KnownTarget {
     /// The host.
     pub host: Name,
     /// The path prefix.
     pub path_prefix: Name,
-    /// The targets, in order.
-    pub targets: Vec<RouteTarget>,
+    /// The target.
+    pub target: RouteTarget,
+    /// For how long no configuration has had it; `None` if that in force has it.
+    pub ended_for_us: Option<Micros>,
 }
 
 /// The targets of one path prefix.
@@ -38,7 +40,7 @@
 struct PrefixUse {
     /// Those of the configuration in force.
     current: BTreeSet<RouteTarget>,
-    /// Those of earlier configurations, and until when these were in force.
+    /// Those of earlier configurations, and when they are forgotten.
     earlier: BTreeMap<RouteTarget, Micros>,
 }
 
@@ -46,29 +48,58 @@
     /// Replaces the targets of the configuration in force.
     fn set_current(&mut self, now_us: Micros, current: BTreeSet<RouteTarget>) {
         let before = std::mem::replace(&mut self.current, current);
-        self.add_earlier(now_us, before);
-    }
-
-    /// Adds targets that the prefix had until now.
-    fn add_earlier(&mut self, now_us: Micros, targets: impl IntoIterator<Item = RouteTarget>) {
-        let ended = targets.into_iter();
-        self.earlier.extend(ended.map(|ended| (ended, now_us)));
+        for ended in before {
+            self.earlier.insert(ended, now_us + VERSION_MEMORY_US);
+        }
         self.earlier
             .retain(|ended, _| !self.current.contains(ended));
     }
 
+    /// Adds that there was no route with this prefix until now.
+    fn add_absence(&mut self, now_us: Micros) {
+        let forget_us = now_us + VERSION_MEMORY_US;
+        self.earlier.insert(RouteTarget::ShorterPrefix, forget_us);
+    }
+
+    /// Adds a target as another instance knows it. One that is not in force here counts from the time at which that was
+    /// first seen.
+    fn merge(&mut self, now_us: Micros, target: RouteTarget, ended_for_us: Option<Micros>) {
+        if self.current.contains(&target) {
+            return;
+        }
+        let forget_us = now_us + VERSION_MEMORY_US.saturating_sub(ended_for_us.unwrap_or(0));
+        let known_us = self.earlier.entry(target).or_insert(forget_us);
+        if ended_for_us.is_some() {
+            *known_us = forget_us.max(*known_us);
+        }
+    }
+
+    /// Returns the targets of earlier configurations that still count, and when they are forgotten.
+    fn remembered(&self, now_us: Micros) -> impl Iterator<Item = (&RouteTarget, Micros)> {
+        let earlier = self.earlier.iter();
+        let earlier = earlier.map(|(target, forget_us)| (target, *forget_us));
+        earlier.filter(move |(_, forget_us)| now_us < *forget_us)
+    }
+
     /// Returns the targets that count.
     fn targets(&self, now_us: Micros) -> impl Iterator<Item = &RouteTarget> {
-        let is_recent = move |ended_us: Micros| now_us.saturating_sub(ended_us) < VERSION_MEMORY_US;
-        let earlier = self.earlier.iter();
-        let recent = earlier.filter(move |(_, ended_us)| is_recent(**ended_us));
-        self.current.iter().chain(recent.map(|(ended, _)| ended))
+        let remembered = self.remembered(now_us);
+        self.current
+            .iter()
+            .chain(remembered.map(|(target, _)| target))
     }
 
     /// Returns whether requests with this prefix may have gone to the route with the next shorter one.
     fn may_lead_on(&self, now_us: Micros) -> bool {
         let mut targets = self.targets(now_us);
-        targets.any(|target| *target == RouteTarget::ShorterPrefix)
+        // Without current targets, only another instance has a route with this prefix, or it leads nowhere.
+        self.current.is_empty() || targets.any(|target| *target == RouteTarget::ShorterPrefix)
+    }
+
+    /// Returns whether there is no service to remember.
+    fn is_unused(&self, now_us: Micros) -> bool {
+        let mut targets = self.targets(now_us);
+        targets.all(|target| *target == RouteTarget::ShorterPrefix)
     }
 }
 
@@ -76,7 +107,7 @@
 #[derive(Debug, Default)]
 pub struct RouteServices {
     by_host: HashMap<Name, BTreeMap<Name, PrefixUse>>,
-    /// Whether a configuration or the history has been added: a prefix that is new after that was not there before.
+    /// Whether a configuration or the list has been added: a prefix that is new after that was not there before.
     is_known: bool,
 }
 
@@ -104,27 +135,36 @@
         self.expire(now_us);
     }
 
-    /// Adds the targets until now of routes that were in force before this instance knew a configuration.
-    pub fn add_history(&mut self, now_us: Micros, history: impl IntoIterator<Item = RouteUse>) {
-        let listed: Vec<RouteUse> = history.into_iter().collect();
-        if listed.is_empty() {
-            return;
+    /// Adds what other instances know, from the list in the store. At the start of this instance, it says which prefixes
+    /// had a route before.
+    pub fn merge_list(
+        &mut self,
+        now_us: Micros,
+        listed: impl IntoIterator<Item = KnownTarget>,
+        is_at_start: bool,
+    ) {
+        let listed: Vec<KnownTarget> = listed.into_iter().collect();
+        if is_at_start && !listed.is_empty() {
+            self.is_known = true;
+            self.add_absent(now_us, &listed);
         }
-        let is_listed = |host: &Name, prefix: &Name| {
-            let mut listed = listed.iter();
-            listed.any(|route| route.host == *host && route.path_prefix == *prefix)
-        };
-        for (host, prefixes) in &mut self.by_host {
-            for (prefix, known) in prefixes {
-                if !is_listed(host, prefix) {
-                    known.add_earlier(now_us, [RouteTarget::ShorterPrefix]);
-                }
-            }
+        for known in listed {
+            let prefix = self.prefix_mut(&known.host, &known.path_prefix, true, now_us);
+            prefix.merge(now_us, known.target, known.ended_for_us);
         }
-        self.is_known = true;
-        for route in listed {
-            let known = self.prefix_mut(&route.host, &route.path_prefix, true, now_us);
-            known.add_earlier(now_us, route.targets);
+        self.expire(now_us);
+    }
+
+    /// Adds that prefixes that a list lacks had no route until now.
+    fn add_absent(&mut self, now_us: Micros, listed: &[KnownTarget]) {
+        let listed = listed.iter();
+        let listed: HashSet<_> = listed
+            .map(|known| (&known.host, &known.path_prefix))
+            .collect();
+        for (host, prefixes) in &mut self.by_host {
+            let unlisted = prefixes.iter_mut();
+            let unlisted = unlisted.filter(|(prefix, _)| !listed.contains(&(host, *prefix)));
+            unlisted.for_each(|(_, prefix)| prefix.add_absence(now_us));
         }
     }
 
@@ -140,7 +180,7 @@
         prefixes.entry(prefix.clone()).or_insert_with(|| {
             let mut new = PrefixUse::default();
             if !was_there {
-                new.add_earlier(now_us, [RouteTarget::ShorterPrefix]);
+                new.add_absence(now_us);
             }
             new
         })
@@ -180,36 +220,39 @@
     }
 
     /// Returns all targets that count, in order.
-    pub fn all(&self, now_us: Micros) -> Vec<RouteUse> {
-        let hosts = self.by_host.iter();
-        let uses = hosts.flat_map(|(host, prefixes)| {
-            prefixes.iter().map(move |(prefix, known)| RouteUse {
-                host: host.clone(),
-                path_prefix: prefix.clone(),
-                targets: known.targets(now_us).cloned().collect(),
-            })
-        });
-        let mut uses: Vec<RouteUse> = uses.collect();
-        for route in &mut uses {
-            route.targets.sort_unstable();
+    pub fn known(&self, now_us: Micros) -> Vec<KnownTarget> {
+        let mut known = Vec::new();
+        for (host, prefixes) in &self.by_host {
+            let used = prefixes
+                .iter()
+                .filter(|(_, prefix)| !prefix.is_unused(now_us));
+            for (path_prefix, prefix) in used {
+                let mut add = |target: &RouteTarget, ended_for_us| {
+                    known.push(KnownTarget {
+                        host: host.clone(),
+                        path_prefix: path_prefix.clone(),
+                        target: target.clone(),
+                        ended_for_us,
+                    });
+                };
+                prefix.current.iter().for_each(|target| add(target, None));
+                for (target, forget_us) in prefix.remembered(now_us) {
+                    let ended_for_us = VERSION_MEMORY_US.saturating_sub(forget_us - now_us);
+                    add(target, Some(ended_for_us));
+                }
+            }
         }
-        // A prefix without a route adds nothing to what the next shorter one says.
-        uses.retain(|route| route.targets != [RouteTarget::ShorterPrefix]);
-        uses.sort_unstable_by(|a, b| (&a.host, &a.path_prefix).cmp(&(&b.host, &b.path_prefix)));
-        uses
+        known.sort_unstable();
+        known
     }
 
     /// Forgets the targets that no configuration has had for [`VERSION_MEMORY_US`].
     fn expire(&mut self, now_us: Micros) {
         for prefixes in self.by_host.values_mut() {
             for prefix in prefixes.values_mut() {
-                prefix
-                    .earlier
-                    .retain(|_, ended_us| now_us.saturating_sub(*ended_us) < VERSION_MEMORY_US);
+                prefix.earlier.retain(|_, forget_us| now_us < *forget_us);
             }
-            prefixes.retain(|_, prefix| {
-                !prefix.earlier.is_empty() || prefix.current != [RouteTarget::ShorterPrefix].into()
-            });
+            prefixes.retain(|_, prefix| !prefix.is_unused(now_us));
         }
         self.by_host.retain(|_, prefixes| !prefixes.is_empty());
     }
--- a/src/gateway/version_history.rs
+++ b/src/gateway/version_history.rs
@@ -1,4 +1,5 @@
-//! Persists in the store which versions of the endpoints' software each service has or had recently.
+//! Persists in the store which versions of the endpoints' software each service has or had recently, and to which services
+//! each route leads or led.
 //!
 //! An instance takes the only version that it knows of a service for the origin of streams without a record. What it has
 //! seen itself only covers the time since its start; the versions before that are read from the store. The instances that
@@ -7,12 +8,15 @@
 
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
 use tokio::time::{self, MissedTickBehavior};
 
 use crate::{
     balance::service_versions::VERSION_MEMORY_US,
     clock::unix_ms,
-    gateway::{protocol::Protocol, state::Gateway, version_list::VersionList},
+    gateway::{
+        protocol::Protocol, route_list::RouteList, state::Gateway, version_list::VersionList,
+    },
     prelude::Micros,
     store::{ObjectEra, Store, WriteError},
 };
@@ -27,12 +31,26 @@
 /// As for the block list: the instances that watch the store write one after the other, and only what the first has not.
 const WRITE_STAGGER_US: Micros = 1_500_000;
 
+/// The versions of services, and the services of routes, as they are stored.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct StoredList {
+    versions: VersionList,
+    routes: RouteList,
+}
+
+impl StoredList {
+    /// Returns whether this list, which the store has, says all that `wanted` says.
+    fn covers(&self, wanted: &Self) -> bool {
+        self.versions.covers(&wanted.versions) && self.routes.covers(&wanted.routes)
+    }
+}
+
 /// The store's list as last read or written.
 #[derive(Debug, Default)]
 struct Stored {
     era: ObjectEra,
     version: u64,
-    list: VersionList,
+    list: StoredList,
 }
 
 /// What is to be written, and since when.
@@ -125,11 +143,17 @@
     }
 
     /// Returns the list that the store should have.
-    fn wanted(&self, now_us: Micros, era: u64) -> VersionList {
+    fn wanted(&self, now_us: Micros, era: u64) -> StoredList {
+        let now_unix_ms = unix_ms();
+        let routes = self.gateway.route_services().known(now_us);
         let balancer = self.gateway.balancer();
         let versions = balancer.versions();
         let incomplete_us = versions.incomplete_us(now_us);
-        VersionList::of_known(versions.known(now_us), incomplete_us, era, unix_ms())
+        let versions = versions.known(now_us);
+        StoredList {
+            versions: VersionList::of_known(versions, incomplete_us, era, now_unix_ms),
+            routes: RouteList::of_known(routes, now_unix_ms),
+        }
     }
 
     async fn read(&mut self) {
@@ -151,18 +175,27 @@
     }
 
     /// Returns what counts as the list where the store has none: versions may have been in service.
-    fn missing_list(&self, era: u64) -> VersionList {
-        VersionList::of_known(Vec::new(), VERSION_MEMORY_US, era, unix_ms())
+    fn missing_list(&self, era: u64) -> StoredList {
+        StoredList {
+            versions: VersionList::of_known(Vec::new(), VERSION_MEMORY_US, era, unix_ms()),
+            routes: RouteList::default(),
+        }
     }
 
     /// Adds a list that the store has to what this instance knows.
-    fn merge(&self, list: &VersionList, era: u64) {
+    fn merge(&self, list: &StoredList, era: u64) {
         let now_us = self.gateway.clock.now_us();
         let now_unix_ms = unix_ms();
+        let is_first = !self.gateway.balancer().versions().is_history_read();
+        // The routes come first: nothing is concluded before the history of versions is read.
+        let targets = list.routes.known(now_unix_ms);
+        self.gateway
+            .route_services()
+            .merge_list(now_us, targets, is_first);
+        let list = &list.versions;
         let incomplete_us = list.incomplete_us(era, now_unix_ms);
         let mut balancer = self.gateway.balancer();
         let versions = balancer.versions_mut();
-        let is_first = !versions.is_history_read();
         versions.merge_list(now_us, list.known(now_unix_ms), incomplete_us);
         if is_first {
             let (versions, incomplete_ms) = (list.versions.len(), incomplete_us / 1_000);
@@ -174,7 +207,7 @@
         }
     }
 
-    async fn write(&mut self, list: VersionList) {
+    async fn write(&mut self, list: StoredList) {
         let version = self.stored.as_ref().map_or(0, |stored| stored.version);
         // Plain data like this always serialises to postcard.
         let bytes = postcard::to_stdvec(&list).unwrap_or_default();
@@ -182,9 +215,9 @@
         let era_before = self.store.era();
         match self.store.write(KEY, bytes.into(), version).await {
             Ok(version) => {
-                let versions = list.versions.len();
+                let versions = list.versions.versions.len();
                 log::info!(target: "ryevalve::process", versions; "service_versions_written");
-                self.merge(&list, list.era);
+                self.merge(&list, list.versions.era);
                 self.stored = Some(Stored {
                     era: ObjectEra::of_call(era_before, self.store.era()),
                     version,
@@ -208,7 +241,7 @@
 
 /// Decodes the list. One that cannot be decoded was written by another version of the software; it counts as missing and
 /// is replaced.
-fn decode(bytes: &[u8]) -> Option<VersionList> {
+fn decode(bytes: &[u8]) -> Option<StoredList> {
     match postcard::from_bytes(bytes) {
         Ok(list) => Some(list),
         Err(error) => {
--- a/tests/edge/stream_losses.rs
+++ b/tests/edge/stream_losses.rs
@@ -592,8 +592,8 @@
     .await;
 }
 
-/// Leads the route of the streams to these services in equal parts, and waits until all instances know.
-async fn lead_to(site: &Site, version: u64, services: &[&str]) {
+/// Returns a configuration that leads the route of the streams to these services in equal parts.
+fn leading_to(version: u64, services: &[&str]) -> serde_json::Value {
     let mut config = config(version, &["key-of-the-tests"]);
     let mut other = config["backends"][0].clone();
     other["name"] = "other".into();
@@ -604,7 +604,13 @@
     for route in routes.iter_mut().filter(|r| r["name"] == "resume") {
         route["trafficSplit"] = services.iter().map(part).collect();
     }
-    site.platform.set("config", "main", config);
+    config
+}
+
+/// Leads the route of the streams to these services, and waits until all instances know.
+async fn lead_to(site: &Site, version: u64, services: &[&str]) {
+    site.platform
+        .set("config", "main", leading_to(version, services));
     until("the configuration to be known", || {
         let mut instances = site.instances.iter();
         instances.all(|i| i.gateway.config.version() == version)
@@ -638,3 +644,46 @@
     let counts = count_taken_up(&site, "moved", begun).await;
     assert_eq!(counts.mixed, 0, "{counts:?}");
 }
+
+/// Guards against an instance that starts after a route was moved and takes its service for the one that began a stream.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_route_that_was_moved_before_the_loss_of_all_instances_is_not_joined() {
+    let mut site = Site::start(175, 7, ENDPOINTS).await;
+    site.set_versions(&["v1"]).await;
+    add_other_service(&site).await;
+    lead_to(&site, 4, &["svc"]).await;
+    let begun = begin_streams(&site, 0, "moved-before", STREAMS).await;
+    lead_to(&site, 5, &["other"]).await;
+    site.kill_all();
+    time::sleep(DOWNTIME).await;
+    site.start_instances(7).await;
+    let counts = count_taken_up(&site, "moved-before", begun).await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_route_that_is_moved_while_all_instances_are_down_is_not_joined() {
+    let mut site = Site::start(176, 7, ENDPOINTS).await;
+    site.set_versions(&["v1"]).await;
+    add_other_service(&site).await;
+    lead_to(&site, 4, &["svc"]).await;
+    let begun = begin_streams(&site, 0, "moved-down", STREAMS).await;
+    site.kill_all();
+    let config = leading_to(5, &["other"]);
+    site.platform.set("config", "main", config);
+    time::sleep(DOWNTIME).await;
+    site.start_instances(7).await;
+    let counts = count_taken_up(&site, "moved-down", begun).await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_route_with_two_services_go_on_after_the_loss_of_all_instances() {
+    let mut site = Site::start(177, 7, ENDPOINTS).await;
+    site.set_versions(&["v1"]).await;
+    add_other_service(&site).await;
+    lead_to(&site, 4, &["svc", "other"]).await;
+    let counts = count_after_loss(&mut site, "split-lost", &TWO_VERSIONS, |_| {}).await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+    assert!(counts.whole >= MIN_WHOLE, "{counts:?}");
+}
--- a/tests/gateway/route_services.rs
+++ b/tests/gateway/route_services.rs
@@ -1,9 +1,12 @@
 //! The services at which a stream may have begun, by the routes of earlier configurations.
 
+use std::collections::HashSet;
+
 use ryevalve::{
     balance::service_versions::VERSION_MEMORY_US,
     gateway::{
         config::{GatewayConfig, Route, Target},
+        route_list::RouteList,
         route_services::RouteServices,
     },
 };
@@ -130,7 +133,7 @@
         if is_config_first {
             started.put_in_force(0, &config(2, routes(), vec![]));
         }
-        started.add_history(SECOND, services.all(SECOND));
+        started.merge_list(SECOND, services.known(SECOND), true);
         started.put_in_force(2 * SECOND, &config(2, routes(), vec![]));
         assert_eq!(only(&started, 2 * SECOND, "/x/a"), Some("two"));
         assert_eq!(only(&started, 2 * SECOND, "/y/a"), Some("one"));
@@ -148,7 +151,7 @@
         if is_config_first {
             started.put_in_force(0, &single("/x/", "two"));
         }
-        started.add_history(SECOND, services.all(SECOND));
+        started.merge_list(SECOND, services.known(SECOND), true);
         started.put_in_force(2 * SECOND, &single("/x/", "two"));
         let end_us = SECOND + VERSION_MEMORY_US;
         assert_eq!(only(&started, end_us - 1, "/x/a"), None);
@@ -167,7 +170,7 @@
         if is_config_first {
             started.put_in_force(0, &config(2, routes(), vec![]));
         }
-        started.add_history(SECOND, services.all(SECOND));
+        started.merge_list(SECOND, services.known(SECOND), true);
         started.put_in_force(2 * SECOND, &config(2, routes(), vec![]));
         assert_eq!(only(&started, 2 * SECOND, "/x/a"), None);
     }
@@ -181,7 +184,72 @@
         let prefix = format!("/{second}/");
         services.put_in_force(second * SECOND, &single(&prefix, "one"));
     }
-    let remembered = services.all(999 * SECOND).len() as u64;
+    let known = services.known(999 * SECOND).into_iter();
+    let prefixes: HashSet<_> = known.map(|known| known.path_prefix).collect();
     let in_force = 1;
-    assert_eq!(remembered, in_force + VERSION_MEMORY_US / SECOND);
+    let remembered = VERSION_MEMORY_US / SECOND;
+    assert_eq!(prefixes.len() as u64, in_force + remembered);
+}
+
+/// Guards against a memory that begins anew with each reading of the list.
+#[test]
+fn list_that_is_read_again_does_not_prolong_the_memory() {
+    let mut services = RouteServices::default();
+    services.put_in_force(0, &single("/x/", "one"));
+    let in_force = services.known(0);
+    services.put_in_force(0, &single("/x/", "two"));
+    let ended = services.known(100 * SECOND);
+    // The clock of an instance that starts is behind the time at which the service ended.
+    for listed in [in_force, ended] {
+        let ended_for_us = listed.iter().filter_map(|known| known.ended_for_us).max();
+        let end_us = VERSION_MEMORY_US - ended_for_us.unwrap_or(0);
+        let mut started = RouteServices::default();
+        started.put_in_force(0, &single("/x/", "two"));
+        started.merge_list(0, listed.clone(), true);
+        started.merge_list(SECOND, started.known(SECOND), false);
+        assert_eq!(only(&started, end_us - 1, "/x/a"), None);
+        started.merge_list(end_us - 1, started.known(end_us - 1), false);
+        assert_eq!(only(&started, end_us, "/x/a"), Some("two"));
+    }
+}
+
+/// Guards against a write for each difference between instances, and against a list that keeps a service in force that
+/// has ended.
+#[test]
+fn list_is_written_for_a_new_service_and_once_more_for_its_end() {
+    let mut services = RouteServices::default();
+    let list = |services: &RouteServices, now_us: u64| {
+        let now_unix_ms = 1_000_000 + now_us / 1_000;
+        RouteList::of_known(services.known(now_us), now_unix_ms)
+    };
+    services.put_in_force(0, &single("/x/", "one"));
+    let first = list(&services, 0);
+    assert!(!RouteList::default().covers(&first));
+    assert!(first.covers(&list(&services, SECOND)));
+    services.put_in_force(SECOND, &single("/x/", "two"));
+    let moved = list(&services, SECOND);
+    assert!(!first.covers(&moved));
+    assert!(moved.covers(&list(&services, 10 * SECOND)));
+    let ended = list(&services, 20 * SECOND);
+    assert!(!moved.covers(&ended));
+    assert!(ended.covers(&list(&services, 100 * SECOND)));
+    assert!(ended.covers(&list(&services, 2 * VERSION_MEMORY_US)));
+    // An instance that reads the list and has the older configuration leaves it as it is.
+    let mut behind = RouteServices::default();
+    behind.put_in_force(0, &single("/x/", "one"));
+    behind.merge_list(SECOND, moved.known(1_001_000), false);
+    assert!(moved.covers(&list(&behind, 2 * SECOND)));
+}
+
+/// Guards against a route of another instance's configuration that hides the one which this instance still has.
+#[test]
+fn path_of_a_route_that_this_instance_does_not_have_yet_has_the_services_of_the_shorter_one() {
+    let mut newer = RouteServices::default();
+    let (short, long) = (leading("/", &[("one", 1)]), leading("/x/", &[("one", 1)]));
+    newer.put_in_force(0, &config(3, vec![short, long], vec![]));
+    let mut behind = RouteServices::default();
+    behind.put_in_force(0, &single("/", "two"));
+    behind.put_in_force(SECOND, &single("/", "one"));
+    behind.merge_list(2 * SECOND, newer.known(SECOND), false);
+    assert_eq!(only(&behind, 2 * SECOND, "/x/a"), None);
 }
--- a/tests/gateway/version_history.rs
+++ b/tests/gateway/version_history.rs
@@ -23,12 +23,13 @@
 /// Longer than an instance takes to read or write the list, also after a failure.
 const SETTLED: Duration = Duration::from_millis(700);
 
-/// A list as it is stored: versions by service and when they left, the time until which some may be missing, and the era.
-type List = (Vec<(Name, Name, u64)>, u64, u64);
+/// A list as it is stored: versions by service and when they left, the time until which some may be missing, the era, and the
+/// services of routes, of which there are none here.
+type List = (Vec<(Name, Name, u64)>, u64, u64, Vec<()>);
 
 fn encode(versions: &[&str], era: u64) -> Vec<u8> {
     let in_service = versions.iter().map(|v| ("model".into(), (*v).into(), 0));
-    let list: List = (in_service.collect(), 0, era);
+    let list: List = (in_service.collect(), 0, era, vec![]);
     postcard::to_stdvec(&list).unwrap()
 }
 
