Streams without a record are placed by most of the group or a new read of the list of versions

Callers got streams joined from two versions at instances that had lost the store and the others, and refusals of streams of the only version at instances that had not read the list of versions. Cause: what an instance had seen itself counted if it had met most of those that it still knew or had read the endpoints; the list of versions was not read again.

Now most of the group as it was before losses has to confirm the version (new message OnlyVersion), or the list is read after the stream was taken up.

Two tests are replaced by stricter ones. They start other endpoints now, and wait in a second part until the lost instances are forgotten, cut off from the list and the archive as well.

--- a/src/balance/service_versions.rs
+++ b/src/balance/service_versions.rs
@@ -111,6 +111,11 @@
         if self.history != History::Complete {
             return None;
         }
+        self.only_seen(service)
+    }
+
+    /// Returns the version of a service of which no other is known; it may have had one before the history is known.
+    pub fn only_seen(&self, service: &str) -> Option<&Name> {
         let versions = self.by_service.get(service)?;
         match versions.len() {
             1 => versions.keys().next(),
--- a/src/gateway/origin_lookup.rs
+++ b/src/gateway/origin_lookup.rs
@@ -8,7 +8,8 @@
 use crate::{
     gateway::{
         origin_archive::Archived,
-        origin_table::{StreamKey, StreamOrigin},
+        origin_conclusion::only_version,
+        origin_table::StreamKey,
         protocol::Protocol,
         reservation_client::DirectMessage,
         state::Gateway,
@@ -25,8 +26,6 @@
 /// Number of instances that are asked what the archive has: the owner of the slot, and the one that is the owner by a
 /// view that differs in one member.
 const OWNERS_ASKED: usize = 2;
-/// Number of other instances that have to answer where the endpoints in the store are not known.
-const MIN_ANSWERS: usize = 3;
 /// How long an answer is waited for. Instances that share a busy machine pause for some tens of milliseconds.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time after which an unanswered question is sent again: a datagram may be lost.
@@ -60,8 +59,8 @@
 struct Answers {
     /// What they say together, but for those that do not know yet.
     best: Option<OriginMessage>,
-    /// Number of instances that answered.
-    answered: usize,
+    /// Number of instances that know of one version only.
+    confirmations: usize,
     /// Whether a holder has a record.
     is_held: bool,
     /// Whether the archive, or all that was written to it, was looked at.
@@ -73,13 +72,13 @@
 impl Answers {
     /// Adds an answer of an instance that may be a holder or answer for the archive.
     fn add(&mut self, answer: OriginMessage, is_holder: bool, is_owner: bool) {
-        self.answered += 1;
         if answer == OriginMessage::NotYetKnown {
             self.is_archive_pending = true;
             return;
         }
         self.is_archive_known |= is_owner;
         self.is_held |= is_holder && matches!(answer, OriginMessage::Known(_));
+        self.confirmations += usize::from(matches!(answer, OriginMessage::OnlyVersion(_)));
         self.best = Some(match self.best.take() {
             Some(best) => better_answer(best, answer),
             None => answer,
@@ -117,7 +116,7 @@
         let asked_us = self.clock.now_us();
         let timeout = Instant::now() + share.unwrap_or(READ_TIMEOUT).min(READ_TIMEOUT);
         loop {
-            let (found, is_pending) = self.look_up_origin(key, service, asked_us).await;
+            let (found, is_pending) = self.look_up_origin(key, service, asked_us, timeout).await;
             let is_waiting = is_pending || found == Err(OriginError::NotYetKnown);
             if !is_waiting || Instant::now() >= timeout {
                 return found;
@@ -133,6 +132,7 @@
         key: Option<StreamKey>,
         service: &Name,
         asked_us: Micros,
+        timeout: Instant,
     ) -> (Result<FoundOrigin, OriginError>, bool) {
         let has_key = key.is_some();
         // No record has this key.
@@ -147,73 +147,50 @@
             self.ask_for_origin(&mut answers, &asked, key, service)
                 .await;
         }
-        let others_answered = answers.answered;
+        let confirmations = answers.confirmations;
         answers.add(own, false, asked.is_owner);
         let is_pending = has_key && answers.is_pending();
         let found = match answers.best {
-            Some(OriginMessage::Known(origin)) if has_key => Ok(FoundOrigin {
-                origin,
-                source: OriginSource::Recorded,
-            }),
-            Some(OriginMessage::Unknown { .. }) | None if is_pending => {
-                Err(OriginError::NotYetKnown)
+            Some(OriginMessage::Known(origin)) if has_key => {
+                let source = OriginSource::Recorded;
+                Ok(FoundOrigin { origin, source })
+            }
+            // No archive has records of other versions then.
+            Some(OriginMessage::OnlyVersion(version))
+                if self.is_only_version(service, &version, confirmations) =>
+            {
+                return (Ok(only_version(service, version)), false);
+            }
+            Some(OriginMessage::Ambiguous | OriginMessage::Known(_)) => Err(OriginError::Unknown),
+            _ if is_pending => Err(OriginError::NotYetKnown),
+            Some(OriginMessage::OnlyVersion(version)) => {
+                self.conclude_from_list(service, Some(&version), asked_us, timeout)
+                    .await
             }
             Some(OriginMessage::Unknown {
                 has_several_versions: false,
-            }) => self.conclude_origin(service, others_answered, asked_us),
+            }) => {
+                self.conclude_from_list(service, None, asked_us, timeout)
+                    .await
+            }
             _ => Err(OriginError::Unknown),
         };
         (found, is_pending)
     }
 
-    /// Returns the origin of a stream without a record, of a service of which no instance that answered has seen several
-    /// versions.
-    fn conclude_origin(
-        &self,
-        service: &Name,
-        others_answered: usize,
-        asked_us: Micros,
-    ) -> Result<FoundOrigin, OriginError> {
-        if !self.balancer().versions().is_history_read() {
-            return Err(OriginError::NotYetKnown);
-        }
-        if !self.is_among_most(others_answered) && !self.has_asked_store_since(asked_us) {
-            return Err(OriginError::NotYetKnown);
-        }
-        let balancer = self.balancer();
-        let version = balancer.versions().sole_version(service);
-        let version = version.ok_or(OriginError::Unknown)?.clone();
-        Ok(FoundOrigin {
-            origin: StreamOrigin {
-                service: service.clone(),
-                version,
-            },
-            source: OriginSource::OnlyVersion,
-        })
-    }
-
-    /// Returns whether this instance knows the endpoints that were in the store after this time.
-    fn has_asked_store_since(&self, asked_us: Micros) -> bool {
-        let now_us = self.clock.now_us();
-        self.endpoints_staleness.age_us(now_us) <= now_us.saturating_sub(asked_us)
-    }
-
-    /// Returns whether this instance, of which so many others answered, is with most of the group. A small part that lost
-    /// the store may have missed a version that the others use; while all have lost it, there is none to miss.
-    fn is_among_most(&self, others_answered: usize) -> bool {
-        let met = self.view().present().count();
-        let is_majority = met * 2 > self.instance_counts().all;
-        is_majority && others_answered >= MIN_ANSWERS.min(met - 1)
-    }
-
     /// Returns what this instance knows of the origin of a stream.
     pub(super) fn held_origin(&self, key: StreamKey, service: &str) -> OriginMessage {
         let now_us = self.clock.now_us();
         if let Some(held) = self.stream_origins.held(now_us, key) {
             return held;
         }
-        OriginMessage::Unknown {
-            has_several_versions: self.balancer().versions().are_several_known(service),
+        let balancer = self.balancer();
+        let versions = balancer.versions();
+        match versions.sole_version(service) {
+            Some(version) => OriginMessage::OnlyVersion(version.clone()),
+            None => OriginMessage::Unknown {
+                has_several_versions: versions.are_several_known(service),
+            },
         }
     }
 
@@ -316,19 +293,17 @@
 
 /// Returns what two answers about one stream say together.
 fn better_answer(first: OriginMessage, second: OriginMessage) -> OriginMessage {
-    use OriginMessage::{Ambiguous, Known, Unknown};
+    use OriginMessage::{Ambiguous, Known, OnlyVersion, Unknown};
+    const SEVERAL_VERSIONS: OriginMessage = Unknown {
+        has_several_versions: true,
+    };
     match (first, second) {
         (Ambiguous, _) | (_, Ambiguous) => Ambiguous,
         (Known(first), Known(second)) if first != second => Ambiguous,
         (Known(origin), _) | (_, Known(origin)) => Known(origin),
-        (
-            Unknown {
-                has_several_versions: true,
-            },
-            _,
-        ) => Unknown {
-            has_several_versions: true,
-        },
+        (SEVERAL_VERSIONS, _) | (_, SEVERAL_VERSIONS) => SEVERAL_VERSIONS,
+        (OnlyVersion(first), OnlyVersion(second)) if first != second => SEVERAL_VERSIONS,
+        (OnlyVersion(version), _) | (_, OnlyVersion(version)) => OnlyVersion(version),
         (_, second) => second,
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -43,6 +43,7 @@
         stream_origins::StreamOrigins,
         tunnel_server::CarriedTunnels,
         tunnels::Tunnels,
+        version_list_reads::VersionListReads,
     },
     limits::{
         held_bytes::HeldLimits,
@@ -168,6 +169,8 @@
     member_changes: AtomicU64,
     /// The part of the archive of stream origins that this instance writes.
     pub origin_archive: OriginArchive,
+    /// Reads of the list of versions in the store.
+    pub version_list_reads: VersionListReads,
     /// Usage limits of organisations.
     pub quota: Quota,
     /// The organisations' shares of services that are short of room.
@@ -242,6 +245,7 @@
             stream_origins: StreamOrigins::default(),
             member_changes: AtomicU64::new(0),
             origin_archive: OriginArchive::default(),
+            version_list_reads: VersionListReads::default(),
             quota,
             shares: Mutex::default(),
             endpoint_reach: EndpointReach::default(),
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -38,7 +38,8 @@
 pub enum OriginSource {
     /// An instance has a record of it.
     Recorded,
-    /// No instance that answered has a record, and the service has had no other version as far as they know.
+    /// No instance that answered has a record, and the service has had no other version, as most of the group or the
+    /// store knows.
     OnlyVersion,
 }
 
@@ -80,7 +81,7 @@
     },
     /// The origin that was asked for.
     Known(StreamOrigin),
-    /// The receiver does not know the origin that was asked for.
+    /// The receiver does not know the origin that was asked for. It does not confirm that there was one version only.
     Unknown {
         /// Whether it has seen several versions of the service.
         has_several_versions: bool,
@@ -103,6 +104,9 @@
         /// The service at which the caller takes it up.
         service: Name,
     },
+    /// The receiver has no record of the stream, and it knows that this version of the service was the only one for as
+    /// long as versions are remembered.
+    OnlyVersion(Name),
 }
 
 /// Why the origin of a stream is not known.
@@ -110,7 +114,8 @@
 pub enum OriginError {
     /// No instance that answered has a record, and several versions may have begun the stream.
     Unknown,
-    /// Instances that may have a record did not answer, or have not read yet what those before them knew.
+    /// Instances that may have a record did not answer or have not read yet what those before them knew, or the versions
+    /// of the service could not be read.
     NotYetKnown,
 }
 
@@ -306,7 +311,8 @@
         OriginMessage::Known(_)
         | OriginMessage::Unknown { .. }
         | OriginMessage::Ambiguous
-        | OriginMessage::NotYetKnown => {
+        | OriginMessage::NotYetKnown
+        | OriginMessage::OnlyVersion(_) => {
             gateway.stream_origins.deliver(number, from, message);
         }
     }
--- a/src/gateway/version_history.rs
+++ b/src/gateway/version_history.rs
@@ -95,7 +95,10 @@
         let mut interval = time::interval(CHECK_INTERVAL);
         interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            interval.tick().await;
+            tokio::select! {
+                _ = interval.tick() => {}
+                () = self.gateway.version_list_reads.requested() => {}
+            }
             self.check().await;
         }
     }
@@ -105,7 +108,8 @@
         if now_us < self.next_call_us {
             return;
         }
-        if !self.gateway.balancer().versions().is_history_read() {
+        let is_read_due = self.gateway.is_version_list_read_due(now_us);
+        if is_read_due || !self.gateway.balancer().versions().is_history_read() {
             return self.read().await;
         }
         if !self.gateway.watches_store() {
@@ -154,6 +158,8 @@
     }
 
     async fn read(&mut self) {
+        let begun_us = self.gateway.clock.now_us();
+        self.gateway.version_list_reads.begin(begun_us);
         let era_before = self.store.era();
         let object = match self.store.read(KEY).await {
             Ok(object) => object,
@@ -163,6 +169,12 @@
         let version = object.as_ref().map_or(0, |object| object.version);
         let list = object.and_then(|object| decode(&object.value));
         self.add_to_known(list.as_ref(), newest);
+        let is_complete = list
+            .as_ref()
+            .is_some_and(|list| incomplete_us(list, newest) == 0);
+        self.gateway
+            .version_list_reads
+            .finish(begun_us, is_complete);
         self.stored = Some(Stored {
             era: ObjectEra::of_call(era_before, newest),
             version,
@@ -170,16 +182,17 @@
         });
     }
 
-    /// Adds the store's list to what this instance has seen, unless that covers the time of the list already.
+    /// Adds the store's list to what this instance has seen. Its history is as complete as the first list.
     fn add_to_known(&self, list: Option<&VersionList>, era: u64) {
         let now_us = self.gateway.clock.now_us();
         let mut balancer = self.gateway.balancer();
         let versions = balancer.versions_mut();
+        let listed = list.map_or(&[][..], |list| &list.versions);
         if versions.is_history_read() {
-            return;
+            let incomplete_us = versions.incomplete_us(now_us);
+            return versions.add_history(now_us, listed.iter().cloned(), incomplete_us);
         }
         let incomplete_us = list.map_or(VERSION_MEMORY_US, |list| incomplete_us(list, era));
-        let listed = list.map_or(&[][..], |list| &list.versions);
         versions.add_history(now_us, listed.iter().cloned(), incomplete_us);
         let (versions, incomplete_ms) = (listed.len(), incomplete_us / 1_000);
         log::info!(
--- a/tests/edge/cluster.rs
+++ b/tests/edge/cluster.rs
@@ -108,6 +108,8 @@
     tasks: Vec<JoinHandle<()>>,
     /// The tasks that follow the endpoints and the configuration in the store.
     store_links: Vec<AbortHandle>,
+    /// The tasks that keep the versions of services and the origins of streams in the store.
+    origin_links: Vec<AbortHandle>,
     /// The tasks that exchange messages with other instances.
     peer_tasks: Vec<JoinHandle<()>>,
     /// The task that serves callers.
@@ -199,6 +201,7 @@
             store_era: StoreEra::default(),
             tasks,
             store_links: Vec::new(),
+            origin_links: Vec::new(),
             peer_tasks,
             serving: None,
         }
@@ -243,13 +246,25 @@
         let store = PlatformStore::with_era(addr, self.store_era.clone());
         let (written, read) = (store.clone(), store.clone());
         let syncing = version_history::start(self.gateway.clone(), store, is_first_start);
-        self.tasks.push(tokio::spawn(syncing));
         let written = move |slot| written.origin_archive(slot);
         let writing = origin_archive::write(self.gateway.clone(), written);
-        self.tasks.push(tokio::spawn(writing));
         let read = move |slot| read.origin_archive(slot);
         let reading = origin_archive::read(self.gateway.clone(), read);
-        self.tasks.push(tokio::spawn(reading));
+        for task in [
+            tokio::spawn(syncing),
+            tokio::spawn(writing),
+            tokio::spawn(reading),
+        ] {
+            self.origin_links.push(task.abort_handle());
+            self.tasks.push(task);
+        }
+    }
+
+    /// Ends the tasks that keep the versions of services and the origins of streams in the store.
+    pub fn stop_syncing_origins(&self) {
+        for task in &self.origin_links {
+            task.abort();
+        }
     }
 
     /// Follows the endpoints and the configuration in the store at `addr`.
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -38,6 +38,7 @@
 mod slow_callers;
 mod store_lists;
 mod store_returns;
+mod stream_group_losses;
 mod stream_losses;
 mod stream_versions;
 mod support;
--- a/tests/edge/site.rs
+++ b/tests/edge/site.rs
@@ -145,6 +145,15 @@
         self.callers.remove(0);
     }
 
+    /// Stops all instances of a data centre abruptly. No further ones can be started.
+    pub fn kill_data_centre(&mut self, hall: &str) {
+        let is_lost: Vec<bool> = self.instances.iter().map(|i| *i.hall == *hall).collect();
+        let mut lost = is_lost.iter();
+        self.instances.retain(|_| lost.next() == Some(&false));
+        let mut lost = is_lost.iter();
+        self.callers.retain(|_| lost.next() == Some(&false));
+    }
+
     /// Starts one more instance.
     pub async fn start_instance(&mut self) {
         let store = self.platform.addr();
--- a/tests/edge/stream_losses.rs
+++ b/tests/edge/stream_losses.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
+use ryevalve::gateway::{peer_table::PEER_EXPIRY_US, state::GatewayBounds};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -19,10 +20,10 @@
     support::{KEY, config, exchange, request},
 };
 
-const ENDPOINTS: usize = 8;
-const STREAMS: usize = 48;
+pub const ENDPOINTS: usize = 8;
+pub const STREAMS: usize = 48;
 /// Streams of which the caller gets the rest, if endpoints of their version serve: nine in ten.
-const MIN_WHOLE: usize = 43;
+pub const MIN_WHOLE: usize = 43;
 /// Events of a stream that runs for longer than it takes to begin all of them.
 const LONG_STREAM: u64 = 60;
 /// How long the streams run before the loss.
@@ -30,7 +31,7 @@
 /// How long all instances are down.
 const DOWNTIME: Duration = Duration::from_millis(1_200);
 /// Endpoints of the first version, in a site whose versions alternate.
-const OLD: [usize; 4] = [0, 2, 4, 6];
+pub const OLD: [usize; 4] = [0, 2, 4, 6];
 
 /// Begins a stream and reads it until its connection ends; returns its id if it brought the two events after which it is
 /// taken up.
@@ -51,7 +52,7 @@
 }
 
 /// Sets one endpoint's version.
-fn set_version(site: &Site, index: usize, version: &str) {
+pub fn set_version(site: &Site, index: usize, version: &str) {
     let mut spec = entry(site.runners[index].addr);
     spec["version"] = version.into();
     spec["capacity"] = SLOTS.into();
@@ -59,7 +60,7 @@
 }
 
 /// Starts an endpoint of another version in place of one that left.
-fn replace(site: &Site, index: usize, version: &str) {
+pub fn replace(site: &Site, index: usize, version: &str) {
     site.platform.remove("servers", &format!("e{index}-0"));
     let mut spec = entry(site.runners[index].addr);
     spec["version"] = version.into();
@@ -96,7 +97,7 @@
 }
 
 /// Takes up streams at all instances in turn.
-async fn take_up_all(site: &Site, begun: Vec<String>) -> (Tries, usize) {
+pub async fn take_up_all(site: &Site, begun: Vec<String>) -> (Tries, usize) {
     let mut calls = JoinSet::new();
     for (number, first) in begun.into_iter().enumerate() {
         let callers = site.callers[number % site.callers.len()];
@@ -112,7 +113,7 @@
 }
 
 /// Loses all instances beside endpoints of two versions, takes up the streams and counts.
-async fn count_after_loss(
+pub async fn count_after_loss(
     site: &mut Site,
     name: &str,
     versions: &[&str],
@@ -226,12 +227,18 @@
     }
 }
 
-/// Cuts an instance off from the store: its calls fail.
-fn cut_from_store(instance: &mut Instance) {
+/// Lets an instance's calls for the endpoints and the configuration fail; it still reads versions and origins.
+fn cut_from_endpoints(instance: &mut Instance) {
     instance.stop_following();
     instance.follow(unused_addr());
 }
 
+/// Cuts an instance off from the store.
+fn cut_from_store(instance: &mut Instance) {
+    cut_from_endpoints(instance);
+    instance.stop_syncing_origins();
+}
+
 /// Returns an address at which nothing listens.
 fn unused_addr() -> std::net::SocketAddr {
     let listener = std::net::TcpListener::bind("127.0.0.1:0");
@@ -370,16 +377,22 @@
     );
 }
 
-/// Begins streams at the first instance beside a second version that the last `cut` instances do not learn of, and loses
-/// the other instances.
-async fn lose_all_but(site: &mut Site, name: &str, cut: usize) -> Vec<String> {
+/// Begins streams at the first instance beside a second version that the last `left` instances do not learn of, since
+/// they are `cut`, and loses the other instances.
+async fn lose_all_but(
+    site: &mut Site,
+    name: &str,
+    left: usize,
+    cut: fn(&mut Instance),
+) -> Vec<String> {
     site.set_versions(&["v1"]).await;
-    let connected = site.instances.len() - cut;
+    let connected = site.instances.len() - left;
     for instance in &mut site.instances[connected..] {
-        cut_from_store(instance);
+        cut(instance);
     }
+    // Other starts at the same addresses: an instance that knows the former ones reaches none of them.
     for index in (0..ENDPOINTS).filter(|index| !OLD.contains(index)) {
-        set_version(site, index, "v2");
+        replace(site, index, "v2");
     }
     until("the second version to be known", || {
         let mut connected = site.instances[..connected].iter();
@@ -393,8 +406,26 @@
     begun
 }
 
+/// Waits until the instances that are left share limits with no lost one. They serve callers although they cannot ask the
+/// store which keys were revoked.
+async fn until_forgotten(site: &Site) {
+    for instance in &site.instances {
+        let bounds = GatewayBounds {
+            is_revocation_strict: false,
+            ..instance.gateway.bounds()
+        };
+        instance.gateway.set_bounds(bounds);
+    }
+    time::sleep(Duration::from_micros(PEER_EXPIRY_US)).await;
+    until("the others to be forgotten", || {
+        let mut instances = site.instances.iter();
+        instances.all(|i| i.gateway.instance_counts().all == site.instances.len())
+    })
+    .await;
+}
+
 /// Takes up streams at the instances that are left and counts.
-async fn count_taken_up(site: &Site, name: &str, begun: Vec<String>) -> Counts {
+pub async fn count_taken_up(site: &Site, name: &str, begun: Vec<String>) -> Counts {
     let (tries, whole) = take_up_all(site, begun).await;
     let counts = Counts {
         whole,
@@ -409,20 +440,30 @@
 async fn stream_is_not_joined_by_an_instance_that_lost_the_store_and_knows_that_the_others_are_lost()
  {
     let mut site = Site::start(163, 7, ENDPOINTS).await;
-    let begun = lose_all_but(&mut site, "alone", 1).await;
+    let begun = lose_all_but(&mut site, "alone", 1, cut_from_endpoints).await;
     until("the others to be known as lost", || {
         site.instances[0].gateway.view().others().count() == 0
     })
     .await;
     let counts = count_taken_up(&site, "alone", begun).await;
     assert_eq!(counts.mixed, 0, "{counts:?}");
+    let mut site = Site::start(221, 7, ENDPOINTS).await;
+    let begun = lose_all_but(&mut site, "alone", 1, cut_from_store).await;
+    until_forgotten(&site).await;
+    let counts = count_taken_up(&site, "alone", begun).await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
 }
 
 /// Guards against two instances that both lack a version and confirm to each other that there was none.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_is_not_joined_by_two_instances_that_lost_the_store_and_the_others() {
     let mut site = Site::start(164, 7, ENDPOINTS).await;
-    let begun = lose_all_but(&mut site, "pair", 2).await;
+    let begun = lose_all_but(&mut site, "pair", 2, cut_from_endpoints).await;
+    let counts = count_taken_up(&site, "pair", begun).await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+    let mut site = Site::start(222, 7, ENDPOINTS).await;
+    let begun = lose_all_but(&mut site, "pair", 2, cut_from_store).await;
+    until_forgotten(&site).await;
     let counts = count_taken_up(&site, "pair", begun).await;
     assert_eq!(counts.mixed, 0, "{counts:?}");
 }
@@ -454,6 +495,7 @@
     site.instances[6].stop_following();
     let addr = site.platform.addr();
     site.instances[6].follow(addr);
+    site.instances[6].sync_origins(addr, true);
     site.until_gone(&["e1-0", "e3-0", "e5-0", "e7-0"]).await;
     site.callers.drain(..6);
     let counts = count_taken_up(&site, "missed", begun).await;
