--- a/src/gateway/version_history.rs
+++ b/src/gateway/version_history.rs
@@ -101,7 +101,10 @@
         let mut interval = time::interval(CHECK_INTERVAL);
         interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            interval.tick().await;
+            tokio::select! {
+                _ = interval.tick() => {}
+                () = self.gateway.version_list_reads.requested() => {}
+            }
             self.check().await;
         }
     }
@@ -111,7 +114,8 @@
         if now_us < self.next_call_us {
             return;
         }
-        if !self.gateway.balancer().versions().is_history_read() {
+        let is_read_due = self.gateway.is_version_list_read_due(now_us);
+        if is_read_due || !self.gateway.balancer().versions().is_history_read() {
             return self.read().await;
         }
         if self.gateway.watches_store() {
@@ -170,6 +174,8 @@
     }
 
     async fn read(&mut self) {
+        let begun_us = self.gateway.clock.now_us();
+        self.gateway.version_list_reads.begin(begun_us);
         let era_before = self.store.era();
         let object = match self.store.read(KEY).await {
             Ok(object) => object,
@@ -180,6 +186,10 @@
         let list = object.and_then(|object| decode(&object.value));
         let list = list.unwrap_or_else(|| self.missing_list(newest));
         self.merge(&list, newest);
+        let is_complete = list.versions.incomplete_us(newest, unix_ms()) == 0;
+        self.gateway
+            .version_list_reads
+            .finish(begun_us, is_complete);
         self.stored = Some(Stored {
             era: ObjectEra::of_call(era_before, newest),
             version,
