--- a/src/gateway/rollout_loop.rs
+++ b/src/gateway/rollout_loop.rs
@@ -104,10 +104,20 @@
         GroupFacts {
             target_ready: counts.target_ready,
             others_known: counts.others_known,
-            instances_known: self.instance_counts().all,
+            instances_known: self.instances_to_drain(),
             is_store_answering: self.are_rollouts_fresh(),
         }
     }
+
+    /// Returns the number of instances in the group, 0 if it is not known: an instance that has just started has not met
+    /// all of them.
+    fn instances_to_drain(&self) -> usize {
+        if !self.quota.knows_instance_count() {
+            return 0;
+        }
+        let counted = self.quota.divisor(self.clock.now_us()) as usize;
+        counted.max(self.instance_counts().all)
+    }
 }
 
 /// Returns the name of a stage in the log; the share tells the steps of the shift apart.
@@ -202,15 +212,18 @@
     loop {
         interval.tick().await;
         let unrecorded = gateway.rollouts.unrecorded();
-        pending.retain(|id, _| unrecorded.iter().any(|(order, _)| order.id == *id));
+        pending.retain(|id, _| unrecorded.iter().any(|(known, _)| known.order.id == *id));
         if !gateway.watches_store() {
             continue;
         }
-        for (order, state) in unrecorded {
+        for (known, state) in unrecorded {
+            let order = &known.order;
             let now_us = gateway.clock.now_us();
             let stagger_us = gateway.watch_position() as Micros * RECORD_STAGGER_US;
-            let known = pending.get(&order.id).filter(|known| known.state == state);
-            let record = known.copied().unwrap_or(PendingRecord {
+            let before = pending
+                .get(&order.id)
+                .filter(|before| before.state == state);
+            let record = before.copied().unwrap_or(PendingRecord {
                 state,
                 next_try_us: now_us + stagger_us,
             });
@@ -218,8 +231,8 @@
             if now_us < record.next_try_us {
                 continue;
             }
-            let recorded = store.record(&order, state).await;
-            note_recorded(&gateway, &order, recorded);
+            let recorded = store.record(&known, state).await;
+            note_recorded(&gateway, order, recorded);
             let next_try_us = gateway.clock.now_us() + RECORD_RETRY_US;
             pending.insert(order.id, PendingRecord { state, next_try_us });
         }
--- a/tests/edge/stream_losses.rs
+++ b/tests/edge/stream_losses.rs
@@ -253,9 +253,9 @@
     }
     let is_known = |site: &Site| {
         let mut connected = site.instances[..6].iter();
-        connected.all(|i| i.gateway.has_several_versions("svc"))
+        connected.all(|i| i.lists_version("v2"))
     };
-    until("the second version to be known", || is_known(&site)).await;
+    until("the second version to be listed", || is_known(&site)).await;
     let begun = begin_streams(&site, 0, "cut", STREAMS).await;
     let mut calls = JoinSet::new();
     for id in begun {
@@ -381,9 +381,9 @@
     for index in (0..ENDPOINTS).filter(|index| !OLD.contains(index)) {
         set_version(site, index, "v2");
     }
-    until("the second version to be known", || {
+    until("the second version to be listed", || {
         let mut connected = site.instances[..connected].iter();
-        connected.all(|i| i.gateway.has_several_versions("svc"))
+        connected.all(|i| i.lists_version("v2"))
     })
     .await;
     let begun = begin_streams(site, 0, name, STREAMS).await;
@@ -440,9 +440,9 @@
     for index in new {
         set_version(&site, index, "v2");
     }
-    until("the second version to be known", || {
+    until("the second version to be listed", || {
         let mut connected = site.instances[..6].iter();
-        connected.all(|i| i.gateway.has_several_versions("svc"))
+        connected.all(|i| i.lists_version("v2"))
     })
     .await;
     let begun = begin_streams(&site, 0, "missed", STREAMS).await;
@@ -507,7 +507,7 @@
         faults.lose_write_answers = u32::MAX;
         faults.lost_write_delay = Duration::from_secs(60);
     });
-    site.set_versions(&TWO_VERSIONS).await;
+    site.show_versions(&TWO_VERSIONS).await;
     let counts = count_after_loss(&mut site, "unwritten", &TWO_VERSIONS, |site| {
         for index in (0..ENDPOINTS).filter(|index| !OLD.contains(index)) {
             site.platform.remove("servers", &format!("e{index}-0"));
@@ -592,8 +592,8 @@
     .await;
 }
 
-/// Leads the route of the streams to these services in equal parts, and waits until all instances know.
-async fn lead_to(site: &Site, version: u64, services: &[&str]) {
+/// Returns a configuration that leads the route of the streams to these services in equal parts.
+fn leading_to(version: u64, services: &[&str]) -> serde_json::Value {
     let mut config = config(version, &["key-of-the-tests"]);
     let mut other = config["backends"][0].clone();
     other["name"] = "other".into();
@@ -604,7 +604,13 @@
     for route in routes.iter_mut().filter(|r| r["name"] == "resume") {
         route["trafficSplit"] = services.iter().map(part).collect();
     }
-    site.platform.set("config", "main", config);
+    config
+}
+
+/// Leads the route of the streams to these services, and waits until all instances know.
+async fn lead_to(site: &Site, version: u64, services: &[&str]) {
+    site.platform
+        .set("config", "main", leading_to(version, services));
     until("the configuration to be known", || {
         let mut instances = site.instances.iter();
         instances.all(|i| i.gateway.config.version() == version)
@@ -639,6 +645,49 @@
     assert_eq!(counts.mixed, 0, "{counts:?}");
 }
 
+/// Guards against an instance that starts after a route was moved and takes its service for the one that began a stream.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_route_that_was_moved_before_the_loss_of_all_instances_is_not_joined() {
+    let mut site = Site::start(175, 7, ENDPOINTS).await;
+    site.set_versions(&["v1"]).await;
+    add_other_service(&site).await;
+    lead_to(&site, 4, &["svc"]).await;
+    let begun = begin_streams(&site, 0, "moved-before", STREAMS).await;
+    lead_to(&site, 5, &["other"]).await;
+    site.kill_all();
+    time::sleep(DOWNTIME).await;
+    site.start_instances(7).await;
+    let counts = count_taken_up(&site, "moved-before", begun).await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_route_that_is_moved_while_all_instances_are_down_is_not_joined() {
+    let mut site = Site::start(176, 7, ENDPOINTS).await;
+    site.set_versions(&["v1"]).await;
+    add_other_service(&site).await;
+    lead_to(&site, 4, &["svc"]).await;
+    let begun = begin_streams(&site, 0, "moved-down", STREAMS).await;
+    site.kill_all();
+    let config = leading_to(5, &["other"]);
+    site.platform.set("config", "main", config);
+    time::sleep(DOWNTIME).await;
+    site.start_instances(7).await;
+    let counts = count_taken_up(&site, "moved-down", begun).await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_route_with_two_services_go_on_after_the_loss_of_all_instances() {
+    let mut site = Site::start(177, 7, ENDPOINTS).await;
+    site.set_versions(&["v1"]).await;
+    add_other_service(&site).await;
+    lead_to(&site, 4, &["svc", "other"]).await;
+    let counts = count_after_loss(&mut site, "split-lost", &TWO_VERSIONS, |_| {}).await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+    assert!(counts.whole >= MIN_WHOLE, "{counts:?}");
+}
+
 /// Guards against services of a route that were collected before the list was read, and conclusions drawn after it.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_of_a_moved_route_that_is_taken_up_before_the_list_is_read_is_not_joined() {
