A stream of a moved route is not joined where its take-up waits for the list

Callers whose route had been moved to another service before a loss of all instances took their streams up while the instances were starting, and got the rest from the other service.

Cause: whether a route led to other services was looked up once, before the wait for the list in the store, and the only version was concluded after it.

Change: after such a conclusion the services of the route are looked at again, and if there are others by now, the stream goes on by a record only.

--- a/src/gateway/resumption.rs
+++ b/src/gateway/resumption.rs
@@ -1,6 +1,6 @@
 //! Where a stream goes on that a caller takes up: at the service and the version of the endpoints' software that began it.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::{
     balance::{cost::PlacementRequest, versions::VersionRule},
@@ -11,7 +11,7 @@
         protocol::{CallHead, Protocol},
         refuse,
         state::Gateway,
-        stream_origins::{FoundOrigin, OriginError, PossibleServices},
+        stream_origins::{FoundOrigin, OriginError, OriginSource, PossibleServices},
     },
     prelude::{Name, Rank},
 };
@@ -58,24 +58,8 @@
         let version = None;
         return Ok(Destination { service, version });
     }
-    let services = PossibleServices {
-        service: &service,
-        has_others: !gateway.leads_only_to(route, path, &service),
-    };
     let began_as = head.resumes.as_ref();
-    let time_left = head.deadline_ms.map(Duration::from_millis);
-    let origin = gateway
-        .find_origin(organisation, began_as, services, time_left)
-        .await
-        .map_err(|error| match error {
-            OriginError::Unknown => ORIGIN_UNKNOWN,
-            OriginError::NotYetKnown => ORIGIN_NOT_YET_KNOWN,
-        })
-        .and_then(|found| match route.leads_to(&found.origin.service) {
-            true => Ok(found),
-            false => Err(SERVICE_MOVED),
-        });
-    match origin {
+    match find_origin_on_route(gateway, route, path, head, organisation, &service).await {
         Ok(FoundOrigin { origin, source }) => {
             gateway.metrics.count_origin(source);
             log::info!(
@@ -108,6 +92,44 @@
     }
 }
 
+/// Returns the origin of a stream that is taken up on a route, or the reason for refusing it. `service` is one to which the
+/// route leads now.
+async fn find_origin_on_route<P: Protocol>(
+    gateway: &Gateway<P>,
+    route: &Route,
+    path: &str,
+    head: &CallHead,
+    organisation: Option<&str>,
+    service: &Name,
+) -> Result<FoundOrigin, &'static str> {
+    let began_as = head.resumes.as_ref();
+    let arrived = Instant::now();
+    loop {
+        let services = PossibleServices {
+            service,
+            has_others: !gateway.leads_only_to(route, path, service),
+        };
+        let time_left = head.deadline_ms.map(Duration::from_millis);
+        let time_left = time_left.map(|left| left.saturating_sub(arrived.elapsed()));
+        let found = gateway
+            .find_origin(organisation, began_as, services, time_left)
+            .await
+            .map_err(|error| match error {
+                OriginError::Unknown => ORIGIN_UNKNOWN,
+                OriginError::NotYetKnown => ORIGIN_NOT_YET_KNOWN,
+            })?;
+        // Services to which the route led before may have been read from the store meanwhile.
+        let was_only_service = found.source == OriginSource::OnlyVersion;
+        if was_only_service && !gateway.leads_only_to(route, path, service) {
+            continue;
+        }
+        return match route.leads_to(&found.origin.service) {
+            true => Ok(found),
+            false => Err(SERVICE_MOVED),
+        };
+    }
+}
+
 impl<P: Protocol> Gateway<P> {
     /// Lets a request run at one version only, since its stream began there.
     pub fn bind_to_version(&self, request: &mut PlacementRequest, version: &Name) {
