A moved route's present service is not confirmed to instances that missed the move

Callers whose route had been moved took their streams up at an instance that had just started and could not read the list in the store, and got the rest from the service to which the route leads now.

Cause: the others confirmed that the service had one version. They knew that its route had led elsewhere, but were asked for the service alone, and the instance that asked knew only the configuration in force.

Routes that do not change cost nothing.

--- a/src/gateway/origin_lookup.rs
+++ b/src/gateway/origin_lookup.rs
@@ -187,11 +187,13 @@
         if let Some(held) = self.stream_origins.held(now_us, key) {
             return held;
         }
+        // The one that asks may not know of other services to which its route led.
+        let has_moved = self.route_services().has_moved_to(now_us, service);
         let balancer = self.balancer();
         let versions = balancer.versions();
         match versions.sole_version(service) {
-            Some(version) => OriginMessage::OnlyVersion(version.clone()),
-            None => OriginMessage::Unknown {
+            Some(version) if !has_moved => OriginMessage::OnlyVersion(version.clone()),
+            _ => OriginMessage::Unknown {
                 has_several_versions: versions.are_several_known(service),
             },
         }
--- a/src/gateway/route_services.rs
+++ b/src/gateway/route_services.rs
@@ -96,6 +96,19 @@
         self.current.is_empty() || targets.any(|target| *target == RouteTarget::ShorterPrefix)
     }
 
+    /// Returns whether a target ended recently and the requests lead to a service now, or to the next shorter prefix, which
+    /// may lead there.
+    fn has_moved_to(&self, now_us: Micros, service: &str) -> bool {
+        let leads_on =
+            self.current.is_empty() || self.current.contains(&RouteTarget::ShorterPrefix);
+        let leads_to_service = || {
+            let mut current = self.current.iter();
+            current
+                .any(|target| matches!(target, RouteTarget::Service(known) if **known == *service))
+        };
+        self.remembered(now_us).next().is_some() && (leads_on || leads_to_service())
+    }
+
     /// Returns whether there is no service to remember.
     fn is_unused(&self, now_us: Micros) -> bool {
         let mut targets = self.targets(now_us);
@@ -198,6 +211,12 @@
         })
     }
 
+    /// Returns whether requests that lead to a service now may have led to another one until recently.
+    pub fn has_moved_to(&self, now_us: Micros, service: &str) -> bool {
+        let mut prefixes = self.by_host.values().flat_map(BTreeMap::values);
+        prefixes.any(|prefix| prefix.has_moved_to(now_us, service))
+    }
+
     /// Returns the prefixes whose routes may have got requests with a host and a path, the longest first.
     fn uses<'a>(
         &'a self,
--- a/tests/edge/stream_losses.rs
+++ b/tests/edge/stream_losses.rs
@@ -768,3 +768,20 @@
     println!("moved-unread: {counts:?} of {}", tries.len());
     assert_eq!(counts.mixed, 0, "{counts:?}");
 }
+
+/// The others confirm the only version of the service to which the route leads now, and know that it was moved.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_moved_route_is_not_joined_by_an_instance_that_cannot_read_the_list() {
+    let mut site = Site::start(201, 7, ENDPOINTS).await;
+    site.set_versions(&["v1"]).await;
+    add_other_service(&site).await;
+    lead_to(&site, 4, &["svc"]).await;
+    let begun = begin_streams(&site, 1, "moved-alone", STREAMS).await;
+    lead_to(&site, 5, &["other"]).await;
+    site.kill_first();
+    site.start_instance_with_origins_at(unused_addr()).await;
+    site.until_joined().await;
+    site.callers.drain(..6);
+    let counts = count_taken_up(&site, "moved-alone", begun).await;
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+}
--- a/tests/gateway/route_services.rs
+++ b/tests/gateway/route_services.rs
@@ -253,3 +253,28 @@
     behind.merge_list(2 * SECOND, newer.known(SECOND), false);
     assert_eq!(only(&behind, 2 * SECOND, "/x/a"), None);
 }
+
+/// Guards against confirming the version of a service to an instance that does not know that a route was moved there.
+#[test]
+fn service_to_which_a_route_was_moved_recently_is_known() {
+    let mut services = RouteServices::default();
+    services.put_in_force(0, &single("/x/", "one"));
+    assert!(!services.has_moved_to(SECOND, "one"));
+    services.put_in_force(10 * SECOND, &single("/x/", "two"));
+    let end_us = 10 * SECOND + VERSION_MEMORY_US;
+    assert!(services.has_moved_to(end_us - 1, "two"));
+    assert!(!services.has_moved_to(end_us - 1, "three"));
+    assert!(!services.has_moved_to(end_us, "two"));
+}
+
+/// The requests of a route that is gone lead to the service of a shorter prefix.
+#[test]
+fn route_that_is_gone_may_have_been_moved_to_any_service() {
+    let mut services = RouteServices::default();
+    let shorter = leading("/x/", &[("one", 1)]);
+    let longer = leading("/x/y/", &[("two", 1)]);
+    services.put_in_force(0, &config(1, vec![shorter.clone(), longer], vec![]));
+    assert!(!services.has_moved_to(SECOND, "one"));
+    services.put_in_force(SECOND, &config(2, vec![shorter], vec![]));
+    assert!(services.has_moved_to(2 * SECOND, "one"));
+}
