The list of versions is compared with what is known once a second while nothing is new

The instances that watch the store built the whole list, with all targets of all routes, and compared it with the stored one every 50 ms: work by the number of routes, though configurations change rarely.

Change: between two comparisons a second passes unless the configuration changed, a version in service is not listed, a write is pending or the store's era is another one.

By reading; the cost was not measured. tests/gateway version_history and route_services: 33 passed.

--- a/src/gateway/version_history.rs
+++ b/src/gateway/version_history.rs
@@ -30,6 +30,9 @@
 const KEY: &str = "service-versions";
 /// How often the versions are checked for changes to write. A new version waits for its first streams meanwhile.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
+/// How often the list is compared with what is known while no version and no configuration is new: the comparison takes
+/// time by the number of routes.
+const COMPARISON_INTERVAL_US: Micros = 1_000_000;
 /// The delay before a failed call is retried. Streams without a record are refused until the versions have been read.
 const RETRY_US: Micros = 200_000;
 /// As for the block list: the instances that watch the store write one after the other, and only what the first has not.
@@ -65,6 +68,13 @@
     is_checked: bool,
 }
 
+/// The last comparison of the list with what is known.
+#[derive(Clone, Copy, Debug)]
+struct Comparison {
+    at_us: Micros,
+    config_version: u64,
+}
+
 struct VersionHistorySync<P: Protocol, S: Store> {
     gateway: Arc<Gateway<P>>,
     store: S,
@@ -72,6 +82,7 @@
     stored: Option<Stored>,
     pending: Option<PendingWrite>,
     unlisted_reads: UnlistedReads,
+    compared: Option<Comparison>,
     /// No store call is made before this time.
     next_call_us: Micros,
 }
@@ -91,6 +102,7 @@
         stored: is_first_start.then(Stored::default),
         pending: None,
         unlisted_reads: UnlistedReads::default(),
+        compared: None,
         next_call_us: 0,
     };
     sync.run()
@@ -137,6 +149,15 @@
         let Some(stored) = stored.filter(|s| !s.era.may_be_lost(era)) else {
             return self.read().await;
         };
+        let is_of_era = stored.list.versions.era == era;
+        if is_of_era && !self.is_comparison_due(now_us) {
+            return;
+        }
+        let config_version = self.gateway.config.version();
+        self.compared = Some(Comparison {
+            at_us: now_us,
+            config_version,
+        });
         let wanted = self.wanted(now_us, era);
         if stored.list.covers(&wanted) {
             self.pending = None;
@@ -159,6 +180,17 @@
         }
     }
 
+    /// Returns whether the list may lack something that was not there at the last comparison.
+    fn is_comparison_due(&self, now_us: Micros) -> bool {
+        let Some(compared) = self.compared else {
+            return true;
+        };
+        compared.config_version != self.gateway.config.version()
+            || now_us >= compared.at_us + COMPARISON_INTERVAL_US
+            || self.pending.is_some()
+            || self.gateway.balancer().versions().has_unlisted()
+    }
+
     /// Returns the list that the store should have.
     fn wanted(&self, now_us: Micros, era: u64) -> StoredList {
         let now_unix_ms = unix_ms();
