Review: a failure of a run is passed on as a promise that nothing ran

A case for REFUSED: a runner that has run a request which may run once only answers 503 without Not-Executed. Callers take it for a promise, try again and have the work done twice.

--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -1,5 +1,6 @@
 //! The cases. Each returns the number of requests that broke the rule.
 
+mod failing;
 mod heads;
 mod interim;
 mod moved_store;
@@ -13,6 +14,7 @@
         "moved-store" => moved_store::play(record, is_troubled),
         "interim" => interim::play(record, is_troubled),
         "heads" => heads::play(record, is_troubled),
+        "failing" => failing::play(record, is_troubled),
         _ => Err(format!("no case {case}")),
     }
 }
