--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -4,6 +4,7 @@
 mod heads;
 mod interim;
 mod moved_store;
+mod streams;
 
 use crate::site::Record;
 
@@ -14,13 +15,14 @@
         "moved-store" => moved_store::play(record, is_troubled),
         "interim" => interim::play(record, is_troubled),
         "heads" => heads::play(record, is_troubled),
+        "streams" => streams::play(record, is_troubled),
         "failing" => failing::play(record, is_troubled),
         _ => Err(format!("no case {case}")),
     }
 }
 
-/// Returns a configuration with a public route `/cufi504/` of a service, and two routes that need a key, `/puxa403/`
-/// that runs once and `/mino21/` that may be repeated.
+/// Returns a configuration with a public route `/cufi504/` of a service, and routes that need a key: `/puxa403/` runs once,
+/// `/mino21/` may be repeated, and the streams of `/lohu930/` may be resumed.
 pub fn config(version: u64, public_service: &str, max_header_bytes: u64) -> String {
     let route = |name: &str, kind: &str, service: &str, attempts: u32, public: bool| {
         format!(
@@ -34,7 +36,11 @@
             "{{\"name\":\"{name}\",\"healthCheck\":\"/healthz\",\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false}}"
         )
     };
+    let stream = "{\"name\":\"r-lohu930\",\"hostname\":\"ficu95.example\",\"pathPrefix\":\"/lohu930/\",\
+        \"type\":\"streaming\",\"timeoutMs\":12000,\"targetLatencyMs\":1200,\"priority\":0,\"backend\":\"wuno96b\",\
+        \"maxAttempts\":2,\"public\":false,\"sessionAffinity\":true,\"streamResume\":true,\"targetGapMs\":600}";
     let routes = [
+        stream.to_owned(),
         route("cufi504", "idempotent", public_service, 2, true),
         route("mino21", "idempotent", "wuno96b", 2, false),
         route("puxa403", "non_idempotent", "wuno96b", 1, false),
--- a/review/standin-2/src/cases/interim.rs
+++ b/review/standin-2/src/cases/interim.rs
@@ -1,5 +1,4 @@
-//! Some runners send `101 Switching Protocols` in place of some of their answers, though nobody asked for another
-//! protocol.
+//! Some runners send `101 Switching Protocols` before some of their answers, though nobody asked for another protocol.
 
 use std::{
     io::Write,
@@ -26,15 +25,14 @@
 fn faulty() -> Script {
     let answers = AtomicUsize::new(0);
     Arc::new(move |runner, request, stream| {
+        let whole = whole_answer(runner, request);
         if answers.fetch_add(1, Ordering::Relaxed) % SPOILED_EVERY != SPOILED_EVERY - 1 {
-            stream.write_all(whole_answer(runner, request).as_bytes())?;
+            stream.write_all(whole.as_bytes())?;
             return Ok(true);
         }
         let id = request.header("request-id").unwrap_or("");
-        let spoiled = format!(
-            "HTTP/1.1 101 Switching Protocols\r\nRequest-Id: {id}\r\nInstance-Signature: {runner}.{id}\r\n\r\n"
-        );
-        stream.write_all(spoiled.as_bytes())?;
+        let interim = format!("HTTP/1.1 101 Switching Protocols\r\nRequest-Id: {id}\r\n\r\n");
+        stream.write_all((interim + &whole).as_bytes())?;
         Ok(true)
     })
 }
--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -56,6 +56,14 @@
 /// Reads a message whose body has a length or chunks; without either it has none.
 pub fn read_message(reader: &mut impl BufRead) -> io::Result<Message> {
     let mut message = read_head(reader)?;
+    if message.header("transfer-encoding").is_some() || message.header("content-length").is_some() {
+        read_body(reader, &mut message)?;
+    }
+    Ok(message)
+}
+
+/// Reads a body by its chunks or its length; without either, to the end of the channel.
+pub fn read_body(reader: &mut impl BufRead, message: &mut Message) -> io::Result<()> {
     if message.header("transfer-encoding") == Some("chunked") {
         loop {
             let size = usize::from_str_radix(&read_line(reader)?, 16).map_err(io::Error::other)?;
@@ -64,15 +72,15 @@
             message.body.extend(chunk);
             read_line(reader)?;
             if size == 0 {
-                return Ok(message);
+                return Ok(());
             }
         }
     }
-    let length = message.header("content-length").and_then(|l| l.parse().ok());
-    let mut body = vec![0; length.unwrap_or(0)];
-    reader.read_exact(&mut body)?;
-    message.body = body;
-    Ok(message)
+    let Some(length) = message.header("content-length") else {
+        return reader.read_to_end(&mut message.body).map(drop);
+    };
+    message.body = vec![0; length.parse().map_err(io::Error::other)?];
+    reader.read_exact(&mut message.body)
 }
 
 /// Returns the value of a field at the top level of a JSON object, as it is written.
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -276,4 +276,13 @@
         self.stream.set_read_timeout(Some(timeout))?;
         http::read_message(&mut self.reader)
     }
+
+    /// Reads an answer to its end: that of its chunks, or else that of the channel. Returns what arrived, and whether it
+    /// ended in order.
+    pub fn receive_to_end(&mut self, timeout: Duration) -> io::Result<(Message, io::Result<()>)> {
+        self.stream.set_read_timeout(Some(timeout))?;
+        let mut answer = http::read_head(&mut self.reader)?;
+        let end = http::read_body(&mut self.reader, &mut answer);
+        Ok((answer, end))
+    }
 }
