Review: an instance that takes over a lost one's channels exceeds its memory

Takes the place of the case on heads (DENIED), by which nothing is lost.

One of two instances is lost, and its 1,400 callers keep their channels at the other, beside the 1,400 there. Heads have 14.8 KB. The instance left goes over its memoryMb, the platform kills it, and what is in progress is lost (LOST).

--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -1,8 +1,8 @@
 //! The cases. Each returns the number of requests that broke the rule.
 
 mod failing;
-mod heads;
 mod interim;
+mod memory;
 mod moved_store;
 mod streams;
 
@@ -14,7 +14,7 @@
     match case {
         "moved-store" => moved_store::play(record, is_troubled),
         "interim" => interim::play(record, is_troubled),
-        "heads" => heads::play(record, is_troubled),
+        "memory" => memory::play(record, is_troubled),
         "streams" => streams::play(record, is_troubled),
         "failing" => failing::play(record, is_troubled),
         _ => Err(format!("no case {case}")),
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -185,6 +185,20 @@
         child.map_err(|e| format!("target/release/ryevalve: {e}"))
     }
 
+    /// Returns the process id of an instance.
+    pub fn pid(&self, index: usize) -> u32 {
+        self.instances[index].id()
+    }
+
+    /// Starts an instance that was killed again, as the platform does.
+    pub fn restart(&mut self, index: usize) -> Result<(), String> {
+        let _ = self.instances[index].wait();
+        self.write_settings(index, self.instances.len(), self.door.addr, false)?;
+        self.instances[index] = self.spawn(index)?;
+        self.record.write(&format!("instance {index} is started again"));
+        Ok(())
+    }
+
     /// Sends a signal to an instance.
     pub fn signal(&self, index: usize, name: &str) -> Result<(), String> {
         let pid = self.instances[index].id();
