--- a/review/standin-2/src/cases/moved_store.rs
+++ b/review/standin-2/src/cases/moved_store.rs
@@ -9,6 +9,10 @@
 };
 
 const INSTANCES: usize = 3;
+/// Instances that get SIGHUP; the file of the third changes without a signal.
+const SIGNALLED: usize = 2;
+/// Time between the signals.
+const GAP: Duration = Duration::from_secs(2);
 /// Both addresses serve the store for this long.
 const OVERLAP: Duration = Duration::from_secs(12);
 /// `contactMs`, and some more.
@@ -33,7 +37,10 @@
         site.record.write(&format!("the store is served at {}, too", new_door.addr));
         for index in 0..INSTANCES {
             site.write_settings(index, INSTANCES, new_door.addr, false)?;
+        }
+        for index in 0..SIGNALLED {
             site.signal(index, "HUP")?;
+            thread::sleep(GAP);
         }
         thread::sleep(OVERLAP);
         site.door.close();
