--- a/review/standin-2/src/cases/memory.rs
+++ b/review/standin-2/src/cases/memory.rs
@@ -1,4 +1,4 @@
-//! One of two instances is lost, and its callers keep their channels at the other, whose memory is limited.
+//! One of two instances leaves for good, and its callers keep their channels at the other, whose memory is limited.
 
 use std::{
     collections::HashSet,
@@ -31,9 +31,8 @@
 const HEAD_BYTES: usize = 14_600;
 /// All callers have sent a request or two.
 const BEFORE: Duration = Duration::from_secs(12);
-/// The platform has missed two readiness checks, and passes on no more channels to the lost instance.
+/// The platform has missed two readiness checks, and passes on no more channels to the instance that leaves.
 const TAKEN_OUT: Duration = Duration::from_millis(2_500);
-const DARK: Duration = Duration::from_millis(3_500);
 const AFTER: Duration = Duration::from_secs(35);
 /// `memoryMb`, in bytes as the larger of its two readings.
 const MEMORY_BYTES: u64 = 110 * 1024 * 1024;
@@ -50,8 +49,6 @@
 struct Shared {
     record: Record,
     addresses: [String; 2],
-    /// Instance 0 is lost.
-    is_lost: AtomicBool,
     /// New channels lead to instance 1.
     is_taken_out: AtomicBool,
     /// The platform has killed an instance that went over its memory.
@@ -70,15 +67,12 @@
 
 impl Kept {
     fn call(&mut self, shared: &Shared) -> io::Result<()> {
-        if shared.is_lost.load(Ordering::SeqCst) && self.instance == 0 {
-            self.stream = None;
-            if !shared.is_taken_out.load(Ordering::SeqCst) {
-                return Ok(());
-            }
-            self.instance = 1;
-        }
+        // A channel that is open stays with its instance.
         if self.stream.is_none() {
             self.uses = 0;
+            if shared.is_taken_out.load(Ordering::SeqCst) {
+                self.instance = 1;
+            }
             let stream = TcpStream::connect((shared.addresses[self.instance].as_str(), 8221))?;
             stream.set_nodelay(true)?;
             stream.set_read_timeout(Some(Duration::from_secs(3)))?;
@@ -95,6 +89,7 @@
         let answer = writer.write_all(request.as_bytes());
         let answer = answer.and_then(|()| http::read_message(&mut BufReader::new(stream)));
         let status = answer.as_ref().map_or(0, http::Message::status);
+        let is_last = answer.as_ref().is_ok_and(|answer| answer.header("connection") == Some("close"));
         let is_late = answer.is_err_and(|e| [io::ErrorKind::WouldBlock, io::ErrorKind::TimedOut].contains(&e.kind()));
         shared.record.write(&format!("{id} to {}, use {}: {status}", self.instance, self.uses));
         if status == 0 {
@@ -103,6 +98,9 @@
             }
             self.stream = None;
         }
+        if is_last {
+            self.stream = None;
+        }
         self.uses += 1;
         Ok(())
     }
@@ -134,11 +132,10 @@
 
 pub fn play(record: Record, is_troubled: bool) -> Result<usize, String> {
     let services: Vec<_> = (0..RUNNERS).map(|_| ("wuno96b", working())).collect();
-    let mut site = Site::start(record, 2, &config(7, "wuno96b", 16_384), &services)?;
+    let site = Site::start(record, 2, &config(7, "wuno96b", 16_384), &services)?;
     let shared = Arc::new(Shared {
         record: site.record.clone(),
         addresses: [site.address(0), site.address(1)],
-        is_lost: AtomicBool::new(false),
         is_taken_out: AtomicBool::new(false),
         has_ended: AtomicBool::new(false),
         next_id: AtomicU64::new(0),
@@ -152,23 +149,19 @@
             thread::spawn(move || play_callers(&shared, thread, end))
         })
         .collect();
-    let mut is_back = !is_troubled;
+    let mut is_leaving = false;
     let mut most = [0; 2];
     let mut told = Instant::now();
     while Instant::now() < end && !shared.has_ended.load(Ordering::SeqCst) {
         thread::sleep(Duration::from_millis(20));
         let since = began.elapsed();
-        if is_troubled && since >= BEFORE && !shared.is_lost.load(Ordering::SeqCst) {
-            site.signal(0, "KILL")?;
-            shared.is_lost.store(true, Ordering::SeqCst);
+        if is_troubled && since >= BEFORE && !is_leaving {
+            site.signal(0, "TERM")?;
+            is_leaving = true;
         }
         if is_troubled && since >= BEFORE + TAKEN_OUT && !shared.is_taken_out.swap(true, Ordering::SeqCst) {
             site.record.write("new channels lead to instance 1");
         }
-        if !is_back && since >= BEFORE + DARK {
-            site.restart(0)?;
-            is_back = true;
-        }
         for (index, most) in most.iter_mut().enumerate() {
             let Some(bytes) = memory_of(site.pid(index)) else { continue };
             *most = bytes.max(*most);
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -3,7 +3,7 @@
 use std::{
     fs::{self, File},
     io::{self, BufReader, Write},
-    net::{SocketAddr, TcpStream},
+    net::{SocketAddr, TcpListener, TcpStream},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex},
@@ -57,8 +57,10 @@
 impl Site {
     /// Starts the store, with a configuration and runners of a service, and instances that are ready.
     pub fn start(record: Record, instances: usize, config: &str, services: &[(&str, Script)]) -> Result<Self, String> {
-        // Different runs use different loopback addresses.
-        let net = std::process::id() % 200 + 20;
+        // Runs beside each other use different loopback addresses.
+        let first = std::process::id();
+        let mut nets = (first..first + 200).map(|number| number % 200 + 20);
+        let net = nets.find(|net| is_free(*net)).ok_or("no loopback addresses are free")?;
         let dir = std::env::temp_dir().join(format!("ryevalve-review-{}", std::process::id()));
         fs::create_dir_all(&dir).map_err(|e| e.to_string())?;
         let store = Store::default();
@@ -190,15 +192,6 @@
         self.instances[index].id()
     }
 
-    /// Starts an instance that was killed again, as the platform does.
-    pub fn restart(&mut self, index: usize) -> Result<(), String> {
-        let _ = self.instances[index].wait();
-        self.write_settings(index, self.instances.len(), self.door.addr, false)?;
-        self.instances[index] = self.spawn(index)?;
-        self.record.write(&format!("instance {index} is started again"));
-        Ok(())
-    }
-
     /// Sends a signal to an instance.
     pub fn signal(&self, index: usize, name: &str) -> Result<(), String> {
         let pid = self.instances[index].id();
@@ -250,6 +243,11 @@
     }
 }
 
+/// Returns whether no other run uses the addresses of this number.
+fn is_free(net: u32) -> bool {
+    [8221, 8224, 8229].iter().all(|port| TcpListener::bind((format!("127.{net}.2.1"), *port)).is_ok())
+}
+
 /// A caller's channel.
 pub struct Caller {
     stream: TcpStream,
