--- /dev/null
+++ b/review/standin-3/src/main.rs
@@ -0,0 +1,31 @@
+//! Stand-ins and scripts of the cases: `case NAME FOLDER` plays one, `runner` is a runner that can be killed.
+
+mod cases;
+mod http;
+mod json;
+mod runner;
+mod site;
+mod store;
+
+use std::{path::Path, process::exit};
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    match words.as_slice() {
+        ["runner", addr, id] => runner::run(addr, id),
+        ["case", name, folder] => {
+            let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+            let result = cases::play(name, Path::new(folder), has_trouble);
+            exit(match result {
+                Ok(true) => 0,
+                Ok(false) => 1,
+                Err(error) => {
+                    eprintln!("the case could not run: {error}");
+                    2
+                }
+            });
+        }
+        _ => exit(2),
+    }
+}
