Review case 10: half an answer looks whole while a new start warms up

As case 9, but each start of a runner has a new id and serves its first request 500 ms after its start. The status check that follows the close is not answered in 300 ms, which counts as a sign of life of the old start.

--- a/review/standin-3/src/cases/quick_restart.rs
+++ b/review/standin-3/src/cases/quick_restart.rs
@@ -1,5 +1,5 @@
-//! A runner crashes midway in an answer that lacks a length, and starts again under its id: at once, or some time later
-//! where its supervisor keeps its listening socket open, as service managers and servers with worker processes do.
+//! A runner crashes midway in an answer that lacks a length, and starts again: at once, or some time later where its
+//! supervisor keeps its listening socket open, as service managers and servers with worker processes do.
 
 use std::{
     collections::HashMap,
@@ -25,6 +25,8 @@
 const RUNNERS: u8 = 3;
 /// Time until a runner starts again whose supervisor keeps its socket.
 const HELD_RESTART: Duration = Duration::from_millis(100);
+/// Time after which the entry goes of a start that has ended: three liveness reports.
+const ENTRY_GOES: Duration = Duration::from_millis(3_600);
 const REQUESTS: usize = 60;
 /// Each request with a number that is a multiple of this crashes its runner.
 const CRASH_EACH: usize = 10;
@@ -37,9 +39,30 @@
 "maxConnections":100,"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,
 "maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[]}"#;
 
+/// How runners start.
+#[derive(Clone, Copy)]
+pub struct Starts {
+    /// Each start has an id of its own.
+    has_new_id: bool,
+    /// Time from a start until the first request is served.
+    warmup_ms: u64,
+}
+
+/// A runner keeps its id.
+pub const SAME_IDS: Starts = Starts {
+    has_new_id: false,
+    warmup_ms: 0,
+};
+/// Each start of a runner has a new id, and is slow at first.
+pub const NEW_IDS: Starts = Starts {
+    has_new_id: true,
+    warmup_ms: 500,
+};
+
 /// A runner that is started again when it has ended.
 struct Supervised {
-    id: String,
+    name: String,
+    starts: Starts,
     service: &'static str,
     addr: SocketAddr,
     /// The listening socket, if the supervisor keeps it.
@@ -48,17 +71,29 @@
     ends: AtomicBool,
 }
 
-fn enter(store: &Store, runner: &Supervised, sequence: u64) {
+fn enter(store: &Store, runner: &Supervised, id: &str) {
     let (service, addr, born) = (runner.service, runner.addr, unix_ms());
+    let warmup_ms = runner.starts.warmup_ms;
     let entry = format!(
-        r#"{{"backend":"{service}","address":"{addr}","zone":"hall-a","version":"v1","capacity":6,"state":"ready","warmupLeftMs":0,"sequence":{sequence},"born":{born}}}"#
+        r#"{{"backend":"{service}","address":"{addr}","zone":"hall-a","version":"v1","capacity":6,"state":"ready","warmupLeftMs":{warmup_ms},"sequence":1,"born":{born}}}"#
     );
-    store.put("servers", &runner.id, &entry);
+    store.put("servers", id, &entry);
 }
 
-fn supervise(store: &Store, runner: &Supervised, record: &Record, crash: &dyn Fn(&str) -> bool) {
+fn supervise(
+    store: &Arc<Store>,
+    runner: &Supervised,
+    record: &Record,
+    crash: &dyn Fn(&str) -> bool,
+) {
     let program = std::env::current_exe().expect("the program has a path");
+    let mut start = 0;
     while !runner.ends.load(Ordering::Relaxed) {
+        start += 1;
+        let id = match runner.starts.has_new_id {
+            true => format!("{}-{start}", runner.name),
+            false => runner.name.clone(),
+        };
         let held = runner
             .socket
             .as_ref()
@@ -68,7 +103,7 @@
             None => runner.addr.to_string(),
         };
         let child = Command::new(&program)
-            .args(["runner", &addr, &runner.id])
+            .args(["runner", &addr, &id, &runner.starts.warmup_ms.to_string()])
             .stdin(held.map_or_else(Stdio::null, |socket| OwnedFd::from(socket).into()))
             .stdout(Stdio::piped())
             .spawn();
@@ -77,33 +112,46 @@
         *runner.child.lock().unwrap() = Some(child);
         for line in BufReader::new(output).lines().map_while(Result::ok) {
             if line == "started" {
-                enter(store, runner, 1);
+                enter(store, runner, &id);
             }
             let crashes = line.strip_prefix("half ").is_some_and(crash);
             if crashes && let Some(child) = runner.child.lock().unwrap().as_mut() {
                 let _ = child.kill();
             }
-            record.note(&format!("runner {}: {line}", runner.id));
+            record.note(&format!("runner {id}: {line}"));
             if crashes {
-                record.note(&format!("runner {}: killed", runner.id));
+                record.note(&format!("runner {id}: killed"));
             }
         }
         if let Some(mut child) = runner.child.lock().unwrap().take() {
             let _ = child.wait();
         }
+        if runner.starts.has_new_id {
+            let store = store.clone();
+            thread::spawn(move || {
+                thread::sleep(ENTRY_GOES);
+                store.remove("servers", &id);
+            });
+        }
         if runner.socket.is_some() {
             thread::sleep(HELD_RESTART);
         }
     }
 }
 
-fn runner(service: &'static str, number: u8, addr: SocketAddr) -> io::Result<Arc<Supervised>> {
+fn runner(
+    service: &'static str,
+    number: u8,
+    addr: SocketAddr,
+    starts: Starts,
+) -> io::Result<Arc<Supervised>> {
     let socket = match service {
         "held" => Some(TcpListener::bind(addr)?),
         _ => None,
     };
     Ok(Arc::new(Supervised {
-        id: format!("i-{service}-{number}"),
+        name: format!("i-{service}-{number}"),
+        starts,
         service,
         addr,
         socket,
@@ -112,15 +160,15 @@
     }))
 }
 
-pub fn play(record: &Record, has_trouble: bool) -> io::Result<bool> {
+pub fn play(record: &Record, has_trouble: bool, starts: Starts) -> io::Result<bool> {
     let net = site::network();
     let store = Store::start(site::address(net, 2))?;
     store.put("config", "main", CONFIG);
     let mut runners = Vec::new();
     for number in 0..RUNNERS {
         let addr = |host: u8| SocketAddr::from((site::address(net, host + number), 8300));
-        runners.push(runner("app", number, addr(100))?);
-        runners.push(runner("held", number, addr(150))?);
+        runners.push(runner("app", number, addr(100), starts)?);
+        runners.push(runner("held", number, addr(150), starts)?);
     }
     let site = Site::new(net, store.addr, vec![0, 1, 2])?;
     let result = thread::scope(|scope| {
--- a/review/standin-3/src/runner.rs
+++ b/review/standin-3/src/runner.rs
@@ -22,13 +22,16 @@
 }
 
 /// Runs at an address, or at the listening socket that its supervisor keeps open and passes as standard input (`-`).
-pub fn run(addr: &str, id: &str) {
+///
+/// It takes connections from its start, and serves them once it has warmed up.
+pub fn run(addr: &str, id: &str, warmup: Duration) {
     let listener = match addr {
         // SAFETY: standard input is open, and nothing else uses it.
         "-" => TcpListener::from(unsafe { OwnedFd::from_raw_fd(0) }),
         addr => TcpListener::bind(addr).expect("the runner's address is free"),
     };
     say("started");
+    thread::sleep(warmup);
     for stream in listener.incoming().flatten() {
         let id = id.to_owned();
         thread::spawn(move || serve(stream, &id));
--- a/review/standin-3/src/store.rs
+++ b/review/standin-3/src/store.rs
@@ -171,6 +171,11 @@
         self.changed.notify_all();
     }
 
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.state.lock().unwrap().remove(kind, name);
+        self.changed.notify_all();
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(cloned) = stream.try_clone() else {
