--- a/review/standin-3/src/cases/quick_restart.rs
+++ b/review/standin-3/src/cases/quick_restart.rs
@@ -172,20 +172,27 @@
     }
     let site = Site::new(net, store.addr, vec![0, 1, 2])?;
     let result = thread::scope(|scope| {
+        let mut supervisors = Vec::new();
         for runner in &runners {
             let store = &store;
             let crash = move |id: &str| {
                 let number = id.split('-').nth(1).and_then(|n| n.parse::<usize>().ok());
                 has_trouble && number.is_some_and(|n| n > 20 && n % CRASH_EACH == 0)
             };
-            scope.spawn(move || supervise(store, runner, record, &crash));
+            supervisors.push(scope.spawn(move || supervise(store, runner, record, &crash)));
         }
         let result = send_requests(&site, record);
         for runner in &runners {
             runner.ends.store(true, Ordering::Relaxed);
-            if let Some(child) = runner.child.lock().unwrap().as_mut() {
-                let _ = child.kill();
+        }
+        // A runner may just be starting again.
+        while supervisors.iter().any(|s| !s.is_finished()) {
+            for runner in &runners {
+                if let Some(child) = runner.child.lock().unwrap().as_mut() {
+                    let _ = child.kill();
+                }
             }
+            thread::sleep(Duration::from_millis(20));
         }
         result
     });
