--- a/review/standin-2/src/cases/moved_store.rs
+++ b/review/standin-2/src/cases/moved_store.rs
@@ -8,11 +8,11 @@
     site::{Call, Record, Site},
 };
 
-const INSTANCES: usize = 3;
-/// Instances that get SIGHUP; the file of the third changes without a signal.
-const SIGNALLED: usize = 2;
-/// Time between the signals.
-const GAP: Duration = Duration::from_secs(2);
+const INSTANCES: usize = 5;
+/// Instances that get SIGHUP; the files of the others change without a signal.
+const SIGNALLED: usize = 3;
+/// Time between the signals, which are sent over 2 s.
+const GAP: Duration = Duration::from_secs(1);
 /// Both addresses serve the store for this long.
 const OVERLAP: Duration = Duration::from_secs(12);
 /// `contactMs`, and some more.
