Encode the names of objects in calls to the store

Callers: while an entry of another writer whose name holds &, +, #, % or a blank stood at the end of a page of the list of endpoints, processes that started knew no endpoint and almost no request was served.

Cause: names were copied into queries and paths as they are. The store then read another name, so that the list did not go on, or the target was not valid, and a default request (GET /) was sent in its place.

The stand-in of the store now decodes targets and compares the name of a write with that of its path.

Fix: one module makes all targets, encoded by percent-encoding; a call without a valid target is an error; a list steps back over a name that the store refuses or that is too long for a call.

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -8,6 +8,7 @@
 pub mod endpoints;
 pub mod evacuations;
 pub mod headers;
+pub mod object_target;
 pub mod objects;
 pub mod rollouts;
 pub mod settings;
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -11,7 +11,7 @@
 //! | `PUT /objects/KIND/NAME/status` | replaces its status; 409 if it is at another revision |
 //! | `DELETE /objects/KIND/NAME?revision=REVISION` | deletes an object |
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{collections::HashSet, io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -27,7 +27,10 @@
 use tokio::{net::TcpStream, time};
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::{platform::store_era::StoreEra, prelude::StorePosition};
+use crate::{
+    platform::{object_target, store_era::StoreEra},
+    prelude::StorePosition,
+};
 
 /// A connection that takes longer will not be established; a call takes some milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -69,6 +72,12 @@
     /// The object is at another revision, does not exist, or exists already.
     #[snafu(display("the object does not match the condition of the write"))]
     Conflict,
+    /// The call has no valid target, for instance because the name in it is too long: nothing was done.
+    #[snafu(display("the call cannot be made: {source}"))]
+    InvalidTarget {
+        /// The error of the HTTP library.
+        source: hyper::http::Error,
+    },
     /// The answer cannot be decoded.
     #[snafu(display("the store's answer cannot be decoded: {source}"))]
     Unreadable {
@@ -77,6 +86,22 @@
     },
 }
 
+impl CallError {
+    /// Returns whether the target of the call is at fault, so that the same call fails again.
+    fn is_about_target(&self) -> bool {
+        match self {
+            Self::InvalidTarget { .. } => true,
+            Self::Refused { status } => matches!(
+                *status,
+                StatusCode::BAD_REQUEST
+                    | StatusCode::URI_TOO_LONG
+                    | StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE
+            ),
+            _ => false,
+        }
+    }
+}
+
 /// Metadata of an object.
 #[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq, Eq)]
 pub struct Metadata {
@@ -144,8 +169,10 @@
 #[derive(Debug)]
 pub struct PartialListing<T> {
     listing: Listing<T>,
-    /// Name after which the next page starts; none before the first page.
-    after: Option<String>,
+    /// Names of the last page in its order; the next page starts after the last of them. Empty before the first page.
+    cursors: Vec<String>,
+    /// Names of objects that were read and that the next page contains again.
+    repeated: HashSet<String>,
 }
 
 impl<T> Default for PartialListing<T> {
@@ -157,7 +184,8 @@
         };
         Self {
             listing,
-            after: None,
+            cursors: Vec::new(),
+            repeated: HashSet::new(),
         }
     }
 }
@@ -170,15 +198,15 @@
 
     /// Returns whether no page has been read yet.
     pub fn is_empty(&self) -> bool {
-        self.after.is_none()
+        self.cursors.is_empty()
     }
 }
 
 impl<T: DeserializeOwned> PartialListing<T> {
-    fn path(&self, kind: &str) -> String {
-        match &self.after {
-            None => format!("/objects/{kind}"),
-            Some(name) => format!("/objects/{kind}?sinceRevision={name}"),
+    fn target(&self, kind: &str) -> String {
+        match self.cursors.last() {
+            None => object_target::kind(kind),
+            Some(name) => object_target::page_after(kind, name),
         }
     }
 
@@ -187,24 +215,46 @@
         !self.is_empty() && self.era() != era
     }
 
+    /// Lets the next page start one name earlier, for a name that the store does not accept; returns whether it can.
+    fn step_back(&mut self) -> bool {
+        if self.cursors.len() < 2 {
+            return false;
+        }
+        self.repeated.extend(self.cursors.pop());
+        true
+    }
+
     /// Adds a page; returns whether it was the last. If a page does not say whether more follow, an empty one is the last.
     fn add(&mut self, page: &Page, era: u64) -> Result<bool, CallError> {
-        let last = page.items.iter().rev().find_map(|item| name_of(item));
         let may_follow = page.has_more.unwrap_or(!page.items.is_empty());
-        let is_repeated = last.is_some() && last == self.after;
-        if may_follow && (is_repeated || last.is_none()) {
+        let mut names = Vec::with_capacity(page.items.len());
+        let (mut items, mut unreadable) = (Vec::new(), Vec::new());
+        for item in &page.items {
+            let decoded = decode_object(item);
+            let name = match &decoded {
+                Ok(object) => Some(&object.metadata.name),
+                Err(unreadable) => unreadable.name.as_ref(),
+            };
+            if name.is_some_and(|name| self.repeated.contains(name)) {
+                continue;
+            }
+            names.extend(name.cloned());
+            match decoded {
+                Ok(object) => items.push(object),
+                Err(object) => unreadable.push(object),
+            }
+        }
+        let is_stuck = names.is_empty() || names.last() == self.cursors.last();
+        if may_follow && is_stuck {
             return NoProgressSnafu.fail();
         }
-        if self.after.is_none() {
+        if self.is_empty() {
             self.listing.position = StorePosition::new(era, page.revision);
         }
-        for item in &page.items {
-            match decode_object(item) {
-                Ok(object) => self.listing.items.push(object),
-                Err(unreadable) => self.listing.unreadable.push(unreadable),
-            }
-        }
-        self.after = last;
+        self.listing.items.append(&mut items);
+        self.listing.unreadable.append(&mut unreadable);
+        self.cursors = names;
+        self.repeated.clear();
         Ok(!may_follow)
     }
 }
@@ -381,7 +431,12 @@
         kind: &str,
         partial: &mut PartialListing<T>,
     ) -> Result<Option<Listing<T>>, CallError> {
-        let (page, era) = self.read::<Page>(&partial.path(kind), CALL_TIMEOUT).await?;
+        let (page, era) = loop {
+            match self.read::<Page>(&partial.target(kind), CALL_TIMEOUT).await {
+                Err(error) if error.is_about_target() && partial.step_back() => {}
+                answer => break answer?,
+            }
+        };
         if partial.is_of_other_era(era) {
             *partial = PartialListing::default();
             return EraChangedSnafu.fail();
@@ -399,8 +454,8 @@
         kind: &str,
         name: &str,
     ) -> Result<Option<Object<T>>, CallError> {
-        let path = format!("/objects/{kind}/{name}");
-        match self.read(&path, CALL_TIMEOUT).await {
+        let target = object_target::object(kind, name);
+        match self.read(&target, CALL_TIMEOUT).await {
             Ok((object, _)) => Ok(Some(object)),
             Err(CallError::Refused { status }) if status == StatusCode::NOT_FOUND => Ok(None),
             Err(error) => Err(error),
@@ -419,11 +474,9 @@
         wait: Duration,
     ) -> Result<Changes<T>, CallError> {
         self.era.note(from.era());
-        let revision = from.revision();
-        let wait_ms = wait.as_millis();
-        let path = format!("/objects/{kind}?watch={revision}&waitMs={wait_ms}");
+        let target = object_target::changes_since(kind, from.revision(), wait.as_millis());
         let (answer, era) = self
-            .read::<WatchResponse>(&path, wait + CALL_TIMEOUT)
+            .read::<WatchResponse>(&target, wait + CALL_TIMEOUT)
             .await?;
         if era != from.era() {
             return EraChangedSnafu.fail();
@@ -443,8 +496,8 @@
         kind: &str,
         object: &Object<T>,
     ) -> Result<u64, CallError> {
-        let path = format!("/objects/{kind}");
-        self.write(Method::POST, &path, object).await
+        let target = object_target::kind(kind);
+        self.write(Method::POST, &target, object).await
     }
 
     /// Replaces an object if it is at the revision in its metadata, where 0 means any; returns the new revision.
@@ -456,8 +509,8 @@
         kind: &str,
         object: &Object<T>,
     ) -> Result<u64, CallError> {
-        let path = format!("/objects/{kind}/{}", object.metadata.name);
-        self.write(Method::PUT, &path, object).await
+        let target = object_target::object(kind, &object.metadata.name);
+        self.write(Method::PUT, &target, object).await
     }
 
     /// Replaces the status of an object if it is at the revision in its metadata; returns the new revision.
@@ -469,8 +522,8 @@
         kind: &str,
         object: &Object<T>,
     ) -> Result<u64, CallError> {
-        let path = format!("/objects/{kind}/{}/status", object.metadata.name);
-        self.write(Method::PUT, &path, object).await
+        let target = object_target::status(kind, &object.metadata.name);
+        self.write(Method::PUT, &target, object).await
     }
 
     /// Deletes an object; one that does not exist is no error.
@@ -478,8 +531,8 @@
     /// # Errors
     /// The call failed; see [`CallError`].
     pub async fn remove(&mut self, kind: &str, name: &str) -> Result<(), CallError> {
-        let path = format!("/objects/{kind}/{name}");
-        let request = build_request(Method::DELETE, &path, Bytes::new());
+        let target = object_target::object(kind, name);
+        let request = build_request(Method::DELETE, &target, Bytes::new())?;
         let answer = self.call(request, CALL_TIMEOUT).await?;
         match check_status(answer.status) {
             Err(CallError::Refused { status }) if status == StatusCode::NOT_FOUND => Ok(()),
@@ -487,13 +540,13 @@
         }
     }
 
-    /// Reads a path; returns the decoded answer and its era.
+    /// Reads a target; returns the decoded answer and its era.
     async fn read<T: DeserializeOwned>(
         &mut self,
-        path: &str,
+        target: &str,
         timeout: Duration,
     ) -> Result<(T, u64), CallError> {
-        let request = build_request(Method::GET, path, Bytes::new());
+        let request = build_request(Method::GET, target, Bytes::new())?;
         let answer = self.call(request, timeout).await?;
         check_status(answer.status)?;
         // Invalid UTF-8 in one object must not make the others unreadable.
@@ -504,11 +557,11 @@
     async fn write<T: Serialize>(
         &mut self,
         method: Method,
-        path: &str,
+        target: &str,
         object: &Object<T>,
     ) -> Result<u64, CallError> {
         let body = serde_json::to_vec(object).context(UnreadableSnafu)?;
-        let request = build_request(method, path, body.into());
+        let request = build_request(method, target, body.into())?;
         let answer = self.call(request, CALL_TIMEOUT).await?;
         check_status(answer.status)?;
         let written: Object<serde_json::Value> =
@@ -571,14 +624,17 @@
     }
 }
 
-fn build_request(method: Method, path: &str, body: Bytes) -> Request<Full<Bytes>> {
+fn build_request(
+    method: Method,
+    target: &str,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, CallError> {
     let builder = Request::builder()
         .method(method)
-        .uri(path)
+        .uri(target)
         .header(HOST, "store")
         .header(CONTENT_TYPE, "application/json");
-    // Paths consist of kinds and names that came from the store, so they are valid.
-    builder.body(Full::new(body)).unwrap_or_default()
+    builder.body(Full::new(body)).context(InvalidTargetSnafu)
 }
 
 async fn exchange(
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -227,7 +227,9 @@
         {
             WriteError::NotWritten { reason }
         }
-        CallError::Unreachable { .. } => WriteError::NotWritten { reason },
+        CallError::Unreachable { .. } | CallError::InvalidTarget { .. } => {
+            WriteError::NotWritten { reason }
+        }
         _ => WriteError::Unknown { reason },
     }
 }
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -8,6 +8,7 @@
     Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
 };
 use hyper_util::rt::TokioIo;
+use percent_encoding::percent_decode_str;
 use tokio::{net::TcpListener, task::JoinHandle};
 
 /// Response body; an error in it closes the connection.
@@ -79,13 +80,18 @@
     Ok(collected.map_err(std::io::Error::other)?.to_bytes())
 }
 
-/// Returns a query parameter as text, as in `?after=name`.
+/// Returns a decoded query parameter, as in `?after=name`.
 pub fn query_text(request: &Request<Incoming>, name: &str) -> Option<String> {
     let query = request.uri().query()?;
-    query.split('&').find_map(|pair| {
-        let (key, value) = pair.split_once('=')?;
-        (key == name).then(|| value.to_owned())
-    })
+    form_urlencoded::parse(query.as_bytes())
+        .find_map(|(key, value)| (key == name).then(|| value.into_owned()))
+}
+
+/// Returns the decoded segments of a request's path.
+pub fn path_segments(request: &Request<Incoming>) -> Vec<String> {
+    let segments = request.uri().path().trim_start_matches('/').split('/');
+    let decoded = segments.map(|segment| percent_decode_str(segment).decode_utf8_lossy());
+    decoded.map(Into::into).collect()
 }
 
 /// Returns a query parameter as a number, as in `?after=7`.
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -59,6 +59,10 @@
     pub lose_write_answers: u32,
     /// Delay before those writes are applied.
     pub lost_write_delay: Duration,
+    /// Refuses calls with a longer path and query; none refuses none.
+    pub max_target_bytes: Option<usize>,
+    /// Maximum number of objects on a page; none for the usual one.
+    pub page_items: Option<usize>,
     /// Sends this era header instead of the current one; an empty text omits it.
     pub era_header: Option<String>,
 }
@@ -273,12 +277,13 @@
     fn page(&self, kind: &str, after: Option<&str>) -> Value {
         let names = self.objects.iter().filter(|((k, _), _)| k == kind);
         let names = names.filter(|((_, name), _)| after.is_none_or(|a| name.as_str() > a));
+        let page_items = self.faults.page_items.unwrap_or(PAGE_ITEMS);
         let mut items: Vec<Value> = names
-            .take(PAGE_ITEMS + 1)
+            .take(page_items + 1)
             .map(|((_, name), o)| object_json(name, o))
             .collect();
-        let has_more = items.len() > PAGE_ITEMS;
-        items.truncate(PAGE_ITEMS);
+        let has_more = items.len() > page_items;
+        items.truncate(page_items);
         json!({"items": items, "hasMore": has_more, "timestamp": self.revision})
     }
 }
@@ -437,6 +442,11 @@
         self.wake();
     }
 
+    /// Returns an object.
+    pub fn get_object(&self, kind: &str, name: &str) -> Option<Value> {
+        self.lock().object(kind, name)
+    }
+
     /// Returns an object's spec.
     pub fn spec(&self, kind: &str, name: &str) -> Option<Value> {
         self.lock().object(kind, name).map(|o| o["spec"].clone())
@@ -489,14 +499,18 @@
         let status = StatusCode::TOO_MANY_REQUESTS;
         return Ok(http::answer(status, "over the limit"));
     }
-    let path = request.uri().path().to_owned();
-    let mut parts = path.trim_start_matches('/').split('/');
-    let (Some("objects"), Some(kind)) = (parts.next(), parts.next()) else {
-        return Ok(http::answer(StatusCode::NOT_FOUND, "no such path"));
+    if request.uri().to_string().len() > faults.max_target_bytes.unwrap_or(usize::MAX) {
+        return Ok(http::answer(StatusCode::URI_TOO_LONG, "target too long"));
+    }
+    let segments = http::path_segments(&request);
+    let segments: Vec<&str> = segments.iter().map(String::as_str).collect();
+    let (kind, name, is_status) = match segments[..] {
+        ["objects", kind] => (kind, None, false),
+        ["objects", kind, name] => (kind, Some(name), false),
+        ["objects", kind, name, "status"] => (kind, Some(name), true),
+        _ => return Ok(http::answer(StatusCode::NOT_FOUND, "no such path")),
     };
-    let name = parts.next();
     if is_write {
-        let is_status = parts.next() == Some("status");
         return write(&state, &changed, (kind, is_status), name, request).await;
     }
     if let Some(name) = name {
@@ -646,6 +660,9 @@
             Err(error) => return Ok(http::answer(StatusCode::BAD_REQUEST, error.to_string())),
         },
     };
+    if name.is_some_and(|name| name != written.metadata.name) {
+        return Ok(http::answer(StatusCode::BAD_REQUEST, "another name"));
+    }
     written.is_status = is_status;
     let (lose, late) = {
         let mut state = lock(state);
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -19,6 +19,8 @@
 mod doubtful_ends;
 mod endless_answers;
 mod endpoint_limits;
+mod entry_names;
+
 mod evacuations;
 mod kept_connections;
 mod large_cluster;
--- a/tests/edge/support.rs
+++ b/tests/edge/support.rs
@@ -99,7 +99,11 @@
 
     /// Starts one instance as [`Edge::start`] does, with additional settings lines under `[bounds]`.
     pub async fn start_with(count: usize, bounds: &str) -> Self {
-        let platform = Platform::start().await;
+        Self::start_on(Platform::start().await, count, bounds).await
+    }
+
+    /// Starts one instance on a store that may have entries already, with `count` endpoints more.
+    pub async fn start_on(platform: Platform, count: usize, bounds: &str) -> Self {
         platform.set("config", "main", config(3, &["key-of-the-tests"]));
         let mut runners = Vec::new();
         for index in 0..count {
