Do not pass on an endpoint's status that promises that a request did not run

Callers of requests that may run once got a 503 of an endpoint that had run them.

Cause: requests that did not run were told by Not-Executed and 421, but every other failure was passed on with its status; in serve, answers of plain services and client errors of engines as well.

--- a/src/entry/refusal.rs
+++ b/src/entry/refusal.rs
@@ -23,6 +23,17 @@
     BadRequest,
 }
 
+/// Returns whether callers take a status as the promise that their request did not run and never will.
+pub fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// A final answer that does not come from the endpoint.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Refusal {
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -21,7 +21,7 @@
         parse::{Call, Target},
         plain_answer::{NotWhole, PlainAnswer},
         recorder::EndedRequest,
-        refusal::{Refusal, Verdict},
+        refusal::{self, Refusal, Verdict},
         registry::{Arrival, Decision, HeldRequest},
         tickets::{Ticket, TicketAnswer},
     },
@@ -444,12 +444,14 @@
             Ok(answer) => answer,
             Err(error) => {
                 let message = format!("the service did not answer: {error}");
-                let refusal = Refusal::unknown("endpoint_failed", message);
-                self.finish_sent(false, None, "outcome_unknown", Some("endpoint_failed"), 0);
-                let _ = self.answer.send(Message::Refused(refusal)).await;
-                return;
+                return self.fail_plain(message).await;
             }
         };
+        let status = answer.response.status();
+        if refusal::promises_not_run(status) {
+            let message = format!("the service answered {status} to a request that may have run");
+            return self.fail_plain(message).await;
+        }
         self.held.notify_leader(Update::FirstToken(self.held.id));
         let mut answer = PlainAnswer::new(answer);
         match self.relay_plain(&mut answer, addr).await {
@@ -472,6 +474,13 @@
         }
     }
 
+    /// Ends a request that a plain service may have run, of whose answer nothing was sent to the caller.
+    async fn fail_plain(&mut self, message: String) {
+        let refusal = Refusal::unknown("endpoint_failed", message);
+        self.finish_sent(false, None, "outcome_unknown", Some(refusal.reason), 0);
+        let _ = self.answer.send(Message::Refused(refusal)).await;
+    }
+
     /// Relays a plain service's answer to the caller, up to its end.
     async fn relay_plain(
         &self,
@@ -584,6 +593,7 @@
             status,
             body: Some(body),
         } = error
+            && !refusal::promises_not_run(*status)
         {
             // The engine's client error is relayed as the answer.
             let head = Message::Begin {
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -181,7 +181,7 @@
 }
 
 /// Readable descriptions of the values of `reason` in log lines.
-const REASONS: [(&str, &str); 42] = [
+const REASONS: [(&str, &str); 43] = [
     (
         "answer_broke_off",
         "the endpoint's answer broke off, so it may have run",
@@ -290,6 +290,10 @@
         "unknown_key",
         "its key is in no organisation of the configuration",
     ),
+    (
+        "unproven_refusal",
+        "the endpoint refused it without stating that it did not run it",
+    ),
     ("unreachable", "no connection to the endpoint came up"),
     (
         "version_withheld",
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -64,6 +64,8 @@
 const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(250);
 /// The most urgent rank at which a retry is queued.
 const RETRY_RANK: Rank = 2;
+/// Reason for refusing a request that an endpoint refused without the statement that it did not run.
+const UNPROVEN_REFUSAL: &str = "unproven_refusal";
 /// How often a request is sent elsewhere after an endpoint refused it without running it.
 const MAX_NOT_RUN: usize = 3;
 
@@ -321,18 +323,35 @@
                     }
                 }
                 AttemptOutcome::Error(response) => {
-                    trace.reason = Some("endpoint_error");
-                    self.add_run();
-                    let has_better = fallback.has_likely_answer();
                     fallback.error = Some(response);
-                    if is_last && (has_better || !self.may_run_again()) {
-                        return Err(refuse::unknown("endpoint_error"));
-                    }
+                    self.note_endpoint_failure("endpoint_error", is_last, fallback, trace)?;
+                }
+                AttemptOutcome::UnprovenRefusal => {
+                    self.note_endpoint_failure(UNPROVEN_REFUSAL, is_last, fallback, trace)?;
                 }
             }
         }
     }
 
+    /// Counts a run that ended with a failure of its endpoint.
+    ///
+    /// # Errors
+    /// It was the last attempt, and the request is not run again.
+    fn note_endpoint_failure(
+        &self,
+        reason: &'static str,
+        is_last: bool,
+        fallback: &Fallback<P>,
+        trace: &mut Trace,
+    ) -> Result<(), Refusal> {
+        trace.reason = Some(reason);
+        self.add_run();
+        if is_last && (fallback.has_likely_answer() || !self.may_run_again()) {
+            return Err(refuse::unknown(reason));
+        }
+        Ok(())
+    }
+
     /// Waits for what happens next to the attempts that have not ended, of which there is one at least.
     async fn next_step<F>(
         &self,
--- a/src/gateway/endpoint_attempt.rs
+++ b/src/gateway/endpoint_attempt.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     balance::balancer::Choice,
-    entry::refusal::Refusal,
+    entry::refusal::{self, Refusal},
     gateway::{
         answer_ends::AnswerEnd,
         attempt::{self, AttemptError, BufferedResponse, EndpointResponse, InFlightRequest, Job},
@@ -44,6 +44,8 @@
     },
     /// The endpoint ran it and answered with a server error.
     Error(BufferedResponse),
+    /// The endpoint answered with a status that promises callers that the request did not run, and does not state that.
+    UnprovenRefusal,
     /// The endpoint ran it, and running it again would not help.
     GivenUp { refusal: Box<Refusal> },
 }
@@ -162,6 +164,9 @@
         }
         let buffered =
             attempt::buffer_response(gateway, job, received, deadline, &self.least_size).await?;
+        if refusal::promises_not_run(buffered.status) {
+            return Ok(AttemptOutcome::UnprovenRefusal);
+        }
         if buffered.status.is_server_error() {
             return Ok(AttemptOutcome::Error(buffered));
         }
--- a/tests/cluster/broken_answers.rs
+++ b/tests/cluster/broken_answers.rs
@@ -597,3 +597,54 @@
         got.status() != Some(400) || !is_framed_as_whole(got)
     });
 }
+
+/// Statuses that are this product's promise that a request did not run and never will.
+const PROMISES: [&str; 4] = [
+    "408 Request Timeout",
+    "421 Misdirected Request",
+    "429 Too Many Requests",
+    "503 Service Unavailable",
+];
+
+fn failures(statuses: &[&str]) -> Vec<Case> {
+    let failure = |status: &&str| {
+        let (head, body) = Framing::Length.parts(status, JSON, JSON_BODY);
+        Case {
+            name: (*status).to_owned(),
+            script: closed(head + &body),
+        }
+    };
+    statuses.iter().map(failure).collect()
+}
+
+/// Guards against callers that repeat a request which has run: the endpoint runs it, and answers with such a status.
+#[tokio::test(flavor = "multi_thread")]
+async fn status_of_an_endpoint_does_not_promise_that_a_request_did_not_run() {
+    let unknown =
+        |got: &RawAnswer| got.status() == Some(502) && got.text.contains("outcome_unknown");
+    check(
+        "plain",
+        &play(failures(&PROMISES), plain_call).await,
+        unknown,
+    );
+    for (is_chat, streams) in [(false, false), (false, true), (true, false), (true, true)] {
+        let call = |number| model_call(number, is_chat, streams);
+        let what = format!("model, chat {is_chat}, streams {streams}");
+        check(&what, &play(failures(&PROMISES), call).await, unknown);
+    }
+}
+
+/// Guards against failures that are hidden although their status is no promise.
+#[tokio::test(flavor = "multi_thread")]
+async fn other_failures_of_a_plain_service_are_passed_on() {
+    let passed = [
+        "400 Bad Request",
+        "409 Conflict",
+        "500 Internal Server Error",
+    ];
+    let played = play(failures(&passed), plain_call).await;
+    for (case, got) in &played {
+        let status = got.status().expect("a status").to_string();
+        assert!(case.name.starts_with(&status), "{}: {got:?}", case.name);
+    }
+}
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -56,6 +56,7 @@
 mod suspension;
 mod taken_up_streams;
 mod unframed_answers;
+mod unproven_refusals;
 mod unread_bodies;
 mod unseen_answers;
 mod verified_ends;
