Replace own objects of the store that cannot be decoded

Callers: after a loss of all instances, while an own object of the store had the content of another writer, requests with a limit were refused for as long as it was watched (12 s are allowed for the whole service).

Cause: PlatformStore::read reported such an object as a store that does not answer, and the number of instances was asked for without end.

Evidence: tests/edge/recovery restarts real processes under twelve conditions of store, entries and machines, looking for the RECOVER that was reported without logs.

Fix: ReadError::Unreadable carries the version of the object, and its readers take it as an object to replace. serve goes on refusing what it cannot read.

--- a/src/gateway/block_list.rs
+++ b/src/gateway/block_list.rs
@@ -18,7 +18,7 @@
     gateway::{protocol::Protocol, state::Gateway},
     limits::{part_suspects::PartUpdate, suspects::SuspectUpdate},
     prelude::Micros,
-    store::{ObjectEra, Store, WriteError},
+    store::{self, ObjectEra, Store, WriteError},
 };
 
 /// The store key of the list.
@@ -194,7 +194,7 @@
 
     async fn read(&mut self) {
         let era_before = self.store.era();
-        let read = self.store.read(KEY).await;
+        let read = store::empty_if_unreadable(self.store.read(KEY).await);
         let era = ObjectEra::of_call(era_before, self.store.era());
         match read {
             Ok(None) => {
--- a/src/gateway/instance_count.rs
+++ b/src/gateway/instance_count.rs
@@ -10,7 +10,7 @@
 use crate::{
     gateway::{protocol::Protocol, state::Gateway},
     prelude::Micros,
-    store::{ObjectEra, Store, WriteError},
+    store::{self, ObjectEra, Store, WriteError},
 };
 
 /// The store key of the number.
@@ -95,7 +95,7 @@
 
     async fn read(&mut self) {
         let era_before = self.store.era();
-        match self.store.read(KEY).await {
+        match store::empty_if_unreadable(self.store.read(KEY).await) {
             Ok(object) => {
                 let (version, instances) =
                     object.map_or((0, 0), |object| (object.version, decode(&object.value)));
--- a/src/gateway/origin_archive.rs
+++ b/src/gateway/origin_archive.rs
@@ -22,7 +22,7 @@
         state::Gateway,
     },
     prelude::Micros,
-    store::{ListingStore, ObjectEra, ReadError, Store, WriteError},
+    store::{self, ListingStore, ObjectEra, ReadError, Store, WriteError},
 };
 
 /// Shortest time between two writes of an instance.
@@ -341,7 +341,8 @@
             Err(WriteError::Conflict) if attempts < WRITE_ATTEMPTS => {}
             Err(error) => return Err(error),
         }
-        let stored = store.read(&name).await.map_err(|error| {
+        let stored = store::empty_if_unreadable(store.read(&name).await);
+        let stored = stored.map_err(|error| {
             let reason = error.to_string();
             WriteError::NotWritten { reason }
         })?;
--- a/src/gateway/version_history.rs
+++ b/src/gateway/version_history.rs
@@ -23,7 +23,7 @@
         unlisted_versions::UnlistedReads, version_list::VersionList,
     },
     prelude::Micros,
-    store::{ObjectEra, Store, WriteError},
+    store::{self, ObjectEra, Store, WriteError},
 };
 
 /// The store key of the versions.
@@ -209,7 +209,7 @@
         let begun_us = self.gateway.clock.now_us();
         self.gateway.version_list_reads.begin(begun_us);
         let era_before = self.store.era();
-        let object = match self.store.read(KEY).await {
+        let object = match store::empty_if_unreadable(self.store.read(KEY).await) {
             Ok(object) => object,
             Err(error) => return self.back_off("service_versions_not_read", &error.to_string()),
         };
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -5,6 +5,7 @@
 use base64::{Engine, prelude::BASE64_STANDARD};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use tokio::time::{self, Instant};
 
 use crate::{
@@ -98,8 +99,8 @@
             if attempt > 0 {
                 time::sleep(back_off_delay(attempt)).await;
             }
-            match self.client().get::<Content>(&self.kind, key).await {
-                Ok(found) => return found.map(into_object).transpose(),
+            match self.client().get::<Box<RawValue>>(&self.kind, key).await {
+                Ok(found) => return found.map(decode_object).transpose(),
                 Err(error) => reason = error.to_string(),
             }
         }
@@ -197,10 +198,31 @@
     }
 }
 
+fn decode_object(object: Object<Box<RawValue>>) -> Result<store::Object, ReadError> {
+    let Object {
+        metadata,
+        spec,
+        status,
+    } = object;
+    let decoded = spec.map(|spec| serde_json::from_str(spec.get()));
+    match decoded.transpose() {
+        Ok(spec) => into_object(Object {
+            metadata,
+            spec,
+            status,
+        }),
+        Err(error) => Err(ReadError::Unreadable {
+            version: metadata.revision,
+            reason: error.to_string(),
+        }),
+    }
+}
+
 fn into_object(object: Object<Content>) -> Result<store::Object, ReadError> {
     let value = object.spec.as_ref().and_then(Content::value);
-    let value = value.ok_or_else(|| ReadError::Unavailable {
-        reason: format!("object {} cannot be decoded", object.metadata.name),
+    let value = value.ok_or_else(|| ReadError::Unreadable {
+        version: object.metadata.revision,
+        reason: format!("object {} has no value", object.metadata.name),
     })?;
     Ok(store::Object {
         version: object.metadata.revision,
--- a/src/store.rs
+++ b/src/store.rs
@@ -38,6 +38,30 @@
         /// The failure as it was observed.
         reason: String,
     },
+    /// The object exists, but its content is of another writer or of no known form.
+    #[snafu(display("the object at version {version} cannot be decoded: {reason}"))]
+    Unreadable {
+        /// The version to expect in a write that replaces it.
+        version: u64,
+        /// The failure as it was observed.
+        reason: String,
+    },
+}
+
+/// Returns an object that cannot be decoded as one with an empty value, for readers that replace such objects.
+///
+/// # Errors
+/// The platform did not answer.
+pub fn empty_if_unreadable(
+    read: Result<Option<Object>, ReadError>,
+) -> Result<Option<Object>, ReadError> {
+    match read {
+        Err(ReadError::Unreadable { version, .. }) => Ok(Some(Object {
+            version,
+            value: Bytes::new(),
+        })),
+        read => read,
+    }
 }
 
 /// Why a conditional write failed, or why its outcome is unknown.
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -33,6 +33,7 @@
 mod poison_parts;
 mod poison_requests;
 mod raw_site;
+mod recovery;
 mod reservations;
 mod resting_endpoints;
 mod reviewed_ends;
