Take no status outside 200 to 599 for an answer

Cause: every status that the HTTP library accepts was taken for an answer's. 000 itself it refuses.

Fix: such an answer is a failure of the endpoint after sending: its connection is dropped, and the request runs elsewhere where it may run again.

--- a/src/endpoint/mod.rs
+++ b/src/endpoint/mod.rs
@@ -11,3 +11,4 @@
 pub mod head_limit;
 pub mod poll;
 pub mod sse;
+pub mod status;
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -14,6 +14,7 @@
     endpoint::{
         connection::Connection,
         engine::{self, EngineEvent, EngineStream, StreamError, Usage},
+        status,
     },
     entry::{
         answer::{self, Message},
@@ -448,7 +449,7 @@
             }
         };
         let status = answer.response.status();
-        if refusal::promises_not_run(status) {
+        if refusal::promises_not_run(status) || !status::is_final(status) {
             let message = format!("the service answered {status} to a request that may have run");
             return self.fail_plain(message).await;
         }
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -181,7 +181,7 @@
 }
 
 /// Readable descriptions of the values of `reason` in log lines.
-const REASONS: [(&str, &str); 43] = [
+const REASONS: [(&str, &str); 44] = [
     (
         "answer_broke_off",
         "the endpoint's answer broke off, so it may have run",
@@ -248,6 +248,10 @@
         "foreign_answer",
         "an answer to another request came in its place",
     ),
+    (
+        "invalid_status",
+        "the status of the endpoint's answer is that of no final answer",
+    ),
     (
         "no_answer",
         "the endpoint did not answer in time, and may have run it",
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -23,7 +23,7 @@
 use crate::{
     balance::{balancer::Choice, cost::PlacementRequest, reachability::Reach},
     clock::Clock,
-    endpoint::{body_end::BodyEnd, connection_pool::EndpointConnection, framing::Framing},
+    endpoint::{body_end::BodyEnd, connection_pool::EndpointConnection, framing::Framing, status},
     gateway::{
         answer_ends::{AnswerEnd, ClosedAnswer, ENDED_EARLY},
         caller_buffer::{CallerConnection, CallerHandle, HeldAccount, HeldAnswer},
@@ -432,6 +432,10 @@
         gateway.note_direct_answer(&job.placement_request.service);
     }
     let status = response.status();
+    if !status::is_final(status) {
+        in_flight.note_failure();
+        return Err(AttemptError::Unknown("invalid_status"));
+    }
     let framing = Framing::of(&response);
     gateway.metrics.count_answer(framing);
     let head = gateway.protocol.read_answer(status, response.headers());
--- a/tests/cluster/broken_answers.rs
+++ b/tests/cluster/broken_answers.rs
@@ -648,3 +648,27 @@
         assert!(case.name.starts_with(&status), "{}: {got:?}", case.name);
     }
 }
+
+/// Guards against callers that get a status of no final answer, with which they can do nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn status_of_no_final_answer_is_not_passed_on() {
+    let statuses = [
+        "000",
+        "099",
+        "abc",
+        "101 Switching Protocols",
+        "199",
+        "600",
+        "999",
+    ];
+    let unknown = |got: &RawAnswer| got.status() == Some(502);
+    check(
+        "plain",
+        &play(failures(&statuses), plain_call).await,
+        unknown,
+    );
+    let call = |number| model_call(number, false, false);
+    check("model", &play(failures(&statuses), call).await, unknown);
+    let call = |number| model_call(number, false, true);
+    check("stream", &play(failures(&statuses), call).await, unknown);
+}
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -22,6 +22,7 @@
 mod entry_names;
 
 mod evacuations;
+mod invalid_statuses;
 mod kept_connections;
 mod large_cluster;
 mod large_copies;
