Test that endless answers of any kind leave a process within its memory

Report of other operators: an endpoint's bytes without end were kept until the machine ran out of memory.

--- a/standins/src/flood.rs
+++ b/standins/src/flood.rs
@@ -42,6 +42,8 @@
     Trailers,
     /// A chunked body without line breaks.
     ChunkedBody,
+    /// The same body in an answer of status 500.
+    ErrorBody,
     /// The same body with neither length nor chunks.
     UnframedBody,
     /// The same body with a length that is never reached.
@@ -114,6 +116,7 @@
             Self::InterimAnswers => String::new(),
             Self::ChunkExtension => chunked() + "1;",
             Self::Trailers => chunked() + "0\r\n",
+            Self::ErrorBody => chunked().replacen("200 OK", "500 Internal Server Error", 1),
             Self::UnframedBody => head("Connection: close"),
             Self::FalseLength => head(&format!("Content-Length: {FALSE_LENGTH_BYTES}")),
             Self::SlowComments => {
@@ -151,6 +154,7 @@
         matches!(
             self,
             Self::ChunkedBody
+                | Self::ErrorBody
                 | Self::Event
                 | Self::EventsWithoutIds
                 | Self::EventsWithIds
--- a/tests/edge/endless_answers.rs
+++ b/tests/edge/endless_answers.rs
@@ -337,3 +337,49 @@
     let is_named = too_long.all(|l| l["endpoint"] == "i-0" || l["endpoint"] == "i-1");
     assert!(is_named);
 }
+
+/// Guards against an instance that runs out of memory, which ends the requests of all its callers: all endpoints but one
+/// send such answers, to many requests at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn process_keeps_within_its_memory_whatever_has_no_end() {
+    const CALLS_AT_ONCE: usize = 80;
+    let _permit = FLOODED_SITES.acquire().await.expect("never closed");
+    for flood in [
+        Flood::StatusLine,
+        Flood::Header,
+        Flood::Headers,
+        Flood::InterimAnswers,
+        Flood::ChunkExtension,
+        Flood::Trailers,
+        Flood::ChunkedBody,
+        Flood::ErrorBody,
+        Flood::UnframedBody,
+        Flood::FalseLength,
+        Flood::Event,
+        Flood::EventsWithIds,
+        Flood::OldEvents,
+        Flood::Comments,
+    ] {
+        let edge = Arc::new(Edge::start(ENDPOINTS).await);
+        for index in 0..ENDPOINTS {
+            edge.slots(index, 64);
+        }
+        for runner in &edge.runners[1..] {
+            runner.flood(flood);
+        }
+        let mut calls = JoinSet::new();
+        for number in 0..CALLS_AT_ONCE {
+            let edge = edge.clone();
+            let kinds = [Kind::Once, Kind::Again, Kind::Resumable, Kind::Fixed];
+            let path = kinds[number % kinds.len()].path();
+            calls.spawn(async move { edge.call(path, &format!("r-{number}")).await });
+        }
+        calls.join_all().await;
+        let reached: usize = edge.runners[1..].iter().map(|r| r.seen().len()).sum();
+        let peak_kb = edge.peak_memory_kb();
+        println!("{flood:?}: {reached} reached, peak of {peak_kb} KB");
+        assert!(reached > 0, "{flood:?}: no request met such an answer");
+        assert!(peak_kb < MEMORY_LIMIT_KB, "{flood:?}: {peak_kb} KB");
+        assert!(edge.is_ready().await, "{flood:?}: the process has ended");
+    }
+}
--- a/tests/edge/support.rs
+++ b/tests/edge/support.rs
@@ -187,6 +187,13 @@
         self.platform.set("servers", &format!("i-{index}"), spec);
     }
 
+    /// Gives an endpoint so many slots.
+    pub fn slots(&self, index: usize, slots: u32) {
+        let mut spec = entry(self.runners[index].addr, "ready");
+        spec["capacity"] = slots.into();
+        self.platform.set("servers", &format!("i-{index}"), spec);
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         let status = Command::new("kill").args(["-s", name, &pid]).status();
