Answer requests that a planned stop leaves no time for

Cause: requests were sent to endpoints up to the end of the grace, and the process exited with their connections open.

Fix: a request is sent on only if the stop leaves time for it, else it is refused as not run; shortly before the exit all requests without an answer get 503 or 502, depending on whether they were sent.

--- a/src/explain.rs
+++ b/src/explain.rs
@@ -181,7 +181,7 @@
 }
 
 /// Readable descriptions of the values of `reason` in log lines.
-const REASONS: [(&str, &str); 44] = [
+const REASONS: [(&str, &str); 45] = [
     (
         "answer_broke_off",
         "the endpoint's answer broke off, so it may have run",
@@ -284,6 +284,10 @@
         "resumed_without_events",
         "the endpoint that was to go on brought no event",
     ),
+    (
+        "stopping",
+        "this instance stopped before an answer could be expected",
+    ),
     ("stream_broke", "the endpoint's stream broke"),
     ("stream_silent", "the endpoint's stream fell silent"),
     (
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -41,6 +41,7 @@
         report::{Trace, log_answer},
         send_check::NOT_SENT_REASONS,
         state::Gateway,
+        stop_deadline::STOPPING,
         stream::STREAM_VERIFICATION_TIMEOUT,
         stream_runs::StreamRuns,
     },
@@ -491,7 +492,7 @@
         let placing = self.gateway.place(&self.attempt_request, &self.tried);
         let clock = self.gateway.clock;
         match clock.timeout_at(self.job.until_us, placing).await {
-            Some(Placement::Send(choice)) => Ok(choice),
+            Some(Placement::Send(choice)) => self.check_stop(choice),
             Some(Placement::Refuse {
                 reason,
                 retry_after_ms,
@@ -502,6 +503,24 @@
         }
     }
 
+    /// Returns the endpoint of a request that can be answered before this instance stops.
+    ///
+    /// # Errors
+    /// It cannot, and is refused before it runs.
+    fn check_stop(&self, choice: Choice) -> Result<Choice, Refusal> {
+        let now_us = self.gateway.clock.now_us();
+        let deadline = &self.gateway.stop_deadline;
+        if deadline.leaves_time_for(now_us, &self.job, &choice.expected) {
+            return Ok(choice);
+        }
+        let tokens = choice.expected.uncached_tokens;
+        self.gateway.balancer().end(choice.key, tokens, None);
+        match self.runs() {
+            0 => Err(refuse::not_run(STOPPING, 0)),
+            _ => Err(refuse::unknown(STOPPING)),
+        }
+    }
+
     /// Returns an error if a request that was not run must not be sent to another endpoint.
     ///
     /// # Errors
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -72,6 +72,7 @@
 pub mod staleness;
 pub mod state;
 pub mod stop;
+pub mod stop_deadline;
 pub mod stream;
 pub mod stream_origins;
 pub mod stream_runs;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -28,6 +28,7 @@
         report::{Trace, note_refusal},
         resumption, shares,
         state::Gateway,
+        stop_deadline::STOPPING,
         unanswered::{PendingAnswer, Stage},
     },
     limits::{fingerprint::Fingerprint, quota::Grant},
@@ -60,7 +61,13 @@
         arrived_us,
         caller,
     };
-    let result = handle(&gateway, call, &mut body, &mut pending, &mut trace).await;
+    let handling = handle(&gateway, call, &mut body, &mut pending, &mut trace);
+    let handled = tokio::select! {
+        biased;
+        result = handling => Some(result),
+        () = gateway.stop_deadline.wait_for_end() => None,
+    };
+    let result = handled.unwrap_or_else(|| Err(stopped(&trace)));
     let mut response = match result {
         Ok(response) => response,
         Err(refusal) => {
@@ -83,6 +90,14 @@
     pending.watch(response)
 }
 
+/// Returns the refusal of a request that has no answer at the end of a planned stop.
+fn stopped(trace: &Trace) -> Refusal {
+    match trace.attempts {
+        0 => refuse::not_run(STOPPING, 0),
+        _ => refuse::unknown(STOPPING),
+    }
+}
+
 /// A request whose body has not been read.
 struct IncomingCall {
     parts: Parts,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -42,6 +42,7 @@
         route_services::RouteServices,
         shares,
         staleness::{Staleness, StalenessBound},
+        stop_deadline::StopDeadline,
         stream_origins::StreamOrigins,
         tunnel_server::CarriedTunnels,
         tunnels::Tunnels,
@@ -195,6 +196,8 @@
     pub(super) unanswered_lines: Mutex<LineBudget>,
     /// Whether a graceful shutdown has started.
     stopping: AtomicBool,
+    /// Until when a planned stop leaves time for answers.
+    pub stop_deadline: StopDeadline,
 }
 
 impl<P: Protocol> Gateway<P> {
@@ -266,6 +269,7 @@
             endpoint_lines: Mutex::default(),
             unanswered_lines: Mutex::default(),
             stopping: AtomicBool::new(false),
+            stop_deadline: StopDeadline::default(),
         }
     }
 
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -1,6 +1,6 @@
 //! Graceful shutdown: reports not ready, then stops accepting connections, then waits for requests in flight.
 
-use std::time::Duration;
+use std::{pin::pin, time::Duration};
 
 use tokio::task::JoinHandle;
 
@@ -14,6 +14,8 @@
 const READINESS_DELAY: Duration = Duration::from_millis(2_600);
 /// Part of the grace period reserved for writing the last output before the process is killed.
 const EXIT_MARGIN: Duration = Duration::from_millis(350);
+/// Time in which callers are told of requests that cannot be answered any more.
+const LAST_ANSWERS_MARGIN: Duration = Duration::from_millis(150);
 
 /// Shuts down within `grace`; returns whether all requests were answered.
 pub async fn stop<P: Protocol>(
@@ -26,20 +28,29 @@
     // advances then.
     let clock = gateway.clock;
     let started_us = clock.now_us();
+    let closes_us = started_us + micros(READINESS_DELAY.min(grace / 3));
+    let until_us = started_us + micros(grace.saturating_sub(EXIT_MARGIN));
+    let answers_until_us = until_us.saturating_sub(micros(LAST_ANSWERS_MARGIN));
+    gateway.stop_deadline.set(closes_us, answers_until_us);
     gateway.begin_stop();
     log::info!(target: "ryevalve::process", grace_ms = grace.as_millis() as u64; "stop_begun");
-    clock
-        .sleep_until(started_us + micros(READINESS_DELAY.min(grace / 3)))
-        .await;
+    clock.sleep_until(closes_us).await;
     listener.connections.cancel();
     listener.accept.cancel();
-    let until_us = started_us + micros(grace.saturating_sub(EXIT_MARGIN));
     let finishing = async {
         // An error means that the listener's task panicked; connections that it left are carried on.
         let _ = serving.await;
         gateway.carried.wait_until_closed().await;
     };
-    let all_answered = clock.timeout_at(until_us, finishing).await.is_some();
+    let mut finishing = pin!(finishing);
+    let in_time = clock.timeout_at(answers_until_us, &mut finishing).await;
+    let all_answered = match in_time {
+        Some(()) => true,
+        None => {
+            gateway.stop_deadline.end_requests();
+            clock.timeout_at(until_us, finishing).await.is_some()
+        }
+    };
     log::info!(
         target: "ryevalve::process",
         all_answered = all_answered,
--- a/tests/edge/planned_stops.rs
+++ b/tests/edge/planned_stops.rs
@@ -2,7 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use standins::upload::{Framing, Upload, read_answer};
+use standins::{
+    runner::Seen,
+    scripted_answer::{ConnectionEnd, Script, ScriptedAnswer},
+    upload::{Framing, Upload, read_answer},
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -174,3 +178,121 @@
     stream.write_all(b"a prompt").await.expect("written");
     assert_eq!(read_answer(&mut stream).await, Some(200));
 }
+
+const PATIENT_MS: u64 = 15_000;
+
+/// Starts a process whose routes and callers wait for long, with endpoints that take `run` for a request.
+async fn start_patient(endpoints: usize, slots: u32, run: Duration) -> Edge {
+    let edge = Edge::start(endpoints).await;
+    let mut patient = config(10, &["key-of-the-tests"]);
+    for route in patient["routes"].as_array_mut().expect("routes") {
+        route["timeoutMs"] = PATIENT_MS.into();
+        route["targetLatencyMs"] = 12_000.into();
+    }
+    edge.platform.set("config", "main", patient);
+    for (index, runner) in edge.runners.iter().enumerate() {
+        edge.slots(index, slots);
+        runner.follow_script(Script::new(move |seen| {
+            let id = seen.headers.get("request-id")?;
+            let answer =
+                ScriptedAnswer::signed(id, "Content-Length: 4", "body", ConnectionEnd::Kept);
+            (!seen.line.contains("/healthz")).then(|| answer.paused_after(0, run))
+        }));
+    }
+    time::sleep(Duration::from_millis(1_500)).await;
+    edge
+}
+
+fn patient_head(path: &str, id: &str) -> String {
+    let head = head(id, 8, Framing::Length).replace("/once/x", path);
+    head.replace("deadline-ms: 5000", &format!("deadline-ms: {PATIENT_MS}"))
+}
+
+fn was_sent(edge: &Edge, id: &str) -> bool {
+    let is_of = |seen: &Seen| seen.headers.get("request-id").is_some_and(|i| i == id);
+    edge.runners.iter().any(|r| r.seen().iter().any(is_of))
+}
+
+/// Checks that each request was answered, and that none which an endpoint got was answered as not run.
+fn check_answers(edge: &Edge, answers: &[(String, Option<u16>)]) {
+    let mut wrong = Vec::new();
+    for (id, status) in answers {
+        let was_sent = was_sent(edge, id);
+        println!("{id}: {status:?}, sent {was_sent}");
+        if status.is_none() || (was_sent && *status == Some(503)) {
+            wrong.push((id, status, was_sent));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:?}");
+}
+
+/// The head comes before idle connections are closed, and the body at any time of the grace.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_whose_body_ends_late_in_a_stop_is_answered() {
+    let mut edge = start_patient(3, 16, Duration::from_millis(2_500)).await;
+    edge.signal("TERM");
+    let began = Instant::now();
+    let mut calls = JoinSet::new();
+    for (number, body_ms) in (2_800..7_600).step_by(400).enumerate() {
+        for path in ["/once/x", "/again/x"] {
+            let id = format!("late-{}-{number}", &path[1..5]);
+            let mut stream = connect(&edge).await;
+            let head = patient_head(path, &id);
+            calls.spawn(async move {
+                time::sleep_until(began + CLOSE_DELAY - Duration::from_millis(300)).await;
+                stream.write_all(head.as_bytes()).await.expect("written");
+                time::sleep_until(began + Duration::from_millis(body_ms)).await;
+                // An answer may have come already.
+                let _ = stream.write_all(b"a prompt").await;
+                (id, read_answer(&mut stream).await)
+            });
+        }
+    }
+    let answers = calls.join_all().await;
+    check_answers(&edge, &answers);
+    assert_eq!(edge.exit_code().await, Some(0));
+}
+
+/// One slot serves one request after the other, up to the end of the grace.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_waits_for_a_slot_during_a_stop_is_answered() {
+    let mut edge = start_patient(1, 1, Duration::from_millis(1_700)).await;
+    edge.signal("TERM");
+    let mut calls = JoinSet::new();
+    for number in 0..8 {
+        let mut stream = connect(&edge).await;
+        let id = format!("wait-{number}");
+        let request = patient_head("/once/x", &id) + "a prompt";
+        calls.spawn(async move {
+            time::sleep(Duration::from_millis(1_000 + 100 * number)).await;
+            stream.write_all(request.as_bytes()).await.expect("written");
+            (id, read_answer(&mut stream).await)
+        });
+    }
+    let answers = calls.join_all().await;
+    check_answers(&edge, &answers);
+    assert_eq!(edge.exit_code().await, Some(0));
+}
+
+/// The endpoint runs longer than the grace lasts.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_outlasts_a_stop_is_answered() {
+    let mut edge = start_patient(2, 16, Duration::from_secs(12)).await;
+    edge.signal("TERM");
+    let mut calls = JoinSet::new();
+    for (number, path) in ["/once/x", "/again/x", "/fixed/stream", "/resume/stream"]
+        .into_iter()
+        .enumerate()
+    {
+        let mut stream = connect(&edge).await;
+        let id = format!("long-{number}");
+        let request = patient_head(path, &id) + "a prompt";
+        calls.spawn(async move {
+            stream.write_all(request.as_bytes()).await.expect("written");
+            (id, read_answer(&mut stream).await)
+        });
+    }
+    let answers = calls.join_all().await;
+    check_answers(&edge, &answers);
+    assert_eq!(edge.exit_code().await, Some(0));
+}
