Test streams taken up at an instance that stood still while a version joined

Report of other operators: such an instance let streams go on at another version.

The group of processes of the recovery tests is a module of its own.

--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -22,6 +22,7 @@
 mod entry_names;
 
 mod evacuations;
+mod frozen_instances;
 mod invalid_statuses;
 mod kept_connections;
 mod large_cluster;
@@ -33,6 +34,7 @@
 mod planned_stops;
 mod poison_parts;
 mod poison_requests;
+mod process_group;
 mod raw_site;
 mod recovery;
 mod reservations;
--- a/tests/edge/recovery.rs
+++ b/tests/edge/recovery.rs
@@ -4,30 +4,22 @@
 //! of a group and bounds the time until callers are served again.
 
 use std::{
-    fs,
+    collections::BTreeMap,
     net::SocketAddr,
-    path::PathBuf,
-    process::{Child, Command, Stdio},
-    sync::{
-        Arc,
-        atomic::{AtomicU16, Ordering},
-    },
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 use hyper::StatusCode;
 use serde_json::{Value, json};
-use standins::{platform::Platform, runner::Runner};
-use tokio::{
-    sync::{Mutex, MutexGuard},
-    task::JoinSet,
-    time,
-};
+use tokio::{task::JoinSet, time};
 
-use crate::support::{config, entry, exchange, request};
+use crate::{
+    process_group::{ProcessGroup, SEEDS},
+    support::{config, exchange, request},
+};
 
 const INSTANCES: usize = 6;
-const SEEDS: usize = 3;
 const ENDPOINTS: usize = 6;
 const DOWNTIME: Duration = Duration::from_millis(1_200);
 /// `recoverS` of the deployments: from this time after the return on, a quarter of the requests must be served.
@@ -42,123 +34,24 @@
 /// Kind of the product's own objects.
 const OWN_KIND: &str = "ryevalve";
 
-static NEXT: AtomicU16 = AtomicU16::new(1);
-/// One group runs at a time: the processes of several would slow other tests down.
-static TURN: Mutex<()> = Mutex::const_new(());
-
 /// When requests were sent, and whether they were served.
 type Answered = Arc<std::sync::Mutex<Vec<(Duration, bool)>>>;
 
-struct Group {
-    _turn: MutexGuard<'static, ()>,
-    platform: Platform,
-    runners: Vec<Runner>,
-    processes: Vec<Option<Child>>,
-    dir: PathBuf,
-    net: String,
-}
-
-impl Group {
-    /// Starts a group, and waits until it serves and has written its state to the store.
-    async fn start() -> Self {
-        let turn = TURN.lock().await;
-        let platform = Platform::start().await;
-        let mut content = config(3, &["key-of-the-tests"]);
-        content["tenants"][0]["ratePerS"] = json!(100_000);
-        content["tenants"][0]["burst"] = json!(100_000);
-        platform.set("config", "main", content);
-        let mut runners = Vec::new();
-        for index in 0..ENDPOINTS {
-            let id = format!("i-{index}");
-            let runner = Runner::start(&id).await;
-            runner.pace(Duration::from_millis(5));
-            platform.set("servers", &id, entry_of(&runner));
-            runners.push(runner);
-        }
-        let number = NEXT.fetch_add(1, Ordering::Relaxed);
-        let process = std::process::id();
-        let dir = std::env::temp_dir().join(format!("ryevalve-recovery-{process}-{number}"));
-        fs::create_dir_all(&dir).unwrap();
-        let mut group = Self {
-            _turn: turn,
-            platform,
-            runners,
-            processes: (0..INSTANCES).map(|_| None).collect(),
-            dir,
-            net: format!("127.{}.{}", 90 + number, process % 250 + 1),
-        };
-        for instance in 0..INSTANCES {
-            group.start_instance(instance, true);
-        }
+impl ProcessGroup {
+    /// Starts a group, and waits until it serves.
+    async fn start_serving() -> Self {
+        let group = Self::start(INSTANCES, ENDPOINTS).await;
         let served = group.time_to_service().await;
         served.expect("the group to serve at first");
         group
     }
 
-    fn ip(&self, instance: usize) -> String {
-        format!("{}.{}", self.net, instance + 1)
-    }
-
-    fn start_instance(&mut self, instance: usize, is_first_start: bool) {
-        let seeds: Vec<String> = (0..SEEDS).map(|s| format!("{}:8229", self.ip(s))).collect();
-        let (own, store) = (self.ip(instance), self.platform.addr());
-        let text = format!(
-            r#"
-nodeName = "edge-{instance}"
-zone = "hall"
-region = "city"
-internalPorts = [7600, 7615]
-seeds = {seeds:?}
-bootstrap = {is_first_start}
-[listen]
-frontend = "{own}:8221"
-ready = "{own}:8224"
-control = "{own}:8229"
-[limits]
-memoryMb = 110
-maxFds = 4100
-[bounds]
-graceS = 8
-retryBudgetRatio = 0.2
-budgetSlack = 50
-quotaSlack = 20000
-[platform]
-address = "{store}"
-"#
-        );
-        let settings = self.dir.join(format!("{instance}.toml"));
-        fs::write(&settings, text).unwrap();
-        let log = fs::File::options()
-            .create(true)
-            .append(true)
-            .open(self.dir.join(format!("log-{instance}")));
-        let process = Command::new(env!("CARGO_BIN_EXE_ryevalve"))
-            .arg("edge")
-            .env("RYEVALVE_CONFIG", &settings)
-            .env("RYEVALVE_CLUSTER_KEY", "cluster-key-of-the-tests")
-            .stdout(log.unwrap())
-            .stderr(Stdio::inherit())
-            .spawn()
-            .unwrap();
-        self.processes[instance] = Some(process);
-    }
-
     fn restart_all(&mut self) {
-        for instance in 0..INSTANCES {
+        for instance in 0..self.instances() {
             self.start_instance(instance, false);
         }
     }
 
-    fn kill_all(&mut self) {
-        for process in &mut self.processes {
-            if let Some(mut process) = process.take() {
-                // An error means that the process has exited already.
-                let _ = process.kill();
-                let _ = process.wait();
-            }
-        }
-    }
-
     async fn lose_all(&mut self) {
         self.kill_all();
         time::sleep(DOWNTIME).await;
@@ -170,9 +63,9 @@
         let began = Instant::now();
         let answered = Answered::default();
         let mut calling = JoinSet::new();
-        for instance in 0..INSTANCES {
-            if self.processes[instance].is_some() {
-                let addr = format!("{}:8221", self.ip(instance)).parse().unwrap();
+        for instance in 0..self.instances() {
+            if self.is_running(instance) {
+                let addr = self.callers(instance);
                 calling.spawn(call(addr, instance, began, answered.clone()));
             }
         }
@@ -198,10 +91,8 @@
 
     /// Prints how often the first instance logged each event and reason.
     fn print_waits(&self) {
-        let text = fs::read_to_string(self.dir.join("log-0")).unwrap();
-        let mut counts = std::collections::BTreeMap::new();
-        for line in text.lines() {
-            let line: Value = serde_json::from_str(line).unwrap_or_default();
+        let mut counts = BTreeMap::new();
+        for line in self.lines(0) {
             let key = format!("{} {}", line["event"], line["reason"]);
             *counts.entry(key).or_insert(0) += 1;
         }
@@ -209,19 +100,6 @@
     }
 }
 
-impl Drop for Group {
-    fn drop(&mut self) {
-        self.kill_all();
-        let _ = fs::remove_dir_all(&self.dir);
-    }
-}
-
-fn entry_of(runner: &Runner) -> Value {
-    let mut spec = entry(runner.addr, "ready");
-    spec["capacity"] = json!(64);
-    spec
-}
-
 /// Returns the first time since which enough requests of each span are served.
 fn service_began(answered: &[(Duration, bool)], now: Duration) -> Option<Duration> {
     // The answers of the last span may not have come yet.
@@ -270,7 +148,7 @@
 /// Nothing else is wrong.
 #[tokio::test(flavor = "multi_thread")]
 async fn group_serves_after_a_loss_of_all() {
-    let mut group = Group::start().await;
+    let mut group = ProcessGroup::start_serving().await;
     group.lose_all().await;
     group.restart_all();
     group.check("loss of all").await;
@@ -279,7 +157,7 @@
 /// The list of endpoints has several pages, one of which ends with a name that has a meaning in a URL.
 #[tokio::test(flavor = "multi_thread")]
 async fn group_serves_after_a_loss_of_all_beside_an_odd_name() {
-    let mut group = Group::start().await;
+    let mut group = ProcessGroup::start_serving().await;
     group.platform.fault(|f| f.page_items = Some(2));
     for name in ["&b", " ", "%zz", "#", "i-2+"] {
         let entry = json!({"state": "unknown"});
@@ -294,7 +172,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn group_serves_after_a_loss_of_all_beside_a_bad_store() {
     const AWAY: Duration = Duration::from_millis(4_500);
-    let mut group = Group::start().await;
+    let mut group = ProcessGroup::start_serving().await;
     for what in ["down", "silent", "slow", "refusing", "losing"] {
         group.platform.fault(|f| match what {
             "down" => f.down = true,
@@ -314,7 +192,7 @@
 /// The store goes on refusing half of the reads, or answers after most of a second.
 #[tokio::test(flavor = "multi_thread")]
 async fn group_serves_after_a_loss_of_all_while_the_store_stays_bad() {
-    let mut group = Group::start().await;
+    let mut group = ProcessGroup::start_serving().await;
     for what in ["slow", "refusing", "losing", "late"] {
         group.platform.fault(|f| {
             *f = Default::default();
@@ -337,7 +215,7 @@
 /// The store comes back from a copy, or without its history.
 #[tokio::test(flavor = "multi_thread")]
 async fn group_serves_after_a_loss_of_all_and_a_return_of_the_store_from_a_copy() {
-    let mut group = Group::start().await;
+    let mut group = ProcessGroup::start_serving().await;
     group.platform.take_copy();
     group.lose_all().await;
     let lost = group.platform.return_to_copy();
@@ -361,7 +239,7 @@
 /// The machines return one after the other, seeds last, or some of them not at all.
 #[tokio::test(flavor = "multi_thread")]
 async fn group_serves_after_a_loss_of_all_whose_machines_return_in_turn() {
-    let mut group = Group::start().await;
+    let mut group = ProcessGroup::start_serving().await;
     group.lose_all().await;
     for instance in (0..INSTANCES).rev() {
         group.start_instance(instance, false);
@@ -382,7 +260,7 @@
 /// The product's own objects are gone, or were written over by another writer.
 #[tokio::test(flavor = "multi_thread")]
 async fn group_serves_after_a_loss_of_all_without_its_own_objects() {
-    let mut group = Group::start().await;
+    let mut group = ProcessGroup::start_serving().await;
     for content in [
         None,
         Some(Value::Null),
@@ -407,7 +285,7 @@
 /// All endpoints are replaced by those of another version while no instance runs, and the configuration has changed.
 #[tokio::test(flavor = "multi_thread")]
 async fn group_serves_after_a_loss_of_all_and_a_release_meanwhile() {
-    let mut group = Group::start().await;
+    let mut group = ProcessGroup::start_serving().await;
     group.lose_all().await;
     let mut content = config(9, &["key-of-the-tests"]);
     let routes = content["routes"].as_array_mut().unwrap();
@@ -420,13 +298,7 @@
     group.platform.set("config", "main", content);
     for index in 0..ENDPOINTS {
         group.platform.remove("servers", &format!("i-{index}"));
-        let id = format!("j-{index}");
-        let runner = Runner::start(&id).await;
-        runner.pace(Duration::from_millis(5));
-        let mut spec = entry_of(&runner);
-        spec["version"] = json!("v2");
-        group.platform.set("servers", &id, spec);
-        group.runners.push(runner);
+        group.add_endpoint("v2").await;
     }
     group.restart_all();
     group.check("release").await;
