Do not use endpoints whose id no request can carry

An entry of another writer that is valid but for control characters in its name was used as an endpoint. Its requests were sent without Expect-Instance, so that whichever endpoint listens at its address ran them: 20 of 20 in the test.

Cause: an id that is no header value was left out of the request, in the belief that the endpoint would then refuse it.

Fix: such an entry counts as unreadable; the test failed before.

--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -164,13 +164,18 @@
 }
 
 fn set(headers: &mut HeaderMap, name: HeaderName, value: &str) {
-    // Ids and names come from the store's JSON. One that is no valid header value is left out, and the
-    // endpoint refuses the request without running it.
-    if let Ok(value) = HeaderValue::from_str(value) {
+    // Entries of endpoints whose id is no header value are not used. A name of an organisation may be none; its requests
+    // then carry no organisation.
+    if let Ok(value) = HeaderValue::from_bytes(value.as_bytes()) {
         headers.insert(name, value);
     }
 }
 
+/// Returns whether a request can say that it is for the endpoint of this id.
+pub fn can_name_endpoint(id: &str) -> bool {
+    !id.is_empty() && HeaderValue::from_bytes(id.as_bytes()).is_ok()
+}
+
 fn token_counts(text: &str) -> Option<TokenCounts> {
     let (prompt, output) = text.split_once(',')?;
     Some(TokenCounts {
--- a/src/platform/store_watch.rs
+++ b/src/platform/store_watch.rs
@@ -24,6 +24,7 @@
         configuration::{self, ConfigSpec},
         endpoints::{self, EndpointSpec},
         evacuations::{self, EvacuationSpec},
+        headers,
         objects::{
             CallError, Changes, Event, Listing, Object, ObjectClient, PartialListing,
             UnreadableObject,
@@ -463,6 +464,12 @@
             self.skip(position, UnreadableObject { name, reason });
             return;
         };
+        if !headers::can_name_endpoint(&metadata.name) {
+            let reason = "its name is no header value".into();
+            let name = Some(metadata.name);
+            self.skip(position, UnreadableObject { name, reason });
+            return;
+        }
         self.logged_unused.remove(&metadata.name);
         let entry = spec.into_entry(&metadata.name);
         let id = entry.id.clone();
--- a/tests/edge/entry_names.rs
+++ b/tests/edge/entry_names.rs
@@ -4,12 +4,13 @@
 //! list went on from another name or never, and an instance that started knew no endpoint; and calls for an object of
 //! such a name read, wrote or deleted another one.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use assert_matches::assert_matches;
 use ryevalve::platform::objects::{CallError, Metadata, Object, ObjectClient};
 use serde_json::{Value, json};
-use standins::platform::Platform;
+use standins::{platform::Platform, runner::Runner};
+use tokio::time;
 
 use crate::{
     cluster::until,
@@ -198,3 +199,37 @@
     let found = client.get::<Value>(KIND, &name).await;
     assert_matches!(found, Err(CallError::InvalidTarget { .. }));
 }
+
+/// An entry that is valid but for its name leads to an endpoint of another id, which runs requests that do not say for
+/// whom they are.
+#[tokio::test]
+async fn entry_whose_name_no_request_can_carry_gets_none() {
+    let edge = Edge::start(1).await;
+    let other = Runner::start("i-other").await;
+    for name in ["i\n9", "i\u{0}", "\u{7f}"] {
+        edge.platform.set(KIND, name, entry(other.addr, "ready"));
+    }
+    time::sleep(Duration::from_millis(900)).await;
+    for number in 0..20 {
+        let got = edge.call("/once/", &format!("r-{number}")).await;
+        assert!(got.status.is_success(), "{got:?}");
+    }
+    assert_eq!(other.seen().len(), 0, "requests at another endpoint");
+    assert!(edge.has_logged("entry_unused"));
+}
+
+/// An endpoint whose id has letters beyond ASCII is asked for by that id.
+#[tokio::test]
+async fn requests_name_an_endpoint_whose_id_is_not_ascii() {
+    let edge = Edge::start(1).await;
+    edge.platform.remove(KIND, "i-0");
+    let runner = Runner::start("i-é→").await;
+    edge.platform.set(KIND, "i-é→", entry(runner.addr, "ready"));
+    time::sleep(Duration::from_millis(900)).await;
+    for number in 0..4 {
+        edge.call("/again/", &format!("r-{number}")).await;
+    }
+    let seen = runner.seen();
+    let expected = seen[0].headers.get("expect-instance").map(String::as_str);
+    assert_eq!(expected, Some("i-é→"));
+}
