--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -164,8 +164,8 @@
 }
 
 fn set(headers: &mut HeaderMap, name: HeaderName, value: &str) {
-    // Entries of endpoints whose id is no header value are not used. A name of an organisation may be none; its requests
-    // then carry no organisation.
+    // Endpoints whose id is no header value are not used. Requests of an organisation whose name is none carry no
+    // organisation.
     if let Ok(value) = HeaderValue::from_bytes(value.as_bytes()) {
         headers.insert(name, value);
     }
--- a/src/platform/object_target.rs
+++ b/src/platform/object_target.rs
@@ -16,23 +16,23 @@
 }
 
 /// Returns the target for all objects of a kind.
-pub fn kind(kind: &str) -> String {
+pub fn objects(kind: &str) -> String {
     format!("/objects/{}", encode(kind))
 }
 
 /// Returns the target for the page of a kind's objects after a name.
 pub fn page_after(kind: &str, name: &str) -> String {
-    format!("{}?sinceRevision={}", self::kind(kind), encode(name))
+    format!("{}?sinceRevision={}", objects(kind), encode(name))
 }
 
 /// Returns the target for the changes of a kind since a revision, awaited for `wait_ms` milliseconds.
 pub fn changes_since(kind: &str, revision: u64, wait_ms: u128) -> String {
-    format!("{}?watch={revision}&waitMs={wait_ms}", self::kind(kind))
+    format!("{}?watch={revision}&waitMs={wait_ms}", objects(kind))
 }
 
 /// Returns the target for an object.
 pub fn object(kind: &str, name: &str) -> String {
-    format!("{}/{}", self::kind(kind), encode(name))
+    format!("{}/{}", objects(kind), encode(name))
 }
 
 /// Returns the target for the status of an object.
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -39,6 +39,9 @@
 /// Maximum size of an answer. Pages and configurations are about a megabyte at most.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
+/// Maximum number of names in a row over which a list steps back. A store that refuses more refuses the calls themselves.
+const MAX_STEPS_BACK: usize = 16;
+
 /// Why a call failed.
 #[derive(Debug, Snafu)]
 pub enum CallError {
@@ -205,7 +208,7 @@
 impl<T: DeserializeOwned> PartialListing<T> {
     fn target(&self, kind: &str) -> String {
         match self.cursors.last() {
-            None => object_target::kind(kind),
+            None => object_target::objects(kind),
             Some(name) => object_target::page_after(kind, name),
         }
     }
@@ -217,7 +220,7 @@
 
     /// Lets the next page start one name earlier, for a name that the store does not accept; returns whether it can.
     fn step_back(&mut self) -> bool {
-        if self.cursors.len() < 2 {
+        if self.cursors.len() < 2 || self.repeated.len() >= MAX_STEPS_BACK {
             return false;
         }
         self.repeated.extend(self.cursors.pop());
@@ -496,7 +499,7 @@
         kind: &str,
         object: &Object<T>,
     ) -> Result<u64, CallError> {
-        let target = object_target::kind(kind);
+        let target = object_target::objects(kind);
         self.write(Method::POST, &target, object).await
     }
 
