--- a/tests/edge/endless_answers.rs
+++ b/tests/edge/endless_answers.rs
@@ -338,8 +338,7 @@
     assert!(is_named);
 }
 
-/// Guards against an instance that runs out of memory, which ends the requests of all its callers: all endpoints but one
-/// send such answers, to many requests at once.
+/// All endpoints but one send such answers, to many requests at once.
 #[tokio::test(flavor = "multi_thread")]
 async fn process_keeps_within_its_memory_whatever_has_no_end() {
     const CALLS_AT_ONCE: usize = 80;
--- a/tests/edge/entry_names.rs
+++ b/tests/edge/entry_names.rs
@@ -200,8 +200,7 @@
     assert_matches!(found, Err(CallError::InvalidTarget { .. }));
 }
 
-/// An entry that is valid but for its name leads to an endpoint of another id, which runs requests that do not say for
-/// whom they are.
+/// An entry that is valid but for its name leads to the address of an endpoint with another id.
 #[tokio::test]
 async fn entry_whose_name_no_request_can_carry_gets_none() {
     let edge = Edge::start(1).await;
