A slot of the issuer before is free when it comes back

What callers saw: after an instance joined, requests to brittle endpoints were refused as endpoint_limits for some tenths of a second, with slots free at the endpoints.

Cause: the next issuer of an endpoint's slots counts the requests reported there when it opens its account. Slots of the issuer before that came back were ignored, and a report lowered the count only below the issuer's own slots that are two seconds old. Where requests are short, none are, and requests that had ended counted for as long as there was load. The same held for requests from before the announcement.

Change: a slot that this account did not issue frees an inherited one when it comes back, unless it may be one that was dropped as old. A report bounds the inherited requests by the reported ones less the least number of slots issued at a time during the delay of reports.

Evidence: two tests of tests/gateway/brittle failed before.

--- a/src/limits/brittle.rs
+++ b/src/limits/brittle.rs
@@ -83,22 +83,59 @@
     }
 }
 
+/// The least number of slots that were issued at the same time during the last [`REPORT_DELAY_US`], or up to twice that.
+#[derive(Debug)]
+struct LeastIssued {
+    period_began_us: Micros,
+    in_period: usize,
+    in_period_before: usize,
+}
+
+impl LeastIssued {
+    /// No slot was issued before `now_us`.
+    fn new(now_us: Micros) -> Self {
+        Self {
+            period_began_us: now_us,
+            in_period: 0,
+            in_period_before: 0,
+        }
+    }
+
+    fn get(&self) -> usize {
+        self.in_period.min(self.in_period_before)
+    }
+
+    /// Notes that `issued` slots are issued at `now_us`.
+    fn note(&mut self, now_us: Micros, issued: usize) {
+        self.in_period = self.in_period.min(issued);
+        if now_us.saturating_sub(self.period_began_us) >= REPORT_DELAY_US {
+            self.in_period_before = self.in_period;
+            self.in_period = issued;
+            self.period_began_us = now_us;
+        }
+    }
+}
+
 /// The slots of one endpoint that are issued.
 #[derive(Debug)]
 struct SlotAccount {
+    opened_us: Micros,
     /// Requests that were there before the account was opened: those of the issuer before, and those that were sent
     /// before the announcement.
     inherited: usize,
     /// When the issued slots were issued, the first one first.
     issued_us: VecDeque<Micros>,
+    least_issued: LeastIssued,
     paused_until_us: Micros,
 }
 
 impl SlotAccount {
-    fn new(reported: usize) -> Self {
+    fn new(now_us: Micros, reported: usize) -> Self {
         Self {
+            opened_us: now_us,
             inherited: reported,
             issued_us: VecDeque::new(),
+            least_issued: LeastIssued::new(now_us),
             paused_until_us: 0,
         }
     }
@@ -109,8 +146,27 @@
         let is_old = |at_us: &Micros| now_us.saturating_sub(*at_us) >= REPORT_DELAY_US;
         let old = self.issued_us.partition_point(is_old);
         self.issued_us.drain(..old.saturating_sub(reported));
-        let of_issued = old.min(reported);
-        self.inherited = self.inherited.min(reported - of_issued);
+        self.least_issued.note(now_us, self.issued_us.len());
+        // The report shows a moment of the last `REPORT_DELAY_US`, at which at least so many of these slots were issued.
+        let of_issued = self.least_issued.get().max(old.min(reported));
+        let of_inherited = reported.saturating_sub(of_issued);
+        self.inherited = self.inherited.min(of_inherited);
+    }
+
+    /// Returns the slot that was issued at `issued_us`. One that another issuer issued counts among the inherited
+    /// requests; one that was dropped before frees no other.
+    fn return_slot(&mut self, now_us: Micros, issued_us: Micros) {
+        if let Some(index) = self.issued_us.iter().position(|at| *at == issued_us) {
+            self.issued_us.remove(index);
+            self.least_issued.note(now_us, self.issued_us.len());
+        } else if !self.may_have_dropped(now_us, issued_us) {
+            self.inherited = self.inherited.saturating_sub(1);
+        }
+    }
+
+    /// Returns whether a slot that was issued at `issued_us` may have been one of this account that was dropped as old.
+    fn may_have_dropped(&self, now_us: Micros, issued_us: Micros) -> bool {
+        issued_us >= self.opened_us && now_us.saturating_sub(issued_us) >= REPORT_DELAY_US
     }
 
     fn used(&self) -> usize {
@@ -136,7 +192,7 @@
         let account = self
             .by_endpoint
             .entry(endpoint)
-            .or_insert_with(|| SlotAccount::new(reported));
+            .or_insert_with(|| SlotAccount::new(now_us, reported));
         account.apply_report(now_us, reported);
         if now_us < account.paused_until_us || account.used() >= slots {
             return Permit::Denied {
@@ -147,8 +203,8 @@
         Permit::Given
     }
 
-    /// Returns the slot that was issued at `issued_us`, as its request has ended. One that was dropped before frees no
-    /// other. If the endpoint refused the request, none is issued for a while.
+    /// Returns the slot that was issued at `issued_us`, by this issuer or one before it, as its request has ended. If
+    /// the endpoint refused the request, none is issued for a while.
     pub fn return_slot(
         &mut self,
         now_us: Micros,
@@ -157,9 +213,7 @@
         is_refused: bool,
     ) {
         if let Some(account) = self.by_endpoint.get_mut(&endpoint) {
-            if let Some(index) = account.issued_us.iter().position(|at| *at == issued_us) {
-                account.issued_us.remove(index);
-            }
+            account.return_slot(now_us, issued_us);
             if is_refused {
                 account.paused_until_us = now_us + PAUSE_AFTER_REFUSAL_US;
             }
--- a/tests/gateway/brittle.rs
+++ b/tests/gateway/brittle.rs
@@ -125,3 +125,33 @@
     issuer.return_slot(3 * SECOND, ENDPOINT, 0, false);
     assert_eq!(issue_all(&mut issuer, 3 * SECOND, 0), 0);
 }
+
+/// Guards against an endpoint that stays half used after a change of its issuer: whoever got a slot from the issuer before
+/// returns it to the new one.
+#[test]
+fn slot_of_the_issuer_before_is_free_when_it_comes_back() {
+    const ISSUED_BEFORE_US: u64 = 50 * SECOND;
+    let mut issuer = SlotIssuer::default();
+    assert_eq!(issue_all(&mut issuer, 0, 3), 1);
+    for _ in 0..2 {
+        issuer.return_slot(100 * MS, ENDPOINT, ISSUED_BEFORE_US, false);
+    }
+    assert_eq!(issue_all(&mut issuer, 100 * MS, 4), 2);
+}
+
+/// Guards against requests from before the announcement that count for as long as there is load: short requests that
+/// follow each other keep the number of reported ones high.
+#[test]
+fn requests_from_before_the_announcement_do_not_count_for_as_long_as_there_is_load() {
+    const RUN_TIME_US: u64 = 100 * MS;
+    let mut issuer = SlotIssuer::default();
+    let issue = |issuer: &mut SlotIssuer, now_us| issuer.issue(now_us, ENDPOINT, SLOTS, 2);
+    issue(&mut issuer, 0);
+    issue(&mut issuer, RUN_TIME_US / 2);
+    let end_us = 6 * SECOND;
+    for now_us in (RUN_TIME_US..end_us).step_by(RUN_TIME_US as usize / 2) {
+        issuer.return_slot(now_us, ENDPOINT, now_us - RUN_TIME_US, false);
+        assert_eq!(issue(&mut issuer, now_us), Permit::Given);
+    }
+    assert_eq!(issue(&mut issuer, end_us), Permit::Given, "a third one");
+}
