Ask for a brittle endpoint's slot again 20 ms after a wrong issuer's answer

Cause: while membership views differ, an instance asks another one than the issuer, and was told to wait for 200 ms. An endpoint with a rate limit is then avoided for a while; brittle endpoints are those of the whole service, so requests had nowhere to go.

Change: the wait is 20 ms for a brittle endpoint. Slots are still issued by the issuer alone.

No log states this answer; the cause is read from the times of the refusals.

--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -46,6 +46,8 @@
 const BRITTLE_TIMEOUT_BACKOFF_US: Micros = 50_000;
 /// The back-off that an instance answers with if it is not the issuer: views converge within some gossip rounds.
 const NOT_ISSUER_BACKOFF_US: Micros = 200_000;
+/// The same for a brittle endpoint, for the reason of [`BRITTLE_ANSWER_TIMEOUT`].
+const BRITTLE_NOT_ISSUER_BACKOFF_US: Micros = 20_000;
 /// An instance issues no permits to itself for this long after its start: its view may still lack all other instances,
 /// and it would see itself as the issuer for all endpoints. 295 instances that start together all know each other after
 /// some two seconds.
@@ -344,7 +346,7 @@
             let permit = match gateway.permits.issuer(endpoint) {
                 Some(Issuer::Local) => issue(gateway, issued_us, endpoint, rank),
                 _ => Permit::Denied {
-                    wait_us: NOT_ISSUER_BACKOFF_US,
+                    wait_us: not_issuer_wait_us(is_brittle),
                 },
             };
             let now_us = gateway.clock.now_us();
@@ -376,6 +378,14 @@
     }
 }
 
+/// Returns how long an instance that asked another one than the issuer waits before it asks again.
+fn not_issuer_wait_us(is_brittle: bool) -> Micros {
+    match is_brittle {
+        true => BRITTLE_NOT_ISSUER_BACKOFF_US,
+        false => NOT_ISSUER_BACKOFF_US,
+    }
+}
+
 /// Returns the slot that came with a permit after the request had stopped waiting for it. The permit itself is lost:
 /// returned ones would be issued again beside those that are due.
 async fn return_late<P: Protocol>(
