--- a/tests/gateway/brittle.rs
+++ b/tests/gateway/brittle.rs
@@ -126,8 +126,7 @@
     assert_eq!(issue_all(&mut issuer, 3 * SECOND, 0), 0);
 }
 
-/// Guards against an endpoint that stays half used after a change of its issuer: whoever got a slot from the issuer before
-/// returns it to the new one.
+/// Guards against an endpoint that stays half used after a change of its issuer, to which such slots are returned.
 #[test]
 fn slot_of_the_issuer_before_is_free_when_it_comes_back() {
     const ISSUED_BEFORE_US: u64 = 50 * SECOND;
@@ -139,8 +138,7 @@
     assert_eq!(issue_all(&mut issuer, 100 * MS, 4), 2);
 }
 
-/// Guards against requests from before the announcement that count for as long as there is load: short requests that
-/// follow each other keep the number of reported ones high.
+/// Guards against lost room: short requests that follow each other keep the number of reported ones high.
 #[test]
 fn requests_from_before_the_announcement_do_not_count_for_as_long_as_there_is_load() {
     const RUN_TIME_US: u64 = 100 * MS;
