Give back the slot of a brittle endpoint that nothing was sent to

What callers saw: while an instance stopped as planned, others refused requests to brittle endpoints as endpoint_limits.

Cause: a request that is refused because the stop leaves it no time has a place at an endpoint by then. The place was given up, its slot was not, and counted until reports had left it out for two seconds. The same held for a run beside a slow one, and for a resumed stream, that got no retry.

Change: one function gives up a place, with its slot, and lets waiting requests have it. An attempt takes over its slot when it is created.

Evidence: the test was refused as endpoint_limits before.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -240,6 +240,7 @@
     /// Takes over the slot of a placement. Once `replaced` is cancelled, an attempt that ends without an answer counts as
     /// a failure of the endpoint.
     pub fn new(gateway: Arc<Gateway<P>>, choice: Choice, replaced: CancellationToken) -> Self {
+        let holds_slot = gateway.balancer().is_brittle(choice.key);
         Self {
             at_us: gateway.clock.now_us(),
             limit_version: 0,
@@ -248,7 +249,7 @@
             carrier: None,
             has_response_head: false,
             has_first_event: false,
-            holds_slot: false,
+            holds_slot,
             is_refused: false,
             records_hold_time: false,
             is_complete: false,
@@ -363,7 +364,6 @@
     job: &Job,
     mut in_flight: InFlightRequest<P>,
 ) -> Result<PreparedAttempt<P>, AttemptError> {
-    in_flight.holds_slot = gateway.balancer().is_brittle(in_flight.choice.key);
     let connecting = connect(gateway, job, &in_flight);
     let connected = gateway.clock.timeout_at(job.until_us, connecting).await;
     let connection = connected.unwrap_or(Err(AttemptError::NotSent("unreachable")))?;
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -435,8 +435,7 @@
                 if self.gateway.take_retry(&self.job.placement_request.service) {
                     return choice;
                 }
-                let tokens = choice.expected.uncached_tokens;
-                self.gateway.balancer().end(choice.key, tokens, None);
+                self.gateway.give_up_place(&choice);
             }
             at = Instant::now() + REPLACEMENT_INTERVAL;
         }
@@ -513,8 +512,7 @@
         if deadline.leaves_time_for(now_us, &self.job, &choice.expected) {
             return Ok(choice);
         }
-        let tokens = choice.expected.uncached_tokens;
-        self.gateway.balancer().end(choice.key, tokens, None);
+        self.gateway.give_up_place(&choice);
         match self.runs() {
             0 => Err(refuse::not_run(STOPPING, 0)),
             _ => Err(refuse::unknown(STOPPING)),
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -1,11 +1,13 @@
 //! Decides where a request runs: by a reservation from the instance that assigns slots at the hall's endpoints, or
 //! else from this instance's own view of the endpoints, with a permit for those that limit their request rate.
 
+use std::sync::Arc;
+
 use tokio::sync::oneshot;
 
 use crate::{
     balance::{
-        balancer::{BUSY, ENDPOINT_LIMITS, Placement, WaitKey, refuse_for_capacity},
+        balancer::{BUSY, Choice, ENDPOINT_LIMITS, Placement, WaitKey, refuse_for_capacity},
         cost::PlacementRequest,
         load::EndpointKey,
         readiness::retry_delay_until_ms,
@@ -198,6 +200,19 @@
         }
     }
 
+    /// Gives up a chosen endpoint that nothing was sent to, with the slot that came with its permit if it is brittle.
+    pub(super) fn give_up_place(self: &Arc<Self>, choice: &Choice) {
+        let is_brittle = {
+            let mut balancer = self.balancer();
+            balancer.end(choice.key, choice.expected.uncached_tokens, None);
+            balancer.is_brittle(choice.key)
+        };
+        if is_brittle {
+            permits::end_at_brittle(self, choice.key, false);
+        }
+        self.reconsider();
+    }
+
     /// Queues a request until it gets a slot at an endpoint that is not in `tried` or the balancer refuses it.
     pub async fn wait_for_place(
         &self,
--- a/src/gateway/stream_runs.rs
+++ b/src/gateway/stream_runs.rs
@@ -92,8 +92,7 @@
             runs.tried.push(choice.key);
             has_retry = has_retry || self.gateway.take_retry(&self.job.placement_request.service);
             if !has_retry {
-                let tokens = choice.expected.uncached_tokens;
-                self.gateway.balancer().end(choice.key, tokens, None);
+                self.gateway.give_up_place(&choice);
                 break NotResumed::NoRetry;
             }
             match self.run_at(choice, runs).await {
--- a/tests/edge/planned_stops.rs
+++ b/tests/edge/planned_stops.rs
@@ -179,6 +179,52 @@
     assert_eq!(read_answer(&mut stream).await, Some(200));
 }
 
+/// Guards against slots of brittle endpoints that stay with requests which are refused because the instance stops.
+///
+/// As many late requests as the endpoint has slots are refused before one that the stop leaves time for.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_refused_in_a_stop_keeps_no_slot_of_a_brittle_endpoint() {
+    const SLOTS: u32 = 4;
+    let edge = Edge::start(1).await;
+    let mut settings = config(10, &["key-of-the-tests"]);
+    for route in settings["routes"].as_array_mut().expect("routes") {
+        let is_refused = route["name"] == "once";
+        route["timeoutMs"] = PATIENT_MS.into();
+        route["targetLatencyMs"] = if is_refused { 12_000 } else { 2_000 }.into();
+    }
+    edge.platform.set("config", "main", settings);
+    edge.slots(0, SLOTS);
+    edge.runners[0].set_brittle(Some(1));
+    time::sleep(Duration::from_millis(1_500)).await;
+    let mut first = connect(&edge).await;
+    let request = head("first", 1, Framing::Length) + "x";
+    first.write_all(request.as_bytes()).await.expect("written");
+    assert_eq!(read_answer(&mut first).await, Some(200));
+    edge.signal("TERM");
+    let mut late = Vec::new();
+    for _ in 0..=SLOTS {
+        late.push(connect(&edge).await);
+    }
+    time::sleep(CLOSE_DELAY - Duration::from_millis(300)).await;
+    for (number, stream) in (0..).zip(&mut late) {
+        let path = if number < SLOTS {
+            "/once/x"
+        } else {
+            "/again/x"
+        };
+        let head = patient_head(path, &format!("l-{number}"));
+        stream.write_all(head.as_bytes()).await.expect("written");
+    }
+    time::sleep(Duration::from_millis(600)).await;
+    let mut answers = Vec::new();
+    for stream in &mut late {
+        stream.write_all(b"a prompt").await.expect("written");
+        answers.push(read_answer(stream).await);
+    }
+    let refused = [Some(503); SLOTS as usize];
+    assert_eq!(answers, [&refused[..], &[Some(200)]].concat());
+}
+
 const PATIENT_MS: u64 = 15_000;
 
 /// Starts a process whose routes and callers wait for long, with endpoints that take `run` for a request.
