Tell the others when an instance exits after a planned stop

Cause: others went on to ask it for permits and slots until they missed it. Only `serve` said goodbye to its peers, `edge` did not.

Change: `edge` sends the goodbye after the stop, so that others choose other issuers at once.

--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -165,7 +165,7 @@
         }
     }
     follow_store(&gateway, &settings);
-    join_peers(&gateway, &settings).await?;
+    let gossip = join_peers(&gateway, &settings).await?;
     tokio::spawn(sweep(gateway.clone()));
     tokio::spawn(log_limits(gateway.clone()));
     tokio::spawn(reconsider(gateway.clone()));
@@ -180,7 +180,10 @@
         }
     }
     let grace = Duration::from_secs_f64(current.bounds.grace_s);
-    Ok(stop::stop(&gateway, stop, serving, grace).await)
+    let all_answered = stop::stop(&gateway, stop, serving, grace).await;
+    // Others must not wait for answers about permits and reservations until they miss it.
+    gossip.goodbye().await;
+    Ok(all_answered)
 }
 
 /// Reads the address from which connections to endpoints are opened.
@@ -240,7 +243,7 @@
 async fn join_peers(
     gateway: &Arc<Gateway<PlatformProtocol>>,
     settings: &PlatformSettings,
-) -> Result<(), EdgeError> {
+) -> Result<Arc<Gossip>, EdgeError> {
     let key = std::env::var(CLUSTER_KEY_VARIABLE).unwrap_or_default();
     snafu::ensure!(key.len() >= MIN_KEY_LEN, ClusterKeySnafu);
     let control = settings.listen.control;
@@ -298,7 +301,8 @@
         place,
     );
     let exchange = Arc::new(exchange.context(BindSnafu { purpose, addr })?);
-    tokio::spawn(async move { gossip.run(CancellationToken::new()).await });
+    let membership = gossip.clone();
+    tokio::spawn(async move { membership.run(CancellationToken::new()).await });
     tokio::spawn(exchange.clone().discover_peers());
     if gateway.fetches_at_start() {
         tokio::spawn(exchange.clone().fetch_at_start());
@@ -321,7 +325,7 @@
             log::error!(target: "ryevalve::process", reason; "copies_not_served");
         }
     });
-    Ok(())
+    Ok(gossip)
 }
 
 async fn bind(purpose: &'static str, addr: SocketAddr) -> Result<TcpListener, EdgeError> {
--- a/tests/edge/planned_stops.rs
+++ b/tests/edge/planned_stops.rs
@@ -14,7 +14,10 @@
     time::{self, Instant},
 };
 
-use crate::support::{Edge, KEY, config};
+use crate::{
+    process_group::ProcessGroup,
+    support::{Edge, KEY, config, exchange, request},
+};
 
 /// Time from the signal until the listener and idle connections are closed.
 const CLOSE_DELAY: Duration = Duration::from_millis(2_600);
@@ -225,6 +228,40 @@
     assert_eq!(answers, [&refused[..], &[Some(200)]].concat());
 }
 
+/// Guards against permits that are asked of an instance which has exited after a planned stop.
+///
+/// Each of 16 brittle endpoints has one of three instances as the issuer of its slots.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_permit_is_asked_of_an_instance_that_has_stopped() {
+    const CALLERS: usize = 4;
+    let mut group = ProcessGroup::start(3, 16).await;
+    for runner in &group.runners {
+        runner.set_brittle(Some(1));
+    }
+    time::sleep(Duration::from_secs(3)).await;
+    let callers = group.callers(1);
+    let mut calls = JoinSet::new();
+    for caller in 0..CALLERS {
+        calls.spawn(async move {
+            for number in 0.. {
+                let id = format!("p-{caller}-{number}");
+                exchange(callers, request("/again/x", &id, &[])).await;
+            }
+        });
+    }
+    time::sleep(Duration::from_secs(1)).await;
+    group.signal(0, "TERM");
+    time::sleep(CLOSE_DELAY - Duration::from_millis(500)).await;
+    let before = group.counter(1, "permits_unanswered").await;
+    group.until_exited(0).await;
+    time::sleep(Duration::from_secs(1)).await;
+    let unanswered = group.counter(1, "permits_unanswered").await - before;
+    let asked = group.counter(1, "permits_asked").await;
+    println!("{unanswered} unanswered after {before}, {asked} asked");
+    // Each caller may be waiting when the instance exits.
+    assert!(unanswered <= CALLERS as u64, "{unanswered} unanswered");
+}
+
 const PATIENT_MS: u64 = 15_000;
 
 /// Starts a process whose routes and callers wait for long, with endpoints that take `run` for a request.
--- a/tests/edge/process_group.rs
+++ b/tests/edge/process_group.rs
@@ -9,11 +9,15 @@
     time::Duration,
 };
 
+use ryevalve::platform::edge::METRICS_PORT;
 use serde_json::{Value, json};
 use standins::{platform::Platform, runner::Runner};
-use tokio::sync::{Mutex, MutexGuard};
+use tokio::{
+    sync::{Mutex, MutexGuard},
+    time,
+};
 
-use crate::support::{config, entry};
+use crate::support::{config, entry, exchange, request};
 
 /// The first instances of a group.
 pub const SEEDS: usize = 3;
@@ -157,6 +161,32 @@
         assert!(status.unwrap().success());
     }
 
+    /// Waits until the process of an instance has exited.
+    pub async fn until_exited(&mut self, instance: usize) {
+        while let Some(process) = &mut self.processes[instance] {
+            if process.try_wait().unwrap().is_some() {
+                self.processes[instance] = None;
+            }
+            time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// Returns the value of a counter of an instance.
+    pub async fn counter(&self, instance: usize, name: &str) -> u64 {
+        let addr = format!("{}:{METRICS_PORT}", self.ip(instance));
+        let addr = addr.parse().expect("an address");
+        let metrics = exchange(addr, request("/metrics", "m-1", &[])).await;
+        let metrics = metrics.expect("the metrics").text();
+        let of_name = |line: &str| {
+            line.split_once(name)?
+                .1
+                .strip_prefix("_total ")?
+                .parse()
+                .ok()
+        };
+        metrics.lines().find_map(of_name).expect("a counter")
+    }
+
     pub fn kill_all(&mut self) {
         for process in &mut self.processes {
             if let Some(mut process) = process.take() {
