Give back the slot of a reservation that is not used

What callers saw: in a hall whose instances ask one of them for places, streams at brittle endpoints were refused as endpoint_limits for up to two seconds after callers had left, or places had come too late, with slots free.

The slot goes to the instance that asked for the place; it dropped the slot where the request did not wait any more, or where the endpoint could not be used there.

Change: it gives the slot and the permit back to their issuer.

Not covered: a reply that arrives in the moment in which the request stops waiting.

--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -94,6 +94,9 @@
         let placement = reply.and_then(|reply| self.apply_reservation_reply(request, reply));
         if placement.is_none() {
             self.metrics.places_unanswered.inc();
+            if let Some(slot) = reply.and_then(|reply| reply.slot()) {
+                permits::release(self, slot).await;
+            }
         }
         placement
     }
@@ -128,7 +131,7 @@
                 key,
                 expected,
                 by_permit,
-                slot_issued_us,
+                ..
             } => {
                 let mut balancer = self.balancer();
                 if !by_permit && balancer.needs_permit(now_us, key) {
@@ -137,11 +140,8 @@
                 }
                 let placement = balancer.place_granted(now_us, request, key, expected);
                 drop(balancer);
-                if let (Some(_), Some(issued_us)) = (&placement, slot_issued_us) {
-                    self.hold_slot(HeldPermit {
-                        endpoint: key,
-                        issued_us,
-                    });
+                if let (Some(_), Some(slot)) = (&placement, reply.slot()) {
+                    self.hold_slot(slot);
                 }
                 placement
             }
--- a/src/gateway/reservation_client.rs
+++ b/src/gateway/reservation_client.rs
@@ -32,7 +32,11 @@
         versions::VersionRule,
     },
     clock::Clock,
-    gateway::{permits::PermitMessage, rollouts::RolloutMessage, stream_origins::OriginMessage},
+    gateway::{
+        permits::{HeldPermit, PermitMessage},
+        rollouts::RolloutMessage,
+        stream_origins::OriginMessage,
+    },
     limits::quota::Message,
     peers::datagram::Authenticator,
     prelude::{Incarnation, Micros, Name, Rank},
@@ -146,6 +150,23 @@
     OverEndpointLimits,
 }
 
+impl ReservationReply {
+    /// Returns the slot of a brittle endpoint that comes with it.
+    pub(super) fn slot(&self) -> Option<HeldPermit> {
+        match *self {
+            Self::Granted {
+                key,
+                slot_issued_us: Some(issued_us),
+                ..
+            } => Some(HeldPermit {
+                endpoint: key,
+                issued_us,
+            }),
+            _ => None,
+        }
+    }
+}
+
 /// The content of a direct message between two instances: about reservations, permits, quota, roll-outs or
 /// streams.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -260,11 +281,11 @@
         first.map_or(state.last_number, |first| first - 1)
     }
 
-    /// Delivers an answer to the request that waits for it.
-    pub(super) fn deliver(&self, number: u64, message: DirectMessage) {
-        if let Some(sender) = self.lock().pending.get(&number) {
-            // The receiver may have been dropped.
-            let _ = sender.send(message);
+    /// Delivers an answer to the request that waits for it; returns it if none does.
+    pub(super) fn deliver(&self, number: u64, message: DirectMessage) -> Option<DirectMessage> {
+        match self.lock().pending.get(&number) {
+            Some(sender) => sender.send(message).err().map(|undelivered| undelivered.0),
+            None => Some(message),
         }
     }
 
--- a/src/gateway/reservation_server.rs
+++ b/src/gateway/reservation_server.rs
@@ -88,7 +88,15 @@
         DirectMessage::Origins(message) => {
             stream_origins::receive(gateway, channel, from, datagram.number, message).await;
         }
-        message => gateway.reservation_client.deliver(datagram.number, message),
+        message => {
+            let undelivered = gateway.reservation_client.deliver(datagram.number, message);
+            if let Some(DirectMessage::Decided(reply)) = undelivered
+                && let Some(slot) = reply.slot()
+            {
+                // The request has stopped waiting for it.
+                permits::release(gateway, slot).await;
+            }
+        }
     }
 }
 
--- a/tests/edge/reservations.rs
+++ b/tests/edge/reservations.rs
@@ -7,7 +7,9 @@
 use std::{net::SocketAddr, time::Duration};
 
 use ryevalve::{
-    balance::{balancer::Placement, cost::PlacementRequest, discovery::EndpointEntry},
+    balance::{
+        balancer::Placement, cost::PlacementRequest, discovery::EndpointEntry, load::EndpointKey,
+    },
     prelude::Name,
 };
 use tokio::time::{self, Instant};
@@ -129,3 +131,42 @@
     };
     until("others to assign slots", is_replaced).await;
 }
+
+/// Guards against slots of brittle endpoints that are lost with streams which are given up before they are placed.
+///
+/// As many streams as there are slots are given up as soon as they have asked for a place.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_given_up_before_it_is_placed_keeps_no_slot_of_a_brittle_endpoint() {
+    let instances = start(16).await;
+    for instance in &instances {
+        let now_us = instance.gateway.clock.now_us();
+        for number in 0..ENDPOINTS {
+            let key = EndpointKey::of(&format!("e{number}"));
+            instance
+                .gateway
+                .balancer()
+                .record_brittle(now_us, key, true);
+        }
+    }
+    let placing = instances.iter().flat_map(|instance| {
+        [1, 2].map(|draw| async move {
+            let ask = stream(instance, draw);
+            let placed = instance.gateway.place(&ask, &[]);
+            time::timeout(Duration::from_micros(100), placed)
+                .await
+                .is_ok()
+        })
+    });
+    let placed = futures::future::join_all(placing).await;
+    println!("{} placed in time", placed.iter().filter(|p| **p).count());
+    // Slots are taken for lost after two seconds.
+    time::sleep(Duration::from_millis(500)).await;
+    let mut placed = 0;
+    for (instance, draw) in instances.iter().zip(0..) {
+        let ask = stream(instance, draw);
+        if let Placement::Send(_) = instance.gateway.place(&ask, &[]).await {
+            placed += 1;
+        }
+    }
+    assert_eq!(placed, INSTANCES);
+}
