Answer requests that have arrived when the listener closes

Cause: the kernel resets connections that it has accepted and the process has not. A new connection that is told to close is closed before its first read.

Change: connections of the kernel's queue are served before the listener is closed, and a connection that is to close reads for 50 ms more.

--- a/src/gateway/caller_listener.rs
+++ b/src/gateway/caller_listener.rs
@@ -1,6 +1,6 @@
 //! The HTTP listener for callers.
 
-use std::{convert::Infallible, sync::Arc};
+use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use hyper::{
     Request,
@@ -11,7 +11,10 @@
 };
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time,
+};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -35,6 +38,9 @@
 /// The smallest read buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
+/// Time in which a connection that is to close still reads a request that has arrived.
+const LAST_READ_TIME: Duration = Duration::from_millis(50);
+
 /// Shuts the listener down in two steps.
 #[derive(Clone, Default)]
 pub struct ListenerStop {
@@ -123,7 +129,11 @@
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
         ended = connection.as_mut() => return ended,
-        () = stop.cancelled() => connection.as_mut().graceful_shutdown(),
+        () = stop.cancelled() => {}
+    }
+    if let Ok(ended) = time::timeout(LAST_READ_TIME, connection.as_mut()).await {
+        return ended;
     }
+    connection.as_mut().graceful_shutdown();
     connection.await
 }
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -1,10 +1,10 @@
 //! Accepting connections: one at a time, or in a loop with a connection limit and a graceful shutdown.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{iter, net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::Semaphore,
+    sync::{OwnedSemaphorePermit, Semaphore},
     time,
 };
 use tokio_util::sync::CancellationToken;
@@ -25,6 +25,20 @@
     }
 }
 
+/// Closes a listener; returns the connections that the kernel has accepted. It would reset them, with requests that have
+/// arrived.
+fn close(listener: TcpListener) -> Vec<TcpStream> {
+    let Ok(listener) = listener.into_std() else {
+        return Vec::new();
+    };
+    let accepted = iter::from_fn(|| listener.accept().ok());
+    let streams = accepted.filter_map(|(stream, _)| {
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    });
+    streams.collect()
+}
+
 /// Accepts connections until `stop` is cancelled, then returns once all open connections have ended.
 pub async fn serve<F, R>(
     listener: TcpListener,
@@ -36,6 +50,13 @@
     R: Future<Output = ()> + Send + 'static,
 {
     let permits = Arc::new(Semaphore::new(max_connections));
+    let start = |stream, permit: OwnedSemaphorePermit| {
+        let serving = serve_one(stream);
+        tokio::spawn(async move {
+            serving.await;
+            drop(permit);
+        });
+    };
     loop {
         // At the limit nothing is accepted: further connections wait in the kernel's accept queue.
         let Ok(permit) = permits.clone().acquire_owned().await else {
@@ -45,13 +66,13 @@
             () = stop.cancelled() => break,
             accepted = accept(&listener) => accepted,
         };
-        let serving = serve_one(stream);
-        tokio::spawn(async move {
-            serving.await;
-            drop(permit);
-        });
+        start(stream, permit);
+    }
+    for stream in close(listener) {
+        if let Ok(permit) = permits.clone().try_acquire_owned() {
+            start(stream, permit);
+        }
     }
-    drop(listener);
     let all = u32::try_from(max_connections).unwrap_or(u32::MAX);
     // Each open connection holds a permit until its last byte is written, so this waits for all of them.
     let _ = permits.acquire_many(all).await;
