--- a/src/platform/edge.rs
+++ b/src/platform/edge.rs
@@ -181,7 +181,7 @@
     }
     let grace = Duration::from_secs_f64(current.bounds.grace_s);
     let all_answered = stop::stop(&gateway, stop, serving, grace).await;
-    // Others must not wait for answers about permits and reservations until they miss it.
+    // Others would ask it for permits and places until they miss it.
     gossip.goodbye().await;
     Ok(all_answered)
 }
