Addresses of their own for a test of reservations

Cause: tests/edge/unproven_refusals uses the addresses of net 16, too, and the tests run at the same time.

Change: net 247, which no other test uses.

--- a/tests/edge/reservations.rs
+++ b/tests/edge/reservations.rs
@@ -137,7 +137,7 @@
 /// As many streams as there are slots are given up as soon as they have asked for a place.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_given_up_before_it_is_placed_keeps_no_slot_of_a_brittle_endpoint() {
-    let instances = start(16).await;
+    let instances = start(247).await;
     for instance in &instances {
         let now_us = instance.gateway.clock.now_us();
         for number in 0..ENDPOINTS {
