--- a/src/gateway/caller_listener.rs
+++ b/src/gateway/caller_listener.rs
@@ -37,7 +37,6 @@
 const MAX_UNSENT_BYTES: u32 = 64 << 10;
 /// The smallest read buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
-
 /// Time in which a connection that is to close still reads a request that has arrived.
 const LAST_READ_TIME: Duration = Duration::from_millis(50);
 
--- a/tests/edge/planned_stops.rs
+++ b/tests/edge/planned_stops.rs
@@ -182,8 +182,6 @@
     assert_eq!(read_answer(&mut stream).await, Some(200));
 }
 
-/// Guards against slots of brittle endpoints that stay with requests which are refused because the instance stops.
-///
 /// As many late requests as the endpoint has slots are refused before one that the stop leaves time for.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_refused_in_a_stop_keeps_no_slot_of_a_brittle_endpoint() {
@@ -228,8 +226,6 @@
     assert_eq!(answers, [&refused[..], &[Some(200)]].concat());
 }
 
-/// Guards against permits that are asked of an instance which has exited after a planned stop.
-///
 /// Each of 16 brittle endpoints has one of three instances as the issuer of its slots.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_permit_is_asked_of_an_instance_that_has_stopped() {
--- a/tests/edge/reservations.rs
+++ b/tests/edge/reservations.rs
@@ -132,8 +132,6 @@
     until("others to assign slots", is_replaced).await;
 }
 
-/// Guards against slots of brittle endpoints that are lost with streams which are given up before they are placed.
-///
 /// As many streams as there are slots are given up as soon as they have asked for a place.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_given_up_before_it_is_placed_keeps_no_slot_of_a_brittle_endpoint() {
--- a/tests/gateway/listener.rs
+++ b/tests/gateway/listener.rs
@@ -47,8 +47,6 @@
     assert!(polls <= MAX_POLLS, "{polls} polls");
 }
 
-/// Guards against requests that are reset unread because the process was busy when its stop began.
-///
 /// All requests have arrived before the listener, which is to stop, accepts its first connection.
 #[tokio::test]
 async fn requests_that_have_arrived_when_the_listener_stops_are_answered() {
